--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Hold benchmark scripts; each prints JSON and a table."""
--- /dev/null
+++ b/marjorambridge/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Check settings and questionnaires before they are used."""
--- /dev/null
+++ b/marjorambridge/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Record calls that may run at most once."""
--- /dev/null
+++ b/marjorambridge/claims/events.py
@@ -0,0 +1,63 @@
+"""Define the events between the requests part and the claims client on the same host."""
+
+from dataclasses import dataclass
+
+from marjorambridge.claims.messages import ClaimStatus, RecordedAnswer
+from marjorambridge.core.events import Event
+from marjorambridge.core.identity import AttemptId
+
+
+@dataclass(slots=True)
+class ClaimWanted(Event):
+    """Ask the claims client to claim a call; `ClaimDecided` answers.
+
+    Attributes
+    ----------
+    give_up_at : float
+        Monotonic time in seconds until which the client keeps trying.
+    """
+
+    claim: AttemptId
+    workspace: str
+    key: str
+    fingerprint: str
+    give_up_at: float
+    wall: float
+
+
+@dataclass(slots=True)
+class ClaimCompletionWanted(Event):
+    """Ask the claims client to record an answer; `ClaimSettled` answers."""
+
+    claim: AttemptId
+    answer: RecordedAnswer
+    give_up_at: float
+
+
+@dataclass(slots=True)
+class ClaimReleaseWanted(Event):
+    """Ask the claims client to give a claim back; `ClaimSettled` answers."""
+
+    claim: AttemptId
+    give_up_at: float
+
+
+@dataclass(slots=True)
+class ClaimDecided(Event):
+    """Tell the requests part what became of a claim.
+
+    Status ``UNAVAILABLE`` means that no answer came in time; the claim may or may not have been
+    written, and the client goes on to release it.
+    """
+
+    claim: AttemptId
+    status: ClaimStatus
+    answer: RecordedAnswer | None = None
+
+
+@dataclass(slots=True)
+class ClaimSettled(Event):
+    """Tell the requests part that a completion or a release is committed, or was given up."""
+
+    claim: AttemptId
+    committed: bool
--- /dev/null
+++ b/marjorambridge/claims/messages.py
@@ -0,0 +1,85 @@
+"""Define the messages between hosts and the leaders of the claims groups."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjorambridge.core.identity import AttemptId
+
+
+@dataclass(slots=True)
+class RecordedAnswer:
+    """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    kept: bool = True
+
+
+class ClaimStatus(StrEnum):
+    """Say what a claims group decided about a call."""
+
+    GRANTED = "granted"
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    MISMATCH = "mismatch"
+    CLAIMANT_LOST = "claimant_lost"
+    EXPIRED = "expired"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(slots=True)
+class ClaimRequest:
+    """Claim a call before its first byte is sent.
+
+    Attributes
+    ----------
+    claim : AttemptId
+        Identity of the claim; a repeated message with the same identity gets the same answer.
+    workspace, key : str
+        Workspace and idempotency key of the call.
+    fingerprint : str
+        Digest of method, path and body.
+    """
+
+    claim: AttemptId
+    workspace: str
+    key: str
+    fingerprint: str
+
+
+@dataclass(slots=True)
+class ClaimComplete:
+    """Record the answer of a claimed call."""
+
+    claim: AttemptId
+    workspace: str
+    key: str
+    answer: RecordedAnswer
+
+
+@dataclass(slots=True)
+class ClaimRelease:
+    """Give a claim back because no byte of the call was sent."""
+
+    claim: AttemptId
+    workspace: str
+    key: str
+
+
+@dataclass(slots=True)
+class ClaimAnswer:
+    """Answer a claim, a completion or a release, after its entry is committed.
+
+    Attributes
+    ----------
+    status : ClaimStatus
+        ``GRANTED`` also confirms a completion or a release.
+    leader : str
+        For ``UNAVAILABLE``: host to ask instead; empty if unknown.
+    """
+
+    claim: AttemptId
+    status: ClaimStatus
+    answer: RecordedAnswer | None = None
+    leader: str = ""
--- /dev/null
+++ b/marjorambridge/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the settings of a host and their defaults."""
--- /dev/null
+++ b/marjorambridge/configuration/models.py
@@ -0,0 +1,139 @@
+"""Model the configuration that operators create and change."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from marjorambridge.core.view import ShardId
+
+
+class ServiceKind(StrEnum):
+    """Tell model engines from plain services."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class Urgency(StrEnum):
+    """Rank workspaces and services when they wait for the same endpoints."""
+
+    LOW = "low"
+    NORMAL = "normal"
+    HIGH = "high"
+
+
+@dataclass(slots=True)
+class Service:
+    """Describe a service and how its calls are handled.
+
+    Attributes
+    ----------
+    name : str
+        Name that callers use as the model name or in the path.
+    kind : ServiceKind
+        Model engine or plain service.
+    zones : tuple of str
+        Availability zones that have endpoints of the service.
+    urgency : Urgency
+        Rank of the service.
+    buckets : int
+        Shards per availability zone.
+    bytes_per_token : float
+        Bytes of UTF-8 text per token, used to estimate the length of a prompt. Low values
+        estimate high, which is safe for the memory account.
+    default_timeout_seconds : float
+        Deadline of a request that does not name one.
+    default_output_tokens : int
+        Output tokens reserved when a request does not name a maximum.
+    repeatable : bool
+        Whether calls other than GET, HEAD and OPTIONS may be repeated.
+    checks_fencing : bool
+        Whether its endpoints refuse orders with an old fencing number.
+    models : tuple of str
+        Model names that callers may use besides the service name.
+    """
+
+    name: str
+    kind: ServiceKind
+    zones: tuple[str, ...]
+    urgency: Urgency = Urgency.NORMAL
+    buckets: int = 1
+    bytes_per_token: float = 3.0
+    default_timeout_seconds: float = 120.0
+    default_output_tokens: int = 512
+    repeatable: bool = False
+    checks_fencing: bool = False
+    models: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Workspace:
+    """Describe a workspace, its access and its limits.
+
+    Attributes
+    ----------
+    name : str
+        Name of the workspace.
+    key_hashes : tuple of str
+        Hexadecimal SHA-256 digests of its keys.
+    services : tuple of str
+        Services that it may call.
+    urgency : Urgency
+        Rank of its requests.
+    requests_per_second : float
+        Sustained admission rate on one host; 0 means no limit.
+    concurrent_requests : int
+        Requests in progress on one host; 0 means no limit.
+    """
+
+    name: str
+    key_hashes: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    urgency: Urgency = Urgency.NORMAL
+    requests_per_second: float = 0.0
+    concurrent_requests: int = 0
+
+
+@dataclass(slots=True)
+class AvailabilityZone:
+    """Describe an availability zone; a zone that is out gets no new work."""
+
+    name: str
+    region: str
+    out: bool = False
+
+
+@dataclass(slots=True)
+class Configuration:
+    """Hold the whole configuration.
+
+    Attributes
+    ----------
+    version : int
+        Number of accepted changes; commands name the version that they are based on.
+    """
+
+    version: int = 0
+    services: dict[str, Service] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    zones: dict[str, AvailabilityZone] = field(default_factory=dict)
+
+
+def list_shards(configuration: Configuration, service: Service) -> list[ShardId]:
+    """Return the shards of a service in zones that exist and are not out."""
+    return [
+        ShardId(service.name, zone, bucket)
+        for zone in service.zones
+        if zone in configuration.zones and not configuration.zones[zone].out
+        for bucket in range(service.buckets)
+    ]
+
+
+def find_service(configuration: Configuration, name: str) -> Service | None:
+    """Return the service with this name, or the one that serves the model of this name."""
+    service = configuration.services.get(name)
+    if service is not None:
+        return service
+    for candidate in configuration.services.values():
+        if name in candidate.models:
+            return candidate
+    return None
--- /dev/null
+++ b/marjorambridge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Define the events, effects, outcomes and identities that all pure packages share."""
--- /dev/null
+++ b/marjorambridge/core/effects.py
@@ -0,0 +1,70 @@
+"""Define the effects that every part may return."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from marjorambridge.core.events import Event
+from marjorambridge.core.identity import TimerKey
+
+
+@dataclass(slots=True)
+class Effect:
+    """Base of all effects; a driver, or the node reducer, carries them out."""
+
+
+@dataclass(slots=True)
+class SendMessage(Effect):
+    """Send a message to a host; it may be lost, and loops back if the host is this one."""
+
+    to: str
+    message: Any
+
+
+@dataclass(slots=True)
+class SetTimer(Effect):
+    """Fire a timer at monotonic time `at` in seconds; replaces a timer with an equal key."""
+
+    key: TimerKey
+    at: float
+
+
+@dataclass(slots=True)
+class CancelTimer(Effect):
+    """Remove a timer, if it is set."""
+
+    key: TimerKey
+
+
+@dataclass(slots=True)
+class Publish(Effect):
+    """Hand an event to all parts of this host before the next outside event."""
+
+    event: Event
+
+
+@dataclass(slots=True)
+class WriteLog(Effect):
+    """Write one structured log line."""
+
+    level: str
+    message: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Measure(Effect):
+    """Record a value in the metric `name`.
+
+    Attributes
+    ----------
+    name : str
+        Name from `marjorambridge.telemetry.metrics`.
+    value : float
+        Increment of a counter, new value of a gauge, or observation of a histogram.
+    labels : dict of str to str
+        Values from bounded sets only.
+    """
+
+    name: str
+    value: float = 1.0
+    labels: dict[str, str] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/core/events.py
@@ -0,0 +1,102 @@
+"""Define the events that every part may receive."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from marjorambridge.core.identity import TimerKey
+
+
+@dataclass(slots=True)
+class Event:
+    """Base of all events.
+
+    Attributes
+    ----------
+    now : float
+        Monotonic time of this host in seconds at which the event took place.
+    """
+
+    now: float
+
+
+@dataclass(slots=True)
+class Started(Event):
+    """Tell every part that the process has started."""
+
+
+@dataclass(slots=True)
+class ShutdownRequested(Event):
+    """Ask for a graceful shutdown, or for an immediate one if `forced`."""
+
+    forced: bool
+
+
+@dataclass(slots=True)
+class TimerFired(Event):
+    """Tell the subscribing part that a timer is due."""
+
+    key: TimerKey
+
+
+@dataclass(slots=True)
+class MessageReceived(Event):
+    """Deliver a message from another host, or from this one.
+
+    Attributes
+    ----------
+    sender : str
+        Host that sent the message.
+    incarnation : int
+        Incarnation of the sender's process.
+    message : Any
+        One of the dataclasses in the packages' ``messages`` modules.
+    """
+
+    sender: str
+    incarnation: int
+    message: Any
+
+
+@dataclass(slots=True)
+class ConfigurationApplied(Event):
+    """Tell every part that a configuration is in force on this host.
+
+    Attributes
+    ----------
+    index : int
+        Index in log group 0 of the last entry that changed it.
+    configuration : marjorambridge.configuration.models.Configuration
+        The whole configuration; receivers must not change it.
+    """
+
+    index: int
+    configuration: Any
+
+
+@dataclass(slots=True)
+class ViewApplied(Event):
+    """Tell every part which hosts are live.
+
+    Attributes
+    ----------
+    index : int
+        Index in log group 0 of the entry that made the view.
+    view : marjorambridge.core.view.View
+        The live and leaving hosts; receivers must not change it.
+    """
+
+    index: int
+    view: Any
+
+
+@dataclass(slots=True)
+class FreshnessChanged(Event):
+    """Tell every part until when this host's configuration and view are known to be current.
+
+    Attributes
+    ----------
+    fresh_until : float
+        Monotonic time in seconds; in the past if the host is not fresh.
+    """
+
+    fresh_until: float
--- /dev/null
+++ b/marjorambridge/core/outcomes.py
@@ -0,0 +1,72 @@
+"""Define the tagged outcomes of a request."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Say why a request did not end in `Done`."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_SERVICE = "unknown_service"
+    TOO_LARGE = "too_large"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    NOT_FRESH = "not_fresh"
+    SHUTTING_DOWN = "shutting_down"
+    NO_ENDPOINT = "no_endpoint"
+    DEADLINE = "deadline"
+    CALLER_GONE = "caller_gone"
+    ENDPOINT_ERROR = "endpoint_error"
+    STREAM_CUT = "stream_cut"
+    CLAIM_IN_PROGRESS = "claim_in_progress"
+    CLAIM_MISMATCH = "claim_mismatch"
+    CLAIM_EXPIRED = "claim_expired"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIMANT_LOST = "claimant_lost"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+
+
+@dataclass(slots=True)
+class Done:
+    """The whole answer was delivered."""
+
+
+@dataclass(slots=True)
+class NotRun:
+    """No byte of the request was sent to any endpoint.
+
+    Attributes
+    ----------
+    reason : Reason
+        Why the request was refused.
+    message : str
+        Text for the caller that names the remedy.
+    retry_after : float or None
+        Seconds after which a new try makes sense; None if none does.
+    """
+
+    reason: Reason
+    message: str
+    retry_after: float | None = None
+
+
+@dataclass(slots=True)
+class Failed:
+    """The request ended without a whole answer, and it is known that repeating it is safe."""
+
+    reason: Reason
+    message: str
+    retry_after: float | None = None
+
+
+@dataclass(slots=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    reason: Reason
+    message: str
+
+
+Outcome = Done | NotRun | Failed | Unknown
--- /dev/null
+++ b/marjorambridge/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run one host: connect the reducer with the drivers."""
--- /dev/null
+++ b/marjorambridge/http/__init__.py
@@ -0,0 +1,1 @@
+"""Speak HTTP with callers, endpoints and operators."""
--- /dev/null
+++ b/marjorambridge/limits/effects.py
@@ -0,0 +1,31 @@
+"""Define the effects that an owner of shards has on endpoints."""
+
+from dataclasses import dataclass
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.core.identity import AttemptId
+
+
+@dataclass(slots=True)
+class CancelOnEndpoint(Effect):
+    """Tell an endpoint to stop an attempt and free its memory.
+
+    The driver answers with `EndpointCancelled` when the endpoint has confirmed; without an
+    answer the reducer asks again.
+    """
+
+    endpoint: str
+    incarnation: int
+    address: str
+    attempt: AttemptId
+
+
+@dataclass(slots=True)
+class CancelHostOnEndpoint(Effect):
+    """Tell an endpoint to stop all attempts of one incarnation of a host, and older ones."""
+
+    endpoint: str
+    incarnation: int
+    address: str
+    host: str
+    host_incarnation: int
--- /dev/null
+++ b/marjorambridge/limits/messages.py
@@ -0,0 +1,338 @@
+"""Define the messages between hosts and the owners of shards."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjorambridge.core.identity import AttemptId
+
+
+class PriorityClass(StrEnum):
+    """Class of a request by its estimated uncached prefill tokens."""
+
+    INTERACTIVE = "interactive"
+    BATCH = "batch"
+    LONG = "long"
+    GROUP = "group"
+
+
+class DenialReason(StrEnum):
+    """Say why an owner does not grant a permit."""
+
+    NOT_OWNER = "not_owner"
+    NOT_FRESH = "not_fresh"
+    TAKEOVER = "takeover"
+    ZONE_OUT = "zone_out"
+    NO_ENDPOINT = "no_endpoint"
+    TOO_LARGE = "too_large"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+
+
+@dataclass(slots=True)
+class ShardSummary:
+    """Summarize a shard for the routing of other hosts.
+
+    Attributes
+    ----------
+    shard : str
+        Text form of the shard identifier.
+    endpoints : int
+        Endpoints that accept work.
+    free_tokens : int
+        Unreserved KV memory of all endpoints, in tokens.
+    largest_free_tokens : int
+        Largest unreserved KV memory of one endpoint, in tokens.
+    queued_tokens : int
+        Prefill tokens of queued requests.
+    prefill_tokens : int
+        Prefill tokens of running requests without a first token yet.
+    expected_wait : float
+        Estimated seconds until a short request would be granted.
+    """
+
+    shard: str
+    endpoints: int = 0
+    free_tokens: int = 0
+    largest_free_tokens: int = 0
+    queued_tokens: int = 0
+    prefill_tokens: int = 0
+    expected_wait: float = 0.0
+
+
+@dataclass(slots=True)
+class PermitRequest:
+    """Ask the owner of a shard for the right to start one attempt.
+
+    Attributes
+    ----------
+    permit : AttemptId
+        Identity of the attempt and its permit; a repeated request with the same identity gets
+        the same permit.
+    ask : int
+        Serial number of this message for the permit, from 1. The answer names it, and the start
+        window of a grant counts from the sending of the ask that it answers.
+    shard : str
+        Text form of the shard identifier.
+    workspace : str
+        Workspace that the request belongs to, for fair queueing.
+    weight : float
+        Share of the workspace in fair queueing, from its urgency and that of the service.
+    prompt_tokens, output_tokens : int
+        Estimated lengths; their sum is reserved. Plain services use 0.
+    remaining : float
+        Seconds until the request's deadline, when the message was sent.
+    prefix : tuple of bytes
+        Chained 8-byte hashes of the prompt's leading blocks, shortest prefix first.
+    prefix_tokens : tuple of int
+        Tokens covered by each hash of `prefix`.
+    exclude : tuple of str
+        Endpoints that an earlier attempt of the request failed on.
+    """
+
+    permit: AttemptId
+    ask: int
+    shard: str
+    workspace: str
+    weight: float
+    prompt_tokens: int
+    output_tokens: int
+    remaining: float
+    prefix: tuple[bytes, ...] = ()
+    prefix_tokens: tuple[int, ...] = ()
+    exclude: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class EndpointGrant:
+    """Name one endpoint of a permit.
+
+    Attributes
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    incarnation : int
+        Incarnation of the endpoint that the grant is for.
+    address : str
+        ``ip:port`` of the endpoint.
+    tokens : int
+        KV memory reserved on it, in tokens.
+    cached_tokens : int
+        Prompt tokens expected in its prefix cache.
+    """
+
+    endpoint: str
+    incarnation: int
+    address: str
+    tokens: int
+    cached_tokens: int = 0
+
+
+@dataclass(slots=True)
+class PermitGranted:
+    """Grant a permit; several endpoints form a group whose first one leads.
+
+    The holder must start within `START_WINDOW` of the moment it sent the request numbered `ask`,
+    by its own clock.
+    """
+
+    permit: AttemptId
+    ask: int
+    shard: str
+    epoch: int
+    priority: PriorityClass
+    endpoints: tuple[EndpointGrant, ...]
+    summary: ShardSummary
+
+
+@dataclass(slots=True)
+class PermitDenied:
+    """Refuse a permit; nothing is reserved."""
+
+    permit: AttemptId
+    shard: str
+    reason: DenialReason
+    retry_after: float
+    summary: ShardSummary
+
+
+@dataclass(slots=True)
+class PermitQueued:
+    """Tell that a permit request waits at the owner.
+
+    The requester asks again with the same permit identity every `QUEUE_RENEWAL` seconds while
+    it still wants the permit; the owner drops a queued request that is not asked for again, and
+    grants only to requests whose last ask is younger than two renewals.
+    """
+
+    permit: AttemptId
+    ask: int
+    shard: str
+    expected_wait: float
+    summary: ShardSummary
+
+
+@dataclass(slots=True)
+class PermitCancel:
+    """Withdraw a permit request or an unused permit."""
+
+    permit: AttemptId
+    shard: str
+
+
+@dataclass(slots=True)
+class PermitRelease:
+    """Report that an attempt has ended and its memory is free.
+
+    Attributes
+    ----------
+    succeeded : bool
+        Whether the attempt delivered a whole answer.
+    endpoint_failed : bool
+        Whether the endpoint broke the connection or answered with a server error.
+    stopped : bool
+        Whether the endpoint is known to have stopped working on the attempt. If not, the owner
+        cancels it on the endpoint before it frees the memory.
+    first_token_seconds : float
+        Time from start to first token; negative if none came.
+    """
+
+    permit: AttemptId
+    shard: str
+    succeeded: bool
+    endpoint_failed: bool
+    stopped: bool
+    first_token_seconds: float = -1.0
+
+
+@dataclass(slots=True)
+class RunningPermit:
+    """Describe a running permit to the shard's present owner."""
+
+    permit: AttemptId
+    shard: str
+    endpoints: tuple[EndpointGrant, ...]
+    first_token: bool
+
+
+@dataclass(slots=True)
+class PermitRenew:
+    """Renew the running permits that a host holds at one owner."""
+
+    permits: tuple[RunningPermit, ...]
+
+
+@dataclass(slots=True)
+class PermitRevoked:
+    """Tell the holder that a permit is void; it stops the attempt and retries elsewhere."""
+
+    permit: AttemptId
+    shard: str
+
+
+@dataclass(slots=True)
+class CacheEvent:
+    """Report blocks that an endpoint stored in or evicted from its prefix cache.
+
+    Attributes
+    ----------
+    sequence : int
+        Serial number within the endpoint's incarnation; gaps mean lost events.
+    stored, evicted : tuple of bytes
+        Chained 8-byte block hashes.
+    """
+
+    sequence: int
+    stored: tuple[bytes, ...] = ()
+    evicted: tuple[bytes, ...] = ()
+
+
+@dataclass(slots=True)
+class Announcement:
+    """Describe an endpoint, as it announced itself.
+
+    Attributes
+    ----------
+    kv_capacity_tokens : int
+        KV memory in tokens; 0 for plain services.
+    concurrency : int
+        Requests that the endpoint bears at once when warm.
+    concurrency_now : int
+        Requests that the endpoint says it bears at present; 0 if it does not say.
+    kv_used_tokens : int
+        KV memory in use by the endpoint's last report, which lags.
+    running : int
+        Running requests by the endpoint's last report, which lags.
+    report_sequence : int
+        Serial number of the load report.
+    report_age : float
+        Seconds between the measurement of the report and the announcement.
+    """
+
+    endpoint: str
+    incarnation: int
+    supplier: str
+    service: str
+    zone: str
+    address: str
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = "any"
+    version: str = ""
+    kv_capacity_tokens: int = 0
+    concurrency: int = 1
+    concurrency_now: int = 0
+    cold: bool = False
+    leaving: bool = False
+    checks_fencing: bool = False
+    kv_used_tokens: int = 0
+    running: int = 0
+    report_sequence: int = 0
+    report_age: float = 0.0
+    cache_events: tuple[CacheEvent, ...] = ()
+
+
+@dataclass(slots=True)
+class HandoverPermit:
+    """Describe one permit of a shard that changes its owner."""
+
+    permit: AttemptId
+    endpoints: tuple[EndpointGrant, ...]
+    first_token: bool
+    age: float
+
+
+@dataclass(slots=True)
+class HandoverEndpoint:
+    """Describe one endpoint of a shard that changes its owner.
+
+    Attributes
+    ----------
+    limit : int
+        Present concurrency limit of the cold-start ramp.
+    warm : bool
+        Whether the ramp has reached the announced concurrency.
+    baseline : float
+        Warm seconds to first token per prefill token; 0 if unknown.
+    """
+
+    announcement: Announcement
+    limit: int
+    warm: bool
+    baseline: float
+
+
+@dataclass(slots=True)
+class ShardHandover:
+    """Hand a shard's state to its new owner; the sender grants nothing afterwards.
+
+    Attributes
+    ----------
+    epoch : int
+        Index of the view that makes the receiver the owner.
+    """
+
+    shard: str
+    epoch: int
+    endpoints: tuple[HandoverEndpoint, ...]
+    permits: tuple[HandoverPermit, ...]
--- /dev/null
+++ b/marjorambridge/management/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the command-line tool for operators."""
--- /dev/null
+++ b/marjorambridge/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate logs over the hosts that have a disk."""
--- /dev/null
+++ b/marjorambridge/replication/events.py
@@ -0,0 +1,120 @@
+"""Define the events by which other parts use the replicated logs."""
+
+from dataclasses import dataclass
+
+from marjorambridge.core.events import Event
+
+
+@dataclass(slots=True)
+class ProposalRequested(Event):
+    """Ask this replica to append a payload to a group's log.
+
+    The proposer learns of success from `EntryCommitted` with the same `proposal`, and of refusal
+    from `ProposalRefused`. A proposal may also vanish; the proposer then tries again, and the
+    state machine recognizes the repeated command.
+    """
+
+    group: int
+    proposal: str
+    payload: bytes
+
+
+@dataclass(slots=True)
+class ProposalRefused(Event):
+    """Tell that a proposal was not appended.
+
+    Attributes
+    ----------
+    leader : str
+        Host of the present leader; empty if unknown.
+    """
+
+    group: int
+    proposal: str
+    reason: str
+    leader: str
+
+
+@dataclass(slots=True)
+class EntryCommitted(Event):
+    """Deliver the next committed entry of a group, in order and each once per process life.
+
+    Attributes
+    ----------
+    proposal : str
+        Identifier of the proposal if it was made on this replica in this term, else empty.
+    """
+
+    group: int
+    index: int
+    term: int
+    payload: bytes
+    proposal: str = ""
+
+
+@dataclass(slots=True)
+class SnapshotInstalled(Event):
+    """Replace the state machine's state by a snapshot that covers all entries up to `index`."""
+
+    group: int
+    index: int
+    term: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class SnapshotRequested(Event):
+    """Ask the state machine for a snapshot of its state; `SnapshotTaken` answers."""
+
+    group: int
+
+
+@dataclass(slots=True)
+class SnapshotTaken(Event):
+    """Deliver a snapshot of a state machine that has applied all entries up to `index`."""
+
+    group: int
+    index: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class LeadershipChanged(Event):
+    """Tell who leads a group, as far as this replica knows.
+
+    Attributes
+    ----------
+    leader : str
+        Host of the leader; empty if unknown.
+    is_leader : bool
+        Whether this replica leads and has committed an entry of its term, so that it knows
+        every earlier commit.
+    """
+
+    group: int
+    leader: str
+    term: int
+    is_leader: bool
+
+
+@dataclass(slots=True)
+class LogPositionChanged(Event):
+    """Tell the position of this replica's log, for the freshness poll.
+
+    Attributes
+    ----------
+    last_index : int
+        Index of the last entry that is appended, synced or not.
+    commit_index : int
+        Index of the last entry known to be committed.
+    voter : bool
+        Whether this replica's present disk is a voter.
+    voters : tuple of str
+        Hosts of the voters, by the latest membership in the log.
+    """
+
+    group: int
+    last_index: int
+    commit_index: int
+    voter: bool
+    voters: tuple[str, ...]
--- /dev/null
+++ b/marjorambridge/requests/effects.py
@@ -0,0 +1,75 @@
+"""Define the effects on callers and on endpoints of carrying a request."""
+
+from dataclasses import dataclass
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.outcomes import Outcome
+from marjorambridge.limits.messages import EndpointGrant, PriorityClass
+
+
+@dataclass(slots=True)
+class StartAttempt(Effect):
+    """Send a request to the endpoints of a permit.
+
+    The driver checks `start_by` against the clock directly before the first byte and ends the
+    attempt as ``NOT_SENT`` if it has passed.
+
+    Attributes
+    ----------
+    request : str
+        Request whose body the driver keeps.
+    endpoints : tuple of EndpointGrant
+        The first leads; the others hold parts of the KV memory of a group.
+    resume_from : int
+        Tokens that the caller already has; the engine continues after them.
+    start_by : float
+        Monotonic time in seconds after which the first byte must not be written.
+    timeout : float
+        Seconds until the request's deadline.
+    """
+
+    attempt: AttemptId
+    request: str
+    endpoints: tuple[EndpointGrant, ...]
+    priority: PriorityClass
+    resume_from: int
+    start_by: float
+    timeout: float
+
+
+@dataclass(slots=True)
+class CancelAttempt(Effect):
+    """Stop an attempt: close its connection and tell the endpoints to free its memory."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True)
+class ForwardHeaders(Effect):
+    """Send the status and headers of the answer to the caller."""
+
+    request: str
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True)
+class ForwardChunk(Effect):
+    """Send a part of the answer to the caller; `index` counts tokens, or bytes for plain ones."""
+
+    request: str
+    index: int
+    count: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class FinishRequest(Effect):
+    """Give the caller its final outcome and forget the request's body."""
+
+    request: str
+    outcome: Outcome
+    finish: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
--- /dev/null
+++ b/marjorambridge/requests/events.py
@@ -0,0 +1,139 @@
+"""Define the events of callers' requests and of attempts on endpoints."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from marjorambridge.core.events import Event
+from marjorambridge.core.identity import AttemptId
+
+
+@dataclass(slots=True)
+class RequestArrived(Event):
+    """Tell that a caller's request was read whole and its syntax is valid.
+
+    Attributes
+    ----------
+    request : str
+        Identifier, unique on this host; the driver keeps the body under it.
+    wall : float
+        Wall-clock time in seconds since the epoch, for the age of idempotency keys.
+    key_hash : str
+        Hexadecimal SHA-256 digest of the workspace key; empty if the caller sent none.
+    service : str
+        Service or model name.
+    method, path : str
+        HTTP method and the path below the service; for engines ``POST`` and the API path.
+    stream : bool
+        Whether the caller wants the answer as a stream.
+    prompt_bytes : int
+        Bytes of prompt text, for the estimate of tokens.
+    output_tokens : int
+        Maximum of output tokens that the caller named; 0 if none.
+    timeout : float
+        Seconds the caller gives; 0 if it did not say.
+    idempotency_key : str
+        Caller's key; empty if none.
+    fingerprint : str
+        Digest of method, path and body, to tell a resend from another request with the same key.
+    repeatable : bool or None
+        What the caller said; None if nothing.
+    prefix, prefix_tokens : tuple
+        Chained block hashes of the prompt and the tokens that each covers.
+    """
+
+    request: str
+    wall: float
+    key_hash: str
+    service: str
+    method: str
+    path: str
+    stream: bool = False
+    prompt_bytes: int = 0
+    output_tokens: int = 0
+    timeout: float = 0.0
+    idempotency_key: str = ""
+    fingerprint: str = ""
+    repeatable: bool | None = None
+    prefix: tuple[bytes, ...] = ()
+    prefix_tokens: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class CallerGone(Event):
+    """Tell that the caller closed its connection before the final answer."""
+
+    request: str
+
+
+@dataclass(slots=True)
+class AttemptStarted(Event):
+    """Tell that the first byte of an attempt is about to be written to the endpoint."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True)
+class AttemptHeaders(Event):
+    """Deliver the status and headers of an endpoint's answer."""
+
+    attempt: AttemptId
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True)
+class AttemptChunk(Event):
+    """Deliver a part of an endpoint's answer.
+
+    Attributes
+    ----------
+    index : int
+        Index of the first token in the chunk for engines; byte offset for plain services.
+    count : int
+        Tokens in the chunk for engines; bytes for plain services.
+    data : bytes
+        Content: text of the tokens in UTF-8, or bytes of the body.
+    token_ends : tuple of int
+        Byte offset in `data` after each token, so that a chunk that overlaps what was already
+        forwarded can be cut at a token; empty for plain services.
+    """
+
+    attempt: AttemptId
+    index: int
+    count: int
+    data: bytes
+    token_ends: tuple[int, ...] = ()
+
+
+class AttemptEnd(StrEnum):
+    """Say how an attempt ended, as the driver saw it."""
+
+    COMPLETE = "complete"
+    CUT = "cut"
+    REFUSED = "refused"
+    SERVER_ERROR = "server_error"
+    CLIENT_ERROR = "client_error"
+    NOT_SENT = "not_sent"
+    TIMED_OUT = "timed_out"
+
+
+@dataclass(slots=True)
+class AttemptEnded(Event):
+    """Tell that no more of an attempt's answer will come.
+
+    Attributes
+    ----------
+    end : AttemptEnd
+        ``COMPLETE`` only if the end marker came; ``NOT_SENT`` only if no byte was written;
+        ``REFUSED`` if the endpoint said that it did not run the request.
+    finish : str
+        Finish reason of the engine, such as ``stop`` or ``length``.
+    usage : dict
+        Token counts that the engine reported.
+    """
+
+    attempt: AttemptId
+    end: AttemptEnd
+    message: str = ""
+    finish: str = ""
+    usage: dict[str, int] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the shard that a request asks for a permit."""
--- /dev/null
+++ b/marjorambridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide stand-ins of engines and plain services for the demo, tests and benchmarks."""
--- /dev/null
+++ b/marjorambridge/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Keep replicated logs, votes and snapshots in files under one data folder."""
--- /dev/null
+++ b/marjorambridge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Write structured logs, metrics and traces."""
--- /dev/null
+++ b/marjorambridge/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between hosts in framed thrift structures over TCP."""
--- /dev/null
+++ b/marjorambridge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encode and decode the messages between hosts."""
