Add the wire codec, the peer transport, the node reducer, settings and logs

Messages between hosts are slotted dataclasses. Ruled out: the generated thrift classes as messages of the reducers, because they check no types.

Connections are authenticated by a session key from the fleet key and both handshakes, so that a frame of an earlier connection is refused.

--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,11 @@
 demo: environment
 	$(BIN)/python scripts/demo.py
 
-# The generator is only needed after a change of the IDL; its output is committed.
-wire:
+# The generator is only needed after a change of the messages; its output is committed.
+wire: environment
+	$(BIN)/python scripts/generate_idl.py
 	for idl in marjorambridge/wire/idl/*.thrift; do \
 		thrift -out marjorambridge/wire/gen --gen py:slots,enum,package_prefix=marjorambridge.wire.gen. $$idl; \
 	done
+	sed -i 's/\breserved_//g' marjorambridge/wire/gen/*/ttypes.py
+	rm -f marjorambridge/wire/gen/__init__.py && touch marjorambridge/wire/gen/__init__.py
--- /dev/null
+++ b/marjorambridge/core/reducer.py
@@ -0,0 +1,108 @@
+"""Dispatch each event to the parts that subscribe to it and collect their effects."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from marjorambridge.core.effects import Effect, Publish, SendMessage
+from marjorambridge.core.events import Event, MessageReceived, TimerFired
+from marjorambridge.core.exceptions import MarjorambridgeError
+
+# One outside event causes a handful of internal ones; more than this means that parts answer each
+# other without end.
+MAX_INTERNAL_EVENTS = 100_000
+
+
+class EventLoopError(MarjorambridgeError):
+    """Parts publish events to each other without end; report this with the recorded events."""
+
+
+@dataclass(slots=True)
+class Part:
+    """Describe one package's share of the node's state.
+
+    Attributes
+    ----------
+    name : str
+        Name that the package uses in `TimerKey.part`.
+    state : Any
+        State of the package; only its own `step` changes it.
+    step : callable
+        ``step(state, event) -> list[Effect]``.
+    events : frozenset of type
+        Classes of events it receives, besides its own timers and messages.
+    messages : frozenset of type
+        Classes of messages it receives.
+    """
+
+    name: str
+    state: Any
+    step: Callable[[Any, Event], list[Effect]]
+    events: frozenset[type] = frozenset()
+    messages: frozenset[type] = frozenset()
+
+
+@dataclass(slots=True)
+class Node:
+    """Hold the parts of one host and the index of their subscriptions."""
+
+    host: str
+    incarnation: int
+    parts: dict[str, Part] = field(default_factory=dict)
+    by_event: dict[type, list[Part]] = field(default_factory=dict)
+    by_message: dict[type, list[Part]] = field(default_factory=dict)
+
+
+def create_node(host: str, incarnation: int, parts: Iterable[Part]) -> Node:
+    """Build a node whose parts receive events in the order given."""
+    node = Node(host, incarnation)
+    for part in parts:
+        node.parts[part.name] = part
+        for kind in part.events:
+            node.by_event.setdefault(kind, []).append(part)
+        for kind in part.messages:
+            node.by_message.setdefault(kind, []).append(part)
+    return node
+
+
+def _find_parts(node: Node, event: Event) -> list[Part]:
+    if isinstance(event, TimerFired):
+        part = node.parts.get(event.key.part)
+        return [part] if part else []
+    if isinstance(event, MessageReceived):
+        return node.by_message.get(type(event.message), [])
+    return node.by_event.get(type(event), [])
+
+
+def step(node: Node, event: Event) -> list[Effect]:
+    """Apply one outside event and return the effects for the drivers.
+
+    `Publish` effects and messages to this host itself are applied before the function returns, in
+    the order in which they were caused.
+
+    Raises
+    ------
+    EventLoopError
+        If the event causes more than `MAX_INTERNAL_EVENTS` internal ones.
+    """
+    outside: list[Effect] = []
+    pending: deque[Event] = deque([event])
+    for _ in range(MAX_INTERNAL_EVENTS):
+        if not pending:
+            return outside
+        current = pending.popleft()
+        for part in _find_parts(node, current):
+            for effect in part.step(part.state, current):
+                if isinstance(effect, Publish):
+                    pending.append(effect.event)
+                elif isinstance(effect, SendMessage) and effect.to == node.host:
+                    pending.append(
+                        MessageReceived(event.now, node.host, node.incarnation, effect.message)
+                    )
+                else:
+                    outside.append(effect)
+    raise EventLoopError(
+        f"{type(event).__name__} caused more than {MAX_INTERNAL_EVENTS} internal events; "
+        "report this with the recorded events"
+    )
--- /dev/null
+++ b/marjorambridge/daemon/runtime.py
@@ -0,0 +1,104 @@
+"""Drive the node reducer: feed it events, run the timer service and carry out its effects."""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from loguru import logger
+
+from marjorambridge.core import reducer
+from marjorambridge.core.effects import CancelTimer, Effect, SetTimer
+from marjorambridge.core.events import Event, TimerFired
+from marjorambridge.core.timers import (
+    TimerTable,
+    cancel_timer,
+    compute_next_due,
+    pop_due,
+    set_timer,
+)
+
+# A longer gap between two timer checks means that the process was frozen or starved.
+STALL_SECONDS = 0.5
+MAX_TIMER_WAIT_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class Runtime:
+    """Hold what connects the reducer with the drivers.
+
+    Attributes
+    ----------
+    handlers : dict of type to callable
+        Carries out the effects of each class; must not block.
+    record : callable or None
+        Takes each outside event before it is applied, for a later replay.
+    """
+
+    node: reducer.Node
+    handlers: dict[type, Callable[[Effect], None]] = field(default_factory=dict)
+    record: Callable[[Event], None] | None = None
+    timers: TimerTable = field(default_factory=TimerTable)
+    pending: deque[Event] = field(default_factory=deque)
+    applying: bool = False
+    wakeup: anyio.Event = field(default_factory=anyio.Event)
+
+
+def post(runtime: Runtime, event: Event) -> None:
+    """Apply an event, and after it those that its effects cause."""
+    runtime.pending.append(event)
+    if runtime.applying:
+        return
+    runtime.applying = True
+    try:
+        while runtime.pending:
+            _apply(runtime, runtime.pending.popleft())
+    finally:
+        runtime.applying = False
+
+
+def _apply(runtime: Runtime, event: Event) -> None:
+    if runtime.record is not None:
+        runtime.record(event)
+    for effect in reducer.step(runtime.node, event):
+        _carry_out(runtime, effect)
+
+
+def _carry_out(runtime: Runtime, effect: Effect) -> None:
+    if isinstance(effect, SetTimer):
+        earliest = compute_next_due(runtime.timers)
+        set_timer(runtime.timers, effect.key, effect.at)
+        if earliest is None or effect.at < earliest:
+            runtime.wakeup.set()
+        return
+    if isinstance(effect, CancelTimer):
+        cancel_timer(runtime.timers, effect.key)
+        return
+    handler = runtime.handlers.get(type(effect))
+    if handler is None:
+        logger.bind(effect=type(effect).__name__).error("no driver carries out this effect")
+        return
+    handler(effect)
+
+
+async def run_timers(runtime: Runtime) -> None:
+    """Fire timers when they are due, until cancelled."""
+    checked = time.monotonic()
+    while True:
+        due = compute_next_due(runtime.timers)
+        now = time.monotonic()
+        wait = MAX_TIMER_WAIT_SECONDS if due is None else min(due - now, MAX_TIMER_WAIT_SECONDS)
+        if wait > 0:
+            runtime.wakeup = anyio.Event()
+            with anyio.move_on_after(wait):
+                await runtime.wakeup.wait()
+        else:
+            # Timers that are always due must not keep other tasks from running.
+            await anyio.sleep(0)
+        now = time.monotonic()
+        if now - checked > STALL_SECONDS + MAX_TIMER_WAIT_SECONDS:
+            logger.bind(seconds=round(now - checked, 3)).warning("the event loop was stalled")
+        checked = now
+        for key in pop_due(runtime.timers, now):
+            post(runtime, TimerFired(now, key))
--- /dev/null
+++ b/marjorambridge/transport/network.py
@@ -0,0 +1,262 @@
+"""Send messages to other hosts and receive theirs, over authenticated TCP connections.
+
+Each host dials its own connection for what it sends. A connection is a hint: messages are dropped
+when the peer can't be reached, and the reducers cope with the loss.
+"""
+
+import contextlib
+import secrets
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
+from anyio.streams.buffered import BufferedByteReceiveStream
+from loguru import logger
+
+from marjorambridge.conf import defaults
+from marjorambridge.core.events import Event, MessageReceived
+from marjorambridge.core.exceptions import MarjorambridgeError
+from marjorambridge.transport import frames
+from marjorambridge.transport.exceptions import FrameError, HandshakeError
+from marjorambridge.wire.codec import decode_message, encode_message
+from marjorambridge.wire.exceptions import WireError
+from marjorambridge.wire.gen.frame.ttypes import Hello
+
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+# A send that makes no progress for this long means a silent partition; the connection is dropped
+# so that a new one can be dialed when the path is back.
+SEND_TIMEOUT_SECONDS = 2.0
+MESSAGE_LIFETIME_SECONDS = 2.0
+MAX_QUEUED_MESSAGES = 4_096
+MAX_BATCH_BYTES = 256 * 1024
+MIN_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 1.0
+CONNECTION_ERRORS = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.IncompleteRead,
+    MarjorambridgeError,
+)
+
+
+@dataclass(slots=True)
+class Peer:
+    """Hold what waits to be sent to one host."""
+
+    queue: deque[tuple[float, Any]] = field(default_factory=deque)
+    wakeup: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass(slots=True)
+class Network:
+    """Hold the connections of this host.
+
+    Attributes
+    ----------
+    resolve : callable
+        Returns the ``ip:port`` of a host, or None if it is unknown.
+    post : callable
+        Takes the events that messages make.
+    learned : dict of str to str
+        Addresses from authenticated handshakes; they serve hosts that are not in the view yet.
+    sent_bytes, received_bytes : int
+        Totals for the metrics.
+    """
+
+    host: str
+    incarnation: int
+    fleet: str
+    fleet_key: bytes
+    address: str
+    resolve: Callable[[str], str | None]
+    post: Callable[[Event], None]
+    peers: dict[str, Peer] = field(default_factory=dict)
+    learned: dict[str, str] = field(default_factory=dict)
+    tasks: TaskGroup | None = None
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+async def start(network: Network, tasks: TaskGroup, listen: str) -> None:
+    """Listen on ``ip:port`` and be ready to send."""
+    await tasks.start(_run, network, listen)
+
+
+async def close(network: Network) -> None:
+    """Stop listening and drop all connections."""
+    if network.tasks is not None:
+        network.tasks.cancel_scope.cancel()
+
+
+def send(network: Network, host: str, message: Any) -> None:
+    """Queue a message; the oldest one is dropped when the queue is full."""
+    peer = network.peers.get(host)
+    if peer is None:
+        peer = network.peers[host] = Peer()
+        network.tasks.start_soon(_run_sender, network, host, peer)
+    if len(peer.queue) >= MAX_QUEUED_MESSAGES:
+        peer.queue.popleft()
+    peer.queue.append((time.monotonic(), message))
+    peer.wakeup.set()
+
+
+async def _run(network: Network, listen: str, *, task_status: TaskStatus) -> None:
+    ip, _, port = listen.rpartition(":")
+    listener = await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
+    async with listener, anyio.create_task_group() as tasks:
+        network.tasks = tasks
+        task_status.started()
+        await listener.serve(lambda stream: _run_receiver(network, stream), tasks)
+
+
+def _set_options(stream: ByteStream) -> None:
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SEND_TIMEOUT_SECONDS * 1000))
+
+
+def _make_hello(network: Network) -> bytes:
+    return frames.encode_hello(
+        Hello(
+            version=frames.PROTOCOL_VERSION,
+            fleet=network.fleet,
+            host=network.host,
+            incarnation=network.incarnation,
+            address=network.address,
+            nonce=secrets.token_bytes(frames.NONCE_BYTES),
+        )
+    )
+
+
+async def _read_frame(reader: BufferedByteReceiveStream) -> bytes:
+    header = await reader.receive_exactly(frames.LENGTH.size)
+    (length,) = frames.LENGTH.unpack(header)
+    if length > defaults.MAX_FRAME_BYTES:
+        raise FrameError(
+            f"a frame of {length} bytes exceeds {defaults.MAX_FRAME_BYTES}; the peer is faulty"
+        )
+    return await reader.receive_exactly(length)
+
+
+async def _run_receiver(network: Network, stream: ByteStream) -> None:
+    async with stream:
+        try:
+            await _receive_messages(network, stream)
+        except (HandshakeError, FrameError, WireError) as error:
+            logger.bind(error=str(error)).warning("refused a connection from a peer")
+        except CONNECTION_ERRORS:
+            return
+
+
+async def _receive_messages(network: Network, stream: ByteStream) -> None:
+    _set_options(stream)
+    reader = BufferedByteReceiveStream(stream)
+    with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
+        dialer = await _read_frame(reader)
+        hello = frames.decode_hello(dialer, network.fleet)
+        acceptor = _make_hello(network)
+        await stream.send(frames.add_length(acceptor))
+    session = frames.derive_session(network.fleet_key, dialer, acceptor)
+    while True:
+        data = await _read_frame(reader)
+        frame = frames.open_frame(session, data)
+        network.received_bytes += len(data) + frames.LENGTH.size
+        network.learned[hello.host] = hello.address
+        message = decode_message(frame.kind, frame.body)
+        network.post(MessageReceived(time.monotonic(), hello.host, hello.incarnation, message))
+
+
+async def _run_sender(network: Network, host: str, peer: Peer) -> None:
+    backoff = MIN_BACKOFF_SECONDS
+    while True:
+        await peer.wakeup.wait()
+        address = network.resolve(host) or network.learned.get(host)
+        started = time.monotonic()
+        try:
+            if address is not None:
+                await _send_messages(network, host, address, peer)
+        except TimeoutError:
+            logger.bind(peer=host).info("connection to a peer made no progress")
+        except (HandshakeError, FrameError) as error:
+            logger.bind(peer=host, error=str(error)).warning("handshake with a peer failed")
+        except CONNECTION_ERRORS as error:
+            logger.bind(peer=host, error=repr(error)).debug("connection to a peer was lost")
+        if time.monotonic() - started > MAX_BACKOFF_SECONDS:
+            backoff = MIN_BACKOFF_SECONDS
+        _drop_old_messages(peer)
+        await anyio.sleep(backoff)
+        backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+
+
+def _drop_old_messages(peer: Peer) -> None:
+    limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
+    while peer.queue and peer.queue[0][0] < limit:
+        peer.queue.popleft()
+    if not peer.queue:
+        peer.wakeup = anyio.Event()
+
+
+async def _send_messages(network: Network, host: str, address: str, peer: Peer) -> None:
+    ip, _, port = address.rpartition(":")
+    with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
+        stream = await anyio.connect_tcp(ip, int(port))
+    async with stream:
+        _set_options(stream)
+        dialer = _make_hello(network)
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
+            await stream.send(frames.add_length(dialer))
+            acceptor = await _read_frame(BufferedByteReceiveStream(stream))
+        hello = frames.decode_hello(acceptor, network.fleet)
+        if hello.host != host:
+            raise HandshakeError(f"{address} is {hello.host!r}, not {host!r}; check the settings")
+        session = frames.derive_session(network.fleet_key, dialer, acceptor)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_end, stream, tasks.cancel_scope)
+            await _send_batches(network, stream, session, peer)
+            tasks.cancel_scope.cancel()
+
+
+async def _watch_end(stream: ByteStream, scope: anyio.CancelScope) -> None:
+    # The acceptor sends nothing after its handshake, so that any return means the end.
+    with contextlib.suppress(CONNECTION_ERRORS):
+        await stream.receive()
+    scope.cancel()
+
+
+async def _send_batches(
+    network: Network, stream: ByteStream, session: frames.Session, peer: Peer
+) -> None:
+    while True:
+        await peer.wakeup.wait()
+        batch = _take_batch(session, peer)
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_SECONDS):
+                await stream.send(batch)
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
+            logger.bind(error=repr(error)).debug("sending to a peer failed")
+            return
+        network.sent_bytes += len(batch)
+
+
+def _take_batch(session: frames.Session, peer: Peer) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
+    while peer.queue and size < MAX_BATCH_BYTES:
+        queued_at, message = peer.queue.popleft()
+        if queued_at < limit:
+            continue
+        kind, body = encode_message(message)
+        data = frames.add_length(frames.seal_frame(session, kind, body))
+        parts.append(data)
+        size += len(data)
+    if not peer.queue:
+        peer.wakeup = anyio.Event()
+    return b"".join(parts)
--- /dev/null
+++ b/marjorambridge/wire/codec.py
@@ -0,0 +1,98 @@
+"""Encode messages as thrift compact structures and decode them with validation.
+
+The accelerated thrift encoder reads the fields of any object by name, so that it writes the
+slotted dataclasses of the pure packages directly. Decoding fills the generated thrift class, and
+`msgspec` converts it to the dataclass and checks every type.
+"""
+
+import importlib
+from typing import Any
+
+import msgspec
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from marjorambridge.wire.exceptions import UnregisteredMessageError, WireError
+from marjorambridge.wire.registry import MODULES, list_messages
+
+FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=1 << 20, container_length_limit=1 << 16, fallback=False
+)
+
+
+def _find_structures() -> dict[str, tuple[type, type]]:
+    structures = {}
+    for package, module in MODULES.items():
+        generated = importlib.import_module(f"marjorambridge.wire.gen.{package}.ttypes")
+        for message in list_messages(module):
+            structure = getattr(generated, message.__name__, None)
+            if structure is None:
+                raise UnregisteredMessageError(
+                    f"no thrift structure for {message.__name__}; run 'make wire'"
+                )
+            structures[f"{package}.{message.__name__}"] = (message, structure)
+    return structures
+
+
+STRUCTURES = _find_structures()
+KINDS = {message: kind for kind, (message, _) in STRUCTURES.items()}
+
+
+def encode_structure(value: Any, structure: type) -> bytes:
+    """Encode an object whose attributes are the fields of a generated thrift class."""
+    protocol = FACTORY.getProtocol(TMemoryBuffer())
+    return protocol._fast_encode(value, [structure, structure.thrift_spec])
+
+
+def decode_structure(data: bytes, structure: type) -> Any:
+    """Decode a generated thrift class.
+
+    Raises
+    ------
+    WireError
+        If `data` is not a whole structure of this class.
+    """
+    protocol = FACTORY.getProtocol(TMemoryBuffer(data))
+    try:
+        value = structure()
+        value.read(protocol)
+    except Exception as error:
+        # The thrift library raises many kinds of exceptions, EOFError and UnicodeDecodeError
+        # among them, for malformed input.
+        raise WireError(f"malformed {structure.__name__}: {error!r}; drop the frame") from error
+    return value
+
+
+def encode_message(message: Any) -> tuple[str, bytes]:
+    """Return the kind and the encoded body of a message.
+
+    Raises
+    ------
+    UnregisteredMessageError
+        If the class of the message is not in the registry.
+    """
+    kind = KINDS.get(type(message))
+    if kind is None:
+        raise UnregisteredMessageError(
+            f"{type(message).__name__} is not registered; add its module to wire.registry"
+        )
+    return kind, encode_structure(message, STRUCTURES[kind][1])
+
+
+def decode_message(kind: str, body: bytes) -> Any:
+    """Decode and validate a message.
+
+    Raises
+    ------
+    WireError
+        If the kind is unknown, or the body is malformed or has a field of a wrong type.
+    """
+    entry = STRUCTURES.get(kind)
+    if entry is None:
+        raise WireError(f"unknown message kind {kind!r}; the peer may run a newer version")
+    message, structure = entry
+    decoded = decode_structure(body, structure)
+    try:
+        return msgspec.convert(decoded, message, from_attributes=True)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise WireError(f"invalid {kind}: {error}; drop the frame") from error
--- /dev/null
+++ b/marjorambridge/wire/idl/frame.thrift
@@ -0,0 +1,21 @@
+// Frames of a connection between two hosts.
+namespace py frame
+
+// Opens a connection in both directions. The session key is derived from the shared fleet key and
+// both nonces, so that frames of an earlier connection are refused.
+struct Hello {
+  1: i32 version
+  2: string fleet
+  3: string host
+  4: i64 incarnation
+  5: string address
+  6: binary nonce
+}
+
+struct Frame {
+  1: i64 sequence
+  2: string kind
+  3: binary body
+  4: string trace
+  5: binary mac
+}
--- /dev/null
+++ b/tests/transport/test_network.py
@@ -0,0 +1,128 @@
+"""Guard connections between hosts against lost peers, wrong keys and foreign fleets."""
+
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.limits.messages import PermitCancel
+from marjorambridge.transport import network
+from marjorambridge.transport.exceptions import FrameError, HandshakeError
+from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_message(number: int) -> PermitCancel:
+    return PermitCancel(AttemptId("a", 1, number), "s/z/0")
+
+
+async def find_free_port() -> int:
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    await listener.aclose()
+    return port
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(20):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+class Pair:
+    """Two hosts that know each other's address."""
+
+    def __init__(self, ports, key_b=b"k" * 32):
+        self.addresses = {"a": f"127.0.0.1:{ports[0]}", "b": f"127.0.0.1:{ports[1]}"}
+        self.received = {"a": [], "b": []}
+        self.hosts = {
+            name: network.Network(
+                host=name,
+                incarnation=1,
+                fleet="test",
+                fleet_key=key,
+                address=self.addresses[name],
+                resolve=self.addresses.get,
+                post=self.received[name].append,
+            )
+            for name, key in (("a", b"k" * 32), ("b", key_b))
+        }
+
+
+@asynccontextmanager
+async def running_pair(**options):
+    pair = Pair([await find_free_port(), await find_free_port()], **options)
+    async with anyio.create_task_group() as tasks:
+        for name, host in pair.hosts.items():
+            await network.start(host, tasks, pair.addresses[name])
+        yield pair
+        for host in pair.hosts.values():
+            await network.close(host)
+
+
+async def test_messages_arrive_in_order_with_their_sender():
+    async with running_pair() as pair:
+        for number in range(100):
+            network.send(pair.hosts["a"], "b", make_message(number))
+        await wait_for(lambda: len(pair.received["b"]) == 100)
+    assert [event.message for event in pair.received["b"]] == [make_message(n) for n in range(100)]
+    assert {(event.sender, event.incarnation) for event in pair.received["b"]} == {("a", 1)}
+
+
+async def test_a_peer_with_another_key_is_refused():
+    async with running_pair(key_b=b"x" * 32) as pair:
+        network.send(pair.hosts["a"], "b", make_message(1))
+        await wait_for(lambda: pair.hosts["a"].sent_bytes > 0)
+        await anyio.sleep(0.1)
+    assert pair.received["b"] == []
+
+
+async def test_messages_flow_again_after_the_peer_restarts():
+    async with running_pair() as pair:
+        network.send(pair.hosts["a"], "b", make_message(1))
+        await wait_for(lambda: len(pair.received["b"]) == 1)
+        await network.close(pair.hosts["b"])
+        async with anyio.create_task_group() as tasks:
+            replacement = network.Network(
+                host="b",
+                incarnation=2,
+                fleet="test",
+                fleet_key=b"k" * 32,
+                address=pair.addresses["b"],
+                resolve=pair.addresses.get,
+                post=pair.received["b"].append,
+            )
+            await network.start(replacement, tasks, pair.addresses["b"])
+            with anyio.fail_after(20):
+                while len(pair.received["b"]) < 2:
+                    network.send(pair.hosts["a"], "b", make_message(2))
+                    await anyio.sleep(0.02)
+            await network.close(replacement)
+
+
+def test_a_replayed_or_altered_frame_is_refused():
+    sender = derive_session(b"k", b"dialer", b"acceptor")
+    receiver = derive_session(b"k", b"dialer", b"acceptor")
+    first = seal_frame(sender, "limits.PermitCancel", b"body")
+    assert open_frame(receiver, first).body == b"body"
+    with pytest.raises(FrameError, match="was due"):
+        open_frame(receiver, first)
+    second = bytearray(seal_frame(sender, "limits.PermitCancel", b"body"))
+    second[second.index(b"body")] ^= 1
+    with pytest.raises(FrameError, match="wrong MAC"):
+        open_frame(receiver, bytes(second))
+
+
+def test_a_host_of_another_fleet_is_refused():
+    pair = Pair([1, 2])
+    hello = network._make_hello(pair.hosts["a"])
+    with pytest.raises(HandshakeError, match="belongs to fleet"):
+        decode_hello(hello, "other")
