--- a/marjorambridge/core/effects.py
+++ b/marjorambridge/core/effects.py
@@ -68,3 +68,26 @@
     name: str
     value: float = 1.0
     labels: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class RecordSpan(Effect):
+    """Record one hop of a request for the traces.
+
+    Attributes
+    ----------
+    trace : str
+        Value of the caller's ``traceparent`` header, or the request's identifier.
+    span, parent : str
+        Names of this span and of the one around it, unique within the trace; the outermost span
+        has an empty parent.
+    start, end : float
+        Monotonic times of this host in seconds.
+    """
+
+    trace: str
+    span: str
+    parent: str
+    start: float
+    end: float
+    attributes: dict[str, Any] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/telemetry/metrics.py
@@ -0,0 +1,66 @@
+"""Count and time what the reducers report, for Prometheus."""
+
+from dataclasses import dataclass, field
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats.text import TextFormatter
+
+from marjorambridge.core.effects import Measure
+from marjorambridge.telemetry.series import SERIES, Kind, Series
+
+PREFIX = "marjorambridge_"
+INFINITY = float("inf")
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Hold the registry and its collectors by name.
+
+    Attributes
+    ----------
+    unknown : set of str
+        Names that reducers used but `SERIES` lacks; a test keeps it empty.
+    """
+
+    registry: Registry = field(default_factory=Registry)
+    collectors: dict[str, Counter | Gauge | Histogram] = field(default_factory=dict)
+    unknown: set[str] = field(default_factory=set)
+
+
+def start() -> Metrics:
+    """Create all collectors."""
+    metrics = Metrics()
+    for name, series in SERIES.items():
+        metrics.collectors[name] = _create_collector(metrics, name, series)
+    return metrics
+
+
+def _create_collector(metrics: Metrics, name: str, series: Series) -> Counter | Gauge | Histogram:
+    full_name = PREFIX + name
+    if series.kind is Kind.COUNTER:
+        return Counter(full_name, series.help, registry=metrics.registry)
+    if series.kind is Kind.GAUGE:
+        return Gauge(full_name, series.help, registry=metrics.registry)
+    return Histogram(
+        full_name, series.help, registry=metrics.registry, buckets=[*series.buckets, INFINITY]
+    )
+
+
+def record(metrics: Metrics, effect: Measure) -> None:
+    """Add the value of an effect to its collector."""
+    collector = metrics.collectors.get(effect.name)
+    if collector is None:
+        metrics.unknown.add(effect.name)
+        return
+    labels = {name: str(value) for name, value in effect.labels.items()}
+    if isinstance(collector, Counter):
+        collector.add(labels, effect.value)
+    elif isinstance(collector, Gauge):
+        collector.set(labels, effect.value)
+    else:
+        collector.observe(labels, effect.value)
+
+
+def render(metrics: Metrics) -> str:
+    """Return all series in the Prometheus text format."""
+    return TextFormatter().marshall(metrics.registry).decode()
--- /dev/null
+++ b/marjorambridge/telemetry/traces.py
@@ -0,0 +1,125 @@
+"""Record the spans of requests with OpenTelemetry, as JSON lines or by an exporter of its own."""
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TextIO
+
+import xxhash
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor, SpanExporter, SpanExportResult
+from opentelemetry.sdk.trace.id_generator import IdGenerator
+
+from marjorambridge.core.effects import RecordSpan
+
+NANOSECONDS = 1_000_000_000
+TRACEPARENT_PARTS = 4
+
+
+class _ChosenIds(IdGenerator):
+    """Give the SDK the identifiers that the next span must have."""
+
+    def __init__(self) -> None:
+        self.trace_id = 0
+        self.span_id = 0
+
+    def generate_span_id(self) -> int:
+        return self.span_id
+
+    def generate_trace_id(self) -> int:
+        return self.trace_id
+
+
+class _JsonLinesExporter(SpanExporter):
+    """Append each span to a file as one JSON line."""
+
+    def __init__(self, file: TextIO) -> None:
+        self.file = file
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        for span in spans:
+            self.file.write(span.to_json(indent=None) + "\n")
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        self.file.close()
+
+
+@dataclass(slots=True)
+class Traces:
+    """Hold the tracer and the offset from monotonic to wall-clock time.
+
+    Attributes
+    ----------
+    offset : float
+        Seconds to add to a monotonic time of this process.
+    """
+
+    provider: TracerProvider
+    ids: _ChosenIds
+    offset: float
+
+
+def start(path: Path, host: str) -> Traces:
+    """Open the trace file."""
+    ids = _ChosenIds()
+    resource = Resource.create({"service.name": "marjorambridge", "service.instance.id": host})
+    provider = TracerProvider(id_generator=ids, resource=resource)
+    # One span a line, flushed with the line, so that a killed process loses none that it wrote.
+    file = path.open("a", encoding="utf-8", buffering=1)
+    provider.add_span_processor(SimpleSpanProcessor(_JsonLinesExporter(file)))
+    return Traces(provider, ids, time.time() - time.monotonic())
+
+
+def close(traces: Traces) -> None:
+    """Write what is left and close the file."""
+    traces.provider.shutdown()
+
+
+def parse_trace(text: str) -> tuple[int, int]:
+    """Return the trace identifier and the caller's span identifier of a ``traceparent`` value.
+
+    Other text gets a trace identifier by hash and no parent.
+
+    Examples
+    --------
+    >>> parse_trace("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")[1] == 0xb7ad6b7169203331
+    True
+    >>> parse_trace("request-1")[1]
+    0
+    """
+    parts = text.split("-")
+    if len(parts) == TRACEPARENT_PARTS:
+        try:
+            trace_id, span_id = int(parts[1], 16), int(parts[2], 16)
+        except ValueError:
+            trace_id, span_id = 0, 0
+        if 0 < trace_id < 1 << 128 and 0 < span_id < 1 << 64:
+            return trace_id, span_id
+    return xxhash.xxh3_128_intdigest(text) or 1, 0
+
+
+def _compute_span_id(effect: RecordSpan, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{effect.trace}|{name}") or 1
+
+
+def record(traces: Traces, effect: RecordSpan) -> None:
+    """Write the span of an effect."""
+    trace_id, caller = parse_trace(effect.trace)
+    parent = _compute_span_id(effect, effect.parent) if effect.parent else caller
+    context = None
+    if parent:
+        around = trace.SpanContext(trace_id, parent, True, trace.TraceFlags(1))
+        context = trace.set_span_in_context(trace.NonRecordingSpan(around))
+    traces.ids.trace_id = trace_id
+    traces.ids.span_id = _compute_span_id(effect, effect.span)
+    span = traces.provider.get_tracer("marjorambridge").start_span(
+        effect.span.partition(":")[0],
+        context=context,
+        attributes=effect.attributes,
+        start_time=int((effect.start + traces.offset) * NANOSECONDS),
+    )
+    span.end(end_time=int((effect.end + traces.offset) * NANOSECONDS))
