--- a/marjorambridge/telemetry/traces.py
+++ b/marjorambridge/telemetry/traces.py
@@ -86,8 +86,8 @@
 
     Examples
     --------
-    >>> parse_trace("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")[1] == 0xb7ad6b7169203331
-    True
+    >>> parse_trace("00-0000000000000000000000000000000a-000000000000000b-01")
+    (10, 11)
     >>> parse_trace("request-1")[1]
     0
     """
