Add the caller-facing HTTP application and the stand-in endpoints

The daemon needs a driver that turns callers' HTTP requests into events and delivers effects to them, and endpoints to run against.

--- /dev/null
+++ b/marjorambridge/http/bodies.py
@@ -0,0 +1,213 @@
+"""Parse OpenAI-compatible bodies and endpoint announcements."""
+
+import math
+import re
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from marjorambridge.http.exceptions import RequestError
+from marjorambridge.limits.messages import Announcement
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+MAX_OUTPUT_TOKENS = 10_000_000
+MAX_NAME_CHARACTERS = 200
+
+# msgspec raises RecursionError for deeply nested arrays and UnicodeError for broken surrogates.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]*")
+_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9A-Fa-f:.]+\]):(\d{1,5})")
+
+
+class _Part(msgspec.Struct):
+    type: str
+    text: str | None = None
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[_Part] | None = None
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Common(msgspec.Struct):
+    model: str
+    stream: bool | None = None
+    stream_options: _StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    best_of: int | None = None
+
+
+class _Chat(_Common, kw_only=True):
+    messages: list[_Message]
+
+
+class _Completion(_Common, kw_only=True):
+    prompt: str | list[str]
+
+
+@dataclass(slots=True)
+class ParsedBody:
+    """Hold what the host needs to know of a completion request.
+
+    Attributes
+    ----------
+    prompt : bytes
+        Text of the prompt in UTF-8, in the form that prefix hashes are made of.
+    output_tokens : int
+        Maximum that the caller named; 0 if none.
+    """
+
+    model: str
+    prompt: bytes
+    stream: bool
+    include_usage: bool
+    output_tokens: int
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text may name a service, model, endpoint, zone or supplier.
+
+    Examples
+    --------
+    >>> is_name("geru-model"), is_name("a b"), is_name("")
+    (True, False, False)
+    """
+    return len(text) <= MAX_NAME_CHARACTERS and _NAME.fullmatch(text) is not None
+
+
+def decode_object(body: bytes) -> dict[str, msgspec.Raw]:
+    """Decode the fields of a JSON object without decoding their values.
+
+    Raises
+    ------
+    RequestError
+        If the body is not a JSON object.
+    """
+    try:
+        return msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except DECODE_ERRORS as error:
+        raise RequestError(f"the body is not a JSON object ({error}); send valid JSON") from error
+
+
+def _read_content(message: _Message) -> str:
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    texts = []
+    for part in message.content:
+        if part.type != "text" or part.text is None:
+            raise RequestError(
+                f"content parts of type {part.type[:40]!r} are not supported; send parts of type "
+                "'text' with a 'text' field"
+            )
+        texts.append(part.text)
+    return "".join(texts)
+
+
+def _render_prompt(parsed: Any) -> str:
+    if isinstance(parsed, _Chat):
+        if not parsed.messages:
+            raise RequestError("'messages' is empty; send at least one message")
+        return "".join(f"{message.role}\n{_read_content(message)}\n" for message in parsed.messages)
+    if isinstance(parsed.prompt, str):
+        return parsed.prompt
+    if len(parsed.prompt) != 1:
+        raise RequestError("'prompt' must hold one text; send one request for each prompt")
+    return parsed.prompt[0]
+
+
+def parse_completion(path: str, body: bytes) -> ParsedBody:
+    """Parse the body of `CHAT_PATH` or `COMPLETIONS_PATH`.
+
+    Raises
+    ------
+    RequestError
+        If the body is not valid; the message names the field and the remedy.
+    """
+    kind = _Chat if path == CHAT_PATH else _Completion
+    try:
+        parsed: Any = msgspec.json.decode(body, type=kind)
+        prompt = _render_prompt(parsed).encode()
+    except DECODE_ERRORS as error:
+        raise RequestError(f"the body is not valid: {error}; correct this field") from error
+    if not is_name(parsed.model):
+        raise RequestError("'model' is not a valid name; send the name of a service or model")
+    for name in ("n", "best_of"):
+        if getattr(parsed, name) not in (None, 1):
+            raise RequestError(f"'{name}' must be 1; send one request for each answer")
+    output = parsed.max_completion_tokens
+    if output is None:
+        output = parsed.max_tokens
+    if output is not None and not 1 <= output <= MAX_OUTPUT_TOKENS:
+        raise RequestError(
+            f"'max_tokens' must be from 1 to {MAX_OUTPUT_TOKENS}; leave it out for the default"
+        )
+    options = parsed.stream_options
+    return ParsedBody(
+        model=parsed.model,
+        prompt=prompt,
+        stream=bool(parsed.stream),
+        include_usage=options is not None and options.include_usage,
+        output_tokens=output or 0,
+    )
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address with a port.
+
+    Examples
+    --------
+    >>> is_address("10.0.0.1:8000"), is_address("10.0.0.1"), is_address("[::1]:80")
+    (True, False, True)
+    """
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match.group(2)) < 65536
+
+
+def parse_announcement(body: bytes) -> Announcement:
+    """Parse the body of ``/v1/announce``; block hashes are base64 in JSON.
+
+    Raises
+    ------
+    RequestError
+        If a field is missing, has the wrong type, or is out of range.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=Announcement)
+    except DECODE_ERRORS as error:
+        raise RequestError(f"the announcement is not valid: {error}; correct this field") from error
+    for name in ("endpoint", "supplier", "service", "zone"):
+        if not is_name(getattr(parsed, name)):
+            raise RequestError(f"'{name}' of the announcement is not a valid name; correct it")
+    if not is_address(parsed.address):
+        raise RequestError("'address' must have the form ip:port, such as 10.0.0.7:8000")
+    if parsed.concurrency < 1:
+        raise RequestError("'concurrency' must be at least 1")
+    for name in (
+        "incarnation",
+        "concurrency_now",
+        "kv_capacity_tokens",
+        "kv_used_tokens",
+        "running",
+        "report_sequence",
+        "report_age",
+    ):
+        value = getattr(parsed, name)
+        if not math.isfinite(value) or not 0 <= value < 2**62:
+            raise RequestError(f"'{name}' of the announcement must not be negative")
+    for event in parsed.cache_events:
+        if event.sequence < 0 or event.sequence >= 2**62:
+            raise RequestError("'sequence' of a cache event must not be negative")
+        if any(len(block) != 8 for block in (*event.stored, *event.evicted)):
+            raise RequestError("block hashes of cache events must be 8 bytes, in base64")
+    return parsed
--- /dev/null
+++ b/marjorambridge/http/registry.py
@@ -0,0 +1,122 @@
+"""Keep the callers' requests in progress, their bodies and their undelivered answers."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
+
+# The endpoint driver stops reading above the first mark. What is already on its way may exceed it;
+# a caller whose buffer reaches the second mark is ended.
+BUFFER_HIGH_WATER_BYTES = 256 * 1024
+BUFFER_MAX_BYTES = 8 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class StoredRequest:
+    """Hold one request from its arrival until `FinishRequest`.
+
+    Attributes
+    ----------
+    is_engine : bool
+        Whether the body is for a model engine; plain services get it unchanged.
+    method, path : str
+        Method and target for the endpoint.
+    headers : tuple
+        Headers for the endpoint, lower-case names, without hop-by-hop headers and credentials.
+    body : bytes
+        Body as the caller sent it.
+    pending : deque of Effect
+        Effects not yet written to the caller.
+    buffered : int
+        Bytes of the chunks in `pending`.
+    waiting : asyncio.Event
+        Set when `pending` is not empty or the caller is gone.
+    writable : asyncio.Event
+        Cleared while the caller is slow; the endpoint driver waits for it.
+    gone : bool
+        Whether the caller's connection is closed; its effects are dropped.
+    overflowed : bool
+        Whether the caller was ended because its buffer was full.
+    """
+
+    request: str
+    is_engine: bool
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    stream: bool = False
+    include_usage: bool = False
+    model: str = ""
+    pending: deque[Effect] = field(default_factory=deque)
+    buffered: int = 0
+    waiting: asyncio.Event = field(default_factory=asyncio.Event)
+    writable: asyncio.Event = field(default_factory=asyncio.Event)
+    gone: bool = False
+    overflowed: bool = False
+
+    def __post_init__(self) -> None:
+        self.writable.set()
+
+
+@dataclass(slots=True)
+class Registry:
+    """Hold the requests in progress on this host, by request identifier."""
+
+    requests: dict[str, StoredRequest] = field(default_factory=dict)
+    body_bytes: int = 0
+    high_water_bytes: int = BUFFER_HIGH_WATER_BYTES
+    buffer_max_bytes: int = BUFFER_MAX_BYTES
+
+
+def add_request(registry: Registry, stored: StoredRequest) -> None:
+    """Keep a request until `FinishRequest` is delivered."""
+    registry.requests[stored.request] = stored
+    registry.body_bytes += len(stored.body)
+
+
+def deliver(registry: Registry, effect: Effect) -> None:
+    """Hand `ForwardHeaders`, `ForwardChunk` or `FinishRequest` to the caller's connection.
+
+    Effects for unknown requests are dropped. The call does not wait and must be made in the
+    loop of the server.
+    """
+    assert isinstance(effect, ForwardHeaders | ForwardChunk | FinishRequest)
+    stored = registry.requests.get(effect.request)
+    if stored is None:
+        return
+    if isinstance(effect, FinishRequest):
+        del registry.requests[effect.request]
+        registry.body_bytes -= len(stored.body)
+        stored.body = b""
+        stored.writable.set()
+    if stored.gone or stored.overflowed:
+        return
+    if isinstance(effect, ForwardChunk):
+        stored.buffered += len(effect.data)
+        if stored.buffered > registry.buffer_max_bytes:
+            stored.overflowed = True
+            stored.pending.clear()
+            stored.writable.set()
+        elif stored.buffered > registry.high_water_bytes:
+            stored.writable.clear()
+    if not stored.overflowed:
+        stored.pending.append(effect)
+    stored.waiting.set()
+
+
+def mark_written(registry: Registry, stored: StoredRequest, count: int) -> None:
+    """Account `count` bytes as handed to the caller's connection."""
+    stored.buffered -= count
+    if stored.buffered <= registry.high_water_bytes:
+        stored.writable.set()
+
+
+def mark_gone(stored: StoredRequest) -> None:
+    """Drop what is pending for a caller whose connection is closed."""
+    stored.gone = True
+    stored.pending.clear()
+    stored.writable.set()
+    stored.waiting.set()
--- /dev/null
+++ b/marjorambridge/http/servers.py
@@ -0,0 +1,133 @@
+"""Run ASGI applications on uvicorn inside the present asyncio loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+Application = Callable[[dict[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]]
+
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_SECONDS = 75.0
+BACKLOG_CONNECTIONS = 1024
+
+
+class _Protocol(H11Protocol):
+    """Close connections without a request in progress, and let applications abort theirs.
+
+    uvicorn limits the idle time only between requests; a caller that connects and sends nothing,
+    or half a header, would hold its connection forever.
+    """
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self.app_state = {**self.app_state, "transport": transport}
+        self._seen_cycle: Any = self
+        self._idle_check = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._idle_check.cancel()
+        super().connection_lost(exc)
+
+    def _check_idle(self) -> None:
+        busy = self.cycle is not None and not self.cycle.response_complete
+        if not busy and self._seen_cycle is self.cycle:
+            self.transport.abort()
+            return
+        self._seen_cycle = None if busy else self.cycle
+        self._idle_check = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
+
+
+class _Server(uvicorn.Server):
+    """Leave the signals to the process that embeds the server."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+@dataclass(slots=True)
+class HttpServer:
+    """Hold a running server.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` that the server listens on.
+    """
+
+    address: str
+    server: uvicorn.Server
+    task: asyncio.Task[None]
+
+
+async def start_server(
+    application: Application,
+    host: str,
+    port: int,
+    idle_seconds: float = IDLE_SECONDS,
+    max_header_bytes: int = MAX_HEADER_BYTES,
+) -> HttpServer:
+    """Listen on `host` and `port` and serve `application` until `close_server`.
+
+    Parameters
+    ----------
+    port : int
+        0 lets the operating system choose a free port.
+    idle_seconds : float
+        Time after which a connection without a request in progress is closed.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.listen(BACKLOG_CONNECTIONS)
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    config = uvicorn.Config(
+        application,
+        http=_Protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_keep_alive=idle_seconds,  # type: ignore[arg-type]
+        h11_max_incomplete_event_size=max_header_bytes,
+        backlog=BACKLOG_CONNECTIONS,
+    )
+    server = _Server(config)
+    task = asyncio.create_task(server.serve(sockets=[listener]), name="http-server")
+    while not server.started and not task.done():
+        await asyncio.sleep(0.005)
+    if task.done():
+        await task
+    bound = listener.getsockname()
+    return HttpServer(f"{bound[0]}:{bound[1]}", server, task)
+
+
+async def close_server(running: HttpServer, drain_seconds: float = 0.0) -> None:
+    """Stop accepting, wait up to `drain_seconds` for running answers, and stop."""
+    running.server.config.timeout_graceful_shutdown = drain_seconds  # type: ignore[assignment]
+    running.server.should_exit = True
+    await running.task
+
+
+def abort_connection(scope: dict[str, Any]) -> None:
+    """Reset the connection of a request, without flushing what the caller has not read."""
+    transport = scope.get("state", {}).get("transport")
+    if transport is not None:
+        transport.abort()
--- /dev/null
+++ b/marjorambridge/standins/processes.py
@@ -0,0 +1,61 @@
+"""Run a stand-in as a process, and read its settings."""
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from marjorambridge.http.servers import Application, close_server, start_server
+
+Settings = TypeVar("Settings")
+
+
+def load_settings(kind: type[Settings], path: Path | None, flags: dict[str, Any]) -> Settings:
+    """Read settings from a JSON file; flags that are not None or empty replace its values.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If a value has the wrong type.
+    """
+    values: dict[str, Any] = {}
+    if path is not None:
+        values = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+    values |= {name: value for name, value in flags.items() if value not in (None, [])}
+    return msgspec.convert(values, kind)
+
+
+def create_incarnation() -> int:
+    """Return an incarnation that is larger than those of earlier processes."""
+    return time.time_ns() // 1_000_000
+
+
+async def run_process(
+    application: Application,
+    host: str,
+    port: int,
+    run: Callable[[str], Awaitable[None]],
+) -> None:
+    """Serve `application` until SIGTERM or SIGINT, with `run(address)` beside it.
+
+    The process writes one JSON line with its address to standard output once it listens.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    server = await start_server(application, host, port)
+    task = asyncio.ensure_future(run(server.address))
+    task.add_done_callback(lambda _: stopped.set())
+    sys.stdout.write(msgspec.json.encode({"address": server.address}).decode() + "\n")
+    sys.stdout.flush()
+    await stopped.wait()
+    if task.done():
+        await task
+    task.cancel()
+    await close_server(server)
