Add the endpoint driver and the admin application

Attempts need a driver that never sends a byte after the start window and that tells 'nothing was written' from 'may have been sent'.

The driver checks the window in httpcore's trace hook, which runs between connecting and writing, and posts AttemptStarted there. Only the end marker, or HTTP framing for plain services, makes an answer complete.

--- /dev/null
+++ b/marjorambridge/http/admin.py
@@ -0,0 +1,130 @@
+"""Serve operators and monitoring on the admin address."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from marjorambridge.core.outcomes import Reason
+from marjorambridge.http.bodies import DECODE_ERRORS
+from marjorambridge.http.callers import (
+    CallerSettings,
+    encode_error,
+    read_body,
+    read_headers,
+    send_json,
+)
+from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.servers import Application
+
+MAX_COMMAND_BYTES = 1024 * 1024
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+@dataclass(slots=True)
+class AdminCallbacks:
+    """Connect the admin address to the daemon.
+
+    Attributes
+    ----------
+    is_ready : callable
+        Returns whether the host accepts callers, and the reason if not.
+    render_metrics : callable
+        Returns the metrics in the Prometheus text format.
+    dump_state : callable
+        Returns the state as JSON-compatible values.
+    run_command : callable
+        Takes the JSON object of a command, returns the HTTP status and the JSON answer.
+    check_token : callable
+        Returns whether an operator token is valid, in constant time.
+    """
+
+    is_ready: Callable[[], tuple[bool, str]]
+    render_metrics: Callable[[], str]
+    dump_state: Callable[[], Any]
+    run_command: Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
+    check_token: Callable[[str], bool]
+
+
+def build_token_check(token: str) -> Callable[[str], bool]:
+    """Return a check that compares with one token in constant time; an empty token never matches.
+
+    Examples
+    --------
+    >>> check = build_token_check("secret")
+    >>> check("secret"), check("other"), build_token_check("")("")
+    (True, False, False)
+    """
+    expected = token.encode()
+    return lambda given: bool(expected) and hmac.compare_digest(expected, given.encode())
+
+
+def _require_operator(headers: dict[str, str], callbacks: AdminCallbacks) -> None:
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not callbacks.check_token(token.strip()):
+        raise RequestError(
+            "send a valid operator token as 'Authorization: Bearer TOKEN'",
+            401,
+            Reason.UNAUTHENTICATED,
+        )
+
+
+def build_application(
+    callbacks: AdminCallbacks, max_command_bytes: int = MAX_COMMAND_BYTES
+) -> Application:
+    """Build the ASGI application of the admin address.
+
+    ``/health``, ``/ready`` and ``/metrics`` are open; ``/state`` and ``/commands`` need the
+    operator token.
+    """
+    limits = CallerSettings()
+
+    async def answer(scope: Any, headers: dict[str, str], receive: Any, send: Any) -> None:
+        route = (scope["method"], scope["path"])
+        if route == ("GET", "/health"):
+            await send_json(send, 200, {"status": "ok"})
+        elif route == ("GET", "/ready"):
+            ready, reason = callbacks.is_ready()
+            await send_json(send, 200 if ready else 503, {"ready": ready, "reason": reason})
+        elif route == ("GET", "/metrics"):
+            data = callbacks.render_metrics().encode()
+            start = [(b"content-type", METRICS_TYPE), (b"content-length", b"%d" % len(data))]
+            await send({"type": "http.response.start", "status": 200, "headers": start})
+            await send({"type": "http.response.body", "body": data})
+        elif route == ("GET", "/state"):
+            _require_operator(headers, callbacks)
+            await send_json(send, 200, callbacks.dump_state())
+        elif route == ("POST", "/commands"):
+            _require_operator(headers, callbacks)
+            body = await read_body(
+                receive, headers.get("content-length"), max_command_bytes, limits
+            )
+            try:
+                command = msgspec.json.decode(body, type=dict[str, Any])
+            except DECODE_ERRORS as error:
+                raise RequestError(
+                    f"the command is not a JSON object ({error}); send valid JSON"
+                ) from error
+            status, reply = await callbacks.run_command(command)
+            await send_json(send, status, reply)
+        else:
+            raise RequestError(
+                "there is no such path; use GET /health, /ready, /metrics, /state or POST "
+                "/commands",
+                404,
+            )
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        try:
+            await answer(scope, read_headers(scope), receive, send)
+        except RequestError as error:
+            reply = encode_error(error.reason, "not_run", str(error))
+            await send_json(send, error.status, reply, (("connection", "close"),))
+        except CallerDisconnectedError:
+            return
+
+    return serve
--- /dev/null
+++ b/marjorambridge/http/endpoints.py
@@ -0,0 +1,633 @@
+"""Carry out attempts and cancels on endpoints over HTTP."""
+
+import asyncio
+import contextlib
+import time
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+import msgspec
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.core.events import Event
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.http.bodies import DECODE_ERRORS, decode_object
+from marjorambridge.http.exceptions import EndpointProtocolError, HttpError, RequestError
+from marjorambridge.http.registry import Registry, StoredRequest
+from marjorambridge.http.streams import END_MARKER, EventBuffer, feed, parse_chunk
+from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
+from marjorambridge.limits.events import EndpointCancelled
+from marjorambridge.limits.messages import EndpointGrant
+from marjorambridge.requests.effects import CancelAttempt, StartAttempt
+from marjorambridge.requests.events import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptHeaders,
+    AttemptStarted,
+)
+
+CANCEL_PATH = "/v1/cancel"
+PARTS_PATH = "/v1/parts"
+MAX_ERROR_BYTES = 64 * 1024
+MAX_MESSAGE_CHARACTERS = 500
+ENDED_KEPT = 10_000
+DRAIN_SECONDS = 0.2
+NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
+NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    OSError,
+)
+
+
+class StartWindowPassedError(HttpError):
+    """The start window passed before the first byte; ask for a new permit."""
+
+
+@dataclass(slots=True)
+class EndpointSettings:
+    """Limit the connections to endpoints.
+
+    Attributes
+    ----------
+    connections : int
+        Most connections to one endpoint address.
+    keepalive_seconds : float
+        Time that an unused connection is kept. It is shorter than the idle time of usual servers
+        (5 s and more), because a request on a connection that the endpoint is just closing ends
+        with an unknown outcome.
+    pool_idle_seconds : float
+        Time after which the pool of an unused address is closed.
+    cancel_seconds : float
+        Longest time for one cancel; the reducer asks again.
+    part_seconds : float
+        Time for which a part of a group is reserved before the lead renews it.
+    """
+
+    connections: int = 256
+    keepalive_seconds: float = 2.0
+    pool_idle_seconds: float = 30.0
+    cancel_seconds: float = 1.0
+    part_seconds: float = 5.0
+
+
+@dataclass(slots=True)
+class _Pool:
+    pool: httpcore.AsyncConnectionPool
+    users: int = 0
+    last_used: float = 0.0
+
+
+@dataclass(slots=True)
+class _Running:
+    effect: StartAttempt
+    is_engine: bool
+    begun: bool = False
+    cancelled: bool = False
+    sent: bool = False
+    reserved: bool = False
+    task: asyncio.Task[None] | None = None
+
+
+@dataclass(slots=True)
+class EndpointDriver:
+    """Hold the connections to endpoints and the attempts in progress.
+
+    Attributes
+    ----------
+    ended : OrderedDict
+        Endpoints of engine attempts that ended without their end marker, so that a later
+        `CancelAttempt` can still tell them.
+    """
+
+    registry: Registry
+    post: Callable[[Event], None]
+    settings: EndpointSettings
+    clock: Callable[[], float]
+    pools: dict[str, _Pool] = field(default_factory=dict)
+    running: dict[AttemptId, _Running] = field(default_factory=dict)
+    ended: OrderedDict[AttemptId, tuple[EndpointGrant, ...]] = field(default_factory=OrderedDict)
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    pruner: asyncio.Task[None] | None = None
+
+
+def create_driver(
+    registry: Registry,
+    post: Callable[[Event], None],
+    settings: EndpointSettings | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> EndpointDriver:
+    """Return a driver; `post` takes its events and must not block."""
+    return EndpointDriver(registry, post, settings or EndpointSettings(), clock)
+
+
+async def start_driver(driver: EndpointDriver) -> None:
+    """Start closing the connections of addresses that are no longer used."""
+    driver.pruner = asyncio.create_task(_prune_forever(driver), name="endpoint-pools")
+
+
+async def close_driver(driver: EndpointDriver) -> None:
+    """End all attempts, which posts their `AttemptEnded`, and close all connections."""
+    if driver.pruner is not None:
+        driver.pruner.cancel()
+        await asyncio.gather(driver.pruner, return_exceptions=True)
+    for running in list(driver.running.values()):
+        _stop(running)
+    # Ending an attempt may start a task that cancels it on the endpoints.
+    while driver.tasks:
+        await asyncio.gather(*driver.tasks, return_exceptions=True)
+    for entry in driver.pools.values():
+        await entry.pool.aclose()
+    driver.pools.clear()
+
+
+def carry_out(driver: EndpointDriver, effect: Effect) -> None:
+    """Carry out an effect on endpoints without waiting; the results come as events.
+
+    Raises
+    ------
+    TypeError
+        If the effect is not one of this driver.
+    """
+    if isinstance(effect, StartAttempt):
+        _start_attempt(driver, effect)
+    elif isinstance(effect, CancelAttempt):
+        _cancel_attempt(driver, effect.attempt)
+    elif isinstance(effect, CancelOnEndpoint):
+        _spawn(driver, _cancel_on_endpoint(driver, effect))
+    elif isinstance(effect, CancelHostOnEndpoint):
+        _spawn(driver, _cancel_host_on_endpoint(driver, effect))
+    else:
+        raise TypeError(f"{type(effect).__name__} is not an effect on endpoints")
+
+
+def _spawn(driver: EndpointDriver, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    task = asyncio.create_task(work)
+    driver.tasks.add(task)
+    task.add_done_callback(driver.tasks.discard)
+    return task
+
+
+def _start_attempt(driver: EndpointDriver, effect: StartAttempt) -> None:
+    stored = driver.registry.requests.get(effect.request)
+    if stored is None:
+        message = "the body of the request is no longer kept"
+        driver.post(AttemptEnded(driver.clock(), effect.attempt, AttemptEnd.NOT_SENT, message))
+        return
+    running = _Running(effect, stored.is_engine)
+    driver.running[effect.attempt] = running
+    running.task = _spawn(driver, _run_attempt(driver, running, stored))
+
+
+def _stop(running: _Running) -> None:
+    # Cancelling a task before its first step would skip its `finally` block, and with it the
+    # `AttemptEnded` event.
+    running.cancelled = True
+    if running.begun and running.task is not None:
+        running.task.cancel()
+
+
+def _cancel_attempt(driver: EndpointDriver, attempt: AttemptId) -> None:
+    running = driver.running.get(attempt)
+    if running is not None:
+        _stop(running)
+        if running.is_engine and (running.sent or running.reserved):
+            _spawn(driver, _tell_cancel(driver, attempt, running.effect.endpoints))
+        return
+    endpoints = driver.ended.pop(attempt, None)
+    if endpoints is not None:
+        _spawn(driver, _tell_cancel(driver, attempt, endpoints))
+
+
+async def _prune_forever(driver: EndpointDriver) -> None:
+    while True:
+        await asyncio.sleep(driver.settings.pool_idle_seconds)
+        oldest = driver.clock() - driver.settings.pool_idle_seconds
+        for address, entry in list(driver.pools.items()):
+            if entry.users == 0 and entry.last_used < oldest:
+                del driver.pools[address]
+                await entry.pool.aclose()
+
+
+def _use_pool(driver: EndpointDriver, address: str) -> _Pool:
+    entry = driver.pools.get(address)
+    if entry is None:
+        # One more connection than attempts use keeps cancels possible at full load.
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=driver.settings.connections + 1,
+            keepalive_expiry=driver.settings.keepalive_seconds,
+        )
+        entry = driver.pools[address] = _Pool(pool)
+    entry.last_used = driver.clock()
+    return entry
+
+
+def _build_url(address: str, target: str) -> httpcore.URL:
+    host, _, port = address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=target.encode("latin-1")
+    )
+
+
+async def _post_json(
+    driver: EndpointDriver,
+    address: str,
+    path: str,
+    body: dict[str, Any],
+    before_write: Callable[[str, dict[str, Any]], Awaitable[None]] | None = None,
+) -> tuple[int, dict[str, Any]]:
+    """Post a small body; returns the status and the JSON object of the answer.
+
+    Raises
+    ------
+    EndpointProtocolError
+        If no usable answer came in time.
+    """
+    entry = _use_pool(driver, address)
+    entry.users += 1
+    extensions: dict[str, Any] = {} if before_write is None else {"trace": before_write}
+    try:
+        async with asyncio.timeout(driver.settings.cancel_seconds):
+            response = await entry.pool.request(
+                "POST",
+                _build_url(address, path),
+                headers=[("host", address), ("content-type", "application/json")],
+                content=msgspec.json.encode(body),
+                extensions=extensions,
+            )
+        return response.status, msgspec.json.decode(response.content, type=dict[str, Any])
+    except (*NETWORK_ERRORS, *DECODE_ERRORS, TimeoutError) as error:
+        raise EndpointProtocolError(
+            f"{path} of endpoint {address} gave no usable answer: {error!r}"
+        ) from error
+    finally:
+        entry.users -= 1
+
+
+async def _confirm_cancel(
+    driver: EndpointDriver, endpoint: str, incarnation: int, address: str, body: dict[str, Any]
+) -> bool:
+    """Return whether the endpoint confirmed a cancel.
+
+    An answer of a newer incarnation confirms it too, because the attempt ended with the older
+    process. An answer of another endpoint at the same address confirms nothing.
+    """
+    try:
+        status, answer = await _post_json(driver, address, CANCEL_PATH, body)
+    except EndpointProtocolError:
+        return False
+    answered = answer.get("incarnation")
+    return (
+        status == 200
+        and answer.get("endpoint") == endpoint
+        and isinstance(answered, int)
+        and answered >= incarnation
+    )
+
+
+async def _cancel_on_endpoint(driver: EndpointDriver, effect: CancelOnEndpoint) -> None:
+    body = {"attempt": str(effect.attempt)}
+    if await _confirm_cancel(driver, effect.endpoint, effect.incarnation, effect.address, body):
+        driver.post(
+            EndpointCancelled(
+                driver.clock(), effect.endpoint, effect.incarnation, attempt=effect.attempt
+            )
+        )
+
+
+async def _cancel_host_on_endpoint(driver: EndpointDriver, effect: CancelHostOnEndpoint) -> None:
+    body = {"host": effect.host, "incarnation": effect.host_incarnation}
+    if await _confirm_cancel(driver, effect.endpoint, effect.incarnation, effect.address, body):
+        driver.post(
+            EndpointCancelled(
+                driver.clock(),
+                effect.endpoint,
+                effect.incarnation,
+                host=effect.host,
+                host_incarnation=effect.host_incarnation,
+            )
+        )
+
+
+async def _tell_cancel(
+    driver: EndpointDriver, attempt: AttemptId, endpoints: tuple[EndpointGrant, ...]
+) -> None:
+    """Tell endpoints once to stop an attempt; the shard's owner repeats it if needed."""
+    await asyncio.gather(
+        *(
+            _confirm_cancel(
+                driver, item.endpoint, item.incarnation, item.address, {"attempt": str(attempt)}
+            )
+            for item in endpoints
+        )
+    )
+
+
+async def _run_attempt(driver: EndpointDriver, running: _Running, stored: StoredRequest) -> None:
+    """Run one attempt and post exactly one `AttemptEnded`."""
+    effect = running.effect
+    running.begun = True
+    before = AttemptEnd.REFUSED if len(effect.endpoints) > 1 else AttemptEnd.NOT_SENT
+    ended = AttemptEnded(driver.clock(), effect.attempt, AttemptEnd.CUT, "internal error")
+    try:
+        if running.cancelled:
+            raise asyncio.CancelledError
+        async with asyncio.timeout(effect.timeout):
+            if len(effect.endpoints) > 1:
+                await _reserve_parts(driver, running)
+            ended = await _exchange(driver, running, stored)
+    except StartWindowPassedError as error:
+        ended.end, ended.message = AttemptEnd.NOT_SENT, str(error)
+    except TimeoutError:
+        ended.end, ended.message = AttemptEnd.TIMED_OUT, "the deadline has passed"
+    except asyncio.CancelledError:
+        ended.end, ended.message = AttemptEnd.CUT, "the attempt was cancelled"
+    except (*NETWORK_ERRORS, EndpointProtocolError) as error:
+        ended.end, ended.message = AttemptEnd.CUT, f"{type(error).__name__}: {error}"
+    finally:
+        if not running.sent and ended.end is not AttemptEnd.REFUSED:
+            # After a part of a group was reserved, bytes were written, but the lead did not get
+            # the request, so it did not run.
+            ended.end = before if running.reserved else AttemptEnd.NOT_SENT
+        del driver.running[effect.attempt]
+        if ended.end is not AttemptEnd.COMPLETE and running.is_engine:
+            if running.reserved:
+                _spawn(driver, _tell_cancel(driver, effect.attempt, effect.endpoints))
+            elif running.sent and ended.end in (AttemptEnd.CUT, AttemptEnd.TIMED_OUT):
+                driver.ended[effect.attempt] = effect.endpoints
+                while len(driver.ended) > ENDED_KEPT:
+                    driver.ended.popitem(last=False)
+        ended.now = driver.clock()
+        driver.post(ended)
+
+
+def _check_start(driver: EndpointDriver, running: _Running) -> None:
+    if driver.clock() > running.effect.start_by:
+        raise StartWindowPassedError("the start window passed before the first byte")
+    if not running.sent and not running.reserved:
+        driver.post(AttemptStarted(driver.clock(), running.effect.attempt))
+
+
+async def _reserve_parts(driver: EndpointDriver, running: _Running) -> None:
+    """Reserve the followers' parts of a group.
+
+    Raises
+    ------
+    EndpointProtocolError
+        If a follower does not confirm its part.
+    """
+    effect = running.effect
+
+    async def check(name: str, info: dict[str, Any]) -> None:
+        if name == "http11.send_request_headers.started":
+            _check_start(driver, running)
+            running.reserved = True
+
+    async def reserve(follower: EndpointGrant) -> None:
+        body = {
+            "attempt": str(effect.attempt),
+            "tokens": follower.tokens,
+            "expires_in": driver.settings.part_seconds,
+        }
+        status, answer = await _post_json(driver, follower.address, PARTS_PATH, body, check)
+        if status != 200 or answer.get("incarnation") != follower.incarnation:
+            raise EndpointProtocolError(
+                f"endpoint {follower.endpoint} did not reserve its part (status {status})"
+            )
+
+    results = await asyncio.gather(
+        *(reserve(follower) for follower in effect.endpoints[1:]), return_exceptions=True
+    )
+    for result in results:
+        if isinstance(result, BaseException):
+            raise result
+
+
+def build_engine_body(stored: StoredRequest, effect: StartAttempt) -> bytes:
+    """Return the body for an engine: the caller's fields and those of the engine protocol.
+
+    The engine always streams, because only a stream can be resumed.
+    """
+    fields: dict[str, Any] = dict(decode_object(stored.body))
+    fields.pop("stream_options", None)
+    fields["stream"] = True
+    fields["attempt"] = str(effect.attempt)
+    fields["priority"] = str(effect.priority)
+    fields["resume_from"] = effect.resume_from
+    fields["kv_tokens"] = sum(item.tokens for item in effect.endpoints)
+    fields["group"] = []
+    if len(effect.endpoints) > 1:
+        fields["group"] = [
+            {
+                "endpoint": item.endpoint,
+                "incarnation": item.incarnation,
+                "address": item.address,
+                "tokens": item.tokens,
+            }
+            for item in effect.endpoints
+        ]
+    return msgspec.json.encode(fields)
+
+
+def _build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
+    address = effect.endpoints[0].address
+    headers = [("host", address), ("x-marjorambridge-attempt", str(effect.attempt))]
+    if stored.is_engine:
+        headers.append(("content-type", "application/json"))
+    elif not any(name == "idempotency-key" for name, _ in stored.headers):
+        headers.append(("idempotency-key", stored.request))
+    headers += stored.headers
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+
+
+async def _exchange(
+    driver: EndpointDriver, running: _Running, stored: StoredRequest
+) -> AttemptEnded:
+    """Send the request to the lead and read its answer."""
+    effect = running.effect
+    address = effect.endpoints[0].address
+
+    async def check(name: str, info: dict[str, Any]) -> None:
+        # This is the last step before the first byte; httpcore connects before it.
+        if name == "http11.send_request_headers.started":
+            _check_start(driver, running)
+            running.sent = True
+
+    try:
+        content = build_engine_body(stored, effect) if stored.is_engine else stored.body
+    except RequestError as error:
+        raise EndpointProtocolError(str(error)) from error
+    window = max(0.001, effect.start_by - driver.clock())
+    headers = _build_headers(stored, effect)
+    if content or stored.method not in ("GET", "HEAD", "OPTIONS"):
+        headers.append((b"content-length", str(len(content)).encode()))
+    entry = _use_pool(driver, address)
+    entry.users += 1
+    try:
+        async with entry.pool.stream(
+            stored.method,
+            _build_url(address, stored.path),
+            headers=headers,
+            content=content or None,
+            extensions={"trace": check, "timeout": {"pool": window, "connect": window}},
+        ) as response:
+            return await _read_answer(driver, running, stored, response)
+    finally:
+        entry.users -= 1
+        entry.last_used = driver.clock()
+
+
+def _decode_headers(response: httpcore.Response) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in response.headers
+    )
+
+
+async def _read_answer(
+    driver: EndpointDriver, running: _Running, stored: StoredRequest, response: httpcore.Response
+) -> AttemptEnded:
+    status = response.status
+    if status >= 500 or status in NOT_RUN_STATUSES or (stored.is_engine and status != 200):
+        return await _read_error(driver, running, stored, response)
+    attempt = running.effect.attempt
+    headers = _decode_headers(response)
+    driver.post(AttemptHeaders(driver.clock(), attempt, status, headers))
+    if stored.is_engine:
+        return await _read_engine_stream(driver, attempt, stored, response)
+    return await _read_plain(driver, attempt, stored, response, headers)
+
+
+async def _read_error(
+    driver: EndpointDriver, running: _Running, stored: StoredRequest, response: httpcore.Response
+) -> AttemptEnded:
+    """Read an error answer, and tell whether the endpoint says that it ran nothing.
+
+    A plain service's own 404, 409 or 429 is an answer for the caller and is passed through.
+    """
+    attempt = running.effect.attempt
+    status = response.status
+    parts: list[bytes] = []
+    size = 0
+    refused = False
+    pieces = response.aiter_stream().__aiter__()
+    async for piece in pieces:
+        parts.append(piece)
+        size += len(piece)
+        if size > MAX_ERROR_BYTES:
+            break
+    body = b"".join(parts)
+    if status in NOT_RUN_STATUSES:
+        refused = _says_not_run(body)
+    text = body[:MAX_MESSAGE_CHARACTERS].decode("utf-8", "replace")
+    message = f"the endpoint answered with status {status}: {text}"
+    if refused:
+        return AttemptEnded(driver.clock(), attempt, AttemptEnd.REFUSED, message)
+    if status >= 500 or status < 400:
+        return AttemptEnded(driver.clock(), attempt, AttemptEnd.SERVER_ERROR, message)
+    if stored.is_engine:
+        return AttemptEnded(driver.clock(), attempt, AttemptEnd.CLIENT_ERROR, message)
+    headers = _decode_headers(response)
+    driver.post(AttemptHeaders(driver.clock(), attempt, status, headers))
+    if body:
+        driver.post(AttemptChunk(driver.clock(), attempt, 0, len(body), body))
+    if size > MAX_ERROR_BYTES:
+        return await _read_plain(driver, attempt, stored, response, headers, pieces, size)
+    return _finish_plain(driver, attempt, stored, response, headers)
+
+
+def _says_not_run(body: bytes) -> bool:
+    try:
+        error = msgspec.json.decode(body, type=dict[str, Any]).get("error")
+    except DECODE_ERRORS:
+        return False
+    return isinstance(error, dict) and error.get("outcome") == "not_run"
+
+
+def _finish_plain(
+    driver: EndpointDriver,
+    attempt: AttemptId,
+    stored: StoredRequest,
+    response: httpcore.Response,
+    headers: tuple[tuple[str, str], ...],
+) -> AttemptEnded:
+    """Return the end of a plain answer whose body ended without an error."""
+    framed = any(name in ("content-length", "transfer-encoding") for name, _ in headers)
+    if framed or stored.method == "HEAD" or response.status in (204, 304):
+        return AttemptEnded(driver.clock(), attempt, AttemptEnd.COMPLETE)
+    message = (
+        "the answer has neither Content-Length nor chunked encoding, so a cut cannot be told from "
+        "its end; let the service send one of them"
+    )
+    return AttemptEnded(driver.clock(), attempt, AttemptEnd.CUT, message)
+
+
+async def _read_plain(
+    driver: EndpointDriver,
+    attempt: AttemptId,
+    stored: StoredRequest,
+    response: httpcore.Response,
+    headers: tuple[tuple[str, str], ...],
+    pieces: Any = None,
+    offset: int = 0,
+) -> AttemptEnded:
+    async for piece in pieces or response.aiter_stream():
+        if piece:
+            driver.post(AttemptChunk(driver.clock(), attempt, offset, len(piece), piece))
+            offset += len(piece)
+        await stored.writable.wait()
+    return _finish_plain(driver, attempt, stored, response, headers)
+
+
+async def _drain(pieces: AsyncIterator[bytes]) -> None:
+    """Read the end of the HTTP message after the end marker, so that its connection is reused."""
+    with contextlib.suppress(TimeoutError, *NETWORK_ERRORS):
+        async with asyncio.timeout(DRAIN_SECONDS):
+            async for _ in pieces:
+                pass
+
+
+async def _read_engine_stream(
+    driver: EndpointDriver, attempt: AttemptId, stored: StoredRequest, response: httpcore.Response
+) -> AttemptEnded:
+    """Read an engine's stream up to its end marker; without the marker the answer is cut."""
+    buffer = EventBuffer()
+    finish = ""
+    usage: dict[str, int] = {}
+    pieces = response.aiter_stream().__aiter__()
+    async for piece in pieces:
+        for data in feed(buffer, piece):
+            if data == END_MARKER:
+                await _drain(pieces)
+                return AttemptEnded(
+                    driver.clock(), attempt, AttemptEnd.COMPLETE, finish=finish, usage=usage
+                )
+            chunk = parse_chunk(data)
+            if chunk.error is not None:
+                message = f"the engine ended the stream: {chunk.error}"[:MAX_MESSAGE_CHARACTERS]
+                return AttemptEnded(driver.clock(), attempt, AttemptEnd.SERVER_ERROR, message)
+            usage = chunk.usage or usage
+            for choice in chunk.choices:
+                finish = choice.finish_reason or finish
+            if chunk.tokens:
+                _post_tokens(driver, attempt, chunk.index, chunk.tokens)
+        await stored.writable.wait()
+    message = "the stream ended without its end marker"
+    return AttemptEnded(driver.clock(), attempt, AttemptEnd.CUT, message)
+
+
+def _post_tokens(driver: EndpointDriver, attempt: AttemptId, index: int, tokens: list[str]) -> None:
+    texts = [token.encode("utf-8", "replace") for token in tokens]
+    ends = []
+    end = 0
+    for text in texts:
+        end += len(text)
+        ends.append(end)
+    driver.post(
+        AttemptChunk(driver.clock(), attempt, index, len(tokens), b"".join(texts), tuple(ends))
+    )
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -47,6 +47,7 @@
     attempt: str = ""
     priority: str = "interactive"
     resume_from: int = 0
+    kv_tokens: int = 0
     group: list[_Member] = []
     ignore_eos: bool = False
 
@@ -198,6 +199,9 @@
     attempt = _parse_attempt(extra.attempt or f"anonymous:0:{engine.arrivals + 1}")
     prompt_tokens = max(1, round(len(parsed.prompt) / settings.bytes_per_token))
     max_tokens = parsed.output_tokens or settings.default_output_tokens
+    if extra.kv_tokens and not parsed.output_tokens:
+        # The host reserved memory for the prompt and its own default of output tokens.
+        max_tokens = max(1, extra.kv_tokens - prompt_tokens)
     kv_tokens = prompt_tokens + max_tokens
     if len(extra.group) > 1:
         kv_tokens = extra.group[0].tokens
