--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -417,6 +417,9 @@
     fields.pop("stream_options", None)
     fields["stream"] = True
     fields["attempt"] = str(effect.attempt)
+    # A restarted engine refuses work that was granted to its earlier incarnation, because it is
+    # cold and the grant is not in its limit.
+    fields["incarnation"] = effect.endpoints[0].incarnation
     fields["priority"] = str(effect.priority)
     fields["resume_from"] = effect.resume_from
     fields["kv_tokens"] = sum(item.tokens for item in effect.endpoints)
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -49,6 +49,7 @@
     priority: str = "interactive"
     resume_from: int = 0
     kv_tokens: int = 0
+    incarnation: int = 0
     group: list[_Member] = []
     ignore_eos: bool = False
 
@@ -195,6 +196,8 @@
     extra = _decode(body, _Extra)
     if parsed.model not in (settings.service, *engine.models, *engine.adapters):
         raise RefusedError(404, "unknown_model", "the model is not loaded here")
+    if extra.incarnation not in (0, engine.incarnation):
+        raise RefusedError(409, "other_incarnation", "the engine was restarted; ask for a permit")
     if extra.resume_from < 0:
         raise RequestError("'resume_from' must not be negative")
     attempt = _parse_attempt(extra.attempt or f"anonymous:0:{engine.arrivals + 1}")
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -7,8 +7,8 @@
 import pytest
 
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Reason, Unknown
-from marjorambridge.http import servers
-from marjorambridge.http.callers import CallerSettings
+from marjorambridge.http import callers, servers
+from marjorambridge.http.callers import STATUSES, CallerSettings
 from marjorambridge.http.registry import Registry, deliver
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import CallerGone, RequestArrived
@@ -104,8 +104,6 @@
 
 
 def test_every_reason_has_a_status():
-    from marjorambridge.http.callers import STATUSES
-
     assert set(STATUSES) == set(Reason)
 
 
@@ -187,8 +185,6 @@
     async def run():
         registry = Registry()
         events = []
-        from marjorambridge.http import callers
-
         application = callers.build_application(registry, events.append)
         server = await servers.start_server(application, "127.0.0.1", 0)
         url = f"http://{server.address}/services/app/x"
--- a/tests/http/test_endpoints.py
+++ b/tests/http/test_endpoints.py
@@ -275,6 +275,16 @@
     asyncio.run(run())
 
 
+def test_a_restarted_engine_refuses_work_granted_to_its_earlier_incarnation():
+    async def run():
+        async with serve_engine() as (address, engine), drive() as attempts:
+            attempt = attempts.start(grant(address, incarnation=4))
+            assert (await attempts.end(attempt)).end is AttemptEnd.REFUSED
+            assert not engine.starts
+
+    asyncio.run(run())
+
+
 def test_an_unknown_request_ends_its_attempt():
     async def run():
         async with drive() as attempts:
