--- a/marjorambridge/telemetry/traces.py
+++ b/marjorambridge/telemetry/traces.py
@@ -99,11 +99,11 @@
             trace_id, span_id = 0, 0
         if 0 < trace_id < 1 << 128 and 0 < span_id < 1 << 64:
             return trace_id, span_id
-    return xxhash.xxh3_128_intdigest(text) or 1, 0
+    return xxhash.xxh3_128_intdigest(text.encode()) or 1, 0
 
 
 def _compute_span_id(effect: RecordSpan, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{effect.trace}|{name}") or 1
+    return xxhash.xxh3_64_intdigest(f"{effect.trace}|{name}".encode()) or 1
 
 
 def record(traces: Traces, effect: RecordSpan) -> None:
