Add ledger, ramp, queue, prefix index and placement index of a shard

Change: each part is a module of plain functions over slotted dataclasses, without a reference to the others. The placement index is a tree with the largest free memory, the largest prefill room and the least work of each subtree, so that a choice visits a bounded number of nodes.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -16,6 +16,16 @@
 ENDPOINT_SILENCE_SECONDS = 3.0
 CANCEL_RETRY_SECONDS = 1.0
 
+# Shard owners. An endpoint is forgotten only after the longest request deadline, because until then
+# an attempt that nobody reports any more may still hold its memory.
+OWNER_TICK_SECONDS = 0.25
+ENDPOINT_FORGET_SECONDS = 660.0
+ENDED_MEMORY_SECONDS = 30.0
+REPORT_TRANSIT_SECONDS = 0.3
+MAX_QUEUED_REQUESTS = 1_024
+RESERVE_AFTER_SECONDS = 2.0
+PREFIX_PAIRS = 20_000
+
 # Classes by estimated uncached prefill tokens.
 INTERACTIVE_PREFILL_TOKENS = 8_192
 BATCH_PREFILL_TOKENS = 65_536
--- /dev/null
+++ b/marjorambridge/limits/estimates.py
@@ -0,0 +1,70 @@
+"""Estimate how long attempts hold an endpoint, from the rates that were measured."""
+
+from dataclasses import dataclass
+
+RATE_WEIGHT = 0.1
+
+# Starting values until the first attempts have ended; the second is the target of 51 ms between
+# tokens.
+INITIAL_PREFILL_RATE = 8_000.0
+INITIAL_SECONDS_PER_OUTPUT_TOKEN = 0.051
+INITIAL_HOLD_SECONDS = 1.0
+
+# A shorter prefill measures the fixed cost of a request and not the rate.
+MINIMUM_RATE_TOKENS = 512
+
+
+@dataclass(slots=True)
+class Rates:
+    """Hold the moving averages of a shard.
+
+    Attributes
+    ----------
+    prefill_rate : float
+        Prefill tokens per second.
+    seconds_per_output_token : float
+        Seconds from the first token to the end, per reserved output token.
+    hold_seconds : float
+        Seconds from the grant to the end, of all attempts.
+    """
+
+    prefill_rate: float = INITIAL_PREFILL_RATE
+    seconds_per_output_token: float = INITIAL_SECONDS_PER_OUTPUT_TOKEN
+    hold_seconds: float = INITIAL_HOLD_SECONDS
+
+
+def record_attempt(
+    rates: Rates, prefill: int, output_tokens: int, first_token: float, held: float
+) -> None:
+    """Take one whole attempt into the averages.
+
+    Parameters
+    ----------
+    prefill : int
+        Prefill tokens until the first token, with those processed before.
+    first_token : float
+        Seconds from the start to the first token; negative if unknown.
+    held : float
+        Seconds from the grant to the end.
+    """
+    rates.hold_seconds += RATE_WEIGHT * (held - rates.hold_seconds)
+    if first_token > 0 and prefill >= MINIMUM_RATE_TOKENS:
+        rates.prefill_rate += RATE_WEIGHT * (prefill / first_token - rates.prefill_rate)
+    if first_token >= 0 and output_tokens > 0:
+        pace = max(0.0, held - first_token) / output_tokens
+        rates.seconds_per_output_token += RATE_WEIGHT * (pace - rates.seconds_per_output_token)
+
+
+def estimate_duration(rates: Rates, prefill: int, output_tokens: int) -> float:
+    """Return the expected seconds from the grant to the end of an attempt.
+
+    Examples
+    --------
+    >>> estimate_duration(Rates(1000.0, 0.1, 2.0), 5000, 10)
+    6.0
+    >>> estimate_duration(Rates(1000.0, 0.1, 2.0), 0, 0)
+    2.0
+    """
+    if prefill == 0 and output_tokens == 0:
+        return rates.hold_seconds
+    return prefill / rates.prefill_rate + output_tokens * rates.seconds_per_output_token
--- /dev/null
+++ b/marjorambridge/limits/ledger.py
@@ -0,0 +1,231 @@
+"""Account for the KV memory and the concurrency that permits hold on endpoints."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.limits.messages import PriorityClass
+
+# Bounds the release times kept for an endpoint that sends no load reports.
+MAX_FREED_TIMES = 1024
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Hold the part of a permit that lies on one endpoint.
+
+    Attributes
+    ----------
+    tokens : int
+        KV memory reserved, in tokens.
+    prefill : int
+        Uncached prompt tokens that the endpoint has to process.
+    ahead : int
+        Prefill tokens in progress on the endpoint that the engine processes before these.
+    generation : int
+        Generation of the endpoint's ramp at the time of the grant.
+    """
+
+    endpoint: str
+    incarnation: int
+    address: str
+    tokens: int
+    prefill: int
+    cached_tokens: int = 0
+    ahead: int = 0
+    generation: int = 0
+
+
+@dataclass(slots=True)
+class Permit:
+    """Hold a permit and its reservations.
+
+    The holder is part of the identity: (host, incarnation).
+
+    Attributes
+    ----------
+    ask : int
+        Number of the ask that the last grant answered; 0 if the permit was registered by a
+        renewal or a handover.
+    granted_at, expires_at, expected_end : float
+        Monotonic seconds of this host.
+    started : bool
+        Whether the holder has renewed it at least once.
+    cancelling : bool
+        Whether the endpoints were told to stop the attempt; it never becomes valid again.
+    """
+
+    identity: AttemptId
+    priority: PriorityClass
+    ask: int
+    granted_at: float
+    expires_at: float
+    expected_end: float
+    output_tokens: int = 0
+    started: bool = False
+    first_token: bool = False
+    cancelling: bool = False
+    parts: dict[str, Reservation] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Account:
+    """Sum the reservations on one endpoint.
+
+    Attributes
+    ----------
+    permits : dict
+        Permits with a part on the endpoint.
+    tokens : int
+        Reserved KV memory.
+    prefill, interactive_prefill : int
+        Prefill tokens of attempts without a first token, of all classes and of the first class.
+    long_prefills : int
+        Long or group attempts without a first token.
+    recent : dict
+        Grants that the last load report cannot contain, oldest first, with their tokens.
+    recent_tokens : int
+        Sum of `recent`.
+    freed_at : deque of float
+        Times of the releases that the last load report may not contain.
+    host_cancels : dict
+        Incarnation of each host whose attempts up to it are being cancelled on the endpoint.
+    """
+
+    permits: dict[AttemptId, Permit] = field(default_factory=dict)
+    tokens: int = 0
+    prefill: int = 0
+    interactive_prefill: int = 0
+    long_prefills: int = 0
+    recent: dict[AttemptId, tuple[float, int]] = field(default_factory=dict)
+    recent_tokens: int = 0
+    freed_at: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_FREED_TIMES))
+    host_cancels: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Hold all permits of a shard.
+
+    Attributes
+    ----------
+    ended : dict
+        Permits that ended lately with the time until which they are remembered, oldest first,
+        so that delayed messages do not bring them back.
+    """
+
+    permits: dict[AttemptId, Permit] = field(default_factory=dict)
+    accounts: dict[str, Account] = field(default_factory=dict)
+    by_host: dict[str, dict[AttemptId, None]] = field(default_factory=dict)
+    ended: dict[AttemptId, float] = field(default_factory=dict)
+
+
+def get_account(ledger: Ledger, endpoint: str) -> Account:
+    """Return the account of an endpoint, which may not have announced itself yet."""
+    account = ledger.accounts.get(endpoint)
+    if account is None:
+        account = ledger.accounts[endpoint] = Account()
+    return account
+
+
+def _count_prefill(account: Account, permit: Permit, tokens: int, sign: int) -> None:
+    """Add a part without a first token to the prefill sums, or subtract it."""
+    account.prefill += sign * tokens
+    if permit.priority is PriorityClass.INTERACTIVE:
+        account.interactive_prefill += sign * tokens
+    if permit.priority in (PriorityClass.LONG, PriorityClass.GROUP):
+        account.long_prefills += sign
+
+
+def add_permit(ledger: Ledger, permit: Permit) -> None:
+    """Reserve all parts of a permit."""
+    ledger.permits[permit.identity] = permit
+    ledger.by_host.setdefault(permit.identity.host, {})[permit.identity] = None
+    for endpoint, part in permit.parts.items():
+        account = get_account(ledger, endpoint)
+        account.permits[permit.identity] = permit
+        account.tokens += part.tokens
+        account.recent[permit.identity] = (permit.granted_at, part.tokens)
+        account.recent_tokens += part.tokens
+        if not permit.first_token:
+            _count_prefill(account, permit, part.prefill, 1)
+
+
+def mark_first_token(ledger: Ledger, permit: Permit) -> bool:
+    """End the prefill of a permit; return whether it was in progress."""
+    if permit.first_token:
+        return False
+    for endpoint, part in permit.parts.items():
+        _count_prefill(ledger.accounts[endpoint], permit, part.prefill, -1)
+    permit.first_token = True
+    return True
+
+
+def refresh_grant(ledger: Ledger, permit: Permit, now: float) -> None:
+    """Count a permit as granted at `now`, because its grant is sent again."""
+    permit.granted_at = now
+    for endpoint, part in permit.parts.items():
+        account = ledger.accounts[endpoint]
+        if account.recent.pop(permit.identity, None) is None:
+            account.recent_tokens += part.tokens
+        account.recent[permit.identity] = (now, part.tokens)
+
+
+def free_part(ledger: Ledger, permit: Permit, endpoint: str, now: float, forget_at: float) -> None:
+    """Free the part of a permit on one endpoint, and the permit with its last part."""
+    part = permit.parts.pop(endpoint)
+    account = ledger.accounts[endpoint]
+    del account.permits[permit.identity]
+    account.tokens -= part.tokens
+    if account.recent.pop(permit.identity, None) is not None:
+        account.recent_tokens -= part.tokens
+    account.freed_at.append(now)
+    if not permit.first_token:
+        _count_prefill(account, permit, part.prefill, -1)
+    if permit.parts:
+        return
+    del ledger.permits[permit.identity]
+    held = ledger.by_host[permit.identity.host]
+    del held[permit.identity]
+    if not held:
+        del ledger.by_host[permit.identity.host]
+    remember_ended(ledger, permit.identity, forget_at)
+
+
+def remember_ended(ledger: Ledger, identity: AttemptId, forget_at: float) -> None:
+    """Remember that a permit has ended."""
+    ledger.ended.pop(identity, None)
+    ledger.ended[identity] = forget_at
+
+
+def forget_ended(ledger: Ledger, now: float) -> None:
+    """Forget the permits that ended long ago."""
+    while ledger.ended:
+        identity = next(iter(ledger.ended))
+        if ledger.ended[identity] > now:
+            return
+        del ledger.ended[identity]
+
+
+def trim_to_report(account: Account, visible_until: float) -> None:
+    """Drop from `recent` and `freed_at` what a load report contains.
+
+    Parameters
+    ----------
+    visible_until : float
+        Grants up to this time had started when the report was measured.
+    """
+    while account.recent:
+        identity = next(iter(account.recent))
+        granted_at, tokens = account.recent[identity]
+        if granted_at > visible_until:
+            break
+        del account.recent[identity]
+        account.recent_tokens -= tokens
+    while account.freed_at and account.freed_at[0] <= visible_until:
+        account.freed_at.popleft()
+
+
+def compute_used(account: Account, reported: int) -> int:
+    """Return the KV memory in use: the larger of the ledger and the report with later grants."""
+    return max(account.tokens, reported + account.recent_tokens)
--- /dev/null
+++ b/marjorambridge/limits/placement.py
@@ -0,0 +1,129 @@
+"""Index the endpoints of a shard by free memory, prefill room and outstanding work."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+CLOSED = -1
+NO_WORK_BOUND = 1 << 62
+
+# The best-first search stops after this many nodes, so that many endpoints with little work and
+# little memory cannot make one decision linear in the size of the shard.
+MAX_VISITED_NODES = 96
+
+
+@dataclass(slots=True)
+class PlacementIndex:
+    """Hold a complete binary tree over slots; each node keeps the bounds of its subtree.
+
+    Attributes
+    ----------
+    size : int
+        Number of leaves, a power of two; node 1 is the root and leaf `i` is node ``size + i``.
+    free : list of int
+        Largest free KV memory in tokens; `CLOSED` if no endpoint below accepts work.
+    room : list of int
+        Largest number of prefill tokens that an endpoint below may still start.
+    work : list of int
+        Smallest rank of an endpoint below that accepts work.
+    """
+
+    size: int = 1
+    free: list[int] = field(default_factory=lambda: [CLOSED, CLOSED])
+    room: list[int] = field(default_factory=lambda: [CLOSED, CLOSED])
+    work: list[int] = field(default_factory=lambda: [NO_WORK_BOUND, NO_WORK_BOUND])
+
+
+def _combine(index: PlacementIndex, node: int) -> bool:
+    """Recompute one inner node and return whether it changed."""
+    left, right = 2 * node, 2 * node + 1
+    free = max(index.free[left], index.free[right])
+    room = max(index.room[left], index.room[right])
+    work = min(index.work[left], index.work[right])
+    if free == index.free[node] and room == index.room[node] and work == index.work[node]:
+        return False
+    index.free[node], index.room[node], index.work[node] = free, room, work
+    return True
+
+
+def _grow(index: PlacementIndex) -> None:
+    """Double the number of leaves."""
+    old = index.size
+    index.size = 2 * old
+    for name, empty in (("free", CLOSED), ("room", CLOSED), ("work", NO_WORK_BOUND)):
+        values = getattr(index, name)
+        leaves = values[old : 2 * old]
+        setattr(index, name, [empty] * (2 * old) + leaves + [empty] * old)
+    for node in range(index.size - 1, 0, -1):
+        _combine(index, node)
+
+
+def set_leaf(index: PlacementIndex, slot: int, free: int, room: int, work: int) -> None:
+    """Set the values of a slot; `free` is `CLOSED` if the endpoint accepts no work."""
+    while slot >= index.size:
+        _grow(index)
+    if free == CLOSED:
+        room, work = CLOSED, NO_WORK_BOUND
+    node = index.size + slot
+    if index.free[node] == free and index.room[node] == room and index.work[node] == work:
+        return
+    index.free[node], index.room[node], index.work[node] = free, room, work
+    node //= 2
+    while node and _combine(index, node):
+        node //= 2
+
+
+def _find_any(
+    index: PlacementIndex, tokens: int, prefill: int, allowed: Callable[[int], bool]
+) -> int | None:
+    """Return a slot with enough memory and room, following the largest free memory."""
+    stack = [1]
+    visited = 0
+    while stack and visited < MAX_VISITED_NODES:
+        node = stack.pop()
+        visited += 1
+        if index.free[node] < tokens or index.room[node] < prefill:
+            continue
+        if node >= index.size:
+            if allowed(node - index.size):
+                return node - index.size
+            continue
+        children = sorted((2 * node, 2 * node + 1), key=index.free.__getitem__)
+        stack.extend(children)
+    return None
+
+
+def find_least_work(
+    index: PlacementIndex, tokens: int, prefill: int, allowed: Callable[[int], bool]
+) -> int | None:
+    """Return the slot with the least work that has the memory and the prefill room.
+
+    The result is exact unless the search visits `MAX_VISITED_NODES`; then it is a slot that
+    fits, found by its free memory.
+
+    Parameters
+    ----------
+    tokens : int
+        KV memory needed.
+    prefill : int
+        Prefill tokens that the endpoint must still be allowed to start.
+    allowed : callable
+        Final test of a slot, for conditions that the index does not hold.
+    """
+    if index.free[1] < tokens or index.room[1] < prefill:
+        return None
+    heap = [(index.work[1], 1)]
+    visited = 0
+    while heap:
+        _, node = heapq.heappop(heap)
+        visited += 1
+        if visited > MAX_VISITED_NODES:
+            return _find_any(index, tokens, prefill, allowed)
+        if node >= index.size:
+            if allowed(node - index.size):
+                return node - index.size
+            continue
+        for child in (2 * node, 2 * node + 1):
+            if index.free[child] >= tokens and index.room[child] >= prefill:
+                heapq.heappush(heap, (index.work[child], child))
+    return None
--- /dev/null
+++ b/marjorambridge/limits/prefix.py
@@ -0,0 +1,122 @@
+"""Remember which endpoints hold which blocks of prompts in their caches."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from marjorambridge.limits.messages import CacheEvent
+
+
+@dataclass(slots=True)
+class PrefixIndex:
+    """Map block hashes to endpoints, least recently used pairs first to go.
+
+    Attributes
+    ----------
+    maximum : int
+        Largest number of (block, endpoint) pairs.
+    pairs : OrderedDict
+        Pairs by last use.
+    holders : dict
+        Endpoints of each block, in order of insertion.
+    blocks : dict
+        Blocks of each endpoint.
+    sequences : dict
+        Last cache event number seen of each endpoint.
+    """
+
+    maximum: int
+    pairs: OrderedDict[tuple[bytes, str], None] = field(default_factory=OrderedDict)
+    holders: dict[bytes, dict[str, None]] = field(default_factory=dict)
+    blocks: dict[str, dict[bytes, None]] = field(default_factory=dict)
+    sequences: dict[str, int] = field(default_factory=dict)
+
+
+def add_blocks(index: PrefixIndex, endpoint: str, blocks: tuple[bytes, ...]) -> None:
+    """Record that an endpoint holds blocks, deepest block first to be forgotten."""
+    for block in reversed(blocks):
+        pair = (block, endpoint)
+        index.pairs[pair] = None
+        index.pairs.move_to_end(pair)
+        index.holders.setdefault(block, {})[endpoint] = None
+        index.blocks.setdefault(endpoint, {})[block] = None
+    while len(index.pairs) > index.maximum:
+        block, holder = next(iter(index.pairs))
+        remove_block(index, holder, block)
+
+
+def remove_block(index: PrefixIndex, endpoint: str, block: bytes) -> None:
+    """Forget that an endpoint holds a block."""
+    if (block, endpoint) not in index.pairs:
+        return
+    del index.pairs[block, endpoint]
+    for table, key, item in (
+        (index.holders, block, endpoint),
+        (index.blocks, endpoint, block),
+    ):
+        del table[key][item]
+        if not table[key]:
+            del table[key]
+
+
+def drop_endpoint(index: PrefixIndex, endpoint: str) -> None:
+    """Forget all blocks of an endpoint."""
+    for block in list(index.blocks.get(endpoint, ())):
+        remove_block(index, endpoint, block)
+
+
+def reset_endpoint(index: PrefixIndex, endpoint: str) -> None:
+    """Forget an endpoint with its sequence, because its cache is empty or it is gone."""
+    drop_endpoint(index, endpoint)
+    index.sequences.pop(endpoint, None)
+
+
+def apply_cache_events(index: PrefixIndex, endpoint: str, events: tuple[CacheEvent, ...]) -> None:
+    """Apply the cache events of one announcement; a gap makes the entries unknown.
+
+    Events that were already applied are skipped, so repeated announcements change nothing.
+    """
+    for event in sorted(events, key=lambda item: item.sequence):
+        last = index.sequences.get(endpoint)
+        if last is not None and event.sequence <= last:
+            continue
+        if last is None or event.sequence != last + 1:
+            drop_endpoint(index, endpoint)
+        index.sequences[endpoint] = event.sequence
+        for block in event.evicted:
+            remove_block(index, endpoint, block)
+        add_blocks(index, endpoint, event.stored)
+
+
+def count_cached_blocks(index: PrefixIndex, endpoint: str, prefix: tuple[bytes, ...]) -> int:
+    """Return the number of leading blocks of a prompt that an endpoint holds."""
+    blocks = index.blocks.get(endpoint)
+    if not blocks:
+        return 0
+    count = 0
+    for block in prefix:
+        if block not in blocks:
+            break
+        count += 1
+    return count
+
+
+def find_holders(index: PrefixIndex, prefix: tuple[bytes, ...], limit: int) -> list[str]:
+    """Return up to `limit` endpoints that hold leading blocks of a prompt, deepest first.
+
+    The holders of the deepest block that some endpoint holds come first, then those of half
+    that depth and so on, so that an endpoint with a shorter match is found when the others are
+    busy.
+    """
+    depth = 0
+    for block in prefix:
+        if block not in index.holders:
+            break
+        depth += 1
+    found: dict[str, None] = {}
+    while depth and len(found) < limit:
+        for endpoint in reversed(index.holders[prefix[depth - 1]]):
+            found[endpoint] = None
+            if len(found) == limit:
+                break
+        depth //= 2
+    return list(found)
--- /dev/null
+++ b/marjorambridge/limits/queue.py
@@ -0,0 +1,202 @@
+"""Queue permit requests by class and share each class fairly between workspaces."""
+
+import heapq
+from dataclasses import dataclass, field
+
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.limits.messages import PermitRequest, PriorityClass
+
+# Classes in the order in which they are served.
+CLASSES = (
+    PriorityClass.INTERACTIVE,
+    PriorityClass.BATCH,
+    PriorityClass.LONG,
+    PriorityClass.GROUP,
+)
+
+MINIMUM_WEIGHT = 0.01
+
+# Items of entries that have left are removed together once there are this many of them.
+MAX_GONE_ITEMS = 256
+
+
+@dataclass(slots=True)
+class QueueEntry:
+    """Hold one waiting request.
+
+    Attributes
+    ----------
+    request : PermitRequest
+        The last ask.
+    asked_at, queued_at : float
+        Times of the last and of the first ask.
+    deadline : float
+        Time of the request's deadline, estimated late by the delay of the message.
+    work : float
+        Expected use of the shard, in seconds of the whole shard.
+    mark : float
+        Work that its class has to serve before it in order of arrival, on the scale of
+        `ClassQueue.served`.
+    finish : float
+        Virtual finish time in weighted fair queueing.
+    gone : bool
+        Whether the entry has left the queue; its heap item is skipped.
+    """
+
+    request: PermitRequest
+    priority: PriorityClass
+    sender: str
+    asked_at: float
+    queued_at: float
+    deadline: float
+    work: float
+    mark: float = 0.0
+    finish: float = 0.0
+    serial: int = 0
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Hold the waiting requests of one class.
+
+    Attributes
+    ----------
+    heap : list
+        Entries by virtual finish time and serial number.
+    virtual_time : float
+        Virtual finish time of the entry served last.
+    finishes : dict
+        Last virtual finish time of each workspace with waiting requests.
+    lengths : dict
+        Waiting requests of each workspace.
+    count, tokens, work, served : number
+        Waiting requests, their tokens, their work, and the work that has left the queue.
+    """
+
+    heap: list[tuple[float, int, QueueEntry]] = field(default_factory=list)
+    virtual_time: float = 0.0
+    finishes: dict[str, float] = field(default_factory=dict)
+    lengths: dict[str, int] = field(default_factory=dict)
+    count: int = 0
+    tokens: int = 0
+    work: float = 0.0
+    served: float = 0.0
+
+
+def _create_classes() -> dict[PriorityClass, ClassQueue]:
+    return {priority: ClassQueue() for priority in CLASSES}
+
+
+@dataclass(slots=True)
+class RequestQueue:
+    """Hold the waiting requests of a shard."""
+
+    classes: dict[PriorityClass, ClassQueue] = field(default_factory=_create_classes)
+    entries: dict[AttemptId, QueueEntry] = field(default_factory=dict)
+    lengths: dict[str, int] = field(default_factory=dict)
+    serial: int = 0
+
+
+def compute_cost(request: PermitRequest) -> int:
+    """Return the tokens that a request counts for in fair queueing."""
+    return max(1, request.prompt_tokens + request.output_tokens)
+
+
+def is_full(queue: RequestQueue, workspace: str, maximum: int) -> bool:
+    """Tell whether a workspace may not queue another request.
+
+    Below its even share of the queue a workspace may exceed the maximum, so that one workspace
+    cannot fill the queue for the others; twice the maximum is never exceeded.
+    """
+    total = len(queue.entries)
+    if total < maximum:
+        return False
+    own = queue.lengths.get(workspace, 0)
+    active = len(queue.lengths) + (own == 0)
+    return total >= 2 * maximum or own >= maximum // active
+
+
+def add_entry(queue: RequestQueue, entry: QueueEntry) -> None:
+    """Append a request to its class."""
+    waiting = queue.classes[entry.priority]
+    workspace = entry.request.workspace
+    cost = compute_cost(entry.request)
+    start = max(waiting.virtual_time, waiting.finishes.get(workspace, 0.0))
+    entry.finish = start + cost / max(MINIMUM_WEIGHT, entry.request.weight)
+    waiting.finishes[workspace] = entry.finish
+    queue.serial += 1
+    entry.serial = queue.serial
+    entry.mark = waiting.served + waiting.work
+    heapq.heappush(waiting.heap, (entry.finish, entry.serial, entry))
+    waiting.lengths[workspace] = waiting.lengths.get(workspace, 0) + 1
+    waiting.count += 1
+    waiting.tokens += cost
+    waiting.work += entry.work
+    queue.entries[entry.request.permit] = entry
+    queue.lengths[workspace] = queue.lengths.get(workspace, 0) + 1
+
+
+def _subtract(lengths: dict[str, int], workspace: str) -> bool:
+    """Count one request less and return whether it was the workspace's last one."""
+    lengths[workspace] -= 1
+    if lengths[workspace]:
+        return False
+    del lengths[workspace]
+    return True
+
+
+def remove_entry(queue: RequestQueue, entry: QueueEntry, served: bool) -> None:
+    """Take a request out; `served` if it was granted, which advances the virtual time."""
+    waiting = queue.classes[entry.priority]
+    workspace = entry.request.workspace
+    entry.gone = True
+    del queue.entries[entry.request.permit]
+    waiting.count -= 1
+    waiting.tokens -= compute_cost(entry.request)
+    waiting.work = waiting.work - entry.work if waiting.count else 0.0
+    waiting.served += entry.work
+    if served:
+        waiting.virtual_time = max(waiting.virtual_time, entry.finish)
+    if _subtract(waiting.lengths, workspace):
+        del waiting.finishes[workspace]
+    _subtract(queue.lengths, workspace)
+    if not waiting.count:
+        waiting.heap.clear()
+        waiting.finishes.clear()
+        waiting.virtual_time = 0.0
+    elif len(waiting.heap) > 2 * waiting.count + MAX_GONE_ITEMS:
+        waiting.heap = [item for item in waiting.heap if not item[2].gone]
+        heapq.heapify(waiting.heap)
+
+
+def pop_head(waiting: ClassQueue) -> QueueEntry | None:
+    """Take the next entry off the heap; it stays counted until it is removed or put back."""
+    while waiting.heap:
+        entry = heapq.heappop(waiting.heap)[2]
+        if not entry.gone:
+            return entry
+    return None
+
+
+def put_back(waiting: ClassQueue, entry: QueueEntry) -> None:
+    """Return an entry that could not be served to its place."""
+    heapq.heappush(waiting.heap, (entry.finish, entry.serial, entry))
+
+
+def get_head(waiting: ClassQueue) -> QueueEntry | None:
+    """Return the next entry without taking it off."""
+    while waiting.heap and waiting.heap[0][2].gone:
+        heapq.heappop(waiting.heap)
+    return waiting.heap[0][2] if waiting.heap else None
+
+
+def compute_work_ahead(queue: RequestQueue, entry: QueueEntry) -> float:
+    """Estimate the work that will be served before an entry, in seconds of the whole shard."""
+    ahead = 0.0
+    for priority in CLASSES:
+        waiting = queue.classes[priority]
+        if priority is entry.priority:
+            return ahead + min(waiting.work, max(0.0, entry.mark - waiting.served))
+        ahead += waiting.work
+    return ahead
--- /dev/null
+++ b/marjorambridge/limits/ramp.py
@@ -0,0 +1,134 @@
+"""Limit a cold endpoint and detect endpoints that turned cold without warning."""
+
+from dataclasses import dataclass
+
+# Prefill room of a warm endpoint, which has no prefill limit of its own.
+UNLIMITED_PREFILL = 1 << 60
+
+# Shorter prefills are dominated by the fixed cost of a request, which would look like slowness.
+MINIMUM_BASELINE_TOKENS = 512
+BASELINE_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class Ramp:
+    """Hold the cold-start state of one incarnation of an endpoint.
+
+    Attributes
+    ----------
+    concurrency : int
+        Announced full concurrency.
+    concurrency_now : int
+        Concurrency that the endpoint says it bears at present; 0 if it does not say.
+    limit : int
+        Requests at a time that the ramp allows.
+    warm : bool
+        Whether the ramp has ended.
+    announced_cold : bool
+        Whether the endpoint calls itself cold.
+    generation : int
+        Number of restarts of the ramp; the ends of attempts granted before a restart do not
+        move the limit.
+    baseline : float
+        Warm seconds to first token per prefill token; 0 if unknown.
+    slow_answers : int
+        Slow first tokens in a row.
+    """
+
+    concurrency: int = 1
+    concurrency_now: int = 0
+    limit: int = 1
+    warm: bool = False
+    announced_cold: bool = False
+    generation: int = 0
+    baseline: float = 0.0
+    slow_answers: int = 0
+
+
+def restart_ramp(ramp: Ramp) -> None:
+    """Return to the limit of a cold endpoint; the warm baseline stays."""
+    ramp.limit = 1
+    ramp.warm = False
+    ramp.generation += 1
+    ramp.slow_answers = 0
+
+
+def apply_announced_limits(
+    ramp: Ramp, concurrency: int, concurrency_now: int, announced_cold: bool
+) -> None:
+    """Take over what the endpoint says about itself."""
+    if announced_cold and not ramp.announced_cold:
+        restart_ramp(ramp)
+    ramp.announced_cold = announced_cold
+    ramp.concurrency = max(1, concurrency)
+    ramp.concurrency_now = concurrency_now
+    if ramp.warm:
+        ramp.limit = ramp.concurrency
+    ramp.limit = min(ramp.limit, ramp.concurrency)
+
+
+def compute_limit(ramp: Ramp) -> int:
+    """Return the number of requests that the endpoint may have at a time."""
+    if ramp.concurrency_now > 0:
+        return min(ramp.limit, ramp.concurrency_now)
+    return ramp.limit
+
+
+def compute_prefill_limit(ramp: Ramp, cold_prefill_tokens: int) -> int:
+    """Return the prefill tokens that may be in progress on the endpoint."""
+    if ramp.warm:
+        return UNLIMITED_PREFILL
+    return compute_limit(ramp) * cold_prefill_tokens
+
+
+def record_end(ramp: Ramp, generation: int, succeeded: bool, endpoint_failed: bool) -> None:
+    """Move the limit of a cold endpoint after the end of an attempt.
+
+    Examples
+    --------
+    >>> ramp = Ramp(concurrency=4)
+    >>> for _ in range(3):
+    ...     record_end(ramp, 0, True, False)
+    >>> ramp.limit, ramp.warm
+    (4, True)
+    """
+    if ramp.warm or generation != ramp.generation:
+        return
+    if endpoint_failed:
+        ramp.limit = max(1, ramp.limit // 2)
+    elif succeeded:
+        ramp.limit = min(ramp.concurrency, ramp.limit + 1)
+        ramp.warm = ramp.limit >= ramp.concurrency and not ramp.announced_cold
+
+
+def record_first_token(
+    ramp: Ramp, generation: int, seconds: float, tokens: int, factor: float, answers: int
+) -> bool:
+    """Compare a first token with the warm baseline; return whether the ramp was restarted.
+
+    Parameters
+    ----------
+    seconds : float
+        Time from the start to the first token.
+    tokens : int
+        Uncached prefill tokens that the engine had to process for it.
+    factor : float
+        Slowdown relative to the baseline that counts as slow.
+    answers : int
+        Slow first tokens in a row that restart the ramp.
+    """
+    if not ramp.warm or generation != ramp.generation or seconds < 0:
+        return False
+    pace = seconds / max(tokens, MINIMUM_BASELINE_TOKENS)
+    if ramp.baseline == 0.0:
+        ramp.baseline = pace
+        return False
+    if pace <= factor * ramp.baseline:
+        ramp.slow_answers = 0
+        ramp.baseline += BASELINE_WEIGHT * (pace - ramp.baseline)
+        return False
+    ramp.slow_answers += 1
+    if ramp.slow_answers < answers:
+        return False
+    restart_ramp(ramp)
+    return True
