--- /dev/null
+++ b/marjorambridge/limits/admission.py
@@ -0,0 +1,153 @@
+"""Choose the endpoint of one request within the limits of its shard."""
+
+from dataclasses import dataclass
+
+from marjorambridge.limits.messages import PermitRequest, PriorityClass
+from marjorambridge.limits.placement import find_least_work
+from marjorambridge.limits.prefix import count_cached_blocks, find_holders
+from marjorambridge.limits.settings import LimitsSettings
+from marjorambridge.limits.shard import (
+    RANK_SCALE,
+    Endpoint,
+    Shard,
+    compute_rank,
+    fits,
+    is_usable,
+)
+
+# Endpoints with a cached prefix that are compared with the one with the least work.
+MAX_PREFIX_CANDIDATES = 4
+
+
+@dataclass(slots=True)
+class Placement:
+    """Say where a request fits and what it costs there."""
+
+    endpoint: Endpoint
+    tokens: int
+    prefill: int
+    cached_tokens: int
+    priority: PriorityClass
+
+
+def classify_prefill(prefill: int, settings: LimitsSettings) -> PriorityClass:
+    """Return the class of a request that fits one endpoint.
+
+    Examples
+    --------
+    >>> classify_prefill(8_193, LimitsSettings()).value
+    'batch'
+    """
+    if prefill <= settings.interactive_prefill_tokens:
+        return PriorityClass.INTERACTIVE
+    if prefill <= settings.batch_prefill_tokens:
+        return PriorityClass.BATCH
+    return PriorityClass.LONG
+
+
+def compute_tokens(shard: Shard, request: PermitRequest) -> int:
+    """Return the KV memory that a request needs; none on the endpoints of a plain service."""
+    if shard.largest_capacity == 0:
+        return 0
+    return request.prompt_tokens + request.output_tokens
+
+
+def count_cached_tokens(shard: Shard, request: PermitRequest, endpoint: str) -> int:
+    """Return the prompt tokens that are expected in the prefix cache of an endpoint."""
+    count = count_cached_blocks(shard.prefix, endpoint, request.prefix)
+    if count == 0 or count > len(request.prefix_tokens):
+        return 0
+    # The engine processes at least the last token to produce the first one.
+    return max(0, min(request.prefix_tokens[count - 1], request.prompt_tokens - 1))
+
+
+def classify_request(
+    shard: Shard, request: PermitRequest, settings: LimitsSettings
+) -> PriorityClass:
+    """Return the class of a request on the endpoint that has most of its prompt cached."""
+    tokens = compute_tokens(shard, request)
+    if tokens > shard.largest_capacity:
+        return PriorityClass.GROUP
+    if tokens == 0:
+        return PriorityClass.INTERACTIVE
+    holders = find_holders(shard.prefix, request.prefix, 1)
+    cached = count_cached_tokens(shard, request, holders[0]) if holders else 0
+    return classify_prefill(request.prompt_tokens - cached, settings)
+
+
+def is_long_share_used(shard: Shard) -> bool:
+    """Tell whether as many endpoints as allowed run long prefills."""
+    return len(shard.long_endpoints) >= shard.long_share
+
+
+def _is_long_allowed(shard: Shard, endpoint: Endpoint) -> bool:
+    """Tell whether a long prefill may start on an endpoint; each one runs one at a time."""
+    return not endpoint.account.long_prefills and not is_long_share_used(shard)
+
+
+def build_placement(
+    shard: Shard, request: PermitRequest, endpoint: Endpoint, settings: LimitsSettings
+) -> Placement:
+    """Return what a request costs on an endpoint."""
+    tokens = compute_tokens(shard, request)
+    cached = count_cached_tokens(shard, request, endpoint.announcement.endpoint) if tokens else 0
+    # The limit of a cold endpoint must hold even if its cache is emptier than expected.
+    prefill = request.prompt_tokens - (cached if endpoint.ramp.warm else 0) if tokens else 0
+    return Placement(endpoint, tokens, prefill, cached, classify_prefill(prefill, settings))
+
+
+def check_endpoint(
+    shard: Shard, request: PermitRequest, endpoint: Endpoint, settings: LimitsSettings, now: float
+) -> Placement | None:
+    """Return the placement on one endpoint if the request fits it now."""
+    if endpoint.announcement.endpoint in request.exclude or not is_usable(endpoint, settings, now):
+        return None
+    found = build_placement(shard, request, endpoint, settings)
+    if found.priority is PriorityClass.LONG and not _is_long_allowed(shard, endpoint):
+        return None
+    return found if fits(endpoint, found.tokens, found.prefill, settings) else None
+
+
+def choose_endpoint(
+    shard: Shard, request: PermitRequest, settings: LimitsSettings, now: float
+) -> Placement | None:
+    """Return the endpoint with the least prefill work, cached tokens subtracted.
+
+    Returns
+    -------
+    Placement or None
+        None if no endpoint that is free of the advance reservation can take the request now.
+    """
+    best: Placement | None = None
+    best_cost = 0
+    for name in find_holders(shard.prefix, request.prefix, MAX_PREFIX_CANDIDATES):
+        endpoint = shard.endpoints.get(name)
+        if endpoint is None or endpoint.reserved:
+            continue
+        found = check_endpoint(shard, request, endpoint, settings, now)
+        if found is not None:
+            cost = compute_rank(endpoint) + found.prefill * RANK_SCALE
+            if best is None or cost < best_cost:
+                best, best_cost = found, cost
+
+    tokens = compute_tokens(shard, request)
+    prefill = request.prompt_tokens if tokens else 0
+    is_long = classify_prefill(prefill, settings) is PriorityClass.LONG
+    if is_long and is_long_share_used(shard):
+        return best
+
+    def allow(slot: int) -> bool:
+        endpoint = shard.slots[slot]
+        return (
+            endpoint is not None
+            and is_usable(endpoint, settings, now)
+            and endpoint.announcement.endpoint not in request.exclude
+            and not (is_long and endpoint.account.long_prefills)
+        )
+
+    slot = find_least_work(shard.placement, tokens, prefill, allow)
+    if slot is None:
+        return best
+    found = build_placement(shard, request, shard.slots[slot], settings)
+    cost = compute_rank(found.endpoint) + found.prefill * RANK_SCALE
+    return found if best is None or cost < best_cost else best
--- /dev/null
+++ b/marjorambridge/limits/scheduling.py
@@ -0,0 +1,300 @@
+"""Grant permits to requests and to the queue of a shard."""
+
+import heapq
+import math
+import random
+
+from marjorambridge.core.effects import Effect, Measure, SendMessage
+from marjorambridge.limits.admission import (
+    Placement,
+    build_placement,
+    check_endpoint,
+    choose_endpoint,
+    is_long_share_used,
+)
+from marjorambridge.limits.estimates import estimate_duration
+from marjorambridge.limits.groups import (
+    estimate_ready,
+    estimate_start,
+    is_reservation_ready,
+    is_reservation_valid,
+    plan_reservation,
+    set_reservation,
+)
+from marjorambridge.limits.ledger import Permit, Reservation, add_permit
+from marjorambridge.limits.messages import (
+    DenialReason,
+    EndpointGrant,
+    PermitDenied,
+    PermitGranted,
+    PermitRequest,
+    PriorityClass,
+)
+from marjorambridge.limits.prefix import add_blocks
+from marjorambridge.limits.queue import (
+    CLASSES,
+    QueueEntry,
+    compute_work_ahead,
+    get_head,
+    pop_head,
+    put_back,
+    remove_entry,
+)
+from marjorambridge.limits.settings import LimitsSettings
+from marjorambridge.limits.shard import (
+    Shard,
+    compute_rank,
+    refresh_endpoint,
+    schedule_check,
+    summarize_shard,
+)
+
+# Entries of a class that are tried behind a head that does not fit, so that one large request
+# does not hold back smaller ones while the cost of a decision stays bounded.
+LOOKAHEAD = 8
+
+MINIMUM_RETRY_SECONDS = 0.25
+ENDPOINT_RETRY_SECONDS = 1.0
+
+
+def deny_request(
+    shard: Shard, request: PermitRequest, reason: DenialReason, retry_after: float, now: float
+) -> list[Effect]:
+    """Refuse a request; `retry_after` of 0 means that a new try makes no sense."""
+    summary = summarize_shard(shard, now)
+    answer = PermitDenied(request.permit, shard.name, reason, retry_after, summary)
+    return [
+        SendMessage(request.permit.host, answer),
+        Measure("permits_denied", 1.0, {"reason": reason.value}),
+    ]
+
+
+def deny_all_queued(
+    shard: Shard, reason: DenialReason, retry_after: float, now: float
+) -> list[Effect]:
+    """Refuse every waiting request."""
+    effects: list[Effect] = []
+    for entry in list(shard.queue.entries.values()):
+        remove_entry(shard.queue, entry, served=False)
+        effects += deny_request(shard, entry.request, reason, retry_after, now)
+    return effects
+
+
+def build_grant(shard: Shard, permit: Permit, now: float) -> Effect:
+    """Return the message that grants a permit."""
+    endpoints = tuple(
+        EndpointGrant(
+            part.endpoint, part.incarnation, part.address, part.tokens, part.cached_tokens
+        )
+        for part in permit.parts.values()
+    )
+    answer = PermitGranted(
+        permit.identity,
+        permit.ask,
+        shard.name,
+        shard.epoch,
+        permit.priority,
+        endpoints,
+        summarize_shard(shard, now),
+    )
+    return SendMessage(permit.identity.host, answer)
+
+
+def grant_permit(
+    shard: Shard,
+    request: PermitRequest,
+    placements: list[Placement],
+    priority: PriorityClass,
+    settings: LimitsSettings,
+    now: float,
+) -> list[Effect]:
+    """Reserve all placements of a request at once and grant its permit."""
+    prefill = sum(item.prefill for item in placements)
+    duration = estimate_duration(shard.rates, prefill, request.output_tokens)
+    permit = Permit(
+        request.permit,
+        priority,
+        request.ask,
+        granted_at=now,
+        expires_at=now + settings.permit_expiry_seconds,
+        expected_end=now + duration,
+        output_tokens=request.output_tokens,
+    )
+    for item in placements:
+        account = item.endpoint.account
+        interactive = priority is PriorityClass.INTERACTIVE
+        permit.parts[item.endpoint.announcement.endpoint] = Reservation(
+            item.endpoint.announcement.endpoint,
+            item.endpoint.announcement.incarnation,
+            item.endpoint.announcement.address,
+            item.tokens,
+            item.prefill,
+            item.cached_tokens,
+            account.interactive_prefill if interactive else account.prefill,
+            item.endpoint.ramp.generation,
+        )
+    register_permit(shard, permit, settings, now)
+    if len(placements) == 1 and request.prefix:
+        add_blocks(shard.prefix, placements[0].endpoint.announcement.endpoint, request.prefix)
+    return [
+        build_grant(shard, permit, now),
+        Measure("permits_granted", 1.0, {"priority": priority.value}),
+    ]
+
+
+def register_permit(shard: Shard, permit: Permit, settings: LimitsSettings, now: float) -> None:
+    """Add a permit to the ledger and plan its expiry."""
+    add_permit(shard.ledger, permit)
+    schedule_check(shard, permit.expires_at, "expire", permit.identity)
+    shard.serial += 1
+    # The serial number keeps equal times in the order of the grants.
+    heapq.heappush(shard.ends, (permit.expected_end, shard.serial, permit.identity))
+    for name in permit.parts:
+        refresh_endpoint(shard, name, settings, now)
+
+
+def start_reserved(shard: Shard, settings: LimitsSettings, now: float) -> list[Effect]:
+    """Grant the reserved request if all its endpoints are free, or give an invalid one up."""
+    held = shard.reservation
+    if held is None:
+        return []
+    if not is_reservation_valid(shard, settings, now):
+        set_reservation(shard, None, settings, now)
+        return []
+    if not is_recent(held.entry, settings, now) or not is_reservation_ready(shard):
+        return []
+    entry = held.entry
+    request = entry.request
+    if entry.priority is PriorityClass.GROUP:
+        total = sum(held.shares.values())
+        placements = []
+        for name, share in held.shares.items():
+            prefill = math.ceil(request.prompt_tokens * share / total)
+            placements.append(
+                Placement(shard.endpoints[name], share, prefill, 0, PriorityClass.GROUP)
+            )
+    else:
+        (name,) = held.shares
+        found = check_endpoint(shard, request, shard.endpoints[name], settings, now)
+        if found is None:
+            if (
+                build_placement(shard, request, shard.endpoints[name], settings).priority
+                is PriorityClass.LONG
+            ):
+                # The long share is used up, so keeping the endpoint idle would gain nothing.
+                set_reservation(shard, None, settings, now)
+            return []
+        placements = [found]
+    set_reservation(shard, None, settings, now)
+    remove_entry(shard.queue, entry, served=True)
+    priority = entry.priority if len(placements) > 1 else placements[0].priority
+    return grant_permit(shard, request, placements, priority, settings, now)
+
+
+def find_backfill(
+    shard: Shard, request: PermitRequest, settings: LimitsSettings, now: float
+) -> Placement | None:
+    """Return a reserved endpoint on which a request is expected to end before the start."""
+    held = shard.reservation
+    if held is None or held.start <= now:
+        return None
+    best: Placement | None = None
+    for name in held.shares:
+        found = check_endpoint(shard, request, shard.endpoints[name], settings, now)
+        if found is None:
+            continue
+        duration = estimate_duration(shard.rates, found.prefill, request.output_tokens)
+        if now + duration > held.start:
+            continue
+        if best is None or compute_rank(found.endpoint) < compute_rank(best.endpoint):
+            best = found
+    return best
+
+
+def find_placement(
+    shard: Shard, request: PermitRequest, settings: LimitsSettings, now: float
+) -> Placement | None:
+    """Return where a request fits now, on free endpoints or before the reserved start."""
+    found = choose_endpoint(shard, request, settings, now)
+    return found if found is not None else find_backfill(shard, request, settings, now)
+
+
+def is_recent(entry: QueueEntry, settings: LimitsSettings, now: float) -> bool:
+    """Tell whether the requester asked lately enough to use a grant within its start window."""
+    return now < entry.asked_at + 2 * settings.queue_renewal_seconds
+
+
+def serve_queue(shard: Shard, settings: LimitsSettings, now: float) -> list[Effect]:
+    """Grant what fits now, class by class, and reserve in advance for what waits too long."""
+    effects = start_reserved(shard, settings, now)
+    for priority in CLASSES:
+        if priority is PriorityClass.GROUP:
+            break
+        if priority is PriorityClass.LONG and is_long_share_used(shard):
+            continue
+        waiting = shard.queue.classes[priority]
+        skipped: list[QueueEntry] = []
+        while len(skipped) < LOOKAHEAD:
+            entry = pop_head(waiting)
+            if entry is None:
+                break
+            if not is_recent(entry, settings, now):
+                remove_entry(shard.queue, entry, served=False)
+                continue
+            found = find_placement(shard, entry.request, settings, now)
+            if found is None:
+                skipped.append(entry)
+                continue
+            remove_entry(shard.queue, entry, served=True)
+            effects += grant_permit(shard, entry.request, [found], found.priority, settings, now)
+        for entry in skipped:
+            if not entry.gone:
+                put_back(waiting, entry)
+    return effects
+
+
+def reserve_ahead(shard: Shard, settings: LimitsSettings, now: float) -> list[Effect]:
+    """Reserve endpoints for the oldest head of a class that cannot be served otherwise.
+
+    A group is reserved for at once, because it never fits one endpoint. Other classes are
+    reserved for after `reserve_after_seconds`, so that a stream of short requests cannot starve
+    them.
+    """
+    if shard.reservation is not None:
+        return []
+    heads = []
+    for priority in CLASSES:
+        head = get_head(shard.queue.classes[priority])
+        if head is None or not is_recent(head, settings, now):
+            continue
+        is_group = priority is PriorityClass.GROUP
+        if not is_group and now < head.queued_at + settings.reserve_after_seconds:
+            continue
+        if priority is PriorityClass.LONG and is_long_share_used(shard):
+            continue
+        heads.append((head.queued_at, head.serial, head))
+    for _, _, head in sorted(heads, key=lambda item: item[:2]):
+        held = plan_reservation(shard, head, settings, now)
+        if held is not None:
+            set_reservation(shard, held, settings, now)
+            return start_reserved(shard, settings, now)
+    return []
+
+
+def estimate_wait(
+    shard: Shard, entry: QueueEntry, settings: LimitsSettings, rng: random.Random, now: float
+) -> float:
+    """Return the expected seconds until a queued request is granted; infinity for never."""
+    ahead = compute_work_ahead(shard.queue, entry)
+    held = shard.reservation
+    if held is not None and held.entry is entry:
+        ends = [
+            estimate_ready(shard.endpoints[name], share, now)
+            for name, share in held.shares.items()
+            if name in shard.endpoints
+        ]
+        return max(ends, default=now) - now
+    start = estimate_start(shard, entry, settings, rng, now)
+    if held is not None and entry.priority is PriorityClass.GROUP:
+        start = max(start, held.start) + held.entry.work
+    return max(0.0, start - now) + ahead
--- /dev/null
+++ b/marjorambridge/limits/shard.py
@@ -0,0 +1,315 @@
+"""Hold the state of one owned shard and keep its indexes in step with it."""
+
+import heapq
+from dataclasses import dataclass, field
+from typing import Any
+
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.view import ShardId
+from marjorambridge.limits.estimates import Rates
+from marjorambridge.limits.ledger import Account, Ledger, compute_used, get_account
+from marjorambridge.limits.messages import Announcement, PriorityClass, ShardSummary
+from marjorambridge.limits.placement import CLOSED, PlacementIndex, set_leaf
+from marjorambridge.limits.prefix import PrefixIndex
+from marjorambridge.limits.queue import QueueEntry, RequestQueue
+from marjorambridge.limits.ramp import Ramp, compute_limit, compute_prefill_limit
+from marjorambridge.limits.settings import LimitsSettings
+
+# Ranks order endpoints by prefill work and then by their share of used concurrency.
+RANK_SCALE = 4096
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """Hold one endpoint of a shard.
+
+    Attributes
+    ----------
+    announcement : Announcement
+        The last one, without its cache events.
+    last_seen : float
+        Time of the last announcement.
+    slot : int
+        Position in the placement index.
+    reported_tokens : int
+        KV memory in use by the last load report.
+    orphans : int
+        Running attempts in the last load report that the ledger does not know.
+    silent : bool
+        Whether it has not announced itself for `endpoint_silence_seconds`.
+    reserved : bool
+        Whether the shard's advance reservation holds it.
+    usable : bool
+        Whether it is counted in the totals of the shard.
+    counted : tuple
+        What it adds to the totals: slots, capacity, free tokens, prefill tokens.
+    """
+
+    announcement: Announcement
+    last_seen: float
+    ramp: Ramp
+    account: Account
+    slot: int
+    reported_tokens: int = 0
+    orphans: int = 0
+    silent: bool = False
+    reserved: bool = False
+    usable: bool = False
+    counted: tuple[int, int, int, int] = (0, 0, 0, 0)
+
+
+@dataclass(slots=True)
+class AdvanceReservation:
+    """Keep endpoints for the request that waits longest for more than is free at once.
+
+    Attributes
+    ----------
+    shares : dict
+        KV memory that the request needs on each endpoint, in tokens.
+    incarnations : dict
+        Incarnation of each endpoint when it was selected.
+    start : float
+        Time at which the work on the endpoints is expected to have ended.
+    """
+
+    entry: QueueEntry
+    shares: dict[str, int]
+    incarnations: dict[str, int]
+    start: float
+
+
+@dataclass(slots=True)
+class Totals:
+    """Sum the usable endpoints of a shard."""
+
+    endpoints: int = 0
+    slots: int = 0
+    capacity: int = 0
+    free_tokens: int = 0
+    prefill: int = 0
+
+
+@dataclass(slots=True)
+class Shard:
+    """Hold a shard that this host owns.
+
+    Attributes
+    ----------
+    epoch : int
+        Log index that assigned the shard to this host.
+    grants_from : float
+        Time from which this host may grant.
+    handed_over : bool
+        Whether the handover of this epoch was accepted.
+    open : bool
+        Whether the availability zone is in service.
+    long_share : int
+        Endpoints that may run long prefills at once.
+    long_endpoints : dict
+        Endpoints that run long prefills.
+    capacities : dict
+        Number of endpoints of each KV capacity that are not leaving.
+    largest_capacity, total_capacity : int
+        KV capacity of the largest and of all endpoints that are not leaving.
+    schedule : list
+        Heap of (time, serial, kind, key) for what is due later.
+    ends : list
+        Heap of (expected end, serial, permit); items of ended permits are skipped.
+    """
+
+    identity: ShardId
+    epoch: int
+    grants_from: float
+    prefix: PrefixIndex
+    name: str = ""
+    handed_over: bool = False
+    open: bool = True
+    long_share: int = 1
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    slots: list[Endpoint | None] = field(default_factory=list)
+    free_slots: list[int] = field(default_factory=list)
+    ledger: Ledger = field(default_factory=Ledger)
+    queue: RequestQueue = field(default_factory=RequestQueue)
+    placement: PlacementIndex = field(default_factory=PlacementIndex)
+    rates: Rates = field(default_factory=Rates)
+    reservation: AdvanceReservation | None = None
+    long_endpoints: dict[str, None] = field(default_factory=dict)
+    capacities: dict[int, int] = field(default_factory=dict)
+    largest_capacity: int = 0
+    total_capacity: int = 0
+    totals: Totals = field(default_factory=Totals)
+    schedule: list[tuple[float, int, str, Any]] = field(default_factory=list)
+    ends: list[tuple[float, int, AttemptId]] = field(default_factory=list)
+    serial: int = 0
+
+
+def create_shard(
+    identity: ShardId, epoch: int, grants_from: float, settings: LimitsSettings
+) -> Shard:
+    """Create a shard without endpoints."""
+    prefix = PrefixIndex(settings.prefix_pairs)
+    return Shard(identity, epoch, grants_from, prefix, name=str(identity))
+
+
+def schedule_check(shard: Shard, at: float, kind: str, key: Any) -> None:
+    """Plan a check of an object of the shard; the check decides whether it is still due."""
+    shard.serial += 1
+    heapq.heappush(shard.schedule, (at, shard.serial, kind, key))
+
+
+def pop_due_checks(shard: Shard, now: float) -> list[tuple[str, Any]]:
+    """Take the checks that are due, earliest first."""
+    due = []
+    while shard.schedule and shard.schedule[0][0] <= now:
+        _, _, kind, key = heapq.heappop(shard.schedule)
+        due.append((kind, key))
+    return due
+
+
+def add_endpoint(shard: Shard, announcement: Announcement, ramp: Ramp, now: float) -> Endpoint:
+    """Add an endpoint to the table, with the account that renewals may have opened for it."""
+    slot = shard.free_slots.pop() if shard.free_slots else len(shard.slots)
+    account = get_account(shard.ledger, announcement.endpoint)
+    endpoint = Endpoint(announcement, now, ramp, account, slot)
+    if slot == len(shard.slots):
+        shard.slots.append(endpoint)
+    else:
+        shard.slots[slot] = endpoint
+    shard.endpoints[announcement.endpoint] = endpoint
+    count_capacity(shard, announcement, 1)
+    return endpoint
+
+
+def count_capacity(shard: Shard, announcement: Announcement, sign: int) -> None:
+    """Add an endpoint to the capacities that a prompt can ever get, or take it out."""
+    if announcement.leaving:
+        return
+    capacity = announcement.kv_capacity_tokens
+    shard.capacities[capacity] = shard.capacities.get(capacity, 0) + sign
+    if not shard.capacities[capacity]:
+        del shard.capacities[capacity]
+    shard.largest_capacity = max(shard.capacities, default=0)
+    shard.total_capacity += sign * capacity
+
+
+def remove_endpoint(shard: Shard, endpoint: Endpoint) -> None:
+    """Remove an endpoint from the table and all indexes."""
+    name = endpoint.announcement.endpoint
+    _replace_counted(shard, endpoint, False, (0, 0, 0, 0))
+    set_leaf(shard.placement, endpoint.slot, CLOSED, CLOSED, 0)
+    count_capacity(shard, endpoint.announcement, -1)
+    shard.slots[endpoint.slot] = None
+    shard.free_slots.append(endpoint.slot)
+    shard.long_endpoints.pop(name, None)
+    del shard.endpoints[name]
+
+
+def is_usable(endpoint: Endpoint, settings: LimitsSettings, now: float) -> bool:
+    """Tell whether an endpoint may get new work at all."""
+    return (
+        not endpoint.announcement.leaving
+        and now < endpoint.last_seen + settings.endpoint_silence_seconds
+    )
+
+
+def count_running(endpoint: Endpoint) -> int:
+    """Return the attempts that run on the endpoint or may be started on it."""
+    return len(endpoint.account.permits) + endpoint.orphans
+
+
+def compute_free_tokens(endpoint: Endpoint) -> int:
+    """Return the KV memory that is neither reserved nor reported as used."""
+    used = compute_used(endpoint.account, endpoint.reported_tokens)
+    return max(0, endpoint.announcement.kv_capacity_tokens - used)
+
+
+def compute_room(endpoint: Endpoint, settings: LimitsSettings) -> int:
+    """Return the prefill tokens that the cold-start limit still allows."""
+    limit = compute_prefill_limit(endpoint.ramp, settings.cold_prefill_tokens)
+    return max(0, limit - endpoint.account.prefill)
+
+
+def compute_rank(endpoint: Endpoint) -> int:
+    """Return the order of an endpoint for new work; the lowest is preferred."""
+    running = min(RANK_SCALE - 1, count_running(endpoint) * 256 // compute_limit(endpoint.ramp))
+    return endpoint.account.prefill * RANK_SCALE + running
+
+
+def fits(endpoint: Endpoint, tokens: int, prefill: int, settings: LimitsSettings) -> bool:
+    """Tell whether an endpoint can take an attempt within its limits now."""
+    return (
+        count_running(endpoint) < compute_limit(endpoint.ramp)
+        and compute_free_tokens(endpoint) >= tokens
+        and compute_room(endpoint, settings) >= prefill
+    )
+
+
+def _replace_counted(
+    shard: Shard, endpoint: Endpoint, usable: bool, counted: tuple[int, int, int, int]
+) -> None:
+    """Replace what an endpoint adds to the totals."""
+    totals, old = shard.totals, endpoint.counted
+    totals.endpoints += usable - endpoint.usable
+    totals.slots += counted[0] - old[0]
+    totals.capacity += counted[1] - old[1]
+    totals.free_tokens += counted[2] - old[2]
+    totals.prefill += counted[3] - old[3]
+    endpoint.usable, endpoint.counted = usable, counted
+
+
+def refresh_endpoint(shard: Shard, name: str, settings: LimitsSettings, now: float) -> None:
+    """Bring the indexes of a shard in step with one endpoint."""
+    endpoint = shard.endpoints.get(name)
+    if endpoint is None:
+        return
+    if endpoint.account.long_prefills:
+        shard.long_endpoints[name] = None
+    else:
+        shard.long_endpoints.pop(name, None)
+    usable = is_usable(endpoint, settings, now) and not endpoint.silent
+    if not usable:
+        _replace_counted(shard, endpoint, False, (0, 0, 0, 0))
+        set_leaf(shard.placement, endpoint.slot, CLOSED, CLOSED, 0)
+        return
+    limit = compute_limit(endpoint.ramp)
+    free = compute_free_tokens(endpoint)
+    capacity = endpoint.announcement.kv_capacity_tokens
+    _replace_counted(shard, endpoint, True, (limit, capacity, free, endpoint.account.prefill))
+    if endpoint.reserved or count_running(endpoint) >= limit:
+        free = CLOSED
+    room = compute_room(endpoint, settings)
+    set_leaf(shard.placement, endpoint.slot, free, room, compute_rank(endpoint))
+
+
+def get_max_long_share(shard: Shard, settings: LimitsSettings) -> int:
+    """Return the largest number of endpoints that may run long prefills at once."""
+    return max(1, int(shard.totals.endpoints * settings.max_long_share))
+
+
+def adapt_long_share(shard: Shard, settings: LimitsSettings) -> None:
+    """Halve the long share while interactive requests wait, and grow it by one otherwise."""
+    if shard.queue.classes[PriorityClass.INTERACTIVE].count:
+        shard.long_share = max(1, shard.long_share // 2)
+    else:
+        shard.long_share = min(shard.long_share + 1, get_max_long_share(shard, settings))
+
+
+def get_earliest_end(shard: Shard, now: float) -> float:
+    """Return when the first running permit is expected to end, at least `now`."""
+    while shard.ends and shard.ends[0][2] not in shard.ledger.permits:
+        heapq.heappop(shard.ends)
+    return max(now, shard.ends[0][0]) if shard.ends else now
+
+
+def summarize_shard(shard: Shard, now: float) -> ShardSummary:
+    """Return the summary that goes with each answer to a permit request."""
+    totals = shard.totals
+    waiting = shard.queue.classes[PriorityClass.INTERACTIVE]
+    largest = max(0, shard.placement.free[1])
+    wait = 0.0
+    if waiting.count or shard.placement.free[1] == CLOSED:
+        wait = max(0.0, shard.grants_from - now, get_earliest_end(shard, now) - now) + waiting.work
+    queued = sum(item.tokens for item in shard.queue.classes.values())
+    return ShardSummary(
+        shard.name, totals.endpoints, totals.free_tokens, largest, queued, totals.prefill, wait
+    )
--- /dev/null
+++ b/marjorambridge/limits/state.py
@@ -0,0 +1,86 @@
+"""Hold the state of the shard owner on one host."""
+
+import random
+from dataclasses import dataclass, field
+
+from marjorambridge.configuration.models import Configuration
+from marjorambridge.core.view import View
+from marjorambridge.limits.exceptions import InvalidSettingsError
+from marjorambridge.limits.messages import ShardHandover
+from marjorambridge.limits.settings import LimitsSettings
+from marjorambridge.limits.shard import Shard
+
+
+@dataclass(slots=True)
+class LimitsState:
+    """Hold the shards that this host owns and what their ownership follows from.
+
+    Attributes
+    ----------
+    fresh_until : float
+        Monotonic time in seconds until which this host may grant.
+    stash : dict
+        Handover of each shard that came before the view that it belongs to.
+    host_incarnations : dict
+        Latest known incarnation of each host.
+    restarts : dict
+        Time at which the restart of a host was seen; endpoints that are met later are told too.
+    absences : dict
+        Time since which a known host has been missing from the view; its incarnation is kept
+        until no attempt of it can be left.
+    last_tick : float
+        Time of the last tick, to notice that the process was frozen.
+    expire_from : float
+        Time before which no permit expires, because renewals may lie unread after a freeze.
+    ticking : bool
+        Whether the timer of the owner is set.
+    """
+
+    host: str
+    region: str
+    settings: LimitsSettings
+    rng: random.Random
+    configuration: Configuration | None = None
+    configuration_index: int = 0
+    view: View | None = None
+    fresh_until: float = float("-inf")
+    shards: dict[str, Shard] = field(default_factory=dict)
+    stash: dict[str, ShardHandover] = field(default_factory=dict)
+    host_incarnations: dict[str, int] = field(default_factory=dict)
+    restarts: dict[str, float] = field(default_factory=dict)
+    absences: dict[str, float] = field(default_factory=dict)
+    last_tick: float = float("-inf")
+    expire_from: float = float("-inf")
+    ticking: bool = False
+
+
+def create_state(
+    host: str, region: str, settings: LimitsSettings | None = None, seed: int = 0
+) -> LimitsState:
+    """Create the state of a host that owns no shard yet.
+
+    Parameters
+    ----------
+    host, region : str
+        Name of this host and the region of its zone.
+    settings : LimitsSettings, optional
+        Defaults of `conf.defaults` if not given.
+    seed : int
+        Seed of the random numbers, so that a replay takes the same choices.
+
+    Raises
+    ------
+    InvalidSettingsError
+        If a grant to a queued request could come after its start window.
+    """
+    settings = settings or LimitsSettings()
+    if 2 * settings.queue_renewal_seconds >= settings.start_window_seconds:
+        raise InvalidSettingsError(
+            "queue_renewal_seconds must be less than half of start_window_seconds; lower it"
+        )
+    return LimitsState(host, region, settings, random.Random(seed))
+
+
+def is_fresh(state: LimitsState, now: float) -> bool:
+    """Tell whether configuration and view are known to be current."""
+    return now < state.fresh_until
