Test the shard owner against simulated engines and naive references

Cause: the limits of endpoints must hold while owners, holders and engines fail in any order. A group's duration is now estimated from its largest part, because the parts run at the same time.

--- a/marjorambridge/limits/reducer.py
+++ b/marjorambridge/limits/reducer.py
@@ -44,6 +44,14 @@
 
 TICK = TimerKey("limits", "tick")
 
+# What the node reducer delivers to this part, besides its own timer.
+EVENTS = frozenset(
+    {EndpointAnnounced, EndpointCancelled, FreshnessChanged, ViewApplied, ConfigurationApplied}
+)
+MESSAGES = frozenset(
+    {PermitRequest, PermitRenew, PermitRelease, PermitCancel, Announcement, ShardHandover}
+)
+
 
 def step(state: LimitsState, event: Event) -> list[Effect]:
     """Apply one event and return its effects; events of other parts change nothing."""
--- a/marjorambridge/limits/scheduling.py
+++ b/marjorambridge/limits/scheduling.py
@@ -109,7 +109,8 @@
     now: float,
 ) -> list[Effect]:
     """Reserve all placements of a request at once and grant its permit."""
-    prefill = sum(item.prefill for item in placements)
+    # The endpoints of a group process their parts of the prompt at the same time.
+    prefill = max(item.prefill for item in placements)
     duration = estimate_duration(shard.rates, prefill, request.output_tokens)
     permit = Permit(
         request.permit,
--- /dev/null
+++ b/tests/limits/test_groups.py
@@ -0,0 +1,205 @@
+"""Guard groups and long requests against deadlock and starvation."""
+
+from marjorambridge.limits import groups, reducer, scheduling
+from marjorambridge.limits.messages import (
+    DenialReason,
+    PermitDenied,
+    PermitGranted,
+    PermitQueued,
+    PriorityClass,
+)
+
+from .world import Engine, World
+
+
+def create_world(count=4, capacity=100_000, concurrency=4, **values):
+    engines = [Engine(f"e{n}", capacity, concurrency) for n in range(count)]
+    world = World(engines=engines, **values)
+    world.warm_up()
+    return world
+
+
+def offer_shorts(world, seconds, per_second=60, duration=0.5, prompt=2_000):
+    """Offer enough short requests to use every place all the time."""
+    permits = []
+
+    def ask():
+        permits.append(world.ask("shorts", prompt, 50, duration, remaining=20.0))
+
+    for number in range(int(seconds * per_second)):
+        world.after(number / per_second, ask)
+    return permits
+
+
+def test_group_gets_several_endpoints_whole():
+    world = create_world()
+    group = world.ask(prompt=250_000, output=1_000, duration=2.0)
+    world.run(0.5)
+    grant = world.answers[group][-1]
+    assert grant.priority is PriorityClass.GROUP
+    assert len(grant.endpoints) == 3 and sum(item.tokens for item in grant.endpoints) == 251_000
+    world.run(3.0)
+    assert all(not engine.running for engine in world.engines.values())
+    assert all(account.tokens == 0 for account in world.shard().ledger.accounts.values())
+
+
+def test_two_groups_at_once_do_not_deadlock():
+    world = create_world()
+    pair = [world.ask(f"c{n}", 350_000, 1_000, 3.0, remaining=200.0) for n in range(2)]
+    world.run(1.0)
+    assert world.count(pair, PermitGranted) == 1 and world.count(pair, PermitQueued) == 1
+    world.run(6.0)
+    assert all(permit in world.started for permit in pair) and world.violations == []
+
+
+def grant_piecewise(count):
+    """Run the naive variant: two groups take endpoints one by one, in turn, and wait."""
+    free = list(range(count))
+    held = [[], []]
+    for turn in range(10 * count):
+        own = held[turn % 2]
+        if free and len(own) < count:
+            own.append(free.pop())
+    return [len(own) for own in held]
+
+
+def test_piecewise_groups_deadlock():
+    assert all(0 < own < 4 for own in grant_piecewise(4))
+
+
+def run_group_among_shorts(remaining=50.0):
+    world = create_world(concurrency=2)
+    shorts = offer_shorts(world, 25.0, per_second=40)
+    world.run(3.0)
+    group = world.ask("c", 350_000, 1_000, 3.0, remaining=remaining)
+    world.run(20.0)
+    return world, group, shorts
+
+
+def test_group_is_not_starved_by_shorts():
+    world, group, shorts = run_group_among_shorts()
+    assert group in world.started and world.violations == []
+    assert world.started[group][0] - world.asked[group, 1] < 5.0
+    at = world.started[group][0]
+    assert any(world.started[p][0] > at for p in shorts if p in world.started)
+
+
+def test_group_without_reservation_starves(monkeypatch):
+    """Show that the naive variant, which waits until enough is free by chance, starves it."""
+
+    def wait_for_chance(shard, settings, now):
+        head = scheduling.get_head(shard.queue.classes[PriorityClass.GROUP])
+        held = groups.plan_reservation(shard, head, settings, now) if head else None
+        if held is None or held.start > now:
+            return []
+        groups.set_reservation(shard, held, settings, now)
+        return scheduling.start_reserved(shard, settings, now)
+
+    monkeypatch.setattr(reducer, "reserve_ahead", wait_for_chance)
+    monkeypatch.setattr("marjorambridge.limits.permits.reserve_ahead", wait_for_chance)
+    world, group, _ = run_group_among_shorts()
+    assert group not in world.started
+
+
+def run_backfill():
+    world = create_world(count=2, concurrency=2)
+    shard = world.shard()
+    shard.rates.seconds_per_output_token, shard.rates.prefill_rate = 0.01, 10_000.0
+    blocker = world.ask("c", 50_000, 2_000, 20.0)
+    world.run(0.5)
+    group = world.ask("c", 190_000, 500, 1.0)
+    world.run(0.5)
+    short = world.ask("c", 1_000, 10, 0.2)
+    slow = world.ask("c", 1_000, 5_000, 0.2)
+    world.run(1.0)
+    return world, blocker, group, short, slow
+
+
+def test_backfill_takes_only_work_that_ends_before_the_start():
+    world, blocker, group, short, slow = run_backfill()
+    assert blocker in world.started and group not in world.started
+    assert world.shard().reservation.entry.request.permit == group
+    assert short in world.started and slow not in world.started
+
+
+def test_without_backfill_the_short_waits(monkeypatch):
+    monkeypatch.setattr(scheduling, "find_backfill", lambda *values: None)
+    world, _, _, short, _ = run_backfill()
+    assert short not in world.started
+
+
+def test_reservation_follows_lost_endpoints():
+    """Guard against a group that waits for ever for an endpoint that is gone."""
+    world = create_world(count=4)
+    blockers = [world.ask("c", 60_000, 1_000, 6.0) for _ in range(4)]
+    world.run(0.5)
+    group = world.ask("c", 190_000, 500, 1.0)
+    world.run(0.5)
+    lost = next(iter(world.shard().reservation.shares))
+    world.engines[lost].up = False
+    world.run(15.0)
+    assert len(blockers) == 4 and group in world.started
+    assert lost not in {item.endpoint for item in world.started[group][1].endpoints}
+    assert not any(endpoint.reserved for endpoint in world.shard().endpoints.values())
+
+
+def test_withdrawn_group_gives_its_endpoints_back():
+    world = create_world(count=2)
+    world.ask("c", 60_000, 1_000, 30.0)
+    world.run(0.5)
+    world.ask("gone", 190_000, 500, 1.0)
+    world.run(0.5)
+    assert world.shard().reservation is not None
+    world.dead.add("gone")
+    world.run(1.5)
+    assert world.shard().reservation is None
+    later = world.ask("c", 1_000, 9_000, 1.0)
+    world.run(0.5)
+    assert later in world.started
+
+
+def test_prompt_larger_than_the_shard_is_denied_at_once():
+    world = create_world()
+    permit = world.ask(prompt=400_001, output=0)
+    world.run(0.1)
+    (denial,) = world.answers[permit]
+    assert isinstance(denial, PermitDenied) and denial.reason is DenialReason.TOO_LARGE
+
+
+def test_long_request_is_not_starved_by_shorts(monkeypatch):
+    def run():
+        world = create_world(count=3, concurrency=2)
+        offer_shorts(world, 20.0, per_second=30)
+        world.run(2.0)
+        long = world.ask("c", 95_000, 1_000, 2.0, remaining=40.0)
+        world.run(15.0)
+        return long in world.started
+
+    assert run()
+    monkeypatch.setattr(reducer, "reserve_ahead", lambda *values: [])
+    assert not run()
+
+
+def test_long_prefills_leave_endpoints_to_shorts():
+    """Guard short requests against long prefills on every endpoint."""
+    world = create_world(count=4, capacity=200_000)
+    longs = [world.ask("c", 90_000, 100, 8.0) for _ in range(6)]
+    world.run(0.5)
+    assert world.count(longs, PermitGranted) == 2
+    busy = set(world.shard().long_endpoints)
+    shorts = [world.ask("c", 1_000, 10, 0.1) for _ in range(6)]
+    world.run(0.5)
+    used = {item.endpoint for p in shorts for item in world.started[p][1].endpoints}
+    assert len(busy) == 2 and not used & busy
+
+
+def test_long_share_shrinks_while_shorts_wait_and_grows_back():
+    world = create_world(count=8, concurrency=1)
+    assert world.shard().long_share == 4
+    blockers = [world.ask("c", 1_000, 400, 3.0) for _ in range(8)]
+    world.run(0.1)
+    world.ask("c", 1_000, 10, 0.1)
+    world.run(1.0)
+    assert len(blockers) == 8 and world.shard().long_share == 1
+    world.run(4.0)
+    assert world.shard().long_share == 4
--- /dev/null
+++ b/tests/limits/test_holders.py
@@ -0,0 +1,214 @@
+"""Guard against memory that stays reserved, or is freed while an engine still uses it."""
+
+import pytest
+
+from marjorambridge.core.effects import SendMessage
+from marjorambridge.limits import cancellation, permits
+from marjorambridge.limits.cancellation import free_permit_part
+from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
+from marjorambridge.limits.messages import PermitCancel, PermitGranted, PermitRelease, PermitRevoked
+
+from .world import SHARD, Engine, World
+
+
+def create_world(**values):
+    world = World(engines=[Engine("e1", 12_000, 3)], **values)
+    world.warm_up()
+    return world
+
+
+def get_reserved(world):
+    return world.shard().ledger.accounts["e1"].tokens
+
+
+def lose_holder(world, fault):
+    """Start an attempt whose end the owner never hears of."""
+    permit = world.ask("client-1", 8_000, 1_000, 500.0)
+    world.run(3.0)
+    if fault == "dies":
+        world.dead.add("client-1")
+    elif fault == "frozen":
+        world.freeze("client-1")
+    elif fault == "loses messages":
+        world.ended.add(permit)
+    elif fault == "restarts":
+        world.incarnations["client-1"] = 2
+        world.ask("client-1", 100, 10, 0.1)
+    return permit
+
+
+FAULTS = ["dies", "frozen", "loses messages", "restarts"]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_memory_of_a_lost_holder_is_freed_after_confirmation(fault):
+    world = create_world()
+    world.engines["e1"].deaf = True
+    permit = lose_holder(world, fault)
+    world.run(15.0)
+    assert get_reserved(world) >= 9_000, "freed before the engine confirmed"
+    asks = [e for e in world.effects if isinstance(e, CancelOnEndpoint | CancelHostOnEndpoint)]
+    assert len(asks) >= 3, "cancel was not repeated"
+    world.engines["e1"].deaf = False
+    world.run(1.5)
+    assert get_reserved(world) == 0 and permit not in world.engines["e1"].running
+    later = world.ask("client-2", 10_000, 1_000, 1.0)
+    world.run(3.0)
+    assert later in world.started and world.violations == []
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_memory_of_a_lost_holder_is_freed_by_a_restart_of_the_engine(fault):
+    world = create_world()
+    world.engines["e1"].deaf = True
+    lose_holder(world, fault)
+    world.run(12.0)
+    assert get_reserved(world) >= 9_000
+    world.restart_engine("e1")
+    world.run(1.5)
+    assert get_reserved(world) == 0
+
+
+def test_freeing_without_confirmation_exceeds_memory(monkeypatch):
+    """Show that the naive variant, which frees at expiry, breaks what the tests above guard."""
+
+    def free_at_once(shard, permit, settings, now):
+        for endpoint in list(permit.parts):
+            free_permit_part(shard, permit, endpoint, settings, now)
+        return []
+
+    def run():
+        world = create_world()
+        engine = world.engines["e1"]
+        # Without a load report only the ledger protects the memory.
+        engine.deaf, engine.reports = True, False
+        lose_holder(world, "dies")
+        world.run(12.0)
+        world.ask("client-2", 10_000, 1_000, 1.0)
+        world.run(1.0)
+        return world.violations
+
+    assert run() == []
+    monkeypatch.setattr(cancellation, "start_cancel", free_at_once)
+    monkeypatch.setattr(permits, "start_cancel", free_at_once)
+    assert any(item.startswith("memory") for item in run())
+
+
+def test_restart_of_a_holder_cancels_at_once_on_every_endpoint():
+    world = create_world()
+    lose_holder(world, "restarts")
+    world.run(0.2)
+    assert get_reserved(world) == 0 and not world.engines["e1"].running
+
+
+def test_restart_of_a_holder_is_told_to_a_later_owner():
+    """Guard against attempts that neither the new owner nor the restarted holder knows."""
+    world = create_world()
+    world.freeze("client-1")
+    stray = world.ask("client-2", 1_000, 100, 500.0)
+    world.run(0.5)
+    world.dead.add("client-2")
+    old = world.owner()
+    world.dead.add(old)
+    world.incarnations["client-2"] = 2
+    new = next(host for host in world.owners if host != old)
+    world.owners[new].host_incarnations["client-2"] = 1
+    world.apply_view(5, [new, "client-2"])
+    world.run(3.0)
+    assert stray not in world.engines["e1"].running
+
+
+def test_unused_permit_expires():
+    world = create_world()
+    world.freeze("client-1")
+    world.ask("client-1", 8_000, 1_000)
+    world.run(2.0)
+    assert get_reserved(world) == 9_000
+    world.run(10.0)
+    assert get_reserved(world) == 0
+
+
+def test_withdrawn_permit_is_free_at_once_and_does_not_return():
+    world = create_world()
+    world.freeze("client-1")
+    permit = world.ask("client-1", 8_000, 1_000)
+    world.run(0.1)
+    world.deliver("client-1", world.owner(), PermitCancel(permit, SHARD))
+    assert get_reserved(world) == 0
+    world.deliver("client-1", world.owner(), world.requests[permit])
+    assert get_reserved(world) == 0
+
+
+def test_release_that_does_not_know_the_engine_stopped_cancels_first():
+    world = create_world()
+    world.engines["e1"].deaf = True
+    permit = world.ask("client-1", 8_000, 1_000, 100.0)
+    world.run(0.5)
+    world.deliver("client-1", world.owner(), PermitRelease(permit, SHARD, False, True, False))
+    world.run(3.0)
+    assert get_reserved(world) == 9_000
+    world.engines["e1"].deaf = False
+    world.run(1.5)
+    assert get_reserved(world) == 0
+
+
+def test_frozen_holder_that_returns_is_told_that_its_permit_is_void():
+    world = create_world()
+    permit = lose_holder(world, "frozen")
+    world.run(15.0)
+    world.thaw("client-1")
+    world.run(0.5)
+    assert any(isinstance(item, PermitRevoked) for item in world.answers[permit])
+    assert get_reserved(world) == 0
+
+
+def test_frozen_owner_does_not_expire_permits_whose_renewals_are_unread():
+    world = create_world()
+    permit = world.ask("client-1", 1_000, 100, 40.0)
+    world.run(2.5)
+    owner = world.owner()
+    world.freeze(owner)
+    world.run(12.0)
+    # The timer is delivered before the messages that came while the process was frozen.
+    world.frozen[owner].sort(key=lambda action: "TimerFired" not in repr(action))
+    world.thaw(owner)
+    world.run(5.0)
+    assert permit in world.engines["e1"].running and permit in world.shard().ledger.permits
+
+
+def test_lost_grant_is_repeated_for_the_next_ask():
+    world = create_world()
+    world.freeze("client-1")
+    permit = world.ask("client-1", 8_000, 1_000, 1.0)
+    world.run(1.0)
+    world.frozen["client-1"].clear()
+    world.thaw("client-1")
+    world.send_ask(permit)
+    world.run(0.1)
+    grants = [item for item in world.answers[permit] if isinstance(item, PermitGranted)]
+    assert [grant.ask for grant in grants] == [2] and permit in world.started
+    assert get_reserved(world) == 9_000
+
+
+def test_unknown_attempts_in_a_report_count_as_running():
+    """Guard against a cold endpoint that still runs what an earlier owner granted."""
+    world = World(engines=[Engine("e1", 12_000, 3)])
+    stray = world.ask("lost", 1_000, 100)
+    world.engines["e1"].running[stray] = (1_000, 0)
+    world.run(4.5)
+    permit = world.ask(prompt=1_000, remaining=30.0)
+    world.run(1.0)
+    assert permit not in world.started
+    del world.engines["e1"].running[stray]
+    world.run(3.5)
+    assert permit in world.started
+
+
+def test_announcement_to_another_host_reaches_the_owner():
+    world = World()
+    world.engines["e1"] = Engine("e1")
+    other = next(host for host in world.owners if host != world.owner())
+    world.announce("e1", other)
+    world.run(0.1)
+    sent = [e for e in world.effects if isinstance(e, SendMessage)]
+    assert [e.to for e in sent] == [world.owner()] and "e1" in world.shard().endpoints
--- /dev/null
+++ b/tests/limits/test_queue.py
@@ -0,0 +1,106 @@
+"""Guard the order, the bounds and the refusals of the queue."""
+
+from marjorambridge.limits.messages import DenialReason, PermitDenied, PermitGranted, PermitQueued
+from marjorambridge.limits.settings import LimitsSettings
+
+from .world import Engine, World
+
+
+def create_world(concurrency=1, **values):
+    world = World(engines=[Engine("e1", 100_000, concurrency)], **values)
+    world.warm_up()
+    return world
+
+
+def test_workspaces_share_by_weight():
+    """Guard against one workspace with many requests that crowds out the others."""
+    world = create_world()
+    for workspace, weight, count in (("flood", 1.0, 60), ("small", 1.0, 15), ("urgent", 2.0, 30)):
+        for _ in range(count):
+            world.ask(workspace, 1_000, 5, 0.2, 60.0, workspace, weight)
+    world.run(8.0)
+    served = [permit.host for permit in world.started]
+    head = [served[:24].count(name) for name in ("flood", "small", "urgent")]
+    assert max(head[0], head[1]) - min(head[0], head[1]) <= 2
+    assert abs(head[2] - 2 * head[1]) <= 3
+
+
+def test_first_come_first_served_is_unfair():
+    order = ["flood"] * 60 + ["small"] * 15 + ["urgent"] * 30
+    assert order[:24].count("small") == 0
+
+
+def test_request_is_denied_at_once_when_the_wait_exceeds_its_deadline():
+    world = create_world()
+    world.shard().rates.seconds_per_output_token = 0.05
+    world.ask("c", 1_000, 400, 20.0)
+    world.run(0.1)
+    early, patient = world.ask("c", 1_000, 10, 1.0, 3.0), world.ask("c", 1_000, 10, 1.0, 60.0)
+    world.run(0.1)
+    (denial,) = world.answers[early]
+    assert denial.reason is DenialReason.DEADLINE and 15.0 < denial.retry_after < 22.0
+    assert isinstance(world.answers[patient][0], PermitQueued)
+
+
+def test_overdue_work_does_not_hold_a_request_until_its_deadline():
+    world = create_world()
+    world.ask("c", 1_000, 10, 200.0)
+    world.run(0.2)
+    waiting = world.ask("c", 1_000, 10, 1.0, 30.0)
+    world.run(22.0)
+    denial = world.answers[waiting][-1]
+    assert isinstance(denial, PermitDenied) and denial.reason is DenialReason.DEADLINE
+
+
+def test_queue_is_bounded_and_keeps_room_for_other_workspaces():
+    world = create_world(settings=LimitsSettings(max_queued_requests=10))
+    flood = [world.ask("flood", 1_000, 10, 5.0, 60.0, "flood") for _ in range(40)]
+    other = world.ask("other", 1_000, 10, 5.0, 60.0, "other")
+    world.run(0.1)
+    denials = [world.answers[p][0] for p in flood if isinstance(world.answers[p][0], PermitDenied)]
+    assert len(denials) == 29 and {item.reason for item in denials} == {DenialReason.QUEUE_FULL}
+    assert all(item.retry_after > 0 for item in denials)
+    assert isinstance(world.answers[other][0], PermitQueued)
+
+
+def test_only_recent_asks_are_granted():
+    world = create_world()
+    first = world.ask("c", 1_000, 10, 2.0)
+    world.run(0.1)
+    gone, recent = world.ask("gone", 1_000, 10, 1.0), world.ask("c", 1_000, 10, 1.0)
+    world.run(0.1)
+    world.dead.add("gone")
+    world.run(3.0)
+    assert first in world.started and recent in world.started
+    assert not any(isinstance(item, PermitGranted) for item in world.answers[gone])
+    assert gone not in world.shard().queue.entries
+    (grant,) = [item for item in world.answers[recent] if isinstance(item, PermitGranted)]
+    assert grant.ask > 1 and world.asked[recent, grant.ask] > world.started[recent][0] - 0.5
+
+
+def test_requests_that_no_endpoint_can_take_are_refused():
+    world = create_world()
+    long = world.ask("c", 50_000, 10, 1.0)
+    world.run(0.1)
+    assert long in world.started
+    world.run(2.0)
+    world.restart_engine("e1")
+    world.run(1.1)
+    cold = world.ask("c", 50_000, 10, 1.0)
+    world.run(0.1)
+    assert world.answers[cold][0].reason is DenialReason.NO_ENDPOINT
+    world.engines["e1"].up = False
+    world.run(4.0)
+    silent = world.ask("c", 500, 10, 1.0)
+    world.run(0.1)
+    assert world.answers[silent][0].reason is DenialReason.NO_ENDPOINT
+
+
+def test_plain_service_is_limited_by_concurrency_only():
+    world = World(engines=[Engine("e1", 0, 2)])
+    world.warm_up()
+    calls = [world.ask("c", 0, 0, 2.0) for _ in range(3)]
+    world.run(1.0)
+    assert world.count(calls, PermitGranted) == 2
+    world.run(3.0)
+    assert world.count(calls, PermitGranted) == 3 and world.violations == []
--- /dev/null
+++ b/tests/limits/world.py
@@ -0,0 +1,367 @@
+"""Simulate hosts, callers and engines around the shard owner, with the engines as the truth."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from marjorambridge.configuration.models import (
+    AvailabilityZone,
+    Configuration,
+    Service,
+    ServiceKind,
+)
+from marjorambridge.core.effects import CancelTimer, Effect, SendMessage, SetTimer
+from marjorambridge.core.events import (
+    ConfigurationApplied,
+    Event,
+    FreshnessChanged,
+    MessageReceived,
+    TimerFired,
+    ViewApplied,
+)
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.view import HostEntry, HostState, ShardId, View, compute_owner
+from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
+from marjorambridge.limits.events import EndpointAnnounced, EndpointCancelled
+from marjorambridge.limits.messages import (
+    Announcement,
+    PermitGranted,
+    PermitQueued,
+    PermitRelease,
+    PermitRenew,
+    PermitRequest,
+    PermitRevoked,
+    RunningPermit,
+)
+from marjorambridge.limits.reducer import step
+from marjorambridge.limits.settings import LimitsSettings
+from marjorambridge.limits.shard import Shard
+from marjorambridge.limits.state import LimitsState, create_state
+
+SHARD = "model/zone-1/0"
+COLD_TOKENS = 8_192
+
+
+@dataclass
+class Engine:
+    """Hold what an engine really runs and what it bears."""
+
+    name: str
+    capacity: int = 100_000
+    concurrency: int = 4
+    incarnation: int = 1
+    successes: int = 0
+    running: dict[AttemptId, tuple[int, int]] = field(default_factory=dict)
+    warm: bool = False
+    up: bool = True
+    deaf: bool = False
+    leaving: bool = False
+    reports: bool = True
+    sequence: int = 0
+    report: tuple[int, int] = (0, 0)
+
+    def allowed(self) -> int:
+        return self.concurrency if self.warm else min(self.concurrency, 1 + self.successes)
+
+
+class World:
+    """Run owners, callers and engines on one simulated clock."""
+
+    def __init__(
+        self, hosts=("host-a", "host-b"), engines=(), settings=None, seed=0, latency=0.005
+    ):
+        self.now, self.serial, self.queue = 0.0, 0, []
+        self.rng = random.Random(seed)
+        self.latency = latency
+        self.settings = settings or LimitsSettings()
+        self.owners: dict[str, LimitsState] = {
+            host: create_state(host, "region", self.settings, seed) for host in hosts
+        }
+        self.engines = {engine.name: engine for engine in engines}
+        self.frozen: dict[str, list[Callable[[], None]]] = {}
+        self.partitioned: set[str] = set()
+        self.dead: set[str] = set()
+        self.violations: list[str] = []
+        self.answers: dict[AttemptId, list[Any]] = {}
+        self.asked: dict[tuple[AttemptId, int], float] = {}
+        self.requests: dict[AttemptId, PermitRequest] = {}
+        self.durations: dict[AttemptId, float] = {}
+        self.started: dict[AttemptId, tuple[float, PermitGranted]] = {}
+        self.ended: set[AttemptId] = set()
+        self.incarnations: dict[str, int] = {}
+        self.effects: list[Effect] = []
+        self.numbers = 0
+        self.zones = {"zone-1": AvailabilityZone("zone-1", "region")}
+        self.view = View()
+        self.configure(1)
+        self.apply_view(2, hosts)
+        self._poll()
+        for engine in engines:
+            self.after(self.rng.random(), lambda name=engine.name: self.announce(name))
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + delay, self.serial, action))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.queue)
+            action()
+        self.now = end
+
+    def on_host(self, host: str, action: Callable[[], None]) -> None:
+        if host in self.dead:
+            return
+        if host in self.frozen:
+            self.frozen[host].append(action)
+        else:
+            action()
+
+    def freeze(self, host: str) -> None:
+        self.frozen[host] = []
+
+    def thaw(self, host: str) -> None:
+        for action in self.frozen.pop(host):
+            action()
+
+    def configure(self, index: int, out: bool = False, buckets: int = 1) -> None:
+        self.zones = {"zone-1": AvailabilityZone("zone-1", "region", out)}
+        service = Service("model", ServiceKind.ENGINE, ("zone-1",), buckets=buckets)
+        configuration = Configuration(index, {"model": service}, {}, self.zones)
+        for host in self.owners:
+            self.on_host(
+                host, lambda h=host: self.step(h, ConfigurationApplied, index, configuration)
+            )
+
+    def apply_view(self, index: int, hosts, leaving=(), skip=()) -> None:
+        entries = {
+            host: HostEntry(
+                host,
+                self.incarnations.get(host, 1),
+                "127.0.0.1:1",
+                "zone-1",
+                "region",
+                HostState.LEAVING if host in leaving else HostState.LIVE,
+            )
+            for host in hosts
+        }
+        self.view = view = View(index, entries)
+        for host in self.owners:
+            if host not in skip:
+                self.on_host(host, lambda h=host: self.step(h, ViewApplied, index, view))
+
+    def owner(self) -> str:
+        return compute_owner(self.view, ShardId("model", "zone-1"), "region")
+
+    def shard(self, host: str | None = None) -> Shard:
+        return self.owners[host or self.owner()].shards[SHARD]
+
+    def _poll(self) -> None:
+        for host in self.owners:
+            if host not in self.partitioned and host not in self.frozen:
+                self.on_host(
+                    host,
+                    lambda h=host: self.step(
+                        h, FreshnessChanged, self.now + self.settings.freshness_seconds
+                    ),
+                )
+        self.after(0.5, self._poll)
+
+    def step(self, host: str, kind: type[Event], *values: Any) -> list[Effect]:
+        effects = step(self.owners[host], kind(self.now, *values))
+        for effect in effects:
+            self._carry_out(host, effect)
+        self.effects += effects
+        return effects
+
+    def _carry_out(self, host: str, effect: Effect) -> None:
+        if isinstance(effect, SetTimer):
+            fire = partial(self.step, host, TimerFired, effect.key)
+            self.after(effect.at - self.now, partial(self.on_host, host, fire))
+        elif isinstance(effect, SendMessage):
+            self.after(self.latency, lambda: self.deliver(host, effect.to, effect.message))
+        elif isinstance(effect, CancelOnEndpoint | CancelHostOnEndpoint):
+            self.after(self.latency, lambda: self._cancel(host, effect))
+        assert not isinstance(effect, CancelTimer)
+
+    def deliver(self, sender: str, to: str, message: Any, incarnation: int = 1) -> None:
+        if to in self.owners:
+            self.on_host(to, lambda: self.step(to, MessageReceived, sender, incarnation, message))
+        else:
+            self.on_host(to, lambda: self._receive(sender, to, message))
+
+    def _cancel(self, host: str, effect: CancelOnEndpoint | CancelHostOnEndpoint) -> None:
+        engine = self.engines[effect.endpoint]
+        if not engine.up or engine.deaf:
+            return
+        values: tuple[Any, ...]
+        if isinstance(effect, CancelOnEndpoint):
+            engine.running.pop(effect.attempt, None)
+            values = (engine.name, engine.incarnation, effect.attempt)
+        else:
+            for permit in list(engine.running):
+                if permit.host == effect.host and permit.incarnation <= effect.host_incarnation:
+                    del engine.running[permit]
+            values = (engine.name, engine.incarnation, None, effect.host, effect.host_incarnation)
+        confirm = partial(self.step, host, EndpointCancelled, *values)
+        self.after(self.latency, partial(self.on_host, host, confirm))
+
+    def announce(self, name: str, host: str = "") -> None:
+        engine = self.engines[name]
+        if not host:
+            self.after(1.0, lambda: self.announce(name))
+        if not engine.up:
+            return
+        engine.sequence += 1
+        used, count = engine.report
+        if engine.reports:
+            engine.report = (sum(item[0] for item in engine.running.values()), len(engine.running))
+        announcement = Announcement(
+            name,
+            engine.incarnation,
+            "supplier",
+            "model",
+            "zone-1",
+            f"127.0.0.1:{name}",
+            kv_capacity_tokens=engine.capacity,
+            concurrency=engine.concurrency,
+            leaving=engine.leaving,
+            kv_used_tokens=used,
+            running=count,
+            report_sequence=engine.sequence,
+            report_age=1.0,
+        )
+        host = host or self.rng.choice([name for name in self.owners if name not in self.dead])
+        self.on_host(host, lambda: self.step(host, EndpointAnnounced, announcement))
+
+    def restart_engine(self, name: str) -> None:
+        engine = self.engines[name]
+        engine.running.clear()
+        engine.incarnation += 1
+        engine.successes, engine.warm, engine.report = 0, False, (0, 0)
+        engine.up = True
+
+    def ask(
+        self,
+        client: str = "client-1",
+        prompt: int = 1_000,
+        output: int = 100,
+        duration: float = 1.0,
+        remaining: float = 60.0,
+        workspace: str = "w",
+        weight: float = 1.0,
+    ) -> AttemptId:
+        """Ask the present owner for a permit, and repeat that while it is queued."""
+        self.numbers += 1
+        permit = AttemptId(client, self.incarnations.get(client, 1), self.numbers)
+        self.requests[permit] = PermitRequest(
+            permit, 0, SHARD, workspace, weight, prompt, output, remaining
+        )
+        self.durations[permit] = duration
+        self.answers[permit] = []
+        self.send_ask(permit)
+        return permit
+
+    def send_ask(self, permit: AttemptId) -> None:
+        old = self.requests[permit]
+        remaining = old.remaining - (self.settings.queue_renewal_seconds if old.ask else 0.0)
+        request = PermitRequest(
+            permit,
+            old.ask + 1,
+            SHARD,
+            old.workspace,
+            old.weight,
+            old.prompt_tokens,
+            old.output_tokens,
+            remaining,
+        )
+        self.requests[permit] = request
+        self.asked[permit, request.ask] = self.now
+        self.after(
+            self.latency,
+            lambda: self.deliver(permit.host, self.owner(), request, permit.incarnation),
+        )
+
+    def _receive(self, owner: str, client: str, message: Any) -> None:
+        permit = message.permit
+        if permit.incarnation != self.incarnations.get(client, 1):
+            return
+        self.answers[permit].append(message)
+        if isinstance(message, PermitQueued):
+            self.after(
+                self.settings.queue_renewal_seconds,
+                lambda: self.on_host(client, lambda: self._ask_again(permit)),
+            )
+        elif isinstance(message, PermitGranted) and permit not in self.started:
+            if self.now <= self.asked[permit, message.ask] + 0.7:
+                self._start(permit, message)
+        elif isinstance(message, PermitRevoked):
+            self.ended.add(permit)
+
+    def _ask_again(self, permit: AttemptId) -> None:
+        if permit not in self.started and isinstance(self.answers[permit][-1], PermitQueued):
+            self.send_ask(permit)
+
+    def _start(self, permit: AttemptId, message: PermitGranted) -> None:
+        self.started[permit] = (self.now, message)
+        prompt = self.requests[permit].prompt_tokens
+        total = sum(grant.tokens for grant in message.endpoints)
+        for grant in message.endpoints:
+            engine = self.engines[grant.endpoint]
+            if engine.incarnation != grant.incarnation or not engine.up:
+                continue
+            engine.running[permit] = (grant.tokens, prompt * grant.tokens // max(1, total))
+            self._check(engine)
+        self.after(
+            self.durations[permit], lambda: self.on_host(permit.host, lambda: self._end(permit))
+        )
+        self.after(2.0, lambda: self.on_host(permit.host, lambda: self._renew(permit)))
+
+    def _check(self, engine: Engine) -> None:
+        tokens = sum(item[0] for item in engine.running.values())
+        prefill = sum(item[1] for item in engine.running.values())
+        if tokens > engine.capacity:
+            self.violations.append(f"memory {engine.name} {tokens}")
+        if len(engine.running) > engine.allowed():
+            self.violations.append(f"concurrency {engine.name} {len(engine.running)}")
+        if engine.allowed() < engine.concurrency and prefill > COLD_TOKENS * engine.allowed():
+            self.violations.append(f"prefill {engine.name} {prefill}")
+
+    def _renew(self, permit: AttemptId) -> None:
+        if permit in self.ended or permit.incarnation != self.incarnations.get(permit.host, 1):
+            return
+        grants = self.started[permit][1].endpoints
+        message = PermitRenew((RunningPermit(permit, SHARD, grants, False),))
+        self.deliver(permit.host, self.owner(), message, permit.incarnation)
+        self.after(2.0, lambda: self.on_host(permit.host, lambda: self._renew(permit)))
+
+    def _end(self, permit: AttemptId) -> None:
+        if permit in self.ended or permit.incarnation != self.incarnations.get(permit.host, 1):
+            return
+        self.ended.add(permit)
+        whole = True
+        for grant in self.started[permit][1].endpoints:
+            engine = self.engines[grant.endpoint]
+            if engine.running.pop(permit, None) is None:
+                whole = False
+            else:
+                engine.successes += 1
+        seconds = 0.1 * self.durations[permit]
+        message = PermitRelease(permit, SHARD, whole, not whole, True, seconds)
+        self.deliver(permit.host, self.owner(), message, permit.incarnation)
+
+    def warm_up(self) -> None:
+        """Wait until the owner grants and end the ramps of all engines at once."""
+        self.run(4.5)
+        shard = self.shard()
+        for name, endpoint in shard.endpoints.items():
+            endpoint.ramp.limit, endpoint.ramp.warm = endpoint.ramp.concurrency, True
+            self.engines[name].warm = True
+        self.run(1.5)
+
+    def count(self, permits, kind: type) -> int:
+        return sum(any(isinstance(item, kind) for item in self.answers[p]) for p in permits)
