Choose the shard to ask by affinity and two random candidates

A host has to pick one of a service's shards for each request without knowing endpoints. Candidates and owners are kept per configuration and view. Other regions are used only if the own one has no shard in service.

--- /dev/null
+++ b/marjorambridge/routing/choice.py
@@ -0,0 +1,89 @@
+"""Choose the shard whose owner is asked for a permit."""
+
+from collections.abc import Collection
+from random import Random
+
+import xxhash
+
+from marjorambridge.routing.candidates import find_candidates
+from marjorambridge.routing.state import Candidate, RoutingState
+from marjorambridge.routing.summaries import compute_wait, is_avoided
+
+
+def list_reachable(
+    routing: RoutingState, service: str, unserved: Collection[str] = ()
+) -> list[Candidate]:
+    """Return the shards that a request may use.
+
+    Shards of other regions are used only if none of the host's own region is in service; shards
+    in `unserved` have no endpoint, by their owner's answer.
+    """
+    found = find_candidates(routing, service)
+    serving = [entry for entry in found.local if entry.shard not in unserved]
+    return serving or found.remote or found.local
+
+
+def choose_shard(
+    routing: RoutingState,
+    candidates: list[Candidate],
+    now: float,
+    random: Random,
+    prefix: tuple[bytes, ...] = (),
+    prefix_tokens: tuple[int, ...] = (),
+) -> Candidate | None:
+    """Return the best of a few candidates, or None if there is none.
+
+    Compared are two random shards, or one random shard and the one with prefix affinity, and one
+    that this host owns. Looking at two random ones spreads the load almost as well as looking at
+    all, and does not send every host to the same shard while summaries are old. The cost depends
+    on the shards of the service in the region, not on its endpoints.
+    """
+    usable = [entry for entry in candidates if not is_avoided(routing, entry.shard, now)]
+    usable = usable or candidates
+    if not usable:
+        return None
+    settings = routing.settings
+    compared = [usable[random.randrange(len(usable))]]
+    favourite = _find_affine(settings.affinity_tokens, usable, prefix, prefix_tokens)
+    bonus = 0.0
+    if favourite is not None:
+        compared.append(favourite[0])
+        bonus = min(favourite[1] * settings.prefill_seconds_per_token, settings.affinity_max)
+    else:
+        compared.append(usable[random.randrange(len(usable))])
+    own = [entry for entry in usable if entry.owner == routing.host]
+    if own:
+        compared.append(own[random.randrange(len(own))])
+
+    def compute_cost(entry: Candidate) -> float:
+        wait = compute_wait(routing, entry.shard, now)
+        return wait - bonus if favourite is not None and entry == favourite[0] else wait
+
+    lowest = min(compute_cost(entry) for entry in compared)
+    equal = [entry for entry in compared if compute_cost(entry) <= lowest + settings.equal_wait]
+    return min(equal, key=lambda entry: (entry.owner != routing.host, compute_cost(entry)))
+
+
+def _find_affine(
+    affinity_tokens: int,
+    candidates: list[Candidate],
+    prefix: tuple[bytes, ...],
+    prefix_tokens: tuple[int, ...],
+) -> tuple[Candidate, int] | None:
+    """Return the shard with affinity to a prompt's beginning, and the tokens known to be equal.
+
+    The beginning has a fixed length, so that a conversation keeps its shard while it grows.
+    """
+    block = -1
+    for index, tokens in enumerate(prefix_tokens[: len(prefix)]):
+        if tokens > affinity_tokens:
+            break
+        block = index
+    if block < 0:
+        return None
+    key = prefix[block]
+    best = max(
+        candidates,
+        key=lambda entry: (xxhash.xxh3_64_intdigest(key + entry.shard.encode()), entry.shard),
+    )
+    return best, prefix_tokens[block]
--- /dev/null
+++ b/marjorambridge/routing/state.py
@@ -0,0 +1,84 @@
+"""Hold what a host knows about the shards that it can ask for permits."""
+
+from dataclasses import dataclass, field
+
+from marjorambridge.conf import defaults
+from marjorambridge.configuration.models import Configuration
+from marjorambridge.core.view import View
+from marjorambridge.limits.messages import ShardSummary
+
+
+@dataclass(slots=True)
+class RoutingSettings:
+    """Tune the choice of a shard.
+
+    Attributes
+    ----------
+    summary_horizon : float
+        Seconds after which a summary no longer counts.
+    equal_wait : float
+        Difference of expected waits in seconds below which they count as equal.
+    affinity_tokens : int
+        Length of the prompt's beginning that selects the shard for prefix affinity.
+    prefill_seconds_per_token : float
+        Time that a cached token saves.
+    affinity_max : float
+        Longest additional wait in seconds that affinity is worth.
+    """
+
+    summary_horizon: float = defaults.SUMMARY_HORIZON_SECONDS
+    equal_wait: float = defaults.EQUAL_WAIT_SECONDS
+    affinity_tokens: int = defaults.AFFINITY_TOKENS
+    prefill_seconds_per_token: float = defaults.PREFILL_SECONDS_PER_TOKEN
+    affinity_max: float = defaults.AFFINITY_MAX_SECONDS
+
+
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """Describe a shard that is in service, with its present owner."""
+
+    shard: str
+    region: str
+    owner: str
+
+
+@dataclass(slots=True)
+class Candidates:
+    """Hold the shards of one service that are in service, by whether the region is the host's."""
+
+    local: list[Candidate]
+    remote: list[Candidate]
+
+
+@dataclass(slots=True)
+class SeenSummary:
+    """Hold a shard's last summary and when it arrived."""
+
+    summary: ShardSummary
+    at: float
+
+
+@dataclass(slots=True)
+class RoutingState:
+    """Hold the inputs of the choice of a shard.
+
+    Attributes
+    ----------
+    candidates : dict of str to Candidates
+        By service, computed on first use after each change of configuration or view.
+    owners : dict of str to str
+        Owner of each shard that was looked up under the present view; the hash over all hosts is
+        too slow to repeat for each permit.
+    avoid_until : dict of str to float
+        Monotonic time until which a shard that refused, or did not answer, comes last.
+    """
+
+    host: str
+    region: str
+    settings: RoutingSettings = field(default_factory=RoutingSettings)
+    configuration: Configuration = field(default_factory=Configuration)
+    view: View = field(default_factory=View)
+    candidates: dict[str, Candidates] = field(default_factory=dict)
+    owners: dict[str, str | None] = field(default_factory=dict)
+    summaries: dict[str, SeenSummary] = field(default_factory=dict)
+    avoid_until: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/routing/summaries.py
@@ -0,0 +1,41 @@
+"""Keep the last summary of each shard and let it age."""
+
+from marjorambridge.limits.messages import ShardSummary
+from marjorambridge.routing.candidates import find_candidate
+from marjorambridge.routing.state import RoutingState, SeenSummary
+
+
+def record_summary(routing: RoutingState, summary: ShardSummary, now: float) -> None:
+    """Keep a summary that came with an owner's reply."""
+    if find_candidate(routing, summary.shard) is not None:
+        routing.summaries[summary.shard] = SeenSummary(summary, now)
+
+
+def avoid_shard(routing: RoutingState, shard: str, until: float) -> None:
+    """Choose a shard last until monotonic time `until`."""
+    if find_candidate(routing, shard) is not None:
+        routing.avoid_until[shard] = until
+
+
+def compute_wait(routing: RoutingState, shard: str, now: float) -> float:
+    """Return the expected wait in seconds by the last summary, which fades linearly to 0.
+
+    A shard without a recent summary counts as free, so that it is asked again.
+    """
+    seen = routing.summaries.get(shard)
+    if seen is None:
+        return 0.0
+    left = 1.0 - (now - seen.at) / routing.settings.summary_horizon
+    return seen.summary.expected_wait * left if left > 0.0 else 0.0
+
+
+def is_avoided(routing: RoutingState, shard: str, now: float) -> bool:
+    """Tell whether a shard refused lately or reported that no endpoint accepts work."""
+    if routing.avoid_until.get(shard, now) > now:
+        return True
+    seen = routing.summaries.get(shard)
+    return (
+        seen is not None
+        and seen.summary.endpoints == 0
+        and now - seen.at < routing.settings.summary_horizon
+    )
