Carry requests from admission to one true outcome

The host that has the caller needs a reducer for admission, claims, permits, attempts, resumption, deadlines and shutdown. NotRun is given only while no attempt was handed to the driver, because a byte may go out before the driver's report arrives. A call that ended as unknown is recorded with status RESULT_UNKNOWN, so that a resend is not told 'in progress' for as long as the host lives. The event Drained tells the daemon when a shutdown has no request left.

--- a/marjorambridge/claims/messages.py
+++ b/marjorambridge/claims/messages.py
@@ -5,10 +5,19 @@
 
 from marjorambridge.core.identity import AttemptId
 
+RESULT_UNKNOWN = 0
+
 
 @dataclass(slots=True)
 class RecordedAnswer:
-    """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long."""
+    """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; `RESULT_UNKNOWN` if the claimant stopped without learning the result, so that
+        a resend is told "unknown" and not "in progress".
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/marjorambridge/requests/asking.py
@@ -0,0 +1,333 @@
+"""Get a permit for a request from the owner of a shard, or find that none can be had."""
+
+from marjorambridge.core.effects import Effect, Measure, SendMessage, SetTimer
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.outcomes import Reason
+from marjorambridge.limits.messages import (
+    DenialReason,
+    PermitCancel,
+    PermitDenied,
+    PermitGranted,
+    PermitQueued,
+    PermitRequest,
+)
+from marjorambridge.requests.effects import StartAttempt
+from marjorambridge.requests.endings import give_up
+from marjorambridge.requests.permits import create_wait_timer, start_renewal, withdraw_permit
+from marjorambridge.requests.retries import compute_backoff
+from marjorambridge.requests.state import (
+    Denial,
+    Permit,
+    Phase,
+    Request,
+    RequestsState,
+    compute_start_limit,
+    create_ident,
+    is_fresh,
+)
+from marjorambridge.routing.candidates import find_candidate, find_candidates
+from marjorambridge.routing.choice import choose_shard, list_reachable
+from marjorambridge.routing.state import Candidate
+from marjorambridge.routing.summaries import avoid_shard, compute_wait, is_avoided, record_summary
+
+# A retry after a denial comes at the earliest after this many seconds, whatever the owner says.
+MIN_DENIAL_SECONDS = 0.05
+
+
+def find_asking(state: RequestsState, ident: AttemptId) -> Request | None:
+    """Return the request that asks for this permit, or None if none does."""
+    request = state.requests.get(state.permits.get(ident, ""))
+    return request if request is not None and request.phase is Phase.ASKING else None
+
+
+def ask_somewhere(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Ask for a permit at the best shard, wait for one, or give up if nothing can succeed."""
+    limit = compute_start_limit(state, request)
+    if now >= limit:
+        message = "no endpoint was free before the deadline; allow more time or come back later"
+        retry_after = state.settings.refusal_retry
+        return give_up(state, request, Reason.DEADLINE, message, retry_after, now)
+    if not is_fresh(state, now):
+        request.phase = Phase.STALE
+        return []
+    reachable = _list_reachable(state, request, now)
+    open_shards = [entry for entry in reachable if not _is_denied(request, entry.shard, now)]
+    chosen = choose_shard(
+        state.routing, open_shards, now, state.random, request.prefix, request.prefix_tokens
+    )
+    if chosen is not None:
+        return _ask_at(state, request, chosen, now)
+    found = find_candidates(state.routing, request.service)
+    denials = [request.denials.get(entry.shard) for entry in (*found.local, *found.remote)]
+    retry_at = min((entry.until for entry in denials if entry), default=float("inf"))
+    if retry_at >= limit:
+        return _give_up_denied(state, request, reachable, retry_at, now)
+    return _wait_until(state, request, retry_at)
+
+
+def back_off(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Ask again after a jittered delay that grows with each try."""
+    delay = compute_backoff(state.settings, request.tries, state.random)
+    request.tries += 1
+    return _wait_until(state, request, now + delay)
+
+
+def _wait_until(state: RequestsState, request: Request, at: float) -> list[Effect]:
+    request.phase = Phase.BACKOFF
+    at = min(at, compute_start_limit(state, request))
+    return [SetTimer(create_wait_timer(request), at)]
+
+
+def _list_reachable(state: RequestsState, request: Request, now: float) -> list[Candidate]:
+    unserved = {
+        shard
+        for shard, denial in request.denials.items()
+        if denial.reason is DenialReason.NO_ENDPOINT and denial.until > now
+    }
+    return list_reachable(state.routing, request.service, unserved)
+
+
+def _is_denied(request: Request, shard: str, now: float) -> bool:
+    denial = request.denials.get(shard)
+    return denial is not None and denial.until > now
+
+
+def _ask_at(state: RequestsState, request: Request, chosen: Candidate, now: float) -> list[Effect]:
+    ident = create_ident(state)
+    request.permit = Permit(
+        ident, chosen.shard, chosen.region, chosen.owner, asked_at=now, heard_at=now
+    )
+    request.phase = Phase.ASKING
+    state.permits[ident] = request.ident
+    return _send_ask(state, request, now)
+
+
+def _send_ask(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    permit = request.permit
+    permit.ask += 1
+    oldest = now - state.settings.start_window
+    permit.asks = {ask: at for ask, at in permit.asks.items() if at > oldest}
+    permit.asks[permit.ask] = now
+    prompt_tokens, output_tokens = request.prompt_tokens, request.output_tokens
+    if prompt_tokens:
+        prompt_tokens += request.cursor
+        output_tokens = max(1, output_tokens - request.cursor)
+    message = PermitRequest(
+        permit=permit.ident,
+        ask=permit.ask,
+        shard=permit.shard,
+        workspace=request.workspace,
+        weight=request.weight,
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        remaining=compute_start_limit(state, request) - now,
+        prefix=request.prefix,
+        prefix_tokens=request.prefix_tokens,
+        exclude=tuple(request.exclude),
+    )
+    renew_at = min(now + state.settings.queue_renewal, compute_start_limit(state, request))
+    return [
+        SendMessage(permit.owner, message),
+        SetTimer(create_wait_timer(request), renew_at),
+    ]
+
+
+def renew_ask(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Ask again at the same owner, or leave it if it is silent or another shard is better."""
+    permit = request.permit
+    if now >= compute_start_limit(state, request) or not is_fresh(state, now):
+        return withdraw_permit(state, request) + ask_somewhere(state, request, now)
+    if now - permit.heard_at >= state.settings.owner_silence:
+        return _leave_shard(state, request, None, 0.0, now)
+    better = _find_better(state, request, now)
+    if better is not None:
+        # The cancel goes first, and a grant that crosses it is void, so two never run at once.
+        return withdraw_permit(state, request) + _ask_at(state, request, better, now)
+    return _send_ask(state, request, now)
+
+
+def _find_better(state: RequestsState, request: Request, now: float) -> Candidate | None:
+    """Return a shard with a much shorter wait, if the request has waited long at its present one.
+
+    The new shard must be better by a factor, so that requests do not move back and forth.
+    """
+    permit = request.permit
+    settings = state.settings
+    if not permit.queued or now - permit.asked_at < settings.queue_move:
+        return None
+    limit = permit.expected_wait * settings.queue_move_factor - settings.routing.equal_wait
+    better = [
+        entry
+        for entry in _list_reachable(state, request, now)
+        if entry.shard != permit.shard
+        and not _is_denied(request, entry.shard, now)
+        and not is_avoided(state.routing, entry.shard, now)
+        and compute_wait(state.routing, entry.shard, now) < limit
+    ]
+    return choose_shard(
+        state.routing, better, now, state.random, request.prefix, request.prefix_tokens
+    )
+
+
+def _leave_shard(
+    state: RequestsState,
+    request: Request,
+    reason: DenialReason | None,
+    retry_after: float,
+    now: float,
+) -> list[Effect]:
+    """Turn to another shard after a denial, or after silence if `reason` is None."""
+    shard = request.permit.shard
+    effects = withdraw_permit(state, request)
+    delay = max(
+        retry_after,
+        MIN_DENIAL_SECONDS,
+        compute_backoff(state.settings, request.tries, state.random),
+    )
+    if reason in (DenialReason.TOO_LARGE, DenialReason.DEADLINE):
+        # Neither changes while the request lives.
+        request.denials[shard] = Denial(reason, float("inf"))
+    else:
+        request.denials[shard] = Denial(reason, now + delay)
+        avoid_shard(state.routing, shard, now + delay)
+    if reason is DenialReason.NO_ENDPOINT:
+        # Perhaps only the excluded endpoints are left; one that failed may have recovered.
+        request.exclude.clear()
+    return effects + back_off(state, request, now)
+
+
+def _give_up_denied(
+    state: RequestsState,
+    request: Request,
+    reachable: list[Candidate],
+    retry_at: float,
+    now: float,
+) -> list[Effect]:
+    reasons = {request.denials[entry.shard].reason for entry in reachable}
+    retry_after = state.settings.refusal_retry
+    if retry_at != float("inf"):
+        retry_after = max(retry_after, retry_at - now)
+    if reasons & {DenialReason.QUEUE_FULL, DenialReason.DEADLINE}:
+        reason = Reason.OVERLOADED
+        message = "the endpoints are busy for longer than the deadline; come back later"
+    elif reasons == {DenialReason.TOO_LARGE}:
+        reason = Reason.TOO_LARGE
+        message = "no endpoint can hold the prompt and its answer; send less text"
+        retry_after = None
+    else:
+        reason = Reason.NO_ENDPOINT
+        message = "no endpoint of the service accepts work at present; come back later"
+    return give_up(state, request, reason, message, retry_after, now)
+
+
+def handle_denied(
+    state: RequestsState, sender: str, message: PermitDenied, now: float
+) -> list[Effect]:
+    """Turn to another shard after an owner's refusal."""
+    record_summary(state.routing, message.summary, now)
+    request = find_asking(state, message.permit)
+    if request is None or request.permit.owner != sender:
+        return []
+    return _leave_shard(state, request, message.reason, message.retry_after, now)
+
+
+def handle_queued(
+    state: RequestsState, sender: str, message: PermitQueued, now: float
+) -> list[Effect]:
+    """Note that the owner holds the request in its queue."""
+    record_summary(state.routing, message.summary, now)
+    request = find_asking(state, message.permit)
+    if request is not None and request.permit.owner == sender:
+        request.permit.heard_at = now
+        request.permit.queued = True
+        request.permit.expected_wait = message.expected_wait
+    return []
+
+
+def handle_revoked(state: RequestsState, request: Request, sender: str, now: float) -> list[Effect]:
+    """Turn to another shard after the owner dropped the request from its queue."""
+    if request.permit.owner != sender:
+        return []
+    return _leave_shard(state, request, DenialReason.NOT_OWNER, 0.0, now)
+
+
+def handle_granted(
+    state: RequestsState, sender: str, message: PermitGranted, now: float
+) -> list[Effect]:
+    """Start the attempt, or withdraw a permit that is unwanted or too old."""
+    record_summary(state.routing, message.summary, now)
+    request = state.requests.get(state.permits.get(message.permit, ""))
+    if request is None:
+        released = state.released.get(message.permit)
+        if released is not None:
+            # The grant came twice; the release may have been lost.
+            return [SendMessage(sender, released.message)]
+        return [SendMessage(sender, PermitCancel(message.permit, message.shard))]
+    if request.phase is Phase.RUNNING:
+        return []
+    permit = request.permit
+    if sender != permit.owner or message.shard != permit.shard:
+        return [SendMessage(sender, PermitCancel(message.permit, message.shard))]
+    asked_at = permit.asks.get(message.ask)
+    in_service = find_candidate(state.routing, permit.shard) is not None
+    if asked_at is None or now >= asked_at + state.settings.start_window or not message.endpoints:
+        return withdraw_permit(state, request) + back_off(state, request, now)
+    if now >= compute_start_limit(state, request) or not is_fresh(state, now) or not in_service:
+        return withdraw_permit(state, request) + ask_somewhere(state, request, now)
+    return _start_attempt(state, request, message, asked_at + state.settings.start_window, now)
+
+
+def _start_attempt(
+    state: RequestsState, request: Request, message: PermitGranted, start_by: float, now: float
+) -> list[Effect]:
+    permit = request.permit
+    permit.endpoints = message.endpoints
+    permit.start_by = start_by
+    permit.started_at = now
+    request.phase = Phase.RUNNING
+    # The driver may write the first byte before its report arrives here.
+    request.may_have_run = True
+    request.attempts += 1
+    start = StartAttempt(
+        attempt=permit.ident,
+        request=request.ident,
+        endpoints=message.endpoints,
+        priority=message.priority,
+        resume_from=request.cursor,
+        start_by=start_by,
+        timeout=request.deadline - now,
+    )
+    return [
+        start,
+        *start_renewal(state, now),
+        Measure("permit_wait_seconds", now - permit.asked_at, {"class": message.priority}),
+    ]
+
+
+def reroute_all(state: RequestsState, now: float) -> list[Effect]:
+    """Leave shards that went out of service or changed their owner, and use new ones at once."""
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        if request.phase is Phase.ASKING:
+            candidate = find_candidate(state.routing, request.permit.shard)
+            if candidate is None or candidate.owner != request.permit.owner:
+                effects += withdraw_permit(state, request)
+                effects += ask_somewhere(state, request, now)
+        elif (
+            request.phase is Phase.BACKOFF
+            and request.denials
+            and any(
+                entry.shard not in request.denials for entry in _list_reachable(state, request, now)
+            )
+        ):
+            effects += ask_somewhere(state, request, now)
+    return effects
+
+
+def ask_waiting(state: RequestsState, now: float) -> list[Effect]:
+    """Ask for the permits that wait for freshness."""
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        if request.phase is Phase.STALE:
+            effects += ask_somewhere(state, request, now)
+    return effects
--- /dev/null
+++ b/marjorambridge/requests/attempts.py
@@ -0,0 +1,215 @@
+"""Follow the attempts of requests on endpoints and continue elsewhere when one fails."""
+
+from marjorambridge.configuration.models import ServiceKind
+from marjorambridge.core.effects import Effect, Measure
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.outcomes import Done, Reason
+from marjorambridge.limits.messages import PermitRevoked
+from marjorambridge.requests.asking import back_off, find_asking, handle_revoked
+from marjorambridge.requests.claims import record_answer
+from marjorambridge.requests.cursor import trim_chunk
+from marjorambridge.requests.effects import ForwardChunk, ForwardHeaders
+from marjorambridge.requests.endings import finish_request, forward_held, give_up
+from marjorambridge.requests.events import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptHeaders,
+    AttemptStarted,
+)
+from marjorambridge.requests.permits import abandon_attempt, release_permit, withdraw_permit
+from marjorambridge.requests.retries import take_retry
+from marjorambridge.requests.state import Phase, Request, RequestsState
+
+FIRST_ERROR_STATUS = 400
+
+
+def find_running(state: RequestsState, attempt: AttemptId) -> Request | None:
+    """Return the request of a running attempt; None for one that ended or was abandoned."""
+    request = state.requests.get(state.permits.get(attempt, ""))
+    return request if request is not None and request.phase is Phase.RUNNING else None
+
+
+def handle_started(state: RequestsState, event: AttemptStarted) -> list[Effect]:
+    """Note that the first byte goes out."""
+    request = find_running(state, event.attempt)
+    if request is None:
+        return []
+    request.permit.started = True
+    request.permit.started_at = event.now
+    return [Measure("attempts_started_total", 1.0, {"kind": request.kind})]
+
+
+def handle_headers(state: RequestsState, event: AttemptHeaders) -> list[Effect]:
+    """Keep the headers of an answer until its first content or its end comes.
+
+    Until then a failed attempt stays invisible to the caller, who still gets the status of the
+    next one.
+    """
+    request = find_running(state, event.attempt)
+    if request is None:
+        return []
+    if not request.forwarded:
+        request.status = event.status
+        request.headers = event.headers
+    if event.status >= FIRST_ERROR_STATUS:
+        # Only the end tells whether an error is the answer of the call or a reason to retry.
+        request.holding = True
+    return []
+
+
+def handle_chunk(state: RequestsState, event: AttemptChunk) -> list[Effect]:
+    """Forward the part of a chunk that the caller does not have."""
+    request = find_running(state, event.attempt)
+    if request is None:
+        return []
+    effects: list[Effect] = []
+    permit = request.permit
+    if permit.first_token_seconds < 0.0:
+        permit.first_token_seconds = event.now - permit.started_at
+        effects.append(
+            Measure("first_token_seconds", event.now - request.arrived_at, {"kind": request.kind})
+        )
+    if request.kind is ServiceKind.ENGINE and request.holding:
+        return effects  # The body of an error; the end event has its message.
+    cursor = request.cursor
+    new = trim_chunk(event, cursor)
+    if new is None:
+        effects += abandon_attempt(state, request, event.now)
+        message = "tokens of the answer were lost on the way; send the request again"
+        return effects + continue_elsewhere(state, request, Reason.STREAM_CUT, message, event.now)
+    count, data = new
+    if count == 0:
+        return effects
+    request.cursor += count
+    if request.holding:
+        request.held += data
+        if len(request.held) > state.settings.held_answer:
+            # Too long to hold until it is recorded; the caller gets it as it comes.
+            request.too_long = True
+            effects += forward_held(request)
+        return effects
+    effects += _forward_headers(request)
+    if not request.caller_gone:
+        effects.append(ForwardChunk(request.ident, cursor, count, data))
+    return effects
+
+
+def _forward_headers(request: Request) -> list[Effect]:
+    if request.forwarded or request.caller_gone:
+        return []
+    request.forwarded = True
+    return [ForwardHeaders(request.ident, request.status, request.headers)]
+
+
+def handle_ended(state: RequestsState, event: AttemptEnded) -> list[Effect]:
+    """Finish the request after its whole answer, or continue elsewhere."""
+    request = find_running(state, event.attempt)
+    if request is None:
+        return []
+    now = event.now
+    end = event.end
+    if end is AttemptEnd.NOT_SENT and not request.permit.started:
+        return _handle_not_sent(state, request, now)
+    if end is AttemptEnd.COMPLETE and event.usage.get("completion_tokens", 0) > request.cursor:
+        end = AttemptEnd.CUT
+    if end is AttemptEnd.COMPLETE and request.kind is ServiceKind.ENGINE and request.holding:
+        end = AttemptEnd.SERVER_ERROR
+    plain_answer = request.kind is ServiceKind.PLAIN and request.status > 0
+    if end is AttemptEnd.COMPLETE or (end is AttemptEnd.CLIENT_ERROR and plain_answer):
+        return _complete(state, request, event)
+    failed = end in (AttemptEnd.CUT, AttemptEnd.SERVER_ERROR, AttemptEnd.NOT_SENT)
+    stopped = end in (AttemptEnd.REFUSED, AttemptEnd.SERVER_ERROR, AttemptEnd.CLIENT_ERROR)
+    _exclude_endpoint(request)
+    effects = release_permit(state, request, now, endpoint_failed=failed, stopped=stopped)
+    if end is AttemptEnd.REFUSED and (request.cursor == 0 or request.status >= FIRST_ERROR_STATUS):
+        request.may_have_run = False
+    if end is AttemptEnd.CLIENT_ERROR:
+        message = event.message or "the endpoint refused the request; correct it"
+        return effects + give_up(state, request, Reason.BAD_REQUEST, message, None, now)
+    reason, message = _describe_failure(end)
+    return effects + continue_elsewhere(state, request, reason, message, now)
+
+
+def _describe_failure(end: AttemptEnd) -> tuple[Reason, str]:
+    if end in (AttemptEnd.CUT, AttemptEnd.NOT_SENT):
+        return Reason.STREAM_CUT, "the endpoint broke the answer off"
+    if end is AttemptEnd.TIMED_OUT:
+        return Reason.DEADLINE, "the endpoint did not answer in time"
+    return Reason.ENDPOINT_ERROR, "the endpoint failed to answer"
+
+
+def _exclude_endpoint(request: Request) -> None:
+    leading = request.permit.endpoints[0].endpoint
+    if leading not in request.exclude:
+        request.exclude.append(leading)
+
+
+def _handle_not_sent(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Get another permit; no byte was sent, so this takes nothing from the retry budget."""
+    request.attempts -= 1
+    request.may_have_run = False
+    if now < request.permit.start_by:
+        # There was time left, so the endpoint could not be reached.
+        _exclude_endpoint(request)
+        effects = release_permit(state, request, now, endpoint_failed=True, stopped=True)
+    else:
+        effects = withdraw_permit(state, request)
+    if request.caller_gone:
+        message = "the caller closed the connection"
+        return effects + give_up(state, request, Reason.CALLER_GONE, message, None, now)
+    return effects + back_off(state, request, now)
+
+
+def _complete(state: RequestsState, request: Request, event: AttemptEnded) -> list[Effect]:
+    effects = release_permit(state, request, event.now, succeeded=True, stopped=True)
+    request.finish = event.finish
+    request.usage = event.usage
+    if request.claim is not None:
+        return effects + record_answer(state, request, event.now)
+    effects += forward_held(request)
+    effects += _forward_headers(request)
+    return effects + finish_request(state, request, Done(), event.now)
+
+
+def handle_permit_revoked(
+    state: RequestsState, sender: str, message: PermitRevoked, now: float
+) -> list[Effect]:
+    """Stop the attempt of a void permit and continue elsewhere."""
+    request = find_asking(state, message.permit)
+    if request is not None:
+        return handle_revoked(state, request, sender, now)
+    request = find_running(state, message.permit)
+    if request is None or message.shard != request.permit.shard:
+        return []
+    effects = abandon_attempt(state, request, now)
+    text = "the permit was revoked while the endpoint answered"
+    return effects + continue_elsewhere(state, request, Reason.STREAM_CUT, text, now)
+
+
+def continue_elsewhere(
+    state: RequestsState, request: Request, reason: Reason, message: str, now: float
+) -> list[Effect]:
+    """Retry a request after a sent attempt without a whole answer, or end it at once.
+
+    An engine's answer is resumed at the exact token. A plain answer of which the caller has a
+    part cannot be resumed, because a second run may answer differently.
+    """
+    retry_after = state.settings.refusal_retry
+    if request.caller_gone:
+        reason, message, retry_after = Reason.CALLER_GONE, "the caller closed the connection", None
+    plain = request.kind is ServiceKind.PLAIN
+    if (
+        request.caller_gone
+        or (request.may_have_run and not request.repeatable)
+        or (plain and request.forwarded)
+        or request.attempts >= state.settings.max_attempts
+        or not take_retry(state.budget, state.settings, now)
+    ):
+        return give_up(state, request, reason, message, retry_after, now)
+    request.status = 0 if not request.forwarded else request.status
+    request.holding = request.claim is not None
+    request.held = bytearray()
+    if plain:
+        request.cursor = 0
+    return [Measure("retries_total", 1.0, {"reason": reason}), *back_off(state, request, now)]
--- /dev/null
+++ b/marjorambridge/requests/claims.py
@@ -0,0 +1,147 @@
+"""Claim calls that may not be repeated, and record their answers."""
+
+from marjorambridge.claims.events import (
+    ClaimCompletionWanted,
+    ClaimDecided,
+    ClaimReleaseWanted,
+    ClaimSettled,
+    ClaimWanted,
+)
+from marjorambridge.claims.messages import RESULT_UNKNOWN, ClaimStatus, RecordedAnswer
+from marjorambridge.core.effects import Effect, Publish, SetTimer
+from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.requests.asking import ask_somewhere
+from marjorambridge.requests.effects import ForwardChunk, ForwardHeaders
+from marjorambridge.requests.endings import deliver_answer, describe_unreleased, finish_request
+from marjorambridge.requests.events import RequestArrived
+from marjorambridge.requests.permits import create_wait_timer
+from marjorambridge.requests.state import (
+    Phase,
+    Request,
+    RequestsState,
+    compute_start_limit,
+    create_ident,
+)
+
+
+def want_claim(state: RequestsState, request: Request, event: RequestArrived) -> list[Effect]:
+    """Ask for the claim of a call; a call without a key gets one that is unique in the fleet."""
+    claim = create_ident(state)
+    request.claim = claim
+    request.phase = Phase.CLAIMING
+    request.holding = True
+    state.claims[claim] = request.ident
+    return [
+        Publish(
+            ClaimWanted(
+                now=event.now,
+                claim=claim,
+                workspace=request.workspace,
+                key=event.idempotency_key or str(claim),
+                fingerprint=event.fingerprint,
+                give_up_at=compute_start_limit(state, request),
+                wall=event.wall,
+            )
+        )
+    ]
+
+
+def handle_decided(state: RequestsState, event: ClaimDecided) -> list[Effect]:
+    """Go on to the permit if the claim was won, and answer the caller otherwise."""
+    request = state.requests.get(state.claims.get(event.claim, ""))
+    give_up_at = event.now + state.settings.claim_keep_trying
+    if request is None:
+        if event.status is ClaimStatus.GRANTED and event.claim in state.late_claims:
+            return [Publish(ClaimReleaseWanted(event.now, event.claim, give_up_at))]
+        return []
+    if request.phase not in (Phase.CLAIMING, Phase.RELEASING):
+        return []
+    releasing = request.phase is Phase.RELEASING
+    if event.status is ClaimStatus.GRANTED:
+        if releasing:
+            return [Publish(ClaimReleaseWanted(event.now, event.claim, give_up_at))]
+        return ask_somewhere(state, request, event.now)
+    if event.status is ClaimStatus.UNAVAILABLE:
+        if releasing:
+            return []
+        # The client releases the claim by itself, in case it was written.
+        state.late_claims[event.claim] = give_up_at
+        _forget_claim(state, request)
+        outcome = describe_unreleased(state, Reason.CLAIM_UNAVAILABLE)
+        return finish_request(state, request, outcome, event.now)
+    _forget_claim(state, request)
+    outcome = _describe_status(state, event)
+    effects: list[Effect] = []
+    if isinstance(outcome, Done) and not request.caller_gone:
+        answer = event.answer
+        effects.append(ForwardHeaders(request.ident, answer.status, answer.headers))
+        if answer.body:
+            effects.append(ForwardChunk(request.ident, 0, len(answer.body), answer.body))
+    return effects + finish_request(state, request, outcome, event.now)
+
+
+def _describe_status(state: RequestsState, event: ClaimDecided) -> Outcome:
+    """Return the outcome of a call whose claim was not won.
+
+    Only a key that was used for a different call is `NotRun`: under the other statuses the call
+    itself, sent earlier, may have run.
+    """
+    if event.status is ClaimStatus.MISMATCH:
+        message = "the Idempotency-Key was used for a different call; use a new key"
+        return NotRun(Reason.CLAIM_MISMATCH, message)
+    if event.status is ClaimStatus.IN_PROGRESS:
+        message = "the call is in progress; send it again with the same key to get its answer"
+        return Failed(Reason.CLAIM_IN_PROGRESS, message, state.settings.refusal_retry)
+    if event.status is ClaimStatus.EXPIRED:
+        message = "the Idempotency-Key is too old to tell whether the call ran; look up its result"
+        return Unknown(Reason.CLAIM_EXPIRED, message)
+    answer = event.answer
+    lost = answer is not None and answer.status == RESULT_UNKNOWN
+    if event.status is ClaimStatus.CLAIMANT_LOST or lost:
+        message = "the call was sent, and its result is not known; look it up before a new call"
+        return Unknown(Reason.CLAIMANT_LOST, message)
+    if answer is None or not answer.kept:
+        message = "the call was completed, but its answer is no longer kept; look up its result"
+        return Unknown(Reason.ANSWER_NOT_KEPT, message)
+    return Done()
+
+
+def record_answer(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Record a whole answer before the caller gets it."""
+    request.phase = Phase.RECORDING
+    kept = not request.too_long and len(request.held) <= state.settings.recorded_answer
+    body = bytes(request.held) if kept else b""
+    answer = RecordedAnswer(request.status, request.headers, body, kept)
+    give_up_at = now + state.settings.claim_keep_trying
+    wait_until = min(request.deadline, now + state.settings.settle_wait)
+    return [
+        SetTimer(create_wait_timer(request), wait_until),
+        Publish(ClaimCompletionWanted(now, request.claim, answer, give_up_at)),
+    ]
+
+
+def handle_settled(state: RequestsState, event: ClaimSettled) -> list[Effect]:
+    """Answer the caller once its claim is completed or released, or cannot be."""
+    request = state.requests.get(state.claims.get(event.claim, ""))
+    if request is None:
+        return []
+    if request.phase is Phase.RECORDING:
+        # The answer is true whether it is recorded or not.
+        return deliver_answer(state, request, event.now)
+    if request.phase is not Phase.RELEASING:
+        return []
+    if not event.committed:
+        return finish_unreleased(state, request, event.now)
+    _forget_claim(state, request)
+    return finish_request(state, request, request.pending, event.now)
+
+
+def finish_unreleased(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """End a call whose release is not committed in time; the client goes on to release it."""
+    outcome = describe_unreleased(state, Reason.CLAIM_UNAVAILABLE)
+    return finish_request(state, request, outcome, now)
+
+
+def _forget_claim(state: RequestsState, request: Request) -> None:
+    state.claims.pop(request.claim, None)
+    request.claim = None
--- /dev/null
+++ b/marjorambridge/requests/deadlines.py
@@ -0,0 +1,60 @@
+"""End requests at their deadlines, and when their callers are gone."""
+
+from marjorambridge.core.effects import Effect, SetTimer
+from marjorambridge.core.outcomes import Reason
+from marjorambridge.requests.asking import ask_somewhere, renew_ask
+from marjorambridge.requests.claims import finish_unreleased
+from marjorambridge.requests.endings import (
+    create_deadline_timer,
+    deliver_answer,
+    end_request,
+    give_up,
+)
+from marjorambridge.requests.events import CallerGone
+from marjorambridge.requests.state import Phase, Request, RequestsState
+
+UNSENT_PHASES = frozenset({Phase.CLAIMING, Phase.ASKING, Phase.STALE, Phase.BACKOFF})
+DEADLINE_MESSAGE = "the deadline passed; allow more time with X-Request-Timeout"
+
+
+def expire_request(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """End a request whose deadline has passed."""
+    return end_request(state, request, Reason.DEADLINE, DEADLINE_MESSAGE, now)
+
+
+def handle_deadline(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Release the claim of a call that cannot start in time any more."""
+    effects: list[Effect] = [SetTimer(create_deadline_timer(request), request.deadline)]
+    if request.phase in UNSENT_PHASES:
+        retry_after = state.settings.refusal_retry
+        effects += give_up(state, request, Reason.DEADLINE, DEADLINE_MESSAGE, retry_after, now)
+    return effects
+
+
+def handle_wait(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Go on after the time that a request waits in its phase."""
+    if request.phase is Phase.ASKING:
+        return renew_ask(state, request, now)
+    if request.phase is Phase.BACKOFF:
+        return ask_somewhere(state, request, now)
+    if request.phase is Phase.RECORDING:
+        return deliver_answer(state, request, now)
+    if request.phase is Phase.RELEASING:
+        return finish_unreleased(state, request, now)
+    return []
+
+
+def handle_caller_gone(state: RequestsState, event: CallerGone) -> list[Effect]:
+    """Stop the work for a caller that is gone.
+
+    A call that may not be repeated and may have been sent goes on, and its answer is recorded:
+    the caller's resend then gets the answer, where a cancelled call would be "unknown" for good.
+    """
+    request = state.requests.get(event.request)
+    if request is None or request.phase is Phase.RELEASING:
+        return []
+    request.caller_gone = True
+    if request.phase is Phase.RECORDING or (request.may_have_run and not request.repeatable):
+        return []
+    message = "the caller closed the connection"
+    return give_up(state, request, Reason.CALLER_GONE, message, None, event.now)
--- /dev/null
+++ b/marjorambridge/requests/endings.py
@@ -0,0 +1,165 @@
+"""End requests with the outcome that is true for them."""
+
+from marjorambridge.claims.events import ClaimCompletionWanted, ClaimReleaseWanted
+from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, SetTimer
+from marjorambridge.core.identity import TimerKey
+from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
+from marjorambridge.requests.events import Drained
+from marjorambridge.requests.permits import create_wait_timer, drop_permit
+from marjorambridge.requests.quotas import return_quota
+from marjorambridge.requests.state import Phase, Request, RequestsState
+
+
+def create_deadline_timer(request: Request) -> TimerKey:
+    """Return the timer of a request's deadline."""
+    return TimerKey("requests", "deadline", request.ident)
+
+
+def describe_end(
+    request: Request, reason: Reason, message: str, retry_after: float | None
+) -> Outcome:
+    """Return the outcome of a request that ends without its whole answer.
+
+    `NotRun` is possible only while no byte may have gone to an endpoint. A call that may not be
+    repeated and may have run is `Unknown`; every other one may be repeated, so it is `Failed`.
+    """
+    if request.may_have_run and not request.repeatable:
+        return Unknown(reason, f"{message}; look up its result before sending the call again")
+    if request.attempts:
+        return Failed(reason, message, retry_after)
+    return NotRun(reason, message, retry_after)
+
+
+def finish_request(
+    state: RequestsState, request: Request, outcome: Outcome, now: float, cut: bool = False
+) -> list[Effect]:
+    """Forget a request and give its caller the final outcome."""
+    effects = drop_permit(state, request, now)
+    if request.claim is not None:
+        effects += _settle_claim(state, request, outcome, now)
+    del state.requests[request.ident]
+    return_quota(state, request.workspace)
+    labels = {"outcome": type(outcome).__name__}
+    if not isinstance(outcome, Done):
+        labels["reason"] = outcome.reason
+    finish = FinishRequest(request.ident, outcome)
+    if isinstance(outcome, Done):
+        finish.finish = request.finish
+        finish.prompt_tokens = request.usage.get("prompt_tokens", request.prompt_tokens)
+        if request.prompt_tokens:
+            finish.output_tokens = request.cursor
+    effects += [
+        CancelTimer(create_wait_timer(request)),
+        CancelTimer(create_deadline_timer(request)),
+        finish,
+        Measure("requests_finished_total", 1.0, labels),
+    ]
+    if state.shutdown is not None:
+        if cut:
+            state.shutdown.cut += 1
+        else:
+            state.shutdown.ended += 1
+    return effects + check_drained(state, now)
+
+
+def _settle_claim(
+    state: RequestsState, request: Request, outcome: Outcome, now: float
+) -> list[Effect]:
+    """Leave no claim open behind a request that has ended.
+
+    An open claim would answer each resend with "in progress" as long as this host lives.
+    """
+    state.claims.pop(request.claim, None)
+    give_up_at = now + state.settings.claim_keep_trying
+    if isinstance(outcome, Unknown) and request.may_have_run:
+        answer = RecordedAnswer(RESULT_UNKNOWN, kept=False)
+        return [Publish(ClaimCompletionWanted(now, request.claim, answer, give_up_at))]
+    if request.phase is Phase.CLAIMING or request.pending is not None:
+        state.late_claims[request.claim] = give_up_at
+        for claim in [claim for claim, until in state.late_claims.items() if until <= now]:
+            del state.late_claims[claim]
+    if request.phase in (Phase.RECORDING, Phase.RELEASING) or isinstance(outcome, Done):
+        return []
+    return [Publish(ClaimReleaseWanted(now, request.claim, give_up_at))]
+
+
+def give_up(
+    state: RequestsState,
+    request: Request,
+    reason: Reason,
+    message: str,
+    retry_after: float | None,
+    now: float,
+) -> list[Effect]:
+    """End a request that cannot succeed, after its claim is released if it holds one."""
+    outcome = describe_end(request, reason, message, retry_after)
+    if request.claim is None or isinstance(outcome, Unknown):
+        return finish_request(state, request, outcome, now)
+    effects = drop_permit(state, request, now)
+    if request.phase is Phase.CLAIMING:
+        state.late_claims[request.claim] = now + state.settings.claim_keep_trying
+    request.phase = Phase.RELEASING
+    request.pending = outcome
+    wait_until = min(request.deadline, now + state.settings.settle_wait)
+    release = ClaimReleaseWanted(now, request.claim, now + state.settings.claim_keep_trying)
+    return [*effects, SetTimer(create_wait_timer(request), wait_until), Publish(release)]
+
+
+def end_request(
+    state: RequestsState, request: Request, reason: Reason, message: str, now: float
+) -> list[Effect]:
+    """End a request at once, whatever it waits for, with the outcome that is true for it."""
+    cut = reason is Reason.SHUTTING_DOWN
+    if request.phase is Phase.RECORDING:
+        return deliver_answer(state, request, now)
+    retry_after = state.settings.refusal_retry
+    if request.claim is not None and not request.may_have_run:
+        outcome = describe_unreleased(state, reason)
+    else:
+        outcome = describe_end(request, reason, message, retry_after)
+    return finish_request(state, request, outcome, now, cut)
+
+
+def describe_unreleased(state: RequestsState, reason: Reason) -> Failed:
+    """Return the outcome of a call that did not run, but whose claim may still stand.
+
+    It is not `NotRun`, because a resend with the same key may be told "in progress" or "unknown".
+    """
+    return Failed(
+        reason,
+        "the call was not run, but its claim may not be withdrawn yet; send it again with the "
+        "same Idempotency-Key",
+        state.settings.refusal_retry,
+    )
+
+
+def deliver_answer(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Give the caller the held answer of a call, which is recorded, or cannot be in time."""
+    return [
+        *forward_held(request),
+        *finish_request(state, request, Done(), now),
+    ]
+
+
+def forward_held(request: Request) -> list[Effect]:
+    """Forward what was held of an answer."""
+    if not request.holding or request.caller_gone:
+        return []
+    effects: list[Effect] = [ForwardHeaders(request.ident, request.status, request.headers)]
+    if request.held:
+        effects.append(ForwardChunk(request.ident, 0, len(request.held), bytes(request.held)))
+    request.holding = False
+    request.forwarded = True
+    request.held = bytearray()
+    return effects
+
+
+def check_drained(state: RequestsState, now: float) -> list[Effect]:
+    """Publish `Drained` once a shutdown has no request left and admits none."""
+    shutdown = state.shutdown
+    if shutdown is None or shutdown.drained or state.requests or now < shutdown.refuse_from:
+        return []
+    shutdown.drained = True
+    return [Publish(Drained(now, shutdown.ended, shutdown.cut))]
--- a/marjorambridge/requests/events.py
+++ b/marjorambridge/requests/events.py
@@ -137,3 +137,19 @@
     message: str = ""
     finish: str = ""
     usage: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Drained(Event):
+    """Tell that a shutdown has no request left to finish; published once.
+
+    Attributes
+    ----------
+    ended : int
+        Requests that ended by themselves since the shutdown was requested.
+    cut : int
+        Requests that the drain deadline or a forced shutdown ended.
+    """
+
+    ended: int
+    cut: int
--- /dev/null
+++ b/marjorambridge/requests/exceptions.py
@@ -0,0 +1,7 @@
+"""Define the errors of the requests package."""
+
+from marjorambridge.core.exceptions import MarjorambridgeError
+
+
+class RequestSettingsError(MarjorambridgeError):
+    """Tell that settings contradict each other."""
--- /dev/null
+++ b/marjorambridge/requests/permits.py
@@ -0,0 +1,132 @@
+"""Withdraw, release and renew permits at the owners of their shards."""
+
+from marjorambridge.core.effects import CancelTimer, Effect, SendMessage, SetTimer
+from marjorambridge.core.identity import TimerKey
+from marjorambridge.limits.messages import PermitCancel, PermitRelease, PermitRenew, RunningPermit
+from marjorambridge.requests.effects import CancelAttempt
+from marjorambridge.requests.state import Permit, Phase, Released, Request, RequestsState
+from marjorambridge.routing import candidates
+
+RENEWAL_TIMER = TimerKey("requests", "renewal")
+
+
+def create_wait_timer(request: Request) -> TimerKey:
+    """Return the timer of the one thing that a request waits for."""
+    return TimerKey("requests", "wait", request.ident)
+
+
+def withdraw_permit(state: RequestsState, request: Request) -> list[Effect]:
+    """Cancel a permit that no attempt uses; a grant that is on its way is then void."""
+    permit = request.permit
+    if permit is None:
+        return []
+    request.permit = None
+    state.permits.pop(permit.ident, None)
+    return [
+        CancelTimer(create_wait_timer(request)),
+        SendMessage(permit.owner, PermitCancel(permit.ident, permit.shard)),
+    ]
+
+
+def release_permit(
+    state: RequestsState,
+    request: Request,
+    now: float,
+    succeeded: bool = False,
+    endpoint_failed: bool = False,
+    stopped: bool = False,
+) -> list[Effect]:
+    """Report the end of an attempt to the shard's present owner.
+
+    A lost release needs no resend: the permit is no longer renewed, so the owner cancels it on
+    the endpoint and frees it after permit expiry.
+    """
+    permit = request.permit
+    if permit is None:
+        return []
+    request.permit = None
+    state.permits.pop(permit.ident, None)
+    message = PermitRelease(
+        permit=permit.ident,
+        shard=permit.shard,
+        succeeded=succeeded,
+        endpoint_failed=endpoint_failed,
+        stopped=stopped,
+        first_token_seconds=permit.first_token_seconds,
+    )
+    state.released[permit.ident] = Released(message, now + state.settings.permit_expiry)
+    return [SendMessage(find_owner(state, permit), message)]
+
+
+def abandon_attempt(
+    state: RequestsState, request: Request, now: float, endpoint_failed: bool = False
+) -> list[Effect]:
+    """Stop a running attempt; what it still delivers is dropped."""
+    if request.permit is None:
+        return []
+    cancel = CancelAttempt(request.permit.ident)
+    return [cancel, *release_permit(state, request, now, endpoint_failed=endpoint_failed)]
+
+
+def drop_permit(state: RequestsState, request: Request, now: float) -> list[Effect]:
+    """Give up a request's permit, whether it is asked for or running."""
+    if request.phase is Phase.RUNNING:
+        return abandon_attempt(state, request, now)
+    return withdraw_permit(state, request)
+
+
+def find_owner(state: RequestsState, permit: Permit) -> str:
+    """Return the present owner of a permit's shard, or the one that granted it if there is none.
+
+    The region is kept with the permit, because the zone may have left the configuration.
+    """
+    return candidates.find_owner(state.routing, permit.shard, permit.region) or permit.owner
+
+
+def start_renewal(state: RequestsState, now: float) -> list[Effect]:
+    """Set the renewal timer unless it is set."""
+    if state.renewing:
+        return []
+    state.renewing = True
+    return [SetTimer(RENEWAL_TIMER, now + state.settings.permit_renewal)]
+
+
+def renew_permits(state: RequestsState, now: float) -> list[Effect]:
+    """Renew the running permits, in one message per owner, and forget old releases."""
+    for ident in [ident for ident, entry in state.released.items() if entry.until <= now]:
+        del state.released[ident]
+    running = [entry for entry in state.requests.values() if entry.phase is Phase.RUNNING]
+    batches: dict[str, list[RunningPermit]] = {}
+    for request in running:
+        permit = request.permit
+        permit.owner = find_owner(state, permit)
+        batches.setdefault(permit.owner, []).append(describe_permit(permit))
+    state.renewing = False
+    effects: list[Effect] = [
+        SendMessage(owner, PermitRenew(tuple(batch))) for owner, batch in batches.items()
+    ]
+    return effects + (start_renewal(state, now) if running or state.released else [])
+
+
+def move_permits(state: RequestsState) -> list[Effect]:
+    """Register running permits with the new owners of their shards after a change of the view.
+
+    The new owner rebuilds its ledger from these messages before it grants.
+    """
+    batches: dict[str, list[RunningPermit]] = {}
+    for request in state.requests.values():
+        permit = request.permit
+        if request.phase is not Phase.RUNNING or permit is None:
+            continue
+        owner = find_owner(state, permit)
+        if owner != permit.owner:
+            permit.owner = owner
+            batches.setdefault(owner, []).append(describe_permit(permit))
+    return [SendMessage(owner, PermitRenew(tuple(batch))) for owner, batch in batches.items()]
+
+
+def describe_permit(permit: Permit) -> RunningPermit:
+    """Return the description of a running permit for its owner."""
+    return RunningPermit(
+        permit.ident, permit.shard, permit.endpoints, permit.first_token_seconds >= 0.0
+    )
--- /dev/null
+++ b/marjorambridge/requests/state.py
@@ -0,0 +1,290 @@
+"""Hold the requests of the callers of this host."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+
+from marjorambridge.conf import defaults
+from marjorambridge.configuration.models import ServiceKind
+from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.outcomes import Outcome
+from marjorambridge.limits.messages import DenialReason, EndpointGrant, PermitRelease
+from marjorambridge.requests.exceptions import RequestSettingsError
+from marjorambridge.routing.state import RoutingSettings, RoutingState
+
+
+@dataclass(slots=True)
+class RequestSettings:
+    """Tune how requests are carried; times are in seconds, sizes in bytes."""
+
+    start_window: float = defaults.START_WINDOW_SECONDS
+    queue_renewal: float = defaults.QUEUE_RENEWAL_SECONDS
+    permit_renewal: float = defaults.PERMIT_RENEWAL_SECONDS
+    permit_expiry: float = defaults.PERMIT_EXPIRY_SECONDS
+    owner_silence: float = defaults.OWNER_SILENCE_SECONDS
+    queue_move: float = defaults.QUEUE_MOVE_SECONDS
+    queue_move_factor: float = defaults.QUEUE_MOVE_FACTOR
+    backoff_first: float = defaults.BACKOFF_FIRST_SECONDS
+    backoff_max: float = defaults.BACKOFF_MAX_SECONDS
+    max_attempts: int = defaults.MAX_ATTEMPTS
+    retry_budget_ratio: float = defaults.RETRY_BUDGET_RATIO
+    retry_budget_minimum: int = defaults.RETRY_BUDGET_MINIMUM
+    retry_budget_window: float = defaults.RETRY_BUDGET_WINDOW_SECONDS
+    max_timeout: float = defaults.MAX_TIMEOUT_SECONDS
+    max_body: int = defaults.MAX_BODY_BYTES
+    max_requests: int = defaults.MAX_REQUESTS_IN_PROGRESS
+    rate_burst: float = defaults.RATE_BURST_SECONDS
+    refusal_retry: float = defaults.REFUSAL_RETRY_SECONDS
+    freshness: float = defaults.FRESHNESS_SECONDS
+    release_reserve: float = defaults.CLAIM_RELEASE_RESERVE_SECONDS
+    settle_wait: float = defaults.CLAIM_SETTLE_WAIT_SECONDS
+    claim_keep_trying: float = defaults.CLAIM_KEEP_TRYING_SECONDS
+    recorded_answer: int = defaults.CLAIM_ANSWER_BYTES
+    held_answer: int = defaults.MAX_HELD_ANSWER_BYTES
+    unready_grace: float = defaults.UNREADY_GRACE_SECONDS
+    drain_deadline: float = defaults.DRAIN_DEADLINE_SECONDS
+    routing: RoutingSettings = field(default_factory=RoutingSettings)
+
+
+class Phase(StrEnum):
+    """Say what a request waits for."""
+
+    CLAIMING = "claiming"
+    ASKING = "asking"
+    STALE = "stale"
+    BACKOFF = "backoff"
+    RUNNING = "running"
+    RECORDING = "recording"
+    RELEASING = "releasing"
+
+
+@dataclass(slots=True)
+class Permit:
+    """Hold a permit from its first ask to the end of its attempt.
+
+    Attributes
+    ----------
+    asks : dict of int to float
+        Sending times of the asks that a grant could still name.
+    heard_at : float
+        Last answer of the owner, or the first ask if there was none.
+    expected_wait : float
+        Seconds that the owner expects the request to wait, by its last answer.
+    start_by : float
+        Time after which the attempt must not start.
+    started : bool
+        Whether the driver reported the first byte; a byte may have been sent before that.
+    """
+
+    ident: AttemptId
+    shard: str
+    region: str
+    owner: str
+    asked_at: float
+    asks: dict[int, float] = field(default_factory=dict)
+    ask: int = 0
+    heard_at: float = 0.0
+    queued: bool = False
+    expected_wait: float = 0.0
+    endpoints: tuple[EndpointGrant, ...] = ()
+    start_by: float = 0.0
+    started: bool = False
+    started_at: float = 0.0
+    first_token_seconds: float = -1.0
+
+
+@dataclass(slots=True)
+class Denial:
+    """Remember that a shard refused a request, or did not answer if `reason` is None."""
+
+    reason: DenialReason | None
+    until: float
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one caller's request.
+
+    Attributes
+    ----------
+    attempts : int
+        Attempts of which a byte may have gone to an endpoint; an attempt that ended as
+        ``NOT_SENT`` does not count.
+    may_have_run : bool
+        Whether an endpoint may have run the call; false again if it said that it did not.
+    cursor : int
+        Next token of the answer for engines; next byte of the attempt's answer for plain ones.
+    forwarded : bool
+        Whether the headers went to the caller.
+    holding, held : bool, bytearray
+        Answer of a call that must be recorded before the caller gets it.
+    too_long : bool
+        Whether the answer was too long to hold, so that it cannot be recorded.
+    status, headers : int, tuple
+        Beginning of the answer of the present attempt.
+    pending : Outcome or None
+        Outcome to give once the release of the claim is committed.
+    """
+
+    ident: str
+    workspace: str
+    service: str
+    kind: ServiceKind
+    repeatable: bool
+    arrived_at: float
+    deadline: float
+    prompt_tokens: int
+    output_tokens: int
+    weight: float
+    prefix: tuple[bytes, ...]
+    prefix_tokens: tuple[int, ...]
+    phase: Phase = Phase.ASKING
+    permit: Permit | None = None
+    claim: AttemptId | None = None
+    denials: dict[str, Denial] = field(default_factory=dict)
+    exclude: list[str] = field(default_factory=list)
+    tries: int = 0
+    attempts: int = 0
+    may_have_run: bool = False
+    cursor: int = 0
+    forwarded: bool = False
+    holding: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    held: bytearray = field(default_factory=bytearray)
+    too_long: bool = False
+    finish: str = ""
+    usage: dict[str, int] = field(default_factory=dict)
+    pending: Outcome | None = None
+    caller_gone: bool = False
+
+
+@dataclass(slots=True)
+class WorkspaceUsage:
+    """Count a workspace's use of its limits on this host."""
+
+    tokens: float
+    at: float
+    running: int = 0
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Count admissions and retries of the present and the previous window."""
+
+    window: int = 0
+    admitted: int = 0
+    retries: int = 0
+    admitted_before: int = 0
+    retries_before: int = 0
+
+
+@dataclass(slots=True)
+class Shutdown:
+    """Hold the times of a shutdown in monotonic seconds, and its counts."""
+
+    refuse_from: float
+    cut_at: float
+    ended: int = 0
+    cut: int = 0
+    drained: bool = False
+
+
+@dataclass(slots=True)
+class Released:
+    """Keep a sent release, to repeat it if the owner's grant arrives once more."""
+
+    message: PermitRelease
+    until: float
+
+
+@dataclass(slots=True)
+class RequestsState:
+    """Hold the requests part of a host.
+
+    Attributes
+    ----------
+    permits : dict of AttemptId to str
+        Request of each permit that is asked for or running; others are void.
+    claims : dict of AttemptId to str
+        Request of each claim whose request is in progress.
+    late_claims : dict of AttemptId to float
+        Claims whose request ended before the decision, until when a decision is awaited.
+    key_hashes : list of tuple
+        Key digests and the names of their workspaces.
+    """
+
+    host: str
+    incarnation: int
+    region: str
+    zone: str
+    settings: RequestSettings
+    random: Random
+    routing: RoutingState
+    configured: bool = False
+    fresh_until: float = float("-inf")
+    next_number: int = 1
+    requests: dict[str, Request] = field(default_factory=dict)
+    permits: dict[AttemptId, str] = field(default_factory=dict)
+    claims: dict[AttemptId, str] = field(default_factory=dict)
+    late_claims: dict[AttemptId, float] = field(default_factory=dict)
+    released: dict[AttemptId, Released] = field(default_factory=dict)
+    usage: dict[str, WorkspaceUsage] = field(default_factory=dict)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    key_hashes: list[tuple[bytes, str]] = field(default_factory=list)
+    renewing: bool = False
+    shutdown: Shutdown | None = None
+
+
+def create_state(
+    host: str, incarnation: int, region: str, zone: str, settings: RequestSettings, seed: int
+) -> RequestsState:
+    """Return the state of a host that has no configuration, no view and no request.
+
+    Raises
+    ------
+    RequestSettingsError
+        If renewals are too slow for the start window or for permit expiry.
+    """
+    if settings.queue_renewal * 2 > settings.start_window:
+        raise RequestSettingsError(
+            "queue_renewal must be at most half of start_window; otherwise a grant names an ask "
+            "that is already too old to start"
+        )
+    if settings.permit_renewal * 2 > settings.permit_expiry:
+        raise RequestSettingsError(
+            "permit_renewal must be at most half of permit_expiry, so that one lost renewal does "
+            "not end a running attempt"
+        )
+    return RequestsState(
+        host=host,
+        incarnation=incarnation,
+        region=region,
+        zone=zone,
+        settings=settings,
+        random=Random(seed),
+        routing=RoutingState(host=host, region=region, settings=settings.routing),
+    )
+
+
+def create_ident(state: RequestsState) -> AttemptId:
+    """Return the next identity of an attempt or a claim."""
+    number = state.next_number
+    state.next_number += 1
+    return AttemptId(state.host, state.incarnation, number)
+
+
+def is_fresh(state: RequestsState, now: float) -> bool:
+    """Tell whether the configuration and the view are known to be current."""
+    return state.configured and now < state.fresh_until
+
+
+def compute_start_limit(state: RequestsState, request: Request) -> float:
+    """Return the time after which an attempt of the request is no longer started.
+
+    A call that holds a claim keeps some time for the release of the claim.
+    """
+    if request.claim is None:
+        return request.deadline
+    allowed = request.deadline - request.arrived_at
+    return request.deadline - min(state.settings.release_reserve, 0.2 * allowed)
