Encode names before hashing them in core.view

compute_owner and compute_bucket passed str to xxhash, whose present version accepts only bytes, so each call raised TypeError. The names are now encoded as UTF-8.

--- a/marjorambridge/core/view.py
+++ b/marjorambridge/core/view.py
@@ -95,7 +95,7 @@
     for entry in view.hosts.values():
         if entry.region != region or entry.state is not HostState.LIVE:
             continue
-        rank = (xxhash.xxh3_64_intdigest(f"{name}|{entry.host}"), entry.host)
+        rank = (xxhash.xxh3_64_intdigest(f"{name}|{entry.host}".encode()), entry.host)
         if best is None or rank > best:
             best = rank
     return best[1] if best else None
@@ -103,4 +103,4 @@
 
 def compute_bucket(endpoint: str, buckets: int) -> int:
     """Return the bucket of a service's shard that an endpoint belongs to."""
-    return xxhash.xxh3_64_intdigest(endpoint) % buckets
+    return xxhash.xxh3_64_intdigest(endpoint.encode()) % buckets
