--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -1,6 +1,6 @@
 """Get a permit for a request from the owner of a shard, or find that none can be had."""
 
-from marjorambridge.core.effects import Effect, Measure, SendMessage, SetTimer
+from marjorambridge.core.effects import Effect, Measure, SendMessage
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.limits.messages import (
@@ -13,7 +13,7 @@
 )
 from marjorambridge.requests.effects import StartAttempt
 from marjorambridge.requests.endings import give_up
-from marjorambridge.requests.permits import create_wait_timer, start_renewal, withdraw_permit
+from marjorambridge.requests.permits import set_wait, start_renewal, withdraw_permit
 from marjorambridge.requests.retries import compute_backoff
 from marjorambridge.requests.state import (
     Denial,
@@ -28,7 +28,12 @@
 from marjorambridge.routing.candidates import find_candidate, find_candidates
 from marjorambridge.routing.choice import choose_shard, list_reachable
 from marjorambridge.routing.state import Candidate
-from marjorambridge.routing.summaries import avoid_shard, compute_wait, is_avoided, record_summary
+from marjorambridge.routing.summaries import (
+    avoid_shard,
+    compute_reported_wait,
+    is_avoided,
+    record_summary,
+)
 
 # A retry after a denial comes at the earliest after this many seconds, whatever the owner says.
 MIN_DENIAL_SECONDS = 0.05
@@ -59,7 +64,9 @@
         return _ask_at(state, request, chosen, now)
     found = find_candidates(state.routing, request.service)
     denials = [request.denials.get(entry.shard) for entry in (*found.local, *found.remote)]
-    retry_at = min((entry.until for entry in denials if entry), default=float("inf"))
+    retry_at = min(
+        (entry.until for entry in denials if entry and entry.until > now), default=float("inf")
+    )
     if retry_at >= limit:
         return _give_up_denied(state, request, reachable, retry_at, now)
     return _wait_until(state, request, retry_at)
@@ -75,7 +82,7 @@
 def _wait_until(state: RequestsState, request: Request, at: float) -> list[Effect]:
     request.phase = Phase.BACKOFF
     at = min(at, compute_start_limit(state, request))
-    return [SetTimer(create_wait_timer(request), at)]
+    return [set_wait(request, at)]
 
 
 def _list_reachable(state: RequestsState, request: Request, now: float) -> list[Candidate]:
@@ -128,7 +135,7 @@
     renew_at = min(now + state.settings.queue_renewal, compute_start_limit(state, request))
     return [
         SendMessage(permit.owner, message),
-        SetTimer(create_wait_timer(request), renew_at),
+        set_wait(request, renew_at),
     ]
 
 
@@ -141,6 +148,7 @@
         return _leave_shard(state, request, None, 0.0, now)
     better = _find_better(state, request, now)
     if better is not None:
+        request.moves += 1
         # The cancel goes first, and a grant that crosses it is void, so two never run at once.
         return withdraw_permit(state, request) + _ask_at(state, request, better, now)
     return _send_ask(state, request, now)
@@ -149,11 +157,12 @@
 def _find_better(state: RequestsState, request: Request, now: float) -> Candidate | None:
     """Return a shard with a much shorter wait, if the request has waited long at its present one.
 
-    The new shard must be better by a factor, so that requests do not move back and forth.
+    A move gives up the place in the queue. So the new shard must be better by a factor, without
+    counting a fading summary as better, and each further move needs twice the wait.
     """
     permit = request.permit
     settings = state.settings
-    if not permit.queued or now - permit.asked_at < settings.queue_move:
+    if not permit.queued or now - permit.asked_at < settings.queue_move * 2**request.moves:
         return None
     limit = permit.expected_wait * settings.queue_move_factor - settings.routing.equal_wait
     better = [
@@ -162,7 +171,7 @@
         if entry.shard != permit.shard
         and not _is_denied(request, entry.shard, now)
         and not is_avoided(state.routing, entry.shard, now)
-        and compute_wait(state.routing, entry.shard, now) < limit
+        and compute_reported_wait(state.routing, entry.shard, now) < limit
     ]
     return choose_shard(
         state.routing, better, now, state.random, request.prefix, request.prefix_tokens
--- a/marjorambridge/requests/claims.py
+++ b/marjorambridge/requests/claims.py
@@ -8,13 +8,13 @@
     ClaimWanted,
 )
 from marjorambridge.claims.messages import RESULT_UNKNOWN, ClaimStatus, RecordedAnswer
-from marjorambridge.core.effects import Effect, Publish, SetTimer
+from marjorambridge.core.effects import Effect, Publish
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 from marjorambridge.requests.asking import ask_somewhere
 from marjorambridge.requests.effects import ForwardChunk, ForwardHeaders
 from marjorambridge.requests.endings import deliver_answer, describe_unreleased, finish_request
 from marjorambridge.requests.events import RequestArrived
-from marjorambridge.requests.permits import create_wait_timer
+from marjorambridge.requests.permits import set_wait
 from marjorambridge.requests.state import (
     Phase,
     Request,
@@ -115,7 +115,7 @@
     give_up_at = now + state.settings.claim_keep_trying
     wait_until = min(request.deadline, now + state.settings.settle_wait)
     return [
-        SetTimer(create_wait_timer(request), wait_until),
+        set_wait(request, wait_until),
         Publish(ClaimCompletionWanted(now, request.claim, answer, give_up_at)),
     ]
 
--- a/marjorambridge/requests/deadlines.py
+++ b/marjorambridge/requests/deadlines.py
@@ -33,6 +33,8 @@
 
 def handle_wait(state: RequestsState, request: Request, now: float) -> list[Effect]:
     """Go on after the time that a request waits in its phase."""
+    if now < request.wait_until:
+        return []
     if request.phase is Phase.ASKING:
         return renew_ask(state, request, now)
     if request.phase is Phase.BACKOFF:
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -2,12 +2,12 @@
 
 from marjorambridge.claims.events import ClaimCompletionWanted, ClaimReleaseWanted
 from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
-from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, SetTimer
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish
 from marjorambridge.core.identity import TimerKey
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import Drained
-from marjorambridge.requests.permits import create_wait_timer, drop_permit
+from marjorambridge.requests.permits import create_wait_timer, drop_permit, set_wait
 from marjorambridge.requests.quotas import return_quota
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
@@ -104,7 +104,7 @@
     request.pending = outcome
     wait_until = min(request.deadline, now + state.settings.settle_wait)
     release = ClaimReleaseWanted(now, request.claim, now + state.settings.claim_keep_trying)
-    return [*effects, SetTimer(create_wait_timer(request), wait_until), Publish(release)]
+    return [*effects, set_wait(request, wait_until), Publish(release)]
 
 
 def end_request(
--- a/marjorambridge/requests/permits.py
+++ b/marjorambridge/requests/permits.py
@@ -15,6 +15,12 @@
     return TimerKey("requests", "wait", request.ident)
 
 
+def set_wait(request: Request, at: float) -> Effect:
+    """Let a request wait until monotonic time `at`, in place of what it waited for before."""
+    request.wait_until = at
+    return SetTimer(create_wait_timer(request), at)
+
+
 def withdraw_permit(state: RequestsState, request: Request) -> list[Effect]:
     """Cancel a permit that no attempt uses; a grant that is on its way is then void."""
     permit = request.permit
--- a/marjorambridge/requests/retries.py
+++ b/marjorambridge/requests/retries.py
@@ -26,7 +26,8 @@
     """Spend one retry, or return False if too many were spent in the last two windows."""
     _turn_window(budget, settings, now)
     earned = settings.retry_budget_ratio * (budget.admitted + budget.admitted_before)
-    if budget.retries + budget.retries_before >= max(settings.retry_budget_minimum, earned):
+    spent = budget.retries + budget.retries_before
+    if spent + 1 > max(settings.retry_budget_minimum, earned):
         return False
     budget.retries += 1
     return True
--- a/marjorambridge/requests/state.py
+++ b/marjorambridge/requests/state.py
@@ -107,6 +107,8 @@
 
     Attributes
     ----------
+    wait_until : float
+        When the wait timer is due; a timer that was replaced may still fire, and is ignored.
     attempts : int
         Attempts of which a byte may have gone to an endpoint; an attempt that ended as
         ``NOT_SENT`` does not count.
@@ -139,11 +141,13 @@
     prefix: tuple[bytes, ...]
     prefix_tokens: tuple[int, ...]
     phase: Phase = Phase.ASKING
+    wait_until: float = 0.0
     permit: Permit | None = None
     claim: AttemptId | None = None
     denials: dict[str, Denial] = field(default_factory=dict)
     exclude: list[str] = field(default_factory=list)
     tries: int = 0
+    moves: int = 0
     attempts: int = 0
     may_have_run: bool = False
     cursor: int = 0
--- a/marjorambridge/routing/summaries.py
+++ b/marjorambridge/routing/summaries.py
@@ -29,6 +29,14 @@
     return seen.summary.expected_wait * left if left > 0.0 else 0.0
 
 
+def compute_reported_wait(routing: RoutingState, shard: str, now: float) -> float:
+    """Return the expected wait in seconds by the last summary, unfaded until the horizon."""
+    seen = routing.summaries.get(shard)
+    if seen is None or now - seen.at >= routing.settings.summary_horizon:
+        return 0.0
+    return seen.summary.expected_wait
+
+
 def is_avoided(routing: RoutingState, shard: str, now: float) -> bool:
     """Tell whether a shard refused lately or reported that no endpoint accepts work."""
     if routing.avoid_until.get(shard, now) > now:
