--- a/tests/requests/test_machine.py
+++ b/tests/requests/test_machine.py
@@ -4,6 +4,8 @@
 notice a blind retry, a missing cursor and a "not run" before the claim is released.
 """
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -13,12 +15,7 @@
 from marjorambridge.claims.messages import ClaimStatus
 from marjorambridge.core import outcomes as oc
 from marjorambridge.core.effects import SendMessage
-from marjorambridge.core.events import (
-    ConfigurationApplied,
-    FreshnessChanged,
-    ShutdownRequested,
-    ViewApplied,
-)
+from marjorambridge.core.events import FreshnessChanged, ShutdownRequested, ViewApplied
 from marjorambridge.limits import messages as lm
 from marjorambridge.requests import asking, attempts, deadlines, endings
 from marjorambridge.requests import effects as fx
@@ -28,24 +25,8 @@
 
 TEXT = "ગેરુ grade 7, lot 12".encode()
 TOKENS = [TEXT[:1], TEXT[1:3], *(TEXT[i : i + 1] for i in range(3, len(TEXT)))]
-ENDS = [ev.AttemptEnd.CUT, ev.AttemptEnd.SERVER_ERROR, ev.AttemptEnd.TIMED_OUT]
-
-
-class Call:
-    """Say what is true of one caller's request."""
-
-    def __init__(self, service, deadline, key):
-        self.service, self.deadline, self.key = service, deadline, key
-        self.got, self.tokens, self.outcome = b"", 0, None
-        self.claim, self.released = None, False
-
-
-class Attempt:
-    """Say what is true of one attempt; `ran` stays true unless the endpoint refused it."""
-
-    def __init__(self, effect, call):
-        self.effect, self.call = effect, call
-        self.phase, self.ran, self.next = "handed", False, effect.resume_from
+End = ev.AttemptEnd
+ENDS = [End.COMPLETE, End.COMPLETE, End.CUT, End.SERVER_ERROR, End.TIMED_OUT]
 
 
 class Machine(RuleBasedStateMachine):
@@ -53,9 +34,9 @@
         super().__init__()
         self.h = hs.build_harness(retry_budget_minimum=50, unready_grace=0.5, drain_deadline=3.0)
         self.h.watch = self.watch
-        self.failed = False
         self.calls, self.attempts, self.asks = {}, {}, []
         self.claims, self.keys, self.out, self.fresh_until = {}, {}, (), 1e6
+        self.failed = False
 
     def watch(self, effect):
         self.failed, failed = True, self.failed
@@ -64,30 +45,20 @@
 
     def check(self, effect):
         """Compare one effect with what is true."""
-        now = self.h.now
-        event = getattr(effect, "event", None)
+        now, event = self.h.now, getattr(effect, "event", None)
         if isinstance(effect, SendMessage) and isinstance(effect.message, lm.PermitRequest):
             assert now < self.fresh_until
             assert effect.message.shard.split("/")[1] not in self.out
             self.asks.append((effect.to, effect.message))
         elif isinstance(event, ce.ClaimWanted):
-            call = next(c for c in reversed(self.calls.values()) if c.service == "app")
+            call = list(self.calls.values())[-1]
             call.claim = event.claim
             self.claims[event.claim] = (call, event.key)
         elif isinstance(event, ce.ClaimReleaseWanted):
             call, _ = self.claims[event.claim]
             assert not self.has_run(call), "a claim of a call that may have run was released"
         elif isinstance(effect, fx.StartAttempt):
-            call = self.calls[effect.request]
-            others = [a for a in self.attempts.values() if a.call is call]
-            assert call.outcome is None and now < min(call.deadline, effect.start_by)
-            assert now < self.fresh_until and effect.start_by <= now + 0.7
-            assert all(a.phase in ("cancelled", "ended") for a in others), "two at once"
-            assert effect.resume_from == call.tokens
-            if call.service == "app":
-                assert not self.has_run(call), "a call was sent twice"
-                assert self.keys.get(call.key) is call.claim
-            self.attempts[effect.attempt] = Attempt(effect, call)
+            self.check_start(effect, self.calls[effect.request], now)
         elif isinstance(effect, fx.CancelAttempt):
             self.attempts[effect.attempt].phase = "cancelled"
         elif isinstance(effect, fx.ForwardChunk):
@@ -97,29 +68,42 @@
             call.tokens += effect.count
             assert TEXT.startswith(call.got), "the text is not a prefix of the answer"
         elif isinstance(effect, fx.FinishRequest):
-            self.check_finish(effect, now)
-
-    def check_finish(self, effect, now):
-        call = self.calls[effect.request]
+            self.check_finish(effect, self.calls[effect.request], now)
+
+    def check_start(self, effect, call, now):
+        others = self.list_attempts(call)
+        assert call.outcome is None and now < min(call.deadline, effect.start_by, self.fresh_until)
+        assert effect.start_by <= now + 0.7 and effect.resume_from == call.tokens
+        assert all(a.phase in ("cancelled", "ended", "unsent") for a in others), "two at once"
+        if call.service == "app":
+            assert not self.has_run(call), "a call was sent twice"
+            assert self.keys.get(call.key) is call.claim
+        self.attempts[effect.attempt] = SimpleNamespace(
+            effect=effect, call=call, phase="handed", ran=False, next=effect.resume_from
+        )
+
+    def check_finish(self, effect, call, now):
         assert call.outcome is None, "two final outcomes"
         call.outcome = effect.outcome
         assert now <= call.deadline
         if isinstance(call.outcome, oc.Done):
             assert call.got == TEXT or call.gone, "an incomplete answer was called done"
         elif isinstance(call.outcome, oc.NotRun):
-            handed = [a for a in self.attempts.values() if a.call is call]
-            assert not any(a.phase != "unsent" and a.counted for a in handed), "not run is false"
-            mismatch = call.outcome.reason is oc.Reason.CLAIM_MISMATCH
-            assert call.claim is None or call.released or mismatch, "the claim still stands"
+            assert all(a.phase == "unsent" for a in self.list_attempts(call)), "not run is false"
+            assert call.claim is None or call.released, "the claim still stands"
         elif isinstance(call.outcome, oc.Failed) and call.service == "app":
             assert not self.has_run(call), "a call that may have run was called repeatable"
 
+    def list_attempts(self, call):
+        return [a for a in self.attempts.values() if a.call is call]
+
     def has_run(self, call):
-        return any(a.ran for a in self.attempts.values() if a.call is call)
+        return any(a.ran for a in self.list_attempts(call))
 
     def pick(self, items, data):
-        return data.draw(st.sampled_from(items[-6:]))
+        return data.draw(st.sampled_from(list(items)[-6:]))
 
+    @precondition(lambda self: len(self.h.state.requests) < 4)
     @rule(
         service=st.sampled_from(["model", "app"]),
         timeout=st.sampled_from([30.0, 3.0, 0.6]),
@@ -127,153 +111,146 @@
     )
     def arrive(self, service, timeout, key):
         ident = f"r{len(self.calls)}"
-        call = self.calls[ident] = Call(service, self.h.now + timeout, key)
-        call.gone = False
+        call = SimpleNamespace(service=service, deadline=self.h.now + timeout, key=key)
+        call.got, call.tokens, call.outcome, call.gone = b"", 0, None, False
+        call.claim, call.released = None, False
+        self.calls[ident] = call
         hs.arrive(self.h, ident, service=service, timeout=timeout, idempotency_key=key)
 
     @precondition(lambda self: self.asks)
     @rule(
         data=st.data(),
-        kind=st.sampled_from(["grant", "grant", "grant", "deny", "queue", "revoke"]),
-        reason=st.sampled_from(list(lm.DenialReason)),
+        kind=st.sampled_from(["grant", "grant", "deny", "queue", "revoke"]),
         seconds=st.sampled_from([0.0, 0.3, 4.0]),
     )
-    def answer(self, data, kind, reason, seconds):
-        owner, ask = self.pick(self.asks, data)
-        summary = lm.ShardSummary(ask.shard, 3, expected_wait=seconds)
-        if kind == "grant":
-            hs.grant(self.h, owner, ask)
-        elif kind == "deny":
-            denied = lm.PermitDenied(ask.permit, ask.shard, reason, seconds, summary)
-            hs.reply(self.h, owner, denied)
+    def answer(self, data, kind, seconds):
+        asked = self.pick(self.asks, data)
+        if kind == "deny":
+            reason = data.draw(st.sampled_from(lm.DenialReason))
+            hs.deny(self.h, reason, seconds, asked)
         elif kind == "queue":
-            queued = lm.PermitQueued(ask.permit, ask.ask, ask.shard, seconds, summary)
-            hs.reply(self.h, owner, queued)
+            hs.queue(self.h, seconds, asked)
         else:
-            hs.reply(self.h, owner, lm.PermitRevoked(ask.permit, ask.shard))
+            (hs.grant if kind == "grant" else hs.revoke)(self.h, *asked)
 
     @precondition(lambda self: self.h.state.requests)
-    @rule(data=st.data(), steps=st.integers(1, 9), count=st.integers(1, 9))
-    def proceed(self, data, steps, count):
-        """Let one request make the progress that it waits for."""
-        ident = self.pick(list(self.h.state.requests), data)
+    @rule(
+        data=st.data(),
+        steps=st.integers(1, 9),
+        count=st.integers(1, 9),
+        fault=st.sampled_from(["none", "lose", "cut"]),
+    )
+    def proceed(self, data, steps, count, fault):
+        """Let one request make the progress that it waits for, perhaps up to a fault."""
+        ident = self.pick(self.h.state.requests, data)
         while steps and ident in self.h.state.requests:
             self.proceed_once(self.h.state.requests[ident], count)
             steps -= 1
+        for attempt in [a for a in self.attempts.values() if a.phase == "running"][-1:]:
+            if fault == "cut":
+                self.end(attempt, End.CUT)
+            elif fault == "lose":
+                self.send(attempt, attempt.next, count, lost=True)
 
     def proceed_once(self, request, count):
         if request.phase == "claiming":
-            self.decide_claim(request.claim, True)
+            self.decide(request.claim, True)
         elif request.phase == "asking":
-            hs.grant(
-                self.h, *next(a for a in self.asks[::-1] if a[1].permit == request.permit.ident)
-            )
+            permit = request.permit.ident
+            hs.grant(self.h, *[asked for asked in self.asks if asked[1].permit == permit][-1])
         elif request.phase == "running":
             attempt = self.attempts[request.permit.ident]
             if attempt.phase == "handed":
-                self.write_first(attempt, True)
+                self.write(attempt, True)
             elif attempt.next < len(TOKENS):
                 self.send(attempt, attempt.next, count)
             else:
-                self.end(attempt, ev.AttemptEnd.COMPLETE)
+                self.end(attempt, End.COMPLETE)
         elif request.phase in ("recording", "releasing"):
-            self.settle_claim(request.claim, request.phase == "releasing", True)
+            self.settle(request.claim, request.phase == "releasing", True)
         elif request.phase == "stale":
             self.poll(1e6)
         else:
             hs.advance(self.h, 0.05)
 
     @precondition(lambda self: self.attempts)
-    @rule(data=st.data(), reachable=st.booleans())
-    def write(self, data, reachable):
-        self.write_first(self.pick(list(self.attempts.values()), data), reachable)
-
-    def write_first(self, attempt, reachable):
+    @rule(
+        data=st.data(),
+        kind=st.sampled_from(["write", "unreachable", "send", "lose", "end", "refuse"]),
+        back=st.integers(0, 3),
+        count=st.integers(1, 9),
+    )
+    def act(self, data, kind, back, count):
+        """Let an attempt go on; one that was cancelled may still deliver."""
+        attempt = self.pick(self.attempts.values(), data)
+        if kind in ("write", "unreachable"):
+            self.write(attempt, kind == "write")
+        elif not attempt.ran or attempt.phase == "ended":
+            return
+        elif kind == "end":
+            end = data.draw(st.sampled_from(ENDS))
+            if end is End.COMPLETE:
+                self.send(attempt, attempt.next, len(TOKENS))
+            for _ in range(1 + back // 3):
+                self.end(attempt, end)
+        elif kind != "refuse":
+            self.send(attempt, max(0, attempt.next - back), count, kind == "lose")
+        elif attempt.phase == "running" and attempt.next == attempt.effect.resume_from:
+            attempt.ran = False
+            self.end(attempt, End.REFUSED)
+
+    def write(self, attempt, reachable):
         """Let the driver write the first byte, unless it is too late or nobody listens."""
+        ident = attempt.effect.attempt
         if attempt.phase != "handed":
             return
         if self.h.now >= attempt.effect.start_by or not reachable:
-            attempt.phase, attempt.counted = "ended", False
-            hs.end(self.h, attempt.effect.attempt, ev.AttemptEnd.NOT_SENT)
+            attempt.phase = "unsent"
+            hs.end(self.h, ident, End.NOT_SENT)
             return
         attempt.phase, attempt.ran = "running", True
-        hs.feed(self.h, ev.AttemptStarted(self.h.now, attempt.effect.attempt))
-        hs.feed(self.h, ev.AttemptHeaders(self.h.now, attempt.effect.attempt, 200))
-
-    @precondition(lambda self: self.attempts)
-    @rule(data=st.data(), back=st.integers(0, 3), count=st.integers(1, 9), lost=st.booleans())
-    def stream(self, data, back, count, lost):
-        """Deliver tokens, perhaps some again; what an abandoned attempt sends comes too."""
-        attempt = self.pick(list(self.attempts.values()), data)
-        if attempt.phase in ("handed", "ended") or not attempt.ran:
-            return
-        self.send(attempt, max(0, attempt.next - back), count, lost)
+        hs.feed(self.h, ev.AttemptStarted(self.h.now, ident))
+        hs.feed(self.h, ev.AttemptHeaders(self.h.now, ident, 200))
 
     def send(self, attempt, first, count, lost=False):
         tokens = TOKENS[first : first + count]
         attempt.next = max(attempt.next, first + len(tokens))
         if lost and attempt.call.service == "model" or not tokens:
             return
-        ident, body = attempt.effect.attempt, b"".join(tokens)
+        ident, body, ends = attempt.effect.attempt, b"".join(tokens), ()
         if attempt.call.service == "app":
-            first = len(b"".join(TOKENS[:first]))
-            chunk = ev.AttemptChunk(self.h.now, ident, first, len(body), body)
+            first, count = len(b"".join(TOKENS[:first])), len(body)
         else:
-            ends = tuple(len(b"".join(tokens[: n + 1])) for n in range(len(tokens)))
-            chunk = ev.AttemptChunk(self.h.now, ident, first, len(tokens), body, ends)
-        hs.feed(self.h, chunk)
-
-    @precondition(lambda self: self.attempts)
-    @rule(data=st.data(), whole=st.booleans(), kind=st.sampled_from(ENDS), twice=st.booleans())
-    def finish(self, data, whole, kind, twice):
-        attempt = self.pick(list(self.attempts.values()), data)
-        if attempt.phase not in ("running", "cancelled") or not attempt.ran:
-            return
-        if whole:
-            self.send(attempt, attempt.next, len(TOKENS))
-            kind = ev.AttemptEnd.COMPLETE
-        for _ in range(1 + twice):
-            self.end(attempt, kind)
+            count = len(tokens)
+            ends = tuple(len(b"".join(tokens[: n + 1])) for n in range(count))
+        hs.feed(self.h, ev.AttemptChunk(self.h.now, ident, first, count, body, ends))
 
     def end(self, attempt, kind):
         attempt.phase = "ended" if attempt.phase == "running" else attempt.phase
-        usage = {"completion_tokens": len(TOKENS)} if kind is ev.AttemptEnd.COMPLETE else {}
+        usage = {"completion_tokens": len(TOKENS)} if kind is End.COMPLETE else {}
         hs.end(self.h, attempt.effect.attempt, kind, usage=usage)
 
-    @precondition(lambda self: self.attempts)
-    @rule(data=st.data())
-    def refuse(self, data):
-        attempt = self.pick(list(self.attempts.values()), data)
-        if attempt.phase == "running" and attempt.next == attempt.effect.resume_from:
-            attempt.phase, attempt.ran = "ended", False
-            hs.end(self.h, attempt.effect.attempt, ev.AttemptEnd.REFUSED)
-
     @precondition(lambda self: self.claims)
-    @rule(data=st.data(), available=st.sampled_from([True, True, True, False]))
-    def decide(self, data, available):
-        self.decide_claim(self.pick(list(self.claims), data), available)
+    @rule(data=st.data(), kind=st.sampled_from(["decide", "unavailable", "settle", "fail"]))
+    def answer_claim(self, data, kind):
+        wanted = hs.find(self.h.effects, ce.ClaimReleaseWanted | ce.ClaimCompletionWanted)
+        if kind in ("decide", "unavailable"):
+            self.decide(self.pick(self.claims, data), kind == "decide")
+        elif wanted:
+            event = self.pick(wanted, data)
+            self.settle(event.claim, isinstance(event, ce.ClaimReleaseWanted), kind == "settle")
 
-    def decide_claim(self, claim, available):
+    def decide(self, claim, available):
         """Answer as a claims group would that keeps one claim for each key."""
         call, key = self.claims[claim]
-        holder = self.keys.get(key)
         status = ClaimStatus.IN_PROGRESS
         if call.released or not available:
             status = ClaimStatus.UNAVAILABLE
-        elif holder in (None, claim):
-            self.keys[key], status = claim, ClaimStatus.GRANTED
+        elif self.keys.setdefault(key, claim) is claim:
+            status = ClaimStatus.GRANTED
         hs.feed(self.h, ce.ClaimDecided(self.h.now, claim, status))
 
-    @precondition(lambda self: self.claims)
-    @rule(data=st.data(), committed=st.booleans())
-    def settle(self, data, committed):
-        wanted = hs.find(self.h.effects, ce.ClaimReleaseWanted | ce.ClaimCompletionWanted)
-        if wanted:
-            event = self.pick(wanted, data)
-            release = isinstance(event, ce.ClaimReleaseWanted)
-            self.settle_claim(event.claim, release, committed)
-
-    def settle_claim(self, claim, release, committed):
+    def settle(self, claim, release, committed):
         call, key = self.claims[claim]
         if committed and release:
             call.released = True
@@ -284,6 +261,8 @@
     @rule(seconds=st.sampled_from([0.0, 0.05, 0.25, 0.6, 2.0]))
     def wait(self, seconds):
         hs.advance(self.h, seconds)
+        if self.h.now >= self.fresh_until:
+            self.poll(1.8)
 
     def poll(self, seconds):
         self.fresh_until = self.h.now + seconds
@@ -297,11 +276,11 @@
             self.poll(-1.0 if kind == "stale" else 1.8)
         elif kind in ("out", "in"):
             self.out = ("z1",) if kind == "out" else ()
-            hs.feed(self.h, ConfigurationApplied(self.h.now, 2, hs.build_configuration(self.out)))
+            hs.configure(self.h, hs.build_configuration(self.out))
             view = hs.build_view("h0", data.draw(st.sampled_from(["h1", "h2"])))
             hs.feed(self.h, ViewApplied(self.h.now, 2, view))
         elif kind == "gone":
-            ident = self.pick(list(self.calls), data)
+            ident = self.pick(self.calls, data)
             self.calls[ident].gone = True
             hs.feed(self.h, ev.CallerGone(self.h.now, ident))
         elif len(self.calls) > 6:
@@ -318,19 +297,12 @@
         assert len(hs.find(self.h.effects, ev.Drained)) == (state.shutdown is not None)
 
 
-Attempt.counted = True
-SETTINGS = settings(max_examples=150, stateful_step_count=60)
-FINDING = settings(max_examples=1000, stateful_step_count=60, phases=[Phase.generate])
-
-
 def test_every_request_ends_once_truly_and_in_time():
-    run_state_machine_as_test(Machine, settings=SETTINGS)
+    run_state_machine_as_test(Machine, settings=settings(max_examples=200, stateful_step_count=60))
 
 
 def retry_blindly(monkeypatch):
-    original = attempts.continue_elsewhere
-
-    def continue_anyway(state, request, *rest):
+    def continue_anyway(state, request, *rest, original=attempts.continue_elsewhere):
         request.may_have_run = False
         return original(state, request, *rest)
 
@@ -350,15 +322,16 @@
     monkeypatch.setattr(deadlines, "give_up", give_up)
 
 
-@pytest.mark.parametrize(
-    ("variant", "notice"),
-    [
-        (retry_blindly, "sent twice|may have run"),
-        (drop_cursor, "not a prefix|incomplete answer"),
-        (answer_before_release, "claim still stands"),
-    ],
-)
+VARIANTS = [
+    (retry_blindly, "sent twice|may have run"),
+    (drop_cursor, "not a prefix|incomplete answer"),
+    (answer_before_release, "claim still stands"),
+]
+
+
+@pytest.mark.parametrize(("variant", "notice"), VARIANTS)
 def test_the_account_notices_a_naive_variant(variant, notice, monkeypatch):
     variant(monkeypatch)
+    finding = settings(max_examples=1000, stateful_step_count=60, phases=[Phase.generate])
     with pytest.raises(AssertionError, match=notice):
-        run_state_machine_as_test(Machine, settings=FINDING)
+        run_state_machine_as_test(Machine, settings=finding)
