--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -1,6 +1,6 @@
 """Get a permit for a request from the owner of a shard, or find that none can be had."""
 
-from marjorambridge.core.effects import Effect, Measure, SendMessage
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, SendMessage
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.limits.messages import (
@@ -13,7 +13,13 @@
 )
 from marjorambridge.requests.effects import StartAttempt
 from marjorambridge.requests.endings import give_up
-from marjorambridge.requests.permits import set_wait, start_renewal, withdraw_permit
+from marjorambridge.requests.permits import (
+    create_wait_timer,
+    forget_permit,
+    set_wait,
+    start_renewal,
+    withdraw_permit,
+)
 from marjorambridge.requests.retries import compute_backoff
 from marjorambridge.requests.state import (
     Denial,
@@ -187,7 +193,11 @@
 ) -> list[Effect]:
     """Turn to another shard after a denial, or after silence if `reason` is None."""
     shard = request.permit.shard
-    effects = withdraw_permit(state, request)
+    effects: list[Effect] = []
+    if reason is None:
+        effects = withdraw_permit(state, request)
+    else:
+        forget_permit(state, request)  # Nothing is reserved, so nothing needs to be cancelled.
     delay = max(
         retry_after,
         MIN_DENIAL_SECONDS,
@@ -307,6 +317,7 @@
         timeout=request.deadline - now,
     )
     return [
+        CancelTimer(create_wait_timer(request)),
         start,
         *start_renewal(state, now),
         Measure("permit_wait_seconds", now - permit.asked_at, {"class": message.priority}),
--- a/marjorambridge/requests/attempts.py
+++ b/marjorambridge/requests/attempts.py
@@ -67,9 +67,9 @@
     permit = request.permit
     if permit.first_token_seconds < 0.0:
         permit.first_token_seconds = event.now - permit.started_at
-        effects.append(
-            Measure("first_token_seconds", event.now - request.arrived_at, {"kind": request.kind})
-        )
+        if request.cursor == 0 and not request.holding:
+            waited = event.now - request.arrived_at
+            effects.append(Measure("first_token_seconds", waited, {"kind": request.kind}))
     if request.kind is ServiceKind.ENGINE and request.holding:
         return effects  # The body of an error; the end event has its message.
     cursor = request.cursor
@@ -111,7 +111,8 @@
     end = event.end
     if end is AttemptEnd.NOT_SENT and not request.permit.started:
         return _handle_not_sent(state, request, now)
-    if end is AttemptEnd.COMPLETE and event.usage.get("completion_tokens", 0) > request.cursor:
+    lost = event.usage.get("completion_tokens", 0) > request.cursor
+    if end is AttemptEnd.COMPLETE and (lost or request.status == 0):
         end = AttemptEnd.CUT
     if end is AttemptEnd.COMPLETE and request.kind is ServiceKind.ENGINE and request.holding:
         end = AttemptEnd.SERVER_ERROR
--- a/marjorambridge/requests/claims.py
+++ b/marjorambridge/requests/claims.py
@@ -12,7 +12,12 @@
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 from marjorambridge.requests.asking import ask_somewhere
 from marjorambridge.requests.effects import ForwardChunk, ForwardHeaders
-from marjorambridge.requests.endings import deliver_answer, describe_unreleased, finish_request
+from marjorambridge.requests.endings import (
+    deliver_answer,
+    describe_unreleased,
+    expect_late_decision,
+    finish_request,
+)
 from marjorambridge.requests.events import RequestArrived
 from marjorambridge.requests.permits import set_wait
 from marjorambridge.requests.state import (
@@ -65,7 +70,7 @@
         if releasing:
             return []
         # The client releases the claim by itself, in case it was written.
-        state.late_claims[event.claim] = give_up_at
+        expect_late_decision(state, event.claim, event.now)
         _forget_claim(state, request)
         outcome = describe_unreleased(state, Reason.CLAIM_UNAVAILABLE)
         return finish_request(state, request, outcome, event.now)
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -3,7 +3,7 @@
 from marjorambridge.claims.events import ClaimCompletionWanted, ClaimReleaseWanted
 from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
 from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish
-from marjorambridge.core.identity import TimerKey
+from marjorambridge.core.identity import AttemptId, TimerKey
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import Drained
@@ -77,14 +77,19 @@
         answer = RecordedAnswer(RESULT_UNKNOWN, kept=False)
         return [Publish(ClaimCompletionWanted(now, request.claim, answer, give_up_at))]
     if request.phase is Phase.CLAIMING or request.pending is not None:
-        state.late_claims[request.claim] = give_up_at
-        for claim in [claim for claim, until in state.late_claims.items() if until <= now]:
-            del state.late_claims[claim]
+        expect_late_decision(state, request.claim, now)
     if request.phase in (Phase.RECORDING, Phase.RELEASING) or isinstance(outcome, Done):
         return []
     return [Publish(ClaimReleaseWanted(now, request.claim, give_up_at))]
 
 
+def expect_late_decision(state: RequestsState, claim: AttemptId, now: float) -> None:
+    """Release a claim if its decision still comes after its request was given up."""
+    state.late_claims[claim] = now + state.settings.claim_keep_trying
+    for old in [old for old, until in state.late_claims.items() if until <= now]:
+        del state.late_claims[old]
+
+
 def give_up(
     state: RequestsState,
     request: Request,
@@ -99,7 +104,7 @@
         return finish_request(state, request, outcome, now)
     effects = drop_permit(state, request, now)
     if request.phase is Phase.CLAIMING:
-        state.late_claims[request.claim] = now + state.settings.claim_keep_trying
+        expect_late_decision(state, request.claim, now)
     request.phase = Phase.RELEASING
     request.pending = outcome
     wait_until = min(request.deadline, now + state.settings.settle_wait)
--- a/marjorambridge/requests/permits.py
+++ b/marjorambridge/requests/permits.py
@@ -21,13 +21,19 @@
     return SetTimer(create_wait_timer(request), at)
 
 
+def forget_permit(state: RequestsState, request: Request) -> None:
+    """Make a permit void on this host; a grant that is on its way is cancelled when it comes."""
+    if request.permit is not None:
+        state.permits.pop(request.permit.ident, None)
+        request.permit = None
+
+
 def withdraw_permit(state: RequestsState, request: Request) -> list[Effect]:
-    """Cancel a permit that no attempt uses; a grant that is on its way is then void."""
+    """Cancel a permit that no attempt uses."""
     permit = request.permit
     if permit is None:
         return []
-    request.permit = None
-    state.permits.pop(permit.ident, None)
+    forget_permit(state, request)
     return [
         CancelTimer(create_wait_timer(request)),
         SendMessage(permit.owner, PermitCancel(permit.ident, permit.shard)),
@@ -50,8 +56,7 @@
     permit = request.permit
     if permit is None:
         return []
-    request.permit = None
-    state.permits.pop(permit.ident, None)
+    forget_permit(state, request)
     message = PermitRelease(
         permit=permit.ident,
         shard=permit.shard,
--- a/marjorambridge/routing/choice.py
+++ b/marjorambridge/routing/choice.py
@@ -33,24 +33,23 @@
 ) -> Candidate | None:
     """Return the best of a few candidates, or None if there is none.
 
-    Compared are two random shards, or one random shard and the one with prefix affinity, and one
-    that this host owns. Looking at two random ones spreads the load almost as well as looking at
-    all, and does not send every host to the same shard while summaries are old. The cost depends
-    on the shards of the service in the region, not on its endpoints.
+    Compared are two random shards, the one with prefix affinity, and one that this host owns;
+    a saved prefill counts as a shorter wait, and at equal waits the own shard wins. Looking at two
+    random ones spreads the load almost as well as looking at all, and does not send every host to
+    the same shard while summaries are old. The cost depends on the shards of the service in the
+    region, not on its endpoints.
     """
     usable = [entry for entry in candidates if not is_avoided(routing, entry.shard, now)]
     usable = usable or candidates
     if not usable:
         return None
     settings = routing.settings
-    compared = [usable[random.randrange(len(usable))]]
+    compared = random.sample(usable, min(2, len(usable)))
     favourite = _find_affine(settings.affinity_tokens, usable, prefix, prefix_tokens)
     bonus = 0.0
     if favourite is not None:
         compared.append(favourite[0])
         bonus = min(favourite[1] * settings.prefill_seconds_per_token, settings.affinity_max)
-    else:
-        compared.append(usable[random.randrange(len(usable))])
     own = [entry for entry in usable if entry.owner == routing.host]
     if own:
         compared.append(own[random.randrange(len(own))])
