Name the operation in ClaimAnswer and add events for the wall clock and the replicas

A late copy of the answer to a claim was indistinguishable from the confirmation of its release or completion, so a client could have taken a release for committed that was not. ClaimAnswer now names the operation it answers. The group leader needs wall time, which no event delivered, so WallClockRead is added; the client needs the hosts of the replicas (ClaimReplicasChanged). A body that is too long to keep leaves its digest in RecordedAnswer. No behaviour yet.

--- a/marjorambridge/claims/events.py
+++ b/marjorambridge/claims/events.py
@@ -61,3 +61,21 @@
 
     claim: AttemptId
     committed: bool
+
+
+@dataclass(slots=True)
+class WallClockRead(Event):
+    """Deliver the host's wall-clock time, in seconds since the epoch, as of `now`.
+
+    The leader of a claims group computes the wall time of its entries from the last reading and
+    the monotonic time that has passed since.
+    """
+
+    wall: float
+
+
+@dataclass(slots=True)
+class ClaimReplicasChanged(Event):
+    """Tell the claims client which hosts have replicas of the claims groups."""
+
+    hosts: tuple[str, ...]
--- a/marjorambridge/claims/messages.py
+++ b/marjorambridge/claims/messages.py
@@ -8,12 +8,21 @@
 
 @dataclass(slots=True)
 class RecordedAnswer:
-    """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long."""
+    """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; 0 if only the tombstone of the call is left.
+    digest : str
+        Hexadecimal digest of a body that was too long to keep, else empty.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     kept: bool = True
+    digest: str = ""
 
 
 class ClaimStatus(StrEnum):
@@ -28,6 +37,14 @@
     UNAVAILABLE = "unavailable"
 
 
+class ClaimOperation(StrEnum):
+    """Name the message that a `ClaimAnswer` answers."""
+
+    CLAIM = "claim"
+    COMPLETE = "complete"
+    RELEASE = "release"
+
+
 @dataclass(slots=True)
 class ClaimRequest:
     """Claim a call before its first byte is sent.
@@ -77,9 +94,13 @@
         ``GRANTED`` also confirms a completion or a release.
     leader : str
         For ``UNAVAILABLE``: host to ask instead; empty if unknown.
+    operation : ClaimOperation
+        Message that is answered. Without it, a late answer to a claim would pass for the
+        confirmation of its release or completion.
     """
 
     claim: AttemptId
     status: ClaimStatus
     answer: RecordedAnswer | None = None
     leader: str = ""
+    operation: ClaimOperation = ClaimOperation.CLAIM
--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -38,6 +38,25 @@
 CLAIM_TOMBSTONE_SECONDS = 30 * 24 * 3600.0
 CLAIM_ANSWER_BYTES = 64 * 1024
 REQUIRE_DATED_KEYS = False
+# A refused or released claim is remembered this long, so that a late copy of its request is not
+# granted. A copy that arrives later still can block its key, but it cannot cause a second run.
+CLAIM_MARKER_SECONDS = 3600.0
+# A key that is dated further ahead than this counts as undated.
+CLAIM_KEY_SKEW_SECONDS = 24 * 3600.0
+# New claims are refused while a group's state is larger than this.
+CLAIM_STATE_BYTES = 64 * 1024 * 1024
+CLAIM_BATCH_COMMANDS = 256
+CLAIM_BATCH_BYTES = 256 * 1024
+CLAIM_BATCH_SECONDS = 0.002
+CLAIM_PROPOSAL_SECONDS = 1.0
+CLAIM_UPKEEP_SECONDS = 1.0
+# The leader's view may lag by FRESHNESS_SECONDS, so a claimant that is not in it yet is not
+# reported as lost before this time.
+CLAIMANT_GRACE_SECONDS = 2.0
+CLAIM_RESEND_SECONDS = 0.3
+CLAIM_RETRY_SECONDS = 0.05
+CLAIM_BACKGROUND_SECONDS = 600.0
+CLAIM_BACKGROUND_CALLS = 10_000
 
 # Replicated log.
 HEARTBEAT_SECONDS = 0.1
