Add the replicated state machine of a claims group

Calls that may run at most once need one decision per key that all replicas agree on. The state machine applies batches of claims, completions, releases and host marks; its time is the largest wall time in an entry, and the settings that decide answers are part of the log. A horizon that never runs backwards decides which dated keys are expired. Refused and released claims are marked, so that a late copy is not granted to nobody.

--- /dev/null
+++ b/marjorambridge/claims/commands.py
@@ -0,0 +1,108 @@
+"""Define and encode the commands in the log of a claims group."""
+
+from typing import Annotated
+
+import msgspec
+
+from marjorambridge.claims.exceptions import ClaimEntryError
+from marjorambridge.conf import defaults
+
+KeyDigest = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
+FingerprintDigest = Annotated[bytes, msgspec.Meta(min_length=8, max_length=8)]
+
+
+class Claim(msgspec.Struct, tag="c", array_like=True, frozen=True):
+    """Claim a key; `date` is the time in the key in seconds since the epoch, 0 if it has none."""
+
+    digest: KeyDigest
+    fingerprint: FingerprintDigest
+    date: float
+    host: str
+    incarnation: int
+    number: int
+
+
+class Complete(msgspec.Struct, tag="d", array_like=True, frozen=True):
+    """Record the encoded answer of a claimed call."""
+
+    digest: KeyDigest
+    host: str
+    incarnation: int
+    number: int
+    answer: bytes
+
+
+class Release(msgspec.Struct, tag="r", array_like=True, frozen=True):
+    """Give a claim back."""
+
+    digest: KeyDigest
+    host: str
+    incarnation: int
+    number: int
+
+
+class MarkHosts(msgspec.Struct, tag="h", array_like=True, frozen=True):
+    """Mark host processes, as (host, incarnation), as lost or as live again."""
+
+    lost: tuple[tuple[str, int], ...]
+    live: tuple[tuple[str, int], ...]
+
+
+Command = Claim | Complete | Release | MarkHosts
+
+
+class Policy(msgspec.Struct, array_like=True, frozen=True):
+    """Hold the settings that decide answers.
+
+    They are part of the log, because replicas with different settings would otherwise reach
+    different states.
+    """
+
+    answer_seconds: float = defaults.CLAIM_ANSWER_SECONDS
+    tombstone_seconds: float = defaults.CLAIM_TOMBSTONE_SECONDS
+    marker_seconds: float = defaults.CLAIM_MARKER_SECONDS
+    key_skew_seconds: float = defaults.CLAIM_KEY_SKEW_SECONDS
+    state_bytes: int = defaults.CLAIM_STATE_BYTES
+    require_dated_keys: bool = defaults.REQUIRE_DATED_KEYS
+
+
+class Batch(msgspec.Struct, array_like=True, frozen=True):
+    """Hold the commands of one log entry; without commands, the entry only advances the time.
+
+    Attributes
+    ----------
+    wall : float
+        Wall-clock time of the leader in seconds since the epoch.
+    policy : Policy or None
+        New policy; None to keep the present one.
+    """
+
+    wall: float
+    commands: tuple[Command, ...]
+    policy: Policy | None = None
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Batch)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the log payload of a batch."""
+    return _ENCODER.encode(batch)
+
+
+def decode_batch(payload: bytes) -> Batch:
+    """Decode a log payload.
+
+    Raises
+    ------
+    ClaimEntryError
+        If the payload is not an encoded `Batch`.
+    """
+    try:
+        return _DECODER.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ClaimEntryError(
+            f"a log entry of a claims group is malformed ({error}); "
+            "check that all replicas run the same version"
+        ) from error
--- /dev/null
+++ b/marjorambridge/claims/state_machine.py
@@ -0,0 +1,541 @@
+"""Apply committed entries to the state of one claims group.
+
+Everything here depends only on the entries, so that all replicas reach the same state. The time
+is the largest wall time in an entry so far.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from marjorambridge.claims.commands import (
+    Claim,
+    Complete,
+    KeyDigest,
+    MarkHosts,
+    Policy,
+    Release,
+    decode_batch,
+)
+from marjorambridge.claims.digests import (
+    HOUR_SECONDS,
+    PARTITIONS,
+    RECORD_BYTES,
+    DigestTable,
+    add_digest,
+    compute_claim_digest,
+    has_digest,
+    sweep_digests,
+)
+from marjorambridge.claims.exceptions import ClaimEntryError, ClaimSnapshotError
+from marjorambridge.claims.messages import ClaimOperation, ClaimStatus, RecordedAnswer
+from marjorambridge.core.identity import AttemptId
+
+# Memory besides the data itself, as measured by benchmarks/claims_cost.py, rounded up.
+ANSWER_OVERHEAD_BYTES = 350
+OPEN_BYTES = 500
+# Answers that may expire in one entry besides one per command, and partitions of digests that
+# are cleaned in one entry, so that no entry takes long.
+SWEEP_RECORDS = 256
+SWEEP_PARTITIONS = 8
+
+Claimant = tuple[str, int]
+
+
+@dataclass(slots=True)
+class OpenClaim:
+    """Describe a claim that is neither completed nor released.
+
+    Attributes
+    ----------
+    date : float
+        Time in the key in seconds since the epoch; 0 if it has none.
+    claimed : float
+        Time of the claim in seconds since the epoch.
+    """
+
+    fingerprint: bytes
+    claim: AttemptId
+    date: float
+    claimed: float
+
+
+@dataclass(slots=True)
+class ClaimantState:
+    """Count the open claims of one host process, and tell whether it is marked as lost."""
+
+    open: int
+    lost: bool
+    since: float
+
+
+class CompletedClaim(msgspec.Struct, array_like=True, frozen=True):
+    """Hold a completed claim in its encoded form; `hour` is the one that its tombstone gets."""
+
+    fingerprint: bytes
+    hour: int
+    host: str
+    incarnation: int
+    number: int
+    answer: bytes
+
+
+@dataclass(slots=True)
+class GroupMachine:
+    """Hold the replicated state of a claims group.
+
+    Attributes
+    ----------
+    wall : float
+        Largest wall time in an entry, in seconds since the epoch.
+    horizon : float
+        Time before which tombstones are forgotten. It never runs backwards, so that a key which
+        may have been forgotten stays expired after the tombstone time is made longer.
+    open : dict
+        Open claims by key digest, oldest first.
+    open_hour : int
+        Hour of the horizon at the last complete search for old open claims.
+    claimants : dict
+        Host processes with open claims.
+    answers : dict
+        Encoded `CompletedClaim` by key digest.
+    answer_hours : dict
+        Digests of `answers` by the hour of completion.
+    tombstones : DigestTable
+        Keys of completed calls whose answers are no longer kept.
+    markers : DigestTable
+        Claims that were refused or released and must not be granted any more.
+    """
+
+    policy: Policy = field(default_factory=Policy)
+    wall: float = 0.0
+    horizon: float = 0.0
+    open: dict[bytes, OpenClaim] = field(default_factory=dict)
+    open_hour: int = 0
+    claimants: dict[Claimant, ClaimantState] = field(default_factory=dict)
+    answers: dict[bytes, bytes] = field(default_factory=dict)
+    answer_bytes: int = 0
+    answer_hours: dict[int, list[bytes]] = field(default_factory=dict)
+    tombstones: DigestTable = field(default_factory=DigestTable)
+    markers: DigestTable = field(default_factory=DigestTable)
+
+
+@dataclass(slots=True)
+class CommandResult:
+    """Tell what an entry decided about one claim."""
+
+    operation: ClaimOperation
+    claim: AttemptId
+    status: ClaimStatus
+    answer: bytes | None = None
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_COMPLETED = msgspec.msgpack.Decoder(CompletedClaim)
+
+
+def encode_answer(answer: RecordedAnswer) -> bytes:
+    """Return the form in which commands and the state hold an answer."""
+    return _ENCODER.encode((answer.status, answer.headers, answer.body, answer.kept, answer.digest))
+
+
+class _EncodedAnswer(msgspec.Struct, array_like=True):
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    kept: bool
+    digest: str
+
+
+_ANSWER = msgspec.msgpack.Decoder(_EncodedAnswer)
+
+
+def decode_answer(data: bytes) -> RecordedAnswer:
+    """Decode an answer.
+
+    Raises
+    ------
+    ClaimEntryError
+        If the data is not an encoded answer.
+    """
+    try:
+        answer = _ANSWER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ClaimEntryError(
+            f"a recorded answer is malformed ({error}); "
+            "check that all replicas run the same version"
+        ) from error
+    return RecordedAnswer(answer.status, answer.headers, answer.body, answer.kept, answer.digest)
+
+
+NOT_KEPT = encode_answer(RecordedAnswer(0, kept=False))
+
+
+def apply_entry(machine: GroupMachine, payload: bytes) -> list[CommandResult]:
+    """Apply a committed entry and return one result for each claim, completion and release.
+
+    Raises
+    ------
+    ClaimEntryError
+        If the payload is malformed; the state is unchanged.
+    """
+    batch = decode_batch(payload)
+    if not math.isfinite(batch.wall):
+        raise ClaimEntryError("the wall time of a claims entry is not finite; check the clock")
+    if batch.policy is not None:
+        machine.policy = batch.policy
+    machine.wall = max(machine.wall, batch.wall)
+    machine.horizon = max(machine.horizon, machine.wall - machine.policy.tombstone_seconds)
+    sweep(machine, SWEEP_RECORDS + len(batch.commands))
+    results = []
+    for command in batch.commands:
+        if isinstance(command, MarkHosts):
+            apply_marks(machine, command)
+        else:
+            results.append(APPLY[type(command)](machine, command))
+    return results
+
+
+def apply_claim(machine: GroupMachine, command: Claim) -> CommandResult:
+    """Grant a claim unless the key is held, used, expired or the claim was ended before."""
+    claim = AttemptId(command.host, command.incarnation, command.number)
+    result = CommandResult(ClaimOperation.CLAIM, claim, ClaimStatus.GRANTED)
+    holder = machine.open.get(command.digest)
+    if holder is not None:
+        if holder.claim == claim:
+            return result
+        if holder.fingerprint != command.fingerprint:
+            result.status = ClaimStatus.MISMATCH
+        elif machine.claimants[holder.claim.host, holder.claim.incarnation].lost:
+            result.status = ClaimStatus.CLAIMANT_LOST
+        else:
+            result.status = ClaimStatus.IN_PROGRESS
+        # A late copy of this request could otherwise be granted after the holder's release, when
+        # nobody waits for it any more, and would then block the key.
+        _mark(machine, command)
+        return result
+    data = machine.answers.get(command.digest)
+    if data is not None:
+        completed = _COMPLETED.decode(data)
+        if AttemptId(completed.host, completed.incarnation, completed.number) == claim:
+            return result
+        if completed.fingerprint != command.fingerprint:
+            result.status = ClaimStatus.MISMATCH
+        else:
+            result.status = ClaimStatus.COMPLETED
+            result.answer = completed.answer
+        return result
+    if has_digest(machine.tombstones, command.digest, _compute_first_hour(machine)):
+        result.status = ClaimStatus.COMPLETED
+        result.answer = NOT_KEPT
+        return result
+    if _is_marked(machine, command):
+        # The caller may try again under a new claim identity.
+        result.status = ClaimStatus.IN_PROGRESS
+        return result
+    date = command.date if command.date <= machine.wall + machine.policy.key_skew_seconds else 0.0
+    if (date and date < machine.horizon) or (not date and machine.policy.require_dated_keys):
+        result.status = ClaimStatus.EXPIRED
+        return result
+    if compute_size(machine) >= machine.policy.state_bytes:
+        result.status = ClaimStatus.UNAVAILABLE
+        return result
+    machine.open[command.digest] = OpenClaim(command.fingerprint, claim, date, machine.wall)
+    claimant = machine.claimants.get((claim.host, claim.incarnation))
+    if claimant is None:
+        machine.claimants[claim.host, claim.incarnation] = ClaimantState(1, False, machine.wall)
+    else:
+        claimant.open += 1
+    return result
+
+
+def apply_complete(machine: GroupMachine, command: Complete) -> CommandResult:
+    """Record an answer if the claim holds the key, even if its host was marked as lost."""
+    claim = AttemptId(command.host, command.incarnation, command.number)
+    result = CommandResult(ClaimOperation.COMPLETE, claim, ClaimStatus.GRANTED)
+    holder = machine.open.get(command.digest)
+    if holder is not None:
+        if holder.claim != claim:
+            result.status = ClaimStatus.IN_PROGRESS
+            return result
+        _close(machine, command.digest)
+        hour = int(machine.wall // HOUR_SECONDS)
+        # The tombstone of a key that is dated ahead must outlive the date of the key, or the key
+        # would count as new between the end of the tombstone and its own expiry.
+        kept_hour = max(hour, int(holder.date // HOUR_SECONDS))
+        data = _ENCODER.encode(
+            CompletedClaim(
+                holder.fingerprint,
+                kept_hour,
+                claim.host,
+                claim.incarnation,
+                claim.number,
+                command.answer,
+            )
+        )
+        machine.answers[command.digest] = data
+        machine.answer_bytes += len(data)
+        machine.answer_hours.setdefault(hour, []).append(command.digest)
+        return result
+    data = machine.answers.get(command.digest)
+    if data is not None:
+        completed = _COMPLETED.decode(data)
+        if AttemptId(completed.host, completed.incarnation, completed.number) != claim:
+            result.status = ClaimStatus.COMPLETED
+    elif has_digest(machine.tombstones, command.digest, _compute_first_hour(machine)):
+        result.status = ClaimStatus.COMPLETED
+    else:
+        result.status = ClaimStatus.EXPIRED
+    return result
+
+
+def apply_release(machine: GroupMachine, command: Release) -> CommandResult:
+    """End a claim that is not completed; it cannot be granted afterwards."""
+    claim = AttemptId(command.host, command.incarnation, command.number)
+    result = CommandResult(ClaimOperation.RELEASE, claim, ClaimStatus.GRANTED)
+    holder = machine.open.get(command.digest)
+    data = machine.answers.get(command.digest)
+    if holder is not None and holder.claim == claim:
+        _close(machine, command.digest)
+    elif data is not None:
+        completed = _COMPLETED.decode(data)
+        if AttemptId(completed.host, completed.incarnation, completed.number) == claim:
+            result.status = ClaimStatus.COMPLETED
+            return result
+    elif has_digest(machine.tombstones, command.digest, _compute_first_hour(machine)):
+        # The tombstone does not tell whose completion it stands for.
+        result.status = ClaimStatus.COMPLETED
+        return result
+    _mark(machine, command)
+    return result
+
+
+def apply_marks(machine: GroupMachine, command: MarkHosts) -> None:
+    """Mark the host processes that have open claims as lost or live."""
+    for names, lost in ((command.lost, True), (command.live, False)):
+        for name in names:
+            claimant = machine.claimants.get(name)
+            if claimant is not None:
+                claimant.lost = lost
+
+
+APPLY: dict[type, Callable[..., CommandResult]] = {
+    Claim: apply_claim,
+    Complete: apply_complete,
+    Release: apply_release,
+}
+
+
+def sweep(machine: GroupMachine, limit: int) -> None:
+    """Move up to `limit` old answers to the tombstones and forget old claims and digests."""
+    for _ in range(limit):
+        hour = next(iter(machine.answer_hours), None)
+        if hour is None or not _is_answer_old(machine, hour):
+            break
+        digests = machine.answer_hours[hour]
+        digest = digests.pop()
+        if not digests:
+            del machine.answer_hours[hour]
+        data = machine.answers.pop(digest)
+        machine.answer_bytes -= len(data)
+        add_digest(machine.tombstones, digest, _COMPLETED.decode(data).hour)
+    if _compute_first_hour(machine) > machine.open_hour:
+        _sweep_open(machine, limit)
+    sweep_digests(machine.tombstones, _compute_first_hour(machine), SWEEP_PARTITIONS)
+    sweep_digests(machine.markers, _compute_first_marker_hour(machine), SWEEP_PARTITIONS)
+
+
+def _sweep_open(machine: GroupMachine, limit: int) -> None:
+    """Forget up to `limit` open claims from before the horizon.
+
+    This is done once per hour, because finding the first item of a dictionary whose first items
+    were removed takes time in proportion to their number.
+    """
+    for _ in range(limit):
+        digest = next(iter(machine.open), None)
+        if digest is None or not _is_open_old(machine, machine.open[digest]):
+            machine.open_hour = _compute_first_hour(machine)
+            return
+        _close(machine, digest)
+
+
+def is_sweep_due(machine: GroupMachine, wall: float) -> bool:
+    """Tell whether an entry with this wall time would let answers or open claims expire."""
+    policy = machine.policy
+    hour = next(iter(machine.answer_hours), None)
+    if hour is not None and (hour + 1) * HOUR_SECONDS + policy.answer_seconds <= wall:
+        return True
+    digest = next(iter(machine.open), None)
+    if digest is None:
+        return False
+    end = machine.open[digest].claimed + policy.key_skew_seconds + policy.tombstone_seconds
+    return end + HOUR_SECONDS < wall
+
+
+def compute_size(machine: GroupMachine) -> int:
+    """Return the estimated memory of the state in bytes."""
+    digests = machine.tombstones.count + machine.markers.count
+    return (
+        machine.answer_bytes
+        + len(machine.answers) * ANSWER_OVERHEAD_BYTES
+        + len(machine.open) * OPEN_BYTES
+        + digests * RECORD_BYTES
+    )
+
+
+def _close(machine: GroupMachine, digest: bytes) -> None:
+    claim = machine.open.pop(digest).claim
+    claimant = machine.claimants[claim.host, claim.incarnation]
+    claimant.open -= 1
+    if claimant.open == 0:
+        del machine.claimants[claim.host, claim.incarnation]
+
+
+def _mark(machine: GroupMachine, command: Claim | Release) -> None:
+    if not _is_marked(machine, command):
+        digest = compute_claim_digest(
+            command.digest, command.host, command.incarnation, command.number
+        )
+        add_digest(machine.markers, digest, int(machine.wall // HOUR_SECONDS))
+
+
+def _is_marked(machine: GroupMachine, command: Claim | Release) -> bool:
+    digest = compute_claim_digest(command.digest, command.host, command.incarnation, command.number)
+    return has_digest(machine.markers, digest, _compute_first_marker_hour(machine))
+
+
+def _compute_first_hour(machine: GroupMachine) -> int:
+    return int(machine.horizon // HOUR_SECONDS)
+
+
+def _compute_first_marker_hour(machine: GroupMachine) -> int:
+    return int((machine.wall - machine.policy.marker_seconds) // HOUR_SECONDS)
+
+
+def _is_answer_old(machine: GroupMachine, hour: int) -> bool:
+    return (hour + 1) * HOUR_SECONDS + machine.policy.answer_seconds <= machine.wall
+
+
+def _is_open_old(machine: GroupMachine, holder: OpenClaim) -> bool:
+    # A key may be dated ahead of its claim by the skew; see `apply_complete`.
+    return holder.claimed + machine.policy.key_skew_seconds < machine.horizon
+
+
+class _OpenRecord(msgspec.Struct, array_like=True):
+    digest: KeyDigest
+    fingerprint: bytes
+    date: float
+    claimed: float
+    host: str
+    incarnation: int
+    number: int
+
+
+class _TableRecord(msgspec.Struct, array_like=True):
+    cursor: int
+    cycle_hour: int
+    partitions: dict[int, bytes]
+
+
+class _Snapshot(msgspec.Struct, array_like=True, tag="claims-1"):
+    policy: Policy
+    wall: float
+    horizon: float
+    open: list[_OpenRecord]
+    open_hour: int
+    claimants: list[tuple[str, int, bool, float]]
+    answers: list[tuple[int, list[tuple[KeyDigest, bytes]]]]
+    tombstones: _TableRecord
+    markers: _TableRecord
+
+
+_SNAPSHOT = msgspec.msgpack.Decoder(_Snapshot)
+
+
+def take_snapshot(machine: GroupMachine) -> bytes:
+    """Return the whole state in encoded form."""
+    return _ENCODER.encode(
+        _Snapshot(
+            machine.policy,
+            machine.wall,
+            machine.horizon,
+            [
+                _OpenRecord(
+                    digest,
+                    record.fingerprint,
+                    record.date,
+                    record.claimed,
+                    record.claim.host,
+                    record.claim.incarnation,
+                    record.claim.number,
+                )
+                for digest, record in machine.open.items()
+            ],
+            machine.open_hour,
+            [
+                (host, incarnation, claimant.lost, claimant.since)
+                for (host, incarnation), claimant in machine.claimants.items()
+            ],
+            [
+                (hour, [(digest, machine.answers[digest]) for digest in digests])
+                for hour, digests in machine.answer_hours.items()
+            ],
+            _pack_table(machine.tombstones),
+            _pack_table(machine.markers),
+        )
+    )
+
+
+def restore_snapshot(data: bytes) -> GroupMachine:
+    """Rebuild the state from a snapshot.
+
+    Raises
+    ------
+    ClaimSnapshotError
+        If the data is not a snapshot of a claims group.
+    """
+    try:
+        snapshot = _SNAPSHOT.decode(data)
+        machine = GroupMachine(snapshot.policy, snapshot.wall, snapshot.horizon)
+        machine.open_hour = snapshot.open_hour
+        machine.claimants = {
+            (host, incarnation): ClaimantState(0, lost, since)
+            for host, incarnation, lost, since in snapshot.claimants
+        }
+        for record in snapshot.open:
+            claim = AttemptId(record.host, record.incarnation, record.number)
+            machine.open[record.digest] = OpenClaim(
+                record.fingerprint, claim, record.date, record.claimed
+            )
+            machine.claimants[record.host, record.incarnation].open += 1
+        for hour, answers in snapshot.answers:
+            machine.answer_hours[hour] = [digest for digest, _ in answers]
+            for digest, answer in answers:
+                _COMPLETED.decode(answer)
+                machine.answers[digest] = answer
+                machine.answer_bytes += len(answer)
+        machine.tombstones = _unpack_table(snapshot.tombstones)
+        machine.markers = _unpack_table(snapshot.markers)
+    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError) as error:
+        raise ClaimSnapshotError(
+            f"a snapshot of a claims group is malformed ({error}); "
+            "remove this replica's data folder and let it be repaired"
+        ) from error
+    return machine
+
+
+def _pack_table(table: DigestTable) -> _TableRecord:
+    partitions = {index: bytes(table.partitions[index]) for index in sorted(table.partitions)}
+    return _TableRecord(table.cursor, table.cycle_hour, partitions)
+
+
+def _unpack_table(record: _TableRecord) -> DigestTable:
+    table = DigestTable(cursor=record.cursor, cycle_hour=record.cycle_hour)
+    for index, data in record.partitions.items():
+        if not 0 <= index < PARTITIONS or len(data) % RECORD_BYTES:
+            raise ValueError("a partition of digests has the wrong size")
+        table.partitions[index] = bytearray(data)
+        table.count += len(data) // RECORD_BYTES
+    return table
--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Test the claims package."""
