Add the leader and the client of the claims groups

The leader proposes claims in batches, at once when nothing is in flight, and answers only after commit. Elsewhere the answer is "unavailable" with the leader's name. The client looks for the leader, resends under the same claim identity, and after giving up a claim releases it in the background.

--- /dev/null
+++ b/marjorambridge/claims/client.py
@@ -0,0 +1,257 @@
+"""Claim, complete and release calls on behalf of the requests part of this host."""
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import replace
+
+from marjorambridge.claims.digests import compute_group, compute_key_digest
+from marjorambridge.claims.events import (
+    ClaimCompletionWanted,
+    ClaimDecided,
+    ClaimReleaseWanted,
+    ClaimReplicasChanged,
+    ClaimSettled,
+    ClaimWanted,
+)
+from marjorambridge.claims.messages import (
+    ClaimAnswer,
+    ClaimComplete,
+    ClaimOperation,
+    ClaimRelease,
+    ClaimRequest,
+    ClaimStatus,
+    RecordedAnswer,
+)
+from marjorambridge.claims.state import CallPhase, CallState, ClientState
+from marjorambridge.core.effects import (
+    CancelTimer,
+    Effect,
+    Measure,
+    Publish,
+    SendMessage,
+    SetTimer,
+    WriteLog,
+)
+from marjorambridge.core.events import Event, MessageReceived, TimerFired
+from marjorambridge.core.identity import AttemptId, TimerKey, parse_attempt_id
+
+RESEND_TIMER = "resend"
+# Background resends slow down to this multiple of the resend time.
+MAX_BACKOFF = 64
+
+OPERATION_OF_PHASE = {
+    CallPhase.CLAIMING: ClaimOperation.CLAIM,
+    CallPhase.COMPLETING: ClaimOperation.COMPLETE,
+    CallPhase.RELEASING: ClaimOperation.RELEASE,
+}
+
+
+def step(state: ClientState, event: Event) -> list[Effect]:
+    """Handle one event of the client."""
+    handler = HANDLERS.get(type(event))
+    return handler(state, event) if handler is not None else []
+
+
+def receive_replicas(state: ClientState, event: ClaimReplicasChanged) -> list[Effect]:
+    """Take over the hosts that have replicas and forget leaders that are none of them."""
+    state.replicas = event.hosts
+    state.leaders = {
+        group: leader for group, leader in state.leaders.items() if leader in event.hosts
+    }
+    return []
+
+
+def receive_claim_wanted(state: ClientState, event: ClaimWanted) -> list[Effect]:
+    """Start to claim a call."""
+    if event.claim in state.calls:
+        return []
+    digest = compute_key_digest(event.workspace, event.key)
+    call = CallState(
+        event.claim,
+        event.workspace,
+        event.key,
+        event.fingerprint,
+        compute_group(digest, state.settings.groups),
+        CallPhase.CLAIMING,
+        event.give_up_at,
+    )
+    state.calls[event.claim] = call
+    return _send(state, call, event.now)
+
+
+def receive_completion_wanted(state: ClientState, event: ClaimCompletionWanted) -> list[Effect]:
+    """Start to record the answer of a held call."""
+    call = state.calls.get(event.claim)
+    if call is None or call.phase not in (CallPhase.HELD, CallPhase.COMPLETING):
+        return [Publish(ClaimSettled(event.now, event.claim, False))]
+    if call.phase is CallPhase.HELD:
+        call.answer = trim_answer(event.answer, state.settings.answer_bytes)
+    _change_phase(state, call, CallPhase.COMPLETING, event.give_up_at)
+    return _send(state, call, event.now)
+
+
+def receive_release_wanted(state: ClientState, event: ClaimReleaseWanted) -> list[Effect]:
+    """Start to give a claim back, unless a completion was asked for."""
+    call = state.calls.get(event.claim)
+    if call is None or call.phase is CallPhase.COMPLETING:
+        return [Publish(ClaimSettled(event.now, event.claim, False))]
+    _change_phase(state, call, CallPhase.RELEASING, event.give_up_at)
+    return _send(state, call, event.now)
+
+
+def receive_message(state: ClientState, event: MessageReceived) -> list[Effect]:
+    """Handle an answer to the step in progress; answers to other steps are late copies."""
+    message = event.message
+    if not isinstance(message, ClaimAnswer):
+        return []
+    call = state.calls.get(message.claim)
+    if call is None or message.operation != OPERATION_OF_PHASE.get(call.phase):
+        return []
+    if message.status == ClaimStatus.UNAVAILABLE:
+        return _receive_unavailable(state, call, event.sender, message.leader, event.now)
+    state.leaders[call.group] = event.sender
+    effects: list[Effect] = [CancelTimer(_build_timer_key(call.claim))]
+    if call.phase is CallPhase.CLAIMING:
+        if message.status == ClaimStatus.GRANTED:
+            call.phase = CallPhase.HELD
+        else:
+            del state.calls[call.claim]
+        effects.append(Publish(ClaimDecided(event.now, call.claim, message.status, message.answer)))
+        return effects
+    _forget(state, call)
+    if not call.background:
+        committed = message.status == ClaimStatus.GRANTED
+        effects.append(Publish(ClaimSettled(event.now, call.claim, committed)))
+    return effects
+
+
+def receive_timer(state: ClientState, event: TimerFired) -> list[Effect]:
+    """Resend a message that was not answered, or give up."""
+    if event.key.name != RESEND_TIMER:
+        return []
+    call = state.calls.get(parse_attempt_id(event.key.ident))
+    if call is None or call.phase is CallPhase.HELD:
+        return []
+    if event.now >= call.give_up_at:
+        return _give_up(state, call, event.now)
+    if state.leaders.get(call.group) == call.target:
+        del state.leaders[call.group]
+    return _send(state, call, event.now)
+
+
+def trim_answer(answer: RecordedAnswer, limit: int) -> RecordedAnswer:
+    """Return the answer without a body or headers that are longer than `limit` bytes."""
+    if len(answer.body) > limit:
+        digest = hashlib.blake2b(answer.body, digest_size=16).hexdigest()
+        answer = replace(answer, body=b"", kept=False, digest=digest)
+    if sum(len(name) + len(value) for name, value in answer.headers) > limit:
+        answer = replace(answer, headers=())
+    return answer
+
+
+def _receive_unavailable(
+    state: ClientState, call: CallState, sender: str, leader: str, now: float
+) -> list[Effect]:
+    """Ask the named leader, or another replica after a short time."""
+    if sender != call.target:
+        return []
+    if leader and leader != sender and state.leaders.get(call.group) != leader:
+        state.leaders[call.group] = leader
+    elif state.leaders.get(call.group) == sender:
+        del state.leaders[call.group]
+    # The pause keeps two replicas that name each other from causing a storm of messages.
+    call.target = ""
+    at = now + state.settings.retry_seconds * _compute_backoff(call)
+    return [SetTimer(_build_timer_key(call.claim), min(at, call.give_up_at))]
+
+
+def _give_up(state: ClientState, call: CallState, now: float) -> list[Effect]:
+    """Tell the requests part that the step was given up, and go on in the background.
+
+    A claim may have been written, so it is released; it would otherwise block resends.
+    """
+    effects: list[Effect] = []
+    if call.background:
+        _forget(state, call)
+        fields = {"claim": str(call.claim), "phase": call.phase.value}
+        return [WriteLog("warning", "gave up a claim step; its key stays blocked", fields)]
+    if call.phase is CallPhase.CLAIMING:
+        effects.append(Publish(ClaimDecided(now, call.claim, ClaimStatus.UNAVAILABLE)))
+        call.phase = CallPhase.RELEASING
+    else:
+        effects.append(Publish(ClaimSettled(now, call.claim, False)))
+    effects.append(Measure("claims_given_up", 1.0, {"phase": call.phase.value}))
+    call.background = True
+    call.sends = 0
+    call.give_up_at = now + state.settings.background_seconds
+    state.background[call.claim] = None
+    if len(state.background) > state.settings.background_calls:
+        oldest = next(iter(state.background))
+        effects.append(CancelTimer(_build_timer_key(oldest)))
+        effects.append(WriteLog("warning", "too many background claim steps; dropped the oldest"))
+        _forget(state, state.calls[oldest])
+        if oldest == call.claim:
+            return effects
+    return effects + _send(state, call, now)
+
+
+def _send(state: ClientState, call: CallState, now: float) -> list[Effect]:
+    """Send the message of the call's phase and set the timer for the next attempt."""
+    call.sends += 1
+    call.target = _choose_replica(state, call.group)
+    at = now + state.settings.resend_seconds * _compute_backoff(call)
+    effects: list[Effect] = [SetTimer(_build_timer_key(call.claim), min(at, call.give_up_at))]
+    if call.target:
+        effects.append(SendMessage(call.target, _build_message(call)))
+    return effects
+
+
+def _build_message(call: CallState) -> ClaimRequest | ClaimComplete | ClaimRelease:
+    if call.phase is CallPhase.CLAIMING:
+        return ClaimRequest(call.claim, call.workspace, call.key, call.fingerprint)
+    if call.phase is CallPhase.COMPLETING:
+        return ClaimComplete(call.claim, call.workspace, call.key, call.answer)
+    return ClaimRelease(call.claim, call.workspace, call.key)
+
+
+def _choose_replica(state: ClientState, group: int) -> str:
+    leader = state.leaders.get(group)
+    if leader is not None:
+        return leader
+    if not state.replicas:
+        return ""
+    state.rotation += 1
+    return state.replicas[state.rotation % len(state.replicas)]
+
+
+def _change_phase(state: ClientState, call: CallState, phase: CallPhase, give_up_at: float) -> None:
+    call.phase = phase
+    call.give_up_at = give_up_at
+    call.sends = 0
+    call.background = False
+    state.background.pop(call.claim, None)
+
+
+def _forget(state: ClientState, call: CallState) -> None:
+    state.calls.pop(call.claim, None)
+    state.background.pop(call.claim, None)
+
+
+def _compute_backoff(call: CallState) -> int:
+    if not call.background:
+        return 1
+    return min(1 << min(call.sends, 30), MAX_BACKOFF)
+
+
+def _build_timer_key(claim: AttemptId) -> TimerKey:
+    return TimerKey("claims", RESEND_TIMER, str(claim))
+
+
+HANDLERS: dict[type, Callable[..., list[Effect]]] = {
+    ClaimReplicasChanged: receive_replicas,
+    ClaimWanted: receive_claim_wanted,
+    ClaimCompletionWanted: receive_completion_wanted,
+    ClaimReleaseWanted: receive_release_wanted,
+    MessageReceived: receive_message,
+    TimerFired: receive_timer,
+}
--- /dev/null
+++ b/marjorambridge/claims/replica.py
@@ -0,0 +1,350 @@
+"""Lead and follow the claims groups that this host has replicas of."""
+
+from collections.abc import Callable
+
+from marjorambridge.claims.commands import (
+    Batch,
+    Claim,
+    Command,
+    Complete,
+    MarkHosts,
+    Release,
+    encode_batch,
+)
+from marjorambridge.claims.digests import (
+    compute_fingerprint_digest,
+    compute_group,
+    compute_key_digest,
+    parse_key_date,
+)
+from marjorambridge.claims.events import WallClockRead
+from marjorambridge.claims.messages import (
+    ClaimAnswer,
+    ClaimComplete,
+    ClaimOperation,
+    ClaimRelease,
+    ClaimRequest,
+    ClaimStatus,
+)
+from marjorambridge.claims.state import GroupState, ReplicaState, Waiter, WaitKey
+from marjorambridge.claims.state_machine import (
+    CommandResult,
+    apply_entry,
+    compute_size,
+    decode_answer,
+    encode_answer,
+    is_sweep_due,
+    restore_snapshot,
+    take_snapshot,
+)
+from marjorambridge.core.effects import Effect, Measure, Publish, SendMessage, SetTimer
+from marjorambridge.core.events import Event, MessageReceived, Started, TimerFired, ViewApplied
+from marjorambridge.core.identity import AttemptId, TimerKey
+from marjorambridge.replication.events import (
+    EntryCommitted,
+    LeadershipChanged,
+    ProposalRefused,
+    ProposalRequested,
+    SnapshotInstalled,
+    SnapshotRequested,
+    SnapshotTaken,
+)
+
+BATCH_TIMER = "batch"
+UPKEEP_TIMER = "upkeep"
+# Encoded bytes of a command besides its answer, rounded up.
+COMMAND_BYTES = 100
+# Waiters are forgotten after the time of this many lost proposals.
+WAITER_PROPOSALS = 30
+
+OPERATIONS = {
+    ClaimRequest: ClaimOperation.CLAIM,
+    ClaimComplete: ClaimOperation.COMPLETE,
+    ClaimRelease: ClaimOperation.RELEASE,
+}
+
+
+def step(state: ReplicaState, event: Event) -> list[Effect]:
+    """Handle one event of the replicas."""
+    handler = HANDLERS.get(type(event))
+    return handler(state, event) if handler is not None else []
+
+
+def receive_started(state: ReplicaState, event: Started) -> list[Effect]:
+    """Start the upkeep timer on hosts that have replicas."""
+    if not state.groups:
+        return []
+    return [SetTimer(TimerKey("claims", UPKEEP_TIMER), event.now + state.settings.upkeep_seconds)]
+
+
+def receive_wall_clock(state: ReplicaState, event: WallClockRead) -> list[Effect]:
+    """Take over a reading of the wall clock."""
+    state.clock = (event.now, event.wall)
+    return []
+
+
+def receive_view(state: ReplicaState, event: ViewApplied) -> list[Effect]:
+    """Take over the live host processes and report claimants that left or came back."""
+    state.members = {(entry.host, entry.incarnation) for entry in event.view.hosts.values()}
+    effects = []
+    for group in state.groups.values():
+        effects += propose_upkeep(state, group, event.now)
+    return effects
+
+
+def receive_timer(state: ReplicaState, event: TimerFired) -> list[Effect]:
+    """Propose what waits for the batch timer, or do the regular upkeep."""
+    effects: list[Effect] = []
+    if event.key.name == BATCH_TIMER:
+        group = state.groups.get(int(event.key.ident))
+        if group is not None:
+            group.timer_set = False
+            effects += propose_pending(state, group, event.now)
+    elif event.key.name == UPKEEP_TIMER:
+        for group in state.groups.values():
+            _forget_old_waiters(state, group, event.now)
+            effects += propose_upkeep(state, group, event.now)
+            size = compute_size(group.machine)
+            effects.append(Measure("claims_state_bytes", size, {"group": str(group.group)}))
+        effects.append(SetTimer(event.key, event.now + state.settings.upkeep_seconds))
+    return effects
+
+
+def receive_message(state: ReplicaState, event: MessageReceived) -> list[Effect]:
+    """Queue a claim, completion or release, or name the leader if this host is not it."""
+    message = event.message
+    operation = OPERATIONS.get(type(message))
+    if operation is None:
+        return []
+    digest = compute_key_digest(message.workspace, message.key)
+    group = state.groups.get(compute_group(digest, state.settings.groups))
+    if group is None or not group.is_leader or state.clock is None:
+        leader = group.leader if group is not None and not group.is_leader else ""
+        return [_refuse(event.sender, (operation, message.claim), leader)]
+    key = (operation, message.claim)
+    waiter = group.waiting.get(key)
+    if waiter is not None:
+        waiter.sender = event.sender
+        if event.now < waiter.since + state.settings.proposal_seconds:
+            return []
+        # The proposal may have vanished; the state machine recognizes a second copy.
+        waiter.since = event.now
+    else:
+        group.waiting[key] = Waiter(event.sender, event.now)
+    group.pending.append((_build_command(message, digest), key))
+    group.pending_bytes += COMMAND_BYTES
+    if isinstance(message, ClaimComplete):
+        group.pending_bytes += len(message.answer.body)
+        group.pending_bytes += sum(len(name) + len(value) for name, value in message.answer.headers)
+    return _propose_or_wait(state, group, event.now)
+
+
+def receive_entry(state: ReplicaState, event: EntryCommitted) -> list[Effect]:
+    """Apply a committed entry and answer those who wait for its commands."""
+    group = state.groups.get(event.group)
+    if group is None or event.index <= group.index:
+        return []
+    group.index = event.index
+    effects: list[Effect] = []
+    # Entries of the log itself, such as the first one of a term, have no payload.
+    results = apply_entry(group.machine, event.payload) if event.payload else []
+    for result in results:
+        waiter = group.waiting.pop((result.operation, result.claim), None)
+        if waiter is not None:
+            effects.append(SendMessage(waiter.sender, _build_answer(state, result)))
+            labels = {"operation": result.operation.value, "status": result.status.value}
+            effects.append(Measure("claims_answered", 1.0, labels))
+    if event.proposal:
+        group.proposals.pop(event.proposal, None)
+        if group.pending and not group.proposals:
+            effects += propose_pending(state, group, event.now)
+    return effects
+
+
+def receive_refusal(state: ReplicaState, event: ProposalRefused) -> list[Effect]:
+    """Send those who wait for a refused proposal to the present leader."""
+    group = state.groups.get(event.group)
+    proposal = group.proposals.pop(event.proposal, None) if group is not None else None
+    if proposal is None:
+        return []
+    effects: list[Effect] = []
+    for key in proposal[1]:
+        waiter = group.waiting.pop(key, None)
+        if waiter is not None:
+            leader = event.leader if event.leader != state.host else ""
+            effects.append(_refuse(waiter.sender, key, leader))
+    return effects
+
+
+def receive_leadership(state: ReplicaState, event: LeadershipChanged) -> list[Effect]:
+    """Take over who leads; a former leader sends everybody who waits to the new one.
+
+    Their commands may still be committed. "Unavailable" says nothing about that.
+    """
+    group = state.groups.get(event.group)
+    if group is None:
+        return []
+    lost = group.is_leader and (not event.is_leader or event.term != group.term)
+    group.leader = event.leader
+    group.is_leader = event.is_leader
+    group.term = event.term
+    effects: list[Effect] = []
+    if lost:
+        leader = event.leader if event.leader != state.host else ""
+        effects += [_refuse(waiter.sender, key, leader) for key, waiter in group.waiting.items()]
+        group.waiting.clear()
+        group.pending.clear()
+        group.pending_bytes = 0
+        group.proposals.clear()
+    if event.is_leader:
+        effects += propose_upkeep(state, group, event.now)
+    return effects
+
+
+def receive_snapshot(state: ReplicaState, event: SnapshotInstalled) -> list[Effect]:
+    """Replace the state of a group by a snapshot."""
+    group = state.groups.get(event.group)
+    if group is not None and event.index > group.index:
+        group.machine = restore_snapshot(event.data)
+        group.index = event.index
+    return []
+
+
+def receive_snapshot_request(state: ReplicaState, event: SnapshotRequested) -> list[Effect]:
+    """Hand out a snapshot of a group."""
+    group = state.groups.get(event.group)
+    if group is None:
+        return []
+    data = take_snapshot(group.machine)
+    return [Publish(SnapshotTaken(event.now, group.group, group.index, data))]
+
+
+def propose_pending(state: ReplicaState, group: GroupState, now: float) -> list[Effect]:
+    """Propose all pending commands, in as many entries as the limits require."""
+    effects: list[Effect] = []
+    settings = state.settings
+    while group.pending and group.is_leader:
+        count = size = 0
+        for command, _ in group.pending[: settings.batch_commands]:
+            size += COMMAND_BYTES + (len(command.answer) if isinstance(command, Complete) else 0)
+            if count and size > settings.batch_bytes:
+                break
+            count += 1
+        taken = group.pending[:count]
+        del group.pending[:count]
+        commands = tuple(command for command, _ in taken)
+        effects += _propose(state, group, commands, tuple(key for _, key in taken), now)
+    group.pending_bytes = 0
+    return effects
+
+
+def propose_upkeep(state: ReplicaState, group: GroupState, now: float) -> list[Effect]:
+    """Propose claimants that left or came back, a changed policy, and the passing of time."""
+    if not group.is_leader or state.clock is None:
+        return []
+    machine = group.machine
+    wall = _compute_wall(state, group, now)
+    marks = ()
+    if state.members is not None:
+        lost = tuple(
+            name
+            for name, claimant in machine.claimants.items()
+            if not claimant.lost
+            and name not in state.members
+            and wall >= claimant.since + state.settings.claimant_grace_seconds
+        )
+        live = tuple(
+            name
+            for name, claimant in machine.claimants.items()
+            if claimant.lost and name in state.members
+        )
+        if lost or live:
+            marks = (MarkHosts(lost, live),)
+    if marks or machine.policy != state.settings.policy or is_sweep_due(machine, wall):
+        return _propose(state, group, marks, (), now)
+    return []
+
+
+def _forget_old_waiters(state: ReplicaState, group: GroupState, now: float) -> None:
+    """Forget waiters whose proposal vanished and who did not ask again."""
+    oldest = now - WAITER_PROPOSALS * state.settings.proposal_seconds
+    for key in [key for key, waiter in group.waiting.items() if waiter.since < oldest]:
+        del group.waiting[key]
+
+
+def _propose_or_wait(state: ReplicaState, group: GroupState, now: float) -> list[Effect]:
+    """Propose at once if nothing is in flight, else when the entry is full or the timer fires."""
+    oldest = now - state.settings.proposal_seconds
+    for name in [name for name, (at, _) in group.proposals.items() if at <= oldest]:
+        del group.proposals[name]
+    if (
+        not group.proposals
+        or len(group.pending) >= state.settings.batch_commands
+        or group.pending_bytes >= state.settings.batch_bytes
+    ):
+        return propose_pending(state, group, now)
+    if group.timer_set:
+        return []
+    group.timer_set = True
+    key = TimerKey("claims", BATCH_TIMER, str(group.group))
+    return [SetTimer(key, now + state.settings.batch_seconds)]
+
+
+def _propose(
+    state: ReplicaState,
+    group: GroupState,
+    commands: tuple[Command, ...],
+    keys: tuple[WaitKey, ...],
+    now: float,
+) -> list[Effect]:
+    group.serial += 1
+    proposal = f"{state.host}:{state.incarnation}:{group.group}:{group.serial}"
+    group.proposals[proposal] = (now, keys)
+    policy = state.settings.policy
+    changed = None if policy == group.machine.policy else policy
+    payload = encode_batch(Batch(_compute_wall(state, group, now), commands, changed))
+    return [Publish(ProposalRequested(now, group.group, proposal, payload))]
+
+
+def _compute_wall(state: ReplicaState, group: GroupState, now: float) -> float:
+    read_at, wall = state.clock
+    return max(group.machine.wall, wall + now - read_at)
+
+
+def _build_command(
+    message: ClaimRequest | ClaimComplete | ClaimRelease, digest: bytes
+) -> Claim | Complete | Release:
+    claim: AttemptId = message.claim
+    if isinstance(message, ClaimRequest):
+        fingerprint = compute_fingerprint_digest(message.fingerprint)
+        date = parse_key_date(message.key)
+        return Claim(digest, fingerprint, date, claim.host, claim.incarnation, claim.number)
+    if isinstance(message, ClaimComplete):
+        answer = encode_answer(message.answer)
+        return Complete(digest, claim.host, claim.incarnation, claim.number, answer)
+    return Release(digest, claim.host, claim.incarnation, claim.number)
+
+
+def _build_answer(state: ReplicaState, result: CommandResult) -> ClaimAnswer:
+    answer = decode_answer(result.answer) if result.answer is not None else None
+    return ClaimAnswer(result.claim, result.status, answer, operation=result.operation)
+
+
+def _refuse(sender: str, key: WaitKey, leader: str) -> SendMessage:
+    operation, claim = key
+    answer = ClaimAnswer(claim, ClaimStatus.UNAVAILABLE, None, leader, operation)
+    return SendMessage(sender, answer)
+
+
+HANDLERS: dict[type, Callable[..., list[Effect]]] = {
+    Started: receive_started,
+    WallClockRead: receive_wall_clock,
+    ViewApplied: receive_view,
+    TimerFired: receive_timer,
+    MessageReceived: receive_message,
+    EntryCommitted: receive_entry,
+    ProposalRefused: receive_refusal,
+    LeadershipChanged: receive_leadership,
+    SnapshotInstalled: receive_snapshot,
+    SnapshotRequested: receive_snapshot_request,
+}
--- /dev/null
+++ b/marjorambridge/claims/state.py
@@ -0,0 +1,182 @@
+"""Hold the state of the claims part: its replicas of the claims groups and its client."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from marjorambridge.claims.commands import Command, Policy
+from marjorambridge.claims.messages import ClaimOperation, RecordedAnswer
+from marjorambridge.claims.state_machine import GroupMachine
+from marjorambridge.conf import defaults
+from marjorambridge.core.identity import AttemptId
+
+
+@dataclass(slots=True)
+class ClaimSettings:
+    """Hold the settings of the claims part; names that end in seconds or bytes have that unit.
+
+    Attributes
+    ----------
+    groups : int
+        Number of claims groups, 1 to `groups`; equal on all hosts and never changed, because it
+        decides which group holds a key.
+    answer_bytes : int
+        Longest body, and longest headers, of an answer that is kept.
+    """
+
+    groups: int = defaults.CLAIM_GROUPS
+    policy: Policy = field(default_factory=Policy)
+    answer_bytes: int = defaults.CLAIM_ANSWER_BYTES
+    batch_commands: int = defaults.CLAIM_BATCH_COMMANDS
+    batch_bytes: int = defaults.CLAIM_BATCH_BYTES
+    batch_seconds: float = defaults.CLAIM_BATCH_SECONDS
+    proposal_seconds: float = defaults.CLAIM_PROPOSAL_SECONDS
+    upkeep_seconds: float = defaults.CLAIM_UPKEEP_SECONDS
+    claimant_grace_seconds: float = defaults.CLAIMANT_GRACE_SECONDS
+    resend_seconds: float = defaults.CLAIM_RESEND_SECONDS
+    retry_seconds: float = defaults.CLAIM_RETRY_SECONDS
+    background_seconds: float = defaults.CLAIM_BACKGROUND_SECONDS
+    background_calls: int = defaults.CLAIM_BACKGROUND_CALLS
+
+
+WaitKey = tuple[ClaimOperation, AttemptId]
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Remember who waits for the result of a command, and since when it is in a proposal."""
+
+    sender: str
+    since: float
+
+
+@dataclass(slots=True)
+class GroupState:
+    """Hold one replica of a claims group and, on the leader, the commands in progress.
+
+    Attributes
+    ----------
+    index : int
+        Index of the last applied entry.
+    pending : list
+        Commands for the next entry, with the keys of their waiters.
+    proposals : dict
+        Time of each proposal that is neither committed nor refused, and the keys in it.
+    waiting : dict
+        Who waits for the result of which command.
+    """
+
+    group: int
+    machine: GroupMachine = field(default_factory=GroupMachine)
+    index: int = 0
+    leader: str = ""
+    is_leader: bool = False
+    term: int = 0
+    pending: list[tuple[Command, WaitKey]] = field(default_factory=list)
+    pending_bytes: int = 0
+    timer_set: bool = False
+    proposals: dict[str, tuple[float, tuple[WaitKey, ...]]] = field(default_factory=dict)
+    serial: int = 0
+    waiting: dict[WaitKey, Waiter] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """Hold the replicas of the claims groups on this host.
+
+    Attributes
+    ----------
+    groups : dict
+        Replicas by group number; empty on hosts without a disk.
+    clock : tuple of float or None
+        Last reading of the wall clock, as (monotonic, wall) seconds.
+    members : set or None
+        Host processes in the view, as (host, incarnation); None before the first view.
+    """
+
+    settings: ClaimSettings
+    host: str
+    incarnation: int
+    groups: dict[int, GroupState] = field(default_factory=dict)
+    clock: tuple[float, float] | None = None
+    members: set[tuple[str, int]] | None = None
+
+
+class CallPhase(StrEnum):
+    """Tell what the claims client does about a call."""
+
+    CLAIMING = "claiming"
+    HELD = "held"
+    COMPLETING = "completing"
+    RELEASING = "releasing"
+
+
+@dataclass(slots=True)
+class CallState:
+    """Describe a call that this host claims, or has claimed.
+
+    Attributes
+    ----------
+    background : bool
+        Whether the requests part was already told that the step was given up.
+    sends : int
+        Messages sent in the present phase.
+    """
+
+    claim: AttemptId
+    workspace: str
+    key: str
+    fingerprint: str
+    group: int
+    phase: CallPhase
+    give_up_at: float
+    answer: RecordedAnswer | None = None
+    background: bool = False
+    sends: int = 0
+    target: str = ""
+
+
+@dataclass(slots=True)
+class ClientState:
+    """Hold the calls of this host and what it knows about the leaders of the groups.
+
+    Attributes
+    ----------
+    replicas : tuple of str
+        Hosts that have replicas of the claims groups.
+    leaders : dict
+        Last known leader by group.
+    rotation : int
+        Position of the replica to ask next while no leader is known.
+    """
+
+    settings: ClaimSettings
+    host: str
+    replicas: tuple[str, ...] = ()
+    leaders: dict[int, str] = field(default_factory=dict)
+    rotation: int = 0
+    calls: dict[AttemptId, CallState] = field(default_factory=dict)
+    background: dict[AttemptId, None] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ClaimsState:
+    """Hold the whole state of the claims part of one host."""
+
+    replica: ReplicaState
+    client: ClientState
+
+
+def create_state(
+    settings: ClaimSettings,
+    host: str,
+    incarnation: int,
+    replicas: tuple[str, ...] = (),
+    is_replica: bool = False,
+) -> ClaimsState:
+    """Return the state of the claims part of a host process that has just started."""
+    numbers = range(1, settings.groups + 1) if is_replica else ()
+    groups = {number: GroupState(number) for number in numbers}
+    return ClaimsState(
+        ReplicaState(settings, host, incarnation, groups),
+        ClientState(settings, host, replicas),
+    )
