Claim all keys at each replica at the end of the simulated sessions

All keys are now claimed at each leader in turn before the comparison, and one session shows the second grant of that variant directly.

--- a/tests/claims/simulation.py
+++ b/tests/claims/simulation.py
@@ -219,7 +219,7 @@
             self.skews[host] = SKEW
 
     def settle(self):
-        """Deliver everything without loss until nothing is left, then compare the replicas."""
+        """Deliver everything, claim all keys at each leader and compare the replicas."""
         for _ in range(400):
             for _ in range(len(self.bag)):
                 self.act("deliver", 0)
@@ -229,25 +229,37 @@
                 while self.applied[host] < len(self.log):
                     self.apply_next(host)
             self.advance(0.5)
-        snapshots = {
-            state_machine.take_snapshot(state.replica.groups[1].machine)
-            for state in self.states.values()
-        }
+        for leader in HOSTS:
+            self.elect(leader)
+            for key in KEYS:
+                if key not in self.abandoned:
+                    self.check_free_key(key)
+        snapshots = set()
+        for host, state in self.states.items():
+            while self.applied[host] < len(self.log):
+                self.apply_next(host)
+            snapshots.add(state_machine.take_snapshot(state.replica.groups[1].machine))
         if len(snapshots) > 1:
             raise ViolationError("the replicas differ")
-        for key in KEYS:
-            if key not in self.abandoned and key not in self.holder:
-                before = len(self.held)
-                self.act("claim", 3 * KEYS.index(key))
-                for _ in range(10):
-                    for _ in range(len(self.bag)):
-                        self.act("deliver", 0)
-                    while self.proposed:
-                        self.act("commit", 0)
-                    self.apply_next(self.leader)
-                    self.advance(0.1)
-                if key not in self.ran.values() and len(self.held) == before:
-                    raise ViolationError(f"{key} is free, but was not granted")
+
+    def check_free_key(self, key):
+        """Claim a key, which must be granted exactly if nobody holds it or ran its call."""
+        before = len(self.held)
+        free = key not in self.holder
+        self.act("claim", 3 * KEYS.index(key))
+        self.run_without_loss()
+        if free and len(self.held) == before:
+            raise ViolationError(f"{key} is free, but was not granted")
+
+    def run_without_loss(self):
+        """Deliver, commit and apply at the leader for a second."""
+        for _ in range(10):
+            for _ in range(len(self.bag)):
+                self.act("deliver", 0)
+            while self.proposed:
+                self.act("commit", 0)
+            self.apply_next(self.leader)
+            self.advance(0.1)
 
 
 REPLICA_CLOCK = [0.0]
--- a/tests/claims/test_simulation.py
+++ b/tests/claims/test_simulation.py
@@ -1,5 +1,6 @@
 """Check that calls run at most once, and that naive variants break this in the same sessions."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -92,5 +93,23 @@
         machine.wall = max(machine.wall, simulation.REPLICA_CLOCK[0])
         return state_machine.apply_entry(machine, payload)
 
+    claim_at_replica_with_wrong_clock()
     monkeypatch.setattr(replica, "apply_entry", apply_entry)
     assert count_violations() > 0
+    with pytest.raises(simulation.ViolationError, match="a was granted"):
+        claim_at_replica_with_wrong_clock()
+
+
+def claim_at_replica_with_wrong_clock():
+    """Complete a call, let a follower's clock be wrong for a while, elect it and claim again."""
+    session = simulation.start_simulation()
+    session.check_free_key("a")
+    session.act("finish", 1)
+    session.run_without_loss()
+    assert "a" in session.recorded
+    for _ in session.log:
+        session.apply_next("host-2")
+    session.skews["host-2"] = simulation.SKEW
+    session.check_free_key("b")
+    session.elect("host-2")
+    session.check_free_key("a")
