--- a/marjorambridge/claims/messages.py
+++ b/marjorambridge/claims/messages.py
@@ -5,7 +5,7 @@
 
 from marjorambridge.core.identity import AttemptId
 
-RESULT_UNKNOWN = 0
+RESULT_UNKNOWN = -1
 
 
 @dataclass(slots=True)
@@ -16,13 +16,17 @@
     ----------
     status : int
         HTTP status; `RESULT_UNKNOWN` if the claimant stopped without learning the result, so that
-        a resend is told "unknown" and not "in progress".
+        a resend is told "unknown" and not "in progress"; 0 if only the tombstone of the call is
+        left.
+    digest : str
+        Hexadecimal digest of a body that was too long to keep, else empty.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     kept: bool = True
+    digest: str = ""
 
 
 class ClaimStatus(StrEnum):
@@ -37,6 +41,14 @@
     UNAVAILABLE = "unavailable"
 
 
+class ClaimOperation(StrEnum):
+    """Name the message that a `ClaimAnswer` answers."""
+
+    CLAIM = "claim"
+    COMPLETE = "complete"
+    RELEASE = "release"
+
+
 @dataclass(slots=True)
 class ClaimRequest:
     """Claim a call before its first byte is sent.
@@ -86,9 +98,13 @@
         ``GRANTED`` also confirms a completion or a release.
     leader : str
         For ``UNAVAILABLE``: host to ask instead; empty if unknown.
+    operation : ClaimOperation
+        Message that is answered. Without it, a late answer to a claim would pass for the
+        confirmation of its release or completion.
     """
 
     claim: AttemptId
     status: ClaimStatus
     answer: RecordedAnswer | None = None
     leader: str = ""
+    operation: ClaimOperation = ClaimOperation.CLAIM
