Add the replicated log as a pure reducer, and the data folder

Configuration, views and claims need a log that survives the loss of a minority of disks.

A promise to another replica waits for the sync behind it. A cluster is founded only after every peer has answered that its folder is empty, so a wiped replica cannot found a second one.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -45,6 +45,15 @@
 SNAPSHOT_ENTRIES = 2_000
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 MAX_FRAME_BYTES = 1024 * 1024
+# Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
+SNAPSHOT_TRAILING_ENTRIES = 500
+# An append holds at least one entry, so that both limits leave room for the frame's other fields.
+APPEND_BYTES = 256 * 1024
+PROPOSAL_BYTES = 512 * 1024
+APPENDS_IN_FLIGHT = 8
+PROMOTION_LAG_ENTRIES = 100
+JOIN_RETRY_SECONDS = 0.5
+SEGMENT_BYTES = 4 * 1024 * 1024
 
 # Shutdown.
 UNREADY_GRACE_SECONDS = 3.0
--- /dev/null
+++ b/marjorambridge/replication/appends.py
@@ -0,0 +1,108 @@
+"""Accept entries from the leader, as a follower or a learner."""
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.replication.commits import deliver_committed
+from marjorambridge.replication.durability import send_promise
+from marjorambridge.replication.logs import (
+    find_matching_position,
+    get_last_index,
+    get_term,
+)
+from marjorambridge.replication.messages import AppendReply, AppendRequest
+from marjorambridge.replication.models import LogEntry, ReplicaId
+from marjorambridge.replication.records import append_records
+from marjorambridge.replication.roles import become_follower, reset_election_timeout
+from marjorambridge.replication.state import GroupState, ReplicaState, Role
+
+
+def follow_leader(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], leader: ReplicaId, now: float
+) -> None:
+    """Note that the leader of the present term is alive."""
+    if group.role is not Role.FOLLOWER or group.leader != leader:
+        become_follower(replica, group, effects, group.term, leader, now)
+    group.leader_heard_at = now
+    reset_election_timeout(replica, group, now)
+
+
+def handle_append_request(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    request: AppendRequest,
+    now: float,
+) -> None:
+    """Append entries that follow on this log, or tell the leader where to go back to."""
+    if request.term < group.term:
+        # The reply tells the old leader the present term.
+        refuse_append(replica, group, effects, request)
+        return
+    follow_leader(replica, group, effects, request.source, now)
+    previous, entries = request.previous_index, request.entries
+    if previous < group.commit_index:
+        # Committed entries are equal on all replicas, and the base may have passed `previous`.
+        entries = tuple(item for item in entries if item.index > group.commit_index)
+        previous = group.commit_index
+    elif get_term(group.log, previous) != request.previous_term:
+        refuse_append(replica, group, effects, request)
+        return
+    new = drop_known_entries(group, entries)
+    if new:
+        append_records(replica, group, effects, new)
+    match = previous + len(entries)
+    commit = min(request.commit_index, match)
+    if commit > group.commit_index:
+        group.commit_index = commit
+        deliver_committed(replica, group, effects, now)
+    acknowledge(replica, group, effects, request.source, match)
+
+
+def drop_known_entries(group: GroupState, entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
+    """Return the entries from the first one on that the log does not hold.
+
+    Entries after the last known one stay in the log, because a late, shorter append must not
+    remove what was acknowledged since.
+    """
+    for position, entry in enumerate(entries):
+        if get_term(group.log, entry.index) != entry.term:
+            return entries[position:]
+    return ()
+
+
+def acknowledge(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], leader: ReplicaId, match: int
+) -> None:
+    """Acknowledge entries up to `match` as soon as they and the term are synced."""
+    ticket = group.vote_ticket
+    if match > group.synced_index:
+        ticket = max(ticket, group.append_ticket)
+    reply = AppendReply(
+        group=group.group,
+        cluster=replica.cluster,
+        source=replica.replica,
+        target=leader,
+        term=group.term,
+        accepted=True,
+        match_index=match,
+    )
+    send_promise(replica, group, effects, ticket, reply)
+
+
+def refuse_append(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], request: AppendRequest
+) -> None:
+    """Refuse entries that do not follow on this log."""
+    index = min(request.previous_index - 1, get_last_index(group.log))
+    index, term = find_matching_position(group.log, index, request.previous_term)
+    reply = AppendReply(
+        group=group.group,
+        cluster=replica.cluster,
+        source=replica.replica,
+        target=request.source,
+        term=group.term,
+        accepted=False,
+        match_index=request.previous_index,
+        hint_index=index,
+        hint_term=term,
+    )
+    send_promise(replica, group, effects, group.vote_ticket, reply)
--- /dev/null
+++ b/marjorambridge/replication/effects.py
@@ -0,0 +1,63 @@
+"""Define what the reducer asks of storage.
+
+Storage carries the effects out in the order given. A write is durable once the next
+`SyncStorage` has been answered with `StorageSynced`.
+"""
+
+from dataclasses import dataclass
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.replication.models import LogEntry, ReplicaId, Snapshot
+
+
+@dataclass(slots=True)
+class StorageEffect(Effect):
+    """Base of the effects for storage."""
+
+
+@dataclass(slots=True)
+class SaveCluster(StorageEffect):
+    """Save the identity of the cluster and the voters that every group began with."""
+
+    cluster: str
+    founders: tuple[ReplicaId, ...]
+
+
+@dataclass(slots=True)
+class SaveVote(StorageEffect):
+    """Save a group's term and the replica that got the vote in it."""
+
+    group: int
+    term: int
+    voted_for: ReplicaId
+
+
+@dataclass(slots=True)
+class AppendRecords(StorageEffect):
+    """Append entries; they replace all records from the index of the first one on."""
+
+    group: int
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(slots=True)
+class SaveSnapshot(StorageEffect):
+    """Replace a group's snapshot.
+
+    Attributes
+    ----------
+    first_index : int
+        Index of the first record that is still needed; 0 drops all records, because they
+        contradict the snapshot or end before it.
+    """
+
+    group: int
+    snapshot: Snapshot
+    first_index: int
+
+
+@dataclass(slots=True)
+class SyncStorage(StorageEffect):
+    """Make all earlier writes durable and answer with `ticket`."""
+
+    ticket: int
--- a/marjorambridge/replication/events.py
+++ b/marjorambridge/replication/events.py
@@ -1,6 +1,7 @@
 """Define the events by which other parts use the replicated logs."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from marjorambridge.core.events import Event
 
@@ -39,6 +40,9 @@
 class EntryCommitted(Event):
     """Deliver the next committed entry of a group, in order and each once per process life.
 
+    Entries of the log itself (a leader's first entry, a change of members) are delivered with an
+    empty payload, so that the applied index reaches the last index of the log.
+
     Attributes
     ----------
     proposal : str
@@ -118,3 +122,76 @@
     commit_index: int
     voter: bool
     voters: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class StorageSynced(Event):
+    """Tell that all writes up to the `SyncStorage` with this ticket are durable."""
+
+    ticket: int
+
+
+@dataclass(slots=True)
+class StorageFailed(Event):
+    """Tell that a write or a sync failed; storage carries out nothing from then on."""
+
+    ticket: int
+    reason: str
+
+
+@dataclass(slots=True)
+class ReplicaHalted(Event):
+    """Tell that this replica promises nothing more until its process is started again."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class LeadershipTransferRequested(Event):
+    """Ask the leader of a group to pass leadership to `host`, or to any voter if it is empty."""
+
+    group: int
+    host: str = ""
+
+
+class MembershipAction(StrEnum):
+    """Say how an operator changes the members of a group."""
+
+    ADD_HOST = "add_host"
+    REMOVE_HOST = "remove_host"
+
+
+@dataclass(slots=True)
+class MembershipChangeRequested(Event):
+    """Ask the leader of a group to add a host's replica as a voter, or to remove it."""
+
+    group: int
+    action: MembershipAction
+    host: str
+
+
+@dataclass(slots=True)
+class MembershipChangeRefused(Event):
+    """Tell that a change of members was not begun."""
+
+    group: int
+    host: str
+    reason: str
+
+
+class RepairStage(StrEnum):
+    """Name the last committed step of bringing a host's replica in as a voter."""
+
+    WAITING = "waiting"
+    CATCHING_UP = "catching_up"
+    REPAIRED = "repaired"
+
+
+@dataclass(slots=True)
+class RepairStatus(Event):
+    """Tell the committed stage of a repair, or of an added host; `REPAIRED` is the last one."""
+
+    group: int
+    host: str
+    disk: str
+    stage: RepairStage
--- /dev/null
+++ b/marjorambridge/replication/leaders.py
@@ -0,0 +1,254 @@
+"""Send entries, heartbeats and snapshots to the members of a group, as its leader."""
+
+from marjorambridge.core.effects import Effect, SendMessage, SetTimer
+from marjorambridge.core.identity import TimerKey
+from marjorambridge.replication.commits import advance_commit
+from marjorambridge.replication.logs import (
+    find_matching_position,
+    get_last_index,
+    get_term,
+    take_entries,
+)
+from marjorambridge.replication.messages import AppendReply, AppendRequest, SnapshotChunk
+from marjorambridge.replication.models import LogEntry, ReplicaId
+from marjorambridge.replication.quorums import get_membership, has_majority
+from marjorambridge.replication.roles import become_follower
+from marjorambridge.replication.state import (
+    GroupState,
+    Progress,
+    ProgressMode,
+    ReplicaState,
+    Role,
+)
+
+# Heartbeats without an acknowledgement after which a message counts as lost.
+RETRY_HEARTBEATS = 3
+# Election timeouts without an answer from a majority after which a leader steps down. Followers
+# start elections after one to two timeouts, so the old leader is gone when a new one begins.
+QUORUM_TIMEOUTS = 2
+
+
+def update_members(replica: ReplicaState, group: GroupState, now: float) -> None:
+    """Make the progress table agree with the latest membership."""
+    members = {item.replica for item in get_membership(group).members} - {replica.replica}
+    for gone in [item for item in group.progress if item not in members]:
+        del group.progress[gone]
+    for added in sorted(members - group.progress.keys()):
+        next_index = get_last_index(group.log) + 1
+        group.progress[added] = Progress(next_index=next_index, heard_at=now)
+
+
+def send_append(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    target: ReplicaId,
+    previous: int,
+    entries: tuple[LogEntry, ...],
+) -> None:
+    """Send one append whose entries follow `previous`, which the log must hold."""
+    end = previous + len(entries)
+    message = AppendRequest(
+        group=group.group,
+        cluster=replica.cluster,
+        source=replica.replica,
+        target=target,
+        term=group.term,
+        previous_index=previous,
+        previous_term=get_term(group.log, previous) or 0,
+        commit_index=min(group.commit_index, end),
+        entries=entries,
+    )
+    effects.append(SendMessage(target.host, message))
+
+
+def send_heartbeat(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], target: ReplicaId
+) -> None:
+    """Send an append without entries at a position that the target is known to hold."""
+    match = group.progress[target].match_index
+    previous = match if get_term(group.log, match) is not None else 0
+    send_append(replica, group, effects, target, previous, ())
+
+
+def send_entries(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], target: ReplicaId, now: float
+) -> bool:
+    """Send what the target lacks, within the limit of appends in flight.
+
+    Returns
+    -------
+    bool
+        Whether anything was sent.
+    """
+    progress = group.progress[target]
+    sent = False
+    while progress.mode is not ProgressMode.SNAPSHOT:
+        is_probe = progress.mode is ProgressMode.PROBE
+        if len(progress.in_flight) >= (1 if is_probe else replica.settings.appends_in_flight):
+            break
+        previous = progress.next_index - 1
+        if get_term(group.log, previous) is None:
+            start_snapshot(replica, group, effects, target, now)
+            return True
+        entries = take_entries(group.log, previous + 1, replica.settings.append_bytes)
+        if not entries and not is_probe:
+            break
+        send_append(replica, group, effects, target, previous, entries)
+        progress.in_flight.append((previous + len(entries), now))
+        sent = True
+        if is_probe:
+            break
+        progress.next_index += len(entries)
+    return sent
+
+
+def broadcast_entries(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], now: float
+) -> None:
+    """Send new entries to every member."""
+    for target in list(group.progress):
+        send_entries(replica, group, effects, target, now)
+
+
+def broadcast_commit(replica: ReplicaState, group: GroupState, effects: list[Effect]) -> None:
+    """Tell members that have nothing in flight about a new commit index at once."""
+    for target, progress in group.progress.items():
+        if progress.mode is ProgressMode.REPLICATE and not progress.in_flight:
+            send_heartbeat(replica, group, effects, target)
+
+
+def start_snapshot(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], target: ReplicaId, now: float
+) -> None:
+    """Begin to send the latest snapshot, because the log no longer holds what the target lacks."""
+    progress = group.progress[target]
+    progress.mode = ProgressMode.SNAPSHOT
+    progress.in_flight.clear()
+    progress.snapshot = group.snapshot
+    progress.snapshot_offset = 0
+    send_chunk(replica, group, effects, target, now)
+
+
+def send_chunk(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], target: ReplicaId, now: float
+) -> None:
+    """Send the next chunk of the snapshot in transfer."""
+    progress = group.progress[target]
+    snapshot = progress.snapshot
+    if snapshot is None:
+        progress.mode = ProgressMode.PROBE
+        return
+    progress.snapshot_sent_at = now
+    start = progress.snapshot_offset
+    message = SnapshotChunk(
+        group=group.group,
+        cluster=replica.cluster,
+        source=replica.replica,
+        target=target,
+        term=group.term,
+        index=snapshot.index,
+        snapshot_term=snapshot.term,
+        membership=snapshot.membership,
+        offset=start,
+        total=len(snapshot.data),
+        data=snapshot.data[start : start + replica.settings.snapshot_chunk_bytes],
+    )
+    effects.append(SendMessage(target.host, message))
+
+
+def start_heartbeats(group: GroupState, effects: list[Effect], at: float) -> None:
+    """Set the heartbeat timer."""
+    effects.append(SetTimer(TimerKey("replication", "heartbeat", str(group.group)), at))
+
+
+def send_heartbeats(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], now: float
+) -> None:
+    """Do the periodic work of a leader: check the quorum, repeat lost messages, send heartbeats."""
+    settings = replica.settings
+    if group.role is not Role.LEADER:
+        return
+    heard_since = now - QUORUM_TIMEOUTS * settings.election_timeout_seconds
+    supporters = [target for target, item in group.progress.items() if item.heard_at >= heard_since]
+    # A leader that removes itself still leads until the removal is committed.
+    if not has_majority(get_membership(group), [*supporters, replica.replica]):
+        become_follower(replica, group, effects, group.term, ReplicaId(), now)
+        return
+    if group.transfer_to.host and now >= group.transfer_until:
+        group.transfer_to = ReplicaId()
+        group.transfer_sent = False
+    lost_before = now - RETRY_HEARTBEATS * settings.heartbeat_seconds
+    for target, progress in group.progress.items():
+        if progress.mode is ProgressMode.SNAPSHOT:
+            if progress.snapshot_sent_at <= lost_before:
+                send_chunk(replica, group, effects, target, now)
+            send_heartbeat(replica, group, effects, target)
+            continue
+        if progress.in_flight and progress.in_flight[0][1] <= lost_before:
+            probe_member(progress, progress.match_index + 1)
+        if not send_entries(replica, group, effects, target, now):
+            send_heartbeat(replica, group, effects, target)
+    start_heartbeats(group, effects, now + settings.heartbeat_seconds)
+
+
+def probe_member(progress: Progress, next_index: int) -> None:
+    """Send one append at a time from `next_index` on until one is acknowledged."""
+    progress.mode = ProgressMode.PROBE
+    progress.next_index = next_index
+    progress.in_flight.clear()
+
+
+def handle_append_reply(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    reply: AppendReply,
+    now: float,
+) -> None:
+    """Take an acknowledgement or a refusal into account."""
+    progress = group.progress.get(reply.source)
+    if group.role is not Role.LEADER or reply.term != group.term or progress is None:
+        return
+    progress.heard_at = now
+    if reply.accepted:
+        accept_match(replica, group, effects, reply, progress, now)
+        return
+    if progress.mode is ProgressMode.SNAPSHOT or reply.match_index <= progress.match_index:
+        return
+    if progress.mode is ProgressMode.PROBE and reply.match_index != progress.next_index - 1:
+        return
+    hint = reply.hint_index
+    if hint >= group.log.base_index:
+        hint, _ = find_matching_position(group.log, hint, reply.hint_term)
+    probe_member(progress, max(hint, progress.match_index) + 1)
+    send_entries(replica, group, effects, reply.source, now)
+
+
+def accept_match(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    reply: AppendReply,
+    progress: Progress,
+    now: float,
+) -> None:
+    """Record an acknowledged position, commit and send more."""
+    match = max(progress.match_index, reply.match_index)
+    progress.match_index = match
+    while progress.in_flight and progress.in_flight[0][0] <= match:
+        progress.in_flight.popleft()
+    if progress.mode is ProgressMode.SNAPSHOT:
+        if progress.snapshot is None or match < progress.snapshot.index:
+            return
+        progress.snapshot = None
+    if progress.mode is not ProgressMode.REPLICATE:
+        progress.mode = ProgressMode.REPLICATE
+        progress.in_flight.clear()
+        progress.next_index = match + 1
+    progress.next_index = max(progress.next_index, match + 1)
+    if advance_commit(replica, group, effects, now):
+        broadcast_commit(replica, group, effects)
+    # Committing the removal of this replica ends its leadership.
+    if group.role is Role.LEADER:
+        send_entries(replica, group, effects, reply.source, now)
--- /dev/null
+++ b/marjorambridge/replication/messages.py
@@ -0,0 +1,190 @@
+"""Define the messages between replicas.
+
+All messages name the cluster, because a replica ignores messages of a cluster other than its own.
+`target` is the full identity of the receiver, so that a replica with a new disk does not act on a
+message to its predecessor.
+"""
+
+from dataclasses import dataclass
+
+from marjorambridge.replication.models import LogEntry, Membership, ReplicaId
+
+
+@dataclass(slots=True)
+class VoteRequest:
+    """Ask for a vote, or with `pre` whether a vote in `term` would be granted.
+
+    Attributes
+    ----------
+    transfer : bool
+        Whether the leader itself asked for the election, which overrides leader stickiness.
+    """
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+    transfer: bool
+
+
+@dataclass(slots=True)
+class VoteReply:
+    """Answer a `VoteRequest`; `election` is the term asked for, `term` that of the sender."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    election: int
+    pre: bool
+    granted: bool
+
+
+@dataclass(slots=True)
+class AppendRequest:
+    """Send entries after `previous_index`, or a heartbeat if there are none."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+@dataclass(slots=True)
+class AppendReply:
+    """Acknowledge synced entries up to `match_index`, or refuse.
+
+    Attributes
+    ----------
+    match_index : int
+        If refused, the `previous_index` of the request.
+    hint_index, hint_term : int
+        If refused, the last position of the sender that may match.
+    """
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    accepted: bool
+    match_index: int
+    hint_index: int = 0
+    hint_term: int = 0
+
+
+@dataclass(slots=True)
+class SnapshotChunk:
+    """Send a part of a snapshot's data, from byte `offset` of `total`."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    index: int
+    snapshot_term: int
+    membership: Membership
+    offset: int
+    total: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class SnapshotReply:
+    """Ask for the chunk at `offset` of the snapshot at `index`."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+    index: int
+    offset: int
+
+
+@dataclass(slots=True)
+class ElectionRequest:
+    """Tell the target of a leadership transfer to start an election at once."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    term: int
+
+
+@dataclass(slots=True)
+class JoinRequest:
+    """Ask the leader to make the sender a member; `token` repeats that of `JoinChallenge`."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    token: int
+
+
+@dataclass(slots=True)
+class JoinChallenge:
+    """Ask a joining replica to repeat `token`, because its request may be an old one."""
+
+    group: int
+    cluster: str
+    source: ReplicaId
+    target: ReplicaId
+    token: int
+
+
+@dataclass(slots=True)
+class ProbeRequest:
+    """Ask a peer whether it belongs to a cluster; sent by a replica that does not."""
+
+    source: ReplicaId
+
+
+@dataclass(slots=True)
+class ProbeReply:
+    """Answer that the sender's data folder is as empty as that of the target.
+
+    Attributes
+    ----------
+    peers : tuple of str
+        Hosts with a replica according to the sender's settings, sorted.
+    """
+
+    source: ReplicaId
+    target: ReplicaId
+    peers: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class ClusterOffer:
+    """Tell a replica without a cluster which cluster exists and which voters it began with."""
+
+    source: ReplicaId
+    target: ReplicaId
+    cluster: str
+    founders: tuple[ReplicaId, ...]
+
+
+GroupMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | ElectionRequest
+    | JoinRequest
+    | JoinChallenge
+)
--- /dev/null
+++ b/marjorambridge/replication/models.py
@@ -0,0 +1,122 @@
+"""Define the data that messages, storage and reducer of the replicated logs share."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class ReplicaId:
+    """Identify a replica by its host and by the random identifier of its disk.
+
+    A replica that lost its disk has another identity, so that no promise of the old disk is
+    attributed to it.
+    """
+
+    host: str = ""
+    disk: str = ""
+
+
+class MemberRole(StrEnum):
+    """Say whether the promises of a member count."""
+
+    VOTER = "voter"
+    LEARNER = "learner"
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Member:
+    """Describe one member of a group."""
+
+    replica: ReplicaId
+    role: MemberRole = MemberRole.VOTER
+
+
+@dataclass(slots=True, frozen=True)
+class Membership:
+    """Hold the members of a group.
+
+    Attributes
+    ----------
+    members : tuple of Member
+        Voters and learners, at most one per host.
+    pending : tuple of str
+        Hosts whose replica must become a voter: added by an operator, or under repair.
+    """
+
+    members: tuple[Member, ...] = ()
+    pending: tuple[str, ...] = ()
+
+
+class EntryKind(StrEnum):
+    """Tell what an entry's payload is."""
+
+    NOOP = "noop"
+    COMMAND = "command"
+    MEMBERSHIP = "membership"
+
+
+@dataclass(slots=True, frozen=True)
+class LogEntry:
+    """Hold one entry of a log."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    payload: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """Hold the state of a state machine that has applied all entries up to `index`."""
+
+    index: int = 0
+    term: int = 0
+    membership: Membership = Membership()
+    data: bytes = b""
+
+
+@dataclass(slots=True)
+class RecoveredGroup:
+    """Hold what storage recovered of one group.
+
+    Attributes
+    ----------
+    voted_for : ReplicaId
+        Replica that got the vote of `term`; empty if none did.
+    snapshot : Snapshot or None
+        None if there never was one.
+    entries : list of LogEntry
+        Entries in order, all after the snapshot.
+    """
+
+    term: int = 0
+    voted_for: ReplicaId = ReplicaId()
+    snapshot: Snapshot | None = None
+    entries: list[LogEntry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class RecoveredReplica:
+    """Hold what storage recovered of a replica; `cluster` is empty in a new data folder."""
+
+    disk: str
+    cluster: str = ""
+    founders: tuple[ReplicaId, ...] = ()
+    groups: dict[int, RecoveredGroup] = field(default_factory=dict)
+
+
+def is_same_replica(one: ReplicaId, other: ReplicaId) -> bool:
+    """Return whether two identities name the same disk of the same host."""
+    return one == other
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return the payload of a membership entry."""
+    return msgspec.json.encode(membership)
+
+
+def decode_membership(payload: bytes) -> Membership:
+    """Return the membership of an entry's payload."""
+    return msgspec.json.decode(payload, type=Membership)
--- /dev/null
+++ b/marjorambridge/replication/roles.py
@@ -0,0 +1,52 @@
+"""Change the term and the role of a replica in a group."""
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.replication.durability import write_storage
+from marjorambridge.replication.effects import SaveVote
+from marjorambridge.replication.models import ReplicaId
+from marjorambridge.replication.state import GroupState, ReplicaState, Role
+
+
+def reset_election_timeout(replica: ReplicaState, group: GroupState, now: float) -> None:
+    """Postpone the next election by a random time between one and two election timeouts."""
+    timeout = replica.settings.election_timeout_seconds
+    group.election_at = now + replica.random.uniform(timeout, 2 * timeout)
+
+
+def save_vote(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    term: int,
+    voted_for: ReplicaId,
+) -> None:
+    """Set and write the term and the vote."""
+    group.term = term
+    group.voted_for = voted_for
+    group.vote_ticket = write_storage(replica, effects, SaveVote(group.group, term, voted_for))
+
+
+def become_follower(
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    term: int,
+    leader: ReplicaId,
+    now: float,
+) -> None:
+    """Follow `leader`, which may be unknown, in a term that is not older than the present one."""
+    if term > group.term:
+        save_vote(replica, group, effects, term, ReplicaId())
+        group.leader = ReplicaId()
+        group.partial = None
+    if group.role is not Role.FOLLOWER:
+        group.role = Role.FOLLOWER
+        group.leader = ReplicaId()
+        reset_election_timeout(replica, group, now)
+    if leader.host:
+        group.leader = leader
+    group.votes.clear()
+    group.progress.clear()
+    group.tokens.clear()
+    group.transfer_to = ReplicaId()
+    group.transfer_sent = False
--- /dev/null
+++ b/marjorambridge/replication/state.py
@@ -0,0 +1,204 @@
+"""Define the state of the replicated logs of one replica."""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from marjorambridge.conf import defaults
+from marjorambridge.replication.logs import Log
+from marjorambridge.replication.models import Membership, ReplicaId, Snapshot
+
+
+@dataclass(slots=True)
+class ReplicationSettings:
+    """Hold the settings of the replicated logs.
+
+    Attributes
+    ----------
+    host : str
+        Name of this host.
+    peers : tuple of str
+        Hosts that have a replica, this one included.
+    groups : int
+        Number of groups, group 0 included.
+    bootstrap : bool
+        Whether this replica may found a cluster if every peer answers that its folder is empty.
+    """
+
+    host: str
+    peers: tuple[str, ...]
+    groups: int = 1 + defaults.CLAIM_GROUPS
+    bootstrap: bool = False
+    heartbeat_seconds: float = defaults.HEARTBEAT_SECONDS
+    election_timeout_seconds: float = defaults.ELECTION_TIMEOUT_SECONDS
+    snapshot_entries: int = defaults.SNAPSHOT_ENTRIES
+    snapshot_trailing_entries: int = defaults.SNAPSHOT_TRAILING_ENTRIES
+    snapshot_chunk_bytes: int = defaults.SNAPSHOT_CHUNK_BYTES
+    append_bytes: int = defaults.APPEND_BYTES
+    proposal_bytes: int = defaults.PROPOSAL_BYTES
+    appends_in_flight: int = defaults.APPENDS_IN_FLIGHT
+    promotion_lag_entries: int = defaults.PROMOTION_LAG_ENTRIES
+    join_retry_seconds: float = defaults.JOIN_RETRY_SECONDS
+
+
+class Role(StrEnum):
+    """Say what a replica does in a group at present; learners are followers."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class ProgressMode(StrEnum):
+    """Say how a leader sends entries to a member.
+
+    `PROBE` sends one append at a time until one is acknowledged; `REPLICATE` sends ahead;
+    `SNAPSHOT` sends chunks.
+    """
+
+    PROBE = "probe"
+    REPLICATE = "replicate"
+    SNAPSHOT = "snapshot"
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what a leader knows about a member.
+
+    Attributes
+    ----------
+    in_flight : deque of tuple of (int, float)
+        Last index and time of each append that is not yet acknowledged.
+    snapshot : Snapshot or None
+        Snapshot in transfer; kept here so that a newer one does not change it midway.
+    """
+
+    match_index: int = 0
+    next_index: int = 1
+    mode: ProgressMode = ProgressMode.PROBE
+    in_flight: deque[tuple[int, float]] = field(default_factory=deque)
+    heard_at: float = 0.0
+    snapshot: Snapshot | None = None
+    snapshot_offset: int = 0
+    snapshot_sent_at: float = 0.0
+
+
+@dataclass(slots=True)
+class PartialSnapshot:
+    """Collect the chunks of a snapshot; `size` counts the bytes collected."""
+
+    index: int
+    term: int
+    total: int
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+@dataclass(slots=True)
+class GroupState:
+    """Hold the state of one group on this replica.
+
+    Attributes
+    ----------
+    memberships : list of tuple of (int, Membership)
+        Index and value of the memberships in the log; the first one is at or before the log's
+        base, the last one is in effect.
+    synced_index : int
+        Last index that is durable on this replica's disk.
+    vote_ticket : int
+        Ticket that makes the present term and vote durable.
+    append_ticket : int
+        Ticket that makes the present log durable.
+    sync_mark : int
+        Last index that the sync in progress covers.
+    proposals : dict of int to tuple of (int, str)
+        Term and proposal identifier of each uncommitted entry that this replica proposed.
+    tokens : dict of ReplicaId to int
+        Challenges sent to replicas that ask to join.
+    """
+
+    group: int
+    log: Log
+    term: int = 0
+    voted_for: ReplicaId = ReplicaId()
+    role: Role = Role.FOLLOWER
+    leader: ReplicaId = ReplicaId()
+    commit_index: int = 0
+    applied_index: int = 0
+    snapshot: Snapshot | None = None
+    memberships: list[tuple[int, Membership]] = field(default_factory=list)
+    synced_index: int = 0
+    vote_ticket: int = 0
+    append_ticket: int = 0
+    sync_mark: int = 0
+    election_at: float = 0.0
+    leader_heard_at: float = float("-inf")
+    votes: set[ReplicaId] = field(default_factory=set)
+    transfer_election: bool = False
+    progress: dict[ReplicaId, Progress] = field(default_factory=dict)
+    term_start_index: int = 0
+    proposals: dict[int, tuple[int, str]] = field(default_factory=dict)
+    tokens: dict[ReplicaId, int] = field(default_factory=dict)
+    transfer_to: ReplicaId = ReplicaId()
+    transfer_until: float = 0.0
+    transfer_sent: bool = False
+    partial: PartialSnapshot | None = None
+    snapshot_requested_at: int = 0
+    announced_position: tuple[Any, ...] = ()
+    announced_leadership: tuple[Any, ...] = ("", 0, False)
+
+
+@dataclass(slots=True)
+class HeldMessage:
+    """Hold a promise until the sync with its ticket is done.
+
+    Attributes
+    ----------
+    term : int
+        Term of the promise; it is dropped if the group has moved on to a later term.
+    """
+
+    ticket: int
+    group: int
+    term: int
+    to: str
+    message: Any
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """Hold the state of all groups on this replica.
+
+    Attributes
+    ----------
+    cluster : str
+        Identity of the cluster; empty until this replica founded or joined one.
+    cluster_ticket : int
+        Ticket that makes the cluster durable.
+    next_ticket : int
+        Ticket of the next sync; writes made now are covered by it.
+    ticket_in_flight : int
+        Ticket of the sync in progress, or 0.
+    halted : str
+        Reason why this replica promises nothing more; empty if it works.
+    probe_replies : dict of str to ReplicaId
+        Peers that answered that their data folder is empty.
+    """
+
+    settings: ReplicationSettings
+    replica: ReplicaId
+    random: random.Random
+    cluster: str = ""
+    founders: tuple[ReplicaId, ...] = ()
+    cluster_ticket: int = 0
+    groups: dict[int, GroupState] = field(default_factory=dict)
+    next_ticket: int = 1
+    ticket_in_flight: int = 0
+    synced_ticket: int = 0
+    dirty: bool = False
+    held: list[HeldMessage] = field(default_factory=list)
+    halted: str = ""
+    probe_replies: dict[str, ReplicaId] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/replication/transfers.py
@@ -0,0 +1,41 @@
+"""Pass leadership to another voter."""
+
+from marjorambridge.core.effects import Effect, SendMessage
+from marjorambridge.replication.logs import get_last_index
+from marjorambridge.replication.messages import ElectionRequest
+from marjorambridge.replication.quorums import get_membership, list_voters
+from marjorambridge.replication.state import GroupState, ReplicaState, Role
+
+
+def start_transfer(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], host: str, now: float
+) -> None:
+    """Choose the target and refuse proposals until it leads or an election timeout has passed."""
+    if group.role is not Role.LEADER or group.transfer_to.host:
+        return
+    timeout = replica.settings.election_timeout_seconds
+    candidates = [
+        (group.progress[voter].match_index, voter)
+        for voter in list_voters(get_membership(group))
+        if voter in group.progress
+        and host in ("", voter.host)
+        and now - group.progress[voter].heard_at < timeout
+    ]
+    if not candidates:
+        return
+    group.transfer_to = max(candidates)[1]
+    group.transfer_until = now + timeout
+    continue_transfer(replica, group, effects)
+
+
+def continue_transfer(replica: ReplicaState, group: GroupState, effects: list[Effect]) -> None:
+    """Tell the target to start an election once it holds the whole log."""
+    progress = group.progress.get(group.transfer_to)
+    if group.role is not Role.LEADER or progress is None or group.transfer_sent:
+        return
+    if progress.match_index == get_last_index(group.log):
+        group.transfer_sent = True
+        request = ElectionRequest(
+            group.group, replica.cluster, replica.replica, group.transfer_to, group.term
+        )
+        effects.append(SendMessage(group.transfer_to.host, request))
--- /dev/null
+++ b/marjorambridge/storage/exceptions.py
@@ -0,0 +1,23 @@
+"""Define the errors of the data folder."""
+
+from marjorambridge.core.exceptions import MarjorambridgeError
+
+
+class StorageError(MarjorambridgeError):
+    """Base of the errors of the data folder."""
+
+
+class FolderLockedError(StorageError):
+    """Another process uses the data folder."""
+
+
+class DamagedDataError(StorageError):
+    """Data that was synced cannot be read back."""
+
+
+def make_damage_error(path: object, problem: str) -> DamagedDataError:
+    """Return the error for a damaged file, with the remedy."""
+    return DamagedDataError(
+        f"{path}: {problem}. Check the disk, move the whole data folder away and start again; the "
+        "replica then joins with a new disk id and is repaired from its peers"
+    )
--- /dev/null
+++ b/marjorambridge/storage/segments.py
@@ -0,0 +1,143 @@
+"""Keep a group's records in segment files.
+
+Each sync appends one frame with all entries since the previous one, and a frame is written only
+after the frame before it was synced. So an unreadable frame that is followed by a whole one is
+damage, and one at the very end is a write that was never acknowledged.
+"""
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from marjorambridge.replication.models import LogEntry
+from marjorambridge.storage.exceptions import make_damage_error
+from marjorambridge.storage.files import sync_descriptor, sync_directory, write_bytes
+from marjorambridge.storage.frames import decode_frames, encode_frame, has_frame_after
+
+SEGMENT_PATTERN = "segment-*.log"
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[LogEntry])
+
+
+@dataclass(slots=True)
+class Segment:
+    """Describe one segment file; `last_index` is the greatest index in it."""
+
+    number: int
+    path: Path
+    size: int = 0
+    last_index: int = 0
+
+
+@dataclass(slots=True)
+class SegmentFiles:
+    """Hold the segments of one group, oldest first; records are appended to the last one."""
+
+    folder: Path
+    max_bytes: int
+    segments: list[Segment] = field(default_factory=list)
+    descriptor: int = -1
+    is_written: bool = False
+
+
+def open_segments(folder: Path, max_bytes: int) -> tuple[SegmentFiles, list[LogEntry]]:
+    """Read all segments and open the last one.
+
+    Returns
+    -------
+    tuple of SegmentFiles and list of LogEntry
+        The files, and the entries in the order written; a later one replaces all earlier ones from
+        its index on.
+
+    Raises
+    ------
+    DamagedDataError
+        If a record that was synced cannot be read.
+    """
+    files = SegmentFiles(folder, max_bytes)
+    written: list[LogEntry] = []
+    paths = sorted(folder.glob(SEGMENT_PATTERN))
+    for path in paths:
+        number = int(path.stem.removeprefix("segment-"))
+        data = path.read_bytes()
+        payloads, end = decode_frames(data)
+        if end < len(data):
+            if path != paths[-1] or has_frame_after(data, end):
+                raise make_damage_error(path, f"the record at byte {end} is damaged")
+            os.truncate(path, end)
+        segment = Segment(number, path, end)
+        for payload in payloads:
+            entries = _decoder.decode(payload)
+            segment.last_index = max(segment.last_index, entries[-1].index)
+            written.extend(entries)
+        files.segments.append(segment)
+    if paths:
+        open_last_segment(files)
+        # The cut of a torn tail must be durable before a new record follows it.
+        sync_descriptor(files.descriptor)
+    return files, written
+
+
+def open_last_segment(files: SegmentFiles) -> None:
+    """Open the last segment for appending, creating its file if needed."""
+    flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+    files.descriptor = os.open(files.segments[-1].path, flags, 0o600)
+
+
+def start_segment(files: SegmentFiles) -> None:
+    """Begin a new segment after syncing the present one."""
+    sync_segments(files)
+    close_segments(files)
+    number = files.segments[-1].number + 1 if files.segments else 1
+    files.segments.append(Segment(number, files.folder / f"segment-{number:020d}.log"))
+    open_last_segment(files)
+    sync_directory(files.folder)
+
+
+def append_entries(files: SegmentFiles, entries: list[LogEntry]) -> None:
+    """Write one frame; it is durable after `sync_segments`."""
+    if not files.segments or files.segments[-1].size >= files.max_bytes:
+        start_segment(files)
+    frame = encode_frame(_encoder.encode(entries))
+    segment = files.segments[-1]
+    files.is_written = True
+    write_bytes(files.descriptor, frame)
+    segment.size += len(frame)
+    segment.last_index = max(segment.last_index, entries[-1].index)
+
+
+def sync_segments(files: SegmentFiles) -> None:
+    """Make the written frames durable."""
+    if files.is_written:
+        sync_descriptor(files.descriptor)
+        files.is_written = False
+
+
+def remove_segments(files: SegmentFiles, first_index: int) -> None:
+    """Remove the segments without a record from `first_index` on; 0 removes all.
+
+    If all are removed, the newest goes first, so that a crash midway leaves no gap in the log.
+    """
+    start_segment(files)
+    if first_index == 0:
+        obsolete = list(reversed(files.segments[:-1]))
+    else:
+        obsolete = []
+        for segment in files.segments[:-1]:
+            if segment.last_index >= first_index:
+                break
+            obsolete.append(segment)
+    for segment in obsolete:
+        segment.path.unlink()
+        files.segments.remove(segment)
+    sync_directory(files.folder)
+
+
+def close_segments(files: SegmentFiles) -> None:
+    """Close the last segment."""
+    if files.descriptor >= 0:
+        os.close(files.descriptor)
+        files.descriptor = -1
