--- a/marjorambridge/limits/announcements.py
+++ b/marjorambridge/limits/announcements.py
@@ -71,7 +71,7 @@
     else:
         count_capacity(shard, endpoint.announcement, -1)
         if announcement.report_sequence > endpoint.announcement.report_sequence:
-            apply_report(endpoint, announcement, settings, now)
+            apply_report(shard, endpoint, announcement, settings, now)
         endpoint.announcement = replace(announcement, cache_events=())
         count_capacity(shard, endpoint.announcement, 1)
         endpoint.silent = False
@@ -93,7 +93,7 @@
     clear_incarnations(shard, name, announcement.incarnation, settings, now)
     reset_endpoint(shard.prefix, name)
     endpoint = add_endpoint(shard, replace(announcement, cache_events=()), Ramp(), now)
-    apply_report(endpoint, announcement, settings, now)
+    apply_report(shard, endpoint, announcement, settings, now)
     silent_at = now + settings.endpoint_silence_seconds
     schedule_check(shard, silent_at, "silence", (name, announcement.incarnation))
     effects: list[Effect] = []
@@ -104,7 +104,11 @@
 
 
 def apply_report(
-    endpoint: Endpoint, announcement: Announcement, settings: LimitsSettings, now: float
+    shard: Shard,
+    endpoint: Endpoint,
+    announcement: Announcement,
+    settings: LimitsSettings,
+    now: float,
 ) -> None:
     """Take over a load report, and drop from the account what it contains.
 
@@ -113,10 +117,18 @@
     """
     delay = settings.start_window_seconds * settings.clock_drift_factor
     measured_at = now - announcement.report_age - settings.report_transit_seconds
-    trim_to_report(endpoint.account, measured_at - delay)
+    account = endpoint.account
+    trim_to_report(account, measured_at - delay)
     endpoint.reported_tokens = announcement.kv_used_tokens
-    known = len(endpoint.account.permits) + len(endpoint.account.freed_at)
-    endpoint.orphans = max(0, announcement.running - known)
+    # Releases are kept for one delay longer than the report needs, to be sure of the start.
+    freed = sum(at > measured_at for at in account.freed_at)
+    known = len(account.permits) - len(account.recent) + freed
+    unknown = max(0, announcement.running - known)
+    # Only an earlier owner can have started attempts that this ledger does not know, so the
+    # number can grow only in reports from before this owner granted.
+    if measured_at - delay > shard.grants_from:
+        unknown = min(unknown, endpoint.orphans)
+    endpoint.orphans = unknown
 
 
 def check_silence(
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -414,4 +414,7 @@
             # The ramp of this owner has not granted it, so its end does not move the limit.
             generation=-1,
         )
+        endpoint = shard.endpoints.get(grant.endpoint)
+        if endpoint is not None and endpoint.orphans:
+            endpoint.orphans -= 1
     register_permit(shard, permit, state.settings, now)
--- a/marjorambridge/limits/shard.py
+++ b/marjorambridge/limits/shard.py
@@ -34,7 +34,7 @@
     reported_tokens : int
         KV memory in use by the last load report.
     orphans : int
-        Running attempts in the last load report that the ledger does not know.
+        Running attempts of earlier owners, by the load reports, that the ledger does not know.
     silent : bool
         Whether it has not announced itself for `endpoint_silence_seconds`.
     reserved : bool
