--- /dev/null
+++ b/marjorambridge/orders/messages.py
@@ -0,0 +1,77 @@
+"""Define the messages that shard owners send to the issuer, and the orders to endpoints."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class OrderKind(StrEnum):
+    """Tell what an order makes an endpoint do."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_VERSION = "set_version"
+    SET_ROLE = "set_role"
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """Tell an endpoint to change what it serves.
+
+    Attributes
+    ----------
+    fencing : int
+        Fencing number: the term of the issuer.
+    number : int
+        Serial number within the term.
+    name : str
+        Model, adapter, version or role.
+    load_bytes : int
+        Bytes that the endpoint reads from the weight store.
+    """
+
+    fencing: int
+    number: int
+    kind: OrderKind
+    name: str
+    load_bytes: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointSummary:
+    """Tell what an endpoint announced about what it serves.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the shard owner received the announcement.
+    """
+
+    endpoint: str
+    incarnation: int
+    service: str
+    address: str
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = "any"
+    version: str = ""
+    checks_fencing: bool = False
+    leaving: bool = False
+    age: float = 0.0
+
+
+@dataclass(slots=True)
+class EndpointInventory:
+    """Forward the announcements of a shard, or the changed ones, to the issuer."""
+
+    endpoints: tuple[EndpointSummary, ...]
+
+
+@dataclass(slots=True)
+class LoadDemand:
+    """Tell the issuer how many callers wait for a model at one shard owner."""
+
+    service: str
+    model: str
+    waiting: int
