--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Test the orders package."""
