--- a/marjorambridge/wire/gen/claims/ttypes.py
+++ b/marjorambridge/wire/gen/claims/ttypes.py
@@ -25,6 +25,7 @@
      - headers
      - body
      - kept
+     - digest
 
     """
 
@@ -33,11 +34,12 @@
         'headers',
         'body',
         'kept',
+        'digest',
     )
 
 
     def __init__(self, status=None, headers=[
-    ], body=None, kept=True,):
+    ], body=None, kept=True, digest="",):
         self.status = status
         if headers is self.thrift_spec[2][4]:
             headers = [
@@ -45,6 +47,7 @@
         self.headers = headers
         self.body = body
         self.kept = kept
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -85,6 +88,11 @@
                     self.kept = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -117,6 +125,10 @@
             oprot.writeFieldBegin('kept', TType.BOOL, 4)
             oprot.writeBool(self.kept)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 5)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -453,6 +465,7 @@
      - status
      - answer
      - leader
+     - operation
 
     """
 
@@ -461,14 +474,16 @@
         'status',
         'answer',
         'leader',
+        'operation',
     )
 
 
-    def __init__(self, claim=None, status=None, answer=None, leader="",):
+    def __init__(self, claim=None, status=None, answer=None, leader="", operation="claim",):
         self.claim = claim
         self.status = status
         self.answer = answer
         self.leader = leader
+        self.operation = operation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -501,6 +516,11 @@
                     self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.operation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -527,6 +547,10 @@
             oprot.writeFieldBegin('leader', TType.STRING, 4)
             oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
             oprot.writeFieldEnd()
+        if self.operation is not None:
+            oprot.writeFieldBegin('operation', TType.STRING, 5)
+            oprot.writeString(self.operation.encode('utf-8') if sys.version_info[0] == 2 else self.operation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -558,6 +582,7 @@
     ], ),  # 2
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'kept', None, True, ),  # 4
+    (5, TType.STRING, 'digest', 'UTF8', "", ),  # 5
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -589,6 +614,7 @@
     (2, TType.STRING, 'status', 'UTF8', None, ),  # 2
     (3, TType.STRUCT, 'answer', [RecordedAnswer, None], None, ),  # 3
     (4, TType.STRING, 'leader', 'UTF8', "", ),  # 4
+    (5, TType.STRING, 'operation', 'UTF8', "claim", ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/claims.thrift
+++ b/marjorambridge/wire/idl/claims.thrift
@@ -8,6 +8,7 @@
   2: list<list<string>> headers = []
   3: binary body
   4: bool kept = true
+  5: string digest = ""
 }
 
 struct ClaimRequest {
@@ -35,4 +36,5 @@
   2: string status
   3: optional RecordedAnswer answer
   4: string leader = ""
+  5: string operation = "claim"
 }
--- a/marjorambridge/wire/registry.py
+++ b/marjorambridge/wire/registry.py
@@ -6,10 +6,14 @@
 
 import marjorambridge.claims.messages
 import marjorambridge.limits.messages
+import marjorambridge.orders.messages
+import marjorambridge.replication.messages
 
 MODULES: dict[str, ModuleType] = {
     "claims": marjorambridge.claims.messages,
     "limits": marjorambridge.limits.messages,
+    "orders": marjorambridge.orders.messages,
+    "replication": marjorambridge.replication.messages,
 }
 
 
--- a/scripts/generate_idl.py
+++ b/scripts/generate_idl.py
@@ -40,13 +40,40 @@
     if isinstance(annotation, type) and issubclass(annotation, enum.IntEnum):
         return "i32", False
     if dataclasses.is_dataclass(annotation):
-        owner = annotation.__module__.split(".")[1]
+        owner = find_owner(annotation, package)
         return (
             annotation.__name__ if owner == package else f"{owner}.{annotation.__name__}"
         ), False
     raise TypeError(f"no thrift type for {annotation!r}")
 
 
+def find_owner(structure: type, package: str) -> str:
+    """Return the package whose IDL has a structure; classes of other modules are copied."""
+    for name, module in MODULES.items():
+        if structure in list_messages(module):
+            return name
+    return package
+
+
+def list_dependencies(message: type, package: str) -> list[type]:
+    """Return the dataclasses of other modules that a message contains, innermost first."""
+    found: list[type] = []
+    for annotation in typing.get_type_hints(message).values():
+        for kind in flatten_types(annotation):
+            is_foreign = dataclasses.is_dataclass(kind) and kind not in SHARED
+            if is_foreign and kind not in list_messages(MODULES[package]):
+                found += [*list_dependencies(kind, package), kind]
+    return [kind for kind in found if find_owner(kind, package) == package]
+
+
+def flatten_types(annotation: object) -> list[type]:
+    """Return the classes in an annotation."""
+    arguments = typing.get_args(annotation)
+    if not arguments:
+        return [annotation] if isinstance(annotation, type) else []
+    return [kind for argument in arguments for kind in flatten_types(argument)]
+
+
 def describe_default(field: dataclasses.Field) -> str:
     """Return the default of a field in IDL syntax, so that an older sender may leave it out."""
     default = field.default
@@ -58,7 +85,9 @@
         return f" = {default.value}"
     if isinstance(default, str):
         return f' = "{default}"'
-    if isinstance(default, int | float):
+    if isinstance(default, float):
+        return f" = {default!r}"
+    if isinstance(default, int):
         return f" = {default}"
     if default == ():
         return " = []"
@@ -79,7 +108,10 @@
 
 def describe_module(package: str) -> str:
     """Return the IDL of a package's messages."""
-    structures = [describe_structure(item, package) for item in list_messages(MODULES[package])]
+    ordered: dict[type, None] = {}
+    for message in list_messages(MODULES[package]):
+        ordered.update(dict.fromkeys([*list_dependencies(message, package), message]))
+    structures = [describe_structure(item, package) for item in ordered]
     text = "\n\n".join(structures)
     included = sorted(
         name for name in {"identity", "core", *MODULES} - {package} if f"{name}." in text
