--- a/marjorambridge/core/effects.py
+++ b/marjorambridge/core/effects.py
@@ -42,6 +42,13 @@
     event: Event
 
 
+@dataclass(slots=True)
+class Notify(Effect):
+    """Hand an internal event to the driver as well, because it concerns the process."""
+
+    event: Event
+
+
 @dataclass(slots=True)
 class WriteLog(Effect):
     """Write one structured log line."""
--- a/marjorambridge/core/reducer.py
+++ b/marjorambridge/core/reducer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from marjorambridge.core.effects import Effect, Publish, SendMessage
+from marjorambridge.core.effects import Effect, Notify, Publish, SendMessage
 from marjorambridge.core.events import Event, MessageReceived, TimerFired
 from marjorambridge.core.exceptions import MarjorambridgeError
 
@@ -45,18 +45,27 @@
 
 @dataclass(slots=True)
 class Node:
-    """Hold the parts of one host and the index of their subscriptions."""
+    """Hold the parts of one host and the index of their subscriptions.
+
+    Attributes
+    ----------
+    notices : frozenset of type
+        Classes of published events that the driver gets as `Notify` effects.
+    """
 
     host: str
     incarnation: int
     parts: dict[str, Part] = field(default_factory=dict)
     by_event: dict[type, list[Part]] = field(default_factory=dict)
     by_message: dict[type, list[Part]] = field(default_factory=dict)
+    notices: frozenset[type] = frozenset()
 
 
-def create_node(host: str, incarnation: int, parts: Iterable[Part]) -> Node:
+def create_node(
+    host: str, incarnation: int, parts: Iterable[Part], notices: frozenset[type] = frozenset()
+) -> Node:
     """Build a node whose parts receive events in the order given."""
-    node = Node(host, incarnation)
+    node = Node(host, incarnation, notices=notices)
     for part in parts:
         node.parts[part.name] = part
         for kind in part.events:
@@ -96,6 +105,8 @@
             for effect in part.step(part.state, current):
                 if isinstance(effect, Publish):
                     pending.append(effect.event)
+                    if type(effect.event) in node.notices:
+                        outside.append(Notify(effect.event))
                 elif isinstance(effect, SendMessage) and effect.to == node.host:
                     pending.append(
                         MessageReceived(event.now, node.host, node.incarnation, effect.message)
--- /dev/null
+++ b/marjorambridge/daemon/host.py
@@ -0,0 +1,258 @@
+"""Start and close one host: its reducer, its timers and all drivers."""
+
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.to_thread
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marjorambridge.claims.events import WallClockRead
+from marjorambridge.conf.settings import HostSettings
+from marjorambridge.configuration.models import find_service
+from marjorambridge.core import effects, events
+from marjorambridge.daemon import runtime as driver
+from marjorambridge.daemon.identity import (
+    create_incarnation,
+    derive_node_settings,
+    is_replica,
+    read_fleet_key,
+)
+from marjorambridge.daemon.operators import Operators, build_callbacks, deliver_answer
+from marjorambridge.daemon.recording import open_recording
+from marjorambridge.daemon.runtime import Runtime, post, run_timers
+from marjorambridge.http import admin, callers, endpoints, servers
+from marjorambridge.http.registry import Registry, deliver
+from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
+from marjorambridge.membership.events import CommandAnswered
+from marjorambridge.node.composition import compose_node
+from marjorambridge.replication.effects import (
+    AppendRecords,
+    SaveCluster,
+    SaveSnapshot,
+    SaveVote,
+    SyncStorage,
+)
+from marjorambridge.replication.events import LeadershipChanged, RepairStatus, ReplicaHalted
+from marjorambridge.requests.effects import (
+    CancelAttempt,
+    FinishRequest,
+    ForwardChunk,
+    ForwardHeaders,
+    StartAttempt,
+)
+from marjorambridge.requests.events import Drained
+from marjorambridge.routing.prefixes import compute_prefix
+from marjorambridge.storage import worker as storage
+from marjorambridge.storage.stores import open_store
+from marjorambridge.telemetry import logs, metrics, traces
+from marjorambridge.transport import network
+
+WALL_CLOCK_SECONDS = 1.0
+# The last answers are on their way to the callers when the reducer reports that it is drained.
+FLUSH_SECONDS = 2.0
+DEFAULT_BYTES_PER_TOKEN = 3.0
+
+
+@dataclass(slots=True)
+class Host:
+    """Hold the running parts of one host.
+
+    Attributes
+    ----------
+    drained : anyio.Event
+        Set when a shutdown has no request left.
+    cut : int
+        Requests that the shutdown cut.
+    """
+
+    settings: HostSettings
+    incarnation: int
+    runtime: Runtime
+    registry: Registry
+    network: network.Network
+    metrics: metrics.Metrics
+    operators: Operators
+    endpoints: endpoints.EndpointDriver | None = None
+    storage: storage.StorageWorker | None = None
+    traces: traces.Traces | None = None
+    servers: list[servers.HttpServer] = field(default_factory=list)
+    fresh_until: float = float("-inf")
+    configuration: Any = None
+    shutting_down: bool = False
+    drained: anyio.Event = field(default_factory=anyio.Event)
+    cut: int = 0
+
+
+async def start(settings: HostSettings, tasks: TaskGroup) -> Host:
+    """Start everything and return once the addresses are open.
+
+    Raises
+    ------
+    SettingsError
+        If the fleet key can't be used.
+    StorageError
+        If the data folder can't be used.
+    OSError
+        If an address can't be bound.
+    """
+    incarnation = create_incarnation()
+    node_settings = derive_node_settings(settings, incarnation)
+    fleet_key = read_fleet_key(Path(settings.fleet_key_file))
+    store, recovered = None, None
+    if is_replica(settings):
+        store, recovered = await anyio.to_thread.run_sync(open_store, Path(settings.data_folder))
+    now = time.monotonic()
+    node, recovery = compose_node(node_settings, recovered, now)
+    runtime = Runtime(node)
+    host = _create_host(settings, incarnation, runtime, fleet_key)
+    if settings.record_file:
+        runtime.record = open_recording(Path(settings.record_file))
+    if store is not None:
+        host.storage = storage.StorageWorker(store, lambda event: post(runtime, event))
+    if settings.log.trace_file:
+        host.traces = traces.start(Path(settings.log.trace_file), settings.host)
+    host.endpoints = endpoints.create_driver(host.registry, lambda event: post(runtime, event))
+    _connect_handlers(host)
+    await network.start(host.network, tasks, settings.addresses.peer)
+    await endpoints.start_driver(host.endpoints)
+    if host.storage is not None:
+        tasks.start_soon(storage.run, host.storage)
+    tasks.start_soon(run_timers, runtime)
+    tasks.start_soon(_read_wall_clock, runtime)
+    await _open_servers(host)
+    post(runtime, WallClockRead(now, time.time()))
+    for effect in recovery:
+        driver.apply_recovery(runtime, effect)
+    post(runtime, events.Started(time.monotonic()))
+    logger.bind(incarnation=incarnation, replica=store is not None).info("the host has started")
+    return host
+
+
+def _create_host(
+    settings: HostSettings, incarnation: int, runtime: Runtime, fleet_key: bytes
+) -> Host:
+    addresses = {replica.host: replica.address for replica in settings.replicas}
+
+    def resolve(name: str) -> str | None:
+        view = runtime.node.parts["membership"].state.host.control.view
+        entry = view.hosts.get(name)
+        return entry.address if entry is not None else addresses.get(name)
+
+    peers = network.Network(
+        host=settings.host,
+        incarnation=incarnation,
+        fleet=settings.fleet,
+        fleet_key=fleet_key,
+        address=settings.addresses.advertised_peer or settings.addresses.peer,
+        resolve=resolve,
+        post=lambda event: post(runtime, event),
+    )
+    return Host(
+        settings=settings,
+        incarnation=incarnation,
+        runtime=runtime,
+        registry=Registry(),
+        network=peers,
+        metrics=metrics.start(),
+        operators=Operators(),
+    )
+
+
+def _connect_handlers(host: Host) -> None:
+    handlers = host.runtime.handlers
+    handlers[effects.SendMessage] = lambda effect: network.send(
+        host.network, effect.to, effect.message
+    )
+    handlers[effects.WriteLog] = logs.write
+    handlers[effects.Measure] = lambda effect: metrics.record(host.metrics, effect)
+    handlers[effects.Notify] = lambda effect: _take_notice(host, effect.event)
+    handlers[effects.RecordSpan] = lambda effect: _record_span(host, effect)
+    for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint):
+        handlers[kind] = lambda effect: endpoints.carry_out(host.endpoints, effect)
+    for kind in (ForwardHeaders, ForwardChunk, FinishRequest):
+        handlers[kind] = lambda effect: deliver(host.registry, effect)
+    for kind in (SaveCluster, SaveVote, AppendRecords, SaveSnapshot, SyncStorage):
+        handlers[kind] = lambda effect: storage.add_effect(host.storage, effect)
+
+
+def _record_span(host: Host, effect: effects.RecordSpan) -> None:
+    if host.traces is not None:
+        traces.record(host.traces, effect)
+
+
+def _take_notice(host: Host, event: events.Event) -> None:
+    match event:
+        case events.FreshnessChanged():
+            host.fresh_until = event.fresh_until
+        case events.ConfigurationApplied():
+            host.configuration = event.configuration
+        case CommandAnswered():
+            deliver_answer(host.operators, event)
+        case Drained():
+            host.cut = event.cut
+            host.drained.set()
+            logger.bind(ended=event.ended, cut=event.cut).info("the host is drained")
+        case LeadershipChanged():
+            logger.bind(group=event.group, leader=event.leader, term=event.term).info(
+                "the leader of a log group changed"
+            )
+        case RepairStatus():
+            logger.bind(group=event.group, replica=event.host, stage=event.stage.value).info(
+                "the repair of a replica went on"
+            )
+        case ReplicaHalted():
+            logger.bind(reason=event.reason).error(
+                "the replica stopped; check the disk of data_folder, then restart the process"
+            )
+
+
+async def _open_servers(host: Host) -> None:
+    def find_bytes_per_token(model: str) -> float:
+        service = find_service(host.configuration, model) if host.configuration else None
+        return service.bytes_per_token if service else DEFAULT_BYTES_PER_TOKEN
+
+    limits = callers.CallerSettings(max_body_bytes=host.settings.requests.max_body_bytes)
+    applications = {
+        host.settings.addresses.callers: callers.build_application(
+            host.registry,
+            lambda event: post(host.runtime, event),
+            limits,
+            compute_prefix,
+            find_bytes_per_token,
+        ),
+        host.settings.addresses.admin: admin.build_application(build_callbacks(host)),
+    }
+    for address, application in applications.items():
+        ip, _, port = address.rpartition(":")
+        host.servers.append(await servers.start_server(application, ip.strip("[]"), int(port)))
+
+
+async def _read_wall_clock(runtime: Runtime) -> None:
+    while True:
+        await anyio.sleep(WALL_CLOCK_SECONDS)
+        post(runtime, WallClockRead(time.monotonic(), time.time()))
+
+
+def request_shutdown(host: Host) -> None:
+    """Begin a graceful shutdown; a second call ends what still runs."""
+    forced = host.shutting_down
+    host.shutting_down = True
+    logger.bind(forced=forced).info("shutdown was requested")
+    post(host.runtime, events.ShutdownRequested(time.monotonic(), forced))
+
+
+async def close(host: Host) -> None:
+    """Close all drivers; the callers' last answers are flushed first."""
+    for server in host.servers:
+        await servers.close_server(server, FLUSH_SECONDS)
+    if host.endpoints is not None:
+        await endpoints.close_driver(host.endpoints)
+    await network.close(host.network)
+    if host.storage is not None:
+        await storage.close(host.storage)
+    if host.traces is not None:
+        traces.close(host.traces)
--- /dev/null
+++ b/marjorambridge/daemon/operators.py
@@ -0,0 +1,107 @@
+"""Connect the admin address with the reducer."""
+
+import hashlib
+import hmac
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import msgspec
+
+from marjorambridge.configuration.commands import OperatorCommand
+from marjorambridge.configuration.exceptions import EntryDecodeError
+from marjorambridge.configuration.json_commands import parse_command
+from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
+from marjorambridge.daemon.runtime import post
+from marjorambridge.daemon.state_dump import describe_state
+from marjorambridge.http.admin import AdminCallbacks
+from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
+from marjorambridge.telemetry import metrics
+
+if TYPE_CHECKING:
+    from marjorambridge.daemon.host import Host
+
+# Longer than the reducer's own time for a command, so that its answer always comes first.
+ANSWER_SECONDS = 30.0
+STATUSES = {
+    AnswerStatus.ACCEPTED: 200,
+    AnswerStatus.CONFLICT: 409,
+    AnswerStatus.INVALID: 422,
+    AnswerStatus.EXPIRED: 410,
+    AnswerStatus.UNAVAILABLE: 503,
+}
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Wait for the answer of a command."""
+
+    event: anyio.Event = field(default_factory=anyio.Event)
+    answer: CommandAnswer | None = None
+
+
+@dataclass(slots=True)
+class Operators:
+    """Hold the operators' connections that wait for an answer, by command identifier."""
+
+    waiting: dict[str, list[Waiter]] = field(default_factory=dict)
+
+
+def deliver_answer(operators: Operators, event: CommandAnswered) -> None:
+    """Wake all connections that wait for the command."""
+    for waiter in operators.waiting.pop(event.command_id, []):
+        waiter.answer = event.answer
+        waiter.event.set()
+
+
+def build_callbacks(host: "Host") -> AdminCallbacks:
+    """Return what the admin application calls."""
+
+    async def run_command(raw: dict[str, Any]) -> tuple[int, Any]:
+        try:
+            command = parse_command(raw)
+        except EntryDecodeError as error:
+            return 400, {"status": "invalid", "message": str(error)}
+        answer = await _submit(host, command)
+        return STATUSES[answer.status], msgspec.to_builtins(answer)
+
+    return AdminCallbacks(
+        is_ready=lambda: _is_ready(host),
+        render_metrics=lambda: metrics.render(host.metrics),
+        dump_state=lambda: describe_state(host),
+        run_command=run_command,
+        check_token=lambda token: _check_token(host, token),
+    )
+
+
+async def _submit(host: "Host", command: OperatorCommand) -> CommandAnswer:
+    waiter = Waiter()
+    host.operators.waiting.setdefault(command.command_id, []).append(waiter)
+    post(host.runtime, CommandSubmitted(time.monotonic(), command))
+    with anyio.move_on_after(ANSWER_SECONDS):
+        await waiter.event.wait()
+    if waiter.answer is not None:
+        return waiter.answer
+    return CommandAnswer(
+        command.command_id,
+        AnswerStatus.UNAVAILABLE,
+        0,
+        "no answer came in time; send the same command again",
+    )
+
+
+def _is_ready(host: "Host") -> tuple[bool, str]:
+    if host.shutting_down:
+        return False, "the host is shutting down"
+    if time.monotonic() >= host.fresh_until:
+        return False, "no majority of replicas confirms that the configuration is current"
+    return True, ""
+
+
+def _check_token(host: "Host", token: str) -> bool:
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    matches = [
+        hmac.compare_digest(digest, expected) for expected in host.settings.operator_token_hashes
+    ]
+    return any(matches)
--- a/marjorambridge/daemon/runtime.py
+++ b/marjorambridge/daemon/runtime.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from marjorambridge.core import reducer
-from marjorambridge.core.effects import CancelTimer, Effect, SetTimer
+from marjorambridge.core.effects import CancelTimer, Effect, Publish, SetTimer
 from marjorambridge.core.events import Event, TimerFired
 from marjorambridge.core.timers import (
     TimerTable,
@@ -102,3 +102,11 @@
         checked = now
         for key in pop_due(runtime.timers, now):
             post(runtime, TimerFired(now, key))
+
+
+def apply_recovery(runtime: Runtime, effect: Effect) -> None:
+    """Carry out an effect of recovery, before the first event of the process."""
+    if isinstance(effect, Publish):
+        post(runtime, effect.event)
+    else:
+        _carry_out(runtime, effect)
--- /dev/null
+++ b/marjorambridge/node/__init__.py
@@ -0,0 +1,1 @@
+"""Compose the pure packages into the state of one host."""
--- /dev/null
+++ b/marjorambridge/node/composition.py
@@ -0,0 +1,181 @@
+"""Build the node of a host from the parts that its role needs."""
+
+from dataclasses import dataclass
+
+from marjorambridge.claims import events as claim_events
+from marjorambridge.claims import messages as claim_messages
+from marjorambridge.claims import reducer as claims
+from marjorambridge.claims.state import ClaimSettings
+from marjorambridge.claims.state import create_state as create_claims
+from marjorambridge.core import events
+from marjorambridge.core.effects import Effect
+from marjorambridge.core.reducer import Node, Part, create_node
+from marjorambridge.limits import reducer as limits
+from marjorambridge.limits.settings import LimitsSettings
+from marjorambridge.limits.state import create_state as create_limits
+from marjorambridge.membership import reducer as membership
+from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
+from marjorambridge.membership.messages import (
+    CommandForward,
+    CommandRedirect,
+    CommandReply,
+    FreshnessQuery,
+    FreshnessReply,
+    HostLeaveRequest,
+)
+from marjorambridge.membership.state import MembershipSettings
+from marjorambridge.membership.state import create_state as create_membership
+from marjorambridge.replication import events as log_events
+from marjorambridge.replication import reducer as replication
+from marjorambridge.replication.models import RecoveredReplica
+from marjorambridge.replication.recovery import recover
+from marjorambridge.replication.state import ReplicationSettings
+from marjorambridge.requests import reducer as requests
+from marjorambridge.requests.events import Drained
+from marjorambridge.requests.state import RequestSettings
+from marjorambridge.requests.state import create_state as create_requests
+
+NOTICES = frozenset(
+    {
+        CommandAnswered,
+        Drained,
+        events.ConfigurationApplied,
+        events.FreshnessChanged,
+        log_events.LeadershipChanged,
+        log_events.ReplicaHalted,
+        log_events.RepairStatus,
+    }
+)
+LOG_EVENTS = frozenset(
+    {
+        log_events.EntryCommitted,
+        log_events.LeadershipChanged,
+        log_events.LogPositionChanged,
+        log_events.ProposalRefused,
+        log_events.SnapshotInstalled,
+        log_events.SnapshotRequested,
+    }
+)
+
+
+@dataclass(slots=True)
+class NodeSettings:
+    """Hold the settings of all parts of a node.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of all random numbers of the node.
+    replication : ReplicationSettings or None
+        None on hosts without a replica.
+    """
+
+    membership: MembershipSettings
+    limits: LimitsSettings
+    requests: RequestSettings
+    claims: ClaimSettings
+    seed: int
+    replication: ReplicationSettings | None = None
+
+
+def compose_node(
+    settings: NodeSettings, recovered: RecoveredReplica | None, now: float
+) -> tuple[Node, list[Effect]]:
+    """Build a node and return it with the effects of its recovery.
+
+    Parameters
+    ----------
+    recovered : RecoveredReplica or None
+        What storage recovered; needed if the host has a replica.
+    now : float
+        Monotonic time in seconds.
+    """
+    effects: list[Effect] = []
+    parts = [_create_membership(settings), _create_claims(settings)]
+    if settings.replication is not None and recovered is not None:
+        state, effects = recover(settings.replication, recovered, settings.seed, now)
+        parts.append(_create_replication(state))
+    parts += [_create_limits(settings), _create_requests(settings)]
+    identity = settings.membership
+    return create_node(identity.host, identity.incarnation, parts, NOTICES), effects
+
+
+def _create_membership(settings: NodeSettings) -> Part:
+    return Part(
+        "membership",
+        create_membership(settings.membership),
+        membership.step,
+        LOG_EVENTS | {events.Started, events.ShutdownRequested, CommandSubmitted},
+        frozenset(
+            {
+                CommandForward,
+                CommandRedirect,
+                CommandReply,
+                FreshnessQuery,
+                FreshnessReply,
+                HostLeaveRequest,
+            }
+        ),
+    )
+
+
+def _create_claims(settings: NodeSettings) -> Part:
+    identity = settings.membership
+    state = create_claims(
+        settings.claims,
+        identity.host,
+        identity.incarnation,
+        identity.replicas,
+        identity.replica,
+    )
+    wanted = {
+        claim_events.ClaimWanted,
+        claim_events.ClaimCompletionWanted,
+        claim_events.ClaimReleaseWanted,
+        claim_events.ClaimReplicasChanged,
+        claim_events.WallClockRead,
+        events.Started,
+        events.ViewApplied,
+    }
+    taken = {
+        claim_messages.ClaimAnswer,
+        claim_messages.ClaimComplete,
+        claim_messages.ClaimRelease,
+        claim_messages.ClaimRequest,
+    }
+    return Part("claims", state, claims.step, LOG_EVENTS | wanted, frozenset(taken))
+
+
+def _create_replication(state: object) -> Part:
+    return Part(
+        "replication",
+        state,
+        replication.step,
+        frozenset(replication.EVENT_HANDLERS),
+        frozenset(replication.FLEET_HANDLERS) | frozenset(replication.GROUP_HANDLERS),
+    )
+
+
+def _create_limits(settings: NodeSettings) -> Part:
+    identity = settings.membership
+    state = create_limits(identity.host, identity.region, settings.limits, settings.seed)
+    return Part("limits", state, limits.step, limits.EVENTS, limits.MESSAGES)
+
+
+def _create_requests(settings: NodeSettings) -> Part:
+    identity = settings.membership
+    state = create_requests(
+        identity.host,
+        identity.incarnation,
+        identity.region,
+        identity.zone,
+        settings.requests,
+        settings.seed,
+    )
+    return Part(
+        "requests",
+        state,
+        requests.step,
+        frozenset(requests.HANDLERS),
+        frozenset(requests.MESSAGE_HANDLERS),
+    )
--- /dev/null
+++ b/marjorambridge/storage/worker.py
@@ -0,0 +1,51 @@
+"""Carry out storage effects in a worker thread, one batch after the other."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.to_thread
+
+from marjorambridge.core.effects import Effect
+from marjorambridge.core.events import Event
+from marjorambridge.storage.stores import Store, close_store, execute
+
+
+@dataclass(slots=True)
+class StorageWorker:
+    """Hold the effects that wait for the disk.
+
+    Attributes
+    ----------
+    post : callable
+        Takes the completion events, in the event loop.
+    """
+
+    store: Store
+    post: Callable[[Event], None]
+    waiting: list[Effect] = field(default_factory=list)
+    wakeup: anyio.Event = field(default_factory=anyio.Event)
+
+
+def add_effect(worker: StorageWorker, effect: Effect) -> None:
+    """Queue an effect behind the earlier ones."""
+    worker.waiting.append(effect)
+    worker.wakeup.set()
+
+
+async def run(worker: StorageWorker) -> None:
+    """Carry out effects until cancelled; what came during a sync forms the next batch."""
+    while True:
+        await worker.wakeup.wait()
+        worker.wakeup = anyio.Event()
+        batch, worker.waiting = worker.waiting, []
+        for event in await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0):
+            event.now = time.monotonic()
+            worker.post(event)
+
+
+async def close(worker: StorageWorker) -> None:
+    """Close the data folder; writes that were not synced are dropped."""
+    with anyio.CancelScope(shield=True):
+        await anyio.to_thread.run_sync(close_store, worker.store)
