--- /dev/null
+++ b/marjorambridge/configuration/faults.py
@@ -0,0 +1,61 @@
+"""Describe faults of a configuration, a command or a questionnaire, with their remedies."""
+
+import difflib
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marjorambridge.conf import defaults
+
+MAX_KNOWN_NAMES = 200
+
+
+@dataclass(slots=True)
+class Fault:
+    """Describe one fault.
+
+    Attributes
+    ----------
+    path : str
+        Where the fault is, such as ``services.geru-model.zones``.
+    problem : str
+        What is wrong.
+    remedy : str
+        What the operator can do about it.
+    """
+
+    path: str
+    problem: str
+    remedy: str
+
+
+def suggest_name(name: str, known: Iterable[str], otherwise: str) -> str:
+    """Return a remedy that names the nearest known name, or `otherwise` if none is near.
+
+    No suggestion is made among more than `MAX_KNOWN_NAMES` names, because the comparison of many
+    wrong names with many known ones would hold up every host that applies the command.
+
+    Examples
+    --------
+    >>> suggest_name("bhujj", ["anjar", "bhuj"], "add it")
+    "use 'bhuj', or add it"
+    >>> suggest_name("x", ["anjar"], "add it")
+    'add it'
+    """
+    names = sorted(known)
+    if len(names) > MAX_KNOWN_NAMES:
+        return otherwise
+    nearest = difflib.get_close_matches(name[:64], names, n=1)
+    return f"use {nearest[0]!r}, or {otherwise}" if nearest else otherwise
+
+
+def limit_faults(faults: Iterable[Fault]) -> list[Fault]:
+    """Return the first faults, at most `MAX_FAULTS`; the last one tells of any others.
+
+    `faults` is not consumed further, so that a command with very many faults costs little.
+    """
+    kept = list(itertools.islice(faults, defaults.MAX_FAULTS + 1))
+    if len(kept) > defaults.MAX_FAULTS:
+        remedy = "correct the listed ones and send the command again"
+        kept[-2:] = [Fault("", "further faults are not listed", remedy)]
+    return kept
--- /dev/null
+++ b/marjorambridge/configuration/state.py
@@ -0,0 +1,128 @@
+"""Hold the replicated control state: configuration, view and answers of recent commands."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from marjorambridge.configuration.faults import Fault
+from marjorambridge.configuration.models import Configuration
+from marjorambridge.core.view import View
+
+
+class AnswerStatus(StrEnum):
+    """Say what became of an operator command.
+
+    ``UNAVAILABLE`` never comes from the state machine; it says that no committed answer arrived in
+    time, so that the command may or may not take effect.
+    """
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    EXPIRED = "expired"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(slots=True)
+class ChangeRecord:
+    """Tell who made an accepted change.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration after the change.
+    wall : float
+        Unix time in seconds from the command.
+    """
+
+    version: int
+    operator: str
+    command_id: str
+    wall: float
+    summary: str
+
+
+@dataclass(slots=True)
+class CommandAnswer:
+    """Answer an operator command.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration after the command; 0 for ``UNAVAILABLE``.
+    message : str
+        Text for the operator; names the remedy if the command was not accepted.
+    faults : tuple of Fault
+        For ``INVALID``: every fault.
+    changes : tuple of ChangeRecord
+        For ``CONFLICT``: the changes since the base version, newest last, as far as kept.
+    """
+
+    command_id: str
+    status: AnswerStatus
+    version: int
+    message: str
+    faults: tuple[Fault, ...] = ()
+    changes: tuple[ChangeRecord, ...] = ()
+
+
+@dataclass(slots=True)
+class KeptAnswer:
+    """Keep the first answer of a command for resends.
+
+    Attributes
+    ----------
+    digest : str
+        Digest of the whole command; a different command under the same identifier is refused.
+    wall : float
+        Wall time of the command.
+    kept_since : float
+        Greatest wall time of all commands up to this one.
+    items : int
+        One plus the number of faults and changes in the answer. Each has a bounded length; unlike
+        bytes, their number does not depend on the wording of one version of this software.
+    based : bool
+        Whether the command had a base version, so that it cannot be accepted twice.
+    """
+
+    answer: CommandAnswer
+    digest: str
+    wall: float
+    kept_since: float
+    items: int
+    based: bool
+
+
+@dataclass(slots=True)
+class ControlState:
+    """Hold the state that every replica and every host derives from log group 0.
+
+    `configuration` and `view` are replaced, never changed in place, so that receivers may keep
+    them.
+
+    Attributes
+    ----------
+    index : int
+        Index of the last applied entry.
+    configuration_index : int
+        Index of the last entry that changed the configuration.
+    answers : dict of str to KeptAnswer
+        Answers by command identifier, in the order of application.
+    answer_items : int
+        Sum of the items of `answers`.
+    history : list of ChangeRecord
+        The last `CHANGE_HISTORY` accepted changes, newest last.
+    wall : float
+        Greatest wall time of all commands.
+    forgotten_wall : float
+        Greatest wall time of the forgotten commands that had no base version.
+    """
+
+    index: int = 0
+    configuration: Configuration = field(default_factory=Configuration)
+    configuration_index: int = 0
+    view: View = field(default_factory=View)
+    answers: dict[str, KeptAnswer] = field(default_factory=dict)
+    answer_items: int = 0
+    history: list[ChangeRecord] = field(default_factory=list)
+    wall: float = 0.0
+    forgotten_wall: float = 0.0
