Add the freshness poll, the host registry and the carrying of operator commands

A host needs to know without a leader whether its copy of the control state is current, and the leader needs to know which hosts live. One poll serves both.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -15,6 +15,7 @@
 RECENT_ENTRIES = 2_000
 RECENT_ENTRY_BYTES = 4 * 1024 * 1024
 REPLY_ENTRY_BYTES = 256 * 1024
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 
 # Control state. The limits bound the size of a snapshot; a command must fit into one frame together
 # with its envelope.
--- a/marjorambridge/configuration/state_machine.py
+++ b/marjorambridge/configuration/state_machine.py
@@ -127,6 +127,26 @@
     return _refuse(state, command, [fault])
 
 
+def check_envelope(command: OperatorCommand) -> list[Fault]:
+    """Return the faults of a command's identity and base version."""
+    faults = []
+    for path, text in (("command_id", command.command_id), ("operator", command.operator)):
+        if not 1 <= len(text) <= MAX_IDENTIFIER_LENGTH:
+            problem = f"has {len(text)} characters"
+            remedy = f"use 1 to {MAX_IDENTIFIER_LENGTH} characters"
+            faults.append(Fault(path, problem, remedy))
+    if command.base_version is None and not isinstance(command.change, SetZoneOut):
+        faults.append(
+            Fault(
+                "base_version",
+                "is missing",
+                "give the version of the configuration that the change is based on; only taking a "
+                "zone out of service needs none",
+            )
+        )
+    return faults
+
+
 def take_snapshot(state: ControlState) -> bytes:
     """Return the bytes of the whole state; equal states have equal bytes.
 
@@ -221,7 +241,7 @@
 
 
 def _apply_command(state: ControlState, index: int, command: OperatorCommand) -> CommandAnswer:
-    faults = _check_envelope(command)
+    faults = check_envelope(command)
     if faults:
         return _refuse(state, command, faults)
     kept = find_kept_answer(state, command)
@@ -241,25 +261,6 @@
     return answer
 
 
-def _check_envelope(command: OperatorCommand) -> list[Fault]:
-    faults = []
-    for path, text in (("command_id", command.command_id), ("operator", command.operator)):
-        if not 1 <= len(text) <= MAX_IDENTIFIER_LENGTH:
-            problem = f"has {len(text)} characters"
-            remedy = f"use 1 to {MAX_IDENTIFIER_LENGTH} characters"
-            faults.append(Fault(path, problem, remedy))
-    if command.base_version is None and not isinstance(command.change, SetZoneOut):
-        faults.append(
-            Fault(
-                "base_version",
-                "is missing",
-                "give the version of the configuration that the change is based on; only taking a "
-                "zone out of service needs none",
-            )
-        )
-    return faults
-
-
 def _decide(state: ControlState, index: int, command: OperatorCommand) -> CommandAnswer:
     present = state.configuration
     if command.base_version is not None and command.base_version != present.version:
--- /dev/null
+++ b/marjorambridge/membership/replica.py
@@ -0,0 +1,348 @@
+"""Answer polls from the replica's log, and lead the host registry and the operator commands."""
+
+from marjorambridge.conf import defaults
+from marjorambridge.configuration.codec import decode_entry, encode_entry
+from marjorambridge.configuration.commands import (
+    HostJoined,
+    HostLeaving,
+    HostRemoved,
+    OperatorCommand,
+)
+from marjorambridge.configuration.exceptions import EntryDecodeError, SnapshotDecodeError
+from marjorambridge.configuration.state_machine import (
+    MAX_IDENTIFIER_LENGTH,
+    apply_entry,
+    check_envelope,
+    find_kept_answer,
+    restore_snapshot,
+    take_snapshot,
+)
+from marjorambridge.core.effects import Effect, Publish, SendMessage, WriteLog
+from marjorambridge.core.view import HostEntry, HostState
+from marjorambridge.membership.messages import (
+    CommandForward,
+    CommandRedirect,
+    CommandReply,
+    CommittedEntry,
+    EntryBatch,
+    FreshnessQuery,
+    FreshnessReply,
+    SnapshotChunk,
+)
+from marjorambridge.membership.state import (
+    HostProgress,
+    HostProposal,
+    LeaderCommand,
+    MembershipState,
+    ReplicaSide,
+)
+from marjorambridge.replication.events import (
+    EntryCommitted,
+    LeadershipChanged,
+    ProposalRefused,
+    ProposalRequested,
+    SnapshotInstalled,
+    SnapshotTaken,
+)
+
+CONTROL_GROUP = 0
+
+
+def handle_entry(state: MembershipState, event: EntryCommitted) -> list[Effect]:
+    """Apply a committed entry, keep it for the hosts and answer the command that it carries."""
+    replica, settings = state.replica, state.settings
+    if replica.halted or event.index <= replica.control.index:
+        return []
+    try:
+        applied = apply_entry(replica.control, event.index, event.payload)
+    except EntryDecodeError as error:
+        return [_halt(replica, f"entry {event.index}: {error}")]
+    replica.recent.append(CommittedEntry(event.index, event.payload))
+    replica.recent_bytes += len(event.payload)
+    while (
+        len(replica.recent) > settings.recent_entries
+        or replica.recent_bytes > settings.recent_entry_bytes
+    ):
+        oldest = replica.recent.popleft()
+        replica.recent_bytes -= len(oldest.payload)
+        replica.recent_after = oldest.index
+    if applied.view_changed:
+        _drop_settled_proposals(replica)
+    waiting = replica.commands.pop(event.payload, None)
+    if waiting is None or applied.answer is None:
+        return []
+    return [
+        SendMessage(origin, CommandReply(applied.answer.command_id, applied.answer))
+        for origin in waiting.origins
+    ]
+
+
+def handle_snapshot(state: MembershipState, event: SnapshotInstalled) -> list[Effect]:
+    """Replace the control state by a snapshot, unless the state is already later."""
+    replica = state.replica
+    if event.index <= replica.control.index:
+        return []
+    try:
+        control = restore_snapshot(event.data)
+    except SnapshotDecodeError as error:
+        return [_halt(replica, f"snapshot {event.index}: {error}")]
+    control.index = max(control.index, event.index)
+    replica.control = control
+    replica.recent.clear()
+    replica.recent_bytes = 0
+    replica.recent_after = control.index
+    replica.snapshot, replica.snapshot_index = event.data, control.index
+    replica.halted = ""
+    _drop_settled_proposals(replica)
+    return []
+
+
+def handle_snapshot_request(state: MembershipState, now: float) -> list[Effect]:
+    """Publish a snapshot of the control state; none while the replica cannot apply entries."""
+    control = state.replica.control
+    if state.replica.halted:
+        return []
+    return [Publish(SnapshotTaken(now, CONTROL_GROUP, control.index, take_snapshot(control)))]
+
+
+def handle_leadership(state: MembershipState, event: LeadershipChanged) -> list[Effect]:
+    """Note the leader; a new leader waits before it removes hosts."""
+    replica = state.replica
+    if event.is_leader and not (replica.is_leader and replica.term == event.term):
+        replica.leader_since = event.now
+        replica.last_tick = event.now
+    replica.leader, replica.term = event.leader, event.term
+    replica.is_leader = event.is_leader
+    if not event.is_leader:
+        # The origins send their commands again, to the new leader.
+        replica.proposals.clear()
+        replica.commands.clear()
+    return []
+
+
+def handle_refusal(state: MembershipState, event: ProposalRefused) -> list[Effect]:
+    """Forget a refused command; its origin sends it again."""
+    replica = state.replica
+    for payload, command in list(replica.commands.items()):
+        if command.proposal == event.proposal:
+            del replica.commands[payload]
+    return []
+
+
+def handle_query(
+    state: MembershipState, sender: str, incarnation: int, query: FreshnessQuery, now: float
+) -> list[Effect]:
+    """Note the poll of a host, propose a change of the view if one is due, and answer."""
+    replica, settings = state.replica, state.settings
+    known = replica.progress.get(sender)
+    effects: list[Effect] = []
+    if known is None or known.incarnation <= incarnation:
+        applied = query.applied
+        if known is not None and known.incarnation == incarnation:
+            applied = max(applied, known.applied)
+        if known is not None or len(replica.progress) < defaults.MAX_HOSTS:
+            replica.progress[sender] = HostProgress(sender, incarnation, applied, now)
+        effects += _propose_presence(state, sender, incarnation, query, now)
+    position = replica.position
+    if position is None:
+        return effects
+    reply = FreshnessReply(
+        number=query.number,
+        incarnation=incarnation,
+        last_index=position.last_index,
+        commit_index=position.commit_index,
+        voter=position.voter,
+        voters=position.voters,
+        leader=replica.leader,
+        term=replica.term,
+    )
+    if query.preferred and query.applied < replica.control.index:
+        if query.applied >= replica.recent_after:
+            reply.batch = _make_batch(replica, query.applied, settings.reply_entry_bytes)
+        else:
+            reply.chunk = _make_chunk(replica, query, settings.snapshot_chunk_bytes)
+    return [*effects, SendMessage(sender, reply)]
+
+
+def handle_leave_request(
+    state: MembershipState, sender: str, incarnation: int, now: float
+) -> list[Effect]:
+    """Propose that a host is leaving, if this replica leads."""
+    present = state.replica.control.view.hosts.get(sender)
+    if not _is_live(present, incarnation):
+        return []
+    return _propose_host(state, sender, HostLeaving(sender, incarnation), now)
+
+
+def supervise_hosts(state: MembershipState, now: float) -> list[Effect]:
+    """Propose the removal of silent hosts, if this replica leads, and forget old records."""
+    replica, settings = state.replica, state.settings
+    if now - replica.last_tick > settings.host_silence / 2:
+        # After an interruption of this process, polls that arrived meanwhile are not processed
+        # yet, so the hosts look silent although they are not.
+        replica.leader_since = now
+    replica.last_tick = now
+    hosts = replica.control.view.hosts
+    for host, progress in list(replica.progress.items()):
+        if now - progress.last_poll > settings.registry_keep:
+            del replica.progress[host]
+    for payload, command in list(replica.commands.items()):
+        if now - command.received > settings.command_timeout:
+            del replica.commands[payload]
+    if not replica.is_leader or now - replica.leader_since < settings.new_leader_grace:
+        return []
+    effects: list[Effect] = []
+    for host, entry in hosts.items():
+        progress = replica.progress.get(host)
+        heard = replica.leader_since
+        if progress is not None and progress.incarnation >= entry.incarnation:
+            heard = max(heard, progress.last_poll)
+        if now - heard > settings.host_silence:
+            effects += _propose_host(state, host, HostRemoved(host, entry.incarnation), now)
+    return effects
+
+
+def handle_forward(
+    state: MembershipState, sender: str, message: CommandForward, now: float
+) -> list[Effect]:
+    """Propose a forwarded command, answer it from the kept answers, or name the leader."""
+    replica = state.replica
+    if replica is None or not replica.is_leader:
+        leader, term = (replica.leader, replica.term) if replica else ("", 0)
+        return [SendMessage(sender, CommandRedirect(message.command_id, leader, term))]
+    # An entry that cannot be decoded would stop every host, so it must never be proposed.
+    try:
+        command = decode_entry(message.payload)
+    except EntryDecodeError as error:
+        return [_make_log("a forwarded command is malformed; update the host", sender, error)]
+    if not isinstance(command, OperatorCommand) or check_envelope(command):
+        return [_make_log("a forwarded entry is no valid command", sender, message.command_id)]
+    kept = find_kept_answer(replica.control, command)
+    if kept is not None:
+        return [SendMessage(sender, CommandReply(command.command_id, kept))]
+    waiting = replica.commands.get(message.payload)
+    if waiting is not None:
+        waiting.origins[sender] = None
+        if now - waiting.proposed < state.settings.proposal_retry:
+            return []
+        waiting.proposed = now
+        waiting.received = now
+    elif len(replica.commands) >= defaults.MAX_PENDING_COMMANDS:
+        return []
+    else:
+        waiting = LeaderCommand("", now, now, {sender: None})
+        replica.commands[message.payload] = waiting
+    waiting.proposal = _make_proposal_id(state)
+    return [Publish(ProposalRequested(now, CONTROL_GROUP, waiting.proposal, message.payload))]
+
+
+def list_host_progress(state: MembershipState) -> tuple[HostProgress, ...]:
+    """Return which host has applied which index, by the polls that this replica has received."""
+    if state.replica is None:
+        return ()
+    return tuple(progress for _, progress in sorted(state.replica.progress.items()))
+
+
+def _propose_presence(
+    state: MembershipState, sender: str, incarnation: int, query: FreshnessQuery, now: float
+) -> list[Effect]:
+    present = state.replica.control.view.hosts.get(sender)
+    if present is not None and present.incarnation >= incarnation:
+        if query.leaving and _is_live(present, incarnation):
+            return _propose_host(state, sender, HostLeaving(sender, incarnation), now)
+        return []
+    texts = (sender, query.address, query.zone, query.region)
+    if not query.address or max(map(len, texts)) > MAX_IDENTIFIER_LENGTH:
+        return []
+    status = HostState.LEAVING if query.leaving else HostState.LIVE
+    entry = HostEntry(sender, incarnation, query.address, query.zone, query.region, status)
+    return _propose_host(state, sender, HostJoined(entry), now)
+
+
+def _is_live(present: HostEntry | None, incarnation: int) -> bool:
+    return (
+        present is not None
+        and present.incarnation == incarnation
+        and present.state is HostState.LIVE
+    )
+
+
+def _propose_host(
+    state: MembershipState, host: str, entry: HostJoined | HostLeaving | HostRemoved, now: float
+) -> list[Effect]:
+    replica = state.replica
+    if not replica.is_leader:
+        return []
+    earlier = replica.proposals.get(host)
+    if (
+        earlier is not None
+        and earlier.entry == entry
+        and now - earlier.proposed < state.settings.proposal_retry
+    ):
+        return []
+    replica.proposals[host] = HostProposal(entry, now)
+    proposal = _make_proposal_id(state)
+    return [Publish(ProposalRequested(now, CONTROL_GROUP, proposal, encode_entry(entry)))]
+
+
+def _make_proposal_id(state: MembershipState) -> str:
+    state.replica.proposal_number += 1
+    settings = state.settings
+    return f"{settings.host}:{settings.incarnation}:{state.replica.proposal_number}"
+
+
+def _drop_settled_proposals(replica: ReplicaSide) -> None:
+    """Forget the proposals that the view shows, so that a later need is proposed at once."""
+    for host, proposal in list(replica.proposals.items()):
+        present = replica.control.view.hosts.get(host)
+        match proposal.entry:
+            case HostJoined(entry):
+                settled = present is not None and present.incarnation >= entry.incarnation
+            case HostLeaving(_, incarnation):
+                settled = not _is_live(present, incarnation)
+            case HostRemoved(_, incarnation):
+                settled = present is None or present.incarnation != incarnation
+        if settled:
+            del replica.proposals[host]
+
+
+def _make_batch(replica: ReplicaSide, applied: int, limit: int) -> EntryBatch:
+    missing: list[CommittedEntry] = []
+    for entry in reversed(replica.recent):
+        if entry.index <= applied:
+            break
+        missing.append(entry)
+    size = 0
+    entries: list[CommittedEntry] = []
+    for entry in reversed(missing):
+        size += len(entry.payload)
+        if entries and size > limit:
+            return EntryBatch(applied, entries[-1].index, tuple(entries))
+        if entry.payload:
+            entries.append(entry)
+    return EntryBatch(applied, replica.control.index, tuple(entries))
+
+
+def _make_chunk(replica: ReplicaSide, query: FreshnessQuery, limit: int) -> SnapshotChunk:
+    if not replica.snapshot or replica.snapshot_index < replica.recent_after:
+        replica.snapshot = take_snapshot(replica.control)
+        replica.snapshot_index = replica.control.index
+    total = len(replica.snapshot)
+    offset = 0
+    if query.snapshot_index == replica.snapshot_index and query.snapshot_offset < total:
+        offset = query.snapshot_offset
+    data = replica.snapshot[offset : offset + limit]
+    return SnapshotChunk(replica.snapshot_index, offset, total, data)
+
+
+def _halt(replica: ReplicaSide, reason: str) -> Effect:
+    replica.halted = reason
+    return WriteLog(
+        "error",
+        "this replica cannot apply the control log any further; update it",
+        {"reason": reason, "applied": replica.control.index},
+    )
+
+
+def _make_log(message: str, sender: str, detail: object) -> Effect:
+    return WriteLog("error", message, {"sender": sender, "detail": str(detail)})
--- /dev/null
+++ b/marjorambridge/membership/state.py
@@ -0,0 +1,214 @@
+"""Hold the state of the freshness poll, the host registry and the operator commands."""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from marjorambridge.conf import defaults
+from marjorambridge.configuration.commands import HostJoined, HostLeaving, HostRemoved
+from marjorambridge.configuration.state import ControlState
+from marjorambridge.membership.messages import CommittedEntry, FreshnessReply
+from marjorambridge.replication.events import LogPositionChanged
+
+
+@dataclass(slots=True)
+class MembershipSettings:
+    """Hold the settings of a host; durations are in seconds and sizes in bytes.
+
+    Attributes
+    ----------
+    host, incarnation, address, zone, region
+        Identity of this host process, as in `marjorambridge.core.view.HostEntry`.
+    replicas : tuple of str
+        Hosts that are polled. Voters that the replies name are polled as well.
+    replica : bool
+        Whether this host has a replica of log group 0.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    zone: str
+    region: str
+    replicas: tuple[str, ...]
+    replica: bool = False
+    freshness: float = defaults.FRESHNESS_SECONDS
+    poll_interval: float = defaults.POLL_INTERVAL_SECONDS
+    host_silence: float = defaults.HOST_SILENCE_SECONDS
+    new_leader_grace: float = defaults.NEW_LEADER_GRACE_SECONDS
+    registry_keep: float = defaults.REGISTRY_KEEP_SECONDS
+    proposal_retry: float = defaults.PROPOSAL_RETRY_SECONDS
+    command_retry: float = defaults.COMMAND_RETRY_SECONDS
+    command_timeout: float = defaults.COMMAND_TIMEOUT_SECONDS
+    recent_entries: int = defaults.RECENT_ENTRIES
+    recent_entry_bytes: int = defaults.RECENT_ENTRY_BYTES
+    reply_entry_bytes: int = defaults.REPLY_ENTRY_BYTES
+    snapshot_chunk_bytes: int = defaults.SNAPSHOT_CHUNK_BYTES
+
+
+@dataclass(slots=True)
+class Poll:
+    """Record one poll.
+
+    Attributes
+    ----------
+    sent : float
+        Monotonic time of this host in seconds at which the poll was decided.
+    replies : dict of str to FreshnessReply
+        First reply of each replica, without what it transferred.
+    """
+
+    sent: float
+    targets: tuple[str, ...]
+    replies: dict[str, FreshnessReply] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class SnapshotTransfer:
+    """Collect the chunks of a snapshot from one replica."""
+
+    sender: str
+    index: int
+    total: int
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(slots=True)
+class HostSide:
+    """Hold this host's copy of the control state and how current it is.
+
+    Attributes
+    ----------
+    polls : dict of int to Poll
+        Polls that may still confirm freshness, by number, oldest first.
+    fresh_until : float
+        Monotonic time in seconds; never decreases.
+    fresh_reported : bool
+        Whether the other parts were last told that the host is fresh.
+    log_voters : tuple of str
+        Voters named by the last reply whose log had every entry that this host has applied.
+    preferred_heard : float
+        Time of the last reply from the preferred replica, or of its choice.
+    progressed : bool
+        Whether anything was received from the preferred replica since the last poll.
+    rejected : dict of str to str
+        Replicas whose snapshot could not be read, with the reason.
+    halted : str
+        Why no further entry can be applied; empty if all is well.
+    """
+
+    control: ControlState = field(default_factory=ControlState)
+    number: int = 0
+    polls: dict[int, Poll] = field(default_factory=dict)
+    fresh_until: float = -math.inf
+    fresh_reported: bool = False
+    log_voters: tuple[str, ...] = ()
+    preferred: str = ""
+    preferred_heard: float = -math.inf
+    progressed: bool = False
+    transfer: SnapshotTransfer | None = None
+    leader: str = ""
+    term: int = 0
+    leaving: bool = False
+    rejected: dict[str, str] = field(default_factory=dict)
+    halted: str = ""
+
+
+@dataclass(slots=True)
+class HostProgress:
+    """Record the last poll of a host, as one replica saw it.
+
+    Attributes
+    ----------
+    applied : int
+        Index of the last entry that the host said it has applied.
+    last_poll : float
+        Monotonic time of the replica in seconds.
+    """
+
+    host: str
+    incarnation: int
+    applied: int
+    last_poll: float
+
+
+@dataclass(slots=True)
+class HostProposal:
+    """Record a proposal about a host that is not yet applied."""
+
+    entry: HostJoined | HostLeaving | HostRemoved
+    proposed: float
+
+
+@dataclass(slots=True)
+class LeaderCommand:
+    """Record a forwarded command that this leader has proposed.
+
+    Attributes
+    ----------
+    origins : dict of str to None
+        Hosts that wait for the answer, in order.
+    """
+
+    proposal: str
+    proposed: float
+    received: float
+    origins: dict[str, None]
+
+
+@dataclass(slots=True)
+class ReplicaSide:
+    """Hold the replica's control state, the recent entries and the host registry.
+
+    Attributes
+    ----------
+    recent : deque of CommittedEntry
+        Entries with an index above `recent_after`, up to that of `control`.
+    snapshot, snapshot_index
+        Snapshot in transfer to hosts; kept while recent entries can follow it.
+    leader_since : float
+        Time since which this replica has led and run without interruption.
+    commands : dict of bytes to LeaderCommand
+        By encoded command, because two commands may wrongly share an identifier.
+    """
+
+    control: ControlState = field(default_factory=ControlState)
+    recent: deque[CommittedEntry] = field(default_factory=deque)
+    recent_after: int = 0
+    recent_bytes: int = 0
+    snapshot: bytes = b""
+    snapshot_index: int = 0
+    position: LogPositionChanged | None = None
+    leader: str = ""
+    term: int = 0
+    is_leader: bool = False
+    leader_since: float = 0.0
+    last_tick: float = 0.0
+    progress: dict[str, HostProgress] = field(default_factory=dict)
+    proposals: dict[str, HostProposal] = field(default_factory=dict)
+    commands: dict[bytes, LeaderCommand] = field(default_factory=dict)
+    proposal_number: int = 0
+    halted: str = ""
+
+
+@dataclass(slots=True)
+class PendingCommand:
+    """Record a command that an operator submitted at this host."""
+
+    payload: bytes
+    give_up_at: float
+
+
+@dataclass(slots=True)
+class MembershipState:
+    """Hold everything of the membership part."""
+
+    settings: MembershipSettings
+    host: HostSide = field(default_factory=HostSide)
+    replica: ReplicaSide | None = None
+    commands: dict[str, PendingCommand] = field(default_factory=dict)
+
+
+def create_state(settings: MembershipSettings) -> MembershipState:
+    """Return the state of a host that has just started and knows nothing."""
+    return MembershipState(settings, replica=ReplicaSide() if settings.replica else None)
--- /dev/null
+++ b/marjorambridge/membership/submission.py
@@ -0,0 +1,116 @@
+"""Carry operator commands from the host where they are submitted to the leader, and answers back.
+
+The command is sent again under the same identifier until an answer arrives or the time is over;
+the state machine applies it once and repeats its first answer.
+"""
+
+from marjorambridge.conf import defaults
+from marjorambridge.configuration.codec import decode_entry, encode_entry
+from marjorambridge.configuration.commands import OperatorCommand
+from marjorambridge.configuration.exceptions import EntryDecodeError
+from marjorambridge.configuration.faults import Fault
+from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
+from marjorambridge.configuration.state_machine import check_envelope
+from marjorambridge.core.effects import CancelTimer, Effect, Publish, SendMessage, SetTimer
+from marjorambridge.core.identity import TimerKey
+from marjorambridge.membership.events import CommandAnswered
+from marjorambridge.membership.messages import CommandForward, CommandRedirect, CommandReply
+from marjorambridge.membership.state import MembershipState, PendingCommand
+
+COMMAND_TIMER = "command"
+
+
+def submit_command(state: MembershipState, command: OperatorCommand, now: float) -> list[Effect]:
+    """Start to carry a command to the leader, or refuse it at once if it cannot be an entry."""
+    identifier = command.command_id
+    faults = check_envelope(command)
+    payload = b""
+    try:
+        payload = encode_entry(command)
+        decode_entry(payload)
+    except (EntryDecodeError, OverflowError, TypeError, UnicodeEncodeError) as error:
+        faults.append(Fault("command", f"cannot be encoded: {error}", "correct the command"))
+    if len(payload) > defaults.MAX_COMMAND_BYTES:
+        problem = f"has {len(payload)} bytes; the limit is {defaults.MAX_COMMAND_BYTES}"
+        faults.append(Fault("command", problem, "send the changes in several commands"))
+    if faults:
+        message = "correct the listed faults and send the command with a new identifier"
+        version = state.host.control.configuration.version
+        answer = CommandAnswer(
+            identifier, AnswerStatus.INVALID, version, message, faults=tuple(faults)
+        )
+        return [Publish(CommandAnswered(now, identifier, answer))]
+    earlier = state.commands.get(identifier)
+    if earlier is not None and earlier.payload != payload:
+        # Answers are told apart by identifier only, so neither command can get its own.
+        return _give_up(
+            state,
+            identifier,
+            "another command with this identifier is in progress; look at the present state, and "
+            "send the command with a new identifier",
+            now,
+        )
+    if earlier is None and len(state.commands) >= defaults.MAX_PENDING_COMMANDS:
+        return _give_up(
+            state, identifier, "too many commands wait for an answer; send it again later", now
+        )
+    state.commands[identifier] = PendingCommand(payload, now + state.settings.command_timeout)
+    return _send(state, identifier, now)
+
+
+def retry_command(state: MembershipState, identifier: str, now: float) -> list[Effect]:
+    """Send a command again, or give up if its time is over."""
+    pending = state.commands.get(identifier)
+    if pending is None:
+        return []
+    if now >= pending.give_up_at:
+        return _give_up(
+            state,
+            identifier,
+            "no committed answer arrived in time, and the command may still take effect; send the "
+            "same command again with the same identifier",
+            now,
+        )
+    return _send(state, identifier, now)
+
+
+def handle_redirect(state: MembershipState, message: CommandRedirect, now: float) -> list[Effect]:
+    """Note a leader with a later term and send the command there at once."""
+    host = state.host
+    if not message.leader or message.term < host.term or message.leader == host.leader:
+        return []
+    host.leader, host.term = message.leader, message.term
+    return _send(state, message.command_id, now) if message.command_id in state.commands else []
+
+
+def handle_answer(state: MembershipState, message: CommandReply, now: float) -> list[Effect]:
+    """Relay an answer to the operator; a second answer to the same command is ignored."""
+    if state.commands.pop(message.command_id, None) is None:
+        return []
+    return [
+        CancelTimer(_make_timer(message.command_id)),
+        Publish(CommandAnswered(now, message.command_id, message.answer)),
+    ]
+
+
+def _send(state: MembershipState, identifier: str, now: float) -> list[Effect]:
+    pending = state.commands[identifier]
+    replica = state.replica
+    leader = state.settings.host if replica and replica.is_leader else state.host.leader
+    effects: list[Effect] = [SetTimer(_make_timer(identifier), now + state.settings.command_retry)]
+    if leader:
+        effects.append(SendMessage(leader, CommandForward(identifier, pending.payload)))
+    return effects
+
+
+def _give_up(state: MembershipState, identifier: str, message: str, now: float) -> list[Effect]:
+    state.commands.pop(identifier, None)
+    answer = CommandAnswer(identifier, AnswerStatus.UNAVAILABLE, 0, message)
+    return [
+        CancelTimer(_make_timer(identifier)),
+        Publish(CommandAnswered(now, identifier, answer)),
+    ]
+
+
+def _make_timer(identifier: str) -> TimerKey:
+    return TimerKey("membership", COMMAND_TIMER, identifier)
