Test the replicated log against a single copy under faults

A simulation with virtual time runs 3 and 5 replicas with lost, delayed, duplicated and reordered messages, crashes that lose unsynced writes, wiped and full disks, freezes and partitions. Hypothesis chooses the faults; a single copy of the log is the reference.

The run finds a vote and an acknowledgement that leave before their sync; schedules find commits by counting an older term and votes of a wiped disk.

--- /dev/null
+++ b/tests/replication/test_directed.py
@@ -0,0 +1,279 @@
+"""Guard single behaviours of the replicated log by directed schedules."""
+
+import msgspec
+import pytest
+
+from marjorambridge.conf import defaults
+from marjorambridge.core.effects import SendMessage
+from marjorambridge.core.events import MessageReceived, ShutdownRequested
+from marjorambridge.replication import events as ev
+from marjorambridge.replication import messages
+from marjorambridge.replication.effects import SyncStorage
+from marjorambridge.replication.memberships import list_repairs
+from marjorambridge.replication.models import ReplicaId
+from marjorambridge.replication.reducer import step
+from marjorambridge.replication.state import Role
+from tests.replication.fleets import Fleet
+
+
+def start_fleet(count=3, seed=1, **settings):
+    fleet = Fleet(count, seed, **settings)
+    fleet.run_until(fleet.can_wipe)
+    return fleet
+
+
+def list_followers(fleet):
+    leader = fleet.wait_leader().host
+    return [host for host in fleet.peers if host != leader]
+
+
+def test_all_flags_found_one_cluster():
+    fleet = Fleet(5, groups=3)
+    fleet.run_until(fleet.can_wipe)
+    assert len({node.state.cluster for node in fleet.nodes.values()}) == 1
+    assert set(fleet.memberships) == {0, 1, 2}
+
+
+def test_no_cluster_is_founded_without_every_peer_or_without_the_flag():
+    fleet = Fleet(3)
+    fleet.crash("r2")
+    fleet.run(10.0)
+    assert not any(node.disk.durable.cluster for node in fleet.nodes.values())
+    fleet = Fleet(3, flags=[])
+    fleet.run(10.0)
+    assert not any(node.disk.durable.cluster for node in fleet.nodes.values())
+
+
+def test_a_wiped_replica_with_the_flag_founds_no_second_cluster():
+    fleet = start_fleet()
+    fleet.commit(3)
+    for host in ("r1", "r2"):
+        fleet.crash(host)
+    fleet.wipe("r0")
+    fleet.run(10.0)
+    assert fleet.nodes["r0"].state.cluster == ""
+    assert fleet.find_leader() is None
+    fleet.start("r1")
+    fleet.run(10.0)
+    # One old voter of three is no majority, whatever the wiped replica answers.
+    assert fleet.find_leader() is None
+    fleet.start("r2")
+    fleet.settle()
+
+
+def test_repair_is_reported_after_the_last_step_and_survives_a_second_loss():
+    fleet = start_fleet()
+    fleet.commit(50)
+    first, second = list_followers(fleet)
+    fleet.wipe(first)
+    fleet.run_until(lambda: fleet.list_events(ev.RepairStatus))
+    fleet.run_until(fleet.can_wipe)
+    leader = fleet.wait_leader()
+    assert list_repairs(leader.state) == {}
+    stages = [(e.stage, e.disk) for e in fleet.list_events(ev.RepairStatus, leader.host)]
+    disk = fleet.nodes[first].disk.durable.disk
+    assert stages == [
+        (ev.RepairStage.WAITING, ""),
+        (ev.RepairStage.CATCHING_UP, disk),
+        (ev.RepairStage.REPAIRED, disk),
+    ]
+    # The repaired replica and one other are a majority that holds everything.
+    fleet.crash(second)
+    fleet.commit(5)
+    fleet.crash(leader.host)
+    fleet.start(second)
+    fleet.commit(5)
+    fleet.settle()
+
+
+def test_a_new_leader_finishes_a_repair():
+    fleet = start_fleet(5)
+    fleet.commit(5)
+    first = list_followers(fleet)[0]
+    fleet.wipe(first)
+    fleet.run_until(lambda: fleet.list_events(ev.RepairStatus))
+    fleet.crash(fleet.wait_leader().host)
+    fleet.wait_leader()
+    fleet.run_until(lambda: first in fleet.list_voter_hosts(), 20.0)
+    fleet.settle()
+
+
+def test_a_delayed_join_request_of_an_old_disk_removes_nobody():
+    fleet = start_fleet()
+    fleet.commit(1)
+    first = list_followers(fleet)[0]
+    fleet.wipe(first)
+    fleet.run_until(lambda: fleet.list_events(ev.RepairStatus))
+    old = next(
+        m for m in fleet.sent if isinstance(m, messages.JoinRequest) and m.source.host == first
+    )
+    fleet.run_until(fleet.can_wipe)
+    old.source = ReplicaId(first, "earlier-disk")
+    fleet.crash(first)
+    fleet.run(1.0)
+    leader = fleet.wait_leader()
+    fleet.feed(leader, leader.life, MessageReceived(fleet.now, first, 1, old))
+    fleet.run(1.0)
+    assert first in fleet.list_voter_hosts()
+
+
+def test_operator_adds_and_removes_hosts_one_at_a_time():
+    fleet = Fleet(3, spare=1)
+    fleet.run_until(fleet.can_wipe)
+    leader = fleet.wait_leader()
+    action = ev.MembershipAction
+    for host in ("r3", "r9"):
+        request = ev.MembershipChangeRequested(fleet.now, 0, action.ADD_HOST, host)
+        fleet.feed(leader, leader.life, request)
+    assert [e.host for e in fleet.list_events(ev.MembershipChangeRefused)] == ["r9"]
+    fleet.run_until(lambda: "r3" in fleet.list_voter_hosts())
+    fleet.run(0.5)
+    request = ev.MembershipChangeRequested(fleet.now, 0, action.REMOVE_HOST, leader.host)
+    fleet.feed(leader, leader.life, request)
+    fleet.run_until(lambda: leader.host not in fleet.list_voter_hosts())
+    assert leader.state.groups[0].role is not Role.LEADER
+    assert fleet.wait_leader(without=(leader.host,)).host != leader.host
+    fleet.commit(3)
+
+
+def test_a_lagging_replica_gets_a_snapshot_in_chunks_and_the_log_stays_bounded():
+    fleet = start_fleet()
+    lagging = list_followers(fleet)[0]
+    fleet.crash(lagging)
+    fleet.commit(100)
+    fleet.loss = 0.1
+    fleet.sent.clear()
+    fleet.start(lagging)
+    fleet.run_until(lambda: fleet.nodes[lagging].applied.get(0, 0) >= 100, 30.0)
+    assert len({m.offset for m in fleet.sent if isinstance(m, messages.SnapshotChunk)}) >= 5
+    fleet.settle()
+    for node in fleet.nodes.values():
+        assert len(node.state.groups[0].log.entries) <= 30
+        assert len(node.disk.durable.groups[0].entries) <= 30
+
+
+def test_leadership_passes_on_request_and_on_shutdown_without_a_gap():
+    fleet = start_fleet()
+    fleet.commit(3)
+    leader, target = fleet.wait_leader(), list_followers(fleet)[0]
+    start = fleet.now
+    event = ev.LeadershipTransferRequested(fleet.now, 0, target)
+    fleet.feed(leader, leader.life, event)
+    fleet.run_until(lambda: fleet.find_leader() and fleet.find_leader().host == target)
+    assert fleet.now - start < defaults.ELECTION_TIMEOUT_SECONDS
+    leader = fleet.wait_leader()
+    start = fleet.now
+    fleet.feed(leader, leader.life, ShutdownRequested(fleet.now, False))
+    fleet.wait_leader(without=(leader.host,))
+    assert fleet.now - start < defaults.ELECTION_TIMEOUT_SECONDS
+    fleet.settle()
+
+
+def test_proposals_are_refused_during_a_transfer_that_is_given_up_later():
+    fleet = start_fleet()
+    leader, target = fleet.wait_leader(), list_followers(fleet)[0]
+    fleet.links_down = {(target, leader.host), (leader.host, target)}
+    fleet.propose(leader.host)
+    fleet.run(0.1)
+    event = ev.LeadershipTransferRequested(fleet.now, 0, target)
+    fleet.feed(leader, leader.life, event)
+    refused = fleet.propose(leader.host)
+    assert [e.proposal for e in fleet.list_events(ev.ProposalRefused)] == [refused]
+    fleet.run(1.0)
+    fleet.commit(1)
+
+
+def test_a_leader_that_is_cut_off_silently_steps_down_and_another_is_elected_in_time():
+    fleet = start_fleet()
+    old = fleet.wait_leader()
+    fleet.cut = {old.host}
+    start = fleet.now
+    lost = fleet.propose(old.host)
+    fleet.wait_leader(without=(old.host,))
+    assert fleet.now - start < 2.0
+    fleet.run(1.0)
+    assert old.state.groups[0].role is not Role.LEADER
+    assert lost not in fleet.acknowledged
+    term = fleet.find_leader().state.groups[0].term
+    fleet.run(10.0)
+    fleet.settle()
+    # Pre-vote keeps the returning replica from raising the term.
+    assert fleet.find_leader().state.groups[0].term == term
+
+
+def test_many_proposals_share_one_sync():
+    fleet = start_fleet()
+    leader = fleet.wait_leader()
+    fleet.run(0.5)
+    effects = []
+    for number in range(500):
+        payload = b"payload-%d" % number
+        event = ev.ProposalRequested(fleet.now, 0, f"x{number}", payload)
+        fleet.proposed[event.proposal] = payload
+        effects.extend(step(leader.state, event))
+    assert sum(isinstance(effect, SyncStorage) for effect in effects) == 1
+    sent = [effect for effect in effects if isinstance(effect, SendMessage)]
+    assert len(sent) <= 2 * defaults.APPENDS_IN_FLIGHT
+    fleet.handle(leader, effects)
+    fleet.run_until(lambda: "x499" in fleet.acknowledged)
+
+
+def test_appends_and_refusals_respect_the_frame_limit():
+    fleet = start_fleet(append_bytes=defaults.APPEND_BYTES)
+    lagging = list_followers(fleet)[0]
+    fleet.crash(lagging)
+    fleet.commit(12, size=200_000)
+    refused = fleet.propose(fleet.wait_leader().host, size=defaults.PROPOSAL_BYTES)
+    assert [e.proposal for e in fleet.list_events(ev.ProposalRefused)] == [refused]
+    fleet.commit(1, size=defaults.PROPOSAL_BYTES - 100)
+    fleet.start(lagging)
+    fleet.settle()
+    size = max(len(msgspec.msgpack.encode(message)) for message in fleet.sent)
+    assert size < 0.6 * defaults.MAX_FRAME_BYTES
+
+
+@pytest.mark.parametrize("is_leader", [True, False])
+def test_a_replica_with_a_full_disk_halts_and_the_others_go_on(is_leader):
+    fleet = start_fleet()
+    leader = fleet.wait_leader()
+    host = leader.host if is_leader else list_followers(fleet)[0]
+    fleet.nodes[host].disk.full = True
+    fleet.propose(leader.host)
+    fleet.run_until(lambda: fleet.list_events(ev.ReplicaHalted, host))
+    fleet.sent.clear()
+    fleet.wait_leader(without=(host,))
+    fleet.commit(5)
+    fleet.nodes[host].disk.full = False
+    fleet.run(5.0)
+    assert not [m for m in fleet.sent if m.source.host == host]
+    assert fleet.list_events(ev.LogPositionChanged, host)[-1].voter is False
+    fleet.settle()
+
+
+def test_position_counts_entries_before_they_are_synced():
+    fleet = start_fleet()
+    leader = fleet.wait_leader()
+    fleet.run(1.0)
+    before = fleet.list_events(ev.LogPositionChanged, leader.host)[-1]
+    assert before.voter and set(before.voters) == set(fleet.peers)
+    fleet.sync_delay = 100.0
+    fleet.propose(leader.host)
+    fleet.run(0.3)
+    for host in fleet.peers:
+        after = fleet.list_events(ev.LogPositionChanged, host)[-1]
+        assert after.last_index == before.last_index + 1
+        assert after.commit_index == before.commit_index
+
+
+def test_all_replicas_restart_and_publish_snapshot_and_entries_again():
+    fleet = start_fleet()
+    fleet.commit(30)
+    for host in fleet.peers:
+        fleet.crash(host)
+    fleet.events.clear()
+    for host in fleet.peers:
+        fleet.start(host)
+    fleet.settle()
+    for host in fleet.peers:
+        assert fleet.list_events(ev.SnapshotInstalled, host)[0].index >= 20
+        assert fleet.list_events(ev.EntryCommitted, host)
--- /dev/null
+++ b/tests/replication/test_state_machine.py
@@ -0,0 +1,268 @@
+"""Guard the safety of the replicated log against every combination of faults.
+
+The planted faults show that the same run notices each kind of broken promise.
+"""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marjorambridge.core.effects import SendMessage
+from marjorambridge.replication import appends, commits, elections, models
+from marjorambridge.replication.exceptions import LogConflictError
+from tests.replication.fleets import Fleet, ViolationError
+
+SHORT = st.sampled_from([0.005, 0.02, 0.1])
+LONG = st.sampled_from([0.3, 0.8, 2.0])
+
+
+class CrashesMachine(RuleBasedStateMachine):
+    """Run replicas that crash and lose what they have not synced."""
+
+    count = 3
+    groups = 1
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start_fleet(self, seed):
+        self.fleet = Fleet(self.count, seed, groups=self.groups)
+        self.fleet.run_until(self.fleet.can_wipe)
+
+    def pick(self, number):
+        return self.fleet.peers[number % self.count]
+
+    @rule(seconds=LONG)
+    def wait(self, seconds):
+        self.fleet.run(seconds)
+
+    @rule(seconds=SHORT, number=st.integers(0, 4), count=st.integers(1, 12))
+    def propose(self, seconds, number, count):
+        for group in range(self.groups):
+            leader = self.fleet.find_leader(group)
+            host = leader.host if leader and number else self.pick(number)
+            for _ in range(count):
+                self.fleet.propose(host, group)
+        self.fleet.run(seconds)
+
+    @rule(kept=st.sampled_from([0.0, 0.5]), seconds=LONG)
+    def crash_all_but_one(self, kept, seconds):
+        """Crash the leader, and restart the other replicas without their last writes."""
+        leader = self.fleet.find_leader()
+        if leader:
+            self.fleet.crash(leader.host, kept)
+            for host in self.fleet.peers:
+                if host != leader.host:
+                    self.fleet.crash(host)
+                    self.fleet.start(host)
+        self.fleet.run(seconds)
+
+    @rule(number=st.integers(0, 4), seconds=SHORT)
+    def start(self, number, seconds):
+        self.fleet.start(self.pick(number))
+        self.fleet.run(seconds)
+
+    @rule(sync_delay=st.sampled_from([0.003, 0.1, 0.5]))
+    def change_disks(self, sync_delay):
+        self.fleet.sync_delay = sync_delay
+
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            self.fleet.settle()
+
+
+class ReplicasMachine(CrashesMachine):
+    """Add wiped and full disks, freezes, partitions and faults of the network."""
+
+    @rule(number=st.integers(0, 4), kept=st.sampled_from([0.0, 0.5, 1.0]), seconds=SHORT)
+    def crash(self, number, kept, seconds):
+        self.fleet.crash(self.pick(number), kept)
+        self.fleet.run(seconds)
+
+    @rule(kept=st.sampled_from([0.0, 0.5]), seconds=SHORT)
+    def restart_all(self, kept, seconds):
+        for host in self.fleet.peers:
+            self.fleet.crash(host, kept)
+            self.fleet.start(host)
+        self.fleet.run(seconds)
+
+    @precondition(lambda self: self.fleet.can_wipe())
+    @rule(number=st.integers(0, 4), seconds=LONG)
+    def wipe(self, number, seconds):
+        self.fleet.wipe(self.pick(number))
+        self.fleet.run(seconds)
+
+    @rule(number=st.integers(0, 4), seconds=LONG)
+    def freeze(self, number, seconds):
+        self.fleet.nodes[self.pick(number)].frozen = True
+        self.fleet.run(seconds)
+
+    @rule(number=st.integers(0, 4))
+    def thaw(self, number):
+        self.fleet.thaw(self.pick(number))
+
+    @rule(numbers=st.sets(st.integers(0, 4), max_size=2), seconds=LONG)
+    def cut(self, numbers, seconds):
+        self.fleet.cut = {self.pick(number) for number in numbers}
+        self.fleet.run(seconds)
+
+    @rule(pair=st.tuples(st.integers(0, 4), st.integers(0, 4)), seconds=LONG)
+    def cut_one_way(self, pair, seconds):
+        self.fleet.links_down ^= {(self.pick(pair[0]), self.pick(pair[1]))}
+        self.fleet.run(seconds)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplication=st.sampled_from([0.0, 0.3]),
+        delay=st.sampled_from([0.002, 0.05, 0.4]),
+    )
+    def change_network(self, loss, duplication, delay):
+        self.fleet.loss, self.fleet.duplication = loss, duplication
+        self.fleet.delay = delay
+
+    @rule(number=st.integers(0, 4))
+    def fill_disk(self, number):
+        if not any(node.disk.full for node in self.fleet.nodes.values()):
+            self.fleet.nodes[self.pick(number)].disk.full = True
+
+
+class FiveReplicasMachine(ReplicasMachine):
+    count = 5
+
+
+class TwoGroupsMachine(ReplicasMachine):
+    groups = 2
+
+
+FULL = settings(max_examples=120, stateful_step_count=30)
+SEARCH = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@pytest.mark.parametrize(
+    "machine", [CrashesMachine, ReplicasMachine, FiveReplicasMachine, TwoGroupsMachine]
+)
+def test_no_committed_entry_is_lost_or_changed(machine):
+    run_state_machine_as_test(machine, settings=FULL)
+
+
+def send_at_once(replica, group, effects, ticket, message):
+    effects.append(SendMessage(message.target.host, message))
+
+
+def plant_unsynced_vote(monkeypatch):
+    monkeypatch.setattr(elections, "send_promise", send_at_once)
+
+
+def plant_unsynced_acknowledgement(monkeypatch):
+    monkeypatch.setattr(appends, "send_promise", send_at_once)
+
+
+def plant_counting_of_older_terms(monkeypatch):
+    monkeypatch.setattr(commits, "is_countable", lambda group, index: True)
+
+
+def plant_wiped_voter(monkeypatch):
+    """Identify replicas by host, so that the promises of a new disk count for the old one."""
+    monkeypatch.setattr(models, "is_same_replica", lambda one, other: one.host == other.host)
+
+
+@pytest.mark.parametrize("plant", [plant_unsynced_vote, plant_unsynced_acknowledgement])
+def test_the_run_finds_a_planted_fault(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises((ViolationError, LogConflictError)) as caught:
+        run_state_machine_as_test(CrashesMachine, settings=SEARCH)
+    assert "condition not met" not in str(caught.value)
+
+
+def run_older_term_schedule():
+    """Let an entry of an older term reach a majority, and then elect a leader that lacks it."""
+    fleet = Fleet(5, snapshot_entries=1000)
+    fleet.commit(1)
+    fleet.run(0.5)
+    first = fleet.wait_leader()
+    second, third, fourth, fifth = (host for host in fleet.peers if host != first.host)
+    # The first leader alone holds entries, each of which fills an append.
+    fleet.cut = {first.host}
+    for _ in range(6):
+        fleet.propose(first.host, size=390)
+    fleet.run(0.1)
+    fleet.crash(first.host)
+    index = fleet.nodes[second].state.groups[0].log.base_index
+    index = len(fleet.nodes[second].state.groups[0].log.entries) + index + 1
+    # The second leader alone holds an entry of its term at the same index.
+    for host in (third, fourth):
+        fleet.nodes[host].state.groups[0].election_at = fleet.now + 60.0
+    fleet.nodes[fifth].state.groups[0].election_at = fleet.now + 60.0
+    while fleet.find_leader() is None:
+        fleet.run(0.0005)
+    assert fleet.find_leader().host == second
+    fleet.cut = {second}
+    fleet.drop_messages()
+    fleet.run(0.05)
+    for host in (second, fifth):
+        fleet.crash(host)
+    fleet.cut.clear()
+    # The first leader leads again, and its entry reaches the third and the fourth replica.
+    fleet.start(first.host)
+    while not all(
+        len(fleet.nodes[host].disk.durable.groups[0].entries) >= index for host in (third, fourth)
+    ):
+        fleet.run(0.0005)
+    match = first.state.groups[0].progress
+    while sorted(item.match_index for item in match.values())[-2] < index:
+        fleet.run(0.0002)
+    fleet.drop_messages()
+    for host in (first.host, third):
+        fleet.crash(host)
+    for host in (second, fifth):
+        fleet.start(host)
+    fleet.nodes[fourth].state.groups[0].election_at = fleet.now + 60.0
+    fleet.commit(1)
+    assert fleet.find_leader().host == second
+    fleet.settle()
+
+
+def run_wiped_voter_schedule():
+    """Wipe one of the two replicas that hold an entry, and start the one that does not."""
+    fleet = Fleet(3)
+    fleet.commit(1)
+    first = fleet.wait_leader().host
+    second, third = (host for host in fleet.peers if host != first)
+    fleet.crash(third)
+    fleet.commit(5)
+    fleet.crash(first)
+    fleet.start(third)
+    fleet.wipe(second)
+    fleet.run(5.0)
+    fleet.start(first)
+    fleet.settle()
+
+
+SCHEDULES = [
+    (run_older_term_schedule, plant_counting_of_older_terms),
+    (run_wiped_voter_schedule, plant_wiped_voter),
+]
+
+
+@pytest.mark.parametrize("schedule", [schedule for schedule, _ in SCHEDULES])
+def test_the_schedule_passes_without_a_fault(schedule):
+    schedule()
+
+
+@pytest.mark.parametrize(("schedule", "plant"), SCHEDULES)
+def test_the_schedule_finds_a_planted_fault(monkeypatch, schedule, plant):
+    plant(monkeypatch)
+    with pytest.raises((ViolationError, LogConflictError)) as caught:
+        schedule()
+    assert "condition not met" not in str(caught.value)
