--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -24,8 +24,16 @@
 from marjorambridge.daemon.operators import Operators, build_callbacks, deliver_answer
 from marjorambridge.daemon.recording import open_recording
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
-from marjorambridge.http import admin, callers, endpoints, servers
+from marjorambridge.http import admin, callers
+from marjorambridge.http.endpoints import (
+    EndpointDriver,
+    carry_out,
+    close_driver,
+    create_driver,
+    start_driver,
+)
 from marjorambridge.http.registry import Registry, deliver
+from marjorambridge.http.servers import HttpServer, close_server, start_server
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
 from marjorambridge.node.composition import compose_node
@@ -46,9 +54,10 @@
 )
 from marjorambridge.requests.events import Drained
 from marjorambridge.routing.prefixes import compute_prefix
-from marjorambridge.storage import worker as storage
+from marjorambridge.storage import worker
 from marjorambridge.storage.stores import open_store
-from marjorambridge.telemetry import logs, metrics, traces
+from marjorambridge.telemetry import logs, metrics
+from marjorambridge.telemetry import traces as spans
 from marjorambridge.transport import network
 
 WALL_CLOCK_SECONDS = 1.0
@@ -76,10 +85,10 @@
     network: network.Network
     metrics: metrics.Metrics
     operators: Operators
-    endpoints: endpoints.EndpointDriver | None = None
-    storage: storage.StorageWorker | None = None
-    traces: traces.Traces | None = None
-    servers: list[servers.HttpServer] = field(default_factory=list)
+    endpoints: EndpointDriver | None = None
+    storage: worker.StorageWorker | None = None
+    traces: spans.Traces | None = None
+    servers: list[HttpServer] = field(default_factory=list)
     fresh_until: float = float("-inf")
     configuration: Any = None
     shutting_down: bool = False
@@ -112,15 +121,15 @@
     if settings.record_file:
         runtime.record = open_recording(Path(settings.record_file))
     if store is not None:
-        host.storage = storage.StorageWorker(store, lambda event: post(runtime, event))
+        host.storage = worker.StorageWorker(store, lambda event: post(runtime, event))
     if settings.log.trace_file:
-        host.traces = traces.start(Path(settings.log.trace_file), settings.host)
-    host.endpoints = endpoints.create_driver(host.registry, lambda event: post(runtime, event))
+        host.traces = spans.start(Path(settings.log.trace_file), settings.host)
+    host.endpoints = create_driver(host.registry, lambda event: post(runtime, event))
     _connect_handlers(host)
     await network.start(host.network, tasks, settings.addresses.peer)
-    await endpoints.start_driver(host.endpoints)
+    await start_driver(host.endpoints)
     if host.storage is not None:
-        tasks.start_soon(storage.run, host.storage)
+        tasks.start_soon(worker.run, host.storage)
     tasks.start_soon(run_timers, runtime)
     tasks.start_soon(_read_wall_clock, runtime)
     await _open_servers(host)
@@ -172,16 +181,16 @@
     handlers[effects.Notify] = lambda effect: _take_notice(host, effect.event)
     handlers[effects.RecordSpan] = lambda effect: _record_span(host, effect)
     for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint):
-        handlers[kind] = lambda effect: endpoints.carry_out(host.endpoints, effect)
+        handlers[kind] = lambda effect: carry_out(host.endpoints, effect)
     for kind in (ForwardHeaders, ForwardChunk, FinishRequest):
         handlers[kind] = lambda effect: deliver(host.registry, effect)
     for kind in (SaveCluster, SaveVote, AppendRecords, SaveSnapshot, SyncStorage):
-        handlers[kind] = lambda effect: storage.add_effect(host.storage, effect)
+        handlers[kind] = lambda effect: worker.add_effect(host.storage, effect)
 
 
 def _record_span(host: Host, effect: effects.RecordSpan) -> None:
     if host.traces is not None:
-        traces.record(host.traces, effect)
+        spans.record(host.traces, effect)
 
 
 def _take_notice(host: Host, event: events.Event) -> None:
@@ -228,7 +237,7 @@
     }
     for address, application in applications.items():
         ip, _, port = address.rpartition(":")
-        host.servers.append(await servers.start_server(application, ip.strip("[]"), int(port)))
+        host.servers.append(await start_server(application, ip.strip("[]"), int(port)))
 
 
 async def _read_wall_clock(runtime: Runtime) -> None:
@@ -248,11 +257,11 @@
 async def close(host: Host) -> None:
     """Close all drivers; the callers' last answers are flushed first."""
     for server in host.servers:
-        await servers.close_server(server, FLUSH_SECONDS)
+        await close_server(server, FLUSH_SECONDS)
     if host.endpoints is not None:
-        await endpoints.close_driver(host.endpoints)
+        await close_driver(host.endpoints)
     await network.close(host.network)
     if host.storage is not None:
-        await storage.close(host.storage)
+        await worker.close(host.storage)
     if host.traces is not None:
-        traces.close(host.traces)
+        spans.close(host.traces)
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -27,11 +27,12 @@
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
 from marjorambridge.http.servers import Application, abort_connection
 from marjorambridge.limits.messages import Announcement
+from marjorambridge.routing.prefixes import compute_prefix
 from marjorambridge.standins import scheduler
 from marjorambridge.standins.announcer import announce_forever, post_json
 from marjorambridge.standins.exceptions import RefusedError
 from marjorambridge.standins.processes import create_incarnation, load_settings, run_process
-from marjorambridge.standins.prompts import compute_seed, hash_blocks
+from marjorambridge.standins.prompts import compute_seed
 from marjorambridge.standins.scheduler import Engine, EngineSettings, Faults, Run
 
 CHUNKS_PER_ANNOUNCEMENT = 200
@@ -215,7 +216,7 @@
         extra.priority,
         compute_seed(parsed.prompt),
         prompt_tokens,
-        hash_blocks(parsed.prompt, settings.bytes_per_token, settings.block_tokens),
+        compute_prefix(parsed.prompt, settings.bytes_per_token),
         max_tokens,
         extra.ignore_eos,
         extra.resume_from,
--- a/marjorambridge/wire/registry.py
+++ b/marjorambridge/wire/registry.py
@@ -6,12 +6,14 @@
 
 import marjorambridge.claims.messages
 import marjorambridge.limits.messages
+import marjorambridge.membership.messages
 import marjorambridge.orders.messages
 import marjorambridge.replication.messages
 
 MODULES: dict[str, ModuleType] = {
     "claims": marjorambridge.claims.messages,
     "limits": marjorambridge.limits.messages,
+    "membership": marjorambridge.membership.messages,
     "orders": marjorambridge.orders.messages,
     "replication": marjorambridge.replication.messages,
 }
