--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from marjorambridge.core.records import make_record
+from marjorambridge.limits.shard import Endpoint, Shard
 
 if TYPE_CHECKING:
     from marjorambridge.daemon.host import Host
@@ -26,7 +27,7 @@
         "configuration": make_record(control.configuration),
         "view": make_record(control.view),
         "history": make_record(control.history[-20:]),
-        "shards": [_describe_shard(shard) for shard in parts["limits"].state.shards.values()],
+        "shards": [_describe_shard(shard, now) for shard in parts["limits"].state.shards.values()],
         "requests": len(parts["requests"].state.requests),
         "sent_bytes": host.network.sent_bytes,
         "received_bytes": host.network.received_bytes,
@@ -53,12 +54,26 @@
     return description
 
 
-def _describe_shard(shard: Any) -> dict[str, Any]:
+def _describe_shard(shard: Shard, now: float) -> dict[str, Any]:
     return {
-        "shard": str(shard.ident) if hasattr(shard, "ident") else shard.name,
-        "endpoints": [_describe_endpoint(endpoint) for endpoint in shard.endpoints.values()],
+        "shard": shard.name,
+        "epoch": shard.epoch,
+        "granting": shard.open and now >= shard.grants_from,
+        "queued": len(shard.queue.entries),
+        "endpoints": [_describe_endpoint(shard, endpoint) for endpoint in shard.endpoints.values()],
     }
 
 
-def _describe_endpoint(endpoint: Any) -> dict[str, Any]:
-    return make_record(endpoint.announcement) if hasattr(endpoint, "announcement") else {}
+def _describe_endpoint(shard: Shard, endpoint: Endpoint) -> dict[str, Any]:
+    announcement = endpoint.announcement
+    return {
+        "endpoint": announcement.endpoint,
+        "incarnation": announcement.incarnation,
+        "supplier": announcement.supplier,
+        "address": announcement.address,
+        "leaving": announcement.leaving,
+        "warm": endpoint.ramp.warm,
+        "limit": endpoint.ramp.limit,
+        "kv_capacity_tokens": announcement.kv_capacity_tokens,
+        "reported_tokens": announcement.kv_used_tokens,
+    }
--- a/marjorambridge/standins/exceptions.py
+++ b/marjorambridge/standins/exceptions.py
@@ -25,3 +25,7 @@
         self.status = status
         self.kind = kind
         self.outcome = outcome
+
+
+class FleetError(StandinError):
+    """A local fleet did not reach the expected state."""
