Keep duplicated and late messages of the replicated log from multiplying

A request to join with an outdated token was answered with a new challenge, and each challenge with another request. Now only a request without a token, which a timer sends, is challenged. The new directed test fails on the earlier code and passes now.

--- a/marjorambridge/replication/appends.py
+++ b/marjorambridge/replication/appends.py
@@ -54,7 +54,7 @@
     if commit > group.commit_index:
         group.commit_index = commit
         deliver_committed(replica, group, effects, now)
-    acknowledge(replica, group, effects, request.source, match)
+    acknowledge(replica, group, effects, request.source, match, request.serial)
 
 
 def drop_known_entries(group: GroupState, entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
@@ -70,7 +70,12 @@
 
 
 def acknowledge(
-    replica: ReplicaState, group: GroupState, effects: list[Effect], leader: ReplicaId, match: int
+    replica: ReplicaState,
+    group: GroupState,
+    effects: list[Effect],
+    leader: ReplicaId,
+    match: int,
+    serial: int,
 ) -> None:
     """Acknowledge entries up to `match` as soon as they and the term are synced."""
     ticket = group.vote_ticket
@@ -82,6 +87,7 @@
         source=replica.replica,
         target=leader,
         term=group.term,
+        serial=serial,
         accepted=True,
         match_index=match,
     )
@@ -100,6 +106,7 @@
         source=replica.replica,
         target=request.source,
         term=group.term,
+        serial=request.serial,
         accepted=False,
         match_index=request.previous_index,
         hint_index=index,
--- a/marjorambridge/replication/leaders.py
+++ b/marjorambridge/replication/leaders.py
@@ -48,6 +48,8 @@
 ) -> None:
     """Send one append whose entries follow `previous`, which the log must hold."""
     end = previous + len(entries)
+    progress = group.progress[target]
+    progress.serial += 1
     message = AppendRequest(
         group=group.group,
         cluster=replica.cluster,
@@ -57,6 +59,7 @@
         previous_index=previous,
         previous_term=get_term(group.log, previous) or 0,
         commit_index=min(group.commit_index, end),
+        serial=progress.serial,
         entries=entries,
     )
     effects.append(SendMessage(target.host, message))
@@ -140,6 +143,7 @@
         progress.mode = ProgressMode.PROBE
         return
     progress.snapshot_sent_at = now
+    progress.serial += 1
     start = progress.snapshot_offset
     message = SnapshotChunk(
         group=group.group,
@@ -153,6 +157,7 @@
         offset=start,
         total=len(snapshot.data),
         data=snapshot.data[start : start + replica.settings.snapshot_chunk_bytes],
+        serial=progress.serial,
     )
     effects.append(SendMessage(target.host, message))
 
@@ -216,12 +221,15 @@
         return
     if progress.mode is ProgressMode.SNAPSHOT or reply.match_index <= progress.match_index:
         return
+    if reply.serial < progress.valid_from:
+        return
     if progress.mode is ProgressMode.PROBE and reply.match_index != progress.next_index - 1:
         return
     hint = reply.hint_index
     if hint >= group.log.base_index:
         hint, _ = find_matching_position(group.log, hint, reply.hint_term)
     probe_member(progress, max(hint, progress.match_index) + 1)
+    progress.valid_from = progress.serial + 1
     send_entries(replica, group, effects, reply.source, now)
 
 
@@ -242,7 +250,8 @@
         if progress.snapshot is None or match < progress.snapshot.index:
             return
         progress.snapshot = None
-    if progress.mode is not ProgressMode.REPLICATE:
+        progress.mode = ProgressMode.PROBE
+    if progress.mode is not ProgressMode.REPLICATE and reply.serial >= progress.valid_from:
         progress.mode = ProgressMode.REPLICATE
         progress.in_flight.clear()
         progress.next_index = match + 1
--- a/marjorambridge/replication/memberships.py
+++ b/marjorambridge/replication/memberships.py
@@ -137,12 +137,15 @@
         return
     if member is not None and member.replica == joining:
         return
-    if request.token == 0 or group.tokens.get(joining) != request.token:
+    if request.token == 0:
         # A delayed request of an earlier disk must not remove the present one.
         token = group.tokens.setdefault(joining, replica.random.getrandbits(62) + 1)
         challenge = JoinChallenge(group.group, replica.cluster, replica.replica, joining, token)
         effects.append(SendMessage(joining.host, challenge))
         return
+    if group.tokens.get(joining) != request.token:
+        # Only a request without a token is challenged, or duplicates would multiply.
+        return
     del group.tokens[joining]
     if member is not None:
         progress = group.progress.get(member.replica)
--- a/marjorambridge/replication/messages.py
+++ b/marjorambridge/replication/messages.py
@@ -47,7 +47,13 @@
 
 @dataclass(slots=True)
 class AppendRequest:
-    """Send entries after `previous_index`, or a heartbeat if there are none."""
+    """Send entries after `previous_index`, or a heartbeat if there are none.
+
+    Attributes
+    ----------
+    serial : int
+        Number of the append to this target in this term; the reply repeats it.
+    """
 
     group: int
     cluster: str
@@ -57,6 +63,7 @@
     previous_index: int
     previous_term: int
     commit_index: int
+    serial: int
     entries: tuple[LogEntry, ...] = ()
 
 
@@ -77,6 +84,7 @@
     source: ReplicaId
     target: ReplicaId
     term: int
+    serial: int
     accepted: bool
     match_index: int
     hint_index: int = 0
@@ -98,11 +106,18 @@
     offset: int
     total: int
     data: bytes
+    serial: int
 
 
 @dataclass(slots=True)
 class SnapshotReply:
-    """Ask for the chunk at `offset` of the snapshot at `index`."""
+    """Ask for the chunk at `offset` of the snapshot at `index`.
+
+    Attributes
+    ----------
+    answered : int
+        Offset of the chunk that this answers.
+    """
 
     group: int
     cluster: str
@@ -110,6 +125,7 @@
     target: ReplicaId
     term: int
     index: int
+    answered: int
     offset: int
 
 
--- a/marjorambridge/replication/snapshots.py
+++ b/marjorambridge/replication/snapshots.py
@@ -55,7 +55,7 @@
         return
     follow_leader(replica, group, effects, chunk.source, now)
     if chunk.index <= group.commit_index:
-        acknowledge(replica, group, effects, chunk.source, group.commit_index)
+        acknowledge(replica, group, effects, chunk.source, group.commit_index, chunk.serial)
         return
     partial = group.partial
     identity = (chunk.index, chunk.snapshot_term, chunk.total)
@@ -72,7 +72,7 @@
     data = b"".join(partial.parts)
     snapshot = Snapshot(chunk.index, chunk.snapshot_term, chunk.membership, data)
     install_snapshot(replica, group, effects, snapshot, now)
-    acknowledge(replica, group, effects, chunk.source, chunk.index)
+    acknowledge(replica, group, effects, chunk.source, chunk.index, chunk.serial)
 
 
 def send_snapshot_reply(
@@ -90,6 +90,7 @@
         target=chunk.source,
         term=group.term,
         index=chunk.index,
+        answered=chunk.offset,
         offset=offset,
     )
     effects.append(SendMessage(chunk.source.host, reply))
@@ -140,7 +141,10 @@
     snapshot = progress.snapshot
     if progress.mode is not ProgressMode.SNAPSHOT or snapshot is None:
         return
-    if reply.index != snapshot.index or reply.offset == progress.snapshot_offset:
+    # A repeated reply answers a chunk that is no longer the last one sent.
+    if reply.index != snapshot.index or reply.answered != progress.snapshot_offset:
+        return
+    if reply.offset == progress.snapshot_offset:
         return
     progress.snapshot_offset = reply.offset
     send_chunk(replica, group, effects, reply.source, now)
--- a/marjorambridge/replication/state.py
+++ b/marjorambridge/replication/state.py
@@ -72,6 +72,12 @@
     ----------
     in_flight : deque of tuple of (int, float)
         Last index and time of each append that is not yet acknowledged.
+    serial : int
+        Number of the last append sent.
+    valid_from : int
+        Appends with a smaller number were sent before the last refusal. Acting on their replies
+        as well would send several appends for each one, and the number of messages would grow
+        without bound when many are lost or late.
     snapshot : Snapshot or None
         Snapshot in transfer; kept here so that a newer one does not change it midway.
     """
@@ -80,6 +86,8 @@
     next_index: int = 1
     mode: ProgressMode = ProgressMode.PROBE
     in_flight: deque[tuple[int, float]] = field(default_factory=deque)
+    serial: int = 0
+    valid_from: int = 0
     heard_at: float = 0.0
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
--- a/tests/replication/fleets.py
+++ b/tests/replication/fleets.py
@@ -253,6 +253,8 @@
 
     def send(self, node, effect):
         self.sent.append(effect.message)
+        # Replies that cause more than one message each would otherwise stall the run.
+        check(len(self.sent) < 300_000, "messages multiply")
         to = self.nodes.get(effect.to)
         is_cut = (node.host in self.cut) != (effect.to in self.cut)
         if to is None or is_cut or (node.host, effect.to) in self.links_down:
--- a/tests/replication/test_directed.py
+++ b/tests/replication/test_directed.py
@@ -277,3 +277,40 @@
     for host in fleet.peers:
         assert fleet.list_events(ev.SnapshotInstalled, host)[0].index >= 20
         assert fleet.list_events(ev.EntryCommitted, host)
+
+
+@pytest.mark.parametrize("has_snapshot", [False, True])
+def test_lost_late_and_repeated_messages_do_not_multiply(has_snapshot):
+    fleet = start_fleet(5, snapshot_entries=50 if has_snapshot else 10_000)
+    lagging = list_followers(fleet)[0]
+    fleet.crash(lagging)
+    fleet.commit(400, size=100)
+    fleet.loss, fleet.duplication, fleet.delay = 0.2, 0.5, 0.2
+    fleet.start(lagging)
+    fleet.sent.clear()
+    fleet.run(5.0)
+    # Each of four followers gets at most a window of appends and a heartbeat, and answers them,
+    # for each heartbeat interval of the leader.
+    limit = 4 * 2 * (defaults.APPENDS_IN_FLIGHT + 1) * 5.0 / defaults.HEARTBEAT_SECONDS
+    assert len(fleet.sent) < limit
+    fleet.settle()
+
+
+def test_repeated_join_requests_do_not_multiply():
+    fleet = start_fleet(5)
+    fleet.commit(1)
+    first, second = list_followers(fleet)[:2]
+    fleet.duplication = 0.5
+    fleet.cut = {first}
+    fleet.run(1.0)
+    fleet.sent.clear()
+    # The old disk was heard just now, so the leader puts the new one off several times.
+    fleet.wipe(second)
+    for _ in range(300):
+        fleet.run(0.01)
+        leader = fleet.find_leader()
+        for progress in leader.state.groups[0].progress.values() if leader else ():
+            progress.heard_at = fleet.now
+    joins = [m for m in fleet.sent if isinstance(m, messages.JoinRequest | messages.JoinChallenge)]
+    # The new disk asks four hosts every half second.
+    assert len(joins) < 3.0 / defaults.JOIN_RETRY_SECONDS * 4 * 4
