Test that differing lists of peers found no cluster

Two replicas with different lists of peers could each found a cluster with a majority of its own, so a founder counts only peers with an equal list. The case is now tested.

--- a/tests/replication/fleets.py
+++ b/tests/replication/fleets.py
@@ -6,24 +6,11 @@
 
 import xxhash
 
-from marjorambridge.core.effects import CancelTimer, Publish, SendMessage, SetTimer
+from marjorambridge.core.effects import Publish, SendMessage, SetTimer
 from marjorambridge.core.events import MessageReceived, Started, TimerFired
-from marjorambridge.core.timers import (
-    TimerTable,
-    cancel_timer,
-    compute_next_due,
-    pop_due,
-    set_timer,
-)
+from marjorambridge.core.timers import TimerTable, compute_next_due, pop_due, set_timer
+from marjorambridge.replication import effects as ef
 from marjorambridge.replication import events as ev
-from marjorambridge.replication.effects import (
-    AppendRecords,
-    SaveCluster,
-    SaveSnapshot,
-    SaveVote,
-    StorageEffect,
-    SyncStorage,
-)
 from marjorambridge.replication.logs import get_last_index, get_term
 from marjorambridge.replication.models import RecoveredGroup, RecoveredReplica, ReplicaId
 from marjorambridge.replication.quorums import get_membership_at, is_voter, list_voters
@@ -46,18 +33,18 @@
     """Keep synced data in `durable`; `writes` are lost, or kept in part, by a crash."""
 
     durable: RecoveredReplica
-    writes: list[StorageEffect] = field(default_factory=list)
+    writes: list[ef.StorageEffect] = field(default_factory=list)
     full: bool = False
 
-    def apply(self, effect: StorageEffect) -> None:
-        if isinstance(effect, SaveCluster):
+    def apply(self, effect: ef.StorageEffect) -> None:
+        if isinstance(effect, ef.SaveCluster):
             self.durable.cluster, self.durable.founders = effect.cluster, effect.founders
-        if not isinstance(effect, SaveVote | AppendRecords | SaveSnapshot):
+        if not isinstance(effect, ef.SaveVote | ef.AppendRecords | ef.SaveSnapshot):
             return
         group = self.durable.groups.setdefault(effect.group, RecoveredGroup())
-        if isinstance(effect, SaveVote):
+        if isinstance(effect, ef.SaveVote):
             group.term, group.voted_for = effect.term, effect.voted_for
-        elif isinstance(effect, AppendRecords):
+        elif isinstance(effect, ef.AppendRecords):
             first = effect.entries[0].index
             group.entries = [e for e in group.entries if e.index < first] + list(effect.entries)
         else:
@@ -219,7 +206,7 @@
             return
         while node.disk.writes:
             effect = node.disk.writes.pop(0)
-            if isinstance(effect, SyncStorage) and effect.ticket == ticket:
+            if isinstance(effect, ef.SyncStorage) and effect.ticket == ticket:
                 break
             node.disk.apply(effect)
         self.feed(node, life, ev.StorageSynced(self.now, ticket))
@@ -239,11 +226,9 @@
                 self.send(node, effect)
             elif isinstance(effect, SetTimer):
                 set_timer(node.timers, effect.key, effect.at)
-            elif isinstance(effect, CancelTimer):
-                cancel_timer(node.timers, effect.key)
-            elif isinstance(effect, StorageEffect):
+            elif isinstance(effect, ef.StorageEffect):
                 node.disk.writes.append(effect)
-                if isinstance(effect, SyncStorage):
+                if isinstance(effect, ef.SyncStorage):
                     at = self.now + self.sync_delay * self.random.choice([0.1, 1.0, 4.0])
                     self.push(at, node, node.life, "sync", effect.ticket)
             elif isinstance(effect, Publish):
--- a/tests/replication/test_directed.py
+++ b/tests/replication/test_directed.py
@@ -34,7 +34,7 @@
     assert set(fleet.memberships) == {0, 1, 2}
 
 
-def test_no_cluster_is_founded_without_every_peer_or_without_the_flag():
+def test_no_cluster_is_founded_without_every_peer_flag_and_equal_settings():
     fleet = Fleet(3)
     fleet.crash("r2")
     fleet.run(10.0)
@@ -42,6 +42,11 @@
     fleet = Fleet(3, flags=[])
     fleet.run(10.0)
     assert not any(node.disk.durable.cluster for node in fleet.nodes.values())
+    # Replicas with different lists of peers could found two clusters that both have a majority.
+    fleet = Fleet(3)
+    fleet.nodes["r1"].state.settings.peers = ("r0", "r1")
+    fleet.run(10.0)
+    assert not any(node.disk.durable.cluster for node in fleet.nodes.values())
 
 
 def test_a_wiped_replica_with_the_flag_founds_no_second_cluster():
