Wait for the listener to close, and choose two different test ports

Cause: the test took two free ports one after the other and could get the same one twice; closing a network also returned before its address was free.

--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -80,6 +80,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     learned: dict[str, str] = field(default_factory=dict)
     tasks: TaskGroup | None = None
+    closed: anyio.Event = field(default_factory=anyio.Event)
     sent_bytes: int = 0
     received_bytes: int = 0
 
@@ -90,9 +91,10 @@
 
 
 async def close(network: Network) -> None:
-    """Stop listening and drop all connections."""
+    """Stop listening and drop all connections; the address is free when the call returns."""
     if network.tasks is not None:
         network.tasks.cancel_scope.cancel()
+        await network.closed.wait()
 
 
 def send(network: Network, host: str, message: Any) -> None:
@@ -110,10 +112,13 @@
 async def _run(network: Network, listen: str, *, task_status: TaskStatus) -> None:
     ip, _, port = listen.rpartition(":")
     listener = await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
-    async with listener, anyio.create_task_group() as tasks:
-        network.tasks = tasks
-        task_status.started()
-        await listener.serve(lambda stream: _run_receiver(network, stream), tasks)
+    try:
+        async with listener, anyio.create_task_group() as tasks:
+            network.tasks = tasks
+            task_status.started()
+            await listener.serve(lambda stream: _run_receiver(network, stream), tasks)
+    finally:
+        network.closed.set()
 
 
 def _set_options(stream: ByteStream) -> None:
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -8,6 +8,7 @@
 
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import PermitCancel
+from marjorambridge.standins.fleet import find_free_ports
 from marjorambridge.transport import network
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
@@ -24,13 +25,6 @@
     return PermitCancel(AttemptId("a", 1, number), "s/z/0")
 
 
-async def find_free_port() -> int:
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    await listener.aclose()
-    return port
-
-
 async def wait_for(condition: Callable[[], bool]) -> None:
     with anyio.fail_after(20):
         while not condition():
@@ -59,7 +53,7 @@
 
 @asynccontextmanager
 async def running_pair(**options):
-    pair = Pair([await find_free_port(), await find_free_port()], **options)
+    pair = Pair(find_free_ports(2), **options)
     async with anyio.create_task_group() as tasks:
         for name, host in pair.hosts.items():
             await network.start(host, tasks, pair.addresses[name])
