--- a/marjorambridge/wire/gen/replication/ttypes.py
+++ b/marjorambridge/wire/gen/replication/ttypes.py
@@ -532,6 +532,7 @@
      - previous_index
      - previous_term
      - commit_index
+     - serial
      - entries
 
     """
@@ -545,11 +546,12 @@
         'previous_index',
         'previous_term',
         'commit_index',
+        'serial',
         'entries',
     )
 
 
-    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, previous_index=None, previous_term=None, commit_index=None, entries=[
+    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, previous_index=None, previous_term=None, commit_index=None, serial=None, entries=[
     ],):
         self.group = group
         self.cluster = cluster
@@ -559,7 +561,8 @@
         self.previous_index = previous_index
         self.previous_term = previous_term
         self.commit_index = commit_index
-        if entries is self.thrift_spec[9][4]:
+        self.serial = serial
+        if entries is self.thrift_spec[10][4]:
             entries = [
             ]
         self.entries = entries
@@ -616,6 +619,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
+                if ftype == TType.I64:
+                    self.serial = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
                 if ftype == TType.LIST:
                     self.entries = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -668,8 +676,12 @@
             oprot.writeFieldBegin('commit_index', TType.I64, 8)
             oprot.writeI64(self.commit_index)
             oprot.writeFieldEnd()
+        if self.serial is not None:
+            oprot.writeFieldBegin('serial', TType.I64, 9)
+            oprot.writeI64(self.serial)
+            oprot.writeFieldEnd()
         if self.entries is not None:
-            oprot.writeFieldBegin('entries', TType.LIST, 9)
+            oprot.writeFieldBegin('entries', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
             for iter6 in self.entries:
                 iter6.write(oprot)
@@ -708,6 +720,7 @@
      - source
      - target
      - term
+     - serial
      - accepted
      - match_index
      - hint_index
@@ -721,6 +734,7 @@
         'source',
         'target',
         'term',
+        'serial',
         'accepted',
         'match_index',
         'hint_index',
@@ -728,12 +742,13 @@
     )
 
 
-    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, accepted=None, match_index=None, hint_index=0, hint_term=0,):
+    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, serial=None, accepted=None, match_index=None, hint_index=0, hint_term=0,):
         self.group = group
         self.cluster = cluster
         self.source = source
         self.target = target
         self.term = term
+        self.serial = serial
         self.accepted = accepted
         self.match_index = match_index
         self.hint_index = hint_index
@@ -776,21 +791,26 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
+                if ftype == TType.I64:
+                    self.serial = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.BOOL:
                     self.accepted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 8:
                 if ftype == TType.I64:
                     self.match_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 9:
                 if ftype == TType.I64:
                     self.hint_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 10:
                 if ftype == TType.I64:
                     self.hint_term = iprot.readI64()
                 else:
@@ -825,20 +845,24 @@
             oprot.writeFieldBegin('term', TType.I64, 5)
             oprot.writeI64(self.term)
             oprot.writeFieldEnd()
+        if self.serial is not None:
+            oprot.writeFieldBegin('serial', TType.I64, 6)
+            oprot.writeI64(self.serial)
+            oprot.writeFieldEnd()
         if self.accepted is not None:
-            oprot.writeFieldBegin('accepted', TType.BOOL, 6)
+            oprot.writeFieldBegin('accepted', TType.BOOL, 7)
             oprot.writeBool(self.accepted)
             oprot.writeFieldEnd()
         if self.match_index is not None:
-            oprot.writeFieldBegin('match_index', TType.I64, 7)
+            oprot.writeFieldBegin('match_index', TType.I64, 8)
             oprot.writeI64(self.match_index)
             oprot.writeFieldEnd()
         if self.hint_index is not None:
-            oprot.writeFieldBegin('hint_index', TType.I64, 8)
+            oprot.writeFieldBegin('hint_index', TType.I64, 9)
             oprot.writeI64(self.hint_index)
             oprot.writeFieldEnd()
         if self.hint_term is not None:
-            oprot.writeFieldBegin('hint_term', TType.I64, 9)
+            oprot.writeFieldBegin('hint_term', TType.I64, 10)
             oprot.writeI64(self.hint_term)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1066,6 +1090,7 @@
      - offset
      - total
      - data
+     - serial
 
     """
 
@@ -1081,10 +1106,11 @@
         'offset',
         'total',
         'data',
+        'serial',
     )
 
 
-    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, index=None, snapshot_term=None, membership=None, offset=None, total=None, data=None,):
+    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, index=None, snapshot_term=None, membership=None, offset=None, total=None, data=None, serial=None,):
         self.group = group
         self.cluster = cluster
         self.source = source
@@ -1096,6 +1122,7 @@
         self.offset = offset
         self.total = total
         self.data = data
+        self.serial = serial
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1164,6 +1191,11 @@
                     self.data = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.serial = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1218,6 +1250,10 @@
             oprot.writeFieldBegin('data', TType.STRING, 11)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
+        if self.serial is not None:
+            oprot.writeFieldBegin('serial', TType.I64, 12)
+            oprot.writeI64(self.serial)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1252,6 +1288,7 @@
      - target
      - term
      - index
+     - answered
      - offset
 
     """
@@ -1263,17 +1300,19 @@
         'target',
         'term',
         'index',
+        'answered',
         'offset',
     )
 
 
-    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, index=None, offset=None,):
+    def __init__(self, group=None, cluster=None, source=None, target=None, term=None, index=None, answered=None, offset=None,):
         self.group = group
         self.cluster = cluster
         self.source = source
         self.target = target
         self.term = term
         self.index = index
+        self.answered = answered
         self.offset = offset
 
     def read(self, iprot):
@@ -1318,6 +1357,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
+                if ftype == TType.I64:
+                    self.answered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.I64:
                     self.offset = iprot.readI64()
                 else:
@@ -1356,8 +1400,12 @@
             oprot.writeFieldBegin('index', TType.I64, 6)
             oprot.writeI64(self.index)
             oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.I64, 7)
+            oprot.writeI64(self.answered)
+            oprot.writeFieldEnd()
         if self.offset is not None:
-            oprot.writeFieldBegin('offset', TType.I64, 7)
+            oprot.writeFieldBegin('offset', TType.I64, 8)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2060,8 +2108,9 @@
     (6, TType.I64, 'previous_index', None, None, ),  # 6
     (7, TType.I64, 'previous_term', None, None, ),  # 7
     (8, TType.I64, 'commit_index', None, None, ),  # 8
-    (9, TType.LIST, 'entries', (TType.STRUCT, [LogEntry, None], False), [
-    ], ),  # 9
+    (9, TType.I64, 'serial', None, None, ),  # 9
+    (10, TType.LIST, 'entries', (TType.STRUCT, [LogEntry, None], False), [
+    ], ),  # 10
 )
 all_structs.append(AppendReply)
 AppendReply.thrift_spec = (
@@ -2071,10 +2120,11 @@
     (3, TType.STRUCT, 'source', [ReplicaId, None], None, ),  # 3
     (4, TType.STRUCT, 'target', [ReplicaId, None], None, ),  # 4
     (5, TType.I64, 'term', None, None, ),  # 5
-    (6, TType.BOOL, 'accepted', None, None, ),  # 6
-    (7, TType.I64, 'match_index', None, None, ),  # 7
-    (8, TType.I64, 'hint_index', None, 0, ),  # 8
-    (9, TType.I64, 'hint_term', None, 0, ),  # 9
+    (6, TType.I64, 'serial', None, None, ),  # 6
+    (7, TType.BOOL, 'accepted', None, None, ),  # 7
+    (8, TType.I64, 'match_index', None, None, ),  # 8
+    (9, TType.I64, 'hint_index', None, 0, ),  # 9
+    (10, TType.I64, 'hint_term', None, 0, ),  # 10
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -2104,6 +2154,7 @@
     (9, TType.I64, 'offset', None, None, ),  # 9
     (10, TType.I64, 'total', None, None, ),  # 10
     (11, TType.STRING, 'data', 'BINARY', None, ),  # 11
+    (12, TType.I64, 'serial', None, None, ),  # 12
 )
 all_structs.append(SnapshotReply)
 SnapshotReply.thrift_spec = (
@@ -2114,7 +2165,8 @@
     (4, TType.STRUCT, 'target', [ReplicaId, None], None, ),  # 4
     (5, TType.I64, 'term', None, None, ),  # 5
     (6, TType.I64, 'index', None, None, ),  # 6
-    (7, TType.I64, 'offset', None, None, ),  # 7
+    (7, TType.I64, 'answered', None, None, ),  # 7
+    (8, TType.I64, 'offset', None, None, ),  # 8
 )
 all_structs.append(ElectionRequest)
 ElectionRequest.thrift_spec = (
--- a/marjorambridge/wire/idl/replication.thrift
+++ b/marjorambridge/wire/idl/replication.thrift
@@ -45,7 +45,8 @@
   6: i64 previous_index
   7: i64 previous_term
   8: i64 commit_index
-  9: list<LogEntry> entries = []
+  9: i64 serial
+  10: list<LogEntry> entries = []
 }
 
 struct AppendReply {
@@ -54,10 +55,11 @@
   3: ReplicaId source
   4: ReplicaId target
   5: i64 term
-  6: bool accepted
-  7: i64 match_index
-  8: i64 hint_index = 0
-  9: i64 hint_term = 0
+  6: i64 serial
+  7: bool accepted
+  8: i64 match_index
+  9: i64 hint_index = 0
+  10: i64 hint_term = 0
 }
 
 struct Member {
@@ -82,6 +84,7 @@
   9: i64 offset
   10: i64 total
   11: binary data
+  12: i64 serial
 }
 
 struct SnapshotReply {
@@ -91,7 +94,8 @@
   4: ReplicaId target
   5: i64 term
   6: i64 index
-  7: i64 offset
+  7: i64 answered
+  8: i64 offset
 }
 
 struct ElectionRequest {
