--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -22,7 +22,7 @@
     read_fleet_key,
 )
 from marjorambridge.daemon.operators import Operators, build_callbacks, deliver_answer
-from marjorambridge.daemon.recording import open_recording
+from marjorambridge.daemon.recording import Beginning, open_recording
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
 from marjorambridge.http import admin, callers
 from marjorambridge.http.endpoints import (
@@ -119,7 +119,8 @@
     runtime = Runtime(node)
     host = _create_host(settings, incarnation, runtime, fleet_key)
     if settings.record_file:
-        runtime.record = open_recording(Path(settings.record_file))
+        beginning = Beginning(node_settings, recovered, now)
+        runtime.record = open_recording(Path(settings.record_file), beginning)
     if store is not None:
         host.storage = worker.StorageWorker(store, lambda event: post(runtime, event))
     if settings.log.trace_file:
--- a/marjorambridge/daemon/recording.py
+++ b/marjorambridge/daemon/recording.py
@@ -1,30 +1,83 @@
-"""Record the outside events of a host, so that its decisions can be replayed."""
+"""Record the outside events of a host with a digest of their effects, and replay them."""
 
+import hashlib
 import pickle
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
+from marjorambridge.core import reducer
+from marjorambridge.core.effects import Effect
 from marjorambridge.core.events import Event
+from marjorambridge.core.records import make_record
+from marjorambridge.node.composition import NodeSettings, compose_node
+from marjorambridge.replication.models import RecoveredReplica
+
+
+@dataclass(slots=True)
+class Beginning:
+    """Hold what a node was composed from."""
+
+    settings: NodeSettings
+    recovered: RecoveredReplica | None
+    now: float
+
+
+@dataclass(slots=True)
+class Step:
+    """Hold one outside event and the digest of the effects that it had."""
+
+    event: Event
+    digest: bytes
 
 
-def open_recording(path: Path) -> Callable[[Event], None]:
-    """Return a function that appends events to a file.
+def compute_digest(effects: list[Effect]) -> bytes:
+    """Return a digest of effects that depends on every field and on their order."""
+    return hashlib.blake2b(msgspec.json.encode(make_record(effects)), digest_size=16).digest()
 
-    The file holds pickled objects: only read recordings that you made yourself.
+
+def open_recording(path: Path, beginning: Beginning) -> Callable[[Event, list[Effect]], None]:
+    """Begin a recording and return the function that adds a step.
+
+    The file holds pickled objects: replay only recordings that you made yourself.
     """
-    file = path.open("ab", buffering=0)
+    file = path.open("wb", buffering=0)
+    file.write(pickle.dumps(beginning))
 
-    def record(event: Event) -> None:
-        pickle.dump(event, file)
+    def record(event: Event, effects: list[Effect]) -> None:
+        file.write(pickle.dumps(Step(event, compute_digest(effects))))
 
     return record
 
 
-def read_recording(path: Path) -> Iterator[Event]:
-    """Yield the events of a recording; an event cut off by a crash ends it."""
+def read_recording(path: Path) -> Iterator[Beginning | Step]:
+    """Yield the beginning and the steps of a recording; a step cut off by a crash ends it."""
     with path.open("rb") as file:
         while True:
             try:
                 yield pickle.load(file)
-            except EOFError:
+            except (EOFError, pickle.UnpicklingError):
                 return
+
+
+def replay_recording(path: Path) -> tuple[int, int | None]:
+    """Apply the recorded events to a new node and compare the effects.
+
+    Returns
+    -------
+    tuple of int and (int or None)
+        Number of steps, and the first step whose effects differ, or None.
+    """
+    items = read_recording(path)
+    beginning = next(items)
+    assert isinstance(beginning, Beginning)
+    node, _ = compose_node(beginning.settings, beginning.recovered, beginning.now)
+    count = 0
+    for item in items:
+        assert isinstance(item, Step)
+        if compute_digest(reducer.step(node, item.event)) != item.digest:
+            return count, count
+        count += 1
+    return count, None
--- a/marjorambridge/daemon/runtime.py
+++ b/marjorambridge/daemon/runtime.py
@@ -33,12 +33,12 @@
     handlers : dict of type to callable
         Carries out the effects of each class; must not block.
     record : callable or None
-        Takes each outside event before it is applied, for a later replay.
+        Takes each outside event and its effects, for a later replay.
     """
 
     node: reducer.Node
     handlers: dict[type, Callable[[Effect], None]] = field(default_factory=dict)
-    record: Callable[[Event], None] | None = None
+    record: Callable[[Event, list[Effect]], None] | None = None
     timers: TimerTable = field(default_factory=TimerTable)
     pending: deque[Event] = field(default_factory=deque)
     applying: bool = False
@@ -59,9 +59,10 @@
 
 
 def _apply(runtime: Runtime, event: Event) -> None:
+    effects = reducer.step(runtime.node, event)
     if runtime.record is not None:
-        runtime.record(event)
-    for effect in reducer.step(runtime.node, event):
+        runtime.record(event, effects)
+    for effect in effects:
         _carry_out(runtime, effect)
 
 
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -64,6 +64,9 @@
     }
 )
 
+# The server adds its own date; a second one would make the answer ambiguous.
+ANSWER_DROPPED_HEADERS = DROPPED_HEADERS | {"date"}
+
 STATUSES = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHENTICATED: 401,
@@ -356,7 +359,7 @@
     return [
         (name.lower().encode("latin-1"), value.encode("latin-1"))
         for name, value in effect.headers
-        if name.lower() not in DROPPED_HEADERS
+        if name.lower() not in ANSWER_DROPPED_HEADERS
         or (method == "HEAD" and name.lower() == "content-length")
     ]
 
--- a/marjorambridge/standins/fleet.py
+++ b/marjorambridge/standins/fleet.py
@@ -353,10 +353,10 @@
 
 
 def count_known_endpoints(fleet: Fleet, service: str) -> int:
-    """Return how many endpoints of a service the owners of its shards know."""
+    """Return how many endpoints of a service belong to shards whose owners grant permits."""
     count = 0
     for host in fleet.hosts.values():
         for shard in (read_state(host) or {"shards": []})["shards"]:
-            if shard["shard"].startswith(f"{service}/"):
+            if shard["granting"] and shard["shard"].startswith(f"{service}/"):
                 count += len(shard["endpoints"])
     return count
