Free the slots of plain services without asking them to cancel

Cause: the owner asked plain services to confirm the end of a call by POST /v1/cancel, which they do not have, so that a slot was lost for good after each cut call and the service got a request that no caller made. Plain services have no KV memory; their slot is now freed when the permit expires. The new test failed before (the slot was still held after 15 s) and passes now.

--- a/marjorambridge/limits/cancellation.py
+++ b/marjorambridge/limits/cancellation.py
@@ -4,7 +4,7 @@
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.limits.events import EndpointCancelled
-from marjorambridge.limits.ledger import Permit, free_part, get_account
+from marjorambridge.limits.ledger import Permit, Reservation, free_part, get_account
 from marjorambridge.limits.messages import PermitRevoked
 from marjorambridge.limits.settings import LimitsSettings
 from marjorambridge.limits.shard import Shard, refresh_endpoint, schedule_check
@@ -31,13 +31,26 @@
         # deadline.
         for name in [name for name in permit.parts if name not in shard.endpoints]:
             free_permit_part(shard, permit, name, settings, now)
+    if now >= permit.expires_at:
+        for name in [name for name, part in permit.parts.items() if is_plain(part)]:
+            free_permit_part(shard, permit, name, settings, now)
     schedule_check(shard, now + settings.cancel_retry_seconds, "cancel", identity)
     return [
         CancelOnEndpoint(part.endpoint, part.incarnation, part.address, identity)
         for part in permit.parts.values()
+        if not is_plain(part)
     ]
 
 
+def is_plain(part: Reservation) -> bool:
+    """Tell whether a part is on a plain service.
+
+    Plain services hold no KV memory and have no way to cancel a call, so that nothing would ever
+    confirm. Their slot is freed when the permit expires.
+    """
+    return part.tokens == 0
+
+
 def start_cancel(
     shard: Shard, permit: Permit, settings: LimitsSettings, now: float
 ) -> list[Effect]:
@@ -89,6 +102,9 @@
 ) -> list[Effect]:
     """Cancel the attempts of a host's processes up to `incarnation` on one endpoint."""
     account = get_account(shard.ledger, endpoint)
+    known = shard.endpoints.get(endpoint)
+    if known is not None and known.announcement.kv_capacity_tokens == 0:
+        return []
     waiting = host in account.host_cancels
     account.host_cancels[host] = max(incarnation, account.host_cancels.get(host, incarnation))
     if waiting:
