Let announcements need a token, and fuzz frames and handshakes

Anyone who reached the callers' address could announce an endpoint and receive prompts. With announcement_token_hashes set, announcements without a valid token are refused.

--- a/marjorambridge/checks/settings.py
+++ b/marjorambridge/checks/settings.py
@@ -87,9 +87,9 @@
         yield "claims.tombstone_seconds must not be less than claims.answer_seconds"
     if settings.log.level not in LOG_LEVELS:
         yield f"log.level must be one of {', '.join(LOG_LEVELS)}"
-    for digest in settings.operator_token_hashes:
-        if not re.fullmatch(r"[0-9a-f]{64}", digest):
-            yield "operator_token_hashes must be SHA-256 digests of 64 hexadecimal digits"
+    for label in ("operator_token_hashes", "announcement_token_hashes"):
+        if not all(re.fullmatch(r"[0-9a-f]{64}", digest) for digest in getattr(settings, label)):
+            yield f"{label} must be SHA-256 digests of 64 hexadecimal digits"
 
 
 CHECKS: tuple[Check, ...] = (_check_names, _check_addresses, _check_replicas, _check_limits)
--- a/marjorambridge/conf/settings.py
+++ b/marjorambridge/conf/settings.py
@@ -104,6 +104,10 @@
         File with the key that all hosts of the fleet share, at least 32 bytes.
     operator_token_hashes : tuple of str
         Hexadecimal SHA-256 digests of the operators' tokens.
+    announcement_token_hashes : tuple of str
+        Hexadecimal SHA-256 digests of the tokens of which announcing endpoints must send one.
+        Empty accepts any announcement; then only a network that callers can't reach protects
+        against false endpoints.
     data_folder : str
         Folder for the replicated logs; needed on replicas only.
     bootstrap : bool
@@ -123,6 +127,7 @@
     replicas: tuple[Replica, ...]
     fleet_key_file: str
     operator_token_hashes: tuple[str, ...] = ()
+    announcement_token_hashes: tuple[str, ...] = ()
     data_folder: str = ""
     bootstrap: bool = False
     seed: int = 0
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -225,7 +225,10 @@
         service = find_service(host.configuration, model) if host.configuration else None
         return service.bytes_per_token if service else DEFAULT_BYTES_PER_TOKEN
 
-    limits = callers.CallerSettings(max_body_bytes=host.settings.requests.max_body_bytes)
+    limits = callers.CallerSettings(
+        max_body_bytes=host.settings.requests.max_body_bytes,
+        announcement_token_hashes=host.settings.announcement_token_hashes,
+    )
     applications = {
         host.settings.addresses.callers: callers.build_application(
             host.registry,
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -1,7 +1,6 @@
 """Connect the admin address with the reducer."""
 
 import hashlib
-import hmac
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -16,6 +15,7 @@
 from marjorambridge.daemon.runtime import post
 from marjorambridge.daemon.state_dump import describe_state
 from marjorambridge.http.admin import AdminCallbacks
+from marjorambridge.http.callers import matches_any
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
 from marjorambridge.telemetry import metrics
 
@@ -101,7 +101,4 @@
 
 def _check_token(host: "Host", token: str) -> bool:
     digest = hashlib.sha256(token.encode()).hexdigest()
-    matches = [
-        hmac.compare_digest(digest, expected) for expected in host.settings.operator_token_hashes
-    ]
-    return any(matches)
+    return matches_any(digest, host.settings.operator_token_hashes)
--- a/marjorambridge/http/admin.py
+++ b/marjorambridge/http/admin.py
@@ -1,6 +1,5 @@
 """Serve operators and monitoring on the admin address."""
 
-import hmac
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -48,19 +47,6 @@
     check_token: Callable[[str], bool]
 
 
-def build_token_check(token: str) -> Callable[[str], bool]:
-    """Return a check that compares with one token in constant time; an empty token never matches.
-
-    Examples
-    --------
-    >>> check = build_token_check("secret")
-    >>> check("secret"), check("other"), build_token_check("")("")
-    (True, False, False)
-    """
-    expected = token.encode()
-    return lambda given: bool(expected) and hmac.compare_digest(expected, given.encode())
-
-
 def _require_operator(headers: dict[str, str], callbacks: AdminCallbacks) -> None:
     scheme, _, token = headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not callbacks.check_token(token.strip()):
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import hmac
 import math
 import time
 import uuid
@@ -102,6 +103,9 @@
         Names and values of all headers; the parser of the server only limits incomplete headers.
     max_buffered_bytes : int
         Bodies of all requests in progress together; more are answered with "not run".
+    announcement_token_hashes : tuple of str
+        Hexadecimal SHA-256 digests of the tokens that announcing endpoints must send; empty if
+        they need none.
     body_idle_seconds, body_total_seconds : float
         Longest pause between two parts of a body, and longest time for a whole body.
     send_seconds : float
@@ -111,6 +115,7 @@
     max_header_bytes: int = MAX_HEADER_BYTES
     max_body_bytes: int = defaults.MAX_BODY_BYTES
     max_announcement_bytes: int = 512 * 1024
+    announcement_token_hashes: tuple[str, ...] = ()
     max_buffered_bytes: int = 512 * 1024 * 1024
     max_answer_bytes: int = defaults.MAX_BODY_BYTES
     body_idle_seconds: float = 15.0
@@ -227,6 +232,11 @@
     return hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
 
 
+def matches_any(digest: str, hashes: tuple[str, ...]) -> bool:
+    """Tell whether a digest is one of `hashes`, in a time that does not depend on which."""
+    return sum(hmac.compare_digest(digest, expected) for expected in hashes) > 0
+
+
 def parse_idempotency_key(text: str | None) -> str:
     """Return the idempotency key; empty if there is none.
 
@@ -614,6 +624,13 @@
     async def announce(scope: Any, headers: dict[str, str], receive: Any, send: Any) -> None:
         if scope["method"] != "POST":
             raise RequestError(f"{ANNOUNCE_PATH} takes only POST", 405)
+        hashes = limits.announcement_token_hashes
+        if hashes and not matches_any(parse_key(headers.get("authorization")), hashes):
+            raise RequestError(
+                "send the announcement token as 'Authorization: Bearer TOKEN'",
+                401,
+                Reason.UNAUTHENTICATED,
+            )
         body = await read_body(
             receive, headers.get("content-length"), limits.max_announcement_bytes, limits
         )
--- a/tests/http/test_admin.py
+++ b/tests/http/test_admin.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from marjorambridge.http.admin import AdminCallbacks, build_application, build_token_check
+from marjorambridge.http.admin import AdminCallbacks, build_application
 from tests.http.helpers import request, serve
 
 
@@ -20,7 +20,7 @@
         lambda: "requests_total 3\n",
         lambda: {"hosts": ["a"]},
         run_command,
-        build_token_check("operator"),
+        lambda token: token == "operator",
     )
 
     async def run():
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -1,6 +1,7 @@
 """Guard callers against answers that are cut, lost, or mistaken for whole ones."""
 
 import asyncio
+import hashlib
 import json
 
 import httpcore
@@ -10,9 +11,11 @@
 from marjorambridge.http import callers, servers
 from marjorambridge.http.callers import STATUSES, CallerSettings
 from marjorambridge.http.registry import Registry, deliver
+from marjorambridge.limits.events import EndpointAnnounced
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import CallerGone, RequestArrived
 from tests.http.helpers import request, serve_callers, wait_for
+from tests.http.test_bodies import ANNOUNCEMENT
 
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "ભાવ?"}]}
 CUT = Failed(Reason.STREAM_CUT, "the answer was cut; send the request again", 1.0)
@@ -43,6 +46,25 @@
     return [line.removeprefix("data: ") for line in lines if line]
 
 
+def test_announcements_need_the_token_where_one_is_set():
+    """Guard callers' prompts against endpoints that anyone could announce."""
+    digest = hashlib.sha256(b"endpoint").hexdigest()
+
+    async def run():
+        limits = CallerSettings(announcement_token_hashes=(digest,))
+        async with serve_callers(settings=limits) as caller:
+            url = f"http://{caller.address}/v1/announce"
+            body = json.dumps(ANNOUNCEMENT).encode()
+            for headers in ([], [(b"authorization", b"Bearer wrong")]):
+                assert (await request("POST", url, body, headers)).status == 401
+            assert not caller.select(EndpointAnnounced)
+            token = [(b"authorization", b"Bearer endpoint")]
+            assert (await request("POST", url, body, token)).status == 204
+            assert caller.select(EndpointAnnounced)
+
+    asyncio.run(run())
+
+
 def test_a_whole_answer_ends_with_its_marker_and_usage():
     async def run():
         async with serve_callers() as caller:
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -5,6 +5,8 @@
 
 import anyio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import PermitCancel
@@ -12,6 +14,7 @@
 from marjorambridge.transport import network
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
+from marjorambridge.wire.exceptions import WireError
 
 pytestmark = pytest.mark.anyio
 
@@ -120,3 +123,12 @@
     hello = network._make_hello(pair.hosts["a"])
     with pytest.raises(HandshakeError, match="belongs to fleet"):
         decode_hello(hello, "other")
+
+
+@given(data=st.binary(max_size=200))
+def test_arbitrary_frames_and_handshakes_raise_only_typed_errors(data):
+    session = derive_session(b"k", b"dialer", b"acceptor")
+    with pytest.raises((FrameError, WireError)):
+        open_frame(session, data)
+    with pytest.raises((HandshakeError, WireError)):
+        decode_hello(data, "test")
