--- a/marjorambridge/limits/cancellation.py
+++ b/marjorambridge/limits/cancellation.py
@@ -32,8 +32,7 @@
         for name in [name for name in permit.parts if name not in shard.endpoints]:
             free_permit_part(shard, permit, name, settings, now)
     if now >= permit.expires_at:
-        for name in [name for name, part in permit.parts.items() if is_plain(part)]:
-            free_permit_part(shard, permit, name, settings, now)
+        free_plain_parts(shard, permit, settings, now)
     schedule_check(shard, now + settings.cancel_retry_seconds, "cancel", identity)
     return [
         CancelOnEndpoint(part.endpoint, part.incarnation, part.address, identity)
@@ -42,6 +41,12 @@
     ]
 
 
+def free_plain_parts(shard: Shard, permit: Permit, settings: LimitsSettings, now: float) -> None:
+    """Free the parts of a permit on plain services."""
+    for name in [name for name, part in permit.parts.items() if is_plain(part)]:
+        free_permit_part(shard, permit, name, settings, now)
+
+
 def is_plain(part: Reservation) -> bool:
     """Tell whether a part is on a plain service.
 
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -11,7 +11,11 @@
     classify_request,
     compute_tokens,
 )
-from marjorambridge.limits.cancellation import free_permit_part, start_cancel
+from marjorambridge.limits.cancellation import (
+    free_permit_part,
+    free_plain_parts,
+    start_cancel,
+)
 from marjorambridge.limits.estimates import estimate_duration, record_attempt
 from marjorambridge.limits.ledger import (
     Permit,
@@ -269,6 +273,9 @@
     if not permit.cancelling:
         effects += _learn_from_end(state, shard, permit, message, now)
     if not message.stopped:
+        if message.endpoint_failed:
+            # The plain service broke the connection itself, so it works on the call no more.
+            free_plain_parts(shard, permit, state.settings, now)
         effects += start_cancel(shard, permit, state.settings, now)
     else:
         for endpoint in list(permit.parts):
