Let prompts over the cold limit run alone on cold endpoints after a wait

Cause: a prompt over the prefill limit of every cold endpoint was refused with no_endpoint at once, and groups used warm endpoints only.

Ruled out: warm-up by time alone, because it gives an unproven endpoint its full concurrency; synthetic warm-up requests, because they cost capacity on every restart.

Change: such a prompt waits in the queue. After reserve_after_seconds it may reserve a cold endpoint, starts when nothing runs there, and nothing starts beside it until it ends. Endpoints that announce themselves cold are used so only after announced_cold_reserve_seconds (10 s). Warm endpoints are preferred, also busy ones, and single prompts are counted against the long share.

Conclusion: a shard without short requests serves long prompts and groups, and the limit of concurrency of cold endpoints holds in the simulation, also for groups.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -59,6 +59,9 @@
 COLD_PREFILL_TOKENS = 8_192
 COLD_SLOWDOWN_FACTOR = 4.0
 COLD_SLOW_ANSWERS = 3
+# An endpoint that calls itself cold is believed for longer than one that only the owner treats as
+# cold, but not until the deadline of a prompt that nothing else can take.
+ANNOUNCED_COLD_RESERVE_SECONDS = 10.0
 
 # Requests.
 RETRY_BUDGET_RATIO = 0.1
--- a/marjorambridge/limits/admission.py
+++ b/marjorambridge/limits/admission.py
@@ -10,7 +10,9 @@
     RANK_SCALE,
     Endpoint,
     Shard,
+    compute_free_tokens,
     compute_rank,
+    count_running,
     fits,
     is_usable,
 )
@@ -21,13 +23,21 @@
 
 @dataclass(slots=True)
 class Placement:
-    """Say where a request fits and what it costs there."""
+    """Say where a request fits and what it costs there.
+
+    Attributes
+    ----------
+    exclusive : bool
+        Whether the endpoint is cold and the prefill exceeds its limit, so that the request is
+        allowed only alone.
+    """
 
     endpoint: Endpoint
     tokens: int
     prefill: int
     cached_tokens: int
     priority: PriorityClass
+    exclusive: bool = False
 
 
 def classify_prefill(prefill: int, settings: LimitsSettings) -> PriorityClass:
@@ -97,14 +107,29 @@
 
 
 def check_endpoint(
-    shard: Shard, request: PermitRequest, endpoint: Endpoint, settings: LimitsSettings, now: float
+    shard: Shard,
+    request: PermitRequest,
+    endpoint: Endpoint,
+    settings: LimitsSettings,
+    now: float,
+    exclusive: bool = False,
 ) -> Placement | None:
-    """Return the placement on one endpoint if the request fits it now."""
+    """Return the placement on one endpoint if the request fits it now.
+
+    Parameters
+    ----------
+    exclusive : bool
+        Whether the request may exceed the prefill limit if nothing else runs on the endpoint.
+    """
     if endpoint.announcement.endpoint in request.exclude or not is_usable(endpoint, settings, now):
         return None
     found = build_placement(shard, request, endpoint, settings)
     if found.priority is PriorityClass.LONG and not _is_long_allowed(shard, endpoint):
         return None
+    if exclusive:
+        found.exclusive = True
+        idle = count_running(endpoint) == 0
+        return found if idle and compute_free_tokens(endpoint) >= found.tokens else None
     return found if fits(endpoint, found.tokens, found.prefill, settings) else None
 
 
--- a/marjorambridge/limits/groups.py
+++ b/marjorambridge/limits/groups.py
@@ -8,7 +8,7 @@
 from marjorambridge.limits.ledger import Permit
 from marjorambridge.limits.messages import PriorityClass
 from marjorambridge.limits.queue import QueueEntry
-from marjorambridge.limits.ramp import compute_limit, compute_prefill_limit
+from marjorambridge.limits.ramp import compute_prefill_limit
 from marjorambridge.limits.settings import LimitsSettings
 from marjorambridge.limits.shard import (
     AdvanceReservation,
@@ -16,6 +16,7 @@
     Shard,
     compute_free_tokens,
     count_running,
+    get_limit,
     is_usable,
     refresh_endpoint,
 )
@@ -35,8 +36,8 @@
     return permit.expected_end + 2 * max(0.0, now - permit.expected_end)
 
 
-def estimate_ready(endpoint: Endpoint, tokens: int, now: float) -> float:
-    """Return when an endpoint is expected to have `tokens` of memory and a place free.
+def estimate_ready(endpoint: Endpoint, tokens: int, limit: int, now: float) -> float:
+    """Return when an endpoint with fewer than `limit` attempts is expected to have `tokens` free.
 
     Returns
     -------
@@ -45,7 +46,6 @@
     """
     free = compute_free_tokens(endpoint)
     running = count_running(endpoint)
-    limit = compute_limit(endpoint.ramp)
     if free >= tokens and running < limit:
         return now
     name = endpoint.announcement.endpoint
@@ -78,13 +78,60 @@
     if entry.priority is PriorityClass.GROUP:
         if not endpoint.ramp.warm:
             return math.inf
-        return estimate_ready(endpoint, endpoint.announcement.kv_capacity_tokens, now)
+        capacity = endpoint.announcement.kv_capacity_tokens
+        return estimate_ready(endpoint, capacity, get_limit(endpoint), now)
     found = build_placement(shard, entry.request, endpoint, settings)
     if found.tokens > endpoint.announcement.kv_capacity_tokens:
         return math.inf
     if found.prefill > compute_prefill_limit(endpoint.ramp, settings.cold_prefill_tokens):
         return math.inf
-    return estimate_ready(endpoint, found.tokens, now)
+    return estimate_ready(endpoint, found.tokens, get_limit(endpoint), now)
+
+
+def needs_exclusive(
+    shard: Shard, entry: QueueEntry, endpoint: Endpoint, settings: LimitsSettings
+) -> bool:
+    """Tell whether an endpoint is cold and a request exceeds its prefill limit."""
+    if endpoint.ramp.warm:
+        return False
+    if entry.priority is PriorityClass.GROUP:
+        return True
+    found = build_placement(shard, entry.request, endpoint, settings)
+    return found.prefill > compute_prefill_limit(endpoint.ramp, settings.cold_prefill_tokens)
+
+
+def get_entry_limit(
+    shard: Shard, entry: QueueEntry, endpoint: Endpoint, settings: LimitsSettings
+) -> int:
+    """Return the attempts that an endpoint may have at a time once a request is among them."""
+    return 1 if needs_exclusive(shard, entry, endpoint, settings) else get_limit(endpoint)
+
+
+def get_exclusive_from(entry: QueueEntry, endpoint: Endpoint, settings: LimitsSettings) -> float:
+    """Return from when a waiting request may have a cold endpoint to itself."""
+    if endpoint.ramp.announced_cold:
+        return entry.queued_at + settings.announced_cold_reserve_seconds
+    return entry.queued_at + settings.reserve_after_seconds
+
+
+def estimate_exclusive(
+    shard: Shard, entry: QueueEntry, endpoint: Endpoint, settings: LimitsSettings, now: float
+) -> float:
+    """Return when a request that exceeds the prefill limit may have a cold endpoint to itself."""
+    if not is_usable(endpoint, settings, now):
+        return math.inf
+    if endpoint.announcement.endpoint in entry.request.exclude:
+        return math.inf
+    if not needs_exclusive(shard, entry, endpoint, settings):
+        return math.inf
+    capacity = endpoint.announcement.kv_capacity_tokens
+    tokens = compute_tokens(shard, entry.request)
+    if entry.priority is PriorityClass.GROUP:
+        tokens = capacity
+    if tokens > capacity:
+        return math.inf
+    ready = estimate_ready(endpoint, tokens, 1, now)
+    return max(ready, get_exclusive_from(entry, endpoint, settings))
 
 
 def estimate_start(
@@ -94,15 +141,31 @@
     endpoints = list(shard.endpoints.values())
     if len(endpoints) > SAMPLED_ENDPOINTS:
         endpoints = rng.sample(endpoints, SAMPLED_ENDPOINTS)
-    ready = sorted(estimate_fit(shard, entry, item, settings, now) for item in endpoints)
-    if not ready:
+    position = 1
+    if entry.priority is PriorityClass.GROUP:
+        largest = max(1, shard.largest_capacity)
+        needed = math.ceil(compute_tokens(shard, entry.request) / largest)
+        position = math.ceil(needed * len(endpoints) / max(1, len(shard.endpoints)))
+        position = min(len(endpoints), max(1, position))
+    if not endpoints:
         return math.inf
-    if entry.priority is not PriorityClass.GROUP:
-        return ready[0]
-    largest = max(1, shard.largest_capacity)
-    needed = math.ceil(compute_tokens(shard, entry.request) / largest)
-    position = math.ceil(needed * len(ready) / max(1, len(shard.endpoints)))
-    return ready[min(len(ready), max(1, position)) - 1]
+    ready = [estimate_fit(shard, entry, item, settings, now) for item in endpoints]
+    start = sorted(ready)[position - 1]
+    if start < math.inf:
+        return start
+    alone = (estimate_exclusive(shard, entry, item, settings, now) for item in endpoints)
+    return sorted(map(min, ready, alone))[position - 1]
+
+
+def _is_exclusive_left(shard: Shard, entry: QueueEntry) -> bool:
+    """Tell whether a request may take a further cold endpoint exclusively.
+
+    The long share holds for single requests, so that they leave endpoints to short ones.
+    """
+    if entry.priority is PriorityClass.GROUP:
+        return True
+    used = sum(bool(item.account.exclusive) for item in shard.endpoints.values())
+    return used < shard.long_share
 
 
 def plan_reservation(
@@ -110,19 +173,25 @@
 ) -> AdvanceReservation | None:
     """Select the endpoints whose work ends first; None if the usable ones cannot hold it.
 
-    This looks at every endpoint, and is done once for each reservation.
+    Cold endpoints are taken exclusively only if the others cannot hold the request. This looks at
+    every endpoint, and is done once for each reservation.
     """
-    ranked = [
-        (estimate_fit(shard, entry, endpoint, settings, now), endpoint.slot)
-        for endpoint in shard.endpoints.values()
-    ]
-    ranked = [item for item in ranked if item[0] < math.inf]
+    ranked = []
+    may_take_cold = _is_exclusive_left(shard, entry)
+    for endpoint in shard.endpoints.values():
+        ready = estimate_fit(shard, entry, endpoint, settings, now)
+        if ready < math.inf:
+            ranked.append((False, ready, endpoint.slot))
+        elif may_take_cold and now >= get_exclusive_from(entry, endpoint, settings):
+            ready = estimate_exclusive(shard, entry, endpoint, settings, now)
+            if ready < math.inf:
+                ranked.append((True, ready, endpoint.slot))
     heapq.heapify(ranked)
     tokens = compute_tokens(shard, entry.request)
     chosen: list[Endpoint] = []
     capacity, start = 0, now
     while ranked and (not chosen or capacity < tokens):
-        ready, slot = heapq.heappop(ranked)
+        _, ready, slot = heapq.heappop(ranked)
         chosen.append(shard.slots[slot])
         capacity += chosen[-1].announcement.kv_capacity_tokens
         start = max(start, ready)
@@ -167,17 +236,21 @@
             return False
         if held.shares[name] > endpoint.announcement.kv_capacity_tokens:
             return False
-        if held.entry.priority is PriorityClass.GROUP and not endpoint.ramp.warm:
+        exclusive = needs_exclusive(shard, held.entry, endpoint, settings)
+        # A restart of the ramp may have made an endpoint of the group cold, or announced as cold.
+        if exclusive and now < get_exclusive_from(held.entry, endpoint, settings):
             return False
     return True
 
 
-def is_reservation_ready(shard: Shard) -> bool:
+def is_reservation_ready(shard: Shard, settings: LimitsSettings) -> bool:
     """Tell whether every reserved endpoint has its share free now."""
     for name, share in shard.reservation.shares.items():
         endpoint = shard.endpoints[name]
         if compute_free_tokens(endpoint) < share:
             return False
-        if count_running(endpoint) >= compute_limit(endpoint.ramp):
+        if count_running(endpoint) >= get_entry_limit(
+            shard, shard.reservation.entry, endpoint, settings
+        ):
             return False
     return True
--- a/marjorambridge/limits/ledger.py
+++ b/marjorambridge/limits/ledger.py
@@ -24,6 +24,9 @@
         Prefill tokens in progress on the endpoint that the engine processes before these.
     generation : int
         Generation of the endpoint's ramp at the time of the grant.
+    exclusive : bool
+        Whether the part exceeds the prefill limit of the cold endpoint, which therefore gets
+        nothing else until the part ends.
     """
 
     endpoint: str
@@ -34,6 +37,7 @@
     cached_tokens: int = 0
     ahead: int = 0
     generation: int = 0
+    exclusive: bool = False
 
 
 @dataclass(slots=True)
@@ -82,6 +86,8 @@
         Prefill tokens of attempts without a first token, of all classes and of the first class.
     long_prefills : int
         Long or group attempts without a first token.
+    exclusive : int
+        Parts that admit no other work while the endpoint is cold.
     recent : dict
         Grants that the last load report cannot contain, oldest first, with their tokens.
     recent_tokens : int
@@ -97,6 +103,7 @@
     prefill: int = 0
     interactive_prefill: int = 0
     long_prefills: int = 0
+    exclusive: int = 0
     recent: dict[AttemptId, tuple[float, int]] = field(default_factory=dict)
     recent_tokens: int = 0
     freed_at: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_FREED_TIMES))
@@ -145,6 +152,7 @@
         account = get_account(ledger, endpoint)
         account.permits[permit.identity] = permit
         account.tokens += part.tokens
+        account.exclusive += part.exclusive
         account.recent[permit.identity] = (permit.granted_at, part.tokens)
         account.recent_tokens += part.tokens
         if not permit.first_token:
@@ -177,6 +185,7 @@
     account = ledger.accounts[endpoint]
     del account.permits[permit.identity]
     account.tokens -= part.tokens
+    account.exclusive -= part.exclusive
     if account.recent.pop(permit.identity, None) is not None:
         account.recent_tokens -= part.tokens
     account.freed_at.append(now)
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -36,7 +36,7 @@
 )
 from marjorambridge.limits.ownership import find_owner
 from marjorambridge.limits.queue import CLASSES, QueueEntry, add_entry, is_full, remove_entry
-from marjorambridge.limits.ramp import compute_limit, record_end, record_first_token
+from marjorambridge.limits.ramp import record_end, record_first_token
 from marjorambridge.limits.scheduling import (
     ENDPOINT_RETRY_SECONDS,
     MINIMUM_RETRY_SECONDS,
@@ -51,6 +51,7 @@
 from marjorambridge.limits.shard import (
     Shard,
     count_running,
+    get_limit,
     is_usable,
     refresh_endpoint,
     schedule_check,
@@ -136,7 +137,9 @@
         name in shard.endpoints
         and shard.endpoints[name].announcement.incarnation == part.incarnation
         and is_usable(shard.endpoints[name], state.settings, now)
-        and count_running(shard.endpoints[name]) <= compute_limit(shard.endpoints[name].ramp)
+        and count_running(shard.endpoints[name]) <= get_limit(shard.endpoints[name])
+        # A restarted ramp may stand for an endpoint that now announces itself cold.
+        and not (part.exclusive and part.generation != shard.endpoints[name].ramp.generation)
         for name, part in permit.parts.items()
     )
     if refusal is None and usable:
@@ -202,7 +205,7 @@
         return [SendMessage(entry.request.permit.host, answer)]
     remove_entry(shard.queue, entry, served=False)
     if wait == math.inf:
-        # No endpoint can take it at its present cold-start limit or after its running work.
+        # No usable endpoint can ever take it, also not a cold one that has nothing else to do.
         reason, retry_after = DenialReason.NO_ENDPOINT, ENDPOINT_RETRY_SECONDS
     else:
         reason, retry_after = DenialReason.DEADLINE, max(MINIMUM_RETRY_SECONDS, wait)
@@ -404,15 +407,17 @@
         first_token=running.first_token,
     )
     for grant in running.endpoints:
+        own = max(0, grant.tokens - grant.cached_tokens)
         permit.parts[grant.endpoint] = Reservation(
             grant.endpoint,
             grant.incarnation,
             grant.address,
             grant.tokens,
-            max(0, grant.tokens - grant.cached_tokens),
+            own,
             grant.cached_tokens,
             # The ramp of this owner has not granted it, so its end does not move the limit.
             generation=-1,
+            exclusive=own > state.settings.cold_prefill_tokens,
         )
         endpoint = shard.endpoints.get(grant.endpoint)
         if endpoint is not None and endpoint.orphans:
--- a/marjorambridge/limits/scheduling.py
+++ b/marjorambridge/limits/scheduling.py
@@ -16,8 +16,10 @@
 from marjorambridge.limits.groups import (
     estimate_ready,
     estimate_start,
+    get_entry_limit,
     is_reservation_ready,
     is_reservation_valid,
+    needs_exclusive,
     plan_reservation,
     set_reservation,
 )
@@ -133,6 +135,7 @@
             item.cached_tokens,
             account.interactive_prefill if interactive else account.prefill,
             item.endpoint.ramp.generation,
+            item.exclusive,
         )
     register_permit(shard, permit, settings, now)
     if len(placements) == 1 and request.prefix:
@@ -162,7 +165,7 @@
     if not is_reservation_valid(shard, settings, now):
         set_reservation(shard, None, settings, now)
         return []
-    if not is_recent(held.entry, settings, now) or not is_reservation_ready(shard):
+    if not is_recent(held.entry, settings, now) or not is_reservation_ready(shard, settings):
         return []
     entry = held.entry
     request = entry.request
@@ -171,17 +174,18 @@
         placements = []
         for name, share in held.shares.items():
             prefill = math.ceil(request.prompt_tokens * share / total)
+            endpoint = shard.endpoints[name]
+            exclusive = not endpoint.ramp.warm
             placements.append(
-                Placement(shard.endpoints[name], share, prefill, 0, PriorityClass.GROUP)
+                Placement(endpoint, share, prefill, 0, PriorityClass.GROUP, exclusive)
             )
     else:
         (name,) = held.shares
-        found = check_endpoint(shard, request, shard.endpoints[name], settings, now)
+        endpoint = shard.endpoints[name]
+        exclusive = needs_exclusive(shard, entry, endpoint, settings)
+        found = check_endpoint(shard, request, endpoint, settings, now, exclusive)
         if found is None:
-            if (
-                build_placement(shard, request, shard.endpoints[name], settings).priority
-                is PriorityClass.LONG
-            ):
+            if build_placement(shard, request, endpoint, settings).priority is PriorityClass.LONG:
                 # The long share is used up, so keeping the endpoint idle would gain nothing.
                 set_reservation(shard, None, settings, now)
             return []
@@ -289,11 +293,12 @@
     ahead = compute_work_ahead(shard.queue, entry)
     held = shard.reservation
     if held is not None and held.entry is entry:
-        ends = [
-            estimate_ready(shard.endpoints[name], share, now)
-            for name, share in held.shares.items()
-            if name in shard.endpoints
-        ]
+        ends = []
+        for name, share in held.shares.items():
+            endpoint = shard.endpoints.get(name)
+            if endpoint is not None:
+                limit = get_entry_limit(shard, entry, endpoint, settings)
+                ends.append(estimate_ready(endpoint, share, limit, now))
         return max(ends, default=now) - now
     start = estimate_start(shard, entry, settings, rng, now)
     if held is not None and entry.priority is PriorityClass.GROUP:
--- a/marjorambridge/limits/settings.py
+++ b/marjorambridge/limits/settings.py
@@ -27,6 +27,7 @@
     cold_prefill_tokens: int = defaults.COLD_PREFILL_TOKENS
     cold_slowdown_factor: float = defaults.COLD_SLOWDOWN_FACTOR
     cold_slow_answers: int = defaults.COLD_SLOW_ANSWERS
+    announced_cold_reserve_seconds: float = defaults.ANNOUNCED_COLD_RESERVE_SECONDS
     permit_renewal_seconds: float = defaults.PERMIT_RENEWAL_SECONDS
     poll_interval_seconds: float = defaults.POLL_INTERVAL_SECONDS
     prefix_pairs: int = defaults.PREFIX_PAIRS
--- a/marjorambridge/limits/shard.py
+++ b/marjorambridge/limits/shard.py
@@ -217,6 +217,13 @@
     return len(endpoint.account.permits) + endpoint.orphans
 
 
+def get_limit(endpoint: Endpoint) -> int:
+    """Return the attempts that the endpoint may have at a time, with those that run."""
+    if endpoint.account.exclusive and not endpoint.ramp.warm:
+        return 1
+    return compute_limit(endpoint.ramp)
+
+
 def compute_free_tokens(endpoint: Endpoint) -> int:
     """Return the KV memory that is neither reserved nor reported as used."""
     used = compute_used(endpoint.account, endpoint.reported_tokens)
@@ -238,7 +245,7 @@
 def fits(endpoint: Endpoint, tokens: int, prefill: int, settings: LimitsSettings) -> bool:
     """Tell whether an endpoint can take an attempt within its limits now."""
     return (
-        count_running(endpoint) < compute_limit(endpoint.ramp)
+        count_running(endpoint) < get_limit(endpoint)
         and compute_free_tokens(endpoint) >= tokens
         and compute_room(endpoint, settings) >= prefill
     )
@@ -275,7 +282,7 @@
     free = compute_free_tokens(endpoint)
     capacity = endpoint.announcement.kv_capacity_tokens
     _replace_counted(shard, endpoint, True, (limit, capacity, free, endpoint.account.prefill))
-    if endpoint.reserved or count_running(endpoint) >= limit:
+    if endpoint.reserved or count_running(endpoint) >= get_limit(endpoint):
         free = CLOSED
     room = compute_room(endpoint, settings)
     set_leaf(shard.placement, endpoint.slot, free, room, compute_rank(endpoint))
--- a/tests/limits/test_cold_start.py
+++ b/tests/limits/test_cold_start.py
@@ -2,11 +2,18 @@
 
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjorambridge.limits import announcements
-from marjorambridge.limits.messages import PermitGranted, PermitRelease
+from marjorambridge.limits import announcements, groups, permits, shard
+from marjorambridge.limits.messages import (
+    PermitDenied,
+    PermitGranted,
+    PermitRelease,
+    PermitRenew,
+    RunningPermit,
+)
 from marjorambridge.limits.ramp import (
     Ramp,
     apply_announced_limits,
@@ -118,3 +125,114 @@
 def test_silently_cold_endpoint_is_noticed():
     assert turn_cold_silently(LimitsSettings()) == 1
     assert turn_cold_silently(LimitsSettings(cold_slowdown_factor=math.inf)) == 8
+
+
+def run_large(prompt, count=3, announces_cold=False, shorts=20, first_short=3.0, seconds=20.0):
+    """Ask for one prompt over the cold limit, and for short ones from `first_short` on."""
+    engines = [Engine(f"e{n}", 30_000, 6, cold=announces_cold) for n in range(count)]
+    world = World(engines=engines)
+    world.run(4.5)
+    large = world.ask("client-1", prompt, 100, 4.0, 60.0)
+    for number in range(shorts):
+        world.after(first_short + number / 10, lambda: world.ask("client-2", 1_000, 50, 0.3))
+    world.run(seconds)
+    return world, large
+
+
+@pytest.mark.parametrize("announces_cold, wait", [(False, 2.0), (True, 10.0)])
+@pytest.mark.parametrize("prompt", [20_000, 70_000])
+def test_prompt_over_the_cold_limit_runs_alone_after_a_wait(prompt, announces_cold, wait):
+    """Guard a shard without short requests against refusing long prompts and groups for ever."""
+    world, large = run_large(prompt, 1 + prompt // 30_000, announces_cold, 20, wait + 1.5)
+    assert large in world.started and world.violations == []
+    at, grant = world.started[large]
+    assert wait <= at - world.asked[large, 1] < wait + 1.5
+    world.run(15.0)
+    assert len(world.started) == 21 and world.violations == []
+    assert all(world.shard().endpoints[e.endpoint].ramp.limit > 1 for e in grant.endpoints)
+
+
+def test_without_the_wait_a_group_exceeds_cold_limits_at_once(monkeypatch):
+    monkeypatch.setattr(groups, "get_exclusive_from", lambda entry, *values: entry.queued_at)
+    world, _ = run_large(70_000)
+    assert any(item.startswith("prefill") for item in world.violations)
+
+
+def test_success_of_a_prompt_that_ran_alone_counts_for_the_ramp():
+    world, large = run_large(20_000, 1, shorts=0, seconds=5.5)
+    assert world.shard().endpoints["e0"].ramp.limit == 1
+    world.run(1.5)
+    assert large in world.ended and world.shard().endpoints["e0"].ramp.limit == 2
+
+
+def test_short_requests_warm_endpoints_for_a_large_one():
+    world, large = run_large(20_000, 1, True, first_short=0.1)
+    at, _ = world.started[large]
+    assert at - world.asked[large, 1] < 10.0 and world.violations == []
+
+
+def test_warm_endpoint_that_is_busy_is_preferred_to_an_idle_cold_one():
+    world = World(engines=[Engine("e1", 30_000, 6), Engine("e2", 30_000, 6)])
+    world.warm_up()
+    world.shard().rates.seconds_per_output_token = 0.0002
+    world.ask("client-1", 1_000, 28_000, 6.0)
+    world.run(0.5)
+    (busy,) = (engine for engine in world.engines.values() if engine.running)
+    (idle,) = (engine for engine in world.engines.values() if not engine.running)
+    world.restart_engine(idle.name)
+    world.run(1.5)
+    large = world.ask("client-1", 20_000, 100, 1.0)
+    world.run(8.0)
+    assert world.started[large][1].endpoints[0].endpoint == busy.name
+
+
+def offer_beside_decode():
+    """Offer short requests to a cold endpoint whose large request has its first token."""
+    world = World(engines=[Engine("e1", 100_000, 6, successes=2)])
+    world.run(4.5)
+    world.shard().endpoints["e1"].ramp.limit = 3
+    large = world.ask("client-1", 50_000, 100, 6.0)
+    world.run(3.0)
+    grants = world.started[large][1].endpoints
+    message = PermitRenew((RunningPermit(large, SHARD, grants, True),))
+    world.deliver("client-1", world.owner(), message)
+    short = world.ask("client-1", 1_000, 50, 0.3)
+    world.run(1.0)
+    return short in world.started
+
+
+def test_cold_endpoint_gets_nothing_beside_a_large_request_until_it_ends(monkeypatch):
+    assert not offer_beside_decode()
+    for module in (groups, permits, shard):
+        monkeypatch.setattr(module, "get_limit", lambda endpoint: compute_limit(endpoint.ramp))
+    assert offer_beside_decode()
+
+
+def test_cold_endpoints_for_large_requests_are_limited_by_the_long_share():
+    """Guard short requests against large ones on every cold endpoint."""
+    world = World(engines=[Engine(f"e{n}", 100_000, 6) for n in range(4)])
+    world.run(4.5)
+    large = [world.ask("client-1", 20_000, 100, 8.0, 60.0) for _ in range(4)]
+    world.run(4.0)
+    assert world.count(large, PermitGranted) == 2
+    short = world.ask("client-1", 1_000, 50, 0.3)
+    world.run(0.5)
+    assert short in world.started and world.violations == []
+
+
+def test_grant_of_a_large_request_is_not_repeated_after_its_endpoint_turned_cold_again():
+    world = World(engines=[Engine("e0", 30_000, 6)])
+    world.run(4.5)
+    large = world.ask("client-1", 20_000, 100, 4.0, 60.0)
+    world.run(0.1)
+    shard_now = world.shard()
+    while large not in shard_now.ledger.permits:
+        world.run(0.05)
+    world.dead.add("client-1")
+    world.engines["e0"].cold = True
+    world.announce("e0", world.owner())
+    world.run(0.1)
+    world.dead.clear()
+    world.send_ask(large)
+    world.run(0.1)
+    assert isinstance(world.answers[large][-1], PermitDenied) and world.violations == []
