Send the handover of a large shard in parts that fit frames

Cause: ShardHandover carried the whole ledger in one message, and frames over 1 MiB are refused, so the handover of a large shard was lost with its connection and the new owner waited for the whole takeover time.

Ruled out: a larger frame limit, because it only moves the bound and lets one message hold up its connection; a message type of its own for parts, because two fields are enough.

Change: ShardHandover gets the fields part and parts. The old owner divides endpoints and permits by an upper bound of their encoded size (HANDOVER_PART_BYTES). The new owner collects the parts of each sender and accepts only a complete set of its epoch; parts that no ownership needs any more are dropped with the next tick. The IDL and the generated code follow.

Conclusion: a shard with many permits is handed over without a wait, if no part is lost. One endpoint whose announcement alone exceeds a frame still cannot be handed over.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -49,6 +49,8 @@
 MAX_QUEUED_REQUESTS = 1_024
 RESERVE_AFTER_SECONDS = 2.0
 PREFIX_PAIRS = 20_000
+# Smaller than a frame, because the size of a part is estimated.
+HANDOVER_PART_BYTES = 256 * 1024
 
 # Classes by estimated uncached prefill tokens.
 INTERACTIVE_PREFILL_TOKENS = 8_192
--- a/marjorambridge/limits/messages.py
+++ b/marjorambridge/limits/messages.py
@@ -326,13 +326,19 @@
 class ShardHandover:
     """Hand a shard's state to its new owner; the sender grants nothing afterwards.
 
+    A state that exceeds one frame is sent in parts, of which the receiver needs all.
+
     Attributes
     ----------
     epoch : int
         Index of the view that makes the receiver the owner.
+    part, parts : int
+        Number of this message, from 0, and how many there are.
     """
 
     shard: str
     epoch: int
     endpoints: tuple[HandoverEndpoint, ...]
     permits: tuple[HandoverPermit, ...]
+    part: int = 0
+    parts: int = 1
--- a/marjorambridge/limits/reducer.py
+++ b/marjorambridge/limits/reducer.py
@@ -40,7 +40,12 @@
 from marjorambridge.limits.scheduling import reserve_ahead
 from marjorambridge.limits.shard import Shard, adapt_long_share, pop_due_checks
 from marjorambridge.limits.state import LimitsState
-from marjorambridge.limits.takeover import apply_configuration, apply_view, handle_handover
+from marjorambridge.limits.takeover import (
+    apply_configuration,
+    apply_view,
+    forget_handovers,
+    handle_handover,
+)
 
 TICK = TimerKey("limits", "tick")
 
@@ -105,7 +110,7 @@
     elif isinstance(message, Announcement):
         effects += handle_announcement(state, message, True, now)
     elif isinstance(message, ShardHandover):
-        effects += handle_handover(state, message, now)
+        effects += handle_handover(state, event.sender, message, now)
     return effects
 
 
@@ -117,6 +122,7 @@
         state.expire_from = now + 2 * settings.permit_renewal_seconds
     state.last_tick = now
     _forget_hosts(state, now)
+    forget_handovers(state, now)
     effects: list[Effect] = []
     for shard in state.shards.values():
         effects += _tick_shard(state, shard, now)
--- a/marjorambridge/limits/settings.py
+++ b/marjorambridge/limits/settings.py
@@ -30,6 +30,7 @@
     announced_cold_reserve_seconds: float = defaults.ANNOUNCED_COLD_RESERVE_SECONDS
     permit_renewal_seconds: float = defaults.PERMIT_RENEWAL_SECONDS
     poll_interval_seconds: float = defaults.POLL_INTERVAL_SECONDS
+    handover_part_bytes: int = defaults.HANDOVER_PART_BYTES
     prefix_pairs: int = defaults.PREFIX_PAIRS
     tick_seconds: float = defaults.OWNER_TICK_SECONDS
 
--- a/marjorambridge/limits/state.py
+++ b/marjorambridge/limits/state.py
@@ -11,6 +11,21 @@
 from marjorambridge.limits.shard import Shard
 
 
+@dataclass(slots=True)
+class HandoverParts:
+    """Collect the parts of one handover.
+
+    Attributes
+    ----------
+    received : dict
+        Parts by their number.
+    """
+
+    epoch: int
+    parts: int
+    received: dict[int, ShardHandover] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class LimitsState:
     """Hold the shards that this host owns and what their ownership follows from.
@@ -20,7 +35,7 @@
     fresh_until : float
         Monotonic time in seconds until which this host may grant.
     stash : dict
-        Handover of each shard that came before the view that it belongs to.
+        Handovers of each shard, by sender, that lack parts or came before their view.
     host_incarnations : dict
         Latest known incarnation of each host.
     restarts : dict
@@ -45,7 +60,7 @@
     view: View | None = None
     fresh_until: float = float("-inf")
     shards: dict[str, Shard] = field(default_factory=dict)
-    stash: dict[str, ShardHandover] = field(default_factory=dict)
+    stash: dict[str, dict[str, HandoverParts]] = field(default_factory=dict)
     host_incarnations: dict[str, int] = field(default_factory=dict)
     restarts: dict[str, float] = field(default_factory=dict)
     absences: dict[str, float] = field(default_factory=dict)
--- a/marjorambridge/limits/takeover.py
+++ b/marjorambridge/limits/takeover.py
@@ -19,7 +19,13 @@
 from marjorambridge.limits.scheduling import MINIMUM_RETRY_SECONDS, deny_all_queued
 from marjorambridge.limits.settings import compute_takeover_wait
 from marjorambridge.limits.shard import Shard, create_shard, is_usable, refresh_endpoint
-from marjorambridge.limits.state import LimitsState, is_fresh
+from marjorambridge.limits.state import HandoverParts, LimitsState, is_fresh
+
+# Upper bounds for what an encoded structure has besides its texts: compact integers of 64 bits take
+# up to 10 bytes, floats 8, field headers and lengths up to 9.
+FIXED_ENDPOINT_BYTES = 320
+FIXED_PERMIT_BYTES = 72
+TEXT_LENGTH_BYTES = 9
 
 
 def apply_view(state: LimitsState, index: int, view: View, now: float) -> list[Effect]:
@@ -41,8 +47,7 @@
             restart_takeover(state, shard, index, now)
     effects += update_shards(state, index, was_fresh, now)
     for name in list(state.stash):
-        if state.stash[name].epoch <= index:
-            effects += accept_handover(state, state.stash.pop(name), now)
+        effects += accept_complete(state, name, now)
     return effects
 
 
@@ -111,7 +116,8 @@
         # An owner that still waits does not know all permits. One that is not fresh may have
         # missed an owner in between, whose grants its ledger lacks.
         if owner is not None and may_hand_over and now >= shard.grants_from:
-            effects.append(SendMessage(owner, build_handover(state, shard, index, now)))
+            for message in build_handover(state, shard, index, now):
+                effects.append(SendMessage(owner, message))
         effects += drop_shard(state, shard, now)
     for name, (identity, owner) in owners.items():
         if owner != state.host or name in state.shards:
@@ -131,8 +137,44 @@
     return deny_all_queued(shard, DenialReason.NOT_OWNER, MINIMUM_RETRY_SECONDS, now)
 
 
-def build_handover(state: LimitsState, shard: Shard, epoch: int, now: float) -> ShardHandover:
-    """Return the state of a shard for its new owner.
+def _estimate_endpoint_bytes(item: HandoverEndpoint) -> int:
+    """Return an upper bound for the encoded size of an endpoint."""
+    known = item.announcement
+    texts = (known.endpoint, known.supplier, known.service, known.zone, known.address)
+    texts += (*known.models, *known.adapters, known.role, known.version)
+    return FIXED_ENDPOINT_BYTES + sum(map(_estimate_text_bytes, texts))
+
+
+def _estimate_permit_bytes(item: HandoverPermit) -> int:
+    """Return an upper bound for the encoded size of a permit."""
+    texts = [item.permit.host]
+    for grant in item.endpoints:
+        texts += (grant.endpoint, grant.address)
+    fixed = FIXED_PERMIT_BYTES * (1 + len(item.endpoints))
+    return fixed + sum(map(_estimate_text_bytes, texts))
+
+
+def _estimate_text_bytes(text: str) -> int:
+    return TEXT_LENGTH_BYTES + len(text.encode())
+
+
+def _divide(
+    items: list[tuple[int, HandoverEndpoint | HandoverPermit]], limit: int
+) -> list[list[HandoverEndpoint | HandoverPermit]]:
+    """Divide items with their sizes into lists of at most `limit` bytes or one item."""
+    parts: list[list[HandoverEndpoint | HandoverPermit]] = [[]]
+    used = 0
+    for size, item in items:
+        if parts[-1] and used + size > limit:
+            parts.append([])
+            used = 0
+        parts[-1].append(item)
+        used += size
+    return parts
+
+
+def build_handover(state: LimitsState, shard: Shard, epoch: int, now: float) -> list[ShardHandover]:
+    """Return the state of a shard for its new owner, in parts that fit a frame.
 
     The age of a permit that is being cancelled is its whole lifetime, so that the new owner
     cancels it at once.
@@ -157,26 +199,84 @@
         if not permit.cancelling:
             age = min(age, now - permit.expires_at + settings.permit_expiry_seconds)
         permits.append(HandoverPermit(permit.identity, grants, permit.first_token, max(0.0, age)))
-    return ShardHandover(shard.name, epoch, endpoints, tuple(permits))
+    items = [(_estimate_endpoint_bytes(item), item) for item in endpoints]
+    items += [(_estimate_permit_bytes(item), item) for item in permits]
+    parts = _divide(items, settings.handover_part_bytes)
+    return [
+        ShardHandover(
+            shard.name,
+            epoch,
+            tuple(item for item in part if isinstance(item, HandoverEndpoint)),
+            tuple(item for item in part if isinstance(item, HandoverPermit)),
+            number,
+            len(parts),
+        )
+        for number, part in enumerate(parts)
+    ]
 
 
-def handle_handover(state: LimitsState, message: ShardHandover, now: float) -> list[Effect]:
-    """Accept the state of a shard, or keep it until the view that it belongs to is applied."""
-    if state.view is None or message.epoch > state.view.index:
-        known = state.stash.get(message.shard)
-        if known is None or known.epoch < message.epoch:
-            state.stash[message.shard] = message
-        return []
-    return accept_handover(state, message, now)
+def _can_accept(state: LimitsState, name: str, epoch: int, now: float) -> bool:
+    """Tell whether a handover for this ownership of a shard is of use."""
+    shard = state.shards.get(name)
+    return (
+        shard is not None
+        and shard.epoch == epoch
+        and not shard.handed_over
+        and now < shard.grants_from
+    )
 
 
-def accept_handover(state: LimitsState, message: ShardHandover, now: float) -> list[Effect]:
-    """Take the ledger of the old owner and grant from now on, if it is for this ownership."""
-    shard = state.shards.get(message.shard)
-    if shard is None or shard.epoch != message.epoch:
+def _is_early(state: LimitsState, epoch: int) -> bool:
+    """Tell whether the view that a handover belongs to is not applied yet."""
+    return state.view is None or epoch > state.view.index
+
+
+def forget_handovers(state: LimitsState, now: float) -> None:
+    """Drop collected parts that no ownership of this host needs any more."""
+    for name, senders in list(state.stash.items()):
+        for sender, held in list(senders.items()):
+            if not _is_early(state, held.epoch) and not _can_accept(state, name, held.epoch, now):
+                del senders[sender]
+        if not senders:
+            del state.stash[name]
+
+
+def handle_handover(
+    state: LimitsState, sender: str, message: ShardHandover, now: float
+) -> list[Effect]:
+    """Accept the state of a shard once all its parts and the view that it belongs to are here."""
+    name, epoch = message.shard, message.epoch
+    if not 0 <= message.part < message.parts:
         return []
-    if shard.handed_over or now >= shard.grants_from:
+    if not _is_early(state, epoch) and not _can_accept(state, name, epoch, now):
         return []
+    senders = state.stash.setdefault(name, {})
+    held = senders.get(sender)
+    if held is None or held.epoch < epoch:
+        held = senders[sender] = HandoverParts(epoch, message.parts)
+    if (held.epoch, held.parts) != (epoch, message.parts):
+        return []
+    held.received.setdefault(message.part, message)
+    return accept_complete(state, name, now)
+
+
+def accept_complete(state: LimitsState, name: str, now: float) -> list[Effect]:
+    """Accept a collected handover of a shard if it is complete."""
+    effects: list[Effect] = []
+    for held in list(state.stash.get(name, {}).values()):
+        if len(held.received) < held.parts or not _can_accept(state, name, held.epoch, now):
+            continue
+        parts = [held.received[number] for number in range(held.parts)]
+        endpoints = tuple(item for part in parts for item in part.endpoints)
+        permits = tuple(item for part in parts for item in part.permits)
+        effects += accept_handover(state, ShardHandover(name, held.epoch, endpoints, permits), now)
+    forget_handovers(state, now)
+    return effects
+
+
+def accept_handover(state: LimitsState, message: ShardHandover, now: float) -> list[Effect]:
+    """Take the ledger of the old owner and grant from now on."""
+    shard = state.shards[message.shard]
     shard.handed_over = True
     shard.grants_from = now
     effects: list[Effect] = []
--- a/marjorambridge/wire/gen/limits/ttypes.py
+++ b/marjorambridge/wire/gen/limits/ttypes.py
@@ -2055,6 +2055,8 @@
      - epoch
      - endpoints
      - permits
+     - part
+     - parts
 
     """
 
@@ -2063,14 +2065,18 @@
         'epoch',
         'endpoints',
         'permits',
+        'part',
+        'parts',
     )
 
 
-    def __init__(self, shard=None, epoch=None, endpoints=None, permits=None,):
+    def __init__(self, shard=None, epoch=None, endpoints=None, permits=None, part=0, parts=1,):
         self.shard = shard
         self.epoch = epoch
         self.endpoints = endpoints
         self.permits = permits
+        self.part = part
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2113,6 +2119,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.part = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.parts = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2145,6 +2161,14 @@
                 iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 5)
+            oprot.writeI64(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I64, 6)
+            oprot.writeI64(self.parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2330,6 +2354,8 @@
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.LIST, 'endpoints', (TType.STRUCT, [HandoverEndpoint, None], False), None, ),  # 3
     (4, TType.LIST, 'permits', (TType.STRUCT, [HandoverPermit, None], False), None, ),  # 4
+    (5, TType.I64, 'part', None, 0, ),  # 5
+    (6, TType.I64, 'parts', None, 1, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/limits.thrift
+++ b/marjorambridge/wire/idl/limits.thrift
@@ -140,4 +140,6 @@
   2: i64 epoch
   3: list<HandoverEndpoint> endpoints
   4: list<HandoverPermit> permits
+  5: i64 part = 0
+  6: i64 parts = 1
 }
--- a/tests/limits/test_takeover.py
+++ b/tests/limits/test_takeover.py
@@ -1,14 +1,23 @@
 """Guard the limits of endpoints while the owner of their shard changes."""
 
+from dataclasses import replace
+
+import pytest
+
+from marjorambridge.conf import defaults
 from marjorambridge.core.effects import SendMessage
 from marjorambridge.core.events import TimerFired, ViewApplied
+from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits import admission, permits, shard, takeover
 from marjorambridge.limits.messages import (
     DenialReason,
+    EndpointGrant,
     PermitGranted,
+    RunningPermit,
     ShardHandover,
 )
 from marjorambridge.limits.reducer import TICK
+from marjorambridge.wire.codec import encode_message
 
 from .world import SHARD, Engine, World
 
@@ -118,6 +127,65 @@
     assert world.shard(new).handed_over
 
 
+def build_large_handover():
+    """Return a world whose new owner is not told yet, and the handover of 5,000 permits to it."""
+    world = World(HOSTS, [Engine("e1", 10**9, 10_000)])
+    world.run(4.0)
+    old = world.owner()
+    for number in range(5_000):
+        permit = AttemptId("h" * 250, 1, number)
+        grant = EndpointGrant("e1", 1, "127.0.0.1:e1", 10)
+        running = RunningPermit(permit, SHARD, (grant,), True)
+        permits.register_running(world.owners[old], world.shard(), running, 0.0, world.now)
+    messages = takeover.build_handover(world.owners[old], world.shard(), 3, world.now)
+    world.dead.add(old)
+    rest = [host for host in HOSTS if host != old]
+    world.apply_view(3, rest, skip=rest)
+    return world, messages
+
+
+def offer_parts(world, messages, sender="old"):
+    for message in messages:
+        world.deliver(sender, world.owner(), message)
+
+
+def learn_view(world):
+    world.step(world.owner(), ViewApplied, 3, world.view)
+    return world.shard()
+
+
+def test_large_handover_fits_frames_and_is_accepted_in_any_order():
+    """Guard against a handover that exceeds a frame and is lost with its connection."""
+    world, messages = build_large_handover()
+    sizes = [len(encode_message(message)[1]) for message in messages]
+    assert sum(sizes) > defaults.MAX_FRAME_BYTES > 2 * max(sizes)
+    offer_parts(world, messages[:0:-1])
+    own = learn_view(world)
+    assert not own.handed_over and not own.ledger.permits
+    offer_parts(world, [*messages[1:], messages[0]])
+    assert own.handed_over and len(own.ledger.permits) == 5_000 and "e1" in own.endpoints
+    assert not world.owners[world.owner()].stash
+
+
+@pytest.mark.parametrize("fault", ["lost", "other epoch", "other sender", "other division"])
+def test_incomplete_handover_is_not_accepted(fault):
+    """Guard against a ledger that lacks the permits of a part."""
+    world, (first, *rest) = build_large_handover()
+    offer_parts(world, rest)
+    own = learn_view(world)
+    if fault == "other epoch":
+        offer_parts(world, [replace(first, epoch=2)])
+    elif fault == "other sender":
+        offer_parts(world, [first], "other")
+    elif fault == "other division":
+        offer_parts(world, [replace(first, parts=first.parts + 1)])
+    world.run(0.5)
+    assert not own.handed_over and world.now < own.grants_from
+    world.run(3.0)
+    offer_parts(world, [first])
+    assert not own.handed_over and not world.owners[world.owner()].stash
+
+
 def return_as_owner():
     """Bring an owner back that was frozen while another host owned the shard and granted."""
     world = World(HOSTS, [Engine("e1", 12_000, 3, warm=True, reports=False)])
