Share repeated statements of the limits tests

Cause: offers of regular requests, lost messages of a frozen host, the endpoints of a grant and the list of the other hosts were written out in several tests.

Change: World.offer, World.thaw(lose=True), World.get_endpoints and list_others replace them. No assertion is removed or relaxed. The ledger machine also compares the count of exclusive parts with its reference.

--- a/tests/limits/test_cold_start.py
+++ b/tests/limits/test_cold_start.py
@@ -68,8 +68,7 @@
 
 
 def offer(world, count, prompt):
-    for number in range(count):
-        world.after(number / 20, lambda: world.ask("client-1", prompt, 50, 0.4, remaining=5.0))
+    world.offer(count, 20, prompt=prompt, output=50, duration=0.4, remaining=5.0)
     world.run(count / 20)
 
 
@@ -133,8 +132,7 @@
     world = World(engines=engines)
     world.run(4.5)
     large = world.ask("client-1", prompt, 100, 4.0, 60.0)
-    for number in range(shorts):
-        world.after(first_short + number / 10, lambda: world.ask("client-2", 1_000, 50, 0.3))
+    world.offer(shorts, 10, first_short, client="client-2", output=50, duration=0.3)
     world.run(seconds)
     return world, large
 
@@ -145,11 +143,12 @@
     """Guard a shard without short requests against refusing long prompts and groups for ever."""
     world, large = run_large(prompt, 1 + prompt // 30_000, announces_cold, 20, wait + 1.5)
     assert large in world.started and world.violations == []
-    at, grant = world.started[large]
+    at, _ = world.started[large]
     assert wait <= at - world.asked[large, 1] < wait + 1.5
     world.run(15.0)
     assert len(world.started) == 21 and world.violations == []
-    assert all(world.shard().endpoints[e.endpoint].ramp.limit > 1 for e in grant.endpoints)
+    endpoints = [world.shard().endpoints[name] for name in world.get_endpoints(large)]
+    assert all(endpoint.ramp.limit > 1 for endpoint in endpoints)
 
 
 def test_without_the_wait_a_group_exceeds_cold_limits_at_once(monkeypatch):
@@ -183,7 +182,7 @@
     world.run(1.5)
     large = world.ask("client-1", 20_000, 100, 1.0)
     world.run(8.0)
-    assert world.started[large][1].endpoints[0].endpoint == busy.name
+    assert world.get_endpoints(large) == {busy.name}
 
 
 def offer_beside_decode():
--- a/tests/limits/test_groups.py
+++ b/tests/limits/test_groups.py
@@ -19,16 +19,10 @@
     return world
 
 
-def offer_shorts(world, seconds, per_second=60, duration=0.5, prompt=2_000):
+def offer_shorts(world, seconds, per_second):
     """Offer enough short requests to use every place all the time."""
-    permits = []
-
-    def ask():
-        permits.append(world.ask("shorts", prompt, 50, duration, remaining=20.0))
-
-    for number in range(int(seconds * per_second)):
-        world.after(number / per_second, ask)
-    return permits
+    request = {"client": "shorts", "prompt": 2_000, "output": 50, "duration": 0.5}
+    return world.offer(int(seconds * per_second), per_second, remaining=20.0, **request)
 
 
 def test_two_groups_at_once_do_not_deadlock():
@@ -131,7 +125,7 @@
     world.engines[lost].up = False
     world.run(15.0)
     assert len(blockers) == 4 and group in world.started
-    assert lost not in {item.endpoint for item in world.started[group][1].endpoints}
+    assert lost not in world.get_endpoints(group)
     assert not any(endpoint.reserved for endpoint in world.shard().endpoints.values())
 
 
@@ -166,8 +160,7 @@
     busy = set(world.shard().long_endpoints)
     shorts = [world.ask("c", 1_000, 10, 0.1) for _ in range(6)]
     world.run(0.5)
-    used = {item.endpoint for p in shorts for item in world.started[p][1].endpoints}
-    assert len(busy) == 2 and not used & busy
+    assert len(busy) == 2 and not world.get_endpoints(*shorts) & busy
 
 
 def test_long_share_shrinks_while_shorts_wait_and_grows_back():
--- a/tests/limits/test_holders.py
+++ b/tests/limits/test_holders.py
@@ -174,8 +174,7 @@
     world.freeze("client-1")
     permit = world.ask("client-1", 8_000, 1_000, 1.0)
     world.run(1.0)
-    world.frozen["client-1"].clear()
-    world.thaw("client-1")
+    world.thaw("client-1", lose=True)
     world.send_ask(permit)
     world.run(0.1)
     grants = [item for item in world.answers[permit] if isinstance(item, PermitGranted)]
--- a/tests/limits/test_machines.py
+++ b/tests/limits/test_machines.py
@@ -40,14 +40,16 @@
         tokens=st.integers(1, 9_000),
         prefill=st.integers(0, 90_000),
         priority=st.sampled_from(list(PriorityClass)),
+        exclusive=st.booleans(),
     )
-    def grant(self, ends, tokens, prefill, priority):
+    def grant(self, ends, tokens, prefill, priority, exclusive):
         self.now += 1.0
         self.number += 1
         identity = AttemptId("h", 1, self.number)
         permit = books.Permit(identity, priority, 1, self.now, self.now + 10, self.now + 1)
         for name in ends:
-            permit.parts[name] = books.Reservation(name, 1, "a", tokens, prefill)
+            part = books.Reservation(name, 1, "a", tokens, prefill, exclusive=exclusive)
+            permit.parts[name] = part
             self.parts.append([permit, name, tokens, prefill, self.now, False])
         books.add_permit(self.ledger, permit)
 
@@ -87,6 +89,7 @@
             assert account.interactive_prefill == sum(
                 part[3] for part in waiting if part[0].priority is PriorityClass.INTERACTIVE
             )
+            assert account.exclusive == sum(part[0].parts[name].exclusive for part in own)
             assert account.long_prefills == sum(part[0].priority in late for part in waiting)
             since = sum(part[2] for part in own if part[4] > self.visible[name])
             for reported in (0, 5_000):
--- a/tests/limits/test_takeover.py
+++ b/tests/limits/test_takeover.py
@@ -29,6 +29,10 @@
     return World(HOSTS, engines, settings, seed, **values)
 
 
+def list_others(*hosts):
+    return [host for host in HOSTS if host not in hosts]
+
+
 def grant_in_last_moment():
     """Let a partitioned owner grant just before its freshness ends, with a slow network."""
     world = World(HOSTS, [Engine("e1", 12_000, 3, warm=True)], latency=0.3)
@@ -38,7 +42,7 @@
     world.run(1.45)
     first = world.ask("client-1", 8_000, 1_000, 10.0)
     world.run(0.55)
-    world.apply_view(3, [host for host in HOSTS if host != old], skip=(old,))
+    world.apply_view(3, list_others(old), skip=(old,))
     world.announce("e1", world.owner())
     second = world.ask("client-2", 8_000, 1_000, 10.0, remaining=9.0)
     world.run(4.0)
@@ -65,7 +69,7 @@
         world.run(0.5)
         world.dead.add(world.owner())
         world.run(2.0)
-        world.apply_view(3, [host for host in HOSTS if host not in world.dead])
+        world.apply_view(3, list_others(*world.dead))
         world.run(3.0)
         world.ask("client-2", 7_000, 1_000, 30.0, 9.0)
         world.run(1.0)
@@ -79,8 +83,7 @@
 
 def test_leaving_owner_hands_over_and_grants_go_on():
     world = create_world()
-    for number in range(120):
-        world.after(number / 10, lambda: world.ask("client-1", 1_000, 500, 1.0, 8.0))
+    world.offer(120, 10, output=500, remaining=8.0)
     world.run(6.0)
     old = world.owner()
     world.apply_view(3, HOSTS, leaving=(old,))
@@ -117,7 +120,7 @@
     world = create_world()
     world.run(4.0)
     old = world.owner()
-    rest = [host for host in HOSTS if host != old]
+    rest = list_others(old)
     world.apply_view(3, rest, skip=rest)
     world.run(0.1)
     new = world.owner()
@@ -139,7 +142,7 @@
         permits.register_running(world.owners[old], world.shard(), running, 0.0, world.now)
     messages = takeover.build_handover(world.owners[old], world.shard(), 3, world.now)
     world.dead.add(old)
-    rest = [host for host in HOSTS if host != old]
+    rest = list_others(old)
     world.apply_view(3, rest, skip=rest)
     return world, messages
 
@@ -193,13 +196,12 @@
     old = world.owner()
     world.freeze(old)
     world.run(2.0)
-    world.apply_view(3, [host for host in HOSTS if host != old])
+    world.apply_view(3, list_others(old))
     world.run(3.0)
     first = world.ask("client-1", 7_000, 1_000, 30.0)
     world.run(0.5)
     # The returning host learns only the last view, as from a snapshot.
-    world.frozen[old].clear()
-    world.thaw(old)
+    world.thaw(old, lose=True)
     world.apply_view(4, HOSTS)
     world.step(old, TimerFired, TICK)
     world.run(0.6)
@@ -224,9 +226,8 @@
     old = world.owner()
     world.freeze(old)
     world.run(3.0)
-    world.frozen[old].clear()
-    world.thaw(old)
-    world.apply_view(3, [host for host in HOSTS if host != old])
+    world.thaw(old, lose=True)
+    world.apply_view(3, list_others(old))
     sent = [effect.message for effect in world.effects if isinstance(effect, SendMessage)]
     assert not any(isinstance(message, ShardHandover) for message in sent)
 
@@ -277,7 +278,7 @@
         world.run(1.1)
         asked = [world.ask(prompt=500, duration=0.5) for _ in range(3)]
         world.run(0.5)
-        return {world.started[p][1].endpoints[0].endpoint for p in asked}
+        return world.get_endpoints(*asked)
 
     assert run() == {"e2"}
     for module in (admission, shard):
--- a/tests/limits/world.py
+++ b/tests/limits/world.py
@@ -108,8 +108,9 @@
     def freeze(self, host: str) -> None:
         self.frozen[host] = []
 
-    def thaw(self, host: str) -> None:
-        for action in self.frozen.pop(host):
+    def thaw(self, host: str, lose: bool = False) -> None:
+        actions = self.frozen.pop(host)
+        for action in [] if lose else actions:
             action()
 
     def configure(self, index: int, out: bool = False, buckets: int = 1) -> None:
@@ -230,6 +231,13 @@
         self.send_ask(permit)
         return permit
 
+    def offer(self, count: int, per_second: float, start: float = 0.0, **request: Any) -> list:
+        """Ask at regular times, and return the list that the permits are added to."""
+        asked: list[AttemptId] = []
+        for number in range(count):
+            self.after(start + number / per_second, lambda: asked.append(self.ask(**request)))
+        return asked
+
     def send_ask(self, permit: AttemptId) -> None:
         old = self.requests[permit]
         passed = self.settings.queue_renewal_seconds if old.ask else 0.0
@@ -324,5 +332,8 @@
             self.engines[name].warm = True
         self.run(1.5)
 
+    def get_endpoints(self, *permits: AttemptId) -> set[str]:
+        return {item.endpoint for p in permits for item in self.started[p][1].endpoints}
+
     def count(self, permits, kind: type) -> int:
         return sum(any(isinstance(item, kind) for item in self.answers[p]) for p in permits)
