--- a/tests/limits/test_cold_start.py
+++ b/tests/limits/test_cold_start.py
@@ -174,14 +174,12 @@
     world = World(engines=[Engine("e1", 30_000, 6), Engine("e2", 30_000, 6)])
     world.warm_up()
     world.shard().rates.seconds_per_output_token = 0.0002
-    world.ask("client-1", 1_000, 28_000, 6.0)
-    world.run(0.5)
+    world.ask("client-1", 1_000, 28_000, 6.0, run=0.5)
     (busy,) = (engine for engine in world.engines.values() if engine.running)
     (idle,) = (engine for engine in world.engines.values() if not engine.running)
     world.restart_engine(idle.name)
     world.run(1.5)
-    large = world.ask("client-1", 20_000, 100, 1.0)
-    world.run(8.0)
+    large = world.ask("client-1", 20_000, 100, 1.0, run=8.0)
     assert world.get_endpoints(large) == {busy.name}
 
 
@@ -190,13 +188,11 @@
     world = World(engines=[Engine("e1", 100_000, 6, successes=2)])
     world.run(4.5)
     world.shard().endpoints["e1"].ramp.limit = 3
-    large = world.ask("client-1", 50_000, 100, 6.0)
-    world.run(3.0)
+    large = world.ask("client-1", 50_000, 100, 6.0, run=3.0)
     grants = world.started[large][1].endpoints
     message = PermitRenew((RunningPermit(large, SHARD, grants, True),))
     world.deliver("client-1", world.owner(), message)
-    short = world.ask("client-1", 1_000, 50, 0.3)
-    world.run(1.0)
+    short = world.ask("client-1", 1_000, 50, 0.3, run=1.0)
     return short in world.started
 
 
@@ -214,16 +210,14 @@
     large = [world.ask("client-1", 20_000, 100, 8.0, 60.0) for _ in range(4)]
     world.run(4.0)
     assert world.count(large, PermitGranted) == 2
-    short = world.ask("client-1", 1_000, 50, 0.3)
-    world.run(0.5)
+    short = world.ask("client-1", 1_000, 50, 0.3, run=0.5)
     assert short in world.started and world.violations == []
 
 
 def test_grant_of_a_large_request_is_not_repeated_after_its_endpoint_turned_cold_again():
     world = World(engines=[Engine("e0", 30_000, 6)])
     world.run(4.5)
-    large = world.ask("client-1", 20_000, 100, 4.0, 60.0)
-    world.run(0.1)
+    large = world.ask("client-1", 20_000, 100, 4.0, 60.0, run=0.1)
     shard_now = world.shard()
     while large not in shard_now.ledger.permits:
         world.run(0.05)
--- a/tests/limits/test_groups.py
+++ b/tests/limits/test_groups.py
@@ -57,8 +57,7 @@
     world = create_world(concurrency=2)
     shorts = offer_shorts(world, 25.0, per_second=40)
     world.run(3.0)
-    group = world.ask("c", 350_000, 1_000, 3.0, remaining=remaining)
-    world.run(20.0)
+    group = world.ask("c", 350_000, 1_000, 3.0, remaining=remaining, run=20.0)
     return world, group, shorts
 
 
@@ -91,13 +90,10 @@
     world = create_world(count=2, concurrency=2)
     shard = world.shard()
     shard.rates.seconds_per_output_token, shard.rates.prefill_rate = 0.01, 10_000.0
-    blocker = world.ask("c", 50_000, 2_000, 20.0)
-    world.run(0.5)
-    group = world.ask("c", 190_000, 500, 1.0)
-    world.run(0.5)
+    blocker = world.ask("c", 50_000, 2_000, 20.0, run=0.5)
+    group = world.ask("c", 190_000, 500, 1.0, run=0.5)
     short = world.ask("c", 1_000, 10, 0.2)
-    slow = world.ask("c", 1_000, 5_000, 0.2)
-    world.run(1.0)
+    slow = world.ask("c", 1_000, 5_000, 0.2, run=1.0)
     return world, blocker, group, short, slow
 
 
@@ -119,8 +115,7 @@
     world = create_world(count=4)
     blockers = [world.ask("c", 60_000, 1_000, 6.0) for _ in range(4)]
     world.run(0.5)
-    group = world.ask("c", 190_000, 500, 1.0)
-    world.run(0.5)
+    group = world.ask("c", 190_000, 500, 1.0, run=0.5)
     lost = next(iter(world.shard().reservation.shares))
     world.engines[lost].up = False
     world.run(15.0)
@@ -131,8 +126,7 @@
 
 def test_prompt_larger_than_the_shard_is_denied_at_once():
     world = create_world()
-    permit = world.ask(prompt=400_001, output=0)
-    world.run(0.1)
+    permit = world.ask(prompt=400_001, output=0, run=0.1)
     (denial,) = world.answers[permit]
     assert isinstance(denial, PermitDenied) and denial.reason is DenialReason.TOO_LARGE
 
@@ -142,8 +136,7 @@
         world = create_world(count=3, concurrency=2)
         offer_shorts(world, 20.0, per_second=30)
         world.run(2.0)
-        long = world.ask("c", 95_000, 1_000, 2.0, remaining=40.0)
-        world.run(15.0)
+        long = world.ask("c", 95_000, 1_000, 2.0, remaining=40.0, run=15.0)
         return long in world.started
 
     assert run()
@@ -168,8 +161,7 @@
     assert world.shard().long_share == 4
     blockers = [world.ask("c", 1_000, 400, 3.0) for _ in range(8)]
     world.run(0.1)
-    world.ask("c", 1_000, 10, 0.1)
-    world.run(1.0)
+    world.ask("c", 1_000, 10, 0.1, run=1.0)
     assert len(blockers) == 8 and world.shard().long_share == 1
     world.run(4.0)
     assert world.shard().long_share == 4
--- a/tests/limits/test_holders.py
+++ b/tests/limits/test_holders.py
@@ -23,8 +23,7 @@
 
 def lose_holder(world, fault):
     """Start an attempt whose end the owner never hears of."""
-    permit = world.ask("client-1", 8_000, 1_000, 500.0)
-    world.run(3.0)
+    permit = world.ask("client-1", 8_000, 1_000, 500.0, run=3.0)
     if fault == "dies":
         world.dead.add("client-1")
     elif fault == "frozen":
@@ -81,8 +80,7 @@
         engine.deaf, engine.reports = True, False
         lose_holder(world, "dies")
         world.run(12.0)
-        world.ask("client-2", 10_000, 1_000, 1.0)
-        world.run(1.0)
+        world.ask("client-2", 10_000, 1_000, 1.0, run=1.0)
         return world.violations
 
     assert run() == []
@@ -95,8 +93,7 @@
 def test_restart_of_a_holder_is_told_to_endpoints_whose_attempts_are_unknown(late):
     """Guard against attempts that neither the new owner nor the restarted holder knows."""
     world = create_world()
-    stray = world.ask("client-2", 1_000, 100, 500.0)
-    world.run(0.5)
+    stray = world.ask("client-2", 1_000, 100, 500.0, run=0.5)
     old = world.owner()
     world.dead |= {"client-2", old}
     new = next(host for host in world.owners if host != old)
@@ -114,8 +111,7 @@
 def test_unused_permit_expires():
     world = create_world()
     world.freeze("client-1")
-    world.ask("client-1", 8_000, 1_000)
-    world.run(2.0)
+    world.ask("client-1", 8_000, 1_000, run=2.0)
     assert get_reserved(world) == 9_000
     world.run(10.0)
     assert get_reserved(world) == 0
@@ -124,8 +120,7 @@
 def test_withdrawn_permit_is_free_at_once_and_does_not_return():
     world = create_world()
     world.freeze("client-1")
-    permit = world.ask("client-1", 8_000, 1_000)
-    world.run(0.1)
+    permit = world.ask("client-1", 8_000, 1_000, run=0.1)
     world.deliver("client-1", world.owner(), PermitCancel(permit, SHARD))
     assert get_reserved(world) == 0
     world.deliver("client-1", world.owner(), world.requests[permit])
@@ -135,8 +130,7 @@
 def test_release_that_does_not_know_the_engine_stopped_cancels_first():
     world = create_world()
     world.engines["e1"].deaf = True
-    permit = world.ask("client-1", 8_000, 1_000, 100.0)
-    world.run(0.5)
+    permit = world.ask("client-1", 8_000, 1_000, 100.0, run=0.5)
     world.deliver("client-1", world.owner(), PermitRelease(permit, SHARD, False, True, False))
     world.run(3.0)
     assert get_reserved(world) == 9_000
@@ -157,8 +151,7 @@
 
 def test_frozen_owner_does_not_expire_permits_whose_renewals_are_unread():
     world = create_world()
-    permit = world.ask("client-1", 1_000, 100, 40.0)
-    world.run(2.5)
+    permit = world.ask("client-1", 1_000, 100, 40.0, run=2.5)
     owner = world.owner()
     world.freeze(owner)
     world.run(12.0)
@@ -172,8 +165,7 @@
 def test_lost_grant_is_repeated_for_the_next_ask():
     world = create_world()
     world.freeze("client-1")
-    permit = world.ask("client-1", 8_000, 1_000, 1.0)
-    world.run(1.0)
+    permit = world.ask("client-1", 8_000, 1_000, 1.0, run=1.0)
     world.thaw("client-1", lose=True)
     world.send_ask(permit)
     world.run(0.1)
@@ -188,8 +180,7 @@
     stray = world.ask("lost", 1_000, 100)
     world.engines["e1"].running[stray] = (1_000, 0)
     world.run(4.5)
-    permit = world.ask(prompt=1_000, remaining=30.0)
-    world.run(1.0)
+    permit = world.ask(prompt=1_000, remaining=30.0, run=1.0)
     assert permit not in world.started
     del world.engines["e1"].running[stray]
     world.run(3.5)
--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -29,8 +29,7 @@
 def test_request_is_denied_at_once_when_the_wait_exceeds_its_deadline():
     world = create_world()
     world.shard().rates.seconds_per_output_token = 0.05
-    world.ask("c", 1_000, 400, 20.0)
-    world.run(0.1)
+    world.ask("c", 1_000, 400, 20.0, run=0.1)
     early, patient = world.ask("c", 1_000, 10, 1.0, 3.0), world.ask("c", 1_000, 10, 1.0, 60.0)
     world.run(0.1)
     (denial,) = world.answers[early]
@@ -40,10 +39,8 @@
 
 def test_overdue_work_does_not_hold_a_request_until_its_deadline():
     world = create_world()
-    world.ask("c", 1_000, 10, 200.0)
-    world.run(0.2)
-    waiting = world.ask("c", 1_000, 10, 1.0, 30.0)
-    world.run(22.0)
+    world.ask("c", 1_000, 10, 200.0, run=0.2)
+    waiting = world.ask("c", 1_000, 10, 1.0, 30.0, run=22.0)
     denial = world.answers[waiting][-1]
     assert isinstance(denial, PermitDenied) and denial.reason is DenialReason.DEADLINE
 
@@ -51,8 +48,7 @@
 def test_queue_is_bounded_and_keeps_room_for_other_workspaces():
     world = create_world(settings=LimitsSettings(max_queued_requests=10))
     flood = [world.ask("flood", 1_000, 10, 5.0, workspace="flood") for _ in range(40)]
-    other = world.ask("other", 1_000, 10, 5.0, workspace="other")
-    world.run(0.1)
+    other = world.ask("other", 1_000, 10, 5.0, workspace="other", run=0.1)
     denials = [world.answers[p][0] for p in flood if isinstance(world.answers[p][0], PermitDenied)]
     assert len(denials) == 29 and {item.reason for item in denials} == {DenialReason.QUEUE_FULL}
     assert all(item.retry_after > 0 for item in denials)
@@ -62,8 +58,7 @@
 def test_only_recent_asks_are_granted():
     # With slow ticks, the check at the grant has to find the stale ask.
     world = create_world(settings=LimitsSettings(tick_seconds=1.9))
-    first = world.ask("c", 1_000, 10, 0.9)
-    world.run(0.1)
+    first = world.ask("c", 1_000, 10, 0.9, run=0.1)
     gone, recent = world.ask("gone", 1_000, 10, 1.0), world.ask("c", 1_000, 10, 1.0)
     world.run(0.1)
     world.dead.add("gone")
@@ -78,8 +73,7 @@
 
 def test_requests_that_no_endpoint_can_take_are_refused():
     world = create_world()
-    long = world.ask("c", 50_000, 10, 1.0)
-    world.run(0.1)
+    long = world.ask("c", 50_000, 10, 1.0, run=0.1)
     assert long in world.started
     world.run(2.0)
     world.restart_engine("e1")
@@ -94,8 +88,7 @@
     assert patient in world.started and world.violations == []
     world.engines["e1"].up = False
     world.run(4.0)
-    silent = world.ask("c", 500, 10, 1.0)
-    world.run(0.1)
+    silent = world.ask("c", 500, 10, 1.0, run=0.1)
     assert world.answers[silent][0].reason is DenialReason.NO_ENDPOINT
 
 
@@ -104,8 +97,7 @@
     world.warm_up()
     world.engines["e2"].up = False
     world.run(4.0)
-    group = world.ask("c", 150_000, 10, 1.0)
-    world.run(0.1)
+    group = world.ask("c", 150_000, 10, 1.0, run=0.1)
     (denial,) = world.answers[group]
     assert denial.reason is DenialReason.NO_ENDPOINT
 
--- a/tests/limits/test_takeover.py
+++ b/tests/limits/test_takeover.py
@@ -40,12 +40,10 @@
     old = world.owner()
     world.partitioned.add(old)
     world.run(1.45)
-    first = world.ask("client-1", 8_000, 1_000, 10.0)
-    world.run(0.55)
+    first = world.ask("client-1", 8_000, 1_000, 10.0, run=0.55)
     world.apply_view(3, list_others(old), skip=(old,))
     world.announce("e1", world.owner())
-    second = world.ask("client-2", 8_000, 1_000, 10.0, remaining=9.0)
-    world.run(4.0)
+    second = world.ask("client-2", 8_000, 1_000, 10.0, remaining=9.0, run=4.0)
     assert first in world.started
     return world, second
 
@@ -65,14 +63,12 @@
     def run():
         world = World(HOSTS, [Engine("e1", 12_000, 3, reports=False)])
         world.warm_up()
-        first = world.ask("client-1", 7_000, 1_000, 30.0)
-        world.run(0.5)
+        first = world.ask("client-1", 7_000, 1_000, 30.0, run=0.5)
         world.dead.add(world.owner())
         world.run(2.0)
         world.apply_view(3, list_others(*world.dead))
         world.run(3.0)
-        world.ask("client-2", 7_000, 1_000, 30.0, 9.0)
-        world.run(1.0)
+        world.ask("client-2", 7_000, 1_000, 30.0, 9.0, run=1.0)
         assert first in world.engines["e1"].running
         return world.violations
 
@@ -198,15 +194,13 @@
     world.run(2.0)
     world.apply_view(3, list_others(old))
     world.run(3.0)
-    first = world.ask("client-1", 7_000, 1_000, 30.0)
-    world.run(0.5)
+    first = world.ask("client-1", 7_000, 1_000, 30.0, run=0.5)
     # The returning host learns only the last view, as from a snapshot.
     world.thaw(old, lose=True)
     world.apply_view(4, HOSTS)
     world.step(old, TimerFired, TICK)
     world.run(0.6)
-    second = world.ask("client-2", 7_000, 1_000, 30.0, 9.0)
-    world.run(4.0)
+    second = world.ask("client-2", 7_000, 1_000, 30.0, 9.0, run=4.0)
     assert first in world.started and world.owner() == old
     return world, second
 
@@ -247,11 +241,9 @@
 def return_zone():
     world = create_world()
     world.warm_up()
-    running = world.ask(duration=6.0)
-    world.run(0.5)
+    running = world.ask(duration=6.0, run=0.5)
     world.configure(5, out=True)
-    refused = world.ask()
-    world.run(0.5)
+    refused = world.ask(run=0.5)
     assert world.answers[refused][0].reason is DenialReason.ZONE_OUT
     assert running in world.shard().ledger.permits
     world.configure(6)
--- a/tests/limits/world.py
+++ b/tests/limits/world.py
@@ -220,7 +220,7 @@
     def ask(
         self, client="client-1", prompt=1_000, output=100, duration=1.0, remaining=60.0, **more
     ):
-        """Ask the present owner for a permit, and repeat that while it is queued."""
+        """Ask the present owner for a permit, repeat that while it is queued, and run the world."""
         self.numbers += 1
         permit = AttemptId(client, self.incarnations.get(client, 1), self.numbers)
         workspace, weight = more.get("workspace", "w"), more.get("weight", 1.0)
@@ -229,6 +229,8 @@
         self.durations[permit] = duration
         self.answers[permit] = []
         self.send_ask(permit)
+        if "run" in more:
+            self.run(more["run"])
         return permit
 
     def offer(self, count: int, per_second: float, start: float = 0.0, **request: Any) -> list:
