Test the idle condition and the handover of exclusive cold endpoints

Cause: mutants of the code passed tests/limits: a group that starts on a cold endpoint with running work, a reservation that outlives an announcement of cold, and a handover that forgets which attempts admit no other work.

Change: three tests guard these cases; each of the three mutants now fails one. The condition that nothing runs on a reserved endpoint was checked twice; the check in check_endpoint goes, because a reservation is ready only when it holds.

--- a/marjorambridge/limits/admission.py
+++ b/marjorambridge/limits/admission.py
@@ -10,9 +10,7 @@
     RANK_SCALE,
     Endpoint,
     Shard,
-    compute_free_tokens,
     compute_rank,
-    count_running,
     fits,
     is_usable,
 )
@@ -119,7 +117,8 @@
     Parameters
     ----------
     exclusive : bool
-        Whether the request may exceed the prefill limit if nothing else runs on the endpoint.
+        Whether the request may exceed the prefill limit, because its reservation is ready: nothing
+        else runs on the endpoint and its memory is free.
     """
     if endpoint.announcement.endpoint in request.exclude or not is_usable(endpoint, settings, now):
         return None
@@ -128,8 +127,7 @@
         return None
     if exclusive:
         found.exclusive = True
-        idle = count_running(endpoint) == 0
-        return found if idle and compute_free_tokens(endpoint) >= found.tokens else None
+        return found
     return found if fits(endpoint, found.tokens, found.prefill, settings) else None
 
 
--- a/tests/limits/test_cold_start.py
+++ b/tests/limits/test_cold_start.py
@@ -183,21 +183,54 @@
     assert world.get_endpoints(large) == {busy.name}
 
 
-def offer_beside_decode():
-    """Offer short requests to a cold endpoint whose large request has its first token."""
-    world = World(engines=[Engine("e1", 100_000, 6, successes=2)])
+def create_ramping_world(capacity=100_000, count=1):
+    """Create a world of cold endpoints that have had two successes."""
+    world = World(engines=[Engine(f"e{n}", capacity, 6, successes=2) for n in range(count)])
     world.run(4.5)
-    world.shard().endpoints["e1"].ramp.limit = 3
+    for endpoint in world.shard().endpoints.values():
+        endpoint.ramp.limit = 3
+    return world
+
+
+@pytest.mark.parametrize("prompt", [25_000, 50_000])
+def test_large_request_waits_until_cold_endpoints_are_idle(prompt):
+    world = create_ramping_world(30_000, 1 + prompt // 30_000)
+    short = world.ask("client-1", 1_000, 50, 5.0, run=0.1)
+    large = world.ask("client-1", prompt, 50, 1.0, run=4.0)
+    assert short in world.started and world.shard().reservation.entry.request.permit == large
+    world.run(3.0)
+    assert world.started[large][0] >= world.started[short][0] + 5.0 and world.violations == []
+
+
+def test_reserved_cold_endpoint_that_announces_itself_cold_is_left():
+    world = create_ramping_world(30_000, 2)
+    world.ask("client-1", 1_000, 50, 5.0, run=0.1)
+    group = world.ask("client-1", 50_000, 50, 1.0, run=3.0)
+    assert world.shard().reservation is not None
+    for engine in world.engines.values():
+        engine.cold, engine.successes = True, 0
+    world.run(9.0)
+    assert group in world.started and world.violations == []
+
+
+def offer_beside_decode(hand_over=False):
+    """Offer short requests to a cold endpoint whose large request has its first token."""
+    world = create_ramping_world()
     large = world.ask("client-1", 50_000, 100, 6.0, run=3.0)
     grants = world.started[large][1].endpoints
     message = PermitRenew((RunningPermit(large, SHARD, grants, True),))
     world.deliver("client-1", world.owner(), message)
+    if hand_over:
+        old = world.owner()
+        world.apply_view(3, list(world.owners), leaving=(old,))
+        world.run(0.1)
+        assert world.owner() != old and world.shard().endpoints["e0"].ramp.limit == 3
     short = world.ask("client-1", 1_000, 50, 0.3, run=1.0)
     return short in world.started
 
 
 def test_cold_endpoint_gets_nothing_beside_a_large_request_until_it_ends(monkeypatch):
-    assert not offer_beside_decode()
+    assert not offer_beside_decode() and not offer_beside_decode(hand_over=True)
     for module in (groups, permits, shard):
         monkeypatch.setattr(module, "get_limit", lambda endpoint: compute_limit(endpoint.ramp))
     assert offer_beside_decode()
@@ -218,9 +251,10 @@
     world = World(engines=[Engine("e0", 30_000, 6)])
     world.run(4.5)
     large = world.ask("client-1", 20_000, 100, 4.0, 60.0, run=0.1)
-    shard_now = world.shard()
-    while large not in shard_now.ledger.permits:
-        world.run(0.05)
+    for _ in range(60):
+        if large not in world.shard().ledger.permits:
+            world.run(0.05)
+    assert large in world.shard().ledger.permits
     world.dead.add("client-1")
     world.engines["e0"].cold = True
     world.announce("e0", world.owner())
