Keep a long prompt at its shard until the owner may have reserved for it

Cause: a long prompt moved to another shard after 1, 2 and 4 s, because summaries tell the wait of short requests, and each move began the 2 s wait for a reservation again. Ruled out: the attempt itself, which took about 7 s of 13.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -82,6 +82,8 @@
 OWNER_SILENCE_SECONDS = 0.75
 QUEUE_MOVE_SECONDS = 1.0
 QUEUE_MOVE_FACTOR = 0.5
+# Longer than an owner waits before it reserves endpoints for a prompt that nothing can take.
+LONG_QUEUE_MOVE_SECONDS = 12.0
 # A call that holds a claim stops waiting for a permit this long before its deadline, so that the
 # release of the claim can be committed before the caller is answered.
 CLAIM_RELEASE_RESERVE_SECONDS = 0.5
--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -164,11 +164,15 @@
     """Return a shard with a much shorter wait, if the request has waited long at its present one.
 
     A move gives up the place in the queue. So the new shard must be better by a factor, without
-    counting a fading summary as better, and each further move needs twice the wait.
+    counting a fading summary as better, and each further move needs twice the wait. Summaries
+    tell the wait of a short request; a long one waits until its present owner may have reserved
+    endpoints for it, because a move would begin that wait again.
     """
     permit = request.permit
     settings = state.settings
-    if not permit.queued or now - permit.asked_at < settings.queue_move * 2**request.moves:
+    is_long = request.prompt_tokens > settings.long_prompt_tokens
+    first_move = settings.long_queue_move if is_long else settings.queue_move
+    if not permit.queued or now - permit.asked_at < first_move * 2**request.moves:
         return None
     limit = permit.expected_wait * settings.queue_move_factor - settings.routing.equal_wait
     better = [
--- a/marjorambridge/requests/state.py
+++ b/marjorambridge/requests/state.py
@@ -24,6 +24,8 @@
     owner_silence: float = defaults.OWNER_SILENCE_SECONDS
     queue_move: float = defaults.QUEUE_MOVE_SECONDS
     queue_move_factor: float = defaults.QUEUE_MOVE_FACTOR
+    long_queue_move: float = defaults.LONG_QUEUE_MOVE_SECONDS
+    long_prompt_tokens: int = defaults.INTERACTIVE_PREFILL_TOKENS
     backoff_first: float = defaults.BACKOFF_FIRST_SECONDS
     backoff_max: float = defaults.BACKOFF_MAX_SECONDS
     max_attempts: int = defaults.MAX_ATTEMPTS
--- a/tests/requests/test_permits.py
+++ b/tests/requests/test_permits.py
@@ -160,6 +160,18 @@
     assert hs.last_ask(h)[1].permit == second.permit
 
 
+def test_a_long_prompt_waits_for_its_owners_reservation_before_it_moves():
+    """Guard against moves that begin the wait for a reservation again and again."""
+    h = hs.build_harness()
+    hs.arrive(h, prompt_bytes=300_000, timeout=60.0)
+    first = hs.last_ask(h)[1]
+    asked_at = h.now
+    while hs.last_ask(h)[1].shard == first.shard and h.now < asked_at + 30.0:
+        hs.queue(h, 40.0)
+        hs.advance(h, 0.25)
+    assert 12.0 <= h.now - asked_at < 30.0
+
+
 def test_waiting_requests_and_retries_leave_a_zone_that_is_out_and_streams_go_on():
     h = hs.build_harness()
     hs.arrive(h, "running")
