Report hosts and the configuration apart on the admin address, and add the command-line tool

Cause: operators had no tool; /state holds the whole configuration, and only replicas list hosts. Change: GET /report and GET /configuration beside /state; marjorambridge with one module per command, exit codes by kind of outcome, identifiers from which a command can be sent again, and a wait until all live hosts have the version; settings faults of all kinds are listed at once.

--- a/marjorambridge/conf/loading.py
+++ b/marjorambridge/conf/loading.py
@@ -1,9 +1,10 @@
 """Read settings files, refuse unknown keys and list every fault."""
 
 import difflib
-from dataclasses import fields, is_dataclass
+from collections.abc import Iterator
+from dataclasses import MISSING, fields, is_dataclass
 from pathlib import Path
-from typing import Any, get_args, get_type_hints
+from typing import Any, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -20,11 +21,21 @@
     SettingsError
         If the file can't be read or has faults.
     """
+    return parse_settings(read_settings(path))
+
+
+def read_settings(path: Path) -> bytes:
+    """Return the content of a settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read.
+    """
     try:
-        data = path.read_bytes()
+        return path.read_bytes()
     except OSError as error:
         raise SettingsError((f"can't read {path}: {error.strerror}; check --settings",)) from error
-    return parse_settings(data)
 
 
 def parse_settings(data: bytes) -> HostSettings:
@@ -35,21 +46,51 @@
     SettingsError
         If there are faults; all of them are listed.
     """
+    settings, faults = inspect_settings(data)
+    if settings is None or faults:
+        raise SettingsError(tuple(faults))
+    return settings
+
+
+def inspect_settings(data: bytes) -> tuple[HostSettings | None, list[str]]:
+    """Parse settings and return them with a sentence for each fault.
+
+    Settings with faults are returned too, as far as their types allow, so that a caller can check
+    more of them; they must not be used.
+    """
     try:
         raw = msgspec.json.decode(data)
     except (msgspec.DecodeError, RecursionError) as error:
-        raise SettingsError((f"the settings are not valid JSON: {error}",)) from error
-    unknown = find_unknown_keys(raw, HostSettings)
-    if unknown:
-        raise SettingsError(tuple(unknown))
-    try:
-        settings = msgspec.convert(raw, HostSettings)
-    except msgspec.ValidationError as error:
-        raise SettingsError((f"{error}; see docs/ref/settings.md",)) from error
-    faults = check_settings(settings)
-    if faults:
-        raise SettingsError(tuple(faults))
-    return settings
+        return None, [f"the settings are not valid JSON: {error}"]
+    faults = find_unknown_keys(raw, HostSettings)
+    type_faults = list(_find_type_faults(raw, HostSettings, ""))
+    if type_faults:
+        return None, faults + type_faults
+    settings = msgspec.convert(raw, HostSettings)
+    return settings, faults + check_settings(settings)
+
+
+def _find_type_faults(raw: Any, kind: Any, path: str) -> Iterator[str]:
+    """Yield a sentence for each missing field and each value of a wrong type.
+
+    `msgspec` stops at the first fault, so each field is converted on its own.
+    """
+    if is_dataclass(kind) and isinstance(raw, dict):
+        hints = get_type_hints(kind)
+        for item in fields(kind):
+            name = f"{path}.{item.name}" if path else item.name
+            if item.name in raw:
+                yield from _find_type_faults(raw[item.name], hints[item.name], name)
+            elif item.default is MISSING and item.default_factory is MISSING:
+                yield f"{name} is missing; see docs/ref/settings.md"
+    elif get_origin(kind) is tuple and isinstance(raw, list):
+        for number, item in enumerate(raw):
+            yield from _find_type_faults(item, get_args(kind)[0], f"{path}[{number}]")
+    else:
+        try:
+            msgspec.convert(raw, kind)
+        except msgspec.ValidationError as error:
+            yield f"{path or 'the document'}: {error}; see docs/ref/settings.md"
 
 
 def find_unknown_keys(raw: Any, model: type, path: str = "") -> list[str]:
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -14,7 +14,11 @@
 from marjorambridge.configuration.json_commands import parse_command
 from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
 from marjorambridge.daemon.runtime import post
-from marjorambridge.daemon.state_dump import describe_state
+from marjorambridge.daemon.state_dump import (
+    describe_configuration,
+    describe_host,
+    describe_state,
+)
 from marjorambridge.http.admin import AdminCallbacks
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
 from marjorambridge.telemetry import metrics
@@ -72,6 +76,8 @@
         dump_state=lambda: describe_state(host),
         run_command=run_command,
         check_token=lambda token: _check_token(host, token),
+        describe_host=lambda: describe_host(host),
+        describe_configuration=lambda: describe_configuration(host),
     )
 
 
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -4,7 +4,20 @@
 from typing import TYPE_CHECKING, Any
 
 from marjorambridge.core.records import make_record
+from marjorambridge.core.view import HostEntry
+from marjorambridge.http.reports import (
+    ConfigurationReport,
+    EndpointReport,
+    GroupReport,
+    HostLine,
+    HostReport,
+    ShardReport,
+)
 from marjorambridge.limits.shard import Endpoint, Shard
+from marjorambridge.membership.state import HostProgress, MembershipState
+from marjorambridge.replication.models import MemberRole
+from marjorambridge.replication.quorums import get_membership
+from marjorambridge.replication.state import GroupState
 
 if TYPE_CHECKING:
     from marjorambridge.daemon.host import Host
@@ -54,6 +67,112 @@
     return description
 
 
+def describe_configuration(host: "Host") -> ConfigurationReport:
+    """Return the configuration that the host has applied and the changes that led to it."""
+    control = host.runtime.node.parts["membership"].state.host.control
+    return ConfigurationReport(
+        host=host.settings.host,
+        fresh=time.monotonic() < host.fresh_until,
+        configuration=control.configuration,
+        history=tuple(control.history),
+    )
+
+
+def describe_host(host: "Host") -> HostReport:
+    """Return the state of the host without the configuration, which can be large."""
+    now = time.monotonic()
+    parts = host.runtime.node.parts
+    membership = parts["membership"].state
+    control = membership.host.control
+    replica = membership.replica
+    progress = replica.progress if replica is not None else {}
+    groups = parts["replication"].state.groups.values() if replica is not None else ()
+    return HostReport(
+        host=host.settings.host,
+        incarnation=host.incarnation,
+        zone=host.settings.zone,
+        region=host.settings.region,
+        fresh=now < host.fresh_until,
+        shutting_down=host.shutting_down,
+        halted=membership.host.halted or (replica.halted if replica is not None else ""),
+        replica=replica is not None,
+        unheard_replicas=_list_unheard_replicas(membership),
+        version=control.configuration.version,
+        configuration_index=control.configuration_index,
+        applied_index=control.index,
+        view_index=control.view.index,
+        hosts=tuple(
+            _report_entry(entry, progress.get(entry.host), now)
+            for entry in control.view.hosts.values()
+        ),
+        shards=tuple(_report_shard(item, now) for item in parts["limits"].state.shards.values()),
+        log_groups=tuple(_report_group(group) for group in groups),
+    )
+
+
+def _list_unheard_replicas(membership: MembershipState) -> tuple[str, ...]:
+    # The last poll may not have been answered yet, and older ones show who answers at all.
+    polls = list(membership.host.polls.values())
+    if not polls:
+        return ()
+    asked = {name for poll in polls for name in poll.targets}
+    heard = {name for poll in polls for name in poll.replies}
+    return tuple(sorted(asked - heard))
+
+
+def _report_entry(entry: HostEntry, progress: HostProgress | None, now: float) -> HostLine:
+    # The poll of an earlier process says nothing about the present one.
+    known = progress is not None and progress.incarnation == entry.incarnation
+    return HostLine(
+        host=entry.host,
+        incarnation=entry.incarnation,
+        address=entry.address,
+        zone=entry.zone,
+        region=entry.region,
+        state=entry.state.value,
+        applied_index=progress.applied if known else None,
+        last_poll_seconds=round(now - progress.last_poll, 3) if known else None,
+    )
+
+
+def _report_group(group: GroupState) -> GroupReport:
+    members = get_membership(group).members
+    return GroupReport(
+        group=group.group,
+        role=group.role.value,
+        term=group.term,
+        leader=group.leader.host,
+        commit_index=group.commit_index,
+        voters=tuple(m.replica.host for m in members if m.role is MemberRole.VOTER),
+        learners=tuple(m.replica.host for m in members if m.role is MemberRole.LEARNER),
+    )
+
+
+def _report_shard(shard: Shard, now: float) -> ShardReport:
+    return ShardReport(
+        shard=shard.name,
+        epoch=shard.epoch,
+        granting=shard.open and now >= shard.grants_from,
+        queued=len(shard.queue.entries),
+        endpoints=tuple(_report_endpoint(item, now) for item in shard.endpoints.values()),
+    )
+
+
+def _report_endpoint(endpoint: Endpoint, now: float) -> EndpointReport:
+    announcement = endpoint.announcement
+    return EndpointReport(
+        endpoint=announcement.endpoint,
+        incarnation=announcement.incarnation,
+        supplier=announcement.supplier,
+        address=announcement.address,
+        leaving=announcement.leaving,
+        silent=endpoint.silent,
+        warm=endpoint.ramp.warm,
+        limit=endpoint.ramp.limit,
+        last_seen_seconds=round(now - endpoint.last_seen, 3),
+    )
+
+
 def _describe_shard(shard: Shard, now: float) -> dict[str, Any]:
     return {
         "shard": shard.name,
--- a/marjorambridge/http/admin.py
+++ b/marjorambridge/http/admin.py
@@ -17,6 +17,7 @@
     send_json,
 )
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.reports import CONFIGURATION_PATH, REPORT_PATH
 from marjorambridge.http.servers import Application
 
 MAX_COMMAND_BYTES = 1024 * 1024
@@ -39,6 +40,10 @@
         Takes the JSON object of a command, returns the HTTP status and the JSON answer.
     check_token : callable
         Returns whether an operator token is valid, in constant time.
+    describe_host : callable, optional
+        Returns a `HostReport`.
+    describe_configuration : callable, optional
+        Returns a `ConfigurationReport`.
     """
 
     is_ready: Callable[[], tuple[bool, str]]
@@ -46,6 +51,8 @@
     dump_state: Callable[[], Any]
     run_command: Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
     check_token: Callable[[str], bool]
+    describe_host: Callable[[], Any] | None = None
+    describe_configuration: Callable[[], Any] | None = None
 
 
 def build_token_check(token: str) -> Callable[[str], bool]:
@@ -76,10 +83,15 @@
 ) -> Application:
     """Build the ASGI application of the admin address.
 
-    ``/health``, ``/ready`` and ``/metrics`` are open; ``/state`` and ``/commands`` need the
-    operator token.
+    ``/health``, ``/ready`` and ``/metrics`` are open; ``/state``, ``/report``, ``/configuration``
+    and ``/commands`` need the operator token.
     """
     limits = CallerSettings()
+    descriptions = {
+        "/state": callbacks.dump_state,
+        REPORT_PATH: callbacks.describe_host,
+        CONFIGURATION_PATH: callbacks.describe_configuration,
+    }
 
     async def answer(scope: Any, headers: dict[str, str], receive: Any, send: Any) -> None:
         route = (scope["method"], scope["path"])
@@ -93,9 +105,9 @@
             start = [(b"content-type", METRICS_TYPE), (b"content-length", b"%d" % len(data))]
             await send({"type": "http.response.start", "status": 200, "headers": start})
             await send({"type": "http.response.body", "body": data})
-        elif route == ("GET", "/state"):
+        elif scope["method"] == "GET" and descriptions.get(scope["path"]) is not None:
             _require_operator(headers, callbacks)
-            await send_json(send, 200, callbacks.dump_state())
+            await send_json(send, 200, descriptions[scope["path"]]())
         elif route == ("POST", "/commands"):
             _require_operator(headers, callbacks)
             body = await read_body(
@@ -111,8 +123,8 @@
             await send_json(send, status, reply)
         else:
             raise RequestError(
-                "there is no such path; use GET /health, /ready, /metrics, /state or POST "
-                "/commands",
+                "there is no such path; use GET /health, /ready, /metrics, /state, /report, "
+                "/configuration or POST /commands",
                 404,
             )
 
--- /dev/null
+++ b/marjorambridge/http/reports.py
@@ -0,0 +1,141 @@
+"""Model what the admin address reports to the command-line tool."""
+
+from dataclasses import dataclass
+
+from marjorambridge.configuration.models import Configuration
+from marjorambridge.configuration.state import ChangeRecord
+
+REPORT_PATH = "/report"
+CONFIGURATION_PATH = "/configuration"
+
+
+@dataclass(slots=True)
+class HostLine:
+    """Describe one host of the view.
+
+    Attributes
+    ----------
+    applied_index : int or None
+        Index that the host had applied at its last poll; None if the reporting host doesn't know,
+        because it is not a replica.
+    last_poll_seconds : float or None
+        Age of the last poll; None as for `applied_index`.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    zone: str
+    region: str
+    state: str
+    applied_index: int | None = None
+    last_poll_seconds: float | None = None
+
+
+@dataclass(slots=True)
+class EndpointReport:
+    """Describe an endpoint as the owner of its shard sees it.
+
+    Attributes
+    ----------
+    last_seen_seconds : float
+        Age of its last announcement.
+    silent : bool
+        Whether it has not announced itself for so long that it gets no work.
+    limit : int
+        Requests that it may have in progress at present.
+    """
+
+    endpoint: str
+    incarnation: int
+    supplier: str
+    address: str
+    leaving: bool
+    silent: bool
+    warm: bool
+    limit: int
+    last_seen_seconds: float
+
+
+@dataclass(slots=True)
+class ShardReport:
+    """Describe a shard that the reporting host owns."""
+
+    shard: str
+    epoch: int
+    granting: bool
+    queued: int
+    endpoints: tuple[EndpointReport, ...]
+
+
+@dataclass(slots=True)
+class GroupReport:
+    """Describe a log group as the replica on the reporting host sees it.
+
+    Attributes
+    ----------
+    voters, learners : tuple of str
+        Hosts of the members in effect.
+    """
+
+    group: int
+    role: str
+    term: int
+    leader: str
+    commit_index: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class HostReport:
+    """Report the state of one host without the configuration.
+
+    Attributes
+    ----------
+    halted : str
+        Why the host stopped to apply entries or to replicate; empty if it didn't.
+    replica : bool
+        Whether the host keeps the replicated logs.
+    unheard_replicas : tuple of str
+        Replicas that answered no poll of the last `FRESHNESS_SECONDS`.
+    version : int
+        Version of the configuration that the host has applied.
+    configuration_index : int
+        Index of the last entry that changed the configuration.
+    hosts : tuple of HostLine
+        The hosts of the view.
+    """
+
+    host: str
+    incarnation: int
+    zone: str
+    region: str
+    fresh: bool
+    shutting_down: bool
+    halted: str
+    replica: bool
+    unheard_replicas: tuple[str, ...]
+    version: int
+    configuration_index: int
+    applied_index: int
+    view_index: int
+    hosts: tuple[HostLine, ...]
+    shards: tuple[ShardReport, ...]
+    log_groups: tuple[GroupReport, ...]
+
+
+@dataclass(slots=True)
+class ConfigurationReport:
+    """Report the configuration that a host has applied, and who made the last changes.
+
+    Attributes
+    ----------
+    fresh : bool
+        Whether a majority of replicas has confirmed that it is current.
+    """
+
+    host: str
+    fresh: bool
+    configuration: Configuration
+    history: tuple[ChangeRecord, ...]
--- /dev/null
+++ b/marjorambridge/management/commands/configuration.py
@@ -0,0 +1,136 @@
+"""Show the configuration and its history, and apply filled-in questionnaires."""
+
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from marjorambridge.configuration.commands import ApplyConfiguration
+from marjorambridge.configuration.comparison import describe_differences, list_changes
+from marjorambridge.configuration.models import Configuration
+from marjorambridge.management.changes import ChangeOptions, note_staleness, run_based_change
+from marjorambridge.management.client import fetch_configuration
+from marjorambridge.management.exceptions import UsageError
+from marjorambridge.management.options import (
+    CommandIdOption,
+    JsonOption,
+    KeysOption,
+    OperatorOption,
+    WaitOption,
+    open_client,
+)
+from marjorambridge.management.output import format_table, print_json, print_note
+from marjorambridge.management.questionnaires import read_configuration
+
+application = typer.Typer(no_args_is_help=True, help="The configuration as a whole.")
+Questionnaire = Annotated[Path, typer.Argument(help="Filled-in questionnaire, a JSON file.")]
+
+
+@application.command("show")
+def show_configuration(context: typer.Context, as_json: JsonOption = False) -> None:
+    """Show the configuration in force: a summary, or all of it with --json."""
+    report = fetch_configuration(open_client(context))
+    note_staleness(report)
+    item = report.configuration
+    if as_json:
+        print_json(item)
+        return
+    typer.echo(f"version {item.version}, from {report.host}")
+    rows = [
+        ("availability zones", len(item.zones), tuple(sorted(item.zones))),
+        ("services", len(item.services), tuple(sorted(item.services))),
+        ("workspaces", len(item.workspaces), tuple(sorted(item.workspaces))),
+    ]
+    typer.echo(format_table(("part", "count", "names"), rows))
+
+
+@application.command("check")
+def check_questionnaire(
+    questionnaire: Questionnaire, keys: KeysOption = None, as_json: JsonOption = False
+) -> None:
+    """Check a questionnaire without a host, and list every fault."""
+    item = read_configuration(questionnaire, keys)
+    if as_json:
+        print_json({"valid": True, "configuration": item})
+        return
+    typer.echo(
+        f"{questionnaire} is valid: {len(item.zones)} availability zones, {len(item.services)} "
+        f"services, {len(item.workspaces)} workspaces"
+    )
+
+
+@application.command("diff")
+def diff_questionnaire(
+    context: typer.Context,
+    questionnaire: Questionnaire,
+    keys: KeysOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show what a questionnaire would change in the configuration in force."""
+    report = fetch_configuration(open_client(context))
+    note_staleness(report)
+    wanted = read_configuration(questionnaire, keys, report.configuration)
+    lines = describe_differences(report.configuration, wanted)
+    if as_json:
+        print_json({"version": report.configuration.version, "differences": lines})
+        return
+    typer.echo("\n".join(lines) or f"no difference to version {report.configuration.version}")
+
+
+@application.command("apply")
+def apply_questionnaire(
+    context: typer.Context,
+    questionnaire: Questionnaire,
+    keys: KeysOption = None,
+    yes: Annotated[bool, typer.Option("--yes", help="Don't ask for confirmation.")] = False,
+    command_id: CommandIdOption = "",
+    wait: WaitOption = True,
+    operator: OperatorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show what a questionnaire changes, and apply it as one command after confirmation."""
+
+    def build(present: Configuration) -> ApplyConfiguration:
+        wanted = read_configuration(questionnaire, keys, present)
+        lines = describe_differences(present, wanted)
+        print_note("\n".join([f"changes to version {present.version}:", *(lines or ["none"])]))
+        if not yes:
+            _confirm()
+        return ApplyConfiguration(tuple(list_changes(present, wanted)))
+
+    run_based_change(context, ChangeOptions(command_id, wait, operator, as_json), build)
+
+
+def _confirm() -> None:
+    if not sys.stdin.isatty():
+        raise UsageError("there is no terminal to ask for confirmation; add --yes")
+    if not typer.confirm("Apply these changes?", err=True):
+        raise UsageError("not confirmed; nothing was changed")
+
+
+@application.command("history")
+def show_history(
+    context: typer.Context,
+    count: Annotated[int, typer.Option(min=1, help="Number of the newest changes.")] = 20,
+    as_json: JsonOption = False,
+) -> None:
+    """Show who changed the configuration, newest last."""
+    report = fetch_configuration(open_client(context))
+    note_staleness(report)
+    records = report.history[-count:]
+    if as_json:
+        print_json(records)
+        return
+    rows = [
+        (
+            item.version,
+            datetime.fromtimestamp(item.wall, UTC).strftime("%Y-%m-%d %H:%M:%SZ"),
+            item.operator,
+            item.command_id,
+            item.summary,
+        )
+        for item in records
+    ]
+    typer.echo(format_table(("version", "sent", "operator", "command id", "change"), rows))
--- /dev/null
+++ b/marjorambridge/management/waiting.py
@@ -0,0 +1,111 @@
+"""Find out whether all live hosts have a version of the configuration in force."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from marjorambridge.http.reports import HostLine, HostReport
+
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.2
+
+
+@dataclass(slots=True)
+class Progress:
+    """Tell which hosts have a version in force.
+
+    Attributes
+    ----------
+    required_index : int or None
+        Log index that brings the version; None while no report has the version.
+    done, waiting : tuple of str
+        Hosts that have applied the index, and those that have not or of which nothing is known.
+    """
+
+    required_index: int | None = None
+    done: tuple[str, ...] = ()
+    waiting: tuple[str, ...] = ()
+
+
+def is_in_force(progress: Progress) -> bool:
+    """Tell whether every live host has the version."""
+    return progress.required_index is not None and bool(progress.done) and not progress.waiting
+
+
+def select_view(reports: Iterable[HostReport]) -> tuple[HostLine, ...]:
+    """Return the hosts of the latest view, each with the best known applied index and poll age."""
+    items = list(reports)
+    if not items:
+        return ()
+    latest = max(items, key=lambda report: report.view_index)
+    known = {(line.host, line.incarnation): line for line in latest.hosts}
+    for report in items:
+        lines = [*report.hosts, _make_own_line(report)]
+        for line in lines:
+            present = known.get((line.host, line.incarnation))
+            if present is None:
+                continue
+            known[line.host, line.incarnation] = HostLine(
+                present.host,
+                present.incarnation,
+                present.address,
+                present.zone,
+                present.region,
+                present.state,
+                _choose(max, present.applied_index, line.applied_index),
+                _choose(min, present.last_poll_seconds, line.last_poll_seconds),
+            )
+    return tuple(known[key] for key in sorted(known))
+
+
+def _make_own_line(report: HostReport) -> HostLine:
+    return HostLine(
+        report.host, report.incarnation, "", report.zone, report.region, "", report.applied_index
+    )
+
+
+def _choose(function: Callable, *values: float | None) -> float | None:
+    present = [value for value in values if value is not None]
+    return function(present) if present else None
+
+
+def compute_progress(
+    reports: Iterable[HostReport], version: int, required_index: int | None = None
+) -> Progress:
+    """Return how far a version has come.
+
+    Later changes move the index of the last change, so the least index that was ever seen with
+    the version is kept in `required_index`; otherwise frequent changes would prolong the wait.
+    """
+    items = list(reports)
+    indexes = [item.configuration_index for item in items if item.version >= version]
+    if required_index is not None:
+        indexes.append(required_index)
+    if not indexes:
+        return Progress(None, (), tuple(line.host for line in select_view(items)))
+    index = min(indexes)
+    done, waiting = [], []
+    for line in select_view(items):
+        applied = line.applied_index
+        (done if applied is not None and applied >= index else waiting).append(line.host)
+    return Progress(index, tuple(done), tuple(waiting))
+
+
+def wait_in_force(
+    read: Callable[[], Iterable[HostReport]],
+    version: int,
+    show: Callable[[Progress], None],
+    clock: Callable[[], float],
+    sleep: Callable[[float], None],
+    seconds: float = WAIT_SECONDS,
+) -> Progress:
+    """Read reports until the version is in force on all live hosts or the time is over."""
+    give_up_at = clock() + seconds
+    progress = Progress()
+    while True:
+        latest = compute_progress(read(), version, progress.required_index)
+        if latest != progress:
+            show(latest)
+        progress = latest
+        if is_in_force(progress) or clock() >= give_up_at:
+            return progress
+        sleep(POLL_SECONDS)
