--- a/marjorambridge/conf/settings.py
+++ b/marjorambridge/conf/settings.py
@@ -29,7 +29,15 @@
 
 @dataclass(slots=True)
 class Replica:
-    """Name a host that keeps the replicated logs, and its address for other hosts."""
+    """Name a host that keeps the replicated logs.
+
+    Attributes
+    ----------
+    host : str
+        Name of the host, as in its own settings.
+    address : str
+        ``ip:port`` that other hosts dial.
+    """
 
     host: str
     address: str
@@ -56,7 +64,24 @@
 
 @dataclass(slots=True)
 class RequestSettings:
-    """Limit and time callers' requests."""
+    """Limit and time callers' requests.
+
+    Attributes
+    ----------
+    max_timeout_seconds : float
+        Longest deadline that a caller may ask for.
+    max_body_bytes : int
+        Largest body of a request.
+    retry_budget_ratio : float
+        Retries per admitted request, from 0 to 1.
+    retry_budget_minimum : int
+        Retries that are allowed however few requests were admitted.
+    unready_grace_seconds : float
+        Time from a shutdown signal in which the host is unready but still accepts requests, so
+        that the load balancer can notice.
+    drain_deadline_seconds : float
+        Time after which a shutdown cuts the requests that still run.
+    """
 
     max_timeout_seconds: float = defaults.MAX_TIMEOUT_SECONDS
     max_body_bytes: int = defaults.MAX_BODY_BYTES
@@ -68,7 +93,20 @@
 
 @dataclass(slots=True)
 class ClaimSettings:
-    """Say how long calls that may run at most once are remembered."""
+    """Say how long calls that may run at most once are remembered.
+
+    Attributes
+    ----------
+    groups : int
+        Log groups for claims, from 1 to 64; the same on all hosts of a fleet.
+    answer_seconds : float
+        Time for which the answer of a completed call is kept for resends.
+    tombstone_seconds : float
+        Time for which a completed call is known at all.
+    require_dated_keys : bool
+        Whether callers' idempotency keys must be dated (UUIDv7), so that none can be used again
+        after it was forgotten.
+    """
 
     groups: int = defaults.CLAIM_GROUPS
     answer_seconds: float = defaults.CLAIM_ANSWER_SECONDS
@@ -78,7 +116,17 @@
 
 @dataclass(slots=True)
 class OrderSettings:
-    """Limit the fleet's use of the weight store."""
+    """Limit the fleet's use of the weight store.
+
+    The daemon does not issue orders to engines yet, so these settings have no effect.
+
+    Attributes
+    ----------
+    weight_store_bytes_per_second : float
+        Sustained rate of loads of the whole fleet.
+    weight_store_burst_bytes : float
+        Bytes that may be loaded at once after a pause.
+    """
 
     weight_store_bytes_per_second: float = defaults.WEIGHT_STORE_BYTES_PER_SECOND
     weight_store_burst_bytes: float = defaults.WEIGHT_STORE_BURST_BYTES
@@ -94,8 +142,10 @@
         Name of the fleet; hosts of other fleets are refused.
     host : str
         Name of this host, unique in the fleet.
-    zone, region : str
-        Availability zone and region of this host.
+    zone : str
+        Availability zone of this host.
+    region : str
+        Region of this host.
     addresses : Addresses
         Addresses of this host.
     replicas : tuple of Replica
@@ -113,6 +163,14 @@
         Seed of the random numbers; 0 takes one from the operating system.
     record_file : str
         File that takes every event for a later replay; empty for none.
+    log : LogSettings
+        What is logged and where.
+    requests : RequestSettings
+        Limits and times of callers' requests.
+    claims : ClaimSettings
+        How long calls that may run at most once are remembered.
+    orders : OrderSettings
+        Limits of the fleet's use of the weight store.
     """
 
     fleet: str
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -86,7 +86,10 @@
     control = membership.host.control
     replica = membership.replica
     progress = replica.progress if replica is not None else {}
-    groups = parts["replication"].state.groups.values() if replica is not None else ()
+    logs = parts["replication"].state if replica is not None else None
+    halted = [membership.host.halted]
+    if replica is not None:
+        halted += [replica.halted, logs.halted]
     return HostReport(
         host=host.settings.host,
         incarnation=host.incarnation,
@@ -94,7 +97,7 @@
         region=host.settings.region,
         fresh=now < host.fresh_until,
         shutting_down=host.shutting_down,
-        halted=membership.host.halted or (replica.halted if replica is not None else ""),
+        halted="; ".join(reason for reason in halted if reason),
         replica=replica is not None,
         unheard_replicas=_list_unheard_replicas(membership),
         version=control.configuration.version,
@@ -106,7 +109,7 @@
             for entry in control.view.hosts.values()
         ),
         shards=tuple(_report_shard(item, now) for item in parts["limits"].state.shards.values()),
-        log_groups=tuple(_report_group(group) for group in groups),
+        log_groups=tuple(_report_group(item) for item in logs.groups.values()) if logs else (),
     )
 
 
@@ -136,7 +139,9 @@
 
 
 def _report_group(group: GroupState) -> GroupReport:
-    members = get_membership(group).members
+    membership = get_membership(group)
+    members = membership.members
+    learners = {m.replica.host for m in members if m.role is MemberRole.LEARNER}
     return GroupReport(
         group=group.group,
         role=group.role.value,
@@ -144,7 +149,7 @@
         leader=group.leader.host,
         commit_index=group.commit_index,
         voters=tuple(m.replica.host for m in members if m.role is MemberRole.VOTER),
-        learners=tuple(m.replica.host for m in members if m.role is MemberRole.LEARNER),
+        pending=tuple(sorted(learners | set(membership.pending))),
     )
 
 
--- a/marjorambridge/http/reports.py
+++ b/marjorambridge/http/reports.py
@@ -74,8 +74,10 @@
 
     Attributes
     ----------
-    voters, learners : tuple of str
-        Hosts of the members in effect.
+    voters : tuple of str
+        Hosts of the voters in effect.
+    pending : tuple of str
+        Hosts whose replica does not vote yet: added, or under repair.
     """
 
     group: int
@@ -84,7 +86,7 @@
     leader: str
     commit_index: int
     voters: tuple[str, ...]
-    learners: tuple[str, ...]
+    pending: tuple[str, ...]
 
 
 @dataclass(slots=True)
--- a/marjorambridge/management/changes.py
+++ b/marjorambridge/management/changes.py
@@ -130,7 +130,7 @@
     if options.as_json:
         print_json(result)
     elif result.in_force:
-        typer.echo(f"version {result.version} is in force on {len(progress.done)} hosts")
+        typer.echo(f"version {result.version} is in force on all live hosts ({len(progress.done)})")
     elif result.in_force is None:
         typer.echo(f"version {result.version} is accepted; it was not waited for")
     if result.in_force is False:
--- a/marjorambridge/management/findings.py
+++ b/marjorambridge/management/findings.py
@@ -138,11 +138,11 @@
                 "has no leader, so it accepts no entries",
                 "wait 2 s; if it persists, start replicas until a majority runs",
             )
-        learners = sorted({name for group in latest for name in group.learners})
-        if learners:
+        pending = sorted({name for group in latest for name in group.pending})
+        if pending:
             yield Finding(
                 f"log group {number}",
-                f"has learners that do not vote yet: {', '.join(learners)}",
+                f"has replicas that do not vote yet: {', '.join(pending)}",
                 "wait until the repair has ended before you stop another replica",
             )
 
