--- a/marjorambridge/management/changes.py
+++ b/marjorambridge/management/changes.py
@@ -109,9 +109,15 @@
     # The identifier comes first, so that it is known even if this process is stopped.
     print_note(f"command id: {identity.command_id}")
     command = make_command(identity, options.operator or find_operator(), change)
-    answer: CommandAnswer = submit_command(
-        command, client.addresses, build_sender(client), time.monotonic, time.sleep
-    )
+    try:
+        answer: CommandAnswer = submit_command(
+            command, client.addresses, build_sender(client), time.monotonic, time.sleep
+        )
+    except KeyboardInterrupt as error:
+        raise UnavailableError(
+            f"interrupted, and the command may still take effect; run it again with --command-id "
+            f"{identity.command_id}"
+        ) from error
     _finish(client, options, ChangeResult(answer.command_id, answer.version, answer.message))
 
 
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -6,8 +6,9 @@
 
 from marjorambridge.management import submission
 from marjorambridge.management.keys import hash_secret
+from marjorambridge.management.main import execute
 from marjorambridge.standins.fleet import find_free_ports
-from tests.management.helpers import FakeAdmin, run_tool, serve
+from tests.management.helpers import TOKEN, FakeAdmin, run_tool, serve
 
 
 def test_a_lost_answer_is_asked_for_again_under_the_same_identifier(tmp_path, capsys):
@@ -31,6 +32,28 @@
     assert [command["base_version"] for command in admin.commands] == [None]
 
 
+def test_addresses_and_token_come_from_the_environment(tmp_path, capsys, monkeypatch):
+    closed = f"127.0.0.1:{find_free_ports(1)[0]}"
+    (tmp_path / "token").write_text(f"{TOKEN}\n")
+    monkeypatch.setenv("MARJORAMBRIDGE_TOKEN_FILE", str(tmp_path / "token"))
+    with serve(FakeAdmin()) as address:
+        monkeypatch.setenv("MARJORAMBRIDGE_ADDRESS", f"{closed} {address}")
+        assert execute(["zone", "list"]) == 0
+    assert "bhuj" in capsys.readouterr().out
+
+
+def test_an_interrupted_command_is_not_reported_as_refused(tmp_path, capsys):
+    """Exit code 1 would say that nothing was changed, which nobody knows."""
+
+    def interrupt(*_):
+        raise KeyboardInterrupt
+
+    with serve(FakeAdmin()) as address, pytest.MonkeyPatch.context() as patch:
+        patch.setattr("marjorambridge.management.changes.submit_command", interrupt)
+        assert run_tool(tmp_path, [address], "zone", "out", "bhuj") == 4
+    assert "--command-id" in capsys.readouterr().err
+
+
 def test_an_unknown_outcome_is_reported_and_a_resend_completes_it(tmp_path, capsys, monkeypatch):
     """A resend must find the first acceptance, although the configuration has changed by it."""
     monkeypatch.setattr(submission.submit_command, "__defaults__", (0.0,))
