Measure the memory of a permit at its owner

The capacity page needs the memory of an owner by running permit, not only by endpoint. benchmarks/slopes.py now also fills an owner with 2,000 permits.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -463,9 +463,22 @@
     }
 
 
+def fill_owner(permits):
+    """Return an owner of 200 endpoints that has granted this many permits."""
+    state = create_owner(200)
+    for number in range(permits):
+        ask = MessageReceived(4.0, "node-0002.region-1", 1_780_000_000_002, make_request(number))
+        limits.step(state, ask)
+    return state
+
+
 def measure_owner_memory():
     sizes = {size: measure_memory(lambda size=size: create_owner(size))[0] for size in (100, 1_100)}
-    return {"memory_bytes_per_endpoint": round((sizes[1_100] - sizes[100]) / 1_000)}
+    idle, busy = (measure_memory(lambda n=n: fill_owner(n))[0] for n in (0, 2_000))
+    return {
+        "memory_bytes_per_endpoint": round((sizes[1_100] - sizes[100]) / 1_000),
+        "memory_bytes_per_running_permit": round((busy - idle) / 2_000),
+    }
 
 
 def measure_claims():
