--- a/benchmarks/serving.py
+++ b/benchmarks/serving.py
@@ -237,6 +237,11 @@
     answer["zone"]["engines_over_cold_limit"] = await asyncio.to_thread(count_overloads, endpoints)
     slow, fast = answer["mixed"]["short"]["p95"], answer["alone"]["short"]["p95"]
     answer["short_slowdown_p95"] = round(slow / fast, 2) if slow and fast else None
+    # The longer of the short prompts decide the percentile of all, so each length is also compared.
+    alone, mixed = answer["alone"]["by_length"], answer["mixed"]["by_length"]
+    answer["slowdown_p95_by_length"] = {
+        tokens: round(mixed[tokens]["p95"] / alone[tokens]["p95"], 2) for tokens in alone
+    }
     return answer
 
 
@@ -292,6 +297,7 @@
     for system in ("marjorambridge", "naive"):
         values = report[system]
         print(f"\n{system}: slowdown of short requests {values['short_slowdown_p95']}")
+        print(f"  by length {values['slowdown_p95_by_length']}")
         for phase in ("alone", "mixed", "zone"):
             part = values[phase]
             print(f"  {phase}: {part['complete']} of {part['sent']} complete")
