List every series and name them by the conventions of Prometheus

Cause: the table of series was empty, so that no metric was rendered. Some counters lacked the suffix _total, one label was called both class and priority, requests_finished_total had its reason only for some outcomes, and a claim that was given up counted as a release.

Change: the table has every name that a reducer or driver records, with its labels. Freshness, the applied index, queues, endpoints, terms and bytes are read from the state when the metrics are collected. Elections, leader changes, syncs, stalls of the event loop and denials by hosts that do not own a shard are counted. First tokens are split by prompt length class; plain services have their own series.

The module of the limits session now writes its file itself.

--- a/marjorambridge/claims/client.py
+++ b/marjorambridge/claims/client.py
@@ -170,6 +170,7 @@
 
     A claim may have been written, so it is released; it would otherwise block resends.
     """
+    phase = call.phase
     effects: list[Effect] = []
     if call.background:
         _forget(state, call)
@@ -180,7 +181,7 @@
         call.phase = CallPhase.RELEASING
     else:
         effects.append(Publish(ClaimSettled(now, call.claim, False)))
-    effects.append(Measure("claims_given_up", 1.0, {"phase": call.phase.value}))
+    effects.append(Measure("claim_steps_given_up_total", 1.0, {"phase": phase.value}))
     call.background = True
     call.sends = 0
     call.give_up_at = now + state.settings.background_seconds
--- a/marjorambridge/claims/replica.py
+++ b/marjorambridge/claims/replica.py
@@ -153,7 +153,7 @@
         if waiter is not None:
             effects.append(SendMessage(waiter.sender, _build_answer(state, result)))
             labels = {"operation": result.operation.value, "status": result.status.value}
-            effects.append(Measure("claims_answered", 1.0, labels))
+            effects.append(Measure("claims_answered_total", 1.0, labels))
     if event.proposal:
         group.proposals.pop(event.proposal, None)
         if group.pending and not group.proposals:
--- a/marjorambridge/core/outcomes.py
+++ b/marjorambridge/core/outcomes.py
@@ -70,3 +70,6 @@
 
 
 Outcome = Done | NotRun | Failed | Unknown
+
+# Names of the outcomes in answers, metrics and traces.
+OUTCOME_NAMES = {Done: "done", NotRun: "not_run", Failed: "failed", Unknown: "unknown"}
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -76,6 +76,8 @@
         Set when a shutdown has no request left.
     cut : int
         Requests that the shutdown cut.
+    leaders : dict
+        Last leader and term of each log group.
     """
 
     settings: HostSettings
@@ -91,6 +93,7 @@
     servers: list[HttpServer] = field(default_factory=list)
     fresh_until: float = float("-inf")
     configuration: Any = None
+    leaders: dict[int, tuple[str, int]] = field(default_factory=dict)
     shutting_down: bool = False
     drained: anyio.Event = field(default_factory=anyio.Event)
     cut: int = 0
@@ -121,7 +124,11 @@
     if settings.record_file:
         runtime.record = open_recording(Path(settings.record_file))
     if store is not None:
-        host.storage = worker.StorageWorker(store, lambda event: post(runtime, event))
+        host.storage = worker.StorageWorker(
+            store,
+            lambda event: post(runtime, event),
+            lambda effect: metrics.record(host.metrics, effect),
+        )
     if settings.log.trace_file:
         host.traces = spans.start(Path(settings.log.trace_file), settings.host)
     host.endpoints = create_driver(host.registry, lambda event: post(runtime, event))
@@ -206,6 +213,7 @@
             host.drained.set()
             logger.bind(ended=event.ended, cut=event.cut).info("the host is drained")
         case LeadershipChanged():
+            _count_leader(host, event)
             logger.bind(group=event.group, leader=event.leader, term=event.term).info(
                 "the leader of a log group changed"
             )
@@ -219,6 +227,15 @@
             )
 
 
+def _count_leader(host: Host, event: LeadershipChanged) -> None:
+    # The event also tells that a known leader has committed an entry of its term.
+    leader = (event.leader, event.term)
+    if event.leader and host.leaders.get(event.group) != leader:
+        host.leaders[event.group] = leader
+        labels = {"group": str(event.group)}
+        metrics.record(host.metrics, effects.Measure("leader_changes_total", 1.0, labels))
+
+
 async def _open_servers(host: Host) -> None:
     def find_bytes_per_token(model: str) -> float:
         service = find_service(host.configuration, model) if host.configuration else None
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -13,11 +13,11 @@
 from marjorambridge.configuration.exceptions import EntryDecodeError
 from marjorambridge.configuration.json_commands import parse_command
 from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
+from marjorambridge.daemon.gauges import render_metrics
 from marjorambridge.daemon.runtime import post
 from marjorambridge.daemon.state_dump import describe_state
 from marjorambridge.http.admin import AdminCallbacks
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
-from marjorambridge.telemetry import metrics
 
 if TYPE_CHECKING:
     from marjorambridge.daemon.host import Host
@@ -68,7 +68,7 @@
 
     return AdminCallbacks(
         is_ready=lambda: _is_ready(host),
-        render_metrics=lambda: metrics.render(host.metrics),
+        render_metrics=lambda: render_metrics(host),
         dump_state=lambda: describe_state(host),
         run_command=run_command,
         check_token=lambda token: _check_token(host, token),
--- a/marjorambridge/daemon/runtime.py
+++ b/marjorambridge/daemon/runtime.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from marjorambridge.core import reducer
-from marjorambridge.core.effects import CancelTimer, Effect, Publish, SetTimer
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, SetTimer
 from marjorambridge.core.events import Event, TimerFired
 from marjorambridge.core.timers import (
     TimerTable,
@@ -99,6 +99,8 @@
         now = time.monotonic()
         if now - checked > STALL_SECONDS + MAX_TIMER_WAIT_SECONDS:
             logger.bind(seconds=round(now - checked, 3)).warning("the event loop was stalled")
+            _carry_out(runtime, Measure("event_loop_stalls_total"))
+            _carry_out(runtime, Measure("event_loop_stalled_seconds_total", now - checked))
         checked = now
         for key in pop_due(runtime.timers, now):
             post(runtime, TimerFired(now, key))
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -15,7 +15,14 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.events import Event
-from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.core.outcomes import (
+    OUTCOME_NAMES,
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Reason,
+)
 from marjorambridge.http.bodies import (
     CHAT_PATH,
     COMPLETIONS_PATH,
@@ -86,8 +93,6 @@
     Reason.ANSWER_NOT_KEPT: 410,
 }
 
-OUTCOME_NAMES = {Done: "done", NotRun: "not_run", Failed: "failed", Unknown: "unknown"}
-
 
 @dataclass(slots=True)
 class CallerSettings:
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -2,7 +2,7 @@
 
 import math
 
-from marjorambridge.core.effects import Effect, SendMessage, WriteLog
+from marjorambridge.core.effects import Effect, Measure, SendMessage, WriteLog
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.view import ShardId, compute_bucket, parse_shard_id
 from marjorambridge.limits.admission import (
@@ -94,7 +94,11 @@
             MINIMUM_RETRY_SECONDS,
             ShardSummary(request.shard),
         )
-        return [SendMessage(identity.host, answer)]
+        labels = {"reason": DenialReason.NOT_OWNER.value}
+        return [
+            SendMessage(identity.host, answer),
+            Measure("permits_denied_total", 1.0, labels),
+        ]
     if identity.incarnation < state.host_incarnations.get(identity.host, identity.incarnation):
         return []
     if identity in shard.ledger.ended:
--- a/marjorambridge/limits/scheduling.py
+++ b/marjorambridge/limits/scheduling.py
@@ -65,7 +65,7 @@
     answer = PermitDenied(request.permit, shard.name, reason, retry_after, summary)
     return [
         SendMessage(request.permit.host, answer),
-        Measure("permits_denied", 1.0, {"reason": reason.value}),
+        Measure("permits_denied_total", 1.0, {"reason": reason.value}),
     ]
 
 
@@ -139,7 +139,7 @@
         add_blocks(shard.prefix, placements[0].endpoint.announcement.endpoint, request.prefix)
     return [
         build_grant(shard, permit, now),
-        Measure("permits_granted", 1.0, {"priority": priority.value}),
+        Measure("permits_granted_total", 1.0, {"priority": priority.value}),
     ]
 
 
--- a/marjorambridge/orders/reducer.py
+++ b/marjorambridge/orders/reducer.py
@@ -179,7 +179,7 @@
     labels = {"kind": order.kind.value, "status": event.status.value}
     fields = {"endpoint": event.endpoint, "message": event.message, **labels}
     return [
-        Measure("orders_failed", 1.0, labels),
+        Measure("orders_failed_total", 1.0, labels),
         WriteLog("warning", "an order failed and will be repeated", fields),
     ]
 
@@ -270,7 +270,7 @@
         state.proposals[endpoint.proposal] = endpoint.summary.endpoint
         payload = encode_command(TakeTokens(size, state.level))
         effects.append(Publish(ProposalRequested(now, GROUP, endpoint.proposal, payload)))
-    effects.append(Measure("weight_store_tokens_bytes", state.level))
+    effects.append(Measure("weight_store_budget_bytes", state.level))
     return effects
 
 
--- a/marjorambridge/replication/elections.py
+++ b/marjorambridge/replication/elections.py
@@ -1,6 +1,6 @@
 """Elect the leader of a group."""
 
-from marjorambridge.core.effects import Effect, SendMessage, SetTimer
+from marjorambridge.core.effects import Effect, Measure, SendMessage, SetTimer
 from marjorambridge.core.identity import TimerKey
 from marjorambridge.replication.durability import send_promise
 from marjorambridge.replication.leaders import broadcast_entries, start_heartbeats, update_members
@@ -84,6 +84,7 @@
     """
     group.role = Role.CANDIDATE
     group.votes = set()
+    effects.append(Measure("elections_started_total", 1.0, {"group": str(group.group)}))
     save_vote(replica, group, effects, group.term + 1, replica.replica)
     ticket = max(group.vote_ticket, group.append_ticket)
     for request in make_vote_requests(replica, group, group.term, False):
--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -320,7 +320,7 @@
         CancelTimer(create_wait_timer(request)),
         start,
         *start_renewal(state, now),
-        Measure("permit_wait_seconds", now - permit.asked_at, {"class": message.priority}),
+        Measure("permit_wait_seconds", now - permit.asked_at, {"priority": message.priority}),
     ]
 
 
--- a/marjorambridge/requests/attempts.py
+++ b/marjorambridge/requests/attempts.py
@@ -22,6 +22,8 @@
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
 FIRST_ERROR_STATUS = 400
+# Largest prompt of each class, in tokens.
+PROMPT_CLASSES = {"1k": 1 << 10, "4k": 1 << 12, "16k": 1 << 14, "64k": 1 << 16, "256k": 1 << 18}
 
 
 def find_running(state: RequestsState, attempt: AttemptId) -> Request | None:
@@ -69,7 +71,7 @@
         permit.first_token_seconds = event.now - permit.started_at
         if request.cursor == 0 and not request.holding:
             waited = event.now - request.arrived_at
-            effects.append(Measure("first_token_seconds", waited, {"kind": request.kind}))
+            effects.append(_measure_first_token(request, waited))
     if request.kind is ServiceKind.ENGINE and request.holding:
         return effects  # The body of an error; the end event has its message.
     cursor = request.cursor
@@ -95,6 +97,25 @@
     return effects
 
 
+def classify_prompt(tokens: int) -> str:
+    """Return the prompt length class of a metric; longer prompts count as the last one.
+
+    Examples
+    --------
+    >>> classify_prompt(1_000), classify_prompt(1_025), classify_prompt(2_000_000)
+    ('1k', '4k', '1m')
+    """
+    return next((name for name, most in PROMPT_CLASSES.items() if tokens <= most), "1m")
+
+
+def _measure_first_token(request: Request, waited: float) -> Effect:
+    if request.kind is ServiceKind.PLAIN:
+        return Measure("first_byte_seconds", waited)
+    return Measure(
+        "first_token_seconds", waited, {"prompt": classify_prompt(request.prompt_tokens)}
+    )
+
+
 def _forward_headers(request: Request) -> list[Effect]:
     if request.forwarded or request.caller_gone:
         return []
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -4,7 +4,15 @@
 from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
 from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish
 from marjorambridge.core.identity import AttemptId, TimerKey
-from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.core.outcomes import (
+    OUTCOME_NAMES,
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import Drained
 from marjorambridge.requests.permits import create_wait_timer, drop_permit, set_wait
@@ -41,9 +49,8 @@
         effects += _settle_claim(state, request, outcome, now)
     del state.requests[request.ident]
     return_quota(state, request.workspace)
-    labels = {"outcome": type(outcome).__name__}
-    if not isinstance(outcome, Done):
-        labels["reason"] = outcome.reason
+    reason = "none" if isinstance(outcome, Done) else outcome.reason
+    labels = {"outcome": OUTCOME_NAMES[type(outcome)], "reason": reason}
     finish = FinishRequest(request.ident, outcome)
     if isinstance(outcome, Done):
         finish.finish = request.finish
--- a/marjorambridge/storage/worker.py
+++ b/marjorambridge/storage/worker.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.to_thread
 
-from marjorambridge.core.effects import Effect
+from marjorambridge.core.effects import Effect, Measure
 from marjorambridge.core.events import Event
 from marjorambridge.storage.stores import Store, close_store, execute
 
@@ -20,10 +20,13 @@
     ----------
     post : callable
         Takes the completion events, in the event loop.
+    measure : callable
+        Takes the duration of each batch, in the event loop.
     """
 
     store: Store
     post: Callable[[Event], None]
+    measure: Callable[[Measure], None] = lambda effect: None
     waiting: list[Effect] = field(default_factory=list)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
 
@@ -40,7 +43,10 @@
         await worker.wakeup.wait()
         worker.wakeup = anyio.Event()
         batch, worker.waiting = worker.waiting, []
-        for event in await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0):
+        begun = time.monotonic()
+        completed = await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0)
+        worker.measure(Measure("log_sync_seconds", time.monotonic() - begun))
+        for event in completed:
             event.now = time.monotonic()
             worker.post(event)
 
--- a/marjorambridge/telemetry/metrics.py
+++ b/marjorambridge/telemetry/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
+from aioprometheus.metricdict import MetricDict
 
 from marjorambridge.core.effects import Measure
 from marjorambridge.telemetry.series import SERIES, Kind, Series
@@ -19,7 +20,8 @@
     Attributes
     ----------
     unknown : set of str
-        Names that reducers used but `SERIES` lacks; a test keeps it empty.
+        Names that were used but `SERIES` lacks, or with other labels than it lists; a test keeps
+        it empty.
     """
 
     registry: Registry = field(default_factory=Registry)
@@ -48,10 +50,9 @@
 
 def record(metrics: Metrics, effect: Measure) -> None:
     """Add the value of an effect to its collector."""
-    collector = metrics.collectors.get(effect.name)
-    if collector is None:
-        metrics.unknown.add(effect.name)
+    if not _is_known(metrics, effect.name, effect.labels):
         return
+    collector = metrics.collectors[effect.name]
     labels = {name: str(value) for name, value in effect.labels.items()}
     if isinstance(collector, Counter):
         collector.add(labels, effect.value)
@@ -61,6 +62,26 @@
         collector.observe(labels, effect.value)
 
 
+def _is_known(metrics: Metrics, name: str, labels: dict[str, str]) -> bool:
+    series = SERIES.get(name)
+    if series is None or set(labels) != set(series.labels):
+        metrics.unknown.add(name)
+        return False
+    return True
+
+
+def sample(metrics: Metrics, name: str, value: float, labels: dict[str, str] | None = None) -> None:
+    """Set a sampled series to a value that was read elsewhere."""
+    labels = labels or {}
+    if _is_known(metrics, name, labels):
+        metrics.collectors[name].set(labels, value)
+
+
+def clear(metrics: Metrics, name: str) -> None:
+    """Remove all label values of a series."""
+    metrics.collectors[name].values = MetricDict()
+
+
 def render(metrics: Metrics) -> str:
     """Return all series in the Prometheus text format."""
     return TextFormatter().marshall(metrics.registry).decode()
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -14,15 +14,112 @@
 
 @dataclass(slots=True, frozen=True)
 class Series:
-    """Describe one series."""
+    """Describe one series.
+
+    Attributes
+    ----------
+    buckets : tuple of float
+        Upper bounds of a histogram, without infinity.
+    sampled : bool
+        Whether the value is read from the state when the metrics are collected.
+    """
 
     kind: Kind
     help: str
     labels: tuple[str, ...] = ()
     buckets: tuple[float, ...] = ()
+    sampled: bool = False
 
 
 # The bounds around 0.76 s are close together, because that is the target of the 95th percentile.
 LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.76, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
 
-SERIES: dict[str, Series] = {}
+SYNC_BUCKETS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
+
+
+def _count(text: str, *labels: str) -> Series:
+    return Series(Kind.COUNTER, text, labels)
+
+
+def _sample(text: str, *labels: str) -> Series:
+    return Series(Kind.GAUGE, text, labels, sampled=True)
+
+
+def _time(text: str, *labels: str) -> Series:
+    return Series(Kind.HISTOGRAM, text, labels, LATENCY_BUCKETS)
+
+
+# Values of the labels, all from the configuration or from enumerations of the code.
+LABELS = {
+    "group": "number of the replicated log group",
+    "kind": "`engine` or `plain`; of orders, the kind of order",
+    "operation": "`claim`, `complete` or `release`",
+    "outcome": "`done`, `failed`, `not_run` or `unknown`",
+    "phase": "`claiming`, `completing` or `releasing`",
+    "priority": "`interactive`, `batch`, `long` or `group`",
+    "prompt": "prompt length class in tokens: `1k`, `4k`, `16k`, `64k`, `256k` or `1m`",
+    "reason": "reason of the outcome or denial; `none` for the outcome `done`",
+    "service": "service of the configuration",
+    "shard": "`service/zone/bucket`",
+    "state": "`cold` or `warm`",
+    "status": "status of the answer to a claim or an order",
+}
+
+SERIES: dict[str, Series] = {
+    # Requests.
+    "requests_admitted_total": _count("Requests admitted.", "service"),
+    "requests_refused_total": _count("Requests refused at arrival.", "reason"),
+    "requests_finished_total": _count("Admitted requests that ended.", "outcome", "reason"),
+    "requests_in_progress": _sample("Admitted requests that have not ended."),
+    "attempts_started_total": _count("Attempts whose first byte was sent.", "kind"),
+    "retries_total": _count("Attempts that were followed by another one.", "reason"),
+    "first_token_seconds": _time(
+        "Time from the arrival of a request for an engine to its first token.", "prompt"
+    ),
+    "first_byte_seconds": _time(
+        "Time from the arrival of a request for a plain service to the first byte of its answer."
+    ),
+    "permit_wait_seconds": _time(
+        "Time from the first ask for a permit to the start of its attempt.", "priority"
+    ),
+    # Shard owners.
+    "permits_granted_total": _count("Permits that this host granted.", "priority"),
+    "permits_denied_total": _count("Permits that this host denied.", "reason"),
+    "shard_queued_requests": _sample("Requests in the queue of an owned shard.", "shard"),
+    "shard_expected_wait_seconds": _sample(
+        "Expected wait of a short request at an owned shard.", "shard"
+    ),
+    "endpoints": _sample(
+        "Endpoints of the owned shards that accept work, cold or warm.", "service", "state"
+    ),
+    # Freshness and the replicated log.
+    "freshness_remaining_seconds": _sample(
+        "Time for which this host is known to be fresh; 0 means that it refuses new work."
+    ),
+    "applied_index": _sample("Index of the last applied entry of log group 0."),
+    "leader_changes_total": _count("Leaders of a log group that this host learned of.", "group"),
+    "elections_started_total": _count("Elections that this replica started.", "group"),
+    "log_term": _sample("Term of a log group at this replica.", "group"),
+    "log_commit_index": _sample("Commit index of a log group at this replica.", "group"),
+    "log_sync_seconds": Series(
+        Kind.HISTOGRAM, "Time to write and sync one batch of the logs.", (), SYNC_BUCKETS
+    ),
+    # Claims.
+    "claims_answered_total": _count(
+        "Claim messages that this leader answered.", "operation", "status"
+    ),
+    "claim_steps_given_up_total": _count("Claim steps that were not answered in time.", "phase"),
+    "claims_state_bytes": Series(Kind.GAUGE, "Size of the state of a claims group.", ("group",)),
+    # Orders to engines.
+    "orders_failed_total": _count("Orders that an endpoint did not accept.", "kind", "status"),
+    "weight_store_budget_bytes": Series(
+        Kind.GAUGE, "Bytes that may be loaded from the weight store at once."
+    ),
+    # The process.
+    "peer_sent_bytes_total": Series(Kind.COUNTER, "Bytes sent to other hosts.", sampled=True),
+    "peer_received_bytes_total": Series(
+        Kind.COUNTER, "Bytes received from other hosts.", sampled=True
+    ),
+    "event_loop_stalls_total": _count("Times the event loop was stalled."),
+    "event_loop_stalled_seconds_total": _count("Time between timer checks that were too late."),
+}
--- a/tests/limits/test_session.py
+++ b/tests/limits/test_session.py
@@ -1,9 +1,14 @@
-"""Compare one whole session, events in and effects out, with its golden file."""
+"""Compare one whole session, events in and effects out, with its golden file.
+
+``python -m tests.limits.test_session`` writes the file anew.
+"""
 
 import dataclasses
 import json
 from pathlib import Path
 
+import pytest
+
 from . import world as worlds
 from .world import Engine, World
 
@@ -72,3 +77,9 @@
     assert len(lines) == len(golden)
     for number, (line, expected) in enumerate(zip(lines, golden, strict=True), 1):
         assert json.loads(json.dumps(line)) == expected, f"event {number} of {GOLDEN.name}"
+
+
+if __name__ == "__main__":
+    with pytest.MonkeyPatch.context() as patch:
+        recorded = [json.dumps(line) for line in record_session(patch)]
+    GOLDEN.write_text("[\n" + ",\n".join(recorded) + "\n]\n", encoding="utf-8")
