Record a span for each hop of a request

Cause: the requests part recorded no spans, and endpoints got the caller's span as their parent.

Change: the requests part records the request, its claim, each wait for a permit, each attempt and the recording of the answer. PermitRequest and ClaimRequest carry the trace in a new optional last field, so that the shard owner records the time in its queue and the claims leader the time to its decision. The host that takes the request in decides by log.trace_ratio and the trace identifier whether it is traced; other requests add nothing to the messages. A traced attempt gives the endpoint a traceparent of its own span. Only a valid traceparent is taken over from the caller.

The IDL and its code were generated anew.

--- a/marjorambridge/checks/settings.py
+++ b/marjorambridge/checks/settings.py
@@ -87,6 +87,8 @@
         yield "claims.tombstone_seconds must not be less than claims.answer_seconds"
     if settings.log.level not in LOG_LEVELS:
         yield f"log.level must be one of {', '.join(LOG_LEVELS)}"
+    if not 0 <= settings.log.trace_ratio <= 1:
+        yield "log.trace_ratio must be from 0 to 1"
     for digest in settings.operator_token_hashes:
         if not re.fullmatch(r"[0-9a-f]{64}", digest):
             yield "operator_token_hashes must be SHA-256 digests of 64 hexadecimal digits"
--- a/marjorambridge/claims/client.py
+++ b/marjorambridge/claims/client.py
@@ -74,6 +74,7 @@
         compute_group(digest, state.settings.groups),
         CallPhase.CLAIMING,
         event.give_up_at,
+        trace=event.trace,
     )
     state.calls[event.claim] = call
     return _send(state, call, event.now)
@@ -209,7 +210,8 @@
 
 def _build_message(call: CallState) -> ClaimRequest | ClaimComplete | ClaimRelease:
     if call.phase is CallPhase.CLAIMING:
-        return ClaimRequest(call.claim, call.workspace, call.key, call.fingerprint)
+        trace = call.trace or None
+        return ClaimRequest(call.claim, call.workspace, call.key, call.fingerprint, trace)
     if call.phase is CallPhase.COMPLETING:
         return ClaimComplete(call.claim, call.workspace, call.key, call.answer)
     return ClaimRelease(call.claim, call.workspace, call.key)
--- a/marjorambridge/claims/events.py
+++ b/marjorambridge/claims/events.py
@@ -15,6 +15,8 @@
     ----------
     give_up_at : float
         Monotonic time in seconds until which the client keeps trying.
+    trace : str
+        Trace of the request; empty if it is not traced.
     """
 
     claim: AttemptId
@@ -23,6 +25,7 @@
     fingerprint: str
     give_up_at: float
     wall: float
+    trace: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/claims/messages.py
+++ b/marjorambridge/claims/messages.py
@@ -61,12 +61,15 @@
         Workspace and idempotency key of the call.
     fingerprint : str
         Digest of method, path and body.
+    trace : str or None
+        Trace of the request; None if it is not traced.
     """
 
     claim: AttemptId
     workspace: str
     key: str
     fingerprint: str
+    trace: str | None = None
 
 
 @dataclass(slots=True)
--- a/marjorambridge/claims/replica.py
+++ b/marjorambridge/claims/replica.py
@@ -37,9 +37,17 @@
     restore_snapshot,
     take_snapshot,
 )
-from marjorambridge.core.effects import Effect, Measure, Publish, SendMessage, SetTimer
+from marjorambridge.core.effects import (
+    Effect,
+    Measure,
+    Publish,
+    RecordSpan,
+    SendMessage,
+    SetTimer,
+)
 from marjorambridge.core.events import Event, MessageReceived, Started, TimerFired, ViewApplied
 from marjorambridge.core.identity import AttemptId, TimerKey
+from marjorambridge.core.spans import Hop, name_span
 from marjorambridge.replication.events import (
     EntryCommitted,
     LeadershipChanged,
@@ -130,7 +138,8 @@
         # The proposal may have vanished; the state machine recognizes a second copy.
         waiter.since = event.now
     else:
-        group.waiting[key] = Waiter(event.sender, event.now)
+        trace = getattr(message, "trace", None)
+        group.waiting[key] = Waiter(event.sender, event.now, event.now, trace)
     group.pending.append((_build_command(message, digest), key))
     group.pending_bytes += COMMAND_BYTES
     if isinstance(message, ClaimComplete):
@@ -154,6 +163,8 @@
             effects.append(SendMessage(waiter.sender, _build_answer(state, result)))
             labels = {"operation": result.operation.value, "status": result.status.value}
             effects.append(Measure("claims_answered_total", 1.0, labels))
+            if waiter.trace:
+                effects.append(_record_decision(group, waiter, result, event.now))
     if event.proposal:
         group.proposals.pop(event.proposal, None)
         if group.pending and not group.proposals:
@@ -161,6 +172,20 @@
     return effects
 
 
+def _record_decision(
+    group: GroupState, waiter: Waiter, result: CommandResult, now: float
+) -> Effect:
+    """Return the span of the time that a claim took at this leader."""
+    return RecordSpan(
+        waiter.trace,
+        name_span(Hop.DECISION, result.claim),
+        name_span(Hop.CLAIM, result.claim),
+        waiter.came,
+        now,
+        {"group": group.group, "status": result.status.value},
+    )
+
+
 def receive_refusal(state: ReplicaState, event: ProposalRefused) -> list[Effect]:
     """Send those who wait for a refused proposal to the present leader."""
     group = state.groups.get(event.group)
--- a/marjorambridge/claims/state.py
+++ b/marjorambridge/claims/state.py
@@ -43,10 +43,20 @@
 
 @dataclass(slots=True)
 class Waiter:
-    """Remember who waits for the result of a command, and since when it is in a proposal."""
+    """Remember who waits for the result of a command, and since when it is in a proposal.
+
+    Attributes
+    ----------
+    came : float
+        Time of the first message.
+    trace : str or None
+        Trace of the request; None if it is not traced.
+    """
 
     sender: str
     since: float
+    came: float = 0.0
+    trace: str | None = None
 
 
 @dataclass(slots=True)
@@ -133,6 +143,7 @@
     background: bool = False
     sends: int = 0
     target: str = ""
+    trace: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/conf/settings.py
+++ b/marjorambridge/conf/settings.py
@@ -47,11 +47,14 @@
         File for JSON lines; empty for standard error.
     trace_file : str
         File for spans as JSON lines; empty for none.
+    trace_ratio : float
+        Share of the traces that are recorded, from 0 to 1; use the same on all hosts.
     """
 
     level: str = "INFO"
     file: str = ""
     trace_file: str = ""
+    trace_ratio: float = 1.0
 
 
 @dataclass(slots=True)
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -241,6 +241,11 @@
         service = find_service(host.configuration, model) if host.configuration else None
         return service.bytes_per_token if service else DEFAULT_BYTES_PER_TOKEN
 
+    def choose_trace(header: str, identifier: str) -> str:
+        if host.traces is None:
+            return ""
+        return spans.choose_trace(header, identifier, host.settings.log.trace_ratio)
+
     limits = callers.CallerSettings(max_body_bytes=host.settings.requests.max_body_bytes)
     applications = {
         host.settings.addresses.callers: callers.build_application(
@@ -249,6 +254,7 @@
             limits,
             compute_prefix,
             find_bytes_per_token,
+            choose_trace=choose_trace,
         ),
         host.settings.addresses.admin: admin.build_application(build_callbacks(host)),
     }
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -597,6 +597,7 @@
     find_bytes_per_token: Callable[[str], float] = lambda model: 3.0,
     clock: Callable[[], float] = time.monotonic,
     new_identifier: Callable[[], str] = create_identifier,
+    choose_trace: Callable[[str, str], str] = lambda header, identifier: "",
 ) -> Application:
     """Build the ASGI application for callers.
 
@@ -610,6 +611,9 @@
         Returns the bytes per token of the service that a model name belongs to.
     clock : callable
         Monotonic time in seconds.
+    choose_trace : callable
+        Returns the trace for the ``traceparent`` header and the identifier of a request; empty
+        for a request that is not traced.
     """
     limits = settings or CallerSettings()
 
@@ -644,6 +648,7 @@
             find_bytes_per_token,
             clock,
         )
+        arrived.trace = choose_trace(headers.get("traceparent", ""), arrived.request)
         stored.abort = lambda: abort_connection(scope)
         add_request(registry, stored)
         watcher = asyncio.create_task(_watch_caller(receive, stored))
--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -14,6 +14,7 @@
 from marjorambridge.core.effects import Effect
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.spans import Hop, name_span
 from marjorambridge.http.bodies import DECODE_ERRORS, decode_object
 from marjorambridge.http.exceptions import EndpointProtocolError, HttpError, RequestError
 from marjorambridge.http.registry import Registry, StoredRequest
@@ -29,6 +30,7 @@
     AttemptHeaders,
     AttemptStarted,
 )
+from marjorambridge.telemetry.traces import build_traceparent
 
 CANCEL_PATH = "/v1/cancel"
 PARTS_PATH = "/v1/parts"
@@ -437,14 +439,20 @@
     return msgspec.json.encode(fields)
 
 
-def _build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
+def build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
+    """Return the headers for the endpoint; a traced attempt gets its own span as the parent."""
     address = effect.endpoints[0].address
     headers = [("host", address), ("x-marjorambridge-attempt", str(effect.attempt))]
     if stored.is_engine:
         headers.append(("content-type", "application/json"))
     elif not any(name == "idempotency-key" for name, _ in stored.headers):
         headers.append(("idempotency-key", stored.request))
-    headers += stored.headers
+    if effect.trace:
+        span = name_span(Hop.ATTEMPT, effect.attempt)
+        headers.append(("traceparent", build_traceparent(effect.trace, span)))
+        headers += [item for item in stored.headers if item[0] != "traceparent"]
+    else:
+        headers += stored.headers
     return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
 
 
@@ -466,7 +474,7 @@
     except RequestError as error:
         raise EndpointProtocolError(str(error)) from error
     window = max(0.001, effect.start_by - driver.clock())
-    headers = _build_headers(stored, effect)
+    headers = build_headers(stored, effect)
     if content or stored.method not in ("GET", "HEAD", "OPTIONS"):
         headers.append((b"content-length", str(len(content)).encode()))
     entry = _use_pool(driver, address)
--- a/marjorambridge/limits/messages.py
+++ b/marjorambridge/limits/messages.py
@@ -88,6 +88,8 @@
         Tokens covered by each hash of `prefix`.
     exclude : tuple of str
         Endpoints that an earlier attempt of the request failed on.
+    trace : str or None
+        Trace of the request; None if it is not traced.
     """
 
     permit: AttemptId
@@ -101,6 +103,7 @@
     prefix: tuple[bytes, ...] = ()
     prefix_tokens: tuple[int, ...] = ()
     exclude: tuple[str, ...] = ()
+    trace: str | None = None
 
 
 @dataclass(slots=True)
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -44,6 +44,7 @@
     deny_request,
     estimate_wait,
     grant_permit,
+    record_queue,
     register_permit,
     reserve_ahead,
     serve_queue,
@@ -104,6 +105,7 @@
     if identity in shard.ledger.ended:
         return []
     refusal = find_refusal(state, shard, now)
+    spans: list[Effect] = []
     permit = shard.ledger.permits.get(identity)
     if permit is not None:
         return _repeat_grant(state, shard, permit, request, refusal, now)
@@ -111,7 +113,8 @@
     if refusal is not None:
         if entry is not None:
             remove_entry(shard.queue, entry, served=False)
-        return deny_request(shard, request, *refusal, now)
+            spans = record_queue(shard, entry, refusal[0].value, now)
+        return spans + deny_request(shard, request, *refusal, now)
     if entry is not None:
         if request.ask > entry.request.ask:
             entry.request, entry.asked_at = request, now
@@ -210,7 +213,8 @@
         reason, retry_after = DenialReason.NO_ENDPOINT, ENDPOINT_RETRY_SECONDS
     else:
         reason, retry_after = DenialReason.DEADLINE, max(MINIMUM_RETRY_SECONDS, wait)
-    effects = deny_request(shard, entry.request, reason, retry_after, now)
+    effects = record_queue(shard, entry, reason.value, now)
+    effects += deny_request(shard, entry.request, reason, retry_after, now)
     return effects + pump_shard(state, shard, now)
 
 
--- a/marjorambridge/limits/scheduling.py
+++ b/marjorambridge/limits/scheduling.py
@@ -4,7 +4,8 @@
 import math
 import random
 
-from marjorambridge.core.effects import Effect, Measure, SendMessage
+from marjorambridge.core.effects import Effect, Measure, RecordSpan, SendMessage
+from marjorambridge.core.spans import Hop, name_span
 from marjorambridge.limits.admission import (
     Placement,
     build_placement,
@@ -76,10 +77,28 @@
     effects: list[Effect] = []
     for entry in list(shard.queue.entries.values()):
         remove_entry(shard.queue, entry, served=False)
+        effects += record_queue(shard, entry, reason.value, now)
         effects += deny_request(shard, entry.request, reason, retry_after, now)
     return effects
 
 
+def record_queue(shard: Shard, entry: QueueEntry, result: str, now: float) -> list[Effect]:
+    """Return the span of the time that a request was in the queue, if it was there at all."""
+    request = entry.request
+    if not request.trace or now <= entry.queued_at:
+        return []
+    return [
+        RecordSpan(
+            request.trace,
+            name_span(Hop.QUEUE, request.permit),
+            name_span(Hop.PERMIT, request.permit),
+            entry.queued_at,
+            now,
+            {"shard": shard.name, "priority": entry.priority.value, "result": result},
+        )
+    ]
+
+
 def build_grant(shard: Shard, permit: Permit, now: float) -> Effect:
     """Return the message that grants a permit."""
     endpoints = tuple(
@@ -189,7 +208,8 @@
     set_reservation(shard, None, settings, now)
     remove_entry(shard.queue, entry, served=True)
     priority = entry.priority if len(placements) > 1 else placements[0].priority
-    return grant_permit(shard, request, placements, priority, settings, now)
+    effects = grant_permit(shard, request, placements, priority, settings, now)
+    return effects + record_queue(shard, entry, "granted", now)
 
 
 def find_backfill(
@@ -248,6 +268,7 @@
                 continue
             remove_entry(shard.queue, entry, served=True)
             effects += grant_permit(shard, entry.request, [found], found.priority, settings, now)
+            effects += record_queue(shard, entry, "granted", now)
         for entry in skipped:
             if not entry.gone:
                 put_back(waiting, entry)
--- a/marjorambridge/requests/admission.py
+++ b/marjorambridge/requests/admission.py
@@ -33,7 +33,13 @@
 def handle_arrived(state: RequestsState, event: RequestArrived) -> list[Effect]:
     """Admit a caller's request and claim it or ask for its permit."""
     if event.request in state.requests:
-        return [WriteLog("error", "request identifier reused", {"request": event.request})]
+        return [
+            WriteLog(
+                "error",
+                "request identifier reused",
+                {"request": event.request, "trace": event.trace},
+            )
+        ]
     refusal = _check_host(state, event)
     if refusal is not None:
         return _refuse(event, refusal)
@@ -130,6 +136,7 @@
         weight=URGENCY_WEIGHTS[workspace.urgency] * URGENCY_WEIGHTS[service.urgency],
         prefix=event.prefix,
         prefix_tokens=event.prefix_tokens,
+        trace=event.trace,
     )
 
 
--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -21,6 +21,7 @@
     withdraw_permit,
 )
 from marjorambridge.requests.retries import compute_backoff
+from marjorambridge.requests.spans import record_permit
 from marjorambridge.requests.state import (
     Denial,
     Permit,
@@ -137,6 +138,7 @@
         prefix=request.prefix,
         prefix_tokens=request.prefix_tokens,
         exclude=tuple(request.exclude),
+        trace=request.trace or None,
     )
     renew_at = min(now + state.settings.queue_renewal, compute_start_limit(state, request))
     return [
@@ -149,14 +151,14 @@
     """Ask again at the same owner, or leave it if it is silent or another shard is better."""
     permit = request.permit
     if now >= compute_start_limit(state, request) or not is_fresh(state, now):
-        return withdraw_permit(state, request) + ask_somewhere(state, request, now)
+        return withdraw_permit(state, request, now) + ask_somewhere(state, request, now)
     if now - permit.heard_at >= state.settings.owner_silence:
         return _leave_shard(state, request, None, 0.0, now)
     better = _find_better(state, request, now)
     if better is not None:
         request.moves += 1
         # The cancel goes first, and a grant that crosses it is void, so two never run at once.
-        return withdraw_permit(state, request) + _ask_at(state, request, better, now)
+        return withdraw_permit(state, request, now) + _ask_at(state, request, better, now)
     return _send_ask(state, request, now)
 
 
@@ -195,9 +197,11 @@
     shard = request.permit.shard
     effects: list[Effect] = []
     if reason is None:
-        effects = withdraw_permit(state, request)
+        effects = withdraw_permit(state, request, now)
     else:
-        forget_permit(state, request)  # Nothing is reserved, so nothing needs to be cancelled.
+        # Nothing is reserved, so nothing needs to be cancelled.
+        effects = record_permit(request, reason.value, now)
+        forget_permit(state, request)
     delay = max(
         retry_after,
         MIN_DENIAL_SECONDS,
@@ -290,9 +294,9 @@
     asked_at = permit.asks.get(message.ask)
     in_service = find_candidate(state.routing, permit.shard) is not None
     if asked_at is None or now >= asked_at + state.settings.start_window or not message.endpoints:
-        return withdraw_permit(state, request) + back_off(state, request, now)
+        return withdraw_permit(state, request, now) + back_off(state, request, now)
     if now >= compute_start_limit(state, request) or not is_fresh(state, now) or not in_service:
-        return withdraw_permit(state, request) + ask_somewhere(state, request, now)
+        return withdraw_permit(state, request, now) + ask_somewhere(state, request, now)
     return _start_attempt(state, request, message, asked_at + state.settings.start_window, now)
 
 
@@ -300,6 +304,7 @@
     state: RequestsState, request: Request, message: PermitGranted, start_by: float, now: float
 ) -> list[Effect]:
     permit = request.permit
+    spans = record_permit(request, "granted", now)
     permit.endpoints = message.endpoints
     permit.start_by = start_by
     permit.started_at = now
@@ -315,12 +320,14 @@
         resume_from=request.cursor,
         start_by=start_by,
         timeout=request.deadline - now,
+        trace=request.trace,
     )
     return [
         CancelTimer(create_wait_timer(request)),
         start,
         *start_renewal(state, now),
         Measure("permit_wait_seconds", now - permit.asked_at, {"priority": message.priority}),
+        *spans,
     ]
 
 
@@ -331,7 +338,7 @@
         if request.phase is Phase.ASKING:
             candidate = find_candidate(state.routing, request.permit.shard)
             if candidate is None or candidate.owner != request.permit.owner:
-                effects += withdraw_permit(state, request)
+                effects += withdraw_permit(state, request, now)
                 effects += ask_somewhere(state, request, now)
         elif (
             request.phase is Phase.BACKOFF
--- a/marjorambridge/requests/attempts.py
+++ b/marjorambridge/requests/attempts.py
@@ -143,7 +143,9 @@
     failed = end in (AttemptEnd.CUT, AttemptEnd.SERVER_ERROR, AttemptEnd.NOT_SENT)
     stopped = end in (AttemptEnd.REFUSED, AttemptEnd.SERVER_ERROR, AttemptEnd.CLIENT_ERROR)
     _exclude_endpoint(request)
-    effects = release_permit(state, request, now, endpoint_failed=failed, stopped=stopped)
+    effects = release_permit(
+        state, request, now, endpoint_failed=failed, stopped=stopped, end=event.end.value
+    )
     if end is AttemptEnd.REFUSED and (request.cursor == 0 or request.status >= FIRST_ERROR_STATUS):
         request.may_have_run = False
     if end is AttemptEnd.CLIENT_ERROR:
@@ -174,9 +176,11 @@
     if now < request.permit.start_by:
         # There was time left, so the endpoint could not be reached.
         _exclude_endpoint(request)
-        effects = release_permit(state, request, now, endpoint_failed=True, stopped=True)
+        effects = release_permit(
+            state, request, now, endpoint_failed=True, stopped=True, end=AttemptEnd.NOT_SENT.value
+        )
     else:
-        effects = withdraw_permit(state, request)
+        effects = withdraw_permit(state, request, now)
     if request.caller_gone:
         message = "the caller closed the connection"
         return effects + give_up(state, request, Reason.CALLER_GONE, message, None, now)
@@ -184,7 +188,9 @@
 
 
 def _complete(state: RequestsState, request: Request, event: AttemptEnded) -> list[Effect]:
-    effects = release_permit(state, request, event.now, succeeded=True, stopped=True)
+    effects = release_permit(
+        state, request, event.now, succeeded=True, stopped=True, end=event.end.value
+    )
     request.finish = event.finish
     request.usage = event.usage
     if request.claim is not None:
--- a/marjorambridge/requests/claims.py
+++ b/marjorambridge/requests/claims.py
@@ -20,6 +20,7 @@
 )
 from marjorambridge.requests.events import RequestArrived
 from marjorambridge.requests.permits import set_wait
+from marjorambridge.requests.spans import record_claim
 from marjorambridge.requests.state import (
     Phase,
     Request,
@@ -46,6 +47,7 @@
                 fingerprint=event.fingerprint,
                 give_up_at=compute_start_limit(state, request),
                 wall=event.wall,
+                trace=request.trace,
             )
         )
     ]
@@ -62,10 +64,11 @@
     if request.phase not in (Phase.CLAIMING, Phase.RELEASING):
         return []
     releasing = request.phase is Phase.RELEASING
+    spans = [] if releasing else record_claim(request, event.status.value, event.now)
     if event.status is ClaimStatus.GRANTED:
         if releasing:
             return [Publish(ClaimReleaseWanted(event.now, event.claim, give_up_at))]
-        return ask_somewhere(state, request, event.now)
+        return spans + ask_somewhere(state, request, event.now)
     if event.status is ClaimStatus.UNAVAILABLE:
         if releasing:
             return []
@@ -73,10 +76,10 @@
         expect_late_decision(state, event.claim, event.now)
         _forget_claim(state, request)
         outcome = describe_unreleased(state, Reason.CLAIM_UNAVAILABLE)
-        return finish_request(state, request, outcome, event.now)
+        return spans + finish_request(state, request, outcome, event.now)
     _forget_claim(state, request)
     outcome = _describe_status(state, event)
-    effects: list[Effect] = []
+    effects = spans
     if isinstance(outcome, Done) and not request.caller_gone:
         answer = event.answer
         effects.append(ForwardHeaders(request.ident, answer.status, answer.headers))
@@ -114,6 +117,7 @@
 def record_answer(state: RequestsState, request: Request, now: float) -> list[Effect]:
     """Record a whole answer before the caller gets it."""
     request.phase = Phase.RECORDING
+    request.recorded_from = now
     kept = not request.too_long and len(request.held) <= state.settings.recorded_answer
     body = bytes(request.held) if kept else b""
     answer = RecordedAnswer(request.status, request.headers, body, kept)
@@ -132,7 +136,7 @@
         return []
     if request.phase is Phase.RECORDING:
         # The answer is true whether it is recorded or not.
-        return deliver_answer(state, request, event.now)
+        return deliver_answer(state, request, event.now, event.committed)
     if request.phase is not Phase.RELEASING:
         return []
     if not event.committed:
--- a/marjorambridge/requests/effects.py
+++ b/marjorambridge/requests/effects.py
@@ -27,6 +27,8 @@
         Monotonic time in seconds after which the first byte must not be written.
     timeout : float
         Seconds until the request's deadline.
+    trace : str
+        Trace of the request; empty if it is not traced.
     """
 
     attempt: AttemptId
@@ -36,6 +38,7 @@
     resume_from: int
     start_by: float
     timeout: float
+    trace: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -13,10 +13,12 @@
     Reason,
     Unknown,
 )
+from marjorambridge.core.spans import Hop
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import Drained
 from marjorambridge.requests.permits import create_wait_timer, drop_permit, set_wait
 from marjorambridge.requests.quotas import return_quota
+from marjorambridge.requests.spans import record_claim, record_hop, record_request
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
 
@@ -46,7 +48,10 @@
     """Forget a request and give its caller the final outcome."""
     effects = drop_permit(state, request, now)
     if request.claim is not None:
+        if request.phase is Phase.CLAIMING:
+            effects += record_claim(request, "given_up", now)
         effects += _settle_claim(state, request, outcome, now)
+    effects += record_request(request, outcome, now)
     del state.requests[request.ident]
     return_quota(state, request.workspace)
     reason = "none" if isinstance(outcome, Done) else outcome.reason
@@ -111,6 +116,7 @@
         return finish_request(state, request, outcome, now)
     effects = drop_permit(state, request, now)
     if request.phase is Phase.CLAIMING:
+        effects += record_claim(request, "given_up", now)
         expect_late_decision(state, request.claim, now)
     request.phase = Phase.RELEASING
     request.pending = outcome
@@ -147,9 +153,13 @@
     )
 
 
-def deliver_answer(state: RequestsState, request: Request, now: float) -> list[Effect]:
+def deliver_answer(
+    state: RequestsState, request: Request, now: float, committed: bool = False
+) -> list[Effect]:
     """Give the caller the held answer of a call, which is recorded, or cannot be in time."""
+    start = request.recorded_from
     return [
+        *record_hop(request, Hop.RECORD, request.claim, start, now, committed=committed),
         *forward_held(request),
         *finish_request(state, request, Done(), now),
     ]
--- a/marjorambridge/requests/events.py
+++ b/marjorambridge/requests/events.py
@@ -39,6 +39,8 @@
         What the caller said; None if nothing.
     prefix, prefix_tokens : tuple
         Chained block hashes of the prompt and the tokens that each covers.
+    trace : str
+        Value of the ``traceparent`` header, or the identifier; empty if it is not traced.
     """
 
     request: str
@@ -56,6 +58,7 @@
     repeatable: bool | None = None
     prefix: tuple[bytes, ...] = ()
     prefix_tokens: tuple[int, ...] = ()
+    trace: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/requests/permits.py
+++ b/marjorambridge/requests/permits.py
@@ -4,6 +4,7 @@
 from marjorambridge.core.identity import TimerKey
 from marjorambridge.limits.messages import PermitCancel, PermitRelease, PermitRenew, RunningPermit
 from marjorambridge.requests.effects import CancelAttempt
+from marjorambridge.requests.spans import record_attempt, record_permit
 from marjorambridge.requests.state import Permit, Phase, Released, Request, RequestsState
 from marjorambridge.routing import candidates
 
@@ -28,15 +29,20 @@
         request.permit = None
 
 
-def withdraw_permit(state: RequestsState, request: Request) -> list[Effect]:
+def withdraw_permit(state: RequestsState, request: Request, now: float) -> list[Effect]:
     """Cancel a permit that no attempt uses."""
     permit = request.permit
     if permit is None:
         return []
+    if request.phase is Phase.RUNNING:
+        spans = record_attempt(request, "not_sent", now)
+    else:
+        spans = record_permit(request, "withdrawn", now)
     forget_permit(state, request)
     return [
         CancelTimer(create_wait_timer(request)),
         SendMessage(permit.owner, PermitCancel(permit.ident, permit.shard)),
+        *spans,
     ]
 
 
@@ -47,6 +53,7 @@
     succeeded: bool = False,
     endpoint_failed: bool = False,
     stopped: bool = False,
+    end: str = "abandoned",
 ) -> list[Effect]:
     """Report the end of an attempt to the shard's present owner.
 
@@ -56,6 +63,7 @@
     permit = request.permit
     if permit is None:
         return []
+    spans = record_attempt(request, end, now)
     forget_permit(state, request)
     message = PermitRelease(
         permit=permit.ident,
@@ -66,7 +74,7 @@
         first_token_seconds=permit.first_token_seconds,
     )
     state.released[permit.ident] = Released(message, now + state.settings.permit_expiry)
-    return [SendMessage(find_owner(state, permit), message)]
+    return [SendMessage(find_owner(state, permit), message), *spans]
 
 
 def abandon_attempt(
@@ -83,7 +91,7 @@
     """Give up a request's permit, whether it is asked for or running."""
     if request.phase is Phase.RUNNING:
         return abandon_attempt(state, request, now)
-    return withdraw_permit(state, request)
+    return withdraw_permit(state, request, now)
 
 
 def find_owner(state: RequestsState, permit: Permit) -> str:
--- a/marjorambridge/requests/state.py
+++ b/marjorambridge/requests/state.py
@@ -126,6 +126,10 @@
         Beginning of the answer of the present attempt.
     pending : Outcome or None
         Outcome to give once the release of the claim is committed.
+    trace : str
+        Trace of the request; empty if it is not traced.
+    recorded_from : float
+        Time at which the recording of the answer began.
     """
 
     ident: str
@@ -161,6 +165,8 @@
     usage: dict[str, int] = field(default_factory=dict)
     pending: Outcome | None = None
     caller_gone: bool = False
+    trace: str = ""
+    recorded_from: float = 0.0
 
 
 @dataclass(slots=True)
--- a/marjorambridge/telemetry/traces.py
+++ b/marjorambridge/telemetry/traces.py
@@ -1,5 +1,6 @@
 """Record the spans of requests with OpenTelemetry, as JSON lines or by an exporter of its own."""
 
+import re
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -12,11 +13,12 @@
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor, SpanExporter, SpanExportResult
 from opentelemetry.sdk.trace.id_generator import IdGenerator
+from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
 
 from marjorambridge.core.effects import RecordSpan
 
 NANOSECONDS = 1_000_000_000
-TRACEPARENT_PARTS = 4
+TRACEPARENT = re.compile(r"(?!ff)[0-9a-f]{2}-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}")
 
 
 class _ChosenIds(IdGenerator):
@@ -91,31 +93,65 @@
     >>> parse_trace("request-1")[1]
     0
     """
-    parts = text.split("-")
-    if len(parts) == TRACEPARENT_PARTS:
-        try:
-            trace_id, span_id = int(parts[1], 16), int(parts[2], 16)
-        except ValueError:
-            trace_id, span_id = 0, 0
-        if 0 < trace_id < 1 << 128 and 0 < span_id < 1 << 64:
+    match = TRACEPARENT.fullmatch(text)
+    if match is not None:
+        trace_id, span_id = int(match[1], 16), int(match[2], 16)
+        if trace_id and span_id:
             return trace_id, span_id
     return xxhash.xxh3_128_intdigest(text.encode()) or 1, 0
 
 
-def _compute_span_id(effect: RecordSpan, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{effect.trace}|{name}".encode()) or 1
+def choose_trace(header: str, identifier: str, ratio: float) -> str:
+    """Return the trace of a request, or an empty string if it is not sampled.
+
+    The decision follows from the trace identifier alone, so that all requests of a trace are
+    treated alike by every host with the same ratio. Other text than a ``traceparent`` value never
+    gets into a trace.
+
+    Parameters
+    ----------
+    header : str
+        Value of the caller's ``traceparent`` header; empty if there is none.
+    ratio : float
+        Share of the traces to record, from 0 to 1.
+
+    Examples
+    --------
+    >>> choose_trace("secret", "request-1", 1.0)
+    'request-1'
+    >>> choose_trace("", "request-1", 0.0)
+    ''
+    """
+    trace = header if parse_trace(header)[1] else identifier
+    sampled = parse_trace(trace)[0] & TraceIdRatioBased.TRACE_ID_LIMIT
+    return trace if sampled < TraceIdRatioBased.get_bound_for_rate(ratio) else ""
+
+
+def build_traceparent(trace: str, span: str) -> str:
+    """Return the ``traceparent`` value that makes work outside a child of a span.
+
+    Examples
+    --------
+    >>> build_traceparent("00-0000000000000000000000000000000a-000000000000000b-01", "attempt:1")
+    '00-0000000000000000000000000000000a-e2050e0f9715c6c8-01'
+    """
+    return f"00-{parse_trace(trace)[0]:032x}-{_compute_span_id(trace, span):016x}-01"
+
+
+def _compute_span_id(trace_text: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{trace_text}|{name}".encode()) or 1
 
 
 def record(traces: Traces, effect: RecordSpan) -> None:
     """Write the span of an effect."""
     trace_id, caller = parse_trace(effect.trace)
-    parent = _compute_span_id(effect, effect.parent) if effect.parent else caller
+    parent = _compute_span_id(effect.trace, effect.parent) if effect.parent else caller
     context = None
     if parent:
         around = trace.SpanContext(trace_id, parent, True, trace.TraceFlags(1))
         context = trace.set_span_in_context(trace.NonRecordingSpan(around))
     traces.ids.trace_id = trace_id
-    traces.ids.span_id = _compute_span_id(effect, effect.span)
+    traces.ids.span_id = _compute_span_id(effect.trace, effect.span)
     span = traces.provider.get_tracer("marjorambridge").start_span(
         effect.span.partition(":")[0],
         context=context,
--- a/marjorambridge/wire/gen/claims/ttypes.py
+++ b/marjorambridge/wire/gen/claims/ttypes.py
@@ -161,6 +161,7 @@
      - workspace
      - key
      - fingerprint
+     - trace
 
     """
 
@@ -169,14 +170,16 @@
         'workspace',
         'key',
         'fingerprint',
+        'trace',
     )
 
 
-    def __init__(self, claim=None, workspace=None, key=None, fingerprint=None,):
+    def __init__(self, claim=None, workspace=None, key=None, fingerprint=None, trace=None,):
         self.claim = claim
         self.workspace = workspace
         self.key = key
         self.fingerprint = fingerprint
+        self.trace = trace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -208,6 +211,11 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.trace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -234,6 +242,10 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 4)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.trace is not None:
+            oprot.writeFieldBegin('trace', TType.STRING, 5)
+            oprot.writeString(self.trace.encode('utf-8') if sys.version_info[0] == 2 else self.trace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -591,6 +603,7 @@
     (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'key', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'trace', 'UTF8', None, ),  # 5
 )
 all_structs.append(ClaimComplete)
 ClaimComplete.thrift_spec = (
--- a/marjorambridge/wire/gen/limits/ttypes.py
+++ b/marjorambridge/wire/gen/limits/ttypes.py
@@ -172,6 +172,7 @@
      - prefix
      - prefix_tokens
      - exclude
+     - trace
 
     """
 
@@ -187,13 +188,14 @@
         'prefix',
         'prefix_tokens',
         'exclude',
+        'trace',
     )
 
 
     def __init__(self, permit=None, ask=None, shard=None, workspace=None, weight=None, prompt_tokens=None, output_tokens=None, remaining=None, prefix=[
     ], prefix_tokens=[
     ], exclude=[
-    ],):
+    ], trace=None,):
         self.permit = permit
         self.ask = ask
         self.shard = shard
@@ -214,6 +216,7 @@
             exclude = [
             ]
         self.exclude = exclude
+        self.trace = trace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -295,6 +298,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.trace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -358,6 +366,10 @@
                 oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.trace is not None:
+            oprot.writeFieldBegin('trace', TType.STRING, 12)
+            oprot.writeString(self.trace.encode('utf-8') if sys.version_info[0] == 2 else self.trace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2196,6 +2208,7 @@
     ], ),  # 10
     (11, TType.LIST, 'exclude', (TType.STRING, 'UTF8', False), [
     ], ),  # 11
+    (12, TType.STRING, 'trace', 'UTF8', None, ),  # 12
 )
 all_structs.append(EndpointGrant)
 EndpointGrant.thrift_spec = (
--- a/marjorambridge/wire/idl/claims.thrift
+++ b/marjorambridge/wire/idl/claims.thrift
@@ -16,6 +16,7 @@
   2: string workspace
   3: string key
   4: string fingerprint
+  5: optional string trace
 }
 
 struct ClaimComplete {
--- a/marjorambridge/wire/idl/limits.thrift
+++ b/marjorambridge/wire/idl/limits.thrift
@@ -25,6 +25,7 @@
   9: list<binary> prefix = []
   10: list<i64> prefix_tokens = []
   11: list<string> exclude = []
+  12: optional string trace
 }
 
 struct EndpointGrant {
--- a/tests/requests/test_session.py
+++ b/tests/requests/test_session.py
@@ -13,13 +13,17 @@
 
 from . import harness as hs
 
+TRACE = "00-0000000000000000000000000000000a-000000000000000b-01"
 GOLDEN = Path(__file__).parent / "golden" / "session.json"
 
 
 def play_session() -> str:
-    """Play a question with a cut stream, a booking, a zone out, a revoked permit and a shutdown."""
+    """Play a question with a cut stream, a booking, a zone out, a revoked permit and a shutdown.
+
+    The question and the booking are traced.
+    """
     h = hs.build_harness()
-    hs.arrive(h, "question", prefix=(b"\x01" * 8,), prefix_tokens=(10,))
+    hs.arrive(h, "question", prefix=(b"\x01" * 8,), prefix_tokens=(10,), trace="question")
     hs.queue(h, 0.3)
     hs.advance(h, 0.3)
     first = hs.start(h).attempt
@@ -30,7 +34,7 @@
     second = hs.start(h, "e2").attempt
     hs.chunk(h, second, 2, b"t 12")
     hs.end(h, second, finish="stop", usage={"prompt_tokens": 9, "completion_tokens": 6})
-    hs.book(h, "booking")
+    hs.book(h, "booking", trace=TRACE)
     hs.claim(h)
     hs.deny(h, DenialReason.QUEUE_FULL)
     hs.configure(h, hs.build_configuration(out=("z2",)))
