Give log lines one schema that leaves no room for bodies, keys and tokens

Cause: any field was written, and of exceptions their text, which for a decoding error contains the decoded bytes. The field 'message' of a failed order replaced the text of its line, and errors of malformed frames quoted the frame. What uvicorn logged went to standard error in another form.

Change: only the fields of telemetry/fields.py are written, and of exceptions the class and the place. Lines of libraries go to the same file with their template only. Lines about a request have its identifier and its trace; an outcome that is not known is logged. The reference page is generated from the table.

Result: tests check the fields and messages of all calls in the source, and that values from outside are dropped.

--- a/marjorambridge/claims/client.py
+++ b/marjorambridge/claims/client.py
@@ -75,6 +75,7 @@
         CallPhase.CLAIMING,
         event.give_up_at,
         trace=event.trace,
+        request=event.request,
     )
     state.calls[event.claim] = call
     return _send(state, call, event.now)
@@ -175,7 +176,12 @@
     effects: list[Effect] = []
     if call.background:
         _forget(state, call)
-        fields = {"claim": str(call.claim), "phase": call.phase.value}
+        fields = {
+            "claim": str(call.claim),
+            "phase": call.phase.value,
+            "request": call.request,
+            "trace": call.trace,
+        }
         return [WriteLog("warning", "gave up a claim step; its key stays blocked", fields)]
     if call.phase is CallPhase.CLAIMING:
         effects.append(Publish(ClaimDecided(now, call.claim, ClaimStatus.UNAVAILABLE)))
--- a/marjorambridge/claims/events.py
+++ b/marjorambridge/claims/events.py
@@ -17,6 +17,8 @@
         Monotonic time in seconds until which the client keeps trying.
     trace : str
         Trace of the request; empty if it is not traced.
+    request : str
+        Identifier of the request, for logs.
     """
 
     claim: AttemptId
@@ -26,6 +28,7 @@
     give_up_at: float
     wall: float
     trace: str = ""
+    request: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/claims/state.py
+++ b/marjorambridge/claims/state.py
@@ -144,6 +144,7 @@
     sends: int = 0
     target: str = ""
     trace: str = ""
+    request: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -144,7 +144,7 @@
     for effect in recovery:
         driver.apply_recovery(runtime, effect)
     post(runtime, events.Started(time.monotonic()))
-    logger.bind(incarnation=incarnation, replica=store is not None).info("the host has started")
+    logger.bind(incarnation=incarnation, has_replica=store is not None).info("the host has started")
     return host
 
 
--- a/marjorambridge/membership/replica.py
+++ b/marjorambridge/membership/replica.py
@@ -214,9 +214,15 @@
     try:
         command = decode_entry(message.payload)
     except EntryDecodeError as error:
-        return [_make_log("a forwarded command is malformed; update the host", sender, error)]
+        return [
+            WriteLog(
+                "error",
+                "a forwarded command is malformed; update the host",
+                {"peer": sender, "detail": str(error)},
+            )
+        ]
     if not isinstance(command, OperatorCommand) or check_envelope(command):
-        return [_make_log("a forwarded entry is no valid command", sender, message.command_id)]
+        return [WriteLog("error", "a forwarded entry is no valid command", {"peer": sender})]
     kept = find_kept_answer(replica.control, command)
     if kept is not None:
         return [SendMessage(sender, CommandReply(command.command_id, kept))]
@@ -342,7 +348,3 @@
         "this replica cannot apply the control log any further; update it",
         {"reason": reason, "applied": replica.control.index},
     )
-
-
-def _make_log(message: str, sender: str, detail: object) -> Effect:
-    return WriteLog("error", message, {"sender": sender, "detail": str(detail)})
--- a/marjorambridge/orders/reducer.py
+++ b/marjorambridge/orders/reducer.py
@@ -177,7 +177,7 @@
     endpoint.order = None
     endpoint.busy_until = event.now + settings.retry_seconds
     labels = {"kind": order.kind.value, "status": event.status.value}
-    fields = {"endpoint": event.endpoint, "message": event.message, **labels}
+    fields = {"endpoint": event.endpoint, "detail": event.message, **labels}
     return [
         Measure("orders_failed_total", 1.0, labels),
         WriteLog("warning", "an order failed and will be repeated", fields),
--- a/marjorambridge/requests/claims.py
+++ b/marjorambridge/requests/claims.py
@@ -48,6 +48,7 @@
                 give_up_at=compute_start_limit(state, request),
                 wall=event.wall,
                 trace=request.trace,
+                request=request.ident,
             )
         )
     ]
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -2,7 +2,7 @@
 
 from marjorambridge.claims.events import ClaimCompletionWanted, ClaimReleaseWanted
 from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
-from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, WriteLog
 from marjorambridge.core.identity import AttemptId, TimerKey
 from marjorambridge.core.outcomes import (
     OUTCOME_NAMES,
@@ -68,6 +68,8 @@
         finish,
         Measure("requests_finished_total", 1.0, labels),
     ]
+    if isinstance(outcome, Unknown):
+        effects.append(_log_unknown(request, outcome))
     if state.shutdown is not None:
         if cut:
             state.shutdown.cut += 1
@@ -76,6 +78,18 @@
     return effects + check_drained(state, now)
 
 
+def _log_unknown(request: Request, outcome: Unknown) -> Effect:
+    fields = {
+        "request": request.ident,
+        "trace": request.trace,
+        "workspace": request.workspace,
+        "service": request.service,
+        "reason": outcome.reason.value,
+        "attempts": request.attempts,
+    }
+    return WriteLog("warning", "it is not known whether a call ran; look up its result", fields)
+
+
 def _settle_claim(
     state: RequestsState, request: Request, outcome: Outcome, now: float
 ) -> list[Effect]:
--- /dev/null
+++ b/marjorambridge/telemetry/fields.py
@@ -0,0 +1,54 @@
+"""List the fields of log lines; a field that is not listed is not written.
+
+None of them takes text from a caller: bodies, keys and tokens have no field.
+"""
+
+FIELDS: dict[str, str] = {
+    "applied": "index of the last applied entry of log group 0",
+    "attempts": "attempts of a request that may have reached an endpoint",
+    "bytes": "size in bytes",
+    "claim": "identity of a claim",
+    "cut": "requests that a shutdown cut",
+    "detail": "text of an error, or an endpoint's answer to an order",
+    "effect": "class of an effect",
+    "ended": "requests that ended by themselves during a shutdown",
+    "endpoint": "name of an endpoint",
+    "epoch": "log index of the view that assigned a shard",
+    "error": "text of an error of this program, its settings or the operating system",
+    "forced": "whether a shutdown cuts the requests in progress",
+    "group": "number of the replicated log group",
+    "has_replica": "whether the host keeps a replica of the logs",
+    "incarnation": "incarnation of the process",
+    "kind": "kind of an order",
+    "leader": "host that leads a log group; empty for none",
+    "logger": "logger of a library, such as `uvicorn.error`",
+    "peer": "name of another host",
+    "permits": "number of permits",
+    "phase": "step of a claim",
+    "reason": "reason of an outcome or of a halt",
+    "replica": "host that keeps a replica",
+    "replicas_answering": "replicas that answered the last poll",
+    "request": "identifier of a request",
+    "seconds": "duration in seconds",
+    "service": "service of the configuration",
+    "shard": "`service/zone/bucket`",
+    "stage": "step of the repair of a replica",
+    "status": "status of the answer to an order",
+    "term": "term of a log group",
+    "trace": "trace of a request; empty if it is not traced",
+    "workspace": "workspace of the configuration",
+}
+
+# Fields that every line has, and those that the writer adds.
+COMMON: dict[str, str] = {
+    "time": "time in ISO 8601 with the offset from UTC",
+    "level": "`DEBUG`, `INFO`, `WARNING`, `ERROR` or `CRITICAL`",
+    "message": "fixed text of the line, without values",
+    "module": "module that wrote the line",
+    "host": "name of the host",
+}
+ADDED: dict[str, str] = {
+    "exception": "class of an exception; its text is not written",
+    "raised_at": "file and line that raised the exception",
+    "dropped": "names of fields that are not listed here, or whose values are no plain ones",
+}
--- a/marjorambridge/telemetry/logs.py
+++ b/marjorambridge/telemetry/logs.py
@@ -1,6 +1,13 @@
-"""Write structured logs as JSON lines."""
+"""Write structured logs as JSON lines.
 
+A line has a fixed message, the fields of `marjorambridge.telemetry.fields` and nothing else, so
+that no body, key or token can get into it.
+"""
+
+import logging
 import sys
+import traceback
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -8,6 +15,23 @@
 
 from marjorambridge.conf.settings import LogSettings
 from marjorambridge.core.effects import WriteLog
+from marjorambridge.telemetry.fields import FIELDS
+
+MAX_TEXT_CHARACTERS = 500
+# Below this level, libraries log what they send and receive.
+LIBRARY_LEVEL = logging.INFO
+
+
+class _LibraryHandler(logging.Handler):
+    """Pass what libraries log, uvicorn among them, on to the JSON lines.
+
+    Only the first line of the template is taken over: the values may come from callers.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        text = str(record.msg).partition("\n")[0][:MAX_TEXT_CHARACTERS]
+        bound = logger.bind(logger=record.name).opt(exception=record.exc_info)
+        bound.log(record.levelname, "{}", text)
 
 
 def start(settings: LogSettings, host: str) -> None:
@@ -18,10 +42,12 @@
     # A file is opened by loguru and appended to; "enqueue" is off so that the last lines before a
     # crash are written.
     logger.add(target, level=settings.level, format=_choose_format, backtrace=False)
+    logging.basicConfig(handlers=[_LibraryHandler()], level=LIBRARY_LEVEL, force=True)
 
 
 def close() -> None:
     """Flush and close the log."""
+    logging.basicConfig(handlers=[logging.NullHandler()], force=True)
     logger.complete()
     logger.remove()
 
@@ -32,17 +58,37 @@
 
 
 def _attach_json(record: Any) -> None:
-    fields = {key: value for key, value in record["extra"].items() if key != "serialized"}
     line = {
         "time": record["time"].isoformat(),
         "level": record["level"].name,
         "message": record["message"],
         "module": record["name"],
-        **fields,
+        "host": record["extra"].get("host", ""),
     }
+    dropped = []
+    for name, value in record["extra"].items():
+        if name in ("host", "serialized"):
+            continue
+        if name in FIELDS and isinstance(value, str | int | float):
+            line[name] = value[:MAX_TEXT_CHARACTERS] if isinstance(value, str) else value
+        else:
+            dropped.append(name)
+    if dropped:
+        line["dropped"] = dropped
     if record["exception"] is not None:
-        line["exception"] = repr(record["exception"].value)
-    record["extra"]["serialized"] = msgspec.json.encode(line, enc_hook=str).decode()
+        line.update(_describe_exception(record["exception"]))
+    record["extra"]["serialized"] = msgspec.json.encode(line).decode()
+
+
+def _describe_exception(raised: Any) -> dict[str, str]:
+    """Return the class and the place; the text may hold what the failed code worked on."""
+    fields = {"exception": raised.type.__name__ if raised.type else "none"}
+    frames = traceback.extract_tb(raised.traceback)
+    if frames:
+        fields["raised_at"] = (
+            f"{'/'.join(Path(frames[-1].filename).parts[-2:])}:{frames[-1].lineno}"
+        )
+    return fields
 
 
 def write(effect: WriteLog) -> None:
--- a/marjorambridge/wire/codec.py
+++ b/marjorambridge/wire/codec.py
@@ -59,7 +59,9 @@
     except Exception as error:
         # The thrift library raises many kinds of exceptions, EOFError and UnicodeDecodeError
         # among them, for malformed input.
-        raise WireError(f"malformed {structure.__name__}: {error!r}; drop the frame") from error
+        # The text of some of them contains the data.
+        name = type(error).__name__
+        raise WireError(f"malformed {structure.__name__}: {name}; drop the frame") from error
     return value
 
 
--- a/scripts/generate_reference.py
+++ b/scripts/generate_reference.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from marjorambridge.telemetry.fields import ADDED, COMMON, FIELDS
 from marjorambridge.telemetry.metrics import PREFIX
 from marjorambridge.telemetry.series import LABELS, SERIES
 
@@ -34,7 +35,35 @@
     return METRICS_HEAD + "".join(rows) + head + "".join(labels) + "".join(buckets)
 
 
-PAGES = {"metrics.md": render_metrics}
+LOGS_HEAD = """\
+# Logs
+
+A host writes one JSON object on a line to `log.file`, or to standard error. `log.level` is the
+lowest level written. The message of a line is a fixed text; values are in the fields below. This
+page is generated from `marjorambridge/telemetry/fields.py` by `scripts/generate_reference.py`.
+
+A line that concerns a request has the fields `request` and `trace`. Bodies, prompts, workspace
+keys, idempotency keys and operator tokens have no field. A field that is not listed, or whose value
+is not a text, a number or a truth value, is dropped and named in `dropped`. Texts are cut after
+500 characters. Of an exception only its class and place are written.
+
+What libraries log from level `INFO`, such as uvicorn, goes to the same lines; `logger` names the
+logger, and the message is the library's template without its values. There is no access log; the
+metrics count requests and the traces describe them.
+"""
+
+
+def render_logs() -> str:
+    """Return the page of all fields of log lines."""
+    parts = [LOGS_HEAD]
+    sections = {"Every line": COMMON, "By line": FIELDS, "Added by the writer": ADDED}
+    for title, fields in sections.items():
+        parts.append(f"\n## {title}\n\n| Field | Meaning |\n|---|---|\n")
+        parts += [f"| `{name}` | {text} |\n" for name, text in fields.items()]
+    return "".join(parts)
+
+
+PAGES = {"metrics.md": render_metrics, "logs.md": render_logs}
 
 
 def write_pages() -> None:
--- /dev/null
+++ b/tests/telemetry/test_logs.py
@@ -0,0 +1,92 @@
+"""Guard log lines against bodies, keys and tokens, and against fields that nobody documented."""
+
+import ast
+import json
+import logging
+
+import pytest
+from loguru import logger
+
+from marjorambridge.conf.settings import LogSettings
+from marjorambridge.core.effects import WriteLog
+from marjorambridge.telemetry import logs
+from marjorambridge.telemetry.fields import ADDED, COMMON, FIELDS
+
+from .sources import list_calls, list_keys
+
+SECRET = "canary-91f3"
+LEVELS = ("debug", "info", "warning", "error", "critical", "exception")
+
+
+@pytest.fixture
+def read_lines(tmp_path):
+    path = tmp_path / "log"
+    logs.start(LogSettings("DEBUG", str(path)), "host-1")
+    yield lambda: [json.loads(line) for line in path.read_text("utf-8").splitlines()]
+    logs.close()
+
+
+def test_every_message_is_fixed_and_every_field_is_listed():
+    found = 0
+    for place, call, function in list_calls("WriteLog", "effects.WriteLog"):
+        found += 1
+        assert isinstance(call.args[1], ast.Constant), f"{place}: the message must be fixed"
+        if len(call.args) > 2:
+            assert list_keys(call.args[2], function) <= set(FIELDS), place
+    for place, call, _ in list_calls("logger.bind"):
+        found += 1
+        names = {keyword.arg for keyword in call.keywords}
+        assert names <= set(FIELDS) or place.startswith("marjorambridge/telemetry/logs.py"), place
+    for place, call, _ in list_logger_calls():
+        found += 1
+        assert isinstance(call.args[0], ast.Constant), f"{place}: the message must be fixed"
+    assert found > 20
+    assert not set(FIELDS) & (set(COMMON) | set(ADDED))
+
+
+def list_logger_calls():
+    """Yield the calls of ``logger.info`` and ``logger.bind(...).info``, and of other levels."""
+    names = {
+        ast.unparse(call) + f".{level}"
+        for _, call, _ in list_calls("logger.bind")
+        for level in LEVELS
+    }
+    yield from list_calls(*names, *(f"logger.{level}" for level in LEVELS))
+
+
+def test_only_listed_fields_with_plain_values_are_written(read_lines):
+    fields = {"request": "r1", "trace": "", "body": SECRET, "detail": SECRET.encode(), "cut": 3}
+    logs.write(WriteLog("warning", "a fixed message with {braces}", fields))
+    (line,) = read_lines()
+    assert SECRET not in json.dumps(line)
+    assert set(line) == {*COMMON, "request", "trace", "cut", "dropped"}
+    assert sorted(line["dropped"]) == ["body", "detail"]
+    assert line["message"] == "a fixed message with {braces}"
+    assert (line["host"], line["level"], line["cut"]) == ("host-1", "WARNING", 3)
+
+
+def test_long_texts_are_cut(read_lines):
+    logs.write(WriteLog("info", "m", {"detail": "x" * 10_000}))
+    assert len(read_lines()[0]["detail"]) == logs.MAX_TEXT_CHARACTERS
+
+
+def test_the_text_of_an_exception_is_not_written(read_lines):
+    try:
+        (SECRET.encode() + b"\xff").decode()
+    except UnicodeDecodeError:
+        logger.exception("decoding failed")
+        logging.getLogger("uvicorn.error").exception("Exception in ASGI application\n")
+    own, library = read_lines()
+    assert SECRET not in json.dumps([own, library])
+    assert own["exception"] == library["exception"] == "UnicodeDecodeError"
+    assert own["raised_at"].startswith("telemetry/test_logs.py:")
+    assert library["message"] == "Exception in ASGI application"
+
+
+@pytest.mark.parametrize("name", ["uvicorn", "uvicorn.error", "uvicorn.access", "asyncio"])
+def test_what_libraries_log_becomes_a_line_without_its_values(read_lines, name):
+    logging.getLogger(name).warning('%s - "%s"\n%s', SECRET, SECRET, SECRET)
+    logging.getLogger(name).debug("sent %s", SECRET)
+    (line,) = read_lines()
+    assert SECRET not in json.dumps(line)
+    assert (line["logger"], line["level"], line["message"]) == (name, "WARNING", '%s - "%s"')
