Connect the orders to engines with the node

Cause: the orders part was not part of a node: nothing applied its entries, reported endpoints to it, sent its orders or let an operator set a target.

The membership part hands the state on; the issuer shares it, so that a new leader never starts from an older token level. Hosts publish the leader of group 0 that they learn of, and shard owners report announcements and waiting requests to it. The endpoint driver sends orders, checks their lifetime at the first byte and closes the connection at its end. The command set_target goes the way of other operator commands with the version of the target state as its base. The stand-in engine unloads models and adapters.

Result: a test of three host processes sets a target through a host that does not lead, resends it, meets a conflict, kills the leader, sets another target, restarts the host and finds each order carried out once on both engines.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -147,6 +147,11 @@
 ORDER_RESULTS = 1_000
 # Endpoints and numbers of waiting callers that were not reported for this long are ignored.
 INVENTORY_SECONDS = 10.0
+INVENTORY_INTERVAL_SECONDS = 1.0
+# Unchanged endpoints are reported at this interval, so that two lost reports do not make the issuer
+# ignore them. A summary has about 100 bytes; reporting all every second would take a third of the
+# control traffic that a host may cause.
+INVENTORY_REPEAT_SECONDS = 4.0
 DEMAND_SECONDS = 10.0
 WEIGHT_STORE_BYTES_PER_SECOND = 1e9
 WEIGHT_STORE_BURST_BYTES = 20e9
--- a/marjorambridge/configuration/json_commands.py
+++ b/marjorambridge/configuration/json_commands.py
@@ -7,8 +7,35 @@
 from marjorambridge.configuration.codec import APPLY_CONFIGURATION, CHANGE_KINDS
 from marjorambridge.configuration.commands import ApplyConfiguration, Change, OperatorCommand
 from marjorambridge.configuration.exceptions import EntryDecodeError
+from marjorambridge.orders.state_machine import Artifact, SetTarget, Target
 
 KIND = "kind"
+SET_TARGET = "set_target"
+
+
+class _Artifact(msgspec.Struct, forbid_unknown_fields=True):
+    name: str
+    size_bytes: int = 0
+
+
+class _Target(msgspec.Struct, forbid_unknown_fields=True):
+    models: list[_Artifact] | None = None
+    adapters: list[_Artifact] | None = None
+    version: str = ""
+    role: str = ""
+
+
+class _SetTarget(msgspec.Struct, forbid_unknown_fields=True):
+    kind: str
+    name: str
+    endpoint: bool = False
+    target: _Target | None = None
+
+
+class _TargetCommand(msgspec.Struct):
+    command_id: str
+    base_version: int
+    change: _SetTarget
 
 
 def make_change_object(change: Change | ApplyConfiguration) -> dict[str, Any]:
@@ -61,6 +88,47 @@
         raise EntryDecodeError(f"the command is not valid ({error}); correct it") from error
 
 
+def is_target_command(raw: Any) -> bool:
+    """Tell whether a JSON object is a command that sets the target of a service or endpoint."""
+    change = raw.get("change") if isinstance(raw, dict) else None
+    return isinstance(change, dict) and change.get(KIND) == SET_TARGET
+
+
+def parse_target_command(raw: Any) -> SetTarget:
+    """Parse a command that sets a target; its base version is that of the target state.
+
+    Raises
+    ------
+    EntryDecodeError
+        If a field is missing or has a wrong type.
+
+    Examples
+    --------
+    >>> target = {"adapters": [{"name": "ledger-gu", "size_bytes": 7}]}
+    >>> change = {"kind": "set_target", "name": "geru-model", "target": target}
+    >>> command = parse_target_command({"command_id": "c1", "base_version": 0, "change": change})
+    >>> command.target.adapters
+    (Artifact(name='ledger-gu', size_bytes=7),)
+    """
+    try:
+        command = msgspec.convert(raw, _TargetCommand)
+    except msgspec.ValidationError as error:
+        raise EntryDecodeError(f"the command is not valid ({error}); correct it") from error
+    change, target = command.change, None
+    if change.target is not None:
+        target = Target(
+            _list_artifacts(change.target.models),
+            _list_artifacts(change.target.adapters),
+            change.target.version,
+            change.target.role,
+        )
+    return SetTarget(command.command_id, command.base_version, change.endpoint, change.name, target)
+
+
+def _list_artifacts(items: list[_Artifact] | None) -> tuple[Artifact, ...] | None:
+    return None if items is None else tuple(Artifact(item.name, item.size_bytes) for item in items)
+
+
 def _parse_change(raw: Any) -> Change | ApplyConfiguration:
     if not isinstance(raw, dict):
         raise EntryDecodeError("the command has no change object; add it")
--- a/marjorambridge/configuration/state.py
+++ b/marjorambridge/configuration/state.py
@@ -6,6 +6,7 @@
 from marjorambridge.configuration.faults import Fault
 from marjorambridge.configuration.models import Configuration
 from marjorambridge.core.view import View
+from marjorambridge.orders.state_machine import TargetState
 
 
 class AnswerStatus(StrEnum):
@@ -115,6 +116,8 @@
         Greatest wall time of all commands.
     forgotten_wall : float
         Greatest wall time of the forgotten commands that had no base version.
+    targets : TargetState
+        Target state of the endpoints; changed in place.
     """
 
     index: int = 0
@@ -126,3 +129,4 @@
     history: list[ChangeRecord] = field(default_factory=list)
     wall: float = 0.0
     forgotten_wall: float = 0.0
+    targets: TargetState = field(default_factory=TargetState)
--- a/marjorambridge/configuration/state_machine.py
+++ b/marjorambridge/configuration/state_machine.py
@@ -37,7 +37,7 @@
     describe_change,
     list_command_changes,
 )
-from marjorambridge.configuration.exceptions import SnapshotDecodeError
+from marjorambridge.configuration.exceptions import EntryDecodeError, SnapshotDecodeError
 from marjorambridge.configuration.faults import Fault, limit_faults, suggest_name
 from marjorambridge.configuration.models import AvailabilityZone, Configuration
 from marjorambridge.configuration.state import (
@@ -49,6 +49,12 @@
 )
 from marjorambridge.configuration.validation import iterate_faults
 from marjorambridge.core.view import HostState, View
+from marjorambridge.orders.exceptions import OrderEntryError
+from marjorambridge.orders.state_machine import (
+    OrderResult,
+    apply_order_entry,
+    is_order_payload,
+)
 
 MAX_IDENTIFIER_LENGTH = 128
 MAX_SUMMARY_LENGTH = 200
@@ -68,6 +74,7 @@
     answer: CommandAnswer | None = None
     configuration_changed: bool = False
     view_changed: bool = False
+    targets_changed: bool = False
 
 
 def apply_entry(state: ControlState, index: int, payload: bytes) -> AppliedEntry:
@@ -83,6 +90,8 @@
     """
     if index <= state.index:
         return AppliedEntry()
+    if is_order_payload(payload):
+        return _apply_order(state, index, payload)
     entry = decode_entry(payload) if payload else None
     state.index = index
     version = state.configuration.version
@@ -112,6 +121,24 @@
     )
 
 
+def _apply_order(state: ControlState, index: int, payload: bytes) -> AppliedEntry:
+    try:
+        result = apply_order_entry(state.targets, payload)
+    except OrderEntryError as error:
+        raise EntryDecodeError(str(error)) from error
+    state.index = index
+    return AppliedEntry(result and answer_target(result), targets_changed=True)
+
+
+def answer_target(result: OrderResult) -> CommandAnswer:
+    """Return the answer to an operator who set a target; the version is that of the targets."""
+    if result.accepted:
+        status, message = AnswerStatus.ACCEPTED, f"target state {result.version}"
+    else:
+        status, message = AnswerStatus.CONFLICT, result.message
+    return CommandAnswer(result.command, status, result.version, message)
+
+
 def find_kept_answer(state: ControlState, command: OperatorCommand) -> CommandAnswer | None:
     """Return the answer to a command whose identifier is kept, or None if it is not."""
     kept = state.answers.get(command.command_id)
--- a/marjorambridge/core/events.py
+++ b/marjorambridge/core/events.py
@@ -100,3 +100,10 @@
     """
 
     fresh_until: float
+
+
+@dataclass(slots=True)
+class ControlLeaderChanged(Event):
+    """Tell that this host learned of another leader of log group 0; empty for none."""
+
+    leader: str
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -37,6 +37,7 @@
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
 from marjorambridge.node.composition import compose_node
+from marjorambridge.orders.effects import SendOrder
 from marjorambridge.replication.effects import (
     AppendRecords,
     SaveCluster,
@@ -187,7 +188,7 @@
     handlers[effects.Measure] = lambda effect: metrics.record(host.metrics, effect)
     handlers[effects.Notify] = lambda effect: _take_notice(host, effect.event)
     handlers[effects.RecordSpan] = lambda effect: _record_span(host, effect)
-    for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint):
+    for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint, SendOrder):
         handlers[kind] = lambda effect: carry_out(host.endpoints, effect)
     for kind in (ForwardHeaders, ForwardChunk, FinishRequest):
         handlers[kind] = lambda effect: deliver(host.registry, effect)
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -11,13 +11,18 @@
 
 from marjorambridge.configuration.commands import OperatorCommand
 from marjorambridge.configuration.exceptions import EntryDecodeError
-from marjorambridge.configuration.json_commands import parse_command
+from marjorambridge.configuration.json_commands import (
+    is_target_command,
+    parse_command,
+    parse_target_command,
+)
 from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
 from marjorambridge.daemon.gauges import render_metrics
 from marjorambridge.daemon.runtime import post
 from marjorambridge.daemon.state_dump import describe_state
 from marjorambridge.http.admin import AdminCallbacks
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
+from marjorambridge.orders.state_machine import SetTarget
 
 if TYPE_CHECKING:
     from marjorambridge.daemon.host import Host
@@ -60,7 +65,7 @@
 
     async def run_command(raw: dict[str, Any]) -> tuple[int, Any]:
         try:
-            command = parse_command(raw)
+            command = parse_target_command(raw) if is_target_command(raw) else parse_command(raw)
         except EntryDecodeError as error:
             return 400, {"status": "invalid", "message": str(error)}
         answer = await _submit(host, command)
@@ -75,16 +80,17 @@
     )
 
 
-async def _submit(host: "Host", command: OperatorCommand) -> CommandAnswer:
+async def _submit(host: "Host", command: OperatorCommand | SetTarget) -> CommandAnswer:
     waiter = Waiter()
-    host.operators.waiting.setdefault(command.command_id, []).append(waiter)
+    identifier = command.command if isinstance(command, SetTarget) else command.command_id
+    host.operators.waiting.setdefault(identifier, []).append(waiter)
     post(host.runtime, CommandSubmitted(time.monotonic(), command))
     with anyio.move_on_after(ANSWER_SECONDS):
         await waiter.event.wait()
     if waiter.answer is not None:
         return waiter.answer
     return CommandAnswer(
-        command.command_id,
+        identifier,
         AnswerStatus.UNAVAILABLE,
         0,
         "no answer came in time; send the same command again",
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -5,6 +5,7 @@
 
 from marjorambridge.core.records import make_record
 from marjorambridge.limits.shard import Endpoint, Shard
+from marjorambridge.orders.state_machine import Artifact, Target
 
 if TYPE_CHECKING:
     from marjorambridge.daemon.host import Host
@@ -27,6 +28,11 @@
         "configuration": make_record(control.configuration),
         "view": make_record(control.view),
         "history": make_record(control.history[-20:]),
+        "targets": {
+            "version": control.targets.version,
+            "services": _describe_targets(control.targets.services),
+            "endpoints": _describe_targets(control.targets.endpoints),
+        },
         "shards": [_describe_shard(shard, now) for shard in parts["limits"].state.shards.values()],
         "requests": len(parts["requests"].state.requests),
         "sent_bytes": host.network.sent_bytes,
@@ -54,6 +60,24 @@
     return description
 
 
+def _describe_targets(targets: dict[str, Target]) -> dict[str, Any]:
+    return {
+        name: {
+            "models": _describe_artifacts(target.models),
+            "adapters": _describe_artifacts(target.adapters),
+            "version": target.version,
+            "role": target.role,
+        }
+        for name, target in targets.items()
+    }
+
+
+def _describe_artifacts(items: tuple[Artifact, ...] | None) -> list[dict[str, Any]] | None:
+    if items is None:
+        return None
+    return [{"name": item.name, "size_bytes": item.size_bytes} for item in items]
+
+
 def _describe_shard(shard: Shard, now: float) -> dict[str, Any]:
     return {
         "shard": shard.name,
--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -15,6 +15,7 @@
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.spans import Hop, name_span
+from marjorambridge.http import orders
 from marjorambridge.http.bodies import DECODE_ERRORS, decode_object
 from marjorambridge.http.exceptions import EndpointProtocolError, HttpError, RequestError
 from marjorambridge.http.registry import Registry, StoredRequest
@@ -22,6 +23,7 @@
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.limits.events import EndpointCancelled
 from marjorambridge.limits.messages import EndpointGrant
+from marjorambridge.orders.effects import SendOrder
 from marjorambridge.requests.effects import CancelAttempt, StartAttempt
 from marjorambridge.requests.events import (
     AttemptChunk,
@@ -69,6 +71,8 @@
         Longest time for one cancel; the reducer asks again.
     part_seconds : float
         Time for which a part of a group is reserved before the lead renews it.
+    order_seconds : float
+        Longest time to wait for the answer to an order.
     """
 
     connections: int = 256
@@ -76,6 +80,7 @@
     pool_idle_seconds: float = 30.0
     cancel_seconds: float = 1.0
     part_seconds: float = 5.0
+    order_seconds: float = 5.0
 
 
 @dataclass(slots=True)
@@ -164,6 +169,8 @@
         _spawn(driver, _cancel_on_endpoint(driver, effect))
     elif isinstance(effect, CancelHostOnEndpoint):
         _spawn(driver, _cancel_host_on_endpoint(driver, effect))
+    elif isinstance(effect, SendOrder):
+        _spawn(driver, _send_order(driver, effect))
     else:
         raise TypeError(f"{type(effect).__name__} is not an effect on endpoints")
 
@@ -316,6 +323,19 @@
         )
 
 
+async def _send_order(driver: EndpointDriver, effect: SendOrder) -> None:
+    entry = _use_pool(driver, effect.address)
+    entry.users += 1
+    try:
+        url = _build_url(effect.address, orders.ORDERS_PATH)
+        seconds = driver.settings.order_seconds
+        answer = await orders.send_order(entry.pool, url, effect, driver.clock, seconds)
+    finally:
+        entry.users -= 1
+    if answer is not None:
+        driver.post(answer)
+
+
 async def _tell_cancel(
     driver: EndpointDriver, attempt: AttemptId, endpoints: tuple[EndpointGrant, ...]
 ) -> None:
--- a/marjorambridge/limits/reducer.py
+++ b/marjorambridge/limits/reducer.py
@@ -3,6 +3,7 @@
 from marjorambridge.core.effects import Effect, SetTimer
 from marjorambridge.core.events import (
     ConfigurationApplied,
+    ControlLeaderChanged,
     Event,
     FreshnessChanged,
     MessageReceived,
@@ -19,6 +20,7 @@
     repeat_host_cancel,
 )
 from marjorambridge.limits.events import EndpointAnnounced, EndpointCancelled
+from marjorambridge.limits.inventory import handle_leader, report_inventory
 from marjorambridge.limits.ledger import forget_ended
 from marjorambridge.limits.messages import (
     Announcement,
@@ -46,7 +48,14 @@
 
 # What the node reducer delivers to this part, besides its own timer.
 EVENTS = frozenset(
-    {EndpointAnnounced, EndpointCancelled, FreshnessChanged, ViewApplied, ConfigurationApplied}
+    {
+        EndpointAnnounced,
+        EndpointCancelled,
+        FreshnessChanged,
+        ViewApplied,
+        ConfigurationApplied,
+        ControlLeaderChanged,
+    }
 )
 MESSAGES = frozenset(
     {PermitRequest, PermitRenew, PermitRelease, PermitCancel, Announcement, ShardHandover}
@@ -85,6 +94,8 @@
         return apply_view(state, event.index, event.view, now)
     if isinstance(event, ConfigurationApplied):
         return apply_configuration(state, event.index, event.configuration, now)
+    if isinstance(event, ControlLeaderChanged):
+        return handle_leader(state, event)
     return []
 
 
@@ -117,7 +128,7 @@
         state.expire_from = now + 2 * settings.permit_renewal_seconds
     state.last_tick = now
     _forget_hosts(state, now)
-    effects: list[Effect] = []
+    effects = report_inventory(state, now)
     for shard in state.shards.values():
         effects += _tick_shard(state, shard, now)
     state.ticking = bool(state.shards)
--- a/marjorambridge/limits/state.py
+++ b/marjorambridge/limits/state.py
@@ -9,6 +9,7 @@
 from marjorambridge.limits.messages import ShardHandover
 from marjorambridge.limits.settings import LimitsSettings
 from marjorambridge.limits.shard import Shard
+from marjorambridge.orders.messages import EndpointSummary
 
 
 @dataclass(slots=True)
@@ -34,6 +35,12 @@
         Time before which no permit expires, because renewals may lie unread after a freeze.
     ticking : bool
         Whether the timer of the owner is set.
+    control_leader : str
+        Leader of log group 0, which issues orders; empty if it is not known.
+    inventory_at : float
+        Time of the last report to it.
+    inventory, demand : dict
+        What was last reported: time and summary of each endpoint, waiting requests by service.
     """
 
     host: str
@@ -52,6 +59,10 @@
     last_tick: float = float("-inf")
     expire_from: float = float("-inf")
     ticking: bool = False
+    control_leader: str = ""
+    inventory_at: float = float("-inf")
+    inventory: dict[str, tuple[float, EndpointSummary]] = field(default_factory=dict)
+    demand: dict[str, int] = field(default_factory=dict)
 
 
 def create_state(
--- a/marjorambridge/membership/events.py
+++ b/marjorambridge/membership/events.py
@@ -5,13 +5,14 @@
 from marjorambridge.configuration.commands import OperatorCommand
 from marjorambridge.configuration.state import CommandAnswer
 from marjorambridge.core.events import Event
+from marjorambridge.orders.state_machine import SetTarget
 
 
 @dataclass(slots=True)
 class CommandSubmitted(Event):
     """Deliver an operator command; any host accepts it, and `CommandAnswered` answers."""
 
-    command: OperatorCommand
+    command: OperatorCommand | SetTarget
 
 
 @dataclass(slots=True)
--- a/marjorambridge/membership/host.py
+++ b/marjorambridge/membership/host.py
@@ -22,7 +22,12 @@
 from marjorambridge.configuration.state import ControlState
 from marjorambridge.configuration.state_machine import apply_entry, restore_snapshot
 from marjorambridge.core.effects import Effect, Publish, SendMessage, WriteLog
-from marjorambridge.core.events import ConfigurationApplied, FreshnessChanged, ViewApplied
+from marjorambridge.core.events import (
+    ConfigurationApplied,
+    ControlLeaderChanged,
+    FreshnessChanged,
+    ViewApplied,
+)
 from marjorambridge.core.view import View
 from marjorambridge.membership.messages import (
     EntryBatch,
@@ -92,11 +97,13 @@
     host, settings = state.host, state.settings
     if reply.incarnation != settings.incarnation or sender not in list_targets(state):
         return []
+    effects: list[Effect] = []
     if reply.leader and reply.term >= host.term:
+        if reply.leader != host.leader:
+            effects.append(Publish(ControlLeaderChanged(now, reply.leader)))
         host.leader, host.term = reply.leader, reply.term
     before = host.control.index
     received = len(host.transfer.data) if host.transfer else 0
-    effects: list[Effect] = []
     if not host.halted:
         if reply.batch is not None:
             effects += _apply_batch(host, reply.batch, now)
--- a/marjorambridge/membership/reducer.py
+++ b/marjorambridge/membership/reducer.py
@@ -37,7 +37,7 @@
     now = event.now
     match event:
         case Started():
-            return _poll(state, now)
+            return replica.publish_targets(state, now) + _poll(state, now)
         case ShutdownRequested():
             return host.request_leave(state)
         case TimerFired(_, key) if key == POLL_TIMER:
--- a/marjorambridge/membership/replica.py
+++ b/marjorambridge/membership/replica.py
@@ -3,14 +3,17 @@
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.codec import decode_entry, encode_entry
 from marjorambridge.configuration.commands import (
+    Entry,
     HostJoined,
     HostLeaving,
     HostRemoved,
     OperatorCommand,
 )
 from marjorambridge.configuration.exceptions import EntryDecodeError, SnapshotDecodeError
+from marjorambridge.configuration.state import CommandAnswer
 from marjorambridge.configuration.state_machine import (
     MAX_IDENTIFIER_LENGTH,
+    answer_target,
     apply_entry,
     check_envelope,
     find_kept_answer,
@@ -36,6 +39,15 @@
     MembershipState,
     ReplicaSide,
 )
+from marjorambridge.membership.submission import check_target
+from marjorambridge.orders.events import TargetStateApplied
+from marjorambridge.orders.exceptions import OrderEntryError
+from marjorambridge.orders.state_machine import (
+    OrderCommand,
+    SetTarget,
+    decode_command,
+    is_order_payload,
+)
 from marjorambridge.replication.events import (
     EntryCommitted,
     LeadershipChanged,
@@ -68,10 +80,11 @@
         replica.recent_after = oldest.index
     if applied.view_changed:
         _drop_settled_proposals(replica)
+    effects = [_publish_targets(replica, event.now)] if applied.targets_changed else []
     waiting = replica.commands.pop(event.payload, None)
     if waiting is None or applied.answer is None:
-        return []
-    return [
+        return effects
+    return effects + [
         SendMessage(origin, CommandReply(applied.answer.command_id, applied.answer))
         for origin in waiting.origins
     ]
@@ -94,7 +107,7 @@
     replica.snapshot, replica.snapshot_index = event.data, control.index
     replica.halted = ""
     _drop_settled_proposals(replica)
-    return []
+    return [_publish_targets(replica, event.now)]
 
 
 def handle_snapshot_request(state: MembershipState, now: float) -> list[Effect]:
@@ -212,7 +225,7 @@
         return [SendMessage(sender, CommandRedirect(message.command_id, leader, term))]
     # An entry that cannot be decoded would stop every host, so it must never be proposed.
     try:
-        command = decode_entry(message.payload)
+        command = _decode_forward(message.payload)
     except EntryDecodeError as error:
         return [
             WriteLog(
@@ -221,11 +234,15 @@
                 {"peer": sender, "detail": str(error)},
             )
         ]
-    if not isinstance(command, OperatorCommand) or check_envelope(command):
+    if isinstance(command, SetTarget):
+        valid = not check_target(command)
+    else:
+        valid = isinstance(command, OperatorCommand) and not check_envelope(command)
+    if not valid:
         return [WriteLog("error", "a forwarded entry is no valid command", {"peer": sender})]
-    kept = find_kept_answer(replica.control, command)
+    kept = _find_answer(replica, command)
     if kept is not None:
-        return [SendMessage(sender, CommandReply(command.command_id, kept))]
+        return [SendMessage(sender, CommandReply(kept.command_id, kept))]
     waiting = replica.commands.get(message.payload)
     if waiting is not None:
         waiting.origins[sender] = None
@@ -242,6 +259,35 @@
     return [Publish(ProposalRequested(now, CONTROL_GROUP, waiting.proposal, message.payload))]
 
 
+def _decode_forward(payload: bytes) -> Entry | OrderCommand:
+    if not is_order_payload(payload):
+        return decode_entry(payload)
+    try:
+        return decode_command(payload)
+    except OrderEntryError as error:
+        raise EntryDecodeError(str(error)) from error
+
+
+def _find_answer(
+    replica: ReplicaSide, command: OperatorCommand | SetTarget
+) -> CommandAnswer | None:
+    if isinstance(command, OperatorCommand):
+        return find_kept_answer(replica.control, command)
+    result = replica.control.targets.results.get(command.command)
+    return result and answer_target(result)
+
+
+def publish_targets(state: MembershipState, now: float) -> list[Effect]:
+    """Give the issuer of orders the target state of this replica when the process starts."""
+    return [] if state.replica is None else [_publish_targets(state.replica, now)]
+
+
+def _publish_targets(replica: ReplicaSide, now: float) -> Effect:
+    # The state is shared and changed in place. So the issuer sees it as of the last applied entry
+    # even while this event still waits behind others, such as a change of leadership.
+    return Publish(TargetStateApplied(now, replica.control.index, replica.control.targets))
+
+
 def list_host_progress(state: MembershipState) -> tuple[HostProgress, ...]:
     """Return which host has applied which index, by the polls that this replica has received."""
     if state.replica is None:
--- a/marjorambridge/membership/submission.py
+++ b/marjorambridge/membership/submission.py
@@ -10,24 +10,41 @@
 from marjorambridge.configuration.exceptions import EntryDecodeError
 from marjorambridge.configuration.faults import Fault
 from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
-from marjorambridge.configuration.state_machine import check_envelope
+from marjorambridge.configuration.state_machine import MAX_IDENTIFIER_LENGTH, check_envelope
 from marjorambridge.core.effects import CancelTimer, Effect, Publish, SendMessage, SetTimer
+from marjorambridge.core.events import ControlLeaderChanged
 from marjorambridge.core.identity import TimerKey
 from marjorambridge.membership.events import CommandAnswered
 from marjorambridge.membership.messages import CommandForward, CommandRedirect, CommandReply
 from marjorambridge.membership.state import MembershipState, PendingCommand
+from marjorambridge.orders.state_machine import SetTarget, encode_command
 
 COMMAND_TIMER = "command"
 
 
-def submit_command(state: MembershipState, command: OperatorCommand, now: float) -> list[Effect]:
+def check_target(command: SetTarget) -> list[Fault]:
+    """Return the faults of a command that sets a target."""
+    return [
+        Fault(path, f"has {len(text)} characters", f"use 1 to {MAX_IDENTIFIER_LENGTH} characters")
+        for path, text in (("command_id", command.command), ("change.name", command.name))
+        if not 1 <= len(text) <= MAX_IDENTIFIER_LENGTH
+    ]
+
+
+def submit_command(
+    state: MembershipState, command: OperatorCommand | SetTarget, now: float
+) -> list[Effect]:
     """Start to carry a command to the leader, or refuse it at once if it cannot be an entry."""
-    identifier = command.command_id
-    faults = check_envelope(command)
+    is_target = isinstance(command, SetTarget)
+    identifier = command.command if is_target else command.command_id
+    faults = check_target(command) if is_target else check_envelope(command)
     payload = b""
     try:
-        payload = encode_entry(command)
-        decode_entry(payload)
+        if is_target:
+            payload = encode_command(command)
+        else:
+            payload = encode_entry(command)
+            decode_entry(payload)
     except (EntryDecodeError, OverflowError, TypeError, UnicodeEncodeError) as error:
         faults.append(Fault("command", f"cannot be encoded: {error}", "correct the command"))
     if len(payload) > defaults.MAX_COMMAND_BYTES:
@@ -80,7 +97,10 @@
     if not message.leader or message.term < host.term or message.leader == host.leader:
         return []
     host.leader, host.term = message.leader, message.term
-    return _send(state, message.command_id, now) if message.command_id in state.commands else []
+    effects: list[Effect] = [Publish(ControlLeaderChanged(now, host.leader))]
+    return effects + (
+        _send(state, message.command_id, now) if message.command_id in state.commands else []
+    )
 
 
 def handle_answer(state: MembershipState, message: CommandReply, now: float) -> list[Effect]:
--- a/marjorambridge/node/composition.py
+++ b/marjorambridge/node/composition.py
@@ -1,6 +1,6 @@
 """Build the node of a host from the parts that its role needs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marjorambridge.claims import events as claim_events
 from marjorambridge.claims import messages as claim_messages
@@ -25,6 +25,10 @@
 )
 from marjorambridge.membership.state import MembershipSettings
 from marjorambridge.membership.state import create_state as create_membership
+from marjorambridge.orders import reducer as orders
+from marjorambridge.orders.messages import EndpointInventory, LoadDemand
+from marjorambridge.orders.state import OrderSettings
+from marjorambridge.orders.state import create_state as create_orders
 from marjorambridge.replication import events as log_events
 from marjorambridge.replication import reducer as replication
 from marjorambridge.replication.models import RecoveredReplica
@@ -76,6 +80,7 @@
     claims: ClaimSettings
     seed: int
     replication: ReplicationSettings | None = None
+    orders: OrderSettings = field(default_factory=OrderSettings)
 
 
 def compose_node(
@@ -95,6 +100,7 @@
     if settings.replication is not None and recovered is not None:
         state, effects = recover(settings.replication, recovered, settings.seed, now)
         parts.append(_create_replication(state))
+        parts.append(_create_orders(settings))
     parts += [_create_limits(settings), _create_requests(settings)]
     identity = settings.membership
     return create_node(identity.host, identity.incarnation, parts, NOTICES), effects
@@ -156,6 +162,17 @@
     )
 
 
+def _create_orders(settings: NodeSettings) -> Part:
+    identity = settings.membership
+    return Part(
+        "orders",
+        create_orders(settings.orders, identity.host, identity.incarnation),
+        orders.step,
+        frozenset(orders.HANDLERS) - {events.MessageReceived, events.TimerFired},
+        frozenset({EndpointInventory, LoadDemand}),
+    )
+
+
 def _create_limits(settings: NodeSettings) -> Part:
     identity = settings.membership
     state = create_limits(identity.host, identity.region, settings.limits, settings.seed)
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -289,6 +289,10 @@
 
     if order.kind == "set_role":
         engine.role = order.role
+    elif order.kind == "unload_model":
+        engine.models = tuple(name for name in engine.models if name != order.model)
+    elif order.kind == "unload_adapter":
+        engine.adapters = tuple(name for name in engine.adapters if name != order.adapter)
     elif order.kind in ("load_model", "load_adapter", "load_version"):
         loop.call_later(engine.settings.load_seconds, load)
     else:
