Test the silence of the access log in place of its form

Cause: a server of uvicorn without an access log turns the logger uvicorn.access off for the whole process, so a test that expected a line from it failed in a run of the whole suite after tests that start servers. In a host such a line never exists.

Change: the test now configures a server and expects no line at all from that logger, which is stricter about what callers send. Another library's logger takes its place in the test of the form.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -66,6 +66,25 @@
     task: asyncio.Task[None]
 
 
+def create_config(
+    application: Application, idle_seconds: float, max_header_bytes: int
+) -> uvicorn.Config:
+    """Return the configuration of a server, which writes no access log."""
+    return uvicorn.Config(
+        application,
+        http=_Protocol,
+        ws="none",
+        proxy_headers=False,
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_keep_alive=idle_seconds,  # type: ignore[arg-type]
+        h11_max_incomplete_event_size=max_header_bytes,
+        backlog=BACKLOG_CONNECTIONS,
+    )
+
+
 async def start_server(
     application: Application,
     host: str,
@@ -98,19 +117,7 @@
     except OSError:
         listener.close()
         raise
-    config = uvicorn.Config(
-        application,
-        http=_Protocol,
-        ws="none",
-        proxy_headers=False,
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        server_header=False,
-        timeout_keep_alive=idle_seconds,  # type: ignore[arg-type]
-        h11_max_incomplete_event_size=max_header_bytes,
-        backlog=BACKLOG_CONNECTIONS,
-    )
+    config = create_config(application, idle_seconds, max_header_bytes)
     server = _Server(config)
     task = asyncio.create_task(server.serve(sockets=[listener]), name="http-server")
     while not server.started and not task.done():
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -9,6 +9,7 @@
 
 from marjorambridge.conf.settings import LogSettings
 from marjorambridge.core.effects import WriteLog
+from marjorambridge.http import servers
 from marjorambridge.telemetry import logs
 from marjorambridge.telemetry.fields import ADDED, COMMON, FIELDS
 
@@ -83,10 +84,17 @@
     assert library["message"] == "Exception in ASGI application"
 
 
-@pytest.mark.parametrize("name", ["uvicorn", "uvicorn.error", "uvicorn.access", "asyncio"])
+@pytest.mark.parametrize("name", ["uvicorn", "uvicorn.error", "asyncio", "any.library"])
 def test_what_libraries_log_becomes_a_line_without_its_values(read_lines, name):
     logging.getLogger(name).warning('%s - "%s"\n%s', SECRET, SECRET, SECRET)
     logging.getLogger(name).debug("sent %s", SECRET)
     (line,) = read_lines()
     assert SECRET not in json.dumps(line)
     assert (line["logger"], line["level"], line["message"]) == (name, "WARNING", '%s - "%s"')
+
+
+def test_there_is_no_access_log(read_lines):
+    """Guard against paths and queries of callers in the log."""
+    servers.create_config(None, 75.0, 32_768)
+    logging.getLogger("uvicorn.access").warning('%s - "GET /%s"', SECRET, SECRET)
+    assert read_lines() == []
