Wait for the announced effect before the issuer is killed

The test killed the leader when the engine had the adapter, but an order counts as done only when its effect is announced, and a new issuer repeats what is not announced yet.

It now checks for each issuer that it sent no order twice, in place of a total that a change of the leader for other reasons would alter.

--- a/tests/orders/test_fleet_path.py
+++ b/tests/orders/test_fleet_path.py
@@ -22,6 +22,18 @@
     return fleets.call_operator(host, "POST", "/commands", command)
 
 
+def list_announced_adapters(fleet):
+    states = [fleets.read_state(host) or {"shards": []} for host in fleet.hosts.values()]
+    shards = [shard for state in states for shard in state["shards"]]
+    return [item["adapters"] for shard in shards for item in shard["endpoints"]]
+
+
+def check_orders(inventory, kinds):
+    """Check that these orders came and no issuer repeated one; a new issuer may."""
+    orders = [(order["fencing"], order["kind"]) for order in inventory["orders"]]
+    assert len(set(orders)) == len(orders) and {kind for _, kind in orders} == kinds
+
+
 def find_leader(fleet, left_out=""):
     for host in fleet.hosts.values():
         state = fleets.read_state(host) if host.name != left_out else None
@@ -53,10 +65,13 @@
         status, answer = set_target(other, 0, uuid.uuid4().hex, role="prefill")
         assert (status, answer["status"], answer["version"]) == (409, "conflict", 1)
         assert set_target(other, "x", "c", role="prefill")[0] == 400
+        # An order is done when its effect is announced; until then, a new issuer repeats it.
         fleets.wait_until(
-            lambda: all(read_inventory(item)["adapters"] == ["ledger-gu"] for item in engines),
-            "both engines have the adapter",
+            lambda: list_announced_adapters(fleet) == [["ledger-gu"], ["ledger-gu"]],
+            "both engines have announced the adapter",
         )
+        for item in engines:
+            check_orders(read_inventory(item), {"load_adapter"})
         first = max(read_inventory(item)["fencing"] for item in engines)
 
         # The next issuer has the target state and a higher fencing number.
@@ -73,7 +88,7 @@
         for item in engines:
             inventory = read_inventory(item)
             assert inventory["fencing"] > first
-            assert len(inventory["orders"]) == 2, "an order was repeated under another number"
+            check_orders(inventory, {"load_adapter", "set_role"})
 
         # A restarted host gets the target state with the log or a snapshot.
         fleets.start_host(fleet, leader.name)
