--- a/marjorambridge/checks/settings.py
+++ b/marjorambridge/checks/settings.py
@@ -87,6 +87,8 @@
         yield "claims.tombstone_seconds must not be less than claims.answer_seconds"
     if settings.log.level not in LOG_LEVELS:
         yield f"log.level must be one of {', '.join(LOG_LEVELS)}"
+    if not 0 <= settings.log.trace_ratio <= 1:
+        yield "log.trace_ratio must be from 0 to 1"
     for label in ("operator_token_hashes", "announcement_token_hashes"):
         if not all(re.fullmatch(r"[0-9a-f]{64}", digest) for digest in getattr(settings, label)):
             yield f"{label} must be SHA-256 digests of 64 hexadecimal digits"
--- a/marjorambridge/claims/client.py
+++ b/marjorambridge/claims/client.py
@@ -74,6 +74,8 @@
         compute_group(digest, state.settings.groups),
         CallPhase.CLAIMING,
         event.give_up_at,
+        trace=event.trace,
+        request=event.request,
     )
     state.calls[event.claim] = call
     return _send(state, call, event.now)
@@ -170,17 +172,23 @@
 
     A claim may have been written, so it is released; it would otherwise block resends.
     """
+    phase = call.phase
     effects: list[Effect] = []
     if call.background:
         _forget(state, call)
-        fields = {"claim": str(call.claim), "phase": call.phase.value}
+        fields = {
+            "claim": str(call.claim),
+            "phase": call.phase.value,
+            "request": call.request,
+            "trace": call.trace,
+        }
         return [WriteLog("warning", "gave up a claim step; its key stays blocked", fields)]
     if call.phase is CallPhase.CLAIMING:
         effects.append(Publish(ClaimDecided(now, call.claim, ClaimStatus.UNAVAILABLE)))
         call.phase = CallPhase.RELEASING
     else:
         effects.append(Publish(ClaimSettled(now, call.claim, False)))
-    effects.append(Measure("claims_given_up", 1.0, {"phase": call.phase.value}))
+    effects.append(Measure("claim_steps_given_up_total", 1.0, {"phase": phase.value}))
     call.background = True
     call.sends = 0
     call.give_up_at = now + state.settings.background_seconds
@@ -208,7 +216,8 @@
 
 def _build_message(call: CallState) -> ClaimRequest | ClaimComplete | ClaimRelease:
     if call.phase is CallPhase.CLAIMING:
-        return ClaimRequest(call.claim, call.workspace, call.key, call.fingerprint)
+        trace = call.trace or None
+        return ClaimRequest(call.claim, call.workspace, call.key, call.fingerprint, trace)
     if call.phase is CallPhase.COMPLETING:
         return ClaimComplete(call.claim, call.workspace, call.key, call.answer)
     return ClaimRelease(call.claim, call.workspace, call.key)
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -37,6 +37,7 @@
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
 from marjorambridge.node.composition import compose_node
+from marjorambridge.orders.effects import SendOrder
 from marjorambridge.replication.effects import (
     AppendRecords,
     SaveCluster,
@@ -76,6 +77,8 @@
         Set when a shutdown has no request left.
     cut : int
         Requests that the shutdown cut.
+    leaders : dict
+        Last leader and term of each log group.
     """
 
     settings: HostSettings
@@ -91,6 +94,7 @@
     servers: list[HttpServer] = field(default_factory=list)
     fresh_until: float = float("-inf")
     configuration: Any = None
+    leaders: dict[int, tuple[str, int]] = field(default_factory=dict)
     shutting_down: bool = False
     drained: anyio.Event = field(default_factory=anyio.Event)
     cut: int = 0
@@ -122,7 +126,11 @@
         beginning = Beginning(node_settings, recovered, now)
         runtime.record = open_recording(Path(settings.record_file), beginning)
     if store is not None:
-        host.storage = worker.StorageWorker(store, lambda event: post(runtime, event))
+        host.storage = worker.StorageWorker(
+            store,
+            lambda event: post(runtime, event),
+            lambda effect: metrics.record(host.metrics, effect),
+        )
     if settings.log.trace_file:
         host.traces = spans.start(Path(settings.log.trace_file), settings.host)
     host.endpoints = create_driver(host.registry, lambda event: post(runtime, event))
@@ -138,7 +146,7 @@
     for effect in recovery:
         driver.apply_recovery(runtime, effect)
     post(runtime, events.Started(time.monotonic()))
-    logger.bind(incarnation=incarnation, replica=store is not None).info("the host has started")
+    logger.bind(incarnation=incarnation, has_replica=store is not None).info("the host has started")
     return host
 
 
@@ -181,7 +189,7 @@
     handlers[effects.Measure] = lambda effect: metrics.record(host.metrics, effect)
     handlers[effects.Notify] = lambda effect: _take_notice(host, effect.event)
     handlers[effects.RecordSpan] = lambda effect: _record_span(host, effect)
-    for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint):
+    for kind in (StartAttempt, CancelAttempt, CancelOnEndpoint, CancelHostOnEndpoint, SendOrder):
         handlers[kind] = lambda effect: carry_out(host.endpoints, effect)
     for kind in (ForwardHeaders, ForwardChunk, FinishRequest):
         handlers[kind] = lambda effect: deliver(host.registry, effect)
@@ -207,6 +215,7 @@
             host.drained.set()
             logger.bind(ended=event.ended, cut=event.cut).info("the host is drained")
         case LeadershipChanged():
+            _count_leader(host, event)
             logger.bind(group=event.group, leader=event.leader, term=event.term).info(
                 "the leader of a log group changed"
             )
@@ -220,11 +229,25 @@
             )
 
 
+def _count_leader(host: Host, event: LeadershipChanged) -> None:
+    # The event also tells that a known leader has committed an entry of its term.
+    leader = (event.leader, event.term)
+    if event.leader and host.leaders.get(event.group) != leader:
+        host.leaders[event.group] = leader
+        labels = {"group": str(event.group)}
+        metrics.record(host.metrics, effects.Measure("leader_changes_total", 1.0, labels))
+
+
 async def _open_servers(host: Host) -> None:
     def find_bytes_per_token(model: str) -> float:
         service = find_service(host.configuration, model) if host.configuration else None
         return service.bytes_per_token if service else DEFAULT_BYTES_PER_TOKEN
 
+    def choose_trace(header: str, identifier: str) -> str:
+        if host.traces is None:
+            return ""
+        return spans.choose_trace(header, identifier, host.settings.log.trace_ratio)
+
     limits = callers.CallerSettings(
         max_body_bytes=host.settings.requests.max_body_bytes,
         announcement_token_hashes=host.settings.announcement_token_hashes,
@@ -236,6 +259,7 @@
             limits,
             compute_prefix,
             find_bytes_per_token,
+            choose_trace=choose_trace,
         ),
         host.settings.addresses.admin: admin.build_application(build_callbacks(host)),
     }
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -15,6 +15,7 @@
 )
 from marjorambridge.limits.shard import Endpoint, Shard
 from marjorambridge.membership.state import HostProgress, MembershipState
+from marjorambridge.orders.state_machine import Artifact, Target
 from marjorambridge.replication.models import MemberRole
 from marjorambridge.replication.quorums import get_membership
 from marjorambridge.replication.state import GroupState
@@ -40,6 +41,11 @@
         "configuration": make_record(control.configuration),
         "view": make_record(control.view),
         "history": make_record(control.history[-20:]),
+        "targets": {
+            "version": control.targets.version,
+            "services": _describe_targets(control.targets.services),
+            "endpoints": _describe_targets(control.targets.endpoints),
+        },
         "shards": [_describe_shard(shard, now) for shard in parts["limits"].state.shards.values()],
         "requests": len(parts["requests"].state.requests),
         "sent_bytes": host.network.sent_bytes,
@@ -178,6 +184,24 @@
     )
 
 
+def _describe_targets(targets: dict[str, Target]) -> dict[str, Any]:
+    return {
+        name: {
+            "models": _describe_artifacts(target.models),
+            "adapters": _describe_artifacts(target.adapters),
+            "version": target.version,
+            "role": target.role,
+        }
+        for name, target in targets.items()
+    }
+
+
+def _describe_artifacts(items: tuple[Artifact, ...] | None) -> list[dict[str, Any]] | None:
+    if items is None:
+        return None
+    return [{"name": item.name, "size_bytes": item.size_bytes} for item in items]
+
+
 def _describe_shard(shard: Shard, now: float) -> dict[str, Any]:
     return {
         "shard": shard.name,
@@ -195,6 +219,10 @@
         "incarnation": announcement.incarnation,
         "supplier": announcement.supplier,
         "address": announcement.address,
+        "models": announcement.models,
+        "adapters": announcement.adapters,
+        "version": announcement.version,
+        "role": announcement.role,
         "leaving": announcement.leaving,
         "warm": endpoint.ramp.warm,
         "limit": endpoint.ramp.limit,
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -16,7 +16,14 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.events import Event
-from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.core.outcomes import (
+    OUTCOME_NAMES,
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Reason,
+)
 from marjorambridge.http.bodies import (
     CHAT_PATH,
     COMPLETIONS_PATH,
@@ -90,8 +97,6 @@
     Reason.ANSWER_NOT_KEPT: 410,
 }
 
-OUTCOME_NAMES = {Done: "done", NotRun: "not_run", Failed: "failed", Unknown: "unknown"}
-
 
 @dataclass(slots=True)
 class CallerSettings:
@@ -605,6 +610,7 @@
     find_bytes_per_token: Callable[[str], float] = lambda model: 3.0,
     clock: Callable[[], float] = time.monotonic,
     new_identifier: Callable[[], str] = create_identifier,
+    choose_trace: Callable[[str, str], str] = lambda header, identifier: "",
 ) -> Application:
     """Build the ASGI application for callers.
 
@@ -618,6 +624,9 @@
         Returns the bytes per token of the service that a model name belongs to.
     clock : callable
         Monotonic time in seconds.
+    choose_trace : callable
+        Returns the trace for the ``traceparent`` header and the identifier of a request; empty
+        for a request that is not traced.
     """
     limits = settings or CallerSettings()
 
@@ -659,6 +668,7 @@
             find_bytes_per_token,
             clock,
         )
+        arrived.trace = choose_trace(headers.get("traceparent", ""), arrived.request)
         stored.abort = lambda: abort_connection(scope)
         add_request(registry, stored)
         watcher = asyncio.create_task(_watch_caller(receive, stored))
--- a/marjorambridge/requests/attempts.py
+++ b/marjorambridge/requests/attempts.py
@@ -22,6 +22,8 @@
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
 FIRST_ERROR_STATUS = 400
+# Largest prompt of each class, in tokens.
+PROMPT_CLASSES = {"1k": 1 << 10, "4k": 1 << 12, "16k": 1 << 14, "64k": 1 << 16, "256k": 1 << 18}
 
 
 def find_running(state: RequestsState, attempt: AttemptId) -> Request | None:
@@ -69,7 +71,7 @@
         permit.first_token_seconds = event.now - permit.started_at
         if request.cursor == 0 and not request.holding:
             waited = event.now - request.arrived_at
-            effects.append(Measure("first_token_seconds", waited, {"kind": request.kind}))
+            effects.append(_measure_first_token(request, waited))
     if request.kind is ServiceKind.ENGINE and request.holding:
         return effects  # The body of an error; the end event has its message.
     cursor = request.cursor
@@ -95,6 +97,25 @@
     return effects
 
 
+def classify_prompt(tokens: int) -> str:
+    """Return the prompt length class of a metric; longer prompts count as the last one.
+
+    Examples
+    --------
+    >>> classify_prompt(1_000), classify_prompt(1_025), classify_prompt(2_000_000)
+    ('1k', '4k', '1m')
+    """
+    return next((name for name, most in PROMPT_CLASSES.items() if tokens <= most), "1m")
+
+
+def _measure_first_token(request: Request, waited: float) -> Effect:
+    if request.kind is ServiceKind.PLAIN:
+        return Measure("first_byte_seconds", waited)
+    return Measure(
+        "first_token_seconds", waited, {"prompt": classify_prompt(request.prompt_tokens)}
+    )
+
+
 def _forward_headers(request: Request) -> list[Effect]:
     if request.forwarded or request.caller_gone:
         return []
@@ -122,7 +143,9 @@
     failed = end in (AttemptEnd.CUT, AttemptEnd.SERVER_ERROR, AttemptEnd.NOT_SENT)
     stopped = end in (AttemptEnd.REFUSED, AttemptEnd.SERVER_ERROR, AttemptEnd.CLIENT_ERROR)
     _exclude_endpoint(request)
-    effects = release_permit(state, request, now, endpoint_failed=failed, stopped=stopped)
+    effects = release_permit(
+        state, request, now, endpoint_failed=failed, stopped=stopped, end=event.end.value
+    )
     if end is AttemptEnd.REFUSED and (request.cursor == 0 or request.status >= FIRST_ERROR_STATUS):
         request.may_have_run = False
     if end is AttemptEnd.CLIENT_ERROR:
@@ -153,9 +176,11 @@
     if now < request.permit.start_by:
         # There was time left, so the endpoint could not be reached.
         _exclude_endpoint(request)
-        effects = release_permit(state, request, now, endpoint_failed=True, stopped=True)
+        effects = release_permit(
+            state, request, now, endpoint_failed=True, stopped=True, end=AttemptEnd.NOT_SENT.value
+        )
     else:
-        effects = withdraw_permit(state, request)
+        effects = withdraw_permit(state, request, now)
     if request.caller_gone:
         message = "the caller closed the connection"
         return effects + give_up(state, request, Reason.CALLER_GONE, message, None, now)
@@ -163,7 +188,9 @@
 
 
 def _complete(state: RequestsState, request: Request, event: AttemptEnded) -> list[Effect]:
-    effects = release_permit(state, request, event.now, succeeded=True, stopped=True)
+    effects = release_permit(
+        state, request, event.now, succeeded=True, stopped=True, end=event.end.value
+    )
     request.finish = event.finish
     request.usage = event.usage
     if request.claim is not None:
--- a/marjorambridge/requests/endings.py
+++ b/marjorambridge/requests/endings.py
@@ -2,13 +2,23 @@
 
 from marjorambridge.claims.events import ClaimCompletionWanted, ClaimReleaseWanted
 from marjorambridge.claims.messages import RESULT_UNKNOWN, RecordedAnswer
-from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish
+from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, WriteLog
 from marjorambridge.core.identity import AttemptId, TimerKey
-from marjorambridge.core.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.core.outcomes import (
+    OUTCOME_NAMES,
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
+from marjorambridge.core.spans import Hop
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import Drained
 from marjorambridge.requests.permits import create_wait_timer, drop_permit, set_wait
 from marjorambridge.requests.quotas import return_quota
+from marjorambridge.requests.spans import record_claim, record_hop, record_request
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
 
@@ -38,12 +48,14 @@
     """Forget a request and give its caller the final outcome."""
     effects = drop_permit(state, request, now)
     if request.claim is not None:
+        if request.phase is Phase.CLAIMING:
+            effects += record_claim(request, "given_up", now)
         effects += _settle_claim(state, request, outcome, now)
+    effects += record_request(request, outcome, now)
     del state.requests[request.ident]
     return_quota(state, request.workspace)
-    labels = {"outcome": type(outcome).__name__}
-    if not isinstance(outcome, Done):
-        labels["reason"] = outcome.reason
+    reason = "none" if isinstance(outcome, Done) else outcome.reason
+    labels = {"outcome": OUTCOME_NAMES[type(outcome)], "reason": reason}
     finish = FinishRequest(request.ident, outcome)
     if isinstance(outcome, Done):
         finish.finish = request.finish
@@ -56,6 +68,8 @@
         finish,
         Measure("requests_finished_total", 1.0, labels),
     ]
+    if isinstance(outcome, Unknown):
+        effects.append(_log_unknown(request, outcome))
     if state.shutdown is not None:
         if cut:
             state.shutdown.cut += 1
@@ -64,6 +78,18 @@
     return effects + check_drained(state, now)
 
 
+def _log_unknown(request: Request, outcome: Unknown) -> Effect:
+    fields = {
+        "request": request.ident,
+        "trace": request.trace,
+        "workspace": request.workspace,
+        "service": request.service,
+        "reason": outcome.reason.value,
+        "attempts": request.attempts,
+    }
+    return WriteLog("warning", "it is not known whether a call ran; look up its result", fields)
+
+
 def _settle_claim(
     state: RequestsState, request: Request, outcome: Outcome, now: float
 ) -> list[Effect]:
@@ -104,6 +130,7 @@
         return finish_request(state, request, outcome, now)
     effects = drop_permit(state, request, now)
     if request.phase is Phase.CLAIMING:
+        effects += record_claim(request, "given_up", now)
         expect_late_decision(state, request.claim, now)
     request.phase = Phase.RELEASING
     request.pending = outcome
@@ -140,9 +167,13 @@
     )
 
 
-def deliver_answer(state: RequestsState, request: Request, now: float) -> list[Effect]:
+def deliver_answer(
+    state: RequestsState, request: Request, now: float, committed: bool = False
+) -> list[Effect]:
     """Give the caller the held answer of a call, which is recorded, or cannot be in time."""
+    start = request.recorded_from
     return [
+        *record_hop(request, Hop.RECORD, request.claim, start, now, committed=committed),
         *forward_held(request),
         *finish_request(state, request, Done(), now),
     ]
