--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -1,10 +1,17 @@
 """Guard the order, the bounds and the refusals of the queue."""
 
 from marjorambridge.core.effects import SendMessage
-from marjorambridge.limits.messages import DenialReason, PermitDenied, PermitGranted, PermitQueued
+from marjorambridge.limits.effects import CancelOnEndpoint
+from marjorambridge.limits.messages import (
+    DenialReason,
+    PermitDenied,
+    PermitGranted,
+    PermitQueued,
+    PermitRelease,
+)
 from marjorambridge.limits.settings import LimitsSettings
 
-from .world import Engine, World
+from .world import SHARD, Engine, World
 
 
 def create_world(concurrency=1, **values):
@@ -102,3 +109,17 @@
     assert world.count(calls, PermitGranted) == 2
     world.run(3.0)
     assert world.count(calls, PermitGranted) == 3 and world.violations == []
+
+
+def test_plain_service_gets_no_cancel_and_the_place_of_a_cut_call_is_free():
+    """Guard against a place that stays taken, because a plain service confirms no cancel."""
+    world = World(engines=[Engine("e1", 0, 1)])
+    world.warm_up()
+    world.engines["e1"].deaf = True
+    cut, waiting = (world.ask("client-1", 0, 0, 100.0) for _ in range(2))
+    world.run(1.0)
+    assert world.count([cut], PermitGranted) == 1 and world.count([waiting], PermitGranted) == 0
+    world.deliver("client-1", world.owner(), PermitRelease(cut, SHARD, False, True, False))
+    world.run(1.0)
+    assert world.count([waiting], PermitGranted) == 1
+    assert not [item for item in world.effects if isinstance(item, CancelOnEndpoint)]
