Count arrivals, refusals and memory peaks in the stand-in engine

Cause: tests with processes need to tell when attempts reached an engine, also refused ones, and whether an engine was ever offered more than its memory. Change: the inventory has the times of all arrivals, the start time of each accepted attempt, the peak of the memory in use and the number of attempts refused for lack of memory or places. Result: used by tests/system.

--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -139,6 +139,8 @@
         "overloaded": engine.overloaded,
         "overloads": engine.overloads,
         "peak_running": engine.peak_running,
+        "peak_tokens": engine.peak_tokens,
+        "refusals": engine.refusals,
         "kv_used_tokens": scheduler.count_used_tokens(engine),
         "cached_blocks": len(engine.cache),
         "running": [
@@ -157,6 +159,7 @@
             for attempt, part in engine.parts.items()
         ],
         "starts": engine.starts,
+        "received": engine.received,
         "orders": list(engine.orders.values()),
         "models": engine.models,
         "adapters": engine.adapters,
@@ -193,6 +196,7 @@
         If the engine does not run it.
     """
     settings = engine.settings
+    engine.received.append(now)
     parsed = parse_completion(path, body)
     extra = _decode(body, _Extra)
     if parsed.model not in (settings.service, *engine.models, *engine.adapters):
@@ -232,6 +236,7 @@
             "resume_from": extra.resume_from,
             "group": [member.endpoint for member in extra.group],
             "traceparent": traceparent,
+            "started": now,
         }
     )
     return run, parsed, extra
--- a/marjorambridge/standins/scheduler.py
+++ b/marjorambridge/standins/scheduler.py
@@ -177,8 +177,13 @@
     ----------
     overloads : int
         Times that the load rose above the cold limit.
+    refusals : int
+        Attempts and parts that were refused because memory or places did not suffice.
     starts : list of dict
-        Every accepted attempt, for tests.
+        Every accepted attempt, for tests. `started` is in seconds of the loop's clock, which all
+        processes of one machine share.
+    received : list of float
+        Time of every attempt that arrived, refused ones included.
     """
 
     settings: EngineSettings
@@ -194,6 +199,8 @@
     overloaded: bool = False
     overloads: int = 0
     peak_running: int = 0
+    peak_tokens: int = 0
+    refusals: int = 0
     fencing: int = 0
     runs: dict[AttemptId, Run] = field(default_factory=dict)
     parts: dict[AttemptId, Part] = field(default_factory=dict)
@@ -207,6 +214,7 @@
     reports: deque[tuple[float, int, int]] = field(default_factory=deque)
     report_sequence: int = 0
     starts: list[dict[str, object]] = field(default_factory=list)
+    received: list[float] = field(default_factory=list)
     orders: OrderedDict[str, dict[str, object]] = field(default_factory=OrderedDict)
     faults: Faults = field(default_factory=Faults)
     work: asyncio.Event = field(default_factory=asyncio.Event)
@@ -284,8 +292,10 @@
         return
     check_attempt(engine, attempt)
     if count_used_tokens(engine) + tokens > engine.settings.kv_capacity_tokens:
+        engine.refusals += 1
         raise RefusedError(503, "memory_full", "the memory does not suffice; retry elsewhere")
     engine.parts[attempt] = Part(tokens, now + seconds)
+    engine.peak_tokens = max(engine.peak_tokens, count_used_tokens(engine))
     engine.work.set()
 
 
@@ -320,8 +330,10 @@
         raise RefusedError(409, "running", "the attempt already runs", "failed")
     settings = engine.settings
     if len(engine.runs) >= settings.concurrency + settings.max_waiting:
+        engine.refusals += 1
         raise RefusedError(503, "queue_full", "too many requests wait; retry elsewhere")
     if count_used_tokens(engine) + kv_tokens > settings.kv_capacity_tokens:
+        engine.refusals += 1
         raise RefusedError(503, "memory_full", "the memory does not suffice; retry elsewhere")
     natural = 1 + seed % settings.natural_output_tokens
     output = max_tokens if ignore_eos else min(max_tokens, natural)
@@ -350,6 +362,7 @@
     )
     engine.runs[attempt] = run
     engine.peak_running = max(engine.peak_running, len(engine.runs))
+    engine.peak_tokens = max(engine.peak_tokens, count_used_tokens(engine))
     engine.work.set()
     return run
 
