--- /dev/null
+++ b/tests/system/fleets.py
@@ -0,0 +1,265 @@
+"""Start small fleets of processes, and send requests whose right answers are known."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from marjorambridge.configuration.commands import PutService, PutWorkspace, PutZone
+from marjorambridge.configuration.models import Service, ServiceKind, Workspace
+from marjorambridge.standins import fleet as local
+from marjorambridge.standins.clients import stream_completion
+from marjorambridge.standins.prompts import compute_seed, compute_token
+
+KEY = "workspace-key-of-the-tests"
+MODEL = "model"
+PLAIN = "bookings"
+ZONES = ("north", "south")
+REGION = "region-1"
+REQUIREMENT_SECONDS = 3.0
+NATURAL_TOKENS = 64
+MIN_TOKENS = 40
+ENGINE = {
+    "starts_cold": False,
+    "announce_seconds": 0.3,
+    "decode_tokens_per_second": 80.0,
+    "natural_output_tokens": NATURAL_TOKENS,
+}
+SETTINGS = {"requests": {"unready_grace_seconds": 0.3}}
+
+
+@contextlib.contextmanager
+def run_fleet(folder, engines=0, services=0, settings=None, prepare=None, engine=None, **service):
+    """Run a fleet of 3 hosts with engines and plain services spread over the zones.
+
+    `prepare` may change the settings of the hosts before their start.
+    """
+    fleet = local.create_fleet(folder, zones=ZONES, region=REGION, **(settings or SETTINGS))
+    try:
+        if prepare is not None:
+            prepare(fleet)
+        for name in fleet.hosts:
+            local.start_host(fleet, name)
+        local.wait_ready(fleet)
+        kinds = ((MODEL, ServiceKind.ENGINE), (PLAIN, ServiceKind.PLAIN))
+        changes = [PutZone(zone, REGION) for zone in ZONES]
+        changes += [PutService(Service(name, kind, ZONES)) for name, kind in kinds]
+        digest = local.hash_secret(KEY)
+        changes.append(PutWorkspace(Workspace("tests", (digest,), (MODEL, PLAIN))))
+        local.apply(fleet, changes)
+        for number in range(engines):
+            zone = ZONES[number % len(ZONES)]
+            values = {"service": MODEL, "zone": zone, **ENGINE, **(engine or {})}
+            local.add_engine(fleet, f"engine-{number}", **values)
+        for number in range(services):
+            zone = ZONES[number % len(ZONES)]
+            values = {"service": PLAIN, "zone": zone, "announce_seconds": 0.3, **service}
+            local.add_service(fleet, f"service-{number}", **values)
+        wait_known(fleet, MODEL, engines)
+        wait_known(fleet, PLAIN, services)
+        yield fleet
+    finally:
+        local.close_fleet(fleet)
+
+
+def wait_known(fleet, service, count):
+    """Wait until owners that grant know `count` endpoints of a service."""
+    local.wait_until(
+        lambda: len(list_known(fleet, service)) >= count, f"{count} endpoints of {service} serve"
+    )
+
+
+def list_known(fleet, service):
+    """Return the endpoints in shards that grant, by name."""
+    known = {}
+    for host in fleet.hosts.values():
+        for shard in (local.read_state(host) or {"shards": []})["shards"]:
+            if shard["granting"] and shard["shard"].startswith(f"{service}/"):
+                known |= {item["endpoint"]: item for item in shard["endpoints"]}
+    return known
+
+
+def count_queued(fleet):
+    """Return how many requests wait at the owners of all shards."""
+    states = [local.read_state(host) for host in fleet.hosts.values()]
+    return sum(shard["queued"] for state in states if state for shard in state["shards"])
+
+
+def find_owner(fleet, shard, names=None):
+    """Return the name of the host that grants for a shard, out of `names` or of all."""
+    for name in names or fleet.hosts:
+        for item in (local.read_state(fleet.hosts[name]) or {"shards": []})["shards"]:
+            if item["shard"] == shard and item["granting"]:
+                return name
+    return None
+
+
+def find_leader(fleet, group=0):
+    """Return the name of the host that a replica takes for the leader with the highest term."""
+    best = (0, None)
+    for host in fleet.hosts.values():
+        for item in (local.read_state(host) or {}).get("log_groups", []):
+            if item["group"] == group and item["role"] == "leader":
+                best = max(best, (item["term"], host.name))
+    return best[1]
+
+
+def read_inventory(fleet, name):
+    """Return the inventory of an endpoint, or None if it doesn't answer."""
+    try:
+        address = fleet.endpoints[name].address
+        return json.loads(local.call(address, "GET", "/control/inventory", timeout=5.0)[2])
+    except (OSError, http.client.HTTPException):
+        return None
+
+
+def list_inventories(fleet):
+    """Return the inventories of the engines that answer, by name."""
+    names = [name for name in fleet.endpoints if name.startswith("engine")]
+    found = {name: read_inventory(fleet, name) for name in names}
+    return {name: item for name, item in found.items() if item is not None}
+
+
+def set_fault(fleet, name, **fault):
+    """Switch a fault of an endpoint on."""
+    status, _, content = local.call(fleet.endpoints[name].address, "POST", "/control/faults", fault)
+    assert status == 200, content
+
+
+def hang_under_way(fleet, names):
+    """Hang engines while streams are under way there, so that these cannot end by themselves."""
+
+    def hang():
+        for name in names:
+            set_fault(fleet, name, kind="hang")
+        found = [read_inventory(fleet, name)["running"] for name in names]
+        if all(any(run["produced"] for run in running) for running in found):
+            return True
+        for name in names:
+            set_fault(fleet, name, kind="clear")
+        return False
+
+    local.wait_until(hang, f"streams are under way on {names}")
+
+
+def wait_empty(fleet):
+    """Wait until no engine holds memory for an attempt."""
+    local.wait_until(
+        lambda: not any(item["kv_used_tokens"] for item in list_inventories(fleet).values()),
+        "the memory of all engines is free",
+    )
+
+
+def create_prompts(label):
+    """Yield distinct prompts whose answers have at least `MIN_TOKENS` tokens."""
+    for number in itertools.count():
+        prompt = f"{label} {number}: which grade has the lot?"
+        if compute_seed(prompt.encode()) % NATURAL_TOKENS >= MIN_TOKENS:
+            yield prompt
+
+
+def compute_text(prompt):
+    """Return the answer of the stand-in engines to a prompt."""
+    seed = compute_seed(prompt.encode())
+    return "".join(compute_token(seed, index) for index in range(1 + seed % NATURAL_TOKENS))
+
+
+@dataclass(slots=True)
+class Load:
+    """Hold callers' threads and what they saw, as pairs of prompt and result."""
+
+    pool: ThreadPoolExecutor
+    futures: list = field(default_factory=list)
+    stopped: bool = False
+    seen: list = field(default_factory=list)
+
+
+def send_stream(fleet, load, host, prompt):
+    """Stream an answer in a thread of its own."""
+    load.futures.append(load.pool.submit(_stream, fleet, load, host, prompt))
+
+
+def _stream(fleet, load, host, prompt):
+    address = fleet.hosts[host].callers
+    result = stream_completion(address, MODEL, prompt, NATURAL_TOKENS, KEY)
+    load.seen.append((prompt, result))
+    return result
+
+
+def send_forever(fleet, load, host, label):
+    """Send one request after the other to a host until the load is stopped."""
+
+    def run():
+        for prompt in create_prompts(label):
+            if load.stopped:
+                return
+            if not _stream(fleet, load, host, prompt).complete:
+                time.sleep(0.1)
+
+    load.futures.append(load.pool.submit(run))
+
+
+@contextlib.contextmanager
+def run_load(threads=24):
+    """Run callers and wait for all their answers at the end."""
+    with ThreadPoolExecutor(threads) as pool:
+        load = Load(pool)
+        try:
+            yield load
+        finally:
+            load.stopped = True
+        for future in load.futures:
+            future.result()
+
+
+def check_results(load):
+    """Check that every stream is whole and right, or has an error and no end marker."""
+    for prompt, result in load.seen:
+        if result.complete:
+            assert not result.error
+            assert result.text == compute_text(prompt)
+        else:
+            assert result.error
+            assert compute_text(prompt).startswith(result.text)
+
+
+def count_complete(load):
+    """Return how many streams were whole."""
+    return sum(result.complete for _, result in load.seen)
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold the answer to a booking; the status is 0 if the connection broke."""
+
+    status: int
+    outcome: str
+    kind: str
+    body: bytes
+
+
+def book(fleet, host, key, timeout=20.0):
+    """Send the booking that belongs to an idempotency key."""
+    headers = {
+        "authorization": f"Bearer {KEY}",
+        "idempotency-key": key,
+        "x-request-timeout": str(timeout),
+    }
+    address = fleet.hosts[host].callers
+    try:
+        status, _, body = local.call(
+            address, "POST", f"/services/{PLAIN}/slots", {"slot": key}, headers, timeout + 5.0
+        )
+    except (OSError, http.client.HTTPException):
+        return Answer(0, "", "", b"")
+    error = json.loads(body).get("error", {}) if status >= 400 else {}
+    return Answer(status, error.get("outcome", "done"), error.get("type", ""), body)
+
+
+def count_executions(fleet, key):
+    """Return how often the plain services executed the booking of a key."""
+    names = [name for name in fleet.endpoints if name.startswith("service")]
+    return sum(read_inventory(fleet, name)["by_key"].get(key, 0) for name in names)
