Share one fleet among the tests with processes that need no other

Cause: the start of a fleet takes about 6 s, and a fleet for each module made tests/system longer than its bound of 150 s. Change: a fleet for the whole session, and one step that brings any fleet back into order before each test.

--- a/tests/system/fleets.py
+++ b/tests/system/fleets.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import json
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -65,6 +66,23 @@
         local.close_fleet(fleet)
 
 
+def restore(fleet):
+    """Bring back the hosts that a test killed or froze, and switch all faults off."""
+    for name in fleet.endpoints:
+        if name.startswith("engine"):
+            set_fault(fleet, name, kind="clear")
+        else:
+            set_fault(fleet, name)
+    for name, host in fleet.hosts.items():
+        local.send_signal(host.process, signal.SIGCONT)
+        if host.process.poll() is not None:
+            local.start_host(fleet, name)
+    local.wait_ready(fleet)
+    for service in (MODEL, PLAIN):
+        names = [n for n, e in fleet.endpoints.items() if e.settings["service"] == service]
+        wait_known(fleet, service, len(names))
+
+
 def wait_known(fleet, service, count):
     """Wait until owners that grant know `count` endpoints of a service."""
     local.wait_until(
--- a/tests/system/test_bookings.py
+++ b/tests/system/test_bookings.py
@@ -10,25 +10,6 @@
 SERVICE = "service-0"
 
 
-@pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    with fleets.run_fleet(tmp_path_factory.mktemp("bookings"), services=1, concurrency=1) as fleet:
-        yield fleet
-
-
-@pytest.fixture(autouse=True)
-def restore(fleet):
-    """Bring hosts back that a test killed or froze."""
-    yield
-    fleets.set_fault(fleet, SERVICE)
-    for name, host in fleet.hosts.items():
-        local.send_signal(host.process, signal.SIGCONT)
-        if host.process.poll() is not None:
-            local.start_host(fleet, name)
-    local.wait_ready(fleet)
-    fleets.wait_known(fleet, fleets.PLAIN, 1)
-
-
 def resend_until_settled(fleet, host, key):
     """Resend a booking until it is no longer in progress, and return the last answer."""
 
@@ -39,6 +20,10 @@
     return local.wait_until(ask, f"the booking {key} is settled")
 
 
+def count_all(fleet):
+    return fleets.read_inventory(fleet, SERVICE)["executions"]
+
+
 def count_running(fleet):
     return fleets.read_inventory(fleet, SERVICE)["running"]
 
@@ -48,12 +33,13 @@
 
     The cut call must not keep the only place at the service either, so that a next call runs.
     """
+    before = count_all(fleet)
     fleets.set_fault(fleet, SERVICE, cut_answers=1)
     answers = [fleets.book(fleet, host, "cut") for host in ("host-0", "host-1", "host-2")]
     assert [answer.outcome for answer in answers] == ["unknown"] * 3
     assert fleets.count_executions(fleet, "cut") == 1
     assert fleets.book(fleet, "host-1", "after the cut").status == 201
-    assert fleets.read_inventory(fleet, SERVICE)["executions"] == 2
+    assert count_all(fleet) == before + 2
 
 
 def test_a_resend_gets_the_recorded_answer_also_after_a_restart_of_all_hosts(fleet):
--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -19,18 +19,6 @@
         yield fleet
 
 
-@pytest.fixture(autouse=True)
-def restore(fleet):
-    """Bring hosts back that a test killed or froze."""
-    yield
-    for name, host in fleet.hosts.items():
-        local.send_signal(host.process, signal.SIGCONT)
-        if host.process.poll() is not None:
-            local.start_host(fleet, name)
-    local.wait_ready(fleet)
-    fleets.wait_known(fleet, fleets.MODEL, ENGINES)
-
-
 def start_callers(fleet, load, hosts, label, each=2):
     for host in hosts:
         for number in range(each):
