--- /dev/null
+++ b/tests/system/test_shutdown.py
@@ -0,0 +1,53 @@
+"""Guard against answers that a graceful shutdown cuts, and a forced one that ends in silence."""
+
+import itertools
+import signal
+
+from marjorambridge.standins import fleet as local
+from tests.system import fleets
+
+EXIT_REQUESTS_CUT = 3
+STREAMS = 4
+ENGINE = "engine-0"
+
+
+def start_streams(fleet, load, host, label):
+    """Send streams that hang half way."""
+    fleets.set_fault(fleet, ENGINE, kind="clear")
+    for prompt in itertools.islice(fleets.create_prompts(label), STREAMS):
+        fleets.send_stream(fleet, load, host, prompt)
+    fleets.hang_under_way(fleet, [ENGINE])
+
+
+def test_a_first_signal_cuts_nothing_and_a_second_one_ends_requests_with_an_error(fleet):
+    service = "service-0"
+    with fleets.run_load() as load:
+        start_streams(fleet, load, "host-1", "graceful")
+        fleets.set_fault(fleet, service, delay_seconds=1.5)
+        booking = load.pool.submit(fleets.book, fleet, "host-1", "graceful")
+        local.wait_until(
+            lambda: fleets.read_inventory(fleet, service)["running"], "the booking runs"
+        )
+        process = fleet.hosts["host-1"].process
+        local.send_signal(process, signal.SIGTERM)
+        local.wait_until(lambda: not local.is_ready(fleet.hosts["host-1"]), "the host drains")
+        fleets.set_fault(fleet, ENGINE, kind="clear")
+        assert booking.result().status == 201
+    fleets.check_results(load)
+    assert fleets.count_complete(load) == STREAMS
+    assert process.wait(local.STOP_SECONDS) == 0
+    assert fleets.count_executions(fleet, "graceful") == 1
+
+    with fleets.run_load() as load:
+        start_streams(fleet, load, "host-2", "forced")
+        process = fleet.hosts["host-2"].process
+        for _ in range(2):
+            local.send_signal(process, signal.SIGTERM)
+            local.wait_until(
+                lambda: not local.is_ready(fleet.hosts["host-2"]), "the host has seen the signal"
+            )
+        assert process.wait(local.STOP_SECONDS) == EXIT_REQUESTS_CUT
+    fleets.check_results(load)
+    cut = [result for _, result in load.seen if not result.complete]
+    assert cut
+    assert all('"shutting_down"' in result.error for result in cut)
