--- a/marjorambridge/limits/cancellation.py
+++ b/marjorambridge/limits/cancellation.py
@@ -19,16 +19,6 @@
     refresh_endpoint(shard, endpoint, settings, now)
 
 
-def free_plain_parts(shard: Shard, permit: Permit, settings: LimitsSettings, now: float) -> None:
-    """Free the parts of a permit on plain services.
-
-    A plain service has no memory account and no cancel: it would carry out the cancel as a call of
-    a caller and never confirm it, and the place would stay taken.
-    """
-    for name in [name for name, part in permit.parts.items() if part.tokens == 0]:
-        free_permit_part(shard, permit, name, settings, now)
-
-
 def repeat_cancel(
     shard: Shard, identity: AttemptId, settings: LimitsSettings, now: float
 ) -> list[Effect]:
@@ -73,7 +63,6 @@
     if permit.cancelling:
         return []
     permit.cancelling = True
-    free_plain_parts(shard, permit, settings, now)
     return repeat_cancel(shard, permit.identity, settings, now)
 
 
@@ -121,9 +110,6 @@
     if known is not None and known.announcement.kv_capacity_tokens == 0:
         return []
     account = get_account(shard.ledger, endpoint)
-    known = shard.endpoints.get(endpoint)
-    if known is not None and known.announcement.kv_capacity_tokens == 0:
-        return []
     waiting = host in account.host_cancels
     account.host_cancels[host] = max(incarnation, account.host_cancels.get(host, incarnation))
     if waiting:
@@ -144,7 +130,6 @@
             permit = shard.ledger.permits[identity]
             if not permit.cancelling:
                 permit.cancelling = True
-                free_plain_parts(shard, permit, settings, now)
                 # The host cancel asks first; the permit's own cancel follows if that is lost.
                 schedule_check(shard, now + settings.cancel_retry_seconds, "cancel", identity)
     names = dict.fromkeys([*shard.endpoints, *shard.ledger.accounts])
