Keep endpoints free of longer prefills for short requests, and don't judge endpoints when overloaded

Also: an overloaded host measured slow first tokens, which made warm endpoints look cold and lowered their limits.

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from marjorambridge.claims.events import WallClockRead
+from marjorambridge.conf import defaults
 from marjorambridge.conf.settings import HostSettings
 from marjorambridge.configuration.models import find_service
 from marjorambridge.core import effects, events
@@ -53,7 +54,7 @@
     ForwardHeaders,
     StartAttempt,
 )
-from marjorambridge.requests.events import Drained
+from marjorambridge.requests.events import Drained, LoopDelayMeasured
 from marjorambridge.routing.prefixes import compute_prefix
 from marjorambridge.storage import worker
 from marjorambridge.storage.stores import open_store
@@ -141,6 +142,7 @@
         tasks.start_soon(worker.run, host.storage)
     tasks.start_soon(run_timers, runtime)
     tasks.start_soon(_read_wall_clock, runtime)
+    tasks.start_soon(_measure_loop_delay, runtime)
     await _open_servers(host)
     post(runtime, WallClockRead(now, time.time()))
     for effect in recovery:
@@ -268,6 +270,15 @@
         host.servers.append(await start_server(application, ip.strip("[]"), int(port)))
 
 
+async def _measure_loop_delay(runtime: Runtime) -> None:
+    while True:
+        due = time.monotonic() + defaults.LOOP_DELAY_INTERVAL_SECONDS
+        await anyio.sleep(defaults.LOOP_DELAY_INTERVAL_SECONDS)
+        now = time.monotonic()
+        if now - due > defaults.LOOP_DELAY_SECONDS:
+            post(runtime, LoopDelayMeasured(now, now - due))
+
+
 async def _read_wall_clock(runtime: Runtime) -> None:
     while True:
         await anyio.sleep(WALL_CLOCK_SECONDS)
--- a/marjorambridge/limits/admission.py
+++ b/marjorambridge/limits/admission.py
@@ -11,6 +11,7 @@
     Endpoint,
     Shard,
     compute_rank,
+    count_interactive_reserve,
     fits,
     is_usable,
 )
@@ -93,6 +94,16 @@
     return not endpoint.account.long_prefills and not is_long_share_used(shard)
 
 
+def is_kept_for_interactive(shard: Shard, endpoint: Endpoint, priority: PriorityClass) -> bool:
+    """Tell whether an endpoint is one of the last without a longer prefill."""
+    if priority is PriorityClass.INTERACTIVE:
+        return False
+    if endpoint.announcement.endpoint in shard.longer_endpoints:
+        return False
+    limit = shard.totals.endpoints - count_interactive_reserve(shard)
+    return len(shard.longer_endpoints) >= limit
+
+
 def build_placement(
     shard: Shard, request: PermitRequest, endpoint: Endpoint, settings: LimitsSettings
 ) -> Placement:
@@ -136,11 +147,29 @@
 ) -> Placement | None:
     """Return the endpoint with the least prefill work, cached tokens subtracted.
 
+    A request that is not interactive takes one of the last endpoints without a longer prefill
+    only if no other can take it now, because a short prompt waits for a whole chunk there.
+
     Returns
     -------
     Placement or None
         None if no endpoint that is free of the advance reservation can take the request now.
     """
+    found = _choose_endpoint(shard, request, settings, now, True)
+    prefill = classify_prefill(request.prompt_tokens, settings)
+    if found is not None or prefill is PriorityClass.INTERACTIVE:
+        return found
+    return _choose_endpoint(shard, request, settings, now, False)
+
+
+def _choose_endpoint(
+    shard: Shard,
+    request: PermitRequest,
+    settings: LimitsSettings,
+    now: float,
+    keep_reserve: bool,
+) -> Placement | None:
+    """Return the best endpoint, or None; `keep_reserve` leaves some to interactive requests."""
     best: Placement | None = None
     best_cost = 0
     for name in find_holders(shard.prefix, request.prefix, MAX_PREFIX_CANDIDATES):
@@ -148,14 +177,17 @@
         if endpoint is None or endpoint.reserved:
             continue
         found = check_endpoint(shard, request, endpoint, settings, now)
-        if found is not None:
+        if found is not None and not (
+            keep_reserve and is_kept_for_interactive(shard, endpoint, found.priority)
+        ):
             cost = compute_rank(endpoint) + found.prefill * RANK_SCALE
             if best is None or cost < best_cost:
                 best, best_cost = found, cost
 
     tokens = compute_tokens(shard, request)
     prefill = request.prompt_tokens if tokens else 0
-    is_long = classify_prefill(prefill, settings) is PriorityClass.LONG
+    priority = classify_prefill(prefill, settings)
+    is_long = priority is PriorityClass.LONG
     if is_long and is_long_share_used(shard):
         return best
 
@@ -166,6 +198,7 @@
             and is_usable(endpoint, settings, now)
             and endpoint.announcement.endpoint not in request.exclude
             and not (is_long and endpoint.account.long_prefills)
+            and not (keep_reserve and is_kept_for_interactive(shard, endpoint, priority))
         )
 
     slot = find_least_work(shard.placement, tokens, prefill, allow)
--- a/marjorambridge/limits/shard.py
+++ b/marjorambridge/limits/shard.py
@@ -16,6 +16,11 @@
 from marjorambridge.limits.settings import LimitsSettings
 
 # Ranks order endpoints by prefill work and then by their share of used concurrency.
+# Share of a shard's endpoints that is kept free of longer prefills, and the smallest shard in which
+# at least one endpoint is.
+INTERACTIVE_RESERVE = 0.25
+MINIMUM_RESERVE_ENDPOINTS = 3
+
 RANK_SCALE = 4096
 
 
@@ -107,6 +112,8 @@
         Endpoints that may run long prefills at once.
     long_endpoints : dict
         Endpoints that run long prefills.
+    longer_endpoints : dict
+        Endpoints that run any prefill that is not interactive.
     capacities : dict
         Number of endpoints of each KV capacity that are not leaving.
     largest_capacity, total_capacity : int
@@ -134,6 +141,7 @@
     rates: Rates = field(default_factory=Rates)
     reservation: AdvanceReservation | None = None
     long_endpoints: dict[str, None] = field(default_factory=dict)
+    longer_endpoints: dict[str, None] = field(default_factory=dict)
     capacities: dict[int, int] = field(default_factory=dict)
     largest_capacity: int = 0
     total_capacity: int = 0
@@ -201,6 +209,7 @@
     shard.slots[endpoint.slot] = None
     shard.free_slots.append(endpoint.slot)
     shard.long_endpoints.pop(name, None)
+    shard.longer_endpoints.pop(name, None)
     del shard.endpoints[name]
 
 
@@ -264,15 +273,21 @@
     endpoint.usable, endpoint.counted = usable, counted
 
 
+def _set_member(names: dict[str, None], name: str, is_member: bool) -> None:
+    if is_member:
+        names[name] = None
+    else:
+        names.pop(name, None)
+
+
 def refresh_endpoint(shard: Shard, name: str, settings: LimitsSettings, now: float) -> None:
     """Bring the indexes of a shard in step with one endpoint."""
     endpoint = shard.endpoints.get(name)
     if endpoint is None:
         return
-    if endpoint.account.long_prefills:
-        shard.long_endpoints[name] = None
-    else:
-        shard.long_endpoints.pop(name, None)
+    account = endpoint.account
+    _set_member(shard.long_endpoints, name, account.long_prefills > 0)
+    _set_member(shard.longer_endpoints, name, account.prefill > account.interactive_prefill)
     usable = is_usable(endpoint, settings, now) and not endpoint.silent
     if not usable:
         _replace_counted(shard, endpoint, False, (0, 0, 0, 0))
@@ -293,6 +308,18 @@
     return max(1, int(shard.totals.endpoints * settings.max_long_share))
 
 
+def count_interactive_reserve(shard: Shard) -> int:
+    """Return how many endpoints are kept free of prefills that are not interactive.
+
+    An engine does not interrupt the chunk that it processes, so a short prompt waits for one chunk
+    wherever a longer prefill is in progress, whatever its priority.
+    """
+    endpoints = shard.totals.endpoints
+    if endpoints < MINIMUM_RESERVE_ENDPOINTS:
+        return 0
+    return max(1, int(endpoints * INTERACTIVE_RESERVE))
+
+
 def adapt_long_share(shard: Shard, settings: LimitsSettings) -> None:
     """Halve the long share while interactive requests wait, and grow it by one otherwise."""
     if shard.queue.classes[PriorityClass.INTERACTIVE].count:
--- a/marjorambridge/requests/asking.py
+++ b/marjorambridge/requests/asking.py
@@ -310,6 +310,7 @@
     permit = request.permit
     spans = record_permit(request, "granted", now)
     permit.endpoints = message.endpoints
+    permit.priority = message.priority
     permit.start_by = start_by
     permit.started_at = now
     request.phase = Phase.RUNNING
--- a/marjorambridge/requests/attempts.py
+++ b/marjorambridge/requests/attempts.py
@@ -1,10 +1,10 @@
 """Follow the attempts of requests on endpoints and continue elsewhere when one fails."""
 
 from marjorambridge.configuration.models import ServiceKind
-from marjorambridge.core.effects import Effect, Measure
+from marjorambridge.core.effects import Effect, Measure, SendMessage
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.outcomes import Done, Reason
-from marjorambridge.limits.messages import PermitRevoked
+from marjorambridge.limits.messages import PermitRenew, PermitRevoked, PriorityClass
 from marjorambridge.requests.asking import back_off, find_asking, handle_revoked
 from marjorambridge.requests.claims import record_answer
 from marjorambridge.requests.cursor import trim_chunk
@@ -17,7 +17,12 @@
     AttemptHeaders,
     AttemptStarted,
 )
-from marjorambridge.requests.permits import abandon_attempt, release_permit, withdraw_permit
+from marjorambridge.requests.permits import (
+    abandon_attempt,
+    describe_permit,
+    release_permit,
+    withdraw_permit,
+)
 from marjorambridge.requests.retries import take_retry
 from marjorambridge.requests.state import Phase, Request, RequestsState
 
@@ -72,6 +77,9 @@
         if request.cursor == 0 and not request.holding:
             waited = event.now - request.arrived_at
             effects.append(_measure_first_token(request, waited))
+        if permit.priority is not PriorityClass.INTERACTIVE:
+            # The owner keeps short requests away from a long prefill until it hears that it ended.
+            effects.append(SendMessage(permit.owner, PermitRenew((describe_permit(permit),))))
     if request.kind is ServiceKind.ENGINE and request.holding:
         return effects  # The body of an error; the end event has its message.
     cursor = request.cursor
--- a/marjorambridge/requests/events.py
+++ b/marjorambridge/requests/events.py
@@ -61,6 +61,19 @@
     trace: str = ""
 
 
+@dataclass(slots=True)
+class LoopDelayMeasured(Event):
+    """Tell how late this process handled a timer.
+
+    Attributes
+    ----------
+    seconds : float
+        Delay beyond the timer's due time; the process is overloaded if it is large.
+    """
+
+    seconds: float
+
+
 @dataclass(slots=True)
 class CallerGone(Event):
     """Tell that the caller closed its connection before the final answer."""
--- a/marjorambridge/requests/permits.py
+++ b/marjorambridge/requests/permits.py
@@ -10,6 +10,8 @@
 
 RENEWAL_TIMER = TimerKey("requests", "renewal")
 
+UNKNOWN_SECONDS = -1.0
+
 
 def create_wait_timer(request: Request) -> TimerKey:
     """Return the timer of the one thing that a request waits for."""
@@ -63,6 +65,11 @@
     permit = request.permit
     if permit is None:
         return []
+    first_token_seconds = permit.first_token_seconds
+    if state.overloaded_at >= permit.started_at:
+        # The time contains this host's own delay; taken for the endpoint's, it would make warm
+        # endpoints look cold, and their lower limits would make the overload worse.
+        first_token_seconds = UNKNOWN_SECONDS
     spans = record_attempt(request, end, now)
     forget_permit(state, request)
     message = PermitRelease(
@@ -71,7 +78,7 @@
         succeeded=succeeded,
         endpoint_failed=endpoint_failed,
         stopped=stopped,
-        first_token_seconds=permit.first_token_seconds,
+        first_token_seconds=first_token_seconds,
     )
     state.released[permit.ident] = Released(message, now + state.settings.permit_expiry)
     return [SendMessage(find_owner(state, permit), message), *spans]
--- a/marjorambridge/requests/reducer.py
+++ b/marjorambridge/requests/reducer.py
@@ -47,6 +47,7 @@
     AttemptHeaders,
     AttemptStarted,
     CallerGone,
+    LoopDelayMeasured,
     RequestArrived,
 )
 from marjorambridge.requests.permits import RENEWAL_TIMER, move_permits, renew_permits
@@ -119,6 +120,12 @@
     return ask_waiting(state, event.now) if is_fresh(state, event.now) else []
 
 
+def _handle_loop_delay(state: RequestsState, event: LoopDelayMeasured) -> list[Effect]:
+    if event.seconds > state.settings.loop_delay:
+        state.overloaded_at = event.now
+    return []
+
+
 def _handle_message(state: RequestsState, event: MessageReceived) -> list[Effect]:
     handler = MESSAGE_HANDLERS.get(type(event.message))
     return handler(state, event.sender, event.message, event.now) if handler else []
@@ -152,6 +159,7 @@
     ClaimSettled: handle_settled,
     ConfigurationApplied: _handle_configuration,
     FreshnessChanged: _handle_freshness,
+    LoopDelayMeasured: _handle_loop_delay,
     MessageReceived: _handle_message,
     RequestArrived: handle_arrived,
     ShutdownRequested: handle_shutdown,
--- a/marjorambridge/requests/state.py
+++ b/marjorambridge/requests/state.py
@@ -8,7 +8,12 @@
 from marjorambridge.configuration.models import ServiceKind
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.outcomes import Outcome
-from marjorambridge.limits.messages import DenialReason, EndpointGrant, PermitRelease
+from marjorambridge.limits.messages import (
+    DenialReason,
+    EndpointGrant,
+    PermitRelease,
+    PriorityClass,
+)
 from marjorambridge.requests.exceptions import RequestSettingsError
 from marjorambridge.routing.state import RoutingSettings, RoutingState
 
@@ -21,6 +26,7 @@
     queue_renewal: float = defaults.QUEUE_RENEWAL_SECONDS
     permit_renewal: float = defaults.PERMIT_RENEWAL_SECONDS
     permit_expiry: float = defaults.PERMIT_EXPIRY_SECONDS
+    loop_delay: float = defaults.LOOP_DELAY_SECONDS
     owner_silence: float = defaults.OWNER_SILENCE_SECONDS
     queue_move: float = defaults.QUEUE_MOVE_SECONDS
     queue_move_factor: float = defaults.QUEUE_MOVE_FACTOR
@@ -89,6 +95,7 @@
     queued: bool = False
     expected_wait: float = 0.0
     endpoints: tuple[EndpointGrant, ...] = ()
+    priority: PriorityClass = PriorityClass.INTERACTIVE
     start_by: float = 0.0
     started: bool = False
     started_at: float = 0.0
@@ -224,6 +231,8 @@
         Claims whose request ended before the decision, until when a decision is awaited.
     key_hashes : list of tuple
         Key digests and the names of their workspaces.
+    overloaded_at : float
+        Last time at which this process was seen to handle a timer late.
     """
 
     host: str
@@ -245,6 +254,7 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
     key_hashes: list[tuple[bytes, str]] = field(default_factory=list)
     renewing: bool = False
+    overloaded_at: float = float("-inf")
     shutdown: Shutdown | None = None
 
 
--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -131,3 +131,26 @@
     world.run(1.0)
     assert world.count([waiting], PermitGranted) == 1
     assert not [item for item in world.effects if isinstance(item, CancelOnEndpoint)]
+
+
+def test_longer_prefills_leave_an_endpoint_to_short_requests():
+    """Guard against short requests that find a longer prefill in progress on every endpoint."""
+    world = World(engines=[Engine(f"e{n}", 100_000, 8) for n in range(4)])
+    world.warm_up()
+    for _ in range(4):
+        world.ask("client-1", 20_000, 100, 30.0)
+        world.run(0.1)
+    shard = world.shard()
+    assert len(shard.longer_endpoints) == 3
+    short = world.ask("client-1", 1_000, 100, 1.0)
+    world.run(0.1)
+    (grant,) = world.started[short][1].endpoints
+    assert grant.endpoint not in shard.longer_endpoints
+
+
+def test_a_longer_prefill_takes_the_last_free_endpoint_before_it_waits():
+    world = World(engines=[Engine(f"e{n}", 50_000, 8) for n in range(4)])
+    world.warm_up()
+    asks = [world.ask("client-1", 45_000, 100, 30.0) for _ in range(4)]
+    world.run(0.5)
+    assert world.count(asks, PermitGranted) == 4
--- a/tests/requests/harness.py
+++ b/tests/requests/harness.py
@@ -109,9 +109,16 @@
     return next(e.to for e in h.effects if getattr(e, "message", None) is ask), ask
 
 
-def grant(h: Harness, owner: str, ask: lm.PermitRequest, endpoint="e1", number=0) -> list:
+def grant(
+    h: Harness,
+    owner: str,
+    ask: lm.PermitRequest,
+    endpoint="e1",
+    number=0,
+    priority=lm.PriorityClass.INTERACTIVE,
+) -> list:
     entry = lm.EndpointGrant(endpoint, 1, "10.0.0.1:1", 10)
-    priority, summary = lm.PriorityClass.INTERACTIVE, lm.ShardSummary(ask.shard, endpoints=3)
+    summary = lm.ShardSummary(ask.shard, endpoints=3)
     number = number or ask.ask
     message = lm.PermitGranted(ask.permit, number, ask.shard, 1, priority, (entry,), summary)
     return feed(h, MessageReceived(h.now, owner, 1, message))
--- a/tests/requests/test_permits.py
+++ b/tests/requests/test_permits.py
@@ -222,3 +222,27 @@
     assert not hs.find(effects, lm.PermitRelease)[0].stopped
     hs.advance(h, 0.1)
     assert hs.last_ask(h)[1].permit != asked[1].permit
+
+
+def test_the_owner_hears_at_once_that_a_longer_prefill_has_ended():
+    h = hs.build_harness()
+    hs.arrive(h, prompt_bytes=60_000)
+    owner, ask = hs.last_ask(h)
+    attempt = hs.find(hs.grant(h, owner, ask, priority=lm.PriorityClass.BATCH), fx.StartAttempt)[0]
+    hs.feed(h, ev.AttemptStarted(h.now, attempt.attempt))
+    effects = hs.chunk(h, attempt.attempt, 0, b"lot ")
+    (renewal,) = hs.find(effects, lm.PermitRenew)
+    assert renewal.permits[0].first_token
+
+
+def test_an_overloaded_host_does_not_judge_the_speed_of_an_endpoint():
+    """Guard against warm endpoints that look cold because their host handles answers late."""
+    for delay, known in ((0.01, True), (0.5, False)):
+        h = hs.build_harness()
+        hs.arrive(h)
+        attempt = hs.start(h).attempt
+        hs.advance(h, 0.2)
+        hs.feed(h, ev.LoopDelayMeasured(h.now, delay))
+        hs.chunk(h, attempt, 0, b"lot ")
+        hs.end(h, attempt)
+        assert (hs.last(h, lm.PermitRelease).first_token_seconds >= 0.0) is known
