Split the caller and endpoint drivers by job

Headers, outcomes, body reading, answer writing, the requests to endpoints and the settings are modules of their own now. Behaviour is unchanged; the tests of the drivers pass without change beyond their imports.

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -35,6 +35,7 @@
 )
 from marjorambridge.http.registry import Registry, deliver
 from marjorambridge.http.servers import HttpServer, close_server, start_server
+from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
 from marjorambridge.node.composition import compose_node
@@ -250,7 +251,7 @@
             return ""
         return spans.choose_trace(header, identifier, host.settings.log.trace_ratio)
 
-    limits = callers.CallerSettings(
+    limits = CallerSettings(
         max_body_bytes=host.settings.requests.max_body_bytes,
         announcement_token_hashes=host.settings.announcement_token_hashes,
     )
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -24,7 +24,7 @@
     describe_state,
 )
 from marjorambridge.http.admin import AdminCallbacks
-from marjorambridge.http.callers import matches_any
+from marjorambridge.http.headers import matches_any
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
 from marjorambridge.orders.state_machine import SetTarget
 
--- a/marjorambridge/http/admin.py
+++ b/marjorambridge/http/admin.py
@@ -8,16 +8,13 @@
 
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.http.bodies import DECODE_ERRORS
-from marjorambridge.http.callers import (
-    CallerSettings,
-    encode_error,
-    read_body,
-    read_headers,
-    send_json,
-)
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.headers import read_headers
+from marjorambridge.http.messages import read_body, send_json
+from marjorambridge.http.outcomes import encode_error
 from marjorambridge.http.reports import CONFIGURATION_PATH, REPORT_PATH
 from marjorambridge.http.servers import Application
+from marjorambridge.http.settings import CallerSettings
 
 MAX_COMMAND_BYTES = 1024 * 1024
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
--- /dev/null
+++ b/marjorambridge/http/answers.py
@@ -0,0 +1,232 @@
+"""Write a request's effects to its caller as they come."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from marjorambridge.core.outcomes import Done, Failed, Reason
+from marjorambridge.http.bodies import CHAT_PATH
+from marjorambridge.http.headers import ANSWER_DROPPED_HEADERS
+from marjorambridge.http.messages import send_json
+from marjorambridge.http.outcomes import encode_outcome
+from marjorambridge.http.registry import Registry, StoredRequest, mark_written
+from marjorambridge.http.settings import CallerSettings
+from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
+
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclass(slots=True)
+class _Answer:
+    """Track what was written to one caller."""
+
+    started: bool = False
+    ended: bool = False
+    status: int = 200
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+def _encode_event(payload: Any) -> bytes:
+    return b"data: " + msgspec.json.encode(payload) + b"\n\n"
+
+
+def _encode_stream_chunk(
+    stored: StoredRequest, created: int, text: str, finish: str | None
+) -> bytes:
+    chat = stored.path == CHAT_PATH
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+    if chat:
+        choice["delta"] = {"content": text} if text else {}
+    else:
+        choice["text"] = text
+    return _encode_event(
+        {
+            "id": stored.request,
+            "object": "chat.completion.chunk" if chat else "text_completion",
+            "created": created,
+            "model": stored.model,
+            "choices": [choice],
+        }
+    )
+
+
+def _build_usage(effect: FinishRequest) -> dict[str, int]:
+    return {
+        "prompt_tokens": effect.prompt_tokens,
+        "completion_tokens": effect.output_tokens,
+        "total_tokens": effect.prompt_tokens + effect.output_tokens,
+    }
+
+
+def _build_answer(
+    stored: StoredRequest, created: int, text: str, effect: FinishRequest
+) -> dict[str, Any]:
+    chat = stored.path == CHAT_PATH
+    choice: dict[str, Any] = {"index": 0, "finish_reason": effect.finish or "stop"}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": stored.request,
+        "object": "chat.completion" if chat else "text_completion",
+        "created": created,
+        "model": stored.model,
+        "choices": [choice],
+        "usage": _build_usage(effect),
+    }
+
+
+def _select_headers(effect: ForwardHeaders, method: str) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in effect.headers
+        if name.lower() not in ANSWER_DROPPED_HEADERS
+        or (method == "HEAD" and name.lower() == "content-length")
+    ]
+
+
+async def _write_plain(
+    stored: StoredRequest, answer: _Answer, effect: Any, send: Callable[..., Any]
+) -> None:
+    """Write one effect of a call to a plain service, whose answer is passed through."""
+    if isinstance(effect, ForwardHeaders):
+        if not answer.started:
+            answer.started = True
+            answer.status = effect.status
+            headers = _select_headers(effect, stored.method)
+            if effect.status in BODILESS_STATUSES:
+                headers = [item for item in headers if item[0] != b"content-length"]
+            await send({"type": "http.response.start", "status": effect.status, "headers": headers})
+    elif isinstance(effect, ForwardChunk):
+        if not answer.started:
+            await _write_plain(stored, answer, ForwardHeaders(stored.request, 200), send)
+        if answer.status not in BODILESS_STATUSES and stored.method != "HEAD":
+            await send({"type": "http.response.body", "body": effect.data, "more_body": True})
+    else:
+        answer.ended = True
+        if not isinstance(effect.outcome, Done):
+            if answer.started:
+                # The headers are already with the caller: only a broken connection tells it that
+                # the answer is not whole.
+                raise ConnectionAbortedError("the answer was cut")
+            status, body, headers_out = encode_outcome(effect.outcome)
+            await send_json(send, status, body, headers_out)
+            return
+        if not answer.started:
+            await _write_plain(stored, answer, ForwardHeaders(stored.request, 200), send)
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+async def _write_stream(
+    stored: StoredRequest, answer: _Answer, effect: Any, send: Callable[..., Any], created: int
+) -> None:
+    """Write one effect of a streamed completion as server-sent events."""
+
+    async def write(data: bytes, more: bool = True) -> None:
+        if not answer.started:
+            answer.started = True
+            headers = [
+                (b"content-type", b"text/event-stream; charset=utf-8"),
+                (b"cache-control", b"no-store"),
+                (b"x-request-id", stored.request.encode()),
+            ]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": data, "more_body": more})
+
+    if isinstance(effect, ForwardHeaders):
+        return
+    if isinstance(effect, ForwardChunk):
+        text = effect.data.decode("utf-8", "replace")
+        await write(_encode_stream_chunk(stored, created, text, None))
+        return
+    answer.ended = True
+    if not isinstance(effect.outcome, Done):
+        status, body, headers_out = encode_outcome(effect.outcome)
+        if answer.started:
+            await write(_encode_event(body), more=False)
+        else:
+            await send_json(send, status, body, headers_out)
+        return
+    data = _encode_stream_chunk(stored, created, "", effect.finish or "stop")
+    if stored.include_usage:
+        usage = {"id": stored.request, "choices": [], "usage": _build_usage(effect)}
+        data += _encode_event({**usage, "model": stored.model, "created": created})
+    await write(data + b"data: [DONE]\n\n", more=False)
+
+
+async def _write_whole(
+    stored: StoredRequest,
+    answer: _Answer,
+    effect: Any,
+    send: Callable[..., Any],
+    created: int,
+    limit: int,
+) -> None:
+    """Collect a completion and write it as one JSON body."""
+    if isinstance(effect, ForwardChunk):
+        answer.size += len(effect.data)
+        if answer.size > limit:
+            answer.ended = True
+            outcome = Failed(
+                Reason.TOO_LARGE, f"the answer is larger than {limit} bytes; ask for a stream"
+            )
+            status, body, headers = encode_outcome(outcome)
+            await send_json(send, status, body, headers)
+            return
+        answer.parts.append(effect.data)
+    elif isinstance(effect, FinishRequest):
+        answer.ended = True
+        if isinstance(effect.outcome, Done):
+            text = b"".join(answer.parts).decode("utf-8", "replace")
+            body = _build_answer(stored, created, text, effect)
+            await send_json(send, 200, body, (("x-request-id", stored.request),))
+        else:
+            status, body, headers = encode_outcome(effect.outcome)
+            await send_json(send, status, body, headers)
+
+
+async def write_answer(
+    registry: Registry, stored: StoredRequest, send: Callable[..., Any], settings: CallerSettings
+) -> bool:
+    """Write the effects of a request to its caller until the last one.
+
+    Returns
+    -------
+    bool
+        Whether the caller got its final answer; False if it was ended or is gone before.
+
+    Raises
+    ------
+    ConnectionAbortedError
+        If a passed-through answer was cut.
+    """
+    answer = _Answer()
+    created = int(time.time())
+    while not answer.ended:
+        if stored.gone or stored.overflowed:
+            return False
+        if not stored.pending:
+            stored.waiting.clear()
+            await stored.waiting.wait()
+            continue
+        effect = stored.pending.popleft()
+        try:
+            async with asyncio.timeout(settings.send_seconds):
+                if not stored.is_engine:
+                    await _write_plain(stored, answer, effect, send)
+                elif stored.stream:
+                    await _write_stream(stored, answer, effect, send, created)
+                else:
+                    limit = settings.max_answer_bytes
+                    await _write_whole(stored, answer, effect, send, created, limit)
+        except TimeoutError:
+            return False
+        if isinstance(effect, ForwardChunk):
+            mark_written(registry, stored, len(effect.data))
+    return True
--- /dev/null
+++ b/marjorambridge/http/endpoint_requests.py
@@ -0,0 +1,66 @@
+"""Build the requests that endpoints get."""
+
+from typing import Any
+
+import httpcore
+import msgspec
+
+from marjorambridge.core.spans import Hop, name_span
+from marjorambridge.http.bodies import decode_object
+from marjorambridge.http.registry import StoredRequest
+from marjorambridge.requests.effects import StartAttempt
+from marjorambridge.telemetry.traces import build_traceparent
+
+
+def build_url(address: str, target: str) -> httpcore.URL:
+    """Return the URL of a target on an endpoint, whose address is ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=target.encode("latin-1")
+    )
+
+
+def build_engine_body(stored: StoredRequest, effect: StartAttempt) -> bytes:
+    """Return the body for an engine: the caller's fields and those of the engine protocol.
+
+    The engine always streams, because only a stream can be resumed.
+    """
+    fields: dict[str, Any] = dict(decode_object(stored.body))
+    fields.pop("stream_options", None)
+    fields["stream"] = True
+    fields["attempt"] = str(effect.attempt)
+    # A restarted engine refuses work that was granted to its earlier incarnation, because it is
+    # cold and the grant is not in its limit.
+    fields["incarnation"] = effect.endpoints[0].incarnation
+    fields["priority"] = str(effect.priority)
+    fields["resume_from"] = effect.resume_from
+    fields["kv_tokens"] = sum(item.tokens for item in effect.endpoints)
+    fields["group"] = []
+    if len(effect.endpoints) > 1:
+        fields["group"] = [
+            {
+                "endpoint": item.endpoint,
+                "incarnation": item.incarnation,
+                "address": item.address,
+                "tokens": item.tokens,
+            }
+            for item in effect.endpoints
+        ]
+    return msgspec.json.encode(fields)
+
+
+def build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
+    """Return the headers for the endpoint; a traced attempt gets its own span as the parent."""
+    address = effect.endpoints[0].address
+    headers = [("host", address), ("x-marjorambridge-attempt", str(effect.attempt))]
+    if stored.is_engine:
+        headers.append(("content-type", "application/json"))
+    elif not any(name == "idempotency-key" for name, _ in stored.headers):
+        headers.append(("idempotency-key", stored.request))
+    if effect.trace:
+        span = name_span(Hop.ATTEMPT, effect.attempt)
+        headers.append(("traceparent", build_traceparent(effect.trace, span)))
+        headers += [item for item in stored.headers if item[0] != "traceparent"]
+    else:
+        headers += stored.headers
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -14,11 +14,12 @@
 from marjorambridge.core.effects import Effect
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
-from marjorambridge.core.spans import Hop, name_span
 from marjorambridge.http import orders
-from marjorambridge.http.bodies import DECODE_ERRORS, decode_object
+from marjorambridge.http.bodies import DECODE_ERRORS
+from marjorambridge.http.endpoint_requests import build_engine_body, build_headers, build_url
 from marjorambridge.http.exceptions import EndpointProtocolError, HttpError, RequestError
 from marjorambridge.http.registry import Registry, StoredRequest
+from marjorambridge.http.settings import EndpointSettings
 from marjorambridge.http.streams import END_MARKER, EventBuffer, feed, parse_chunk
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.limits.events import EndpointCancelled
@@ -32,7 +33,6 @@
     AttemptHeaders,
     AttemptStarted,
 )
-from marjorambridge.telemetry.traces import build_traceparent
 
 CANCEL_PATH = "/v1/cancel"
 PARTS_PATH = "/v1/parts"
@@ -53,36 +53,6 @@
     """The start window passed before the first byte; ask for a new permit."""
 
 
-@dataclass(slots=True)
-class EndpointSettings:
-    """Limit the connections to endpoints.
-
-    Attributes
-    ----------
-    connections : int
-        Most connections to one endpoint address.
-    keepalive_seconds : float
-        Time that an unused connection is kept. It is shorter than the idle time of usual servers
-        (5 s and more), because a request on a connection that the endpoint is just closing ends
-        with an unknown outcome.
-    pool_idle_seconds : float
-        Time after which the pool of an unused address is closed.
-    cancel_seconds : float
-        Longest time for one cancel; the reducer asks again.
-    part_seconds : float
-        Time for which a part of a group is reserved before the lead renews it.
-    order_seconds : float
-        Longest time to wait for the answer to an order.
-    """
-
-    connections: int = 256
-    keepalive_seconds: float = 2.0
-    pool_idle_seconds: float = 30.0
-    cancel_seconds: float = 1.0
-    part_seconds: float = 5.0
-    order_seconds: float = 5.0
-
-
 @dataclass(slots=True)
 class _Pool:
     pool: httpcore.AsyncConnectionPool
@@ -236,13 +206,6 @@
     return entry
 
 
-def _build_url(address: str, target: str) -> httpcore.URL:
-    host, _, port = address.rpartition(":")
-    return httpcore.URL(
-        scheme=b"http", host=host.encode(), port=int(port), target=target.encode("latin-1")
-    )
-
-
 async def _post_json(
     driver: EndpointDriver,
     address: str,
@@ -264,7 +227,7 @@
         async with asyncio.timeout(driver.settings.cancel_seconds):
             response = await entry.pool.request(
                 "POST",
-                _build_url(address, path),
+                build_url(address, path),
                 headers=[("host", address), ("content-type", "application/json")],
                 content=msgspec.json.encode(body),
                 extensions=extensions,
@@ -327,7 +290,7 @@
     entry = _use_pool(driver, effect.address)
     entry.users += 1
     try:
-        url = _build_url(effect.address, orders.ORDERS_PATH)
+        url = build_url(effect.address, orders.ORDERS_PATH)
         seconds = driver.settings.order_seconds
         answer = await orders.send_order(entry.pool, url, effect, driver.clock, seconds)
     finally:
@@ -430,52 +393,6 @@
             raise result
 
 
-def build_engine_body(stored: StoredRequest, effect: StartAttempt) -> bytes:
-    """Return the body for an engine: the caller's fields and those of the engine protocol.
-
-    The engine always streams, because only a stream can be resumed.
-    """
-    fields: dict[str, Any] = dict(decode_object(stored.body))
-    fields.pop("stream_options", None)
-    fields["stream"] = True
-    fields["attempt"] = str(effect.attempt)
-    # A restarted engine refuses work that was granted to its earlier incarnation, because it is
-    # cold and the grant is not in its limit.
-    fields["incarnation"] = effect.endpoints[0].incarnation
-    fields["priority"] = str(effect.priority)
-    fields["resume_from"] = effect.resume_from
-    fields["kv_tokens"] = sum(item.tokens for item in effect.endpoints)
-    fields["group"] = []
-    if len(effect.endpoints) > 1:
-        fields["group"] = [
-            {
-                "endpoint": item.endpoint,
-                "incarnation": item.incarnation,
-                "address": item.address,
-                "tokens": item.tokens,
-            }
-            for item in effect.endpoints
-        ]
-    return msgspec.json.encode(fields)
-
-
-def build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
-    """Return the headers for the endpoint; a traced attempt gets its own span as the parent."""
-    address = effect.endpoints[0].address
-    headers = [("host", address), ("x-marjorambridge-attempt", str(effect.attempt))]
-    if stored.is_engine:
-        headers.append(("content-type", "application/json"))
-    elif not any(name == "idempotency-key" for name, _ in stored.headers):
-        headers.append(("idempotency-key", stored.request))
-    if effect.trace:
-        span = name_span(Hop.ATTEMPT, effect.attempt)
-        headers.append(("traceparent", build_traceparent(effect.trace, span)))
-        headers += [item for item in stored.headers if item[0] != "traceparent"]
-    else:
-        headers += stored.headers
-    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-
-
 async def _exchange(
     driver: EndpointDriver, running: _Running, stored: StoredRequest
 ) -> AttemptEnded:
@@ -502,7 +419,7 @@
     try:
         async with entry.pool.stream(
             stored.method,
-            _build_url(address, stored.path),
+            build_url(address, stored.path),
             headers=headers,
             content=content or None,
             extensions={"trace": check, "timeout": {"pool": window, "connect": window}},
--- /dev/null
+++ b/marjorambridge/http/messages.py
@@ -0,0 +1,73 @@
+"""Read bodies and send JSON over ASGI."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from marjorambridge.core.outcomes import Reason
+from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.settings import CallerSettings
+
+
+async def read_body(
+    receive: Callable[[], Any], declared: str | None, limit: int, settings: CallerSettings
+) -> bytes:
+    """Read the body of a request, at most `limit` bytes.
+
+    Raises
+    ------
+    RequestError
+        If the body is too large (413) or arrives too slowly (408).
+    CallerDisconnectedError
+        If the caller closed its connection.
+    """
+    parts: list[bytes] = []
+    size = 0
+    too_large = declared is not None and declared.isdecimal() and int(declared) > limit
+    try:
+        async with asyncio.timeout(settings.body_total_seconds):
+            while True:
+                async with asyncio.timeout(settings.body_idle_seconds):
+                    message = await receive()
+                if message["type"] == "http.disconnect":
+                    raise CallerDisconnectedError("the caller closed its connection")
+                size += len(message["body"])
+                too_large = too_large or size > limit
+                if too_large:
+                    # Most callers read an answer only after they have sent the whole body, so a
+                    # bounded part of the excess is read and dropped.
+                    parts.clear()
+                    if size > 2 * limit or not message.get("more_body", False):
+                        raise RequestError(
+                            f"the body is larger than {limit} bytes; split the request",
+                            413,
+                            Reason.TOO_LARGE,
+                        )
+                    continue
+                parts.append(message["body"])
+                if not message.get("more_body", False):
+                    return b"".join(parts)
+    except TimeoutError:
+        raise RequestError(
+            "the body did not arrive in time; send it without long pauses", 408
+        ) from None
+
+
+async def send_json(
+    send: Callable[..., Any],
+    status: int,
+    body: Any,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> None:
+    """Send a whole JSON answer; None for `body` sends no content."""
+    data = b"" if body is None else msgspec.json.encode(body)
+    all_headers = [(b"content-length", str(len(data)).encode())]
+    if body is not None:
+        all_headers.append((b"content-type", b"application/json"))
+    all_headers += [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+    if status == 204:
+        all_headers = []
+    await send({"type": "http.response.start", "status": status, "headers": all_headers})
+    await send({"type": "http.response.body", "body": data})
--- a/marjorambridge/standins/service.py
+++ b/marjorambridge/standins/service.py
@@ -11,15 +11,12 @@
 import typer
 
 from marjorambridge.http.bodies import DECODE_ERRORS
-from marjorambridge.http.callers import (
-    CallerSettings,
-    encode_error,
-    read_body,
-    read_headers,
-    send_json,
-)
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.headers import read_headers
+from marjorambridge.http.messages import read_body, send_json
+from marjorambridge.http.outcomes import encode_error
 from marjorambridge.http.servers import Application, abort_connection
+from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.messages import Announcement
 from marjorambridge.standins.announcer import announce_forever
 from marjorambridge.standins.processes import create_incarnation, load_settings, run_process
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -9,8 +9,9 @@
 
 from marjorambridge.core.outcomes import Done, Failed, NotRun, Reason, Unknown
 from marjorambridge.http import callers, servers
-from marjorambridge.http.callers import STATUSES, CallerSettings
+from marjorambridge.http.outcomes import STATUSES
 from marjorambridge.http.registry import Registry, deliver
+from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.events import EndpointAnnounced
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import CallerGone, RequestArrived
--- a/tests/http/test_endpoints.py
+++ b/tests/http/test_endpoints.py
@@ -6,7 +6,8 @@
 import pytest
 
 from marjorambridge.core.identity import AttemptId
-from marjorambridge.http.endpoints import EndpointSettings, carry_out
+from marjorambridge.http.endpoints import carry_out
+from marjorambridge.http.settings import EndpointSettings
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.limits.events import EndpointCancelled
 from marjorambridge.requests.effects import CancelAttempt
