Rank endpoints for short requests by what they wait for

Cause: owners ranked endpoints by all prefill tokens in progress. A short prompt therefore joined other short ones rather than an endpoint with a long prefill, although it overtakes that prefill after one chunk; and the prefill of a short prompt counted until its release or renewal, because holders do not report its first token. Change: interactive requests have an index of their own, in which a longer prefill counts as one chunk of 2,048 tokens, and on warm endpoints the prefill of an interactive request ends by estimate. Cold endpoints keep the strict count, for their prefill limit.

--- a/marjorambridge/limits/admission.py
+++ b/marjorambridge/limits/admission.py
@@ -180,7 +180,7 @@
         if found is not None and not (
             keep_reserve and is_kept_for_interactive(shard, endpoint, found.priority)
         ):
-            cost = compute_rank(endpoint) + found.prefill * RANK_SCALE
+            cost = _compute_cost(found)
             if best is None or cost < best_cost:
                 best, best_cost = found, cost
 
@@ -201,9 +201,16 @@
             and not (keep_reserve and is_kept_for_interactive(shard, endpoint, priority))
         )
 
-    slot = find_least_work(shard.placement, tokens, prefill, allow)
+    is_interactive = priority is PriorityClass.INTERACTIVE
+    index = shard.interactive_placement if is_interactive else shard.placement
+    slot = find_least_work(index, tokens, prefill, allow)
     if slot is None:
         return best
     found = build_placement(shard, request, shard.slots[slot], settings)
-    cost = compute_rank(found.endpoint) + found.prefill * RANK_SCALE
-    return found if best is None or cost < best_cost else best
+    return found if best is None or _compute_cost(found) < best_cost else best
+
+
+def _compute_cost(placement: Placement) -> int:
+    """Return the work until the first token of a placement, for comparison with others."""
+    is_interactive = placement.priority is PriorityClass.INTERACTIVE
+    return compute_rank(placement.endpoint, is_interactive) + placement.prefill * RANK_SCALE
--- a/marjorambridge/limits/estimates.py
+++ b/marjorambridge/limits/estimates.py
@@ -14,6 +14,11 @@
 MINIMUM_RATE_TOKENS = 512
 
 
+# The margin covers the start window's usual part and one chunk of a longer prefill.
+FIRST_TOKEN_MARGIN_SECONDS = 0.1
+FIRST_TOKEN_FACTOR = 1.5
+
+
 @dataclass(slots=True)
 class Rates:
     """Hold the moving averages of a shard.
@@ -68,3 +73,17 @@
     if prefill == 0 and output_tokens == 0:
         return rates.hold_seconds
     return prefill / rates.prefill_rate + output_tokens * rates.seconds_per_output_token
+
+
+def estimate_first_token(rates: Rates, prefill: int) -> float:
+    """Return the seconds after which the prefill of a short prompt has most probably ended.
+
+    Holders report the first token of short prompts only with the renewal, to save messages. Until
+    then the endpoint would count as busy with a prefill that is over.
+
+    Examples
+    --------
+    >>> estimate_first_token(Rates(10_000.0), 1_000)
+    0.25
+    """
+    return FIRST_TOKEN_MARGIN_SECONDS + FIRST_TOKEN_FACTOR * prefill / rates.prefill_rate
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -53,6 +53,7 @@
     reserve_ahead,
     serve_queue,
 )
+from marjorambridge.limits.settings import LimitsSettings
 from marjorambridge.limits.shard import (
     Shard,
     count_running,
@@ -332,6 +333,22 @@
     return effects
 
 
+def assume_first_token(
+    shard: Shard, identity: AttemptId, settings: LimitsSettings, now: float
+) -> None:
+    """End the prefill of a short prompt on a warm endpoint by estimate.
+
+    A cold endpoint's prefill limit must hold, so that its prefills end only by report.
+    """
+    permit = shard.ledger.permits.get(identity)
+    if permit is None or permit.cancelling:
+        return
+    warm = all(name in shard.endpoints and shard.endpoints[name].ramp.warm for name in permit.parts)
+    if warm and mark_first_token(shard.ledger, permit):
+        for name in permit.parts:
+            refresh_endpoint(shard, name, settings, now)
+
+
 def handle_renew(state: LimitsState, sender: str, message: PermitRenew, now: float) -> list[Effect]:
     """Renew the running permits of a holder, and register those that are not known here."""
     effects: list[Effect] = []
--- a/marjorambridge/limits/reducer.py
+++ b/marjorambridge/limits/reducer.py
@@ -31,6 +31,7 @@
     ShardHandover,
 )
 from marjorambridge.limits.permits import (
+    assume_first_token,
     drop_stale,
     find_refusal,
     handle_cancel,
@@ -165,6 +166,8 @@
             effects += repeat_cancel(shard, key, settings, now)
         elif kind == "host_cancel":
             effects += repeat_host_cancel(shard, *key, settings, now)
+        elif kind == "prefill":
+            assume_first_token(shard, key, settings, now)
         elif kind == "silence":
             check_silence(shard, *key, settings, now)
         elif kind == "ask":
--- a/marjorambridge/limits/scheduling.py
+++ b/marjorambridge/limits/scheduling.py
@@ -13,7 +13,7 @@
     choose_endpoint,
     is_long_share_used,
 )
-from marjorambridge.limits.estimates import estimate_duration
+from marjorambridge.limits.estimates import estimate_duration, estimate_first_token
 from marjorambridge.limits.groups import (
     estimate_ready,
     estimate_start,
@@ -157,6 +157,10 @@
             item.exclusive,
         )
     register_permit(shard, permit, settings, now)
+    if priority is PriorityClass.INTERACTIVE and prefill and placements[0].endpoint.ramp.warm:
+        (part,) = permit.parts.values()
+        due = now + estimate_first_token(shard.rates, part.prefill + part.ahead)
+        schedule_check(shard, due, "prefill", request.permit)
     if len(placements) == 1 and request.prefix:
         add_blocks(shard.prefix, placements[0].endpoint.announcement.endpoint, request.prefix)
     return [
--- a/marjorambridge/limits/shard.py
+++ b/marjorambridge/limits/shard.py
@@ -16,6 +16,10 @@
 from marjorambridge.limits.settings import LimitsSettings
 
 # Ranks order endpoints by prefill work and then by their share of used concurrency.
+# Prefill tokens that an engine processes without looking for more urgent work. A short prompt waits
+# for one such chunk, however long the prefill is that it belongs to.
+ENGINE_CHUNK_TOKENS = 2_048
+
 # Share of a shard's endpoints that is kept free of longer prefills, and the smallest shard in which
 # at least one endpoint is.
 INTERACTIVE_RESERVE = 0.25
@@ -108,6 +112,8 @@
         Whether the handover of this epoch was accepted.
     open : bool
         Whether the availability zone is in service.
+    placement, interactive_placement : PlacementIndex
+        Endpoints by their work as it counts for longer and for interactive requests.
     long_share : int
         Endpoints that may run long prefills at once.
     long_endpoints : dict
@@ -138,6 +144,7 @@
     ledger: Ledger = field(default_factory=Ledger)
     queue: RequestQueue = field(default_factory=RequestQueue)
     placement: PlacementIndex = field(default_factory=PlacementIndex)
+    interactive_placement: PlacementIndex = field(default_factory=PlacementIndex)
     rates: Rates = field(default_factory=Rates)
     reservation: AdvanceReservation | None = None
     long_endpoints: dict[str, None] = field(default_factory=dict)
@@ -204,7 +211,7 @@
     """Remove an endpoint from the table and all indexes."""
     name = endpoint.announcement.endpoint
     _replace_counted(shard, endpoint, False, (0, 0, 0, 0))
-    set_leaf(shard.placement, endpoint.slot, CLOSED, CLOSED, 0)
+    _set_leaves(shard, endpoint, CLOSED, CLOSED)
     count_capacity(shard, endpoint.announcement, -1)
     shard.slots[endpoint.slot] = None
     shard.free_slots.append(endpoint.slot)
@@ -245,10 +252,19 @@
     return max(0, limit - endpoint.account.prefill)
 
 
-def compute_rank(endpoint: Endpoint) -> int:
-    """Return the order of an endpoint for new work; the lowest is preferred."""
+def compute_rank(endpoint: Endpoint, is_interactive: bool = False) -> int:
+    """Return the order of an endpoint for new work; the lowest is preferred.
+
+    Interactive work overtakes longer prefills after one chunk, so that it prefers an endpoint with
+    a long prefill to one on which other interactive prompts wait.
+    """
     running = min(RANK_SCALE - 1, count_running(endpoint) * 256 // compute_limit(endpoint.ramp))
-    return endpoint.account.prefill * RANK_SCALE + running
+    account = endpoint.account
+    work = account.prefill
+    if is_interactive:
+        longer = account.prefill - account.interactive_prefill
+        work = account.interactive_prefill + min(longer, ENGINE_CHUNK_TOKENS)
+    return work * RANK_SCALE + running
 
 
 def fits(endpoint: Endpoint, tokens: int, prefill: int, settings: LimitsSettings) -> bool:
@@ -280,6 +296,11 @@
         names.pop(name, None)
 
 
+def _set_leaves(shard: Shard, endpoint: Endpoint, free: int, room: int) -> None:
+    for index, is_interactive in ((shard.placement, False), (shard.interactive_placement, True)):
+        set_leaf(index, endpoint.slot, free, room, compute_rank(endpoint, is_interactive))
+
+
 def refresh_endpoint(shard: Shard, name: str, settings: LimitsSettings, now: float) -> None:
     """Bring the indexes of a shard in step with one endpoint."""
     endpoint = shard.endpoints.get(name)
@@ -291,7 +312,7 @@
     usable = is_usable(endpoint, settings, now) and not endpoint.silent
     if not usable:
         _replace_counted(shard, endpoint, False, (0, 0, 0, 0))
-        set_leaf(shard.placement, endpoint.slot, CLOSED, CLOSED, 0)
+        _set_leaves(shard, endpoint, CLOSED, CLOSED)
         return
     limit = compute_limit(endpoint.ramp)
     free = compute_free_tokens(endpoint)
@@ -300,7 +321,7 @@
     if endpoint.reserved or count_running(endpoint) >= get_limit(endpoint):
         free = CLOSED
     room = compute_room(endpoint, settings)
-    set_leaf(shard.placement, endpoint.slot, free, room, compute_rank(endpoint))
+    _set_leaves(shard, endpoint, free, room)
 
 
 def get_max_long_share(shard: Shard, settings: LimitsSettings) -> int:
--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -1,5 +1,7 @@
 """Guard the order, the bounds and the refusals of the queue."""
 
+import pytest
+
 from marjorambridge.core.effects import SendMessage
 from marjorambridge.limits.effects import CancelOnEndpoint
 from marjorambridge.limits.messages import (
@@ -154,3 +156,28 @@
     asks = [world.ask("client-1", 45_000, 100, 30.0) for _ in range(4)]
     world.run(0.5)
     assert world.count(asks, PermitGranted) == 4
+
+
+def test_a_short_request_prefers_a_long_prefill_to_other_short_ones():
+    """Guard against short requests that wait for each other to avoid a prefill they overtake."""
+    world = World(engines=[Engine(f"e{n}", 100_000, 8) for n in range(2)])
+    world.warm_up()
+    long = world.ask("client-1", 60_000, 100, 30.0)
+    shorts = [world.ask("client-1", 8_000, 100, 30.0) for _ in range(2)]
+    world.run(0.05)
+    busy = [world.started[permit][1].endpoints[0].endpoint for permit in (long, *shorts)]
+    assert busy[1] != busy[0] and busy[2] == busy[0]
+
+
+@pytest.mark.parametrize("is_warm", [True, False])
+def test_the_prefill_of_a_short_request_ends_by_estimate_on_a_warm_endpoint_only(is_warm):
+    """Guard against endpoints that look busy until a renewal, and against a cold limit passed."""
+    world = World(engines=[Engine("e1", 100_000, 8)])
+    world.warm_up()
+    world.shard().endpoints["e1"].ramp.warm = is_warm
+    world.ask("client-1", 4_000, 100, 1.9)
+    world.run(0.05)
+    account = world.shard().ledger.accounts["e1"]
+    assert account.interactive_prefill == 4_000
+    world.run(1.5)
+    assert account.interactive_prefill == (0 if is_warm else 4_000)
