Share the command line of the stand-ins and the answer to refusals

Both stood twice, in the engine and the service, and in the caller and admin applications. Behaviour is unchanged but for the help text of the stand-ins; the tests of both packages pass.

--- a/marjorambridge/http/admin.py
+++ b/marjorambridge/http/admin.py
@@ -8,10 +8,9 @@
 
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.http.bodies import DECODE_ERRORS
-from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.exceptions import RequestError
 from marjorambridge.http.headers import read_headers
-from marjorambridge.http.messages import read_body, send_json
-from marjorambridge.http.outcomes import encode_error
+from marjorambridge.http.messages import answer_refusal, read_body, send_json
 from marjorambridge.http.reports import CONFIGURATION_PATH, REPORT_PATH
 from marjorambridge.http.servers import Application
 from marjorambridge.http.settings import CallerSettings
@@ -112,14 +111,7 @@
             )
 
     async def serve(scope: Any, receive: Any, send: Any) -> None:
-        if scope["type"] != "http":
-            return
-        try:
-            await answer(scope, read_headers(scope), receive, send)
-        except RequestError as error:
-            reply = encode_error(error.reason, "not_run", str(error))
-            await send_json(send, error.status, reply, (("connection", "close"),))
-        except CallerDisconnectedError:
-            return
+        if scope["type"] == "http":
+            await answer_refusal(send, answer(scope, read_headers(scope), receive, send))
 
     return serve
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -19,7 +19,7 @@
     parse_announcement,
     parse_completion,
 )
-from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.exceptions import RequestError
 from marjorambridge.http.headers import (
     DROPPED_HEADERS,
     matches_any,
@@ -29,8 +29,8 @@
     parse_timeout,
     read_headers,
 )
-from marjorambridge.http.messages import read_body, send_json
-from marjorambridge.http.outcomes import encode_error, encode_outcome
+from marjorambridge.http.messages import answer_refusal, read_body, send_json
+from marjorambridge.http.outcomes import encode_outcome
 from marjorambridge.http.registry import Registry, StoredRequest, add_request, mark_gone
 from marjorambridge.http.servers import Application, abort_connection
 from marjorambridge.http.settings import CallerSettings
@@ -227,34 +227,28 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await watcher
 
-    async def serve(scope: Any, receive: Any, send: Any) -> None:
-        if scope["type"] != "http":
-            return
+    async def route(scope: Any, receive: Any, send: Any) -> None:
         headers = read_headers(scope)
         # The undecoded path decides, so that an encoded slash cannot change the service.
         path = scope["raw_path"].decode("latin-1")
-        try:
-            if sum(len(name) + len(value) for name, value in scope["headers"]) > (
-                limits.max_header_bytes
-            ):
-                raise RequestError(
-                    f"the headers are larger than {limits.max_header_bytes} bytes; shorten them",
-                    431,
-                )
-            if path == ANNOUNCE_PATH:
-                await announce(scope, headers, receive, send)
-            elif path in (CHAT_PATH, COMPLETIONS_PATH) or path.startswith(SERVICES_PREFIX):
-                await carry(scope, headers, receive, send)
-            else:
-                raise RequestError(
-                    f"there is no such path; use {CHAT_PATH}, {COMPLETIONS_PATH} or "
-                    "/services/SERVICE/PATH",
-                    404,
-                )
-        except RequestError as error:
-            reply = encode_error(error.reason, "not_run", str(error))
-            await send_json(send, error.status, reply, (("connection", "close"),))
-        except CallerDisconnectedError:
-            return
+        size = sum(len(name) + len(value) for name, value in scope["headers"])
+        if size > limits.max_header_bytes:
+            raise RequestError(
+                f"the headers are larger than {limits.max_header_bytes} bytes; shorten them", 431
+            )
+        if path == ANNOUNCE_PATH:
+            await announce(scope, headers, receive, send)
+        elif path in (CHAT_PATH, COMPLETIONS_PATH) or path.startswith(SERVICES_PREFIX):
+            await carry(scope, headers, receive, send)
+        else:
+            raise RequestError(
+                f"there is no such path; use {CHAT_PATH}, {COMPLETIONS_PATH} or "
+                "/services/SERVICE/PATH",
+                404,
+            )
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "http":
+            await answer_refusal(send, route(scope, receive, send))
 
     return serve
--- a/marjorambridge/http/messages.py
+++ b/marjorambridge/http/messages.py
@@ -1,13 +1,14 @@
 """Read bodies and send JSON over ASGI."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
 
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
+from marjorambridge.http.outcomes import encode_error
 from marjorambridge.http.settings import CallerSettings
 
 
@@ -71,3 +72,14 @@
         all_headers = []
     await send({"type": "http.response.start", "status": status, "headers": all_headers})
     await send({"type": "http.response.body", "body": data})
+
+
+async def answer_refusal(send: Callable[..., Any], work: Awaitable[None]) -> None:
+    """Await the handling of a request, and answer its `RequestError` if it raises one."""
+    try:
+        await work
+    except RequestError as error:
+        reply = encode_error(error.reason, "not_run", str(error))
+        await send_json(send, error.status, reply, (("connection", "close"),))
+    except CallerDisconnectedError:
+        return
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -3,12 +3,10 @@
 import asyncio
 import contextlib
 from dataclasses import asdict
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Any
 
 import httpcore
 import msgspec
-import typer
 
 from marjorambridge.core.identity import AttemptId, parse_attempt_id
 from marjorambridge.http.bodies import (
@@ -28,7 +26,7 @@
 from marjorambridge.standins import scheduler
 from marjorambridge.standins.announcer import announce_forever, post_json
 from marjorambridge.standins.exceptions import RefusedError
-from marjorambridge.standins.processes import create_incarnation, load_settings, run_process
+from marjorambridge.standins.processes import create_incarnation, run_from_command_line, run_process
 from marjorambridge.standins.prompts import compute_seed
 from marjorambridge.standins.scheduler import Engine, EngineSettings, Faults, Run
 
@@ -535,28 +533,5 @@
     await run_process(build_application(engine), settings.listen, settings.port, run)
 
 
-def run_command(
-    settings: Annotated[Path | None, typer.Option(help="JSON file with EngineSettings.")] = None,
-    endpoint: Annotated[str | None, typer.Option()] = None,
-    service: Annotated[str | None, typer.Option()] = None,
-    zone: Annotated[str | None, typer.Option()] = None,
-    listen: Annotated[str | None, typer.Option()] = None,
-    port: Annotated[int | None, typer.Option(help="0 chooses a free port.")] = None,
-    host: Annotated[list[str] | None, typer.Option(help="Address of a host; repeatable.")] = None,
-    incarnation: Annotated[int | None, typer.Option()] = None,
-) -> None:
-    """Run a stand-in engine; flags replace values of the settings file."""
-    flags = {
-        "endpoint": endpoint,
-        "service": service,
-        "zone": zone,
-        "listen": listen,
-        "port": port,
-        "hosts": host,
-        "incarnation": incarnation,
-    }
-    asyncio.run(run_engine(load_settings(EngineSettings, settings, flags)))
-
-
 if __name__ == "__main__":
-    typer.run(run_command)
+    run_from_command_line(EngineSettings, run_engine)
--- a/marjorambridge/standins/processes.py
+++ b/marjorambridge/standins/processes.py
@@ -4,11 +4,12 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
+import typer
 
 from marjorambridge.http.servers import Application, close_server, start_server
 
@@ -59,3 +60,43 @@
         await task
     task.cancel()
     await close_server(server)
+
+
+def run_from_command_line(
+    kind: type[Settings], run: Callable[[Settings], Coroutine[Any, Any, None]]
+) -> None:
+    """Run a stand-in with settings from a file and flags.
+
+    Parameters
+    ----------
+    kind : type
+        Dataclass of the settings.
+    run : callable
+        Runs the stand-in until it is told to stop.
+    """
+
+    def run_command(
+        settings: Annotated[Path | None, typer.Option(help="JSON file with the settings.")] = None,
+        endpoint: Annotated[str | None, typer.Option()] = None,
+        service: Annotated[str | None, typer.Option()] = None,
+        zone: Annotated[str | None, typer.Option()] = None,
+        listen: Annotated[str | None, typer.Option()] = None,
+        port: Annotated[int | None, typer.Option(help="0 chooses a free port.")] = None,
+        host: Annotated[
+            list[str] | None, typer.Option(help="Address of a host; repeatable.")
+        ] = None,
+        incarnation: Annotated[int | None, typer.Option()] = None,
+    ) -> None:
+        """Run a stand-in endpoint; flags replace values of the settings file."""
+        flags = {
+            "endpoint": endpoint,
+            "service": service,
+            "zone": zone,
+            "listen": listen,
+            "port": port,
+            "hosts": host,
+            "incarnation": incarnation,
+        }
+        asyncio.run(run(load_settings(kind, settings, flags)))
+
+    typer.run(run_command)
--- a/marjorambridge/standins/service.py
+++ b/marjorambridge/standins/service.py
@@ -4,11 +4,9 @@
 import hashlib
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
-import typer
 
 from marjorambridge.http.bodies import DECODE_ERRORS
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
@@ -19,7 +17,7 @@
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.messages import Announcement
 from marjorambridge.standins.announcer import announce_forever
-from marjorambridge.standins.processes import create_incarnation, load_settings, run_process
+from marjorambridge.standins.processes import create_incarnation, run_from_command_line, run_process
 
 
 @dataclass(slots=True)
@@ -237,28 +235,5 @@
     await run_process(build_application(service), settings.listen, settings.port, run)
 
 
-def run_command(
-    settings: Annotated[Path | None, typer.Option(help="JSON file with ServiceSettings.")] = None,
-    endpoint: Annotated[str | None, typer.Option()] = None,
-    service: Annotated[str | None, typer.Option()] = None,
-    zone: Annotated[str | None, typer.Option()] = None,
-    listen: Annotated[str | None, typer.Option()] = None,
-    port: Annotated[int | None, typer.Option(help="0 chooses a free port.")] = None,
-    host: Annotated[list[str] | None, typer.Option(help="Address of a host; repeatable.")] = None,
-    incarnation: Annotated[int | None, typer.Option()] = None,
-) -> None:
-    """Run a stand-in plain service; flags replace values of the settings file."""
-    flags = {
-        "endpoint": endpoint,
-        "service": service,
-        "zone": zone,
-        "listen": listen,
-        "port": port,
-        "hosts": host,
-        "incarnation": incarnation,
-    }
-    asyncio.run(run_service(load_settings(ServiceSettings, settings, flags)))
-
-
 if __name__ == "__main__":
-    typer.run(run_command)
+    run_from_command_line(ServiceSettings, run_service)
