Show what breaks without the freshness limit and without a drain

Both invariants had no run without their mechanism. A host whose freshness never ends stays fresh while it lacks a committed change, and a shutdown that waits for nothing cuts a running request.

--- a/tests/membership/test_freshness.py
+++ b/tests/membership/test_freshness.py
@@ -75,6 +75,22 @@
     assert is_fresh(cluster)
 
 
+def test_without_the_limit_a_cut_off_host_acts_on_an_old_configuration():
+    """Show that the naive variant, freshness without end, breaks what the test above guards."""
+    for freshness, acts in ((1.8, False), (1e9, True)):
+        cluster = make_cluster()
+        cluster.host.settings.freshness = freshness
+        poll(cluster)
+        exchange(cluster, *ABC)
+        append(cluster, "a")
+        replicate_to(cluster, "a", "bc")
+        for _ in range(8):
+            poll(cluster)
+            cluster.bag.clear()
+        assert get_applied(cluster) == 5
+        assert is_fresh(cluster) is acts
+
+
 def test_no_host_is_fresh_when_a_majority_of_replicas_is_lost():
     cluster = make_cluster()
     poll(cluster, 2.0)
--- a/tests/requests/test_outcomes.py
+++ b/tests/requests/test_outcomes.py
@@ -258,6 +258,17 @@
     assert hs.find(h.effects, ev.Drained) == [ev.Drained(h.now, 2, 0)]
 
 
+def test_a_shutdown_that_waits_for_nothing_cuts_a_running_request():
+    """Show that the naive variant, a drain without time, breaks what the test above guards."""
+    h = hs.build_harness(drain_deadline=0.0)
+    hs.arrive(h, "r1", timeout=60.0)
+    hs.start(h)
+    hs.feed(h, ShutdownRequested(h.now, False))
+    hs.advance(h, 0.1)
+    assert hs.outcome(h, "r1") != Done()
+    assert hs.last(h, ev.Drained).cut == 1
+
+
 @pytest.mark.parametrize("forced", [True, False])
 def test_the_end_of_the_drain_gives_each_request_its_true_outcome(forced):
     h = hs.build_harness(drain_deadline=5.0)
