--- a/marjorambridge/limits/announcements.py
+++ b/marjorambridge/limits/announcements.py
@@ -8,7 +8,7 @@
 from marjorambridge.limits.ledger import trim_to_report
 from marjorambridge.limits.messages import Announcement
 from marjorambridge.limits.ownership import find_owner
-from marjorambridge.limits.permits import pump_shard
+from marjorambridge.limits.permits import serve_shard
 from marjorambridge.limits.prefix import apply_cache_events, reset_endpoint
 from marjorambridge.limits.ramp import Ramp, apply_announced_limits
 from marjorambridge.limits.settings import LimitsSettings
@@ -81,7 +81,7 @@
     )
     apply_cache_events(shard.prefix, name, announcement.cache_events)
     refresh_endpoint(shard, name, settings, now)
-    return effects + pump_shard(state, shard, now)
+    return effects + serve_shard(state, shard, now)
 
 
 def introduce_endpoint(
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -80,7 +80,7 @@
     return None
 
 
-def pump_shard(state: LimitsState, shard: Shard, now: float) -> list[Effect]:
+def serve_shard(state: LimitsState, shard: Shard, now: float) -> list[Effect]:
     """Serve the queue of a shard if it may grant."""
     if not shard.queue.entries and shard.reservation is None:
         return []
@@ -223,7 +223,7 @@
         reason, retry_after = DenialReason.DEADLINE, max(MINIMUM_RETRY_SECONDS, wait)
     effects = record_queue(shard, entry, reason.value, now)
     effects += deny_request(shard, entry.request, reason, retry_after, now)
-    return effects + pump_shard(state, shard, now)
+    return effects + serve_shard(state, shard, now)
 
 
 def drop_stale(state: LimitsState, shard: Shard, identity: AttemptId, now: float) -> None:
@@ -262,13 +262,13 @@
     if permit is None:
         forget_at = now + state.settings.ended_memory_seconds
         remember_ended(shard.ledger, message.permit, forget_at)
-        return pump_shard(state, shard, now)
+        return serve_shard(state, shard, now)
     if permit.started:
         # A permit that was renewed has an attempt, which only the endpoint can end.
         return start_cancel(shard, permit, state.settings, now)
     for endpoint in list(permit.parts):
         free_permit_part(shard, permit, endpoint, state.settings, now)
-    return pump_shard(state, shard, now)
+    return serve_shard(state, shard, now)
 
 
 def handle_release(state: LimitsState, message: PermitRelease, now: float) -> list[Effect]:
@@ -292,7 +292,7 @@
     else:
         for endpoint in list(permit.parts):
             free_permit_part(shard, permit, endpoint, state.settings, now)
-    return effects + pump_shard(state, shard, now)
+    return effects + serve_shard(state, shard, now)
 
 
 def _learn_from_end(
@@ -401,7 +401,7 @@
         if running.first_token and mark_first_token(shard.ledger, permit):
             for name in permit.parts:
                 refresh_endpoint(shard, name, settings, now)
-            return pump_shard(state, shard, now)
+            return serve_shard(state, shard, now)
         return []
     outdated = any(
         grant.endpoint in shard.endpoints
--- a/marjorambridge/limits/reducer.py
+++ b/marjorambridge/limits/reducer.py
@@ -38,7 +38,7 @@
     handle_release,
     handle_renew,
     handle_request,
-    pump_shard,
+    serve_shard,
 )
 from marjorambridge.limits.scheduling import reserve_ahead
 from marjorambridge.limits.shard import Shard, adapt_long_share, pop_due_checks
@@ -89,7 +89,7 @@
         effects: list[Effect] = []
         for shard in state.shards.values():
             if apply_confirmation(shard, event, state.settings):
-                effects += pump_shard(state, shard, now)
+                effects += serve_shard(state, shard, now)
         return effects
     if isinstance(event, TimerFired):
         return _tick(state, now) if event.key == TICK else []
@@ -174,7 +174,7 @@
             drop_stale(state, shard, key, now)
     forget_ended(shard.ledger, now)
     adapt_long_share(shard, settings)
-    effects += pump_shard(state, shard, now)
+    effects += serve_shard(state, shard, now)
     if shard.queue.entries and find_refusal(state, shard, now) is None:
         effects += reserve_ahead(shard, settings, now)
     return effects
--- a/marjorambridge/routing/choice.py
+++ b/marjorambridge/routing/choice.py
@@ -45,18 +45,18 @@
         return None
     settings = routing.settings
     compared = random.sample(usable, min(2, len(usable)))
-    favourite = _find_affine(settings.affinity_tokens, usable, prefix, prefix_tokens)
+    affine = _find_affine(settings.affinity_tokens, usable, prefix, prefix_tokens)
     bonus = 0.0
-    if favourite is not None:
-        compared.append(favourite[0])
-        bonus = min(favourite[1] * settings.prefill_seconds_per_token, settings.affinity_max)
+    if affine is not None:
+        compared.append(affine[0])
+        bonus = min(affine[1] * settings.prefill_seconds_per_token, settings.affinity_max)
     own = [entry for entry in usable if entry.owner == routing.host]
     if own:
         compared.append(own[random.randrange(len(own))])
 
     def compute_cost(entry: Candidate) -> float:
         wait = compute_wait(routing, entry.shard, now)
-        return wait - bonus if favourite is not None and entry == favourite[0] else wait
+        return wait - bonus if affine is not None and entry == affine[0] else wait
 
     lowest = min(compute_cost(entry) for entry in compared)
     equal = [entry for entry in compared if compute_cost(entry) <= lowest + settings.equal_wait]
