--- a/marjorambridge/http/outcomes.py
+++ b/marjorambridge/http/outcomes.py
@@ -47,6 +47,7 @@
 
     Examples
     --------
+    >>> from marjorambridge.core.outcomes import NotRun
     >>> encode_outcome(NotRun(Reason.OVERLOADED, "try again later", 0.4))[::2]
     (503, (('retry-after', '1'),))
     """
