Keep long prompts apart from short answers and read them in parts

Short requests now fill engines one after the other, and long prompts take engines without short answers, a reserve of two excepted, in parts of up to 0.3 s.

What is left: prompts over an engine's memory are refused, and the change from many short to many long requests.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -216,10 +216,25 @@
 EVENT_PATIENCE_SECONDS = 1.4
 # The same for streams with long pauses, in objectives for the pause; callers wait 8.
 EVENT_PATIENCE_GAPS = 5.0
-# Time in seconds for which one engine reads a part of a long prompt. A running answer stalls for a
-# part and a pass of about 45 ms, and pauses of 250 ms still count as on time.
-PART_READ_SECONDS = 0.19
+# Prompts that an engine reads in less time, in seconds, are short ones. An answer beside one stalls
+# for the read and a pass of about 45 ms, and pauses of 250 ms are still on time.
+SHORT_READ_SECONDS = 0.19
+# Answers that bear longer pauses, in seconds, may run where long prompts are read.
+STRICT_PAUSE_SECONDS = 0.5
+# Part of its objective in which a long prompt is to be read; the rest covers what is not known.
+LONG_READ_RATIO = 0.5
+# Greatest length of a part in seconds, where there are engines enough: answers to long prompts bear
+# pauses of 600 ms and more.
+PART_READ_SECONDS = 0.3
+# Part of its objective beyond which a long prompt also goes where it stalls answers.
+LATE_READ_RATIO = 0.8
+# Engines without answers that long prompts leave to the next short requests.
+RESERVED_ENGINES = 2
+# Share of the borne pause that is left for reading at an engine that gets a short request.
+SHORT_READ_RATIO = 0.6
+# Slots of an engine that packed short requests leave free.
+PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
 MAX_HELPERS = 16
-# Weight of a running answer, which a part would stall, against a second of waiting reads.
-STALLED_ANSWER_SECONDS = 0.05
+# Seconds of waiting that a read which stalls an answer is counted as.
+STALLED_ANSWER_SECONDS = 0.3
--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -163,12 +163,11 @@
 
 
 def _pass_on(state: FollowerState, update: FeedUpdate, follows: bool, now: float) -> list[Effect]:
-    if not update.current and state.version == 0:
-        # A host that knows nothing must not begin with a manifest that was replaced long ago,
-        # unless nobody can tell it the present one.
-        if now - state.started_at < defaults.FEED_FIRST_SECONDS:
-            update.document = b""
-    if update.version <= state.version:
+    # A host that knows nothing must not begin with a manifest that was replaced long ago, unless
+    # nobody can tell it the present one.
+    may_be_old = not update.current and state.version == 0
+    is_early = now - state.started_at < defaults.FEED_FIRST_SECONDS
+    if (may_be_old and is_early) or update.version <= state.version:
         update.document = b""
     if update.document:
         state.version = update.version
--- a/marjorambridge/forwarding/budgets.py
+++ b/marjorambridge/forwarding/budgets.py
@@ -50,7 +50,9 @@
     hosts = state.hosts or (settings.host,)
     if limit >= len(hosts):
         return int(limit // len(hosts))
-    ranked = sorted(hosts, key=lambda host: xxhash.xxh3_64_intdigest(f"{host}/{endpoint.name}"))
+    ranked = sorted(
+        hosts, key=lambda host: xxhash.xxh3_64_intdigest(f"{host}/{endpoint.name}".encode())
+    )
     return 1 if settings.host in ranked[: int(limit)] else 0
 
 
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -1,5 +1,7 @@
 """Take over what the replicas tell about endpoints, zones and manifests."""
 
+import xxhash
+
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.manifests.matching import build_table
@@ -61,6 +63,7 @@
         known = Endpoint(
             entry.endpoint, entry.service, entry.zone, entry.address, entry.slots, entry.born
         )
+        known.order = xxhash.xxh3_64_intdigest(entry.endpoint.encode())
         state.endpoints[entry.endpoint] = known
         state.by_service.setdefault(entry.service, {})[entry.endpoint] = known
     known.slots = entry.slots
--- a/marjorambridge/forwarding/loads.py
+++ b/marjorambridge/forwarding/loads.py
@@ -4,6 +4,8 @@
 says little, so that hosts tell one another what they sent; the sum is known within milliseconds.
 """
 
+import math
+
 from marjorambridge.forwarding.state import Endpoint, Load
 
 # Loads of a host that sent nothing for this long, in seconds, are dropped; each host repeats what
@@ -16,9 +18,10 @@
     load.as_of = now
 
 
-def add_request(load: Load, kv_tokens: int) -> None:
-    """Count a request that is being sent."""
+def add_request(load: Load, kv_tokens: int, pause_seconds: float) -> None:
+    """Count a request that is being sent and that bears pauses of `pause_seconds`."""
     load.requests += 1
+    load.pauses.append(pause_seconds)
     load.kv_tokens += kv_tokens
 
 
@@ -37,9 +40,10 @@
         load.read_seconds = 0.0
 
 
-def remove_request(load: Load, kv_tokens: int) -> None:
+def remove_request(load: Load, kv_tokens: int, pause_seconds: float) -> None:
     """Count a request that ended."""
     load.requests = max(0, load.requests - 1)
+    load.pauses.remove(pause_seconds)
     load.kv_tokens = max(0, load.kv_tokens - kv_tokens)
 
 
@@ -57,6 +61,12 @@
     return endpoint.load.requests + sum(load.requests for load in endpoint.other_loads.values())
 
 
+def compute_borne_pause(endpoint: Endpoint) -> float:
+    """Return the longest pause in seconds that all requests at an endpoint bear."""
+    loads = (endpoint.load, *endpoint.other_loads.values())
+    return min((pause for load in loads for pause in load.pauses), default=math.inf)
+
+
 def count_kv_tokens(endpoint: Endpoint) -> int:
     """Return the memory in tokens that the requests of all hosts need."""
     return endpoint.load.kv_tokens + sum(load.kv_tokens for load in endpoint.other_loads.values())
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -5,13 +5,20 @@
 
 @dataclass(slots=True)
 class EndpointLoad:
-    """Tell the work of a host at one endpoint; see `marjorambridge.forwarding.state.Load`."""
+    """Tell the work of a host at one endpoint; see `marjorambridge.forwarding.state.Load`.
+
+    Attributes
+    ----------
+    pause_seconds : float
+        Longest pause that all the requests bear.
+    """
 
     endpoint: str
     requests: int
     reads: int
     read_seconds: float
     kv_tokens: int
+    pause_seconds: float
 
 
 @dataclass(slots=True)
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -1,5 +1,6 @@
 """Choose the endpoint of a request."""
 
+import math
 from dataclasses import dataclass
 
 from marjorambridge.conf import defaults
@@ -21,6 +22,8 @@
     ----------
     read_seconds : float
         Time in which an idle engine reads the prompt; 0 for plain services.
+    objective_seconds, pause_seconds : float
+        Time to the first event, and pause between two events, that are still on time.
     kv_tokens : int
         Memory in tokens that it needs at its end.
     """
@@ -28,6 +31,8 @@
     service: str
     read_seconds: float = 0.0
     kv_tokens: int = 0
+    objective_seconds: float = math.inf
+    pause_seconds: float = math.inf
 
 
 def choose_endpoint(
@@ -78,30 +83,40 @@
     endpoint: Endpoint,
     work: Work,
     now: float,
-) -> tuple[int, float]:
+) -> tuple[float, ...]:
     """Return the sort key of an endpoint; the least one is chosen.
 
     The first part puts endpoints that failed or fell silent last, and full or cold ones after those
     that can begin at once.
     """
     requests = count_requests(endpoint)
-    doubt = 0
+    doubt = compute_doubt(definition, endpoint, work, requests, now)
+    other_zone = 0.0 if endpoint.zone == state.settings.zone else defaults.OTHER_ZONE_SECONDS
+    if definition.engine is None:
+        return doubt, requests * defaults.RUNNING_REQUEST_SECONDS + other_zone
+    reads = compute_remaining_reads(endpoint, now)
+    is_late = reads + work.read_seconds > defaults.SHORT_READ_RATIO * work.pause_seconds
+    # Short requests keep together, so that other engines are free of answers that a long prompt
+    # would stall; an engine writes a full batch almost as fast as a single answer.
+    room = max(0, endpoint.slots - defaults.PACKING_RESERVE_SLOTS - requests)
+    return doubt, is_late, room if room else endpoint.slots, endpoint.order
+
+
+def compute_doubt(
+    definition: ServiceDefinition, endpoint: Endpoint, work: Work, requests: int, now: float
+) -> int:
+    """Return how doubtful it is that an endpoint begins a request at once; 0 if it is not."""
     if now < endpoint.avoid_until:
-        doubt = 4
-    elif endpoint.silent:
-        doubt = 3
-    elif requests >= endpoint.slots or not _has_memory(definition, endpoint, work):
-        doubt = 2
-    elif now < endpoint.cold_until:
-        doubt = 1
-    wait = compute_remaining_reads(endpoint, now)
-    wait += requests * defaults.RUNNING_REQUEST_SECONDS
-    if endpoint.zone != state.settings.zone:
-        wait += defaults.OTHER_ZONE_SECONDS
-    return doubt, wait
-
-
-def _has_memory(definition: ServiceDefinition, endpoint: Endpoint, work: Work) -> bool:
+        return 4
+    if endpoint.silent:
+        return 3
+    if requests >= endpoint.slots or not has_memory(definition, endpoint, work):
+        return 2
+    return 1 if now < endpoint.cold_until else 0
+
+
+def has_memory(definition: ServiceDefinition, endpoint: Endpoint, work: Work) -> bool:
+    """Return whether an endpoint's memory holds one more request to its end."""
     if definition.engine is None or definition.engine.kv_tokens <= 0:
         return True
     return count_kv_tokens(endpoint) + work.kv_tokens <= definition.engine.kv_tokens
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -1,58 +1,96 @@
-"""Share the reading of a long prompt among engines.
+"""Choose the engines that read a long prompt, each a part of it.
 
-The time to read a prompt grows with its square, and a short request that meets a long read waits
-for it, as do the events of running answers. Parts that are short enough let both go on: the load
-pattern is a stream of short questions with a few prompts that are a hundred times as long.
+The time to read a prompt grows with its square. A short request that meets a long read waits for
+it, and so do the events of running answers. The load pattern is a stream of short questions with
+prompts among them that are a hundred times as long, several at once at worst: long prompts keep to
+engines without short answers, and take as many of them as their objective needs.
 """
 
-import math
-
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.loads import compute_remaining_reads, count_requests
-from marjorambridge.forwarding.placement import is_usable
+from marjorambridge.forwarding.loads import (
+    compute_borne_pause,
+    compute_remaining_reads,
+    count_requests,
+)
+from marjorambridge.forwarding.placement import Work, compute_doubt, has_memory, is_usable
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.manifests.models import ServiceDefinition
 
 
-def choose_helpers(
-    state: ForwardingState,
-    first: Endpoint,
-    read_seconds: float,
-    excluded: frozenset[str],
-    now: float,
-) -> list[Endpoint]:
-    """Return the engines that read parts of a prompt besides `first`.
+def is_long(work: Work) -> bool:
+    """Return whether a prompt is too long to be read beside short answers."""
+    return work.read_seconds > defaults.SHORT_READ_SECONDS
 
-    Parameters
-    ----------
-    first : Endpoint
-        Engine that gets the request.
-    read_seconds : float
-        Time in which one idle engine reads the whole prompt.
+
+def choose_readers(
+    state: ForwardingState, work: Work, excluded: frozenset[str], now: float
+) -> list[Endpoint]:
+    """Return the engines that read a long prompt; the first one gets the request.
 
     Returns
     -------
     list of Endpoint
-        Engines with the least to read, and with few running answers among equal ones; none if the
-        prompt is short.
+        Empty if no engine can take the prompt without doubt.
     """
-    parts = math.ceil(read_seconds / defaults.PART_READ_SECONDS)
-    if parts < 2:
-        return []
-    candidates = [
+    definition = state.table.services[work.service]
+    trusted = [
         endpoint
-        for endpoint in state.by_service.get(first.service, {}).values()
-        if endpoint.name != first.name
-        and is_usable(state, endpoint, excluded)
-        and not endpoint.silent
-        and now >= endpoint.avoid_until
-        and now >= endpoint.cold_until
+        for endpoint in state.by_service.get(work.service, {}).values()
+        if is_usable(state, endpoint, excluded)
+        and compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in (0, 2)
     ]
-    state.generator.shuffle(candidates)
-    candidates.sort(key=lambda endpoint: rank_helper(endpoint, now))
-    return candidates[: min(parts - 1, defaults.MAX_HELPERS)]
+    strict = [
+        endpoint
+        for endpoint in trusted
+        if compute_borne_pause(endpoint) < defaults.STRICT_PAUSE_SECONDS
+    ]
+    free = [endpoint for endpoint in trusted if endpoint not in strict]
+    free.sort(key=lambda endpoint: endpoint.order)
+    reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
+    chosen, seconds = _fit(free[len(reserved) :], work, now)
+    if seconds > defaults.LATE_READ_RATIO * work.objective_seconds:
+        more, sooner = _fit(trusted, work, now)
+        if sooner < defaults.LATE_READ_RATIO * seconds:
+            chosen = more
+    return _put_first(definition, chosen, work)
+
+
+def _fit(engines: list[Endpoint], work: Work, now: float) -> tuple[list[Endpoint], float]:
+    """Return the fewest engines that read a prompt in time, or else those that do it soonest.
+
+    Parts are short as well, because they stall the answers to other long prompts.
+
+    Returns
+    -------
+    tuple of (list of Endpoint, float)
+        The engines, and the seconds until the last part is read.
+    """
+    waits = sorted(
+        (_compute_wait(endpoint, work, now), -endpoint.order, endpoint.name, endpoint)
+        for endpoint in engines
+    )
+    best, best_seconds = 0, float("inf")
+    for count in range(1, min(len(waits), defaults.MAX_HELPERS + 1) + 1):
+        seconds = waits[count - 1][0] + work.read_seconds / count
+        if seconds < best_seconds:
+            best, best_seconds = count, seconds
+        is_short = work.read_seconds / count <= defaults.PART_READ_SECONDS
+        if is_short and seconds <= defaults.LONG_READ_RATIO * work.objective_seconds:
+            break
+    return [wait[3] for wait in waits[:best]], best_seconds
+
+
+def _compute_wait(endpoint: Endpoint, work: Work, now: float) -> float:
+    wait = compute_remaining_reads(endpoint, now)
+    part = min(work.read_seconds, defaults.STALLED_ANSWER_SECONDS)
+    if wait + part > compute_borne_pause(endpoint):
+        wait += defaults.STALLED_ANSWER_SECONDS
+    return wait
 
 
-def rank_helper(endpoint: Endpoint, now: float) -> float:
-    """Return the sort key of a helper in seconds; the least ones are chosen."""
-    running = count_requests(endpoint) * defaults.STALLED_ANSWER_SECONDS
-    return compute_remaining_reads(endpoint, now) + running
+def _put_first(definition: ServiceDefinition, chosen: list[Endpoint], work: Work) -> list[Endpoint]:
+    """Move the engine that gets the request to the front: it needs memory and a slot."""
+    for endpoint in chosen:
+        if count_requests(endpoint) < endpoint.slots and has_memory(definition, endpoint, work):
+            return [endpoint, *(other for other in chosen if other is not endpoint)]
+    return chosen
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -22,6 +22,8 @@
         Time that the endpoint needs to read them, as of `as_of`.
     kv_tokens : int
         Memory in tokens that the requests need at their end.
+    pauses : list of float
+        Longest pause in seconds that each of the requests bears between two events.
     as_of : float
         Monotonic time in seconds.
     """
@@ -30,6 +32,7 @@
     reads: int = 0
     read_seconds: float = 0.0
     kv_tokens: int = 0
+    pauses: list[float] = field(default_factory=list)
     as_of: float = 0.0
 
 
@@ -43,6 +46,8 @@
         Whether the endpoint stopped reporting to the replicas.
     gone : bool
         Whether another endpoint answered at its address.
+    order : int
+        Place in an order of all endpoints on which all hosts agree.
     failures : int
         Failures since the last success.
     avoid_until : float
@@ -64,6 +69,7 @@
     leaving: bool = False
     silent: bool = False
     gone: bool = False
+    order: int = 0
     cold_until: float = 0.0
     failures: int = 0
     failed_at: float = 0.0
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -3,6 +3,7 @@
 All decisions are functions of `marjorambridge.forwarding`; this module carries them out.
 """
 
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -25,7 +26,7 @@
 from marjorambridge.forwarding.health import note_failure, note_gone, note_success
 from marjorambridge.forwarding.loads import add_read, add_request, finish_read, remove_request
 from marjorambridge.forwarding.placement import Work, choose_endpoint
-from marjorambridge.forwarding.splitting import choose_helpers
+from marjorambridge.forwarding.splitting import choose_readers, is_long
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import Exchange
@@ -57,6 +58,8 @@
         Monotonic time in seconds at which the caller needs the answer.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 until an event came.
+    helpers : list of Endpoint
+        Engines that read parts of the prompt in the next attempt.
     reading : list of Endpoint
         Endpoints that have not shown yet that they read their part of the prompt.
     """
@@ -73,6 +76,7 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     reading: list[Endpoint] = field(default_factory=list)
+    helpers: list[Endpoint] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     endings: list[str] = field(default_factory=list)
 
@@ -107,7 +111,11 @@
     if request.wait_seconds is not None:
         seconds = min(seconds, request.wait_seconds)
     definition = gateway.forwarding.table.services[admission.service]
-    work = Work(admission.service)
+    work = Work(
+        admission.service,
+        objective_seconds=route.objective_seconds or math.inf,
+        pause_seconds=route.gap_objective_seconds or math.inf,
+    )
     if definition.engine is not None and request.prompt is not None:
         prompt = request.prompt
         answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
@@ -167,8 +175,16 @@
 
 
 def _choose(transit: Transit) -> Endpoint | None:
-    forwarding = transit.gateway.forwarding
-    return choose_endpoint(forwarding, transit.work, frozenset(transit.excluded), time.monotonic())
+    """Return the endpoint of the next attempt and remember which engines help it to read."""
+    forwarding, work = transit.gateway.forwarding, transit.work
+    excluded, now = frozenset(transit.excluded), time.monotonic()
+    transit.helpers = []
+    if is_long(work):
+        readers = choose_readers(forwarding, work, excluded, now)
+        if readers:
+            transit.helpers = readers[1:]
+            return readers[0]
+    return choose_endpoint(forwarding, work, excluded, now)
 
 
 def _choose_next(transit: Transit, ending: Ending) -> Endpoint | None:
@@ -195,13 +211,12 @@
     now = transit.attempt_began_at = time.monotonic()
     transit.cursor.buffer = b""
     workspace = transit.admission.workspace
-    helpers = _choose_helpers(transit, endpoint, now)
     options = AttemptOptions(
         endpoint=endpoint.name,
         remaining_seconds=transit.ends_at - now,
         workspace=workspace.name if workspace else "",
         last_event=transit.cursor.last_event if transit.exchange.has_head else None,
-        helpers=tuple(helper.address for helper in helpers),
+        helpers=tuple(helper.address for helper in transit.helpers),
     )
     attempt = Attempt(
         address=endpoint.address,
@@ -215,29 +230,23 @@
     if transit.admission.route.execution is Execution.STREAM:
         attempt.pass_event_bytes = lambda head, data: _pass_events(transit, head, data)
     note_sent(endpoint, now)
-    _begin_load(transit, endpoint, helpers, now)
+    _begin_load(transit, endpoint, now)
     result = Result(Ending.TIMED_OUT)
     try:
         with anyio.move_on_after(transit.ends_at - now):
             result = await run_attempt(attempt, gateway.dialect)
     finally:
         _finish_reading(transit, time.monotonic())
-        remove_request(endpoint.load, work.kv_tokens)
+        remove_request(endpoint.load, work.kv_tokens, work.pause_seconds)
         gateway.share_load(endpoint)
     return result
 
 
-def _choose_helpers(transit: Transit, endpoint: Endpoint, now: float) -> list[Endpoint]:
-    forwarding = transit.gateway.forwarding
-    excluded = frozenset(transit.excluded)
-    return choose_helpers(forwarding, endpoint, transit.work.read_seconds, excluded, now)
-
-
-def _begin_load(transit: Transit, endpoint: Endpoint, helpers: list[Endpoint], now: float) -> None:
+def _begin_load(transit: Transit, endpoint: Endpoint, now: float) -> None:
     work = transit.work
-    add_request(endpoint.load, work.kv_tokens)
+    add_request(endpoint.load, work.kv_tokens, work.pause_seconds)
     if work.read_seconds > 0:
-        transit.reading = [endpoint, *helpers]
+        transit.reading = [endpoint, *transit.helpers]
         for reader in transit.reading:
             add_read(reader.load, work.read_seconds / len(transit.reading), now)
             transit.gateway.share_load(reader)
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import hmac
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -99,7 +100,10 @@
             continue
         load = endpoint.load
         remaining = max(0.0, load.read_seconds - (now - load.as_of)) if load.reads else 0.0
-        loads.append(EndpointLoad(name, load.requests, load.reads, remaining, load.kv_tokens))
+        pause = min(load.pauses, default=math.inf)
+        loads.append(
+            EndpointLoad(name, load.requests, load.reads, remaining, load.kv_tokens, pause)
+        )
     _, body = encode_message(LoadShare(sharing.own_host, tuple(loads)))
     return _compute_mac(sharing.key, body) + body
 
@@ -131,7 +135,14 @@
     for told in share.loads:
         endpoint = sharing.forwarding.endpoints.get(told.endpoint)
         if endpoint is not None:
-            load = Load(told.requests, told.reads, told.read_seconds, told.kv_tokens, now)
+            load = Load(
+                told.requests,
+                told.reads,
+                told.read_seconds,
+                told.kv_tokens,
+                [told.pause_seconds],
+                now,
+            )
             take_other_load(endpoint, share.host, load)
 
 
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -25,6 +25,7 @@
      - reads
      - read_seconds
      - kv_tokens
+     - pause_seconds
 
     """
 
@@ -34,15 +35,17 @@
         'reads',
         'read_seconds',
         'kv_tokens',
+        'pause_seconds',
     )
 
 
-    def __init__(self, endpoint=None, requests=None, reads=None, read_seconds=None, kv_tokens=None,):
+    def __init__(self, endpoint=None, requests=None, reads=None, read_seconds=None, kv_tokens=None, pause_seconds=None,):
         self.endpoint = endpoint
         self.requests = requests
         self.reads = reads
         self.read_seconds = read_seconds
         self.kv_tokens = kv_tokens
+        self.pause_seconds = pause_seconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -78,6 +81,11 @@
                     self.kv_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.pause_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -108,6 +116,10 @@
             oprot.writeFieldBegin('kv_tokens', TType.I64, 5)
             oprot.writeI64(self.kv_tokens)
             oprot.writeFieldEnd()
+        if self.pause_seconds is not None:
+            oprot.writeFieldBegin('pause_seconds', TType.DOUBLE, 6)
+            oprot.writeDouble(self.pause_seconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -228,6 +240,7 @@
     (3, TType.I64, 'reads', None, None, ),  # 3
     (4, TType.DOUBLE, 'read_seconds', None, None, ),  # 4
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
+    (6, TType.DOUBLE, 'pause_seconds', None, None, ),  # 6
 )
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -7,6 +7,7 @@
   3: i64 reads
   4: double read_seconds
   5: i64 kv_tokens
+  6: double pause_seconds
 }
 
 struct LoadShare {
