--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -238,3 +238,16 @@
 MAX_HELPERS = 16
 # Seconds of waiting that a read which stalls an answer is counted as.
 STALLED_ANSWER_SECONDS = 0.3
+# Part of an engine's memory up to which one engine takes a prompt alone, and up to which tickets
+# fill it; the rest covers answers that are longer than expected.
+SINGLE_ENGINE_MEMORY_RATIO = 0.98
+RESERVABLE_MEMORY_RATIO = 0.9
+# Lease in seconds of a ticket, shorter than the time after which unused memory counts as lost, and
+# the time after which it is renewed.
+TICKET_LEASE_SECONDS = 3.6
+TICKET_RENEWAL_SECONDS = 1.8
+# An order that was not answered may be carried out within this time in seconds; tickets that it
+# could bring back are released at this interval in seconds until then.
+LATE_ORDER_SECONDS = 12.5
+LATE_RELEASE_SECONDS = 1.0
+ORDER_TIMEOUT_SECONDS = 0.4
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -26,6 +26,7 @@
 from marjorambridge.gateway.requests import handle_request
 from marjorambridge.gateway.sharing import LoadSharing, close_sharing, note_change, start_sharing
 from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.tickets import open_tickets
 from marjorambridge.manifests.models import CallerLimits, Manifest
 from marjorambridge.node.gateway import GatewayNodeSettings, compose_gateway
 from marjorambridge.telemetry import logs
@@ -137,6 +138,7 @@
 
 async def _start(host: GatewayHost, path: Path, tasks: TaskGroup) -> None:
     handlers = host.runtime.handlers
+    open_tickets(host.gateway, tasks, host.runtime.node.incarnation)
     handlers[effects.SendMessage] = lambda effect: network.send(
         host.network, effect.to, effect.message
     )
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -89,8 +89,10 @@
 
 
 def _put_first(definition: ServiceDefinition, chosen: list[Endpoint], work: Work) -> list[Endpoint]:
-    """Move the engine that gets the request to the front: it needs memory and a slot."""
-    for endpoint in chosen:
-        if count_requests(endpoint) < endpoint.slots and has_memory(definition, endpoint, work):
-            return [endpoint, *(other for other in chosen if other is not endpoint)]
-    return chosen
+    """Move the engine that gets the request to the front: it needs a slot, and memory at best."""
+
+    def rank(endpoint: Endpoint) -> tuple[bool, bool]:
+        is_full = count_requests(endpoint) >= endpoint.slots
+        return is_full, not has_memory(definition, endpoint, work)
+
+    return sorted(chosen, key=rank)
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -120,9 +120,21 @@
         Takes status and headers.
     encode_retry_after : callable
         Returns the headers that tell the caller when to come back, in seconds.
+    encode_helper : callable
+        Takes the address of an engine that helps to read, and its ticket or an empty string.
+    encode_reservation : callable
+        Takes ticket, tokens and lease in seconds; returns target and body of the order.
+    encode_release : callable
+        Takes a ticket; returns target and body of the order.
+    encode_order_headers : callable
+        Takes the identifier of the endpoint that alone may carry the order out.
     """
 
     decode_request: Callable[[bytes, bytes, Headers, bytes], CallerRequest]
     encode_attempt: Callable[[CallerRequest, AttemptOptions], Headers]
     decode_answer: Callable[[int, Headers], AnswerHead]
     encode_retry_after: Callable[[float], Headers]
+    encode_helper: Callable[[str, str], str]
+    encode_reservation: Callable[[str, int, float], tuple[bytes, bytes]]
+    encode_release: Callable[[str], tuple[bytes, bytes]]
+    encode_order_headers: Callable[[str], Headers]
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -26,6 +26,7 @@
 from marjorambridge.forwarding.health import note_failure, note_gone, note_success
 from marjorambridge.forwarding.loads import add_read, add_request, finish_read, remove_request
 from marjorambridge.forwarding.placement import Work, choose_endpoint
+from marjorambridge.forwarding.reservations import needs_reservations, plan_shares
 from marjorambridge.forwarding.splitting import choose_readers, is_long
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
@@ -35,6 +36,7 @@
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import AnswerHead, AttemptOptions, CallerRequest
 from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.tickets import TicketSet, keep_renewed, list_helpers, release, reserve
 from marjorambridge.manifests.models import Execution
 
 PLAIN_TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
@@ -56,6 +58,8 @@
     ----------
     ends_at : float
         Monotonic time in seconds at which the caller needs the answer.
+    tickets : TicketSet
+        Memory that is reserved for the next attempt.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 until an event came.
     helpers : list of Endpoint
@@ -70,6 +74,7 @@
     admission: Admission
     work: Work
     ends_at: float
+    tickets: TicketSet
     progress: Progress = field(default_factory=Progress)
     cursor: StreamCursor = field(default_factory=StreamCursor)
     attempt_began_at: float = 0.0
@@ -100,6 +105,7 @@
     try:
         outcome = await _serve(transit)
     finally:
+        await release(transit.tickets)
         _log_end(transit, outcome)
 
 
@@ -122,7 +128,8 @@
         work.read_seconds = compute_read_seconds(definition.engine, prompt.prompt_tokens)
         work.kv_tokens = prompt.prompt_tokens + answer
     ends_at = exchange.arrived_at + seconds - ANSWER_MARGIN_SECONDS
-    transit = Transit(gateway, exchange, request, admission, work, ends_at)
+    tickets = TicketSet(gateway, request.request_id)
+    transit = Transit(gateway, exchange, request, admission, work, ends_at, tickets)
     transit.cursor.last_event = request.last_event
     return transit
 
@@ -153,7 +160,7 @@
 
 async def _serve(transit: Transit) -> str:
     """Make attempts until one is decisive, write the answer and return the outcome's name."""
-    endpoint = _choose(transit)
+    endpoint = await _choose(transit)
     if endpoint is None:
         return await _refuse(transit, "no_endpoint")
     while True:
@@ -161,7 +168,7 @@
         if transit.exchange.caller_gone:
             return "caller_gone"
         _learn(transit, endpoint, result)
-        following = _choose_next(transit, result.ending)
+        following = await _choose_next(transit, result.ending)
         step = decide_step(
             transit.admission.route, transit.progress, result.ending, following is not None
         )
@@ -174,20 +181,24 @@
         endpoint = following
 
 
-def _choose(transit: Transit) -> Endpoint | None:
+async def _choose(transit: Transit) -> Endpoint | None:
     """Return the endpoint of the next attempt and remember which engines help it to read."""
     forwarding, work = transit.gateway.forwarding, transit.work
     excluded, now = frozenset(transit.excluded), time.monotonic()
     transit.helpers = []
     if is_long(work):
         readers = choose_readers(forwarding, work, excluded, now)
+        if needs_reservations(forwarding, work):
+            shares = plan_shares(forwarding, work, readers) if readers else []
+            if not shares or not await reserve(transit.tickets, shares):
+                return None
         if readers:
             transit.helpers = readers[1:]
             return readers[0]
     return choose_endpoint(forwarding, work, excluded, now)
 
 
-def _choose_next(transit: Transit, ending: Ending) -> Endpoint | None:
+async def _choose_next(transit: Transit, ending: Ending) -> Endpoint | None:
     """Return the endpoint of another attempt if everything allows one."""
     now = time.monotonic()
     route = transit.admission.route
@@ -195,12 +206,13 @@
         return None
     if transit.ends_at - now < MIN_ATTEMPT_SECONDS:
         return None
-    endpoint = _choose(transit)
+    endpoint = await _choose(transit)
     if endpoint is None:
         return None
     is_repeated = ending is not Ending.NOT_SENT
     if is_repeated and not take_retry(transit.gateway.forwarding, transit.admission.service, now):
         transit.endings.append("no_retry_budget")
+        await release(transit.tickets)
         return None
     return endpoint
 
@@ -216,7 +228,7 @@
         remaining_seconds=transit.ends_at - now,
         workspace=workspace.name if workspace else "",
         last_event=transit.cursor.last_event if transit.exchange.has_head else None,
-        helpers=tuple(helper.address for helper in transit.helpers),
+        helpers=list_helpers(transit.tickets, [helper.address for helper in transit.helpers]),
     )
     attempt = Attempt(
         address=endpoint.address,
@@ -234,11 +246,24 @@
     result = Result(Ending.TIMED_OUT)
     try:
         with anyio.move_on_after(transit.ends_at - now):
-            result = await run_attempt(attempt, gateway.dialect)
+            result = await _run_with_memory(transit, attempt)
     finally:
         _finish_reading(transit, time.monotonic())
         remove_request(endpoint.load, work.kv_tokens, work.pause_seconds)
         gateway.share_load(endpoint)
+        await release(transit.tickets)
+    return result
+
+
+async def _run_with_memory(transit: Transit, attempt: Attempt) -> Result:
+    """Run an attempt whose tickets, if it has any, are kept alive and then released."""
+    tickets = transit.tickets
+    if not tickets.held:
+        return await run_attempt(attempt, transit.gateway.dialect)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keep_renewed, tickets)
+        result = await run_attempt(attempt, transit.gateway.dialect)
+        tasks.cancel_scope.cancel()
     return result
 
 
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from anyio.abc import TaskGroup
+
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.gateway.messages import Dialect
@@ -18,9 +20,18 @@
         Takes counters and durations.
     share_load : callable
         Tells the other hosts that this host's load at an endpoint changed.
+    tasks : TaskGroup or None
+        Runs what goes on after a request has ended.
+    ticket_prefix : str
+        Beginning of all tickets of this process.
+    tickets : int
+        Tickets that were named so far.
     """
 
     forwarding: ForwardingState
     dialect: Dialect
     measure: Callable[[Measure], None]
     share_load: Callable[[Endpoint], None] = field(default=lambda endpoint: None)
+    tasks: TaskGroup | None = None
+    ticket_prefix: str = ""
+    tickets: int = 0
--- /dev/null
+++ b/marjorambridge/gateway/tickets.py
@@ -0,0 +1,148 @@
+"""Reserve, renew and release memory on engines for one request."""
+
+import math
+import time
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from marjorambridge.conf import defaults
+from marjorambridge.core.effects import Measure
+from marjorambridge.forwarding.attempts import Ending
+from marjorambridge.forwarding.reservations import Share
+from marjorambridge.gateway.endpoints import Attempt, Result, run_attempt
+from marjorambridge.gateway.state import Gateway
+
+ACCEPTED = 200
+
+
+@dataclass(slots=True)
+class TicketSet:
+    """Hold the tickets of one request.
+
+    Attributes
+    ----------
+    held : dict of str to Share
+        Share of each ticket that was asked for.
+    refused : set of str
+        Tickets that were not granted.
+    is_uncertain : bool
+        Whether an order was not answered, so that it may still be carried out.
+    """
+
+    gateway: Gateway
+    request_id: str
+    held: dict[str, Share] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    is_uncertain: bool = False
+
+
+async def reserve(tickets: TicketSet, shares: list[Share]) -> bool:
+    """Reserve all shares, or none, and return whether they are reserved."""
+    async with anyio.create_task_group() as tasks:
+        for share in shares:
+            tasks.start_soon(_reserve_one, tickets, share)
+    if not tickets.refused:
+        return True
+    await release(tickets)
+    return False
+
+
+async def _reserve_one(tickets: TicketSet, share: Share) -> None:
+    gateway = tickets.gateway
+    gateway.tickets += 1
+    ticket = f"{gateway.ticket_prefix}-{gateway.tickets}"
+    # The ticket counts as held while the order is on its way, so that it is released in any case.
+    tickets.held[ticket] = share
+    share.endpoint.load.kv_tokens += share.tokens
+    if not await _order_reservation(tickets, ticket, share):
+        tickets.refused.add(ticket)
+
+
+async def _order_reservation(tickets: TicketSet, ticket: str, share: Share) -> bool:
+    order = tickets.gateway.dialect.encode_reservation(
+        ticket, share.tokens, defaults.TICKET_LEASE_SECONDS
+    )
+    result = await _send_order(tickets.gateway, share, order)
+    if result.head is None:
+        tickets.is_uncertain |= result.ending is not Ending.NOT_SENT
+    accepted = result.head is not None and result.head.status == ACCEPTED
+    logger.bind(
+        request=tickets.request_id,
+        endpoint=share.endpoint.name,
+        ticket=ticket,
+        kv_tokens=share.tokens,
+        status=result.head.status if result.head else 0,
+        detail=result.detail,
+    ).info("memory was reserved" if accepted else "memory was not reserved")
+    return accepted
+
+
+async def _send_order(gateway: Gateway, share: Share, order: tuple[bytes, bytes]) -> Result:
+    target, body = order
+    deadline = time.monotonic() + defaults.ORDER_TIMEOUT_SECONDS
+    attempt = Attempt(
+        address=share.endpoint.address,
+        method=b"POST",
+        target=target,
+        headers=gateway.dialect.encode_order_headers(share.endpoint.name),
+        body=body,
+        request_id="",
+        get_patience=lambda: max(0.0, deadline - time.monotonic()),
+    )
+    gateway.measure(Measure("memory_orders_total"))
+    return await run_attempt(attempt, gateway.dialect)
+
+
+async def keep_renewed(tickets: TicketSet) -> None:
+    """Renew the leases until cancelled; a request whose memory expires is cut off."""
+    while True:
+        await anyio.sleep(defaults.TICKET_RENEWAL_SECONDS)
+        for ticket, share in list(tickets.held.items()):
+            await _order_reservation(tickets, ticket, share)
+
+
+async def release(tickets: TicketSet) -> None:
+    """Release all tickets; those that an unanswered order may bring back are released again."""
+    held, tickets.held = tickets.held, {}
+    refused, tickets.refused = tickets.refused, set()
+    for share in held.values():
+        share.endpoint.load.kv_tokens = max(0, share.endpoint.load.kv_tokens - share.tokens)
+    with anyio.CancelScope(shield=True):
+        async with anyio.create_task_group() as tasks:
+            for ticket, share in held.items():
+                if ticket not in refused or tickets.is_uncertain:
+                    tasks.start_soon(_release_one, tickets, ticket, share)
+    if tickets.is_uncertain and held:
+        tickets.gateway.tasks.start_soon(_release_again, tickets, held)
+
+
+async def _release_one(tickets: TicketSet, ticket: str, share: Share) -> None:
+    order = tickets.gateway.dialect.encode_release(ticket)
+    result = await _send_order(tickets.gateway, share, order)
+    if result.head is None:
+        tickets.is_uncertain = True
+
+
+async def _release_again(tickets: TicketSet, held: dict[str, Share]) -> None:
+    for _ in range(math.ceil(defaults.LATE_ORDER_SECONDS / defaults.LATE_RELEASE_SECONDS)):
+        await anyio.sleep(defaults.LATE_RELEASE_SECONDS)
+        for ticket, share in held.items():
+            await _release_one(tickets, ticket, share)
+
+
+def list_helpers(tickets: TicketSet, addresses: list[str]) -> tuple[str, ...]:
+    """Return the helpers of a request as the endpoint wants them, with their tickets."""
+    by_address = {share.endpoint.address: ticket for ticket, share in tickets.held.items()}
+    encode = tickets.gateway.dialect.encode_helper
+    ticketed = [encode(address, ticket) for address, ticket in by_address.items()]
+    plain = [encode(address, "") for address in addresses if address not in by_address]
+    return (*ticketed, *plain)
+
+
+def open_tickets(gateway: Gateway, tasks: TaskGroup, incarnation: int) -> None:
+    """Prepare a gateway to reserve memory; tickets of one process differ from all others."""
+    gateway.tasks = tasks
+    gateway.ticket_prefix = f"{incarnation:x}"
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -1,5 +1,7 @@
 """Translate the platform's HTTP headers into requests, attempts and answers."""
 
+import msgspec
+
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
     AnswerHead,
@@ -26,6 +28,7 @@
 SIGNATURE = b"x-instance-signature"
 NOT_RUN = b"x-not-executed"
 
+ORDER_TARGET = b"/api/order"
 MISDIRECTED_STATUS = 421
 # Headers that concern one connection only, or that the parser writes itself.
 CONNECTION_HEADERS = frozenset(
@@ -173,6 +176,46 @@
     return [(b"Retry-After", f"{seconds:.2f}".encode())]
 
 
+def encode_helper(address: str, ticket: str) -> str:
+    """Return an engine that helps to read, with its ticket if it has one."""
+    return f"{address}/{ticket}" if ticket else address
+
+
+def encode_reservation(ticket: str, tokens: int, lease_seconds: float) -> tuple[bytes, bytes]:
+    """Return target and body of an order that reserves memory or renews its lease."""
+    order = {
+        "op": "reserve",
+        "id": ticket,
+        "token_count": tokens,
+        "hold_ms": int(lease_seconds * 1_000),
+        "wait": False,
+    }
+    return ORDER_TARGET, msgspec.json.encode(order)
+
+
+def encode_release(ticket: str) -> tuple[bytes, bytes]:
+    """Return target and body of an order that ends a reservation."""
+    return ORDER_TARGET, msgspec.json.encode({"op": "release", "id": ticket})
+
+
+def encode_order_headers(endpoint: str) -> Headers:
+    """Return the headers of an order."""
+    return [
+        (b"Host", b"engine"),
+        (b"Content-Type", b"application/json"),
+        (b"X-Expect-Instance", endpoint.encode("latin-1")),
+    ]
+
+
 def create_dialect() -> Dialect:
     """Return the translation for the gateway."""
-    return Dialect(decode_request, encode_attempt, decode_answer, encode_retry_after)
+    return Dialect(
+        decode_request,
+        encode_attempt,
+        decode_answer,
+        encode_retry_after,
+        encode_helper,
+        encode_reservation,
+        encode_release,
+        encode_order_headers,
+    )
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -87,6 +87,7 @@
     "forwarded_first_answer_seconds": _time(
         "Time from the arrival of a request at a gateway to the first part of its answer."
     ),
+    "memory_orders_total": _count("Orders that reserve or release memory of engines."),
     # Shard owners.
     "permits_granted_total": _count("Permits that this host granted.", "priority"),
     "permits_denied_total": _count("Permits that this host denied.", "reason"),
