Recover from the loss of the whole fleet: registered endpoints, early election, first manifest

Endpoints are now kept in the log, the first election after a start comes sooner, and a request waits up to 1.5 s at a host that has no manifest yet.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -251,3 +251,6 @@
 LATE_ORDER_SECONDS = 12.5
 LATE_RELEASE_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 0.4
+# Time in seconds for which a request waits at a host that has just started for its first manifest;
+# a fleet that was restarted as a whole elects a leader within one second.
+FIRST_MANIFEST_SECONDS = 1.5
--- a/marjorambridge/control/commands.py
+++ b/marjorambridge/control/commands.py
@@ -42,6 +42,33 @@
     zone: str
 
 
+class RegisterEndpoint(Command, tag="register", frozen=True):
+    """Remember an endpoint, so that hosts know it at once after a restart of the whole fleet.
+
+    Attributes
+    ----------
+    born : int
+        Unix time in milliseconds at which its incarnation started.
+    cold_seconds : float
+        Time for which it stayed cold when it reported first.
+    """
+
+    endpoint: str
+    service: str
+    zone: str
+    address: str
+    slots: int
+    born: int
+    cold_seconds: float
+
+
+class ForgetEndpoint(Command, tag="forget", frozen=True):
+    """Forget an incarnation of an endpoint that was silent for long."""
+
+    endpoint: str
+    born: int
+
+
 class RetireEndpoint(Command, tag="retire", frozen=True):
     """Send nothing more to one incarnation of an endpoint, which is leaving.
 
@@ -59,7 +86,15 @@
     """Change nothing; whoever applies it knows every command that was acknowledged before."""
 
 
-AnyCommand = ReplaceManifest | DrainZone | RestoreZone | RetireEndpoint | ReadBarrier
+AnyCommand = (
+    ReplaceManifest
+    | DrainZone
+    | RestoreZone
+    | RegisterEndpoint
+    | ForgetEndpoint
+    | RetireEndpoint
+    | ReadBarrier
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(AnyCommand)
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass, field, replace
 
 from marjorambridge.conf import defaults
-from marjorambridge.control.commands import ReadBarrier, encode_command
+from marjorambridge.control.commands import (
+    AnyCommand,
+    ForgetEndpoint,
+    ReadBarrier,
+    RegisterEndpoint,
+    encode_command,
+)
 from marjorambridge.control.events import (
     CommandApplied,
     CommandSubmitted,
@@ -30,6 +36,7 @@
 from marjorambridge.control.state_machine import (
     ControlState,
     apply_entry,
+    is_registered,
     is_retired,
     restore_snapshot,
     take_snapshot,
@@ -101,6 +108,10 @@
         Takes monotonic seconds; says whether this replica leads, or heard the leader lately.
     barrier : str
         Identifier of the read barrier in progress; empty if there is none.
+    commands : int
+        Commands of its own that this replica has submitted.
+    registering : dict of str to tuple of (int, str)
+        Start time of each endpoint that is being registered, and the command that does it.
     confirmed : bool
         Whether a barrier was applied since contact with the leader was lost last.
     """
@@ -122,7 +133,8 @@
     gossiped_at: float = 0.0
     heard: dict[str, None] = field(default_factory=dict)
     barrier: str = ""
-    barriers: int = 0
+    commands: int = 0
+    registering: dict[str, tuple[int, str]] = field(default_factory=dict)
     confirmed: bool = False
     halted: str = ""
 
@@ -233,24 +245,33 @@
     return []
 
 
+def _draw_command_id(state: ReplicaControl) -> str:
+    state.commands += 1
+    return f"{state.host}/{state.incarnation:x}/{state.commands}"
+
+
+def _submit_own(state: ReplicaControl, command: AnyCommand, now: float) -> list[Effect]:
+    state.pending[command.command_id] = PendingCommand(encode_command(command), now)
+    return _send_command(state, command.command_id, now)
+
+
 def _apply(state: ReplicaControl, event: EntryCommitted) -> list[Effect]:
     if event.group != CONTROL_GROUP or state.halted:
         return []
-    before = (state.control.version, len(state.control.drained), len(state.control.retired))
+    before = _describe_content(state)
     try:
         command_id = apply_entry(state.control, event.index, event.payload)
     except ControlDecodeError as error:
         return _halt(state, str(error))
     effects: list[Effect] = []
-    _retire_endpoints(state)
+    _merge_registered(state, event.now)
     if command_id and command_id == state.barrier:
         state.barrier = ""
         state.confirmed = True
         effects += _push(state, event.now)
     if state.pending.pop(command_id, None) is not None:
         effects.append(Publish(CommandApplied(event.now, command_id)))
-    after = (state.control.version, len(state.control.drained), len(state.control.retired))
-    if after != before:
+    if _describe_content(state) != before:
         # Hosts are told before the operator, so that few requests cross the acknowledgement.
         effects = _push(state, event.now) + effects
     return effects
@@ -264,7 +285,7 @@
     except ControlDecodeError as error:
         return _halt(state, str(error))
     state.control.index = max(state.control.index, event.index)
-    _retire_endpoints(state)
+    _merge_registered(state, event.now)
     return _push(state, event.now)
 
 
@@ -274,7 +295,27 @@
     return [WriteLog("error", "the replica can't apply the control log", {"reason": reason})]
 
 
-def _retire_endpoints(state: ReplicaControl) -> None:
+def _describe_content(state: ReplicaControl) -> tuple[int, ...]:
+    control, table = state.control, state.table
+    return control.version, len(control.drained), len(control.retired), table.revision
+
+
+def _merge_registered(state: ReplicaControl, now: float) -> None:
+    """Take over the endpoints of the log, which every replica has applied in the same order."""
+    for name, known in state.control.registered.items():
+        if name in state.table.endpoints:
+            continue
+        report = EndpointReport(
+            endpoint=name,
+            service=known.service,
+            zone=known.zone,
+            address=known.address,
+            slots=known.slots,
+            born=known.born,
+            sequence=-1,
+            cold_seconds=known.cold_seconds,
+        )
+        merge_report(state.table, report, 0.0, now)
     for endpoint, born in state.control.retired.items():
         retire_endpoint(state.table, endpoint, born)
 
@@ -288,13 +329,51 @@
         report.leaving = True
     changed = merge_report(state.table, report, 0.0, event.now)
     state.heard[report.endpoint] = None
+    effects = _register(state, report, event.now)
     if not changed:
-        return []
+        return effects
     fields = {"endpoint": report.endpoint, "service": report.service, "leaving": report.leaving}
-    effects: list[Effect] = [WriteLog("info", "an endpoint's report changed the table", fields)]
+    effects.append(WriteLog("info", "an endpoint's report changed the table", fields))
     return effects + _gossip_changes(state, event.now) + _push(state, event.now)
 
 
+def _register(state: ReplicaControl, report: EndpointReport, now: float) -> list[Effect]:
+    """Bring an endpoint into the log if it is new there."""
+    name, born = report.endpoint, report.born
+    known = is_registered(state.control, name, born, report.address, report.service)
+    if known or report.leaving:
+        return []
+    submitted_born, submitted_id = state.registering.get(name, (-1, ""))
+    if submitted_born >= born and submitted_id in state.pending:
+        return []
+    command = RegisterEndpoint(
+        _draw_command_id(state),
+        name,
+        report.service,
+        report.zone,
+        report.address,
+        report.slots,
+        born,
+        report.cold_seconds,
+    )
+    state.registering[name] = (born, command.command_id)
+    return _submit_own(state, command, now)
+
+
+def _forget_lost(state: ReplicaControl, now: float) -> list[Effect]:
+    """Remove endpoints from the log that the table has forgotten; the leader does it for all."""
+    if not state.is_leader:
+        return []
+    effects: list[Effect] = []
+    for name, known in list(state.control.registered.items()):
+        is_submitted = state.registering.get(name, (0, ""))[1] in state.pending
+        if name not in state.table.endpoints and not is_submitted:
+            command = ForgetEndpoint(_draw_command_id(state), name, known.born)
+            state.registering[name] = (known.born, command.command_id)
+            effects += _submit_own(state, command, now)
+    return effects
+
+
 def _describe(known: KnownEndpoint, now: float) -> EndpointEntry:
     report = known.report
     return EndpointEntry(
@@ -445,6 +524,7 @@
             effects += _send_command(state, command_id, now)
     effects += _renew_barrier(state, now)
     changed = expire_endpoints(state.table, now)
+    effects += _forget_lost(state, now)
     changed |= _drop_followers(state, now)
     if now - state.gossiped_at >= defaults.GOSSIP_SECONDS:
         effects += _gossip_alive(state, now)
@@ -464,11 +544,8 @@
         return []
     if state.confirmed or state.barrier:
         return []
-    state.barriers += 1
-    state.barrier = f"{state.host}/{state.incarnation}/{state.barriers}"
-    payload = encode_command(ReadBarrier(state.barrier))
-    state.pending[state.barrier] = PendingCommand(payload, now)
-    return _send_command(state, state.barrier, now)
+    state.barrier = _draw_command_id(state)
+    return _submit_own(state, ReadBarrier(state.barrier), now)
 
 
 def _drop_followers(state: ReplicaControl, now: float) -> bool:
--- a/marjorambridge/control/state_machine.py
+++ b/marjorambridge/control/state_machine.py
@@ -4,6 +4,8 @@
 
 from marjorambridge.control.commands import (
     DrainZone,
+    ForgetEndpoint,
+    RegisterEndpoint,
     ReplaceManifest,
     RestoreZone,
     RetireEndpoint,
@@ -32,6 +34,8 @@
         Drained zones with the index of the command that drained them.
     restored : dict of str to int
         Zones that were drained once, with the index of the command that restored them last.
+    registered : dict of str to RegisterEndpoint
+        Endpoints that reported, by their identifier.
     retired : dict of str to int
         Endpoints that are leaving, with the start time of their incarnation; oldest first.
     recent : list of str
@@ -43,6 +47,7 @@
     document: bytes = b""
     drained: dict[str, int] = {}
     restored: dict[str, int] = {}
+    registered: dict[str, RegisterEndpoint] = {}
     retired: dict[str, int] = {}
     recent: list[str] = []
 
@@ -74,18 +79,39 @@
         case RestoreZone():
             if state.drained.pop(command.zone, None) is not None:
                 state.restored[command.zone] = index
+        case RegisterEndpoint():
+            known = state.registered.get(command.endpoint)
+            if known is None or known.born <= command.born:
+                state.registered[command.endpoint] = command
+        case ForgetEndpoint():
+            known = state.registered.get(command.endpoint)
+            if known is not None and known.born <= command.born:
+                del state.registered[command.endpoint]
         case RetireEndpoint():
             _retire(state, command)
     return command.command_id
 
 
 def _retire(state: ControlState, command: RetireEndpoint) -> None:
+    registered = state.registered.get(command.endpoint)
+    if registered is not None and registered.born <= command.born:
+        del state.registered[command.endpoint]
     known = state.retired.pop(command.endpoint, 0)
     state.retired[command.endpoint] = max(known, command.born)
     while len(state.retired) > REMEMBERED_RETIREMENTS:
         del state.retired[next(iter(state.retired))]
 
 
+def is_registered(
+    state: ControlState, endpoint: str, born: int, address: str, service: str
+) -> bool:
+    """Return whether an endpoint is remembered as it reports itself."""
+    known = state.registered.get(endpoint)
+    if known is None or known.born > born:
+        return known is not None
+    return (known.born, known.address, known.service) == (born, address, service)
+
+
 def is_retired(state: ControlState, endpoint: str, born: int) -> bool:
     """Return whether an incarnation of an endpoint is leaving."""
     return born <= state.retired.get(endpoint, -1)
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -222,6 +222,8 @@
                 "the drained zones changed"
             )
         apply_zones(forwarding, update, event.now)
+    host.gateway.updated.set()
+    host.gateway.updated = anyio.Event()
     if update.hosts:
         own = nodes.get_peer_address(host.settings)
         forwarding.hosts = tuple(sorted({own, *update.hosts}))
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -62,6 +62,10 @@
         Memory that is reserved for the next attempt.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 until an event came.
+    longest_pause : float
+        Longest time in seconds between two events.
+    helper_count : int
+        Engines that helped to read in the last attempt.
     helpers : list of Endpoint
         Engines that read parts of the prompt in the next attempt.
     reading : list of Endpoint
@@ -80,6 +84,8 @@
     attempt_began_at: float = 0.0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
+    longest_pause: float = 0.0
+    helper_count: int = 0
     reading: list[Endpoint] = field(default_factory=list)
     helpers: list[Endpoint] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
@@ -95,7 +101,7 @@
     except BadRequestError as error:
         await _answer_text(exchange, error.status, str(error))
         return
-    admitted = admit_request(gateway.forwarding, request.host_name, request.path, request.key)
+    admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
         await _refuse_admission(gateway, exchange, request, admitted)
         return
@@ -109,6 +115,20 @@
         _log_end(transit, outcome)
 
 
+async def _admit(
+    gateway: Gateway, exchange: Exchange, request: CallerRequest
+) -> Admission | Refusal:
+    """Admit a request; a host that has just started waits for its first manifest."""
+    waits_until = exchange.arrived_at + defaults.FIRST_MANIFEST_SECONDS
+    while True:
+        admitted = admit_request(gateway.forwarding, request.host_name, request.path, request.key)
+        remaining = waits_until - time.monotonic()
+        if admitted is not Refusal.NO_MANIFEST or remaining <= 0:
+            return admitted
+        with anyio.move_on_after(remaining):
+            await gateway.updated.wait()
+
+
 def _create_transit(
     gateway: Gateway, exchange: Exchange, request: CallerRequest, admission: Admission
 ) -> Transit:
@@ -223,6 +243,7 @@
     now = transit.attempt_began_at = time.monotonic()
     transit.cursor.buffer = b""
     workspace = transit.admission.workspace
+    transit.helper_count = len(transit.helpers)
     options = AttemptOptions(
         endpoint=endpoint.name,
         remaining_seconds=transit.ends_at - now,
@@ -308,7 +329,10 @@
     events = take_events(transit.cursor, data)
     if not events:
         return True
-    now = transit.last_event_at = time.monotonic()
+    now = time.monotonic()
+    if transit.last_event_at:
+        transit.longest_pause = max(transit.longest_pause, now - transit.last_event_at)
+    transit.last_event_at = now
     _finish_reading(transit, now)
     exchange = transit.exchange
     try:
@@ -404,6 +428,8 @@
         attempts=",".join(transit.endings),
         prompt_tokens=prompt.prompt_tokens if prompt else 0,
         first_seconds=round(first, 4),
+        pause_seconds=round(transit.longest_pause, 4),
+        helpers=transit.helper_count,
         seconds=round(now - arrived, 4),
         version=table.manifest.version if table else 0,
     ).info("a request ended")
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import anyio
 from anyio.abc import TaskGroup
 
 from marjorambridge.core.effects import Measure
@@ -20,6 +21,8 @@
         Takes counters and durations.
     share_load : callable
         Tells the other hosts that this host's load at an endpoint changed.
+    updated : anyio.Event
+        Set when a replica has told something, and then replaced.
     tasks : TaskGroup or None
         Runs what goes on after a request has ended.
     ticket_prefix : str
@@ -32,6 +35,7 @@
     dialect: Dialect
     measure: Callable[[Measure], None]
     share_load: Callable[[Endpoint], None] = field(default=lambda endpoint: None)
+    updated: anyio.Event = field(default_factory=anyio.Event)
     tasks: TaskGroup | None = None
     ticket_prefix: str = ""
     tickets: int = 0
--- a/marjorambridge/replication/reducer.py
+++ b/marjorambridge/replication/reducer.py
@@ -71,7 +71,7 @@
 from marjorambridge.replication.models import EntryKind, ReplicaId
 from marjorambridge.replication.notices import publish_changes
 from marjorambridge.replication.records import append_own_entry
-from marjorambridge.replication.roles import become_follower, reset_election_timeout
+from marjorambridge.replication.roles import become_follower, set_first_election
 from marjorambridge.replication.snapshots import (
     handle_snapshot_chunk,
     handle_snapshot_reply,
@@ -101,7 +101,7 @@
 def handle_started(replica: ReplicaState, effects: list[Effect], event: Started) -> None:
     """Set the timers and look for the cluster."""
     for group in replica.groups.values():
-        reset_election_timeout(replica, group, event.now)
+        set_first_election(replica, group, event.now)
         set_election_timer(group, effects)
     handle_join_timer(replica, effects, event.now)
 
--- a/marjorambridge/replication/roles.py
+++ b/marjorambridge/replication/roles.py
@@ -13,6 +13,16 @@
     group.election_at = now + replica.random.uniform(timeout, 2 * timeout)
 
 
+def set_first_election(replica: ReplicaState, group: GroupState, now: float) -> None:
+    """Set the first election after a start, which comes sooner than later ones.
+
+    After a failure of all replicas nobody leads. Where somebody does, the others refuse the
+    preliminary vote, so that the early election disturbs nothing.
+    """
+    timeout = replica.settings.election_timeout_seconds
+    group.election_at = now + replica.random.uniform(timeout / 5, timeout)
+
+
 def save_vote(
     replica: ReplicaState,
     group: GroupState,
