--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -226,12 +226,20 @@
 # Greatest length of a part in seconds, where there are engines enough: answers to long prompts bear
 # pauses of 600 ms and more.
 PART_READ_SECONDS = 0.3
-# Part of its objective beyond which a long prompt also goes where it stalls answers.
+# Part of its objective beyond which a long prompt also goes where answers are running, if its parts
+# there are so short, in seconds, that the answers stay on time.
 LATE_READ_RATIO = 0.8
+HARMLESS_READ_SECONDS = 0.17
+# Share of the engines that long prompts find free in a burst of short requests, and how many
+# waiting prompts elsewhere make up for using one of them.
+KEPT_ENGINE_RATIO = 0.15
+KEPT_ENGINE_CROWD = 3
 # Engines without answers that long prompts leave to the next short requests.
 RESERVED_ENGINES = 2
 # Share of the borne pause that is left for reading at an engine that gets a short request.
 SHORT_READ_RATIO = 0.6
+# Waiting reads in seconds that count as one more prompt in the way; a short prompt takes 30 ms.
+CROWD_READ_SECONDS = 0.04
 # Slots of an engine that packed short requests leave free.
 PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -13,6 +13,9 @@
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.manifests.models import ServiceDefinition
 
+# Endpoints are ordered by a hash of 64 bits.
+ORDER_RANGE = 2**64
+
 
 @dataclass(slots=True)
 class Work:
@@ -97,9 +100,21 @@
     reads = compute_remaining_reads(endpoint, now)
     is_late = reads + work.read_seconds > defaults.SHORT_READ_RATIO * work.pause_seconds
     # Short requests keep together, so that other engines are free of answers that a long prompt
-    # would stall; an engine writes a full batch almost as fast as a single answer.
+    # would stall; an engine writes a full batch almost as fast as a single answer. In a burst they
+    # go to the next engine as soon as one has prompts waiting, which delay one another.
+    crowd = int(reads / defaults.CROWD_READ_SECONDS)
+    if is_kept_for_long(endpoint):
+        crowd += defaults.KEPT_ENGINE_CROWD
     room = max(0, endpoint.slots - defaults.PACKING_RESERVE_SLOTS - requests)
-    return doubt, is_late, room if room else endpoint.slots, endpoint.order
+    return doubt, is_late, crowd, room if room else endpoint.slots, endpoint.order
+
+
+def is_kept_for_long(endpoint: Endpoint) -> bool:
+    """Return whether an engine gets short requests only when the other ones are crowded.
+
+    All hosts agree on these engines without a message, because the order is a hash.
+    """
+    return endpoint.order >= (1.0 - defaults.KEPT_ENGINE_RATIO) * ORDER_RANGE
 
 
 def compute_doubt(
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -16,6 +16,9 @@
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.manifests.models import ServiceDefinition
 
+# Less than this many seconds of waiting reads are gone before a new part is read.
+IDLE_SECONDS = 0.02
+
 
 def is_long(work: Work) -> bool:
     """Return whether a prompt is too long to be read beside short answers."""
@@ -49,12 +52,22 @@
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
     chosen, seconds = _fit(free[len(reserved) :], work, now)
     if seconds > defaults.LATE_READ_RATIO * work.objective_seconds:
-        more, sooner = _fit(trusted, work, now)
-        if sooner < defaults.LATE_READ_RATIO * seconds:
-            chosen = more
+        chosen = _find_harmless(trusted, work, now) or chosen or trusted[:1]
     return _put_first(definition, chosen, work)
 
 
+def _find_harmless(engines: list[Endpoint], work: Work, now: float) -> list[Endpoint]:
+    """Return engines that read such short parts that running answers stay on time, if any do."""
+    idle = [
+        endpoint for endpoint in engines if compute_remaining_reads(endpoint, now) <= IDLE_SECONDS
+    ]
+    idle.sort(key=count_requests)
+    idle = idle[: defaults.MAX_HELPERS + 1]
+    if not idle or work.read_seconds / len(idle) > defaults.HARMLESS_READ_SECONDS:
+        return []
+    return idle
+
+
 def _fit(engines: list[Endpoint], work: Work, now: float) -> tuple[list[Endpoint], float]:
     """Return the fewest engines that read a prompt in time, or else those that do it soonest.
 
