--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -244,8 +244,8 @@
 PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
 MAX_HELPERS = 16
-# Seconds of waiting that a read which stalls an answer is counted as.
-STALLED_ANSWER_SECONDS = 0.3
+# Part of the time that is left in which a prompt that can't be on time is read.
+LATE_PROMPT_RATIO = 0.5
 # Part of an engine's memory up to which one engine takes a prompt alone, and up to which tickets
 # fill it; the rest covers answers that are longer than expected.
 SINGLE_ENGINE_MEMORY_RATIO = 0.98
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -27,6 +27,8 @@
         Time in which an idle engine reads the prompt; 0 for plain services.
     objective_seconds, pause_seconds : float
         Time to the first event, and pause between two events, that are still on time.
+    remaining_seconds : float
+        Time until nobody waits for the answer any longer.
     kv_tokens : int
         Memory in tokens that it needs at its end.
     """
@@ -36,6 +38,7 @@
     kv_tokens: int = 0
     objective_seconds: float = math.inf
     pause_seconds: float = math.inf
+    remaining_seconds: float = math.inf
 
 
 def choose_endpoint(
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -50,12 +50,45 @@
     free = [endpoint for endpoint in trusted if endpoint not in strict]
     free.sort(key=lambda endpoint: endpoint.order)
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
-    chosen, seconds = _fit(free[len(reserved) :], work, now)
-    if seconds > defaults.LATE_READ_RATIO * work.objective_seconds:
-        chosen = _find_harmless(trusted, work, now) or chosen or trusted[:1]
+    waits = [
+        (compute_remaining_reads(endpoint, now), -endpoint.order, endpoint)
+        for endpoint in free[len(reserved) :]
+    ]
+    waits.sort(key=lambda item: item[:2])
+    chosen = (
+        _fit(waits, work, defaults.LONG_READ_RATIO * work.objective_seconds)
+        or _fit(waits, work, defaults.LATE_READ_RATIO * work.objective_seconds)
+        or _find_harmless(trusted, work, now)
+        or _fit(waits, work, defaults.LATE_PROMPT_RATIO * work.remaining_seconds, is_late=True)
+    )
     return _put_first(definition, chosen, work)
 
 
+def _fit(
+    waits: list[tuple[float, int, Endpoint]], work: Work, limit: float, is_late: bool = False
+) -> list[Endpoint]:
+    """Return the fewest engines that read a prompt within `limit` seconds; none if they can't.
+
+    An engine whose answers would stall for too long is left out. Parts are also short, as long as
+    there is a chance to be on time. A late prompt, which is worth less than others that could be on
+    time, keeps as few engines as possible busy.
+    """
+    best: list[Endpoint] = []
+    for count in range(1, min(len(waits), defaults.MAX_HELPERS + 1) + 1):
+        part = work.read_seconds / count
+        able = [
+            (wait, endpoint)
+            for wait, _, endpoint in waits
+            if wait + part <= compute_borne_pause(endpoint)
+        ][:count]
+        if len(able) < count or able[-1][0] + part > limit:
+            continue
+        best = [endpoint for _, endpoint in able]
+        if is_late or part <= defaults.PART_READ_SECONDS:
+            break
+    return best
+
+
 def _find_harmless(engines: list[Endpoint], work: Work, now: float) -> list[Endpoint]:
     """Return engines that read such short parts that running answers stay on time, if any do."""
     idle = [
@@ -68,39 +101,6 @@
     return idle
 
 
-def _fit(engines: list[Endpoint], work: Work, now: float) -> tuple[list[Endpoint], float]:
-    """Return the fewest engines that read a prompt in time, or else those that do it soonest.
-
-    Parts are short as well, because they stall the answers to other long prompts.
-
-    Returns
-    -------
-    tuple of (list of Endpoint, float)
-        The engines, and the seconds until the last part is read.
-    """
-    waits = sorted(
-        (_compute_wait(endpoint, work, now), -endpoint.order, endpoint.name, endpoint)
-        for endpoint in engines
-    )
-    best, best_seconds = 0, float("inf")
-    for count in range(1, min(len(waits), defaults.MAX_HELPERS + 1) + 1):
-        seconds = waits[count - 1][0] + work.read_seconds / count
-        if seconds < best_seconds:
-            best, best_seconds = count, seconds
-        is_short = work.read_seconds / count <= defaults.PART_READ_SECONDS
-        if is_short and seconds <= defaults.LONG_READ_RATIO * work.objective_seconds:
-            break
-    return [wait[3] for wait in waits[:best]], best_seconds
-
-
-def _compute_wait(endpoint: Endpoint, work: Work, now: float) -> float:
-    wait = compute_remaining_reads(endpoint, now)
-    part = min(work.read_seconds, defaults.STALLED_ANSWER_SECONDS)
-    if wait + part > compute_borne_pause(endpoint):
-        wait += defaults.STALLED_ANSWER_SECONDS
-    return wait
-
-
 def _put_first(definition: ServiceDefinition, chosen: list[Endpoint], work: Work) -> list[Endpoint]:
     """Move the engine that gets the request to the front: it needs a slot, and memory at best."""
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -206,15 +206,15 @@
     forwarding, work = transit.gateway.forwarding, transit.work
     excluded, now = frozenset(transit.excluded), time.monotonic()
     transit.helpers = []
+    work.remaining_seconds = max(0.0, transit.ends_at - now)
     if is_long(work):
         readers = choose_readers(forwarding, work, excluded, now)
         if needs_reservations(forwarding, work):
             shares = plan_shares(forwarding, work, readers) if readers else []
             if not shares or not await reserve(transit.tickets, shares):
                 return None
-        if readers:
-            transit.helpers = readers[1:]
-            return readers[0]
+        transit.helpers = readers[1:]
+        return readers[0] if readers else None
     return choose_endpoint(forwarding, work, excluded, now)
 
 
