--- a/marjorambridge/daemon/gauges.py
+++ b/marjorambridge/daemon/gauges.py
@@ -2,23 +2,20 @@
 
 import time
 from collections import Counter
-from typing import TYPE_CHECKING
 
+from marjorambridge.daemon.state import Host
 from marjorambridge.limits.shard import Shard, summarize_shard
 from marjorambridge.telemetry import metrics
 from marjorambridge.telemetry.series import SERIES
 
-if TYPE_CHECKING:
-    from marjorambridge.daemon.host import Host
 
-
-def render_metrics(host: "Host") -> str:
+def render_metrics(host: Host) -> str:
     """Return all series in the Prometheus text format."""
     sample_host(host)
     return metrics.render(host.metrics)
 
 
-def sample_host(host: "Host") -> None:
+def sample_host(host: Host) -> None:
     """Set all sampled series; label values that no longer apply disappear."""
     taken = host.metrics
     for name, series in SERIES.items():
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -1,9 +1,7 @@
 """Start and close one host: its reducer, its timers and all drivers."""
 
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 import anyio
 import anyio.to_thread
@@ -22,19 +20,19 @@
     is_replica,
     read_fleet_key,
 )
-from marjorambridge.daemon.operators import Operators, build_callbacks, deliver_answer
+from marjorambridge.daemon.operators import build_callbacks, deliver_answer
 from marjorambridge.daemon.recording import Beginning, open_recording
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
+from marjorambridge.daemon.state import Host, Operators
 from marjorambridge.http import admin, callers
 from marjorambridge.http.endpoints import (
-    EndpointDriver,
     carry_out,
     close_driver,
     create_driver,
     start_driver,
 )
 from marjorambridge.http.registry import Registry, deliver
-from marjorambridge.http.servers import HttpServer, close_server, start_server
+from marjorambridge.http.servers import close_server, start_server
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
@@ -69,39 +67,6 @@
 DEFAULT_BYTES_PER_TOKEN = 3.0
 
 
-@dataclass(slots=True)
-class Host:
-    """Hold the running parts of one host.
-
-    Attributes
-    ----------
-    drained : anyio.Event
-        Set when a shutdown has no request left.
-    cut : int
-        Requests that the shutdown cut.
-    leaders : dict
-        Last leader and term of each log group.
-    """
-
-    settings: HostSettings
-    incarnation: int
-    runtime: Runtime
-    registry: Registry
-    network: network.Network
-    metrics: metrics.Metrics
-    operators: Operators
-    endpoints: EndpointDriver | None = None
-    storage: worker.StorageWorker | None = None
-    traces: spans.Traces | None = None
-    servers: list[HttpServer] = field(default_factory=list)
-    fresh_until: float = float("-inf")
-    configuration: Any = None
-    leaders: dict[int, tuple[str, int]] = field(default_factory=dict)
-    shutting_down: bool = False
-    drained: anyio.Event = field(default_factory=anyio.Event)
-    cut: int = 0
-
-
 async def start(settings: HostSettings, tasks: TaskGroup) -> Host:
     """Start everything and return once the addresses are open.
 
--- a/marjorambridge/daemon/operators.py
+++ b/marjorambridge/daemon/operators.py
@@ -2,8 +2,7 @@
 
 import hashlib
 import time
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 import msgspec
@@ -18,6 +17,7 @@
 from marjorambridge.configuration.state import AnswerStatus, CommandAnswer
 from marjorambridge.daemon.gauges import render_metrics
 from marjorambridge.daemon.runtime import post
+from marjorambridge.daemon.state import Host, Operators, Waiter
 from marjorambridge.daemon.state_dump import (
     describe_configuration,
     describe_host,
@@ -28,9 +28,6 @@
 from marjorambridge.membership.events import CommandAnswered, CommandSubmitted
 from marjorambridge.orders.state_machine import SetTarget
 
-if TYPE_CHECKING:
-    from marjorambridge.daemon.host import Host
-
 # Longer than the reducer's own time for a command, so that its answer always comes first.
 ANSWER_SECONDS = 30.0
 STATUSES = {
@@ -42,21 +39,6 @@
 }
 
 
-@dataclass(slots=True)
-class Waiter:
-    """Wait for the answer of a command."""
-
-    event: anyio.Event = field(default_factory=anyio.Event)
-    answer: CommandAnswer | None = None
-
-
-@dataclass(slots=True)
-class Operators:
-    """Hold the operators' connections that wait for an answer, by command identifier."""
-
-    waiting: dict[str, list[Waiter]] = field(default_factory=dict)
-
-
 def deliver_answer(operators: Operators, event: CommandAnswered) -> None:
     """Wake all connections that wait for the command."""
     for waiter in operators.waiting.pop(event.command_id, []):
@@ -64,7 +46,7 @@
         waiter.event.set()
 
 
-def build_callbacks(host: "Host") -> AdminCallbacks:
+def build_callbacks(host: Host) -> AdminCallbacks:
     """Return what the admin application calls."""
 
     async def run_command(raw: dict[str, Any]) -> tuple[int, Any]:
@@ -86,7 +68,7 @@
     )
 
 
-async def _submit(host: "Host", command: OperatorCommand | SetTarget) -> CommandAnswer:
+async def _submit(host: Host, command: OperatorCommand | SetTarget) -> CommandAnswer:
     waiter = Waiter()
     identifier = command.command if isinstance(command, SetTarget) else command.command_id
     host.operators.waiting.setdefault(identifier, []).append(waiter)
@@ -103,7 +85,7 @@
     )
 
 
-def _is_ready(host: "Host") -> tuple[bool, str]:
+def _is_ready(host: Host) -> tuple[bool, str]:
     if host.shutting_down:
         return False, "the host is shutting down"
     if time.monotonic() >= host.fresh_until:
@@ -111,6 +93,6 @@
     return True, ""
 
 
-def _check_token(host: "Host", token: str) -> bool:
+def _check_token(host: Host, token: str) -> bool:
     digest = hashlib.sha256(token.encode()).hexdigest()
     return matches_any(digest, host.settings.operator_token_hashes)
--- /dev/null
+++ b/marjorambridge/daemon/state.py
@@ -0,0 +1,65 @@
+"""Hold the running parts of one host."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from marjorambridge.conf.settings import HostSettings
+from marjorambridge.configuration.state import CommandAnswer
+from marjorambridge.daemon.runtime import Runtime
+from marjorambridge.http.endpoints import EndpointDriver
+from marjorambridge.http.registry import Registry
+from marjorambridge.http.servers import HttpServer
+from marjorambridge.storage.worker import StorageWorker
+from marjorambridge.telemetry.metrics import Metrics
+from marjorambridge.telemetry.traces import Traces
+from marjorambridge.transport.network import Network
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Wait for the answer of a command."""
+
+    event: anyio.Event = field(default_factory=anyio.Event)
+    answer: CommandAnswer | None = None
+
+
+@dataclass(slots=True)
+class Operators:
+    """Hold the operators' connections that wait for an answer, by command identifier."""
+
+    waiting: dict[str, list[Waiter]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Host:
+    """Hold the running parts of one host.
+
+    Attributes
+    ----------
+    drained : anyio.Event
+        Set when a shutdown has no request left.
+    cut : int
+        Requests that the shutdown cut.
+    leaders : dict
+        Last leader and term of each log group.
+    """
+
+    settings: HostSettings
+    incarnation: int
+    runtime: Runtime
+    registry: Registry
+    network: Network
+    metrics: Metrics
+    operators: Operators
+    endpoints: EndpointDriver | None = None
+    storage: StorageWorker | None = None
+    traces: Traces | None = None
+    servers: list[HttpServer] = field(default_factory=list)
+    fresh_until: float = float("-inf")
+    configuration: Any = None
+    leaders: dict[int, tuple[str, int]] = field(default_factory=dict)
+    shutting_down: bool = False
+    drained: anyio.Event = field(default_factory=anyio.Event)
+    cut: int = 0
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -1,10 +1,11 @@
 """Describe the state of a host for operators."""
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from marjorambridge.core.records import make_record
 from marjorambridge.core.view import HostEntry
+from marjorambridge.daemon.state import Host
 from marjorambridge.http.reports import (
     ConfigurationReport,
     EndpointReport,
@@ -20,11 +21,8 @@
 from marjorambridge.replication.quorums import get_membership
 from marjorambridge.replication.state import GroupState
 
-if TYPE_CHECKING:
-    from marjorambridge.daemon.host import Host
 
-
-def describe_state(host: "Host") -> dict[str, Any]:
+def describe_state(host: Host) -> dict[str, Any]:
     """Return what an operator needs to judge the host, without keys, tokens or bodies."""
     now = time.monotonic()
     parts = host.runtime.node.parts
@@ -73,7 +71,7 @@
     return description
 
 
-def describe_configuration(host: "Host") -> ConfigurationReport:
+def describe_configuration(host: Host) -> ConfigurationReport:
     """Return the configuration that the host has applied and the changes that led to it."""
     control = host.runtime.node.parts["membership"].state.host.control
     return ConfigurationReport(
@@ -84,7 +82,7 @@
     )
 
 
-def describe_host(host: "Host") -> HostReport:
+def describe_host(host: Host) -> HostReport:
     """Return the state of the host without the configuration, which can be large."""
     now = time.monotonic()
     parts = host.runtime.node.parts
