Add a fault soak of the real programs

It runs gateways and replicas as processes, injects faults by signals, lost folders and a proxy before each endpoint, and checks what callers, operators and endpoints see.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs as processes and inject faults from outside."""
--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,145 @@
+"""Stand in for endpoints behind proxies that delay, reset, silence or cut connections one way."""
+
+import contextlib
+import json
+import random
+import time
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import SocketStream
+
+ERRORS = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+EVENTS = 12
+
+
+@dataclass
+class Runs:
+    """Note what endpoints ran, by request, with endpoint and time."""
+
+    by_request: dict[str, list[tuple[str, float]]] = field(default_factory=dict)
+
+    def note(self, request: str, endpoint: str) -> None:
+        self.by_request.setdefault(request, []).append((endpoint, time.monotonic()))
+
+
+@dataclass
+class Endpoint:
+    """Answer requests for one incarnation; `mode` says how its proxy treats connections."""
+
+    name: str
+    zone: str
+    ip: str
+    port: int
+    runs: Runs
+    random: random.Random
+    born: int
+    sequence: int = 0
+    mode: str = "pass"
+    troubled: float = 0.0
+
+    @property
+    def address(self) -> str:
+        return f"{self.ip}:{self.port + 1}"
+
+    def report(self) -> bytes:
+        self.sequence += 1
+        report = {
+            "backend": "svc",
+            "address": self.address,
+            "zone": self.zone,
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+        return json.dumps(report).encode()
+
+
+async def serve_endpoint(endpoint: Endpoint) -> None:
+    """Serve the endpoint and its proxy until cancelled."""
+    inner = await anyio.create_tcp_listener(local_host=endpoint.ip, local_port=endpoint.port)
+    outer = await anyio.create_tcp_listener(local_host=endpoint.ip, local_port=endpoint.port + 1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(inner.serve, lambda stream: _answer(endpoint, stream))
+        tasks.start_soon(outer.serve, lambda stream: _proxy(endpoint, stream))
+
+
+async def _proxy(endpoint: Endpoint, stream: SocketStream) -> None:
+    with contextlib.suppress(*ERRORS):
+        inner = await anyio.connect_tcp(endpoint.ip, endpoint.port)
+        async with stream, inner, anyio.create_task_group() as tasks:
+            tasks.start_soon(_pump, endpoint, stream, inner, "in", tasks.cancel_scope)
+            tasks.start_soon(_pump, endpoint, inner, stream, "out", tasks.cancel_scope)
+
+
+async def _pump(endpoint, source, target, way: str, scope: anyio.CancelScope) -> None:
+    with contextlib.suppress(*ERRORS):
+        while True:
+            data = await source.receive()
+            if endpoint.mode == "delay":
+                await anyio.sleep(endpoint.random.uniform(0.05, 0.4))
+            elif endpoint.mode == "reset" and endpoint.random.random() < 0.3:
+                break
+            elif endpoint.mode == "silent" or endpoint.mode == f"cut-{way}":
+                continue
+            await target.send(data)
+    scope.cancel()
+
+
+async def _answer(endpoint: Endpoint, stream: SocketStream) -> None:
+    with contextlib.suppress(*ERRORS):
+        async with stream:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive()
+            head, _, body = data.partition(b"\r\n\r\n")
+            lines = [line.partition(b":") for line in head.split(b"\r\n")[1:]]
+            headers = {name.lower(): value.strip().decode() for name, _, value in lines}
+            while len(body) < int(headers.get(b"content-length", 0)):
+                body += await stream.receive()
+            await _run(endpoint, stream, head, headers, body)
+
+
+async def _run(endpoint, stream, head: bytes, headers: dict, body: bytes) -> None:
+    identifier = headers[b"x-request-id"]
+    base = f"X-Request-Id: {identifier}\r\n"
+    if headers.get(b"x-expect-instance") != endpoint.name:
+        await stream.send(f"HTTP/1.1 421 No\r\n{base}Content-Length: 0\r\n\r\n".encode())
+        return
+    fate = endpoint.random.random() if time.monotonic() < endpoint.troubled else 1.0
+    if fate < 0.2:
+        text = f"HTTP/1.1 503 Full\r\n{base}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        await stream.send(text.encode())
+        return
+    endpoint.runs.note(identifier, endpoint.name)
+    signed = f"{base}X-Instance-Signature: mac-{identifier}\r\n"
+    if b" /stream/" in head.split(b"\r\n")[0]:
+        await _stream(endpoint, stream, headers, signed, fate)
+        return
+    await anyio.sleep(endpoint.random.uniform(0.005, 0.05))
+    if fate < 0.35:
+        return
+    if fate < 0.45:
+        await stream.send(f"HTTP/1.1 500 Bad\r\n{signed}Content-Length: 0\r\n\r\n".encode())
+        return
+    answer = identifier.encode() + b"|" + body
+    whole = f"HTTP/1.1 200 OK\r\n{signed}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
+    await stream.send(whole if fate > 0.55 else whole[:-3])
+    if 0.55 < fate < 0.65:
+        await stream.send(whole)
+
+
+async def _stream(endpoint, stream, headers: dict, signed: str, fate: float) -> None:
+    first = int(headers.get(b"last-event-id", 0)) + 1
+    head = f"HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n"
+    await stream.send(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+    for number in range(first, EVENTS + 1):
+        await anyio.sleep(0.02)
+        event = f"id: {number}\ndata: {headers[b'x-request-id']}-{number}\n\n".encode()
+        if fate < 0.7 and number == EVENTS // 2:
+            await stream.send(b"%x\r\n%s" % (len(event), event[:5]))
+            return
+        await stream.send(b"%x\r\n%s\r\n" % (len(event), event))
+    await stream.send(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,94 @@
+"""Start, signal and restart the programs; only processes started here are signalled."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@dataclass
+class Process:
+    """Hold one program of the fleet; `until` is the time at which it is continued or restarted."""
+
+    name: str
+    role: str
+    folder: Path
+    settings: dict
+    child: subprocess.Popen | None = None
+    logs: list[Path] = field(default_factory=list)
+    until: float = 0.0
+    stopped: bool = False
+
+    def start(self) -> None:
+        path = self.folder / "node.json"
+        path.write_text(json.dumps(self.settings))
+        log = self.folder / f"log-{len(self.logs)}"
+        self.logs.append(log)
+        environment = {"PATH": os.environ["PATH"], "MARJORAMBRIDGE_NODE_FILE": str(path)}
+        environment["PYTHONPATH"] = str(ROOT)
+        with log.open("wb") as output:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "marjorambridge.platform", self.role],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.stopped = False
+        self.settings["bootstrap"] = False
+
+    def send(self, number: int) -> None:
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def kill(self, wipe: bool = False) -> None:
+        self.send(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait()
+        self.child = None
+        if wipe and self.settings.get("data_folder"):
+            shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
+
+    def is_running(self) -> bool:
+        return self.child is not None and self.child.poll() is None and not self.stopped
+
+
+def make_processes(folder: Path, base: int, replicas: int, gateways: int) -> list[Process]:
+    """Return the processes of a fleet; all use the same ports on addresses of their own."""
+    zones = {"z0": "r", "z1": "r", "z2": "r"}
+    seeds = [f"127.0.1.{n + 1}:{base + 2}" for n in range(min(3, replicas))]
+    processes = []
+    for number in range(replicas + gateways):
+        is_replica = number < replicas
+        ip = f"127.0.1.{number + 1}"
+        name = f"{'replica' if is_replica else 'gateway'}-{number}"
+        home = folder / name
+        home.mkdir(parents=True)
+        settings = {
+            "host": name,
+            "ip": ip,
+            "zone": f"z{number % 3}",
+            "zones": zones,
+            "seeds": seeds,
+            "peer_ports": [base, base + 1],
+            "bootstrap": True,
+            "bounds": {
+                "shutdown_grace_seconds": 8.0,
+                "report_interval_milliseconds": 300.0,
+                "retry_ratio": 0.2,
+                "retry_allowance": 100.0,
+            },
+        }
+        if is_replica:
+            settings |= {"control": f"{ip}:{base + 2}", "data_folder": str(home / "data")}
+        else:
+            settings |= {"callers": f"{ip}:{base + 3}", "readiness": f"{ip}:{base + 4}"}
+        role = "replica" if is_replica else "gateway"
+        processes.append(Process(name, role, home, settings))
+    return processes
