--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -9,6 +9,7 @@
 import hmac
 import math
 import time
+from collections import deque
 from dataclasses import dataclass, field
 
 import anyio
@@ -26,6 +27,7 @@
 COALESCE_SECONDS = 0.01
 REPEAT_SECONDS = 1.0
 MAC_BYTES = 8
+MAX_QUEUED = 1_000
 # Loads in one datagram, so that it fits a packet.
 MAX_LOADS = 12
 
@@ -38,12 +40,18 @@
     ----------
     own_host : str
         ``ip:port`` of this host's socket; the other hosts use the same port.
+    changed : dict of str to None
+        Endpoints whose load must be told, in order.
+    outbox : deque of (bytes, str)
+        Datagrams that wait to be sent, with the host that gets them; the oldest ones are dropped
+        when there are too many.
     """
 
     forwarding: ForwardingState
     own_host: str
     key: bytes
     changed: dict[str, None] = field(default_factory=dict)
+    outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
     sent_bytes: int = 0
@@ -54,7 +62,7 @@
     ip, _, port = sharing.own_host.rpartition(":")
     sharing.socket = await anyio.create_udp_socket(local_host=ip, local_port=int(port))
     tasks.start_soon(_receive, sharing)
-    tasks.start_soon(_send_changes, sharing)
+    tasks.start_soon(_send_packets, sharing)
     tasks.start_soon(_repeat, sharing)
 
 
@@ -70,25 +78,36 @@
     sharing.wakeup.set()
 
 
-async def _send_changes(sharing: LoadSharing) -> None:
+async def _send_packets(sharing: LoadSharing) -> None:
+    # Only this task writes to the socket, which takes one writer at a time.
     while True:
         await sharing.wakeup.wait()
-        await anyio.sleep(COALESCE_SECONDS)
         sharing.wakeup = anyio.Event()
-        names, sharing.changed = list(sharing.changed), {}
-        for first in range(0, len(names), MAX_LOADS):
-            part, now = names[first : first + MAX_LOADS], time.monotonic()
-            await _send_to_zone(sharing, make_packet(sharing, part, now))
-            packet = make_packet(sharing, part, now, for_zone=True)
-            for host in choose_relays(sharing.forwarding):
-                await _send(sharing, packet, host)
+        if sharing.changed:
+            await anyio.sleep(COALESCE_SECONDS)
+            _queue_changes(sharing)
+        while sharing.outbox:
+            packet, host = sharing.outbox.popleft()
+            await _send(sharing, packet, host)
+
+
+def _queue_changes(sharing: LoadSharing) -> None:
+    names, sharing.changed = list(sharing.changed), {}
+    now = time.monotonic()
+    for first in range(0, len(names), MAX_LOADS):
+        part = names[first : first + MAX_LOADS]
+        _queue_for_zone(sharing, make_packet(sharing, part, now))
+        packet = make_packet(sharing, part, now, for_zone=True)
+        for host in choose_relays(sharing.forwarding):
+            sharing.outbox.append((packet, host))
 
 
-async def _send_to_zone(sharing: LoadSharing, packet: bytes) -> None:
+def _queue_for_zone(sharing: LoadSharing, packet: bytes) -> None:
     own_zone = sharing.forwarding.settings.zone
     for host, zone in sharing.forwarding.hosts.items():
         if zone == own_zone and host != sharing.own_host:
-            await _send(sharing, packet, host)
+            sharing.outbox.append((packet, host))
+    sharing.wakeup.set()
 
 
 def choose_relays(forwarding: ForwardingState) -> list[str]:
@@ -145,7 +164,7 @@
         share = take_packet(sharing, packet, time.monotonic())
         if share is not None and share.for_zone:
             share.for_zone = False
-            await _send_to_zone(sharing, _seal(sharing, share))
+            _queue_for_zone(sharing, _seal(sharing, share))
 
 
 def take_packet(sharing: LoadSharing, packet: bytes, now: float) -> LoadShare | None:
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -1,5 +1,10 @@
 """Guard what gateways tell one another about their load."""
 
+import socket
+from dataclasses import replace
+
+import anyio
+
 from marjorambridge.forwarding.loads import (
     LOAD_LIFETIME_SECONDS,
     add_read,
@@ -9,7 +14,14 @@
     count_requests,
     drop_old_loads,
 )
-from marjorambridge.gateway.sharing import LoadSharing, choose_relays, make_packet, take_packet
+from marjorambridge.gateway.sharing import (
+    LoadSharing,
+    choose_relays,
+    make_packet,
+    note_change,
+    start_sharing,
+    take_packet,
+)
 from tests.forwarding.world import make_state
 
 
@@ -62,3 +74,85 @@
     share = take_packet(receiver, make_packet(sender, ["e0"], 1.0, for_zone=True), 1.0)
     assert share.for_zone and share.host == "h1"
     assert not take_packet(receiver, make_packet(sender, ["e0"], 1.0), 1.0).for_zone
+
+
+def test_loads_travel_in_both_directions_while_others_are_passed_on():
+    """Guard against two tasks that write to one socket, which ends the process."""
+
+    async def scenario():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        hosts = {f"127.0.0.{n}:{port}": f"z{n % 2}" for n in range(11, 17)}
+        sharings = [
+            LoadSharing(make_state(engines=9, hosts=(host,)), host, b"k" * 32) for host in hosts
+        ]
+        async with anyio.create_task_group() as tasks:
+            for sharing in sharings:
+                sharing.forwarding.hosts = dict(hosts)
+                sharing.forwarding.settings = replace(
+                    sharing.forwarding.settings, zone=hosts[sharing.own_host]
+                )
+                await start_sharing(sharing, tasks)
+            for _ in range(30):
+                for sharing in sharings:
+                    for endpoint in sharing.forwarding.endpoints.values():
+                        add_request(endpoint.load, 1, 0.25)
+                        note_change(sharing, endpoint)
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.5)
+            for sharing in sharings:
+                for endpoint in sharing.forwarding.endpoints.values():
+                    assert count_requests(endpoint) == 30 * len(sharings)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+class SlowSocket:
+    """Take one datagram at a time, as a socket does whose buffer is full."""
+
+    def __init__(self, packets):
+        self.packets = packets
+        self.busy = False
+        self.sent = 0
+
+    async def sendto(self, packet, ip, port):
+        assert not self.busy, "two tasks write at the same time"
+        self.busy = True
+        await anyio.sleep(0.001)
+        self.busy = False
+        self.sent += 1
+
+    async def receive(self):
+        await anyio.sleep(0.0007)
+        if not self.packets:
+            await anyio.sleep_forever()
+        return self.packets.pop(), ("127.0.0.1", 1)
+
+
+def test_only_one_task_writes_to_the_socket(monkeypatch):
+    """Guard against passing a datagram on while another one is being sent (scale-1)."""
+
+    async def scenario():
+        sender, receiver = make_pair()
+        add_request(sender.forwarding.endpoints["e0"].load, 1, 0.25)
+        packets = [make_packet(sender, ["e0"], 1.0, for_zone=True) for _ in range(50)]
+        slow = SlowSocket(packets)
+
+        async def create_socket(**options):
+            return slow
+
+        monkeypatch.setattr(anyio, "create_udp_socket", create_socket)
+        receiver.own_host = "127.0.0.9:1"
+        receiver.forwarding.hosts = {f"127.0.0.{n}:1": "z0" for n in range(3, 9)}
+        async with anyio.create_task_group() as tasks:
+            await start_sharing(receiver, tasks)
+            for _ in range(40):
+                note_change(receiver, receiver.forwarding.endpoints["e1"])
+                await anyio.sleep(0.005)
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+        assert slow.sent >= 300
+
+    anyio.run(scenario)
