Collect loads in large fleets, keep short requests in their zone, and tell giants when to return

One host a zone now collects what is passed on in fleets of more than 16 hosts, and the names of hosts are sent only when they change.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -252,10 +252,12 @@
 MAX_HELPERS = 16
 # Part of the time that is left in which a prompt that can't be on time is read.
 LATE_PROMPT_RATIO = 0.5
-# Part of the time that is left for which a long prompt waits until engines are free, and the time
-# in seconds after which it looks again.
-LONG_PROMPT_WAIT_RATIO = 0.35
+# Time in seconds for which a long prompt waits until engines are free, and after which it looks
+# again. Parts take 0.3 s; who would have to wait for more of them is told when to come back.
+LONG_PROMPT_WAIT_SECONDS = 0.4
 LONG_PROMPT_CHECK_SECONDS = 0.1
+# Time in seconds in which a short answer ends, after which its engine may read long prompts.
+SHORT_ANSWER_SECONDS = 1.5
 # Part of an engine's memory up to which one engine takes a prompt alone, and up to which tickets
 # fill it; the rest covers answers that are longer than expected.
 SINGLE_ENGINE_MEMORY_RATIO = 0.98
--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -124,7 +124,8 @@
     members, member_zones : tuple of str
         All replicas and their availability zones; a zone is empty if it is unknown.
     hosts, host_zones : tuple of str
-        All hosts that follow a replica, and their availability zones.
+        All hosts that follow a replica, and their availability zones; empty if they are those of
+        the last update.
     """
 
     serial: int
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -89,6 +89,8 @@
         Revision of the endpoint table up to which the host was told; -1 for nothing.
     index, version : int
         Last control index and manifest version that were sent.
+    hosts : tuple of str
+        Hosts that were named last.
     """
 
     polled_at: float
@@ -97,6 +99,7 @@
     index: int = -1
     version: int = 0
     current: bool = False
+    hosts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -484,6 +487,10 @@
     )
     hosts = {name: other.zone for name, other in state.other_hosts.items()}
     hosts |= {name: other.zone for name, other in state.followers.items()}
+    names = tuple(sorted(hosts))
+    # Most updates repeat what is known; the names of a large fleet are their greatest part.
+    told = names if names != follower.hosts or follower.revision < 0 else ()
+    follower.hosts = names
     update = FeedUpdate(
         serial=serial,
         incarnation=state.incarnation,
@@ -500,8 +507,8 @@
         removed=removed,
         members=state.members,
         member_zones=tuple(state.zones.get(host, "") for host in state.members),
-        hosts=tuple(sorted(hosts)),
-        host_zones=tuple(hosts[name] for name in sorted(hosts)),
+        hosts=told,
+        host_zones=tuple(hosts[name] for name in told),
     )
     follower.revision, follower.index = table.revision, control.index
     follower.version, follower.current = max(control.version, follower.version), update.current
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -34,3 +34,10 @@
     host: str
     for_zone: bool
     loads: tuple[EndpointLoad, ...]
+
+
+@dataclass(slots=True)
+class LoadBatch:
+    """Tell the hosts of a zone what several hosts said within a moment."""
+
+    shares: tuple[LoadShare, ...]
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -109,7 +109,7 @@
     if is_kept_for_long(endpoint):
         crowd += defaults.KEPT_ENGINE_CROWD
     room = max(0, endpoint.slots - defaults.PACKING_RESERVE_SLOTS - requests)
-    return doubt, is_late, crowd, room if room else endpoint.slots, endpoint.order
+    return doubt, is_late, crowd, other_zone, room if room else endpoint.slots, endpoint.order
 
 
 def is_kept_for_long(endpoint: Endpoint) -> bool:
--- a/marjorambridge/forwarding/returns.py
+++ b/marjorambridge/forwarding/returns.py
@@ -4,17 +4,25 @@
 same time make the next burst, so that their returns are spread.
 """
 
+import math
+
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.loads import compute_remaining_reads, count_requests
+from marjorambridge.forwarding.loads import (
+    compute_borne_pause,
+    compute_remaining_reads,
+    count_requests,
+)
 from marjorambridge.forwarding.placement import Work, can_start, is_usable
+from marjorambridge.forwarding.splitting import is_long
 from marjorambridge.forwarding.state import ForwardingState
 
 
 def estimate_return_seconds(state: ForwardingState, work: Work, now: float) -> float:
-    """Return the seconds after which an endpoint is expected to have room.
+    """Return the seconds after which a request is expected to find room.
 
-    The least busy endpoint decides. Where none may be used at all, nothing is known about when one
-    will, and the time is that in which hosts learn of new endpoints.
+    The least busy endpoint decides, or as many of them as read a long prompt in time. Where none
+    may be used at all, nothing is known about when one will, and the time is that in which hosts
+    learn of new endpoints.
     """
     definition = state.table.services.get(work.service) if state.table else None
     waits = []
@@ -26,8 +34,14 @@
             wait += defaults.RETRY_WHEN_FULL_SECONDS
         if not can_start(state, definition, endpoint, now):
             wait += defaults.COLD_RETURN_SECONDS
+        if is_long(work) and compute_borne_pause(endpoint) < defaults.STRICT_PAUSE_SECONDS:
+            wait += defaults.SHORT_ANSWER_SECONDS
         waits.append(wait)
-    expected = min(waits, default=defaults.RETRY_WITHOUT_ENDPOINT_SECONDS)
+    expected = defaults.RETRY_WITHOUT_ENDPOINT_SECONDS
+    if waits:
+        in_time = defaults.LATE_READ_RATIO * work.objective_seconds
+        needed = math.ceil(work.read_seconds / in_time) if is_long(work) else 1
+        expected = sorted(waits)[min(needed, len(waits)) - 1]
     spread = 1.0 + state.generator.random() * defaults.RETURN_SPREAD_RATIO
     expected = max(expected, defaults.MIN_RETURN_SECONDS) * spread
     return min(expected, defaults.MAX_RETURN_SECONDS)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -210,7 +210,7 @@
     if not is_long(work):
         return choose_endpoint(forwarding, work, excluded, now)
     # Engines become free within moments, and a prompt that is refused rarely finds a better time.
-    gives_up_at = now + defaults.LONG_PROMPT_WAIT_RATIO * (transit.ends_at - now)
+    gives_up_at = now + defaults.LONG_PROMPT_WAIT_SECONDS
     while True:
         endpoint = await _choose_for_long(transit, excluded)
         if endpoint is not None or time.monotonic() >= gives_up_at:
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -2,7 +2,8 @@
 
 A datagram that is lost leaves another host's picture old for at most a second, when all loads are
 repeated; so none is sent twice. Bytes between zones are dear: one host of each other zone gets a
-datagram and passes it on to its zone.
+datagram and passes it on to its zone. In a large fleet one host of each zone collects what it
+passes on, because the datagrams that a host receives would otherwise grow with the traffic of all.
 """
 
 import hashlib
@@ -13,11 +14,12 @@
 from dataclasses import dataclass, field
 
 import anyio
+import xxhash
 from anyio.abc import TaskGroup, UDPSocket
 from loguru import logger
 
 from marjorambridge.forwarding.loads import drop_old_loads, take_other_load
-from marjorambridge.forwarding.messages import EndpointLoad, LoadShare
+from marjorambridge.forwarding.messages import EndpointLoad, LoadBatch, LoadShare
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, Load
 from marjorambridge.gateway.streams import STREAM_ERRORS
 from marjorambridge.wire.codec import decode_message, encode_message
@@ -26,7 +28,15 @@
 # Changes within this time in seconds go out together.
 COALESCE_SECONDS = 0.01
 REPEAT_SECONDS = 1.0
+# Fleets of more hosts collect what is passed on, for this time in seconds; with fewer hosts each
+# datagram is passed on at once.
+MAX_DIRECT_HOSTS = 16
+COLLECT_SECONDS = 0.06
+# Loads in one collected datagram.
+MAX_BATCH_LOADS = 24
 MAC_BYTES = 8
+# Kinds of messages, by the byte that begins a datagram after its MAC.
+KINDS = ("forwarding.LoadShare", "forwarding.LoadBatch")
 MAX_QUEUED = 1_000
 # Loads in one datagram, so that it fits a packet.
 MAX_LOADS = 12
@@ -45,6 +55,8 @@
     outbox : deque of (bytes, str)
         Datagrams that wait to be sent, with the host that gets them; the oldest ones are dropped
         when there are too many.
+    collected : dict of (str, str) to EndpointLoad
+        Loads by host and endpoint that this host passes on to its zone next.
     """
 
     forwarding: ForwardingState
@@ -52,6 +64,7 @@
     key: bytes
     changed: dict[str, None] = field(default_factory=dict)
     outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
+    collected: dict[tuple[str, str], EndpointLoad] = field(default_factory=dict)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
     sent_bytes: int = 0
@@ -64,6 +77,7 @@
     tasks.start_soon(_receive, sharing)
     tasks.start_soon(_send_packets, sharing)
     tasks.start_soon(_repeat, sharing)
+    tasks.start_soon(_pass_on_collected, sharing)
 
 
 async def close_sharing(sharing: LoadSharing) -> None:
@@ -94,14 +108,76 @@
 def _queue_changes(sharing: LoadSharing) -> None:
     names, sharing.changed = list(sharing.changed), {}
     now = time.monotonic()
+    collects = is_collecting(sharing.forwarding)
     for first in range(0, len(names), MAX_LOADS):
         part = names[first : first + MAX_LOADS]
-        _queue_for_zone(sharing, make_packet(sharing, part, now))
         packet = make_packet(sharing, part, now, for_zone=True)
+        if collects:
+            for host in list_collectors(sharing.forwarding):
+                _queue_or_take(sharing, packet, host, now)
+            continue
+        _queue_for_zone(sharing, make_packet(sharing, part, now))
         for host in choose_relays(sharing.forwarding):
             sharing.outbox.append((packet, host))
 
 
+def _queue_or_take(sharing: LoadSharing, packet: bytes, host: str, now: float) -> None:
+    if host == sharing.own_host:
+        pass_on(sharing, take_packet(sharing, packet, now))
+    else:
+        sharing.outbox.append((packet, host))
+
+
+def is_collecting(forwarding: ForwardingState) -> bool:
+    """Return whether the fleet is so large that one host of each zone collects loads."""
+    return len(forwarding.hosts) > MAX_DIRECT_HOSTS
+
+
+def list_collectors(forwarding: ForwardingState) -> list[str]:
+    """Return the host of each zone that collects; all hosts agree on it, as far as they agree.
+
+    Where they do not, or where a collector has just died, loads are old until the next repetition.
+    """
+    by_zone: dict[str, str] = {}
+    for host, zone in forwarding.hosts.items():
+        if zone not in by_zone or _hash(host) < _hash(by_zone[zone]):
+            by_zone[zone] = host
+    return list(by_zone.values())
+
+
+def _hash(host: str) -> int:
+    return xxhash.xxh3_64_intdigest(host.encode())
+
+
+def pass_on(sharing: LoadSharing, share: LoadShare | None) -> None:
+    """Pass a message that is meant for this zone on to its hosts, now or with others."""
+    if share is None or not share.for_zone:
+        return
+    if is_collecting(sharing.forwarding):
+        for load in share.loads:
+            sharing.collected[share.host, load.endpoint] = load
+        return
+    share.for_zone = False
+    _queue_for_zone(sharing, _seal(sharing, share))
+
+
+async def _pass_on_collected(sharing: LoadSharing) -> None:
+    while True:
+        await anyio.sleep(COLLECT_SECONDS if is_collecting(sharing.forwarding) else REPEAT_SECONDS)
+        items, sharing.collected = list(sharing.collected.items()), {}
+        for first in range(0, len(items), MAX_BATCH_LOADS):
+            _queue_for_zone(
+                sharing, _seal(sharing, _make_batch(items[first : first + MAX_BATCH_LOADS]))
+            )
+
+
+def _make_batch(items: list[tuple[tuple[str, str], EndpointLoad]]) -> LoadBatch:
+    by_host: dict[str, list[EndpointLoad]] = {}
+    for (host, _), load in items:
+        by_host.setdefault(host, []).append(load)
+    return LoadBatch(tuple(LoadShare(host, False, tuple(loads)) for host, loads in by_host.items()))
+
+
 def _queue_for_zone(sharing: LoadSharing, packet: bytes) -> None:
     own_zone = sharing.forwarding.settings.zone
     for host, zone in sharing.forwarding.hosts.items():
@@ -146,9 +222,10 @@
     return _seal(sharing, LoadShare(sharing.own_host, for_zone, tuple(loads)))
 
 
-def _seal(sharing: LoadSharing, share: LoadShare) -> bytes:
-    _, body = encode_message(share)
-    return _compute_mac(sharing.key, body) + body
+def _seal(sharing: LoadSharing, message: LoadShare | LoadBatch) -> bytes:
+    kind, body = encode_message(message)
+    sealed = bytes([KINDS.index(kind)]) + body
+    return _compute_mac(sharing.key, sealed) + sealed
 
 
 def _compute_mac(key: bytes, body: bytes) -> bytes:
@@ -161,23 +238,37 @@
             packet, _ = await sharing.socket.receive()
         except STREAM_ERRORS:
             return
-        share = take_packet(sharing, packet, time.monotonic())
-        if share is not None and share.for_zone:
-            share.for_zone = False
-            _queue_for_zone(sharing, _seal(sharing, share))
+        pass_on(sharing, take_packet(sharing, packet, time.monotonic()))
 
 
 def take_packet(sharing: LoadSharing, packet: bytes, now: float) -> LoadShare | None:
-    """Take over what another host told and return it, or None if it can't be read."""
-    mac, body = packet[:MAC_BYTES], packet[MAC_BYTES:]
-    if not hmac.compare_digest(mac, _compute_mac(sharing.key, body)):
+    """Take over what other hosts told.
+
+    Returns
+    -------
+    LoadShare or None
+        The message of one host; None for a batch, and if the datagram can't be read.
+    """
+    mac, sealed = packet[:MAC_BYTES], packet[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _compute_mac(sharing.key, sealed)):
         logger.warning("refused a load datagram with a wrong MAC")
         return None
     try:
-        share = decode_message("forwarding.LoadShare", body)
-    except WireError as error:
+        message = decode_message(KINDS[sealed[0]], sealed[1:])
+    except (WireError, IndexError) as error:
         logger.bind(error=str(error)).warning("refused a load datagram that can't be read")
         return None
+    if isinstance(message, LoadBatch):
+        for share in message.shares:
+            _take_share(sharing, share, now)
+        return None
+    _take_share(sharing, message, now)
+    return message
+
+
+def _take_share(sharing: LoadSharing, share: LoadShare, now: float) -> None:
+    if share.host == sharing.own_host:
+        return
     for told in share.loads:
         endpoint = sharing.forwarding.endpoints.get(told.endpoint)
         if endpoint is not None:
@@ -190,7 +281,6 @@
                 now,
             )
             take_other_load(endpoint, share.host, load)
-    return share
 
 
 async def _repeat(sharing: LoadSharing) -> None:
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -244,6 +244,83 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class LoadBatch(object):
+    """
+    Attributes:
+     - shares
+
+    """
+
+    __slots__ = (
+        'shares',
+    )
+
+
+    def __init__(self, shares=None,):
+        self.shares = shares
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = LoadShare()
+                        _elem12.read(iprot)
+                        self.shares.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadBatch')
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.shares))
+            for iter13 in self.shares:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(EndpointLoad)
 EndpointLoad.thrift_spec = (
     None,  # 0
@@ -261,5 +338,10 @@
     (2, TType.BOOL, 'for_zone', None, None, ),  # 2
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
 )
+all_structs.append(LoadBatch)
+LoadBatch.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'shares', (TType.STRUCT, [LoadShare, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -15,3 +15,7 @@
   2: bool for_zone
   3: list<EndpointLoad> loads
 }
+
+struct LoadBatch {
+  1: list<LoadShare> shares
+}
--- a/tests/forwarding/test_returns.py
+++ b/tests/forwarding/test_returns.py
@@ -26,3 +26,14 @@
     seconds = estimate_return_seconds(state, make_work(5000), 0.0)
     low = defaults.RETRY_WITHOUT_ENDPOINT_SECONDS
     assert low <= seconds <= low * (1 + defaults.RETURN_SPREAD_RATIO)
+
+
+def test_a_long_prompt_returns_when_enough_engines_are_free():
+    """Guard against a giant prompt that comes back at once, because one engine is idle."""
+    state = make_state(engines=10)
+    engines = list(state.endpoints.values())
+    for endpoint in engines[:8]:
+        add_read(endpoint.load, 4.0, 0.0)
+    work = make_work(300_000, 3.0, 1.0)
+    times = [estimate_return_seconds(state, work, 0.0) for _ in range(20)]
+    assert min(times) >= 4.0 and max(times) <= defaults.MAX_RETURN_SECONDS
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -14,6 +14,7 @@
     count_requests,
     drop_old_loads,
 )
+from marjorambridge.gateway import sharing as sharing_module
 from marjorambridge.gateway.sharing import (
     LoadSharing,
     choose_relays,
@@ -156,3 +157,41 @@
         assert slow.sent >= 300
 
     anyio.run(scenario)
+
+
+def test_a_large_fleet_collects_loads_and_every_host_knows_them(monkeypatch):
+    """Guard against datagrams to every host for each request of every other one."""
+
+    async def scenario():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        hosts = {f"127.0.0.{n}:{port}": f"z{n % 3}" for n in range(20, 44)}
+        sharings = [
+            LoadSharing(make_state(engines=5, hosts=(host,)), host, b"k" * 32) for host in hosts
+        ]
+        received = []
+        take = sharing_module.take_packet
+        monkeypatch.setattr(
+            sharing_module, "take_packet", lambda *args: (received.append(1), take(*args))[1]
+        )
+        async with anyio.create_task_group() as tasks:
+            for sharing in sharings:
+                sharing.forwarding.hosts = dict(hosts)
+                sharing.forwarding.settings = replace(
+                    sharing.forwarding.settings, zone=hosts[sharing.own_host]
+                )
+                await start_sharing(sharing, tasks)
+            for _ in range(20):
+                for sharing in sharings:
+                    endpoint = sharing.forwarding.endpoints["e1"]
+                    add_request(endpoint.load, 1, 0.25)
+                    note_change(sharing, endpoint)
+                await anyio.sleep(0.02)
+            await anyio.sleep(0.6)
+            for sharing in sharings:
+                assert count_requests(sharing.forwarding.endpoints["e1"]) == 20 * len(sharings)
+            tasks.cancel_scope.cancel()
+        assert len(received) < 20 * len(sharings) * len(sharings) / 3
+
+    anyio.run(scenario)
