--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,89 @@
+"""Run one seed of the soak, and show that its checks find planted faults."""
+
+import random
+import time
+
+import anyio
+import pytest
+
+from .endpoints import EVENTS, Runs
+from .run import Soak, check_answer, check_drain, check_runs, run_soak
+
+# Seeds that failed once, with the cause:
+# 107: the stand-in sent the rest of one answer within the length of another (the soak's fault).
+# 108: two replicas lost their disks within the time that one needs to catch up (the soak's fault).
+SEEDS = (107, 108)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_seeded_run_breaks_no_promise(seed, tmp_path):
+    """Guard against what callers and operators see when processes and connections fail."""
+    soak = anyio.run(run_soak, seed, 8.0, tmp_path, 3, 3)
+    assert soak.faults == []
+    assert soak.outcomes["200"] > 50
+
+
+def make_soak(tmp_path):
+    return Soak(1, tmp_path, 1, random.Random(1), [])
+
+
+def test_a_second_run_of_a_once_only_request_is_found(tmp_path):
+    """Guard against a check that does not see a host that repeats a once-only call."""
+    soak = make_soak(tmp_path)
+    soak.once.add("a")
+    soak.runs.note("a", "i-1")
+    check_runs(soak)
+    assert not soak.faults
+    soak.runs.note("a", "i-2")
+    check_runs(soak)
+    assert len(soak.faults) == 1
+
+
+def test_a_false_refusal_is_found(tmp_path):
+    """Guard against a check that believes a refusal although the request ran."""
+    soak = make_soak(tmp_path)
+    soak.once.add("a")
+    check_answer(soak, "a", "/once/", b"", (503, {b"Retry-After": b"1"}, b""))
+    check_runs(soak)
+    assert not soak.faults
+    soak.runs.note("a", "i-1")
+    check_runs(soak)
+    assert len(soak.faults) == 1
+
+
+def make_stream(identifier, numbers):
+    return b"".join(f"id: {n}\ndata: {identifier}-{n}\n\n".encode() for n in numbers)
+
+
+@pytest.mark.parametrize(
+    "numbers",
+    [range(1, EVENTS), [*range(1, 5), *range(6, EVENTS + 1)], [1, *range(1, EVENTS + 1)]],
+    ids=["too short", "resumed one event late", "an event twice"],
+)
+def test_a_stream_that_is_not_whole_is_found(numbers, tmp_path):
+    """Guard against a check that accepts a stream which was resumed at the wrong place."""
+    soak = make_soak(tmp_path)
+    headers = {b"X-Instance-Signature": b"mac-a"}
+    whole = make_stream("a", range(1, EVENTS + 1))
+    check_answer(soak, "a", "/stream/", b"", (200, headers, whole))
+    assert not soak.faults
+    check_answer(soak, "a", "/stream/", b"", (200, headers, make_stream("a", numbers)))
+    assert len(soak.faults) == 1
+
+
+def test_a_run_in_a_drained_zone_is_found(tmp_path):
+    """Guard against a check that does not see requests to a zone that was taken out."""
+
+    class Zoned:
+        name, zone = "i-1", "z1"
+
+    soak = make_soak(tmp_path)
+    soak.endpoints.append(Zoned())
+    now = time.monotonic()
+    soak.drained["z1"] = now - 20.0
+    soak.runs = Runs({"a": [("i-1", now - 19.0)]})
+    check_drain(soak)
+    assert not soak.faults
+    soak.runs = Runs({"a": [("i-1", now - 5.0)]})
+    check_drain(soak)
+    assert len(soak.faults) == 1
