--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -167,7 +167,10 @@
     # nobody can tell it the present one.
     may_be_old = not update.current and state.version == 0
     is_early = now - state.started_at < defaults.FEED_FIRST_SECONDS
-    if (may_be_old and is_early) or update.version <= state.version:
+    # A replica that has not noticed the restart of this host tells changes only; the manifest would
+    # come without the endpoints that serve it.
+    lacks_endpoints = not follows and state.version == 0
+    if (may_be_old and is_early) or lacks_endpoints or update.version <= state.version:
         update.document = b""
     if update.document:
         state.version = update.version
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -234,3 +234,24 @@
     fleet.run(32.0)
     assert "e1" not in fleet.known_endpoints("g0")
     assert not fleet.control("r2").control.registered
+
+
+def test_a_restarted_host_gets_its_first_manifest_together_with_the_endpoints():
+    """Guard against a host that refuses what it admits, because it knows no endpoint yet.
+
+    The replica still tells the host's earlier process what changes, until it is polled anew.
+    """
+    fleet = make_fleet(gateways=1)
+    fleet.report("r0", "e1")
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    fleet.run(1.0)
+    for version in range(2, 30):
+        fleet.kill("g0")
+        fleet.run(0.05)
+        fleet.submit("r0", ReplaceManifest(f"c{version}", version, b"more"))
+        fleet.run(0.001 * version)
+        fleet.start("g0")
+        fleet.run(0.04)
+        first = next((n for n in fleet.updates("g0") if n.update.document), None)
+        if first is not None:
+            assert first.has_endpoints and first.update.changed
