Choose by lot among open engines in fleets of more than 16 hosts

Hosts now draw among as many engines as the running requests fill, the emptier ones more likely. Fleets of up to 16 hosts choose as before.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -246,6 +246,11 @@
 SHORT_READ_RATIO = 0.6
 # Waiting reads in seconds that count as one more prompt in the way; a short prompt takes 30 ms.
 CROWD_READ_SECONDS = 0.04
+# Fleets of more hosts choose by lot among open engines; news takes longer there than the time
+# between two requests. So many engines are open as the running requests fill, and some more.
+LARGE_FLEET_HOSTS = 16
+OPEN_ENGINE_MARGIN = 1.3
+OPEN_ENGINE_EXTRA = 3
 # Slots of an engine that packed short requests leave free.
 PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -60,7 +60,35 @@
     if not usable:
         return None
     state.generator.shuffle(usable)
-    return min(usable, key=lambda endpoint: rank_endpoint(state, definition, endpoint, work, now))
+    ranks = {
+        endpoint.name: rank_endpoint(state, definition, endpoint, work, now) for endpoint in usable
+    }
+    if definition.engine is None or len(state.hosts) <= defaults.LARGE_FLEET_HOSTS:
+        return min(usable, key=lambda endpoint: ranks[endpoint.name])
+    return choose_open(state, usable, ranks)
+
+
+def choose_open(
+    state: ForwardingState, usable: list[Endpoint], ranks: dict[str, tuple[float, ...]]
+) -> Endpoint:
+    """Draw one of the engines that are open for short requests, the emptier ones more likely.
+
+    In a large fleet many hosts decide on the same news before they hear of one another. If all took
+    the first engine, it would be full while the next one is idle.
+    """
+    ranked = sorted(usable, key=lambda endpoint: ranks[endpoint.name])
+    best = ranks[ranked[0].name][:2]
+    equal = [endpoint for endpoint in ranked if ranks[endpoint.name][:2] == best]
+    running = sum(count_requests(endpoint) for endpoint in equal)
+    room = max(1, equal[0].slots - defaults.PACKING_RESERVE_SLOTS)
+    count = math.ceil(defaults.OPEN_ENGINE_MARGIN * running / room) + defaults.OPEN_ENGINE_EXTRA
+    return min(
+        equal[:count],
+        key=lambda endpoint: (
+            ranks[endpoint.name][2],
+            count_requests(endpoint) + state.generator.random() * room,
+        ),
+    )
 
 
 def is_usable(state: ForwardingState, endpoint: Endpoint, excluded: frozenset[str]) -> bool:
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -18,6 +18,7 @@
 from anyio.abc import TaskGroup, UDPSocket
 from loguru import logger
 
+from marjorambridge.conf import defaults
 from marjorambridge.forwarding.loads import drop_old_loads, take_other_load
 from marjorambridge.forwarding.messages import EndpointLoad, LoadBatch, LoadShare
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, Load
@@ -28,9 +29,8 @@
 # Changes within this time in seconds go out together.
 COALESCE_SECONDS = 0.01
 REPEAT_SECONDS = 1.0
-# Fleets of more hosts collect what is passed on, for this time in seconds; with fewer hosts each
-# datagram is passed on at once.
-MAX_DIRECT_HOSTS = 16
+# Large fleets collect what is passed on, for this time in seconds; in other ones each datagram is
+# passed on at once.
 COLLECT_SECONDS = 0.06
 # Loads in one collected datagram.
 MAX_BATCH_LOADS = 24
@@ -130,7 +130,7 @@
 
 def is_collecting(forwarding: ForwardingState) -> bool:
     """Return whether the fleet is so large that one host of each zone collects loads."""
-    return len(forwarding.hosts) > MAX_DIRECT_HOSTS
+    return len(forwarding.hosts) > defaults.LARGE_FLEET_HOSTS
 
 
 def list_collectors(forwarding: ForwardingState) -> list[str]:
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -183,3 +183,17 @@
     for endpoint in state.endpoints.values():
         endpoint.load.kv_tokens = 283_000
     assert plan_shares(state, work, readers) == []
+
+
+def test_many_hosts_with_the_same_news_do_not_choose_the_same_engine():
+    """Guard against a herd: 30 hosts that decide before they hear of one another."""
+    hosts = tuple(f"h{n}" for n in range(79))
+    chosen = {}
+    for number in range(30):
+        state = make_state(engines=78, hosts=hosts)
+        state.generator.seed(number)
+        for endpoint in list(state.endpoints.values())[:60]:
+            add_request(endpoint.load, 1, 0.25)
+        endpoint = choose_endpoint(state, make_work(5000), NONE, 1.0)
+        chosen[endpoint.name] = chosen.get(endpoint.name, 0) + 1
+    assert max(chosen.values()) <= 6
