--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -54,7 +54,8 @@
     "group": "number of the replicated log group",
     "kind": "`engine` or `plain`; of orders, the kind of order",
     "operation": "`claim`, `complete` or `release`",
-    "outcome": "`done`, `failed`, `not_run` or `unknown`",
+    "outcome": "`done`, `failed`, `not_run` or `unknown`; of gateways `served`, `caller_gone`, "
+    "`endpoint_failed`, a reason of refusal, or `refused_`, `failed_` or `cut_` with an ending",
     "phase": "`claiming`, `completing` or `releasing`",
     "priority": "`interactive`, `batch`, `long` or `group`",
     "prompt": "prompt length class in tokens: `1k`, `4k`, `16k`, `64k`, `256k` or `1m`",
