--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -68,11 +68,6 @@
     host_zones: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class EndpointsWanted:
-    """Ask a replica for its whole table, after a start."""
-
-
 @dataclass(slots=True)
 class MemberList:
     """Name the replicas of the group, for one that looks for its leader."""
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.control.commands import (
@@ -26,7 +26,6 @@
 from marjorambridge.control.messages import (
     EndpointEntry,
     EndpointGossip,
-    EndpointsWanted,
     FeedPoll,
     FeedUpdate,
     LiveEndpoint,
@@ -214,9 +213,7 @@
         ProposalRefused,
     }
 )
-MESSAGES = frozenset(
-    {ProposalForward, EndpointGossip, EndpointsWanted, FeedPoll, JoinRequest, MemberList}
-)
+MESSAGES = frozenset({ProposalForward, EndpointGossip, FeedPoll, JoinRequest, MemberList})
 
 
 def _take_message(state: ReplicaControl, event: MessageReceived) -> list[Effect]:
@@ -228,9 +225,6 @@
             return [_propose(event.now, message.command_id, message.payload)]
         case EndpointGossip():
             return _merge_gossip(state, event.sender, message, event.now)
-        case EndpointsWanted():
-            entries = tuple(_describe(known, event.now) for known in state.table.endpoints.values())
-            return [SendMessage(event.sender, EndpointGossip(state.zone, changed=entries))]
         case FeedPoll():
             return _answer_poll(state, event.sender, message, event.now)
         case JoinRequest():
@@ -590,9 +584,3 @@
     zones = tuple(state.followers[host].zone for host in hosts)
     gossip = EndpointGossip(state.zone, alive=tuple(alive), hosts=hosts, host_zones=zones)
     return _gossip_changes(state, now) + _broadcast(state, gossip)
-
-
-def find_endpoint(state: ReplicaControl, endpoint: str) -> EndpointReport | None:
-    """Return the last report of an endpoint, if it is known."""
-    known = state.table.endpoints.get(endpoint)
-    return replace(known.report) if known is not None else None
--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -25,8 +25,3 @@
         return 0.0
     alone = tokens / profile.read_tokens_per_second + profile.pair_seconds * tokens * tokens / 2
     return alone / parts
-
-
-def compute_write_seconds(profile: EngineProfile, tokens: float, running: int) -> float:
-    """Return the time in which an engine writes `tokens` while it runs `running` requests."""
-    return tokens * (profile.step_seconds + profile.sequence_seconds * running)
--- a/marjorambridge/wire/gen/control/ttypes.py
+++ b/marjorambridge/wire/gen/control/ttypes.py
@@ -543,56 +543,6 @@
         return not (self == other)
 
 
-class EndpointsWanted(object):
-
-    __slots__ = (
-    )
-
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EndpointsWanted')
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class MemberList(object):
     """
     Attributes:
@@ -1157,9 +1107,6 @@
     (5, TType.LIST, 'host_zones', (TType.STRING, 'UTF8', False), [
     ], ),  # 5
 )
-all_structs.append(EndpointsWanted)
-EndpointsWanted.thrift_spec = (
-)
 all_structs.append(MemberList)
 MemberList.thrift_spec = (
     None,  # 0
--- a/marjorambridge/wire/idl/control.thrift
+++ b/marjorambridge/wire/idl/control.thrift
@@ -34,9 +34,6 @@
   5: list<string> host_zones = []
 }
 
-struct EndpointsWanted {
-}
-
 struct MemberList {
   1: list<string> hosts
 }
