--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from enum import IntEnum
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.budgets import may_send_cold
@@ -17,6 +18,16 @@
 ORDER_RANGE = 2**64
 
 
+class Doubt(IntEnum):
+    """Order the reasons to prefer another endpoint, the weakest one first."""
+
+    NONE = 0
+    COLD = 1
+    FULL = 2
+    SILENT = 3
+    FAILED = 4
+
+
 @dataclass(slots=True)
 class Work:
     """Describe what a request asks of an endpoint.
@@ -150,15 +161,15 @@
 
 def compute_doubt(
     definition: ServiceDefinition, endpoint: Endpoint, work: Work, requests: int, now: float
-) -> int:
-    """Return how doubtful it is that an endpoint begins a request at once; 0 if it is not."""
+) -> Doubt:
+    """Return the greatest doubt that an endpoint begins a request at once."""
     if now < endpoint.avoid_until:
-        return 4
+        return Doubt.FAILED
     if endpoint.silent:
-        return 3
+        return Doubt.SILENT
     if requests >= endpoint.slots or not has_memory(definition, endpoint, work):
-        return 2
-    return 1 if now < endpoint.cold_until else 0
+        return Doubt.FULL
+    return Doubt.COLD if now < endpoint.cold_until else Doubt.NONE
 
 
 def has_memory(definition: ServiceDefinition, endpoint: Endpoint, work: Work) -> bool:
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -14,13 +14,16 @@
     compute_remaining_reads,
     count_requests,
 )
-from marjorambridge.forwarding.placement import Work, compute_doubt, has_memory, is_usable
+from marjorambridge.forwarding.placement import Doubt, Work, compute_doubt, has_memory, is_usable
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.manifests.models import ServiceDefinition
 
 # Less than this many seconds of waiting reads are gone before a new part is read.
 IDLE_SECONDS = 0.02
 
+# An engine that is full, or whose memory can't hold the whole prompt, still reads a part of it.
+READABLE = frozenset({Doubt.NONE, Doubt.FULL})
+
 
 def is_long(work: Work) -> bool:
     """Return whether a prompt is too long to be read beside short answers."""
@@ -42,7 +45,7 @@
         endpoint
         for endpoint in state.by_service.get(work.service, {}).values()
         if is_usable(state, endpoint, excluded)
-        and compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in (0, 2)
+        and compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in READABLE
     ]
     strict = [
         endpoint
