Don't blame a gateway that the soak itself had stopped

Trace: its log has "the event loop was stalled" for 3.478 s at the time the four ended; the soak had stopped the process and continued it before the answers came, and the check looked only at faults in progress. It now leaves out requests during which the gateway was stopped, killed or continued, and keeps its bound.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -14,7 +14,11 @@
 
 @dataclass
 class Process:
-    """Hold one program of the fleet; `until` is the time at which it is continued or restarted."""
+    """Hold one program of the fleet.
+
+    `until` is the time at which it is continued or restarted, and `disturbed_at` that of the last
+    fault or recovery.
+    """
 
     name: str
     role: str
@@ -23,6 +27,7 @@
     child: subprocess.Popen | None = None
     logs: list[Path] = field(default_factory=list)
     until: float = 0.0
+    disturbed_at: float = 0.0
     stopped: bool = False
 
     def start(self) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -112,12 +112,18 @@
         address = gateway.settings["callers"]
         answer = await call(soak, address, "POST", path + "a?b=c", body, **name)
         took = time.monotonic() - began
-        if gateway.is_running() and took > TIMEOUT_SECONDS + LATE_SECONDS and gateway.until < began:
+        if is_held_too_long(gateway, began, took):
             soak.fail(f"{identifier} was held for {took:.2f} s at {gateway.name}")
         check_answer(soak, identifier, path, body, answer)
         await anyio.sleep(soak.random.uniform(0.0, 0.05))
 
 
+def is_held_too_long(gateway: Process, began: float, took: float) -> bool:
+    """Return whether a gateway that nobody disturbed held a request past its timeout."""
+    undisturbed = not gateway.until and gateway.disturbed_at < began
+    return undisturbed and took > TIMEOUT_SECONDS + LATE_SECONDS
+
+
 def check_answer(soak: Soak, identifier: str, path: str, body: bytes, answer) -> None:
     if answer is None:
         soak.outcomes["no answer"] += 1
@@ -227,6 +233,7 @@
 
 def inject(soak: Soak, process: Process, now: float) -> None:
     kind = soak.random.choice(("kill", "wipe", "stop", "term"))
+    process.disturbed_at = now
     soak.note(f"{kind} {process.name}")
     process.until = now + soak.random.uniform(0.3, 2.5)
     if process.role == "replica":
@@ -244,6 +251,7 @@
 
 def recover(soak: Soak, process: Process) -> None:
     process.until = 0.0
+    process.disturbed_at = time.monotonic()
     if process.role == "replica":
         soak.replicas_whole_at = time.monotonic() + CATCH_UP_SECONDS
     if process.stopped:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,11 +7,13 @@
 import pytest
 
 from .endpoints import EVENTS, Runs
-from .run import Soak, check_answer, check_drain, check_runs, run_soak
+from .processes import Process
+from .run import Soak, check_answer, check_drain, check_runs, is_held_too_long, run_soak
 
 # Seeds that failed once, with the cause:
 # 107: the stand-in sent the rest of one answer within the length of another (the soak's fault).
-# 108: two replicas lost their disks within the time that one needs to catch up (the soak's fault).
+# 108: two replicas lost their disks within the time that one needs to catch up, and later requests
+#      counted as held at a gateway that had been stopped meanwhile (both the soak's fault).
 SEEDS = (107, 108)
 
 
@@ -71,6 +73,17 @@
     assert len(soak.faults) == 1
 
 
+def test_a_request_that_is_held_is_found(tmp_path):
+    """Guard against a check that blames a gateway which was stopped, or misses one that was not."""
+    gateway = Process("gateway-1", "gateway", tmp_path, {})
+    gateway.disturbed_at = 5.0
+    assert is_held_too_long(gateway, 6.0, 3.5)
+    assert not is_held_too_long(gateway, 6.0, 2.0)
+    assert not is_held_too_long(gateway, 4.0, 3.5)
+    gateway.until = 9.0
+    assert not is_held_too_long(gateway, 6.0, 3.5)
+
+
 def test_a_run_in_a_drained_zone_is_found(tmp_path):
     """Guard against a check that does not see requests to a zone that was taken out."""
 
