Answer a command after this host has applied its change

tests/system/test_control.py::test_one_of_two_operators_with_the_same_base_wins failed once: it read version 301 at a host that had just answered for 302.

Cause: a host relays the leader's answer at once, but learns of the change only from its next poll, up to POLL_INTERVAL_SECONDS (0.5 s) later.

Change: the answer waits until this host's configuration has the version; the missing entries are asked for at once from the replica that answered. If none come until the command's time limit, the answer is relayed all the same.

Found on the way: COMMAND_RETRY_SECONDS was assigned twice in conf.defaults, so that the operators' commands were sent again after 0.25 s instead of 1 s. The later one is renamed, and a test guards against doubled names.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -169,7 +169,7 @@
 
 # Control state (marjorambridge.control), in seconds.
 # Commands are lost only with a connection or a leader; a caller waits about one second for each.
-COMMAND_RETRY_SECONDS = 0.25
+LOG_COMMAND_RETRY_SECONDS = 0.25
 CONTROL_TICK_SECONDS = 0.1
 # Liveness of endpoints travels once in about the time between two reports of an endpoint.
 GOSSIP_SECONDS = 1.0
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -533,7 +533,7 @@
 def _run_tick(state: ReplicaControl, now: float) -> list[Effect]:
     effects: list[Effect] = [SetTimer(TICK, now + defaults.CONTROL_TICK_SECONDS)]
     for command_id, pending in list(state.pending.items()):
-        if now - pending.sent_at >= defaults.COMMAND_RETRY_SECONDS:
+        if now - pending.sent_at >= defaults.LOG_COMMAND_RETRY_SECONDS:
             effects += _send_command(state, command_id, now)
     effects += _renew_barrier(state, now)
     changed = expire_endpoints(state.table, now)
--- a/marjorambridge/membership/host.py
+++ b/marjorambridge/membership/host.py
@@ -77,7 +77,7 @@
     return effects + [
         SendMessage(
             target,
-            _make_query(state, host.number, target == host.preferred and not host.halted),
+            make_query(state, host.number, target == host.preferred and not host.halted),
         )
         for target in targets
     ]
@@ -123,7 +123,7 @@
     effects += _update_freshness(state, now)
     behind = host.transfer is not None or host.control.index < reply.commit_index
     if advanced and behind and sender == host.preferred and not host.halted:
-        effects.append(SendMessage(sender, _make_query(state, 0, True)))
+        effects.append(SendMessage(sender, make_query(state, 0, True)))
     return effects
 
 
@@ -158,7 +158,8 @@
     return tuple(sorted({*state.settings.replicas, *state.host.log_voters}))
 
 
-def _make_query(state: MembershipState, number: int, preferred: bool) -> FreshnessQuery:
+def make_query(state: MembershipState, number: int, preferred: bool) -> FreshnessQuery:
+    """Return a query for a replica's position and, from a preferred one, for entries."""
     host, settings = state.host, state.settings
     query = FreshnessQuery(number, host.control.index, preferred, host.leaving)
     present = host.control.view.hosts.get(settings.host)
--- a/marjorambridge/membership/reducer.py
+++ b/marjorambridge/membership/reducer.py
@@ -77,9 +77,10 @@
     sender, incarnation, now = event.sender, event.incarnation, event.now
     match event.message:
         case FreshnessReply() as reply:
-            return host.handle_reply(state, sender, reply, now)
+            effects = host.handle_reply(state, sender, reply, now)
+            return effects + submission.release_answers(state, now)
         case CommandReply() as message:
-            return submission.handle_answer(state, message, now)
+            return submission.handle_answer(state, sender, message, now)
         case CommandRedirect() as message:
             return submission.handle_redirect(state, message, now)
         case CommandForward() as message:
--- a/marjorambridge/membership/state.py
+++ b/marjorambridge/membership/state.py
@@ -6,7 +6,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.commands import HostJoined, HostLeaving, HostRemoved
-from marjorambridge.configuration.state import ControlState
+from marjorambridge.configuration.state import CommandAnswer, ControlState
 from marjorambridge.membership.messages import CommittedEntry, FreshnessReply
 from marjorambridge.replication.events import LogPositionChanged
 
@@ -193,10 +193,20 @@
 
 @dataclass(slots=True)
 class PendingCommand:
-    """Record a command that an operator submitted at this host."""
+    """Record a command that an operator submitted at this host.
+
+    Attributes
+    ----------
+    is_target : bool
+        Whether the command sets a target state, whose versions are counted apart.
+    answer : CommandAnswer or None
+        The leader's answer, while this host's configuration is older than it.
+    """
 
     payload: bytes
     give_up_at: float
+    is_target: bool = False
+    answer: CommandAnswer | None = None
 
 
 @dataclass(slots=True)
--- a/marjorambridge/membership/submission.py
+++ b/marjorambridge/membership/submission.py
@@ -15,6 +15,7 @@
 from marjorambridge.core.events import ControlLeaderChanged
 from marjorambridge.core.identity import TimerKey
 from marjorambridge.membership.events import CommandAnswered
+from marjorambridge.membership.host import make_query
 from marjorambridge.membership.messages import CommandForward, CommandRedirect, CommandReply
 from marjorambridge.membership.state import MembershipState, PendingCommand
 from marjorambridge.orders.state_machine import SetTarget, encode_command
@@ -71,7 +72,9 @@
         return _give_up(
             state, identifier, "too many commands wait for an answer; send it again later", now
         )
-    state.commands[identifier] = PendingCommand(payload, now + state.settings.command_timeout)
+    state.commands[identifier] = PendingCommand(
+        payload, now + state.settings.command_timeout, is_target
+    )
     return _send(state, identifier, now)
 
 
@@ -81,6 +84,8 @@
     if pending is None:
         return []
     if now >= pending.give_up_at:
+        if pending.answer is not None:
+            return _publish_answer(state, identifier, pending.answer, now)
         return _give_up(
             state,
             identifier,
@@ -103,13 +108,40 @@
     )
 
 
-def handle_answer(state: MembershipState, message: CommandReply, now: float) -> list[Effect]:
-    """Relay an answer to the operator; a second answer to the same command is ignored."""
-    if state.commands.pop(message.command_id, None) is None:
+def handle_answer(
+    state: MembershipState, sender: str, message: CommandReply, now: float
+) -> list[Effect]:
+    """Relay an answer to the operator; a second answer to the same command is ignored.
+
+    An operator who reads the configuration here after the answer must find the change, so that the
+    answer waits until this host has applied it; the replica that answered has what is missing.
+    """
+    pending = state.commands.get(message.command_id)
+    if pending is None:
         return []
+    pending.answer = message.answer
+    effects = release_answers(state, now)
+    return effects or [SendMessage(sender, make_query(state, 0, True))]
+
+
+def release_answers(state: MembershipState, now: float) -> list[Effect]:
+    """Relay the answers whose version this host has reached."""
+    version = state.host.control.configuration.version
+    effects: list[Effect] = []
+    for identifier, pending in list(state.commands.items()):
+        answer = pending.answer
+        if answer is not None and (pending.is_target or answer.version <= version):
+            effects += _publish_answer(state, identifier, answer, now)
+    return effects
+
+
+def _publish_answer(
+    state: MembershipState, identifier: str, answer: CommandAnswer, now: float
+) -> list[Effect]:
+    del state.commands[identifier]
     return [
-        CancelTimer(_make_timer(message.command_id)),
-        Publish(CommandAnswered(now, message.command_id, message.answer)),
+        CancelTimer(_make_timer(identifier)),
+        Publish(CommandAnswered(now, identifier, answer)),
     ]
 
 
--- /dev/null
+++ b/tests/conf/test_defaults.py
@@ -0,0 +1,17 @@
+"""Guard against two constants of one name, of which the later one replaces the earlier."""
+
+import ast
+import inspect
+
+from marjorambridge.conf import defaults
+
+
+def test_each_default_is_assigned_once():
+    tree = ast.parse(inspect.getsource(defaults))
+    names = [
+        target.id
+        for node in tree.body
+        if isinstance(node, ast.Assign | ast.AnnAssign)
+        for target in (node.targets if isinstance(node, ast.Assign) else [node.target])
+    ]
+    assert sorted(names) == sorted(set(names))
