Share failures of endpoints between gateways

Cause: an endpoint that resets each connection looks empty, and each gateway learns alone that it fails; in a fleet of 79 gateways each one sends it requests of its own, again after every pause.

Change: the datagrams of loads also tell which endpoints their sender avoids, after how many failures and for how long. One report ranks an endpoint behind others that can begin, two count as a failure of one's own; failures of all hosts lengthen the pause. A host that avoids more than half of a service keeps it to itself, since it is more likely cut off. An own success, if it began after the last failure, counts more than reports.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -199,6 +199,10 @@
 MAX_AVOID_SECONDS = 8.0
 # Time in seconds after which a failure no longer counts.
 FAILURE_MEMORY_SECONDS = 20.0
+# Share of a service's endpoints beyond which a host's failures are more likely its own, and number
+# of other hosts that convince a host without failures of its own.
+REPORTED_ENDPOINTS_RATIO = 0.5
+CONVINCING_REPORTERS = 2
 # Weight of a running request against a second of waiting reads when endpoints are compared; a
 # writing request slows each step of the others by about this much of their time.
 RUNNING_REQUEST_SECONDS = 0.02
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -1,23 +1,34 @@
 """Learn from the outcomes of requests which endpoints to avoid.
 
-Liveness answers may be wrong in either direction, and probes cost; outcomes cost nothing.
+Liveness answers may be wrong in either direction, and probes cost; outcomes cost nothing. An
+endpoint that resets each connection at once always looks empty, so that it attracts the requests of
+all hosts; with few requests on each host, they learn of it in time only from one another.
 """
 
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.state import Endpoint
+from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState
 
 
-def note_success(endpoint: Endpoint) -> None:
-    """Trust an endpoint again."""
+def note_success(endpoint: Endpoint, began_at: float) -> None:
+    """Trust an endpoint again unless it failed after the attempt began.
+
+    What this host has seen itself counts more than older reports of others, since an endpoint may
+    fail for some hosts only.
+    """
+    if began_at < endpoint.failed_at:
+        return
     endpoint.failures = 0
     endpoint.avoid_until = 0.0
+    endpoint.reports.clear()
 
 
 def note_failure(endpoint: Endpoint, now: float) -> float:
     """Avoid an endpoint after a failure, longer after each further one; return for how long."""
     if now - endpoint.failed_at > defaults.FAILURE_MEMORY_SECONDS:
         endpoint.failures = 0
-    endpoint.failures += 1
+    drop_old_reports(endpoint, now)
+    reported = max((report.failures for report in endpoint.reports.values()), default=0)
+    endpoint.failures = max(endpoint.failures, reported) + 1
     endpoint.failed_at = now
     seconds = min(defaults.AVOID_SECONDS * 2 ** (endpoint.failures - 1), defaults.MAX_AVOID_SECONDS)
     endpoint.avoid_until = now + seconds
@@ -27,3 +38,47 @@
 def note_gone(endpoint: Endpoint) -> None:
     """Note that another endpoint answered at the address."""
     endpoint.gone = True
+
+
+def take_report(
+    endpoint: Endpoint, host: str, failures: int, avoided_seconds: float, now: float
+) -> None:
+    """Take over that another host avoids an endpoint for some time."""
+    seconds = min(avoided_seconds, defaults.MAX_AVOID_SECONDS)
+    endpoint.reports[host] = FailureReport(failures, now + seconds)
+
+
+def drop_old_reports(endpoint: Endpoint, now: float) -> None:
+    """Forget reports that no longer count as recent failures."""
+    for host, report in list(endpoint.reports.items()):
+        if now - report.avoid_until > defaults.FAILURE_MEMORY_SECONDS:
+            del endpoint.reports[host]
+
+
+def count_reporters(endpoint: Endpoint, now: float) -> int:
+    """Return how many other hosts avoid an endpoint at present."""
+    return sum(now < report.avoid_until for report in endpoint.reports.values())
+
+
+def get_avoid_until(endpoint: Endpoint, now: float) -> float:
+    """Return the time in monotonic seconds until which this host avoids an endpoint."""
+    reported = [
+        report.avoid_until for report in endpoint.reports.values() if now < report.avoid_until
+    ]
+    if len(reported) < defaults.CONVINCING_REPORTERS:
+        return endpoint.avoid_until
+    return max(endpoint.avoid_until, *reported)
+
+
+def list_reportable(state: ForwardingState, now: float) -> list[Endpoint]:
+    """Return the endpoints whose failures this host tells the others.
+
+    A host for which more than half of a service's endpoints fail is more likely to be cut off itself, and
+    keeps it to itself.
+    """
+    reportable = []
+    for endpoints in state.by_service.values():
+        avoided = [endpoint for endpoint in endpoints.values() if now < endpoint.avoid_until]
+        if len(avoided) <= defaults.REPORTED_ENDPOINTS_RATIO * len(endpoints):
+            reportable += avoided
+    return reportable
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -21,9 +21,18 @@
     pause_seconds: float
 
 
+@dataclass(slots=True)
+class EndpointFailure:
+    """Tell that a host avoids an endpoint, after how many failures and for how long."""
+
+    endpoint: str
+    failures: int
+    avoided_seconds: float
+
+
 @dataclass(slots=True)
 class LoadShare:
-    """Tell the work of a host at the endpoints where it changed.
+    """Tell the work of a host at the endpoints where it changed, and which ones fail.
 
     Attributes
     ----------
@@ -34,6 +43,7 @@
     host: str
     for_zone: bool
     loads: tuple[EndpointLoad, ...]
+    failures: tuple[EndpointFailure, ...] = ()
 
 
 @dataclass(slots=True)
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -6,6 +6,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.budgets import may_send_cold
+from marjorambridge.forwarding.health import count_reporters, get_avoid_until
 from marjorambridge.forwarding.loads import (
     compute_remaining_reads,
     count_kv_tokens,
@@ -23,9 +24,10 @@
 
     NONE = 0
     COLD = 1
-    FULL = 2
-    SILENT = 3
-    FAILED = 4
+    REPORTED = 2
+    FULL = 3
+    SILENT = 4
+    FAILED = 5
 
 
 @dataclass(slots=True)
@@ -163,12 +165,14 @@
     definition: ServiceDefinition, endpoint: Endpoint, work: Work, requests: int, now: float
 ) -> Doubt:
     """Return the greatest doubt that an endpoint begins a request at once."""
-    if now < endpoint.avoid_until:
+    if now < get_avoid_until(endpoint, now):
         return Doubt.FAILED
     if endpoint.silent:
         return Doubt.SILENT
     if requests >= endpoint.slots or not has_memory(definition, endpoint, work):
         return Doubt.FULL
+    if count_reporters(endpoint, now):
+        return Doubt.REPORTED
     return Doubt.COLD if now < endpoint.cold_until else Doubt.NONE
 
 
--- a/marjorambridge/forwarding/returns.py
+++ b/marjorambridge/forwarding/returns.py
@@ -7,6 +7,7 @@
 import math
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.health import get_avoid_until
 from marjorambridge.forwarding.loads import (
     compute_borne_pause,
     compute_remaining_reads,
@@ -29,7 +30,7 @@
     for endpoint in state.by_service.get(work.service, {}).values() if definition else ():
         if not is_usable(state, endpoint, frozenset()):
             continue
-        wait = max(compute_remaining_reads(endpoint, now), endpoint.avoid_until - now)
+        wait = max(compute_remaining_reads(endpoint, now), get_avoid_until(endpoint, now) - now)
         if count_requests(endpoint) >= endpoint.slots:
             wait += defaults.RETRY_WHEN_FULL_SECONDS
         if not can_start(state, definition, endpoint, now):
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -36,6 +36,22 @@
     as_of: float = 0.0
 
 
+@dataclass(slots=True)
+class FailureReport:
+    """Hold what another host told about failures of an endpoint.
+
+    Attributes
+    ----------
+    failures : int
+        Failures in a row, as the other host counts them.
+    avoid_until : float
+        Monotonic time in seconds until which the other host prefers other endpoints.
+    """
+
+    failures: int
+    avoid_until: float
+
+
 @dataclass(slots=True)
 class Endpoint:
     """Hold what this host knows about one incarnation of an endpoint.
@@ -49,7 +65,7 @@
     order : int
         Place in an order of all endpoints on which all hosts agree.
     failures : int
-        Failures since the last success.
+        Failures since the last success, those that other hosts reported included.
     avoid_until : float
         Monotonic time in seconds until which other endpoints are preferred.
     sent : deque of float
@@ -58,6 +74,8 @@
         Work of this host.
     other_loads : dict of str to Load
         Work of the other hosts, by host.
+    reports : dict of str to FailureReport
+        What other hosts told about failures, by host.
     """
 
     name: str
@@ -77,6 +95,7 @@
     sent: deque[float] = field(default_factory=deque)
     load: Load = field(default_factory=Load)
     other_loads: dict[str, Load] = field(default_factory=dict)
+    reports: dict[str, FailureReport] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -368,13 +368,14 @@
     transit.excluded.add(endpoint.name)
     transit.endings.append(f"{endpoint.name}:{ending.value}")
     if ending is Ending.COMPLETE:
-        note_success(endpoint)
+        note_success(endpoint, transit.attempt_began_at)
         return
     avoided = 0.0
     if ending is Ending.MISDIRECTED:
         note_gone(endpoint)
     elif ending in SUSPICIOUS:
         avoided = note_failure(endpoint, now)
+        transit.gateway.share_load(endpoint)
     logger.bind(
         request=transit.request.request_id,
         endpoint=endpoint.name,
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -19,8 +19,14 @@
 from loguru import logger
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.health import drop_old_reports, list_reportable, take_report
 from marjorambridge.forwarding.loads import drop_old_loads, take_other_load
-from marjorambridge.forwarding.messages import EndpointLoad, LoadBatch, LoadShare
+from marjorambridge.forwarding.messages import (
+    EndpointFailure,
+    EndpointLoad,
+    LoadBatch,
+    LoadShare,
+)
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, Load
 from marjorambridge.gateway.streams import STREAM_ERRORS
 from marjorambridge.wire.codec import decode_message, encode_message
@@ -57,6 +63,8 @@
         when there are too many.
     collected : dict of (str, str) to EndpointLoad
         Loads by host and endpoint that this host passes on to its zone next.
+    collected_failures : dict of (str, str) to EndpointFailure
+        The same for failures.
     """
 
     forwarding: ForwardingState
@@ -65,6 +73,7 @@
     changed: dict[str, None] = field(default_factory=dict)
     outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
     collected: dict[tuple[str, str], EndpointLoad] = field(default_factory=dict)
+    collected_failures: dict[tuple[str, str], EndpointFailure] = field(default_factory=dict)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
     sent_bytes: int = 0
@@ -156,6 +165,8 @@
     if is_collecting(sharing.forwarding):
         for load in share.loads:
             sharing.collected[share.host, load.endpoint] = load
+        for failure in share.failures:
+            sharing.collected_failures[share.host, failure.endpoint] = failure
         return
     share.for_zone = False
     _queue_for_zone(sharing, _seal(sharing, share))
@@ -164,18 +175,28 @@
 async def _pass_on_collected(sharing: LoadSharing) -> None:
     while True:
         await anyio.sleep(COLLECT_SECONDS if is_collecting(sharing.forwarding) else REPEAT_SECONDS)
-        items, sharing.collected = list(sharing.collected.items()), {}
-        for first in range(0, len(items), MAX_BATCH_LOADS):
-            _queue_for_zone(
-                sharing, _seal(sharing, _make_batch(items[first : first + MAX_BATCH_LOADS]))
-            )
+        queue_collected(sharing)
+
 
+def queue_collected(sharing: LoadSharing) -> None:
+    """Queue what was collected for the hosts of this zone."""
+    items = [*sharing.collected.items(), *sharing.collected_failures.items()]
+    sharing.collected, sharing.collected_failures = {}, {}
+    for first in range(0, len(items), MAX_BATCH_LOADS):
+        _queue_for_zone(
+            sharing, _seal(sharing, _make_batch(items[first : first + MAX_BATCH_LOADS]))
+        )
 
-def _make_batch(items: list[tuple[tuple[str, str], EndpointLoad]]) -> LoadBatch:
-    by_host: dict[str, list[EndpointLoad]] = {}
-    for (host, _), load in items:
-        by_host.setdefault(host, []).append(load)
-    return LoadBatch(tuple(LoadShare(host, False, tuple(loads)) for host, loads in by_host.items()))
+
+def _make_batch(items: list[tuple[tuple[str, str], EndpointLoad | EndpointFailure]]) -> LoadBatch:
+    shares: dict[str, LoadShare] = {}
+    for (host, _), item in items:
+        share = shares.setdefault(host, LoadShare(host, False, ()))
+        if isinstance(item, EndpointFailure):
+            share.failures += (item,)
+        else:
+            share.loads += (item,)
+    return LoadBatch(tuple(shares.values()))
 
 
 def _queue_for_zone(sharing: LoadSharing, packet: bytes) -> None:
@@ -207,7 +228,12 @@
 def make_packet(
     sharing: LoadSharing, names: list[str], now: float, for_zone: bool = False
 ) -> bytes:
-    """Return a datagram that tells this host's load at the endpoints named."""
+    """Return a datagram that tells this host's load and failures at the endpoints named."""
+    failures = tuple(
+        EndpointFailure(endpoint.name, endpoint.failures, endpoint.avoid_until - now)
+        for endpoint in list_reportable(sharing.forwarding, now)
+        if endpoint.name in names
+    )
     loads = []
     for name in names:
         endpoint = sharing.forwarding.endpoints.get(name)
@@ -219,7 +245,7 @@
         loads.append(
             EndpointLoad(name, load.requests, load.reads, remaining, load.kv_tokens, pause)
         )
-    return _seal(sharing, LoadShare(sharing.own_host, for_zone, tuple(loads)))
+    return _seal(sharing, LoadShare(sharing.own_host, for_zone, tuple(loads), failures))
 
 
 def _seal(sharing: LoadSharing, message: LoadShare | LoadBatch) -> bytes:
@@ -281,6 +307,10 @@
                 now,
             )
             take_other_load(endpoint, share.host, load)
+    for failure in share.failures:
+        endpoint = sharing.forwarding.endpoints.get(failure.endpoint)
+        if endpoint is not None:
+            take_report(endpoint, share.host, failure.failures, failure.avoided_seconds, now)
 
 
 async def _repeat(sharing: LoadSharing) -> None:
@@ -289,5 +319,6 @@
         now = time.monotonic()
         for endpoint in list(sharing.forwarding.endpoints.values()):
             drop_old_loads(endpoint, now)
-            if endpoint.load.requests:
+            drop_old_reports(endpoint, now)
+            if endpoint.load.requests or now < endpoint.avoid_until:
                 note_change(sharing, endpoint)
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -145,12 +145,105 @@
         return not (self == other)
 
 
+class EndpointFailure(object):
+    """
+    Attributes:
+     - endpoint
+     - failures
+     - avoided_seconds
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'failures',
+        'avoided_seconds',
+    )
+
+
+    def __init__(self, endpoint=None, failures=None, avoided_seconds=None,):
+        self.endpoint = endpoint
+        self.failures = failures
+        self.avoided_seconds = avoided_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.failures = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.avoided_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointFailure')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I64, 2)
+            oprot.writeI64(self.failures)
+            oprot.writeFieldEnd()
+        if self.avoided_seconds is not None:
+            oprot.writeFieldBegin('avoided_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.avoided_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadShare(object):
     """
     Attributes:
      - host
      - for_zone
      - loads
+     - failures
 
     """
 
@@ -158,13 +251,19 @@
         'host',
         'for_zone',
         'loads',
+        'failures',
     )
 
 
-    def __init__(self, host=None, for_zone=None, loads=None,):
+    def __init__(self, host=None, for_zone=None, loads=None, failures=[
+    ],):
         self.host = host
         self.for_zone = for_zone
         self.loads = loads
+        if failures is self.thrift_spec[4][4]:
+            failures = [
+            ]
+        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -196,6 +295,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.failures = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = EndpointFailure()
+                        _elem11.read(iprot)
+                        self.failures.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -217,8 +327,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter6 in self.loads:
-                iter6.write(oprot)
+            for iter12 in self.loads:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.failures))
+            for iter13 in self.failures:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -273,11 +390,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = LoadShare()
-                        _elem12.read(iprot)
-                        self.shares.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = LoadShare()
+                        _elem19.read(iprot)
+                        self.shares.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -294,8 +411,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter13 in self.shares:
-                iter13.write(oprot)
+            for iter20 in self.shares:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -331,12 +448,21 @@
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
     (6, TType.DOUBLE, 'pause_seconds', None, None, ),  # 6
 )
+all_structs.append(EndpointFailure)
+EndpointFailure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'failures', None, None, ),  # 2
+    (3, TType.DOUBLE, 'avoided_seconds', None, None, ),  # 3
+)
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'for_zone', None, None, ),  # 2
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
+    (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
+    ], ),  # 4
 )
 all_structs.append(LoadBatch)
 LoadBatch.thrift_spec = (
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -10,10 +10,17 @@
   6: double pause_seconds
 }
 
+struct EndpointFailure {
+  1: string endpoint
+  2: i64 failures
+  3: double avoided_seconds
+}
+
 struct LoadShare {
   1: string host
   2: bool for_zone
   3: list<EndpointLoad> loads
+  4: list<EndpointFailure> failures = []
 }
 
 struct LoadBatch {
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -133,7 +133,7 @@
     assert spans == sorted(spans) and spans[-1] == defaults.MAX_AVOID_SECONDS
     chosen = {choose_endpoint(state, Work("app"), NONE, 6.0).name for _ in range(30)}
     assert "a0" not in chosen
-    note_success(endpoint)
+    note_success(endpoint, 6.0)
     assert endpoint.avoid_until <= 6.0
 
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from marjorambridge.forwarding.health import note_failure
 from marjorambridge.forwarding.loads import (
     LOAD_LIFETIME_SECONDS,
     add_read,
@@ -195,3 +196,21 @@
         assert len(received) < 20 * len(sharings) * len(sharings) / 3
 
     anyio.run(scenario)
+
+
+def test_failures_are_told_also_through_a_collector():
+    """Guard against hosts of a large fleet that each learn alone that an endpoint fails."""
+    sender, receiver = make_pair()
+    note_failure(sender.forwarding.endpoints["e0"], 10.0)
+    share = take_packet(receiver, make_packet(sender, ["e0"], 10.2, for_zone=True), 100.0)
+    report = receiver.forwarding.endpoints["e0"].reports["h1"]
+    assert report.failures == 1
+    assert abs(report.avoid_until - 100.8) < 0.01
+    third = make_pair()[0]
+    third.own_host = "h3"
+    receiver.forwarding.hosts = dict.fromkeys((f"h{n}" for n in range(40)), "z0")
+    sharing_module.pass_on(receiver, share)
+    sharing_module.queue_collected(receiver)
+    packet = next(packet for packet, host in receiver.outbox if host == "h3")
+    take_packet(third, packet, 100.0)
+    assert third.forwarding.endpoints["e0"].reports["h1"].failures == 1
