--- /dev/null
+++ b/marjorambridge/forwarding/collection.py
@@ -0,0 +1,98 @@
+"""Add up what the hosts of a large fleet report to the collecting hosts of each zone.
+
+The load pattern is a burst on a fleet of many hosts: each request changes the load of an endpoint
+three times. If every host heard each change of every other one, the datagrams would fill the links
+just when placement needs them most; totals don't grow with the number of hosts.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from marjorambridge.forwarding.state import Endpoint, Load
+
+# Each host repeats its loads once a second, so that all are known after this time in seconds.
+COMPLETE_SECONDS = 1.5
+# A collection that heard nothing for this long, in seconds, begins anew; idle hosts report too.
+SILENCE_SECONDS = 1.5
+
+
+@dataclass(slots=True)
+class Collection:
+    """Hold what hosts reported to this one.
+
+    Attributes
+    ----------
+    loads : dict of str to dict of str to Load
+        Loads by endpoint and by host, this one included.
+    changed : dict of str to None
+        Endpoints whose total must be told, in order.
+    since, heard_at : float
+        Monotonic times in seconds of the first report and of the last one.
+    """
+
+    loads: dict[str, dict[str, Load]] = field(default_factory=dict)
+    changed: dict[str, None] = field(default_factory=dict)
+    since: float = math.inf
+    heard_at: float = -math.inf
+
+
+def note_heard(collection: Collection, now: float) -> None:
+    """Note that a host reports to this one; after a silence the collection begins anew."""
+    if now - collection.heard_at > SILENCE_SECONDS:
+        collection.since = now
+        collection.loads.clear()
+    collection.heard_at = now
+
+
+def note_load(collection: Collection, host: str, endpoint: str, load: Load) -> None:
+    """Take over the load of a host at an endpoint."""
+    collection.changed[endpoint] = None
+    if load.requests or load.reads:
+        collection.loads.setdefault(endpoint, {})[host] = load
+    else:
+        collection.loads.get(endpoint, {}).pop(host, None)
+
+
+def is_complete(collection: Collection, now: float) -> bool:
+    """Return whether all hosts have had the time to report here."""
+    is_heard = now - collection.heard_at <= SILENCE_SECONDS
+    return is_heard and now - collection.since >= COMPLETE_SECONDS
+
+
+def compute_total(collection: Collection, endpoint: str, now: float, without: str = "") -> Load:
+    """Return the work of all hosts but `without` at an endpoint."""
+    total = Load(as_of=now)
+    for host, load in collection.loads.get(endpoint, {}).items():
+        if host == without:
+            continue
+        total.requests += load.requests
+        total.kv_tokens += load.kv_tokens
+        total.pauses += load.pauses
+        if load.reads:
+            total.reads += load.reads
+            total.read_seconds += max(0.0, load.read_seconds - (now - load.as_of))
+    return total
+
+
+def subtract_own(endpoint: Endpoint, total: Load, now: float) -> Load:
+    """Return the work of the other hosts, given the total of all."""
+    own = endpoint.load
+    others = Load(as_of=now, pauses=total.pauses)
+    others.requests = max(0, total.requests - own.requests)
+    others.kv_tokens = max(0, total.kv_tokens - own.kv_tokens)
+    others.reads = max(0, total.reads - own.reads)
+    if others.reads:
+        remaining = max(0.0, own.read_seconds - (now - own.as_of)) if own.reads else 0.0
+        others.read_seconds = max(0.0, total.read_seconds - remaining)
+    return others
+
+
+def drop_old(collection: Collection, lifetime_seconds: float, now: float) -> None:
+    """Forget hosts that fell silent, and have all totals told again."""
+    for endpoint, loads in list(collection.loads.items()):
+        for host, load in list(loads.items()):
+            if now - load.as_of > lifetime_seconds:
+                del loads[host]
+        collection.changed[endpoint] = None
+        if not loads:
+            del collection.loads[endpoint]
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -7,6 +7,9 @@
 from marjorambridge.manifests.matching import build_table
 from marjorambridge.manifests.models import Manifest
 
+# Keys of endpoints have 31 bits, which a datagram holds in five bytes.
+KEY_MASK = 2**31 - 1
+
 
 def apply_manifest(state: ForwardingState, manifest: Manifest) -> bool:
     """Put a manifest in force unless it is older than the present one."""
@@ -64,7 +67,9 @@
             entry.endpoint, entry.service, entry.zone, entry.address, entry.slots, entry.born
         )
         known.order = xxhash.xxh3_64_intdigest(entry.endpoint.encode())
+        known.key = known.order & KEY_MASK
         state.endpoints[entry.endpoint] = known
+        state.by_key[known.key] = known
         state.by_service.setdefault(entry.service, {})[entry.endpoint] = known
     known.slots = entry.slots
     known.leaving = known.leaving or entry.leaving
@@ -77,3 +82,4 @@
     known = state.endpoints.pop(name, None)
     if known is not None:
         state.by_service[known.service].pop(name, None)
+        state.by_key.pop(known.key, None)
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -6,7 +6,7 @@
 """
 
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState
+from marjorambridge.forwarding.state import TOTAL, Endpoint, FailureReport, ForwardingState
 
 
 def note_success(endpoint: Endpoint, began_at: float) -> None:
@@ -22,12 +22,18 @@
     endpoint.reports.clear()
 
 
-def note_failure(endpoint: Endpoint, now: float) -> float:
-    """Avoid an endpoint after a failure, longer after each further one; return for how long."""
+def note_failure(endpoint: Endpoint, began_at: float, now: float) -> float:
+    """Avoid an endpoint after a failure, longer after each further one; return for how long.
+
+    Attempts that were under way when the endpoint failed end with it and tell nothing new.
+    """
+    if began_at < endpoint.failed_at and now < endpoint.avoid_until:
+        return endpoint.avoid_until - now
     if now - endpoint.failed_at > defaults.FAILURE_MEMORY_SECONDS:
         endpoint.failures = 0
     drop_old_reports(endpoint, now)
-    reported = max((report.failures for report in endpoint.reports.values()), default=0)
+    earlier = [report for report in endpoint.reports.values() if report.heard_at <= began_at]
+    reported = max((report.failures for report in earlier), default=0)
     endpoint.failures = max(endpoint.failures, reported) + 1
     endpoint.failed_at = now
     seconds = min(defaults.AVOID_SECONDS * 2 ** (endpoint.failures - 1), defaults.MAX_AVOID_SECONDS)
@@ -40,12 +46,32 @@
     endpoint.gone = True
 
 
-def take_report(
-    endpoint: Endpoint, host: str, failures: int, avoided_seconds: float, now: float
-) -> None:
+def take_report(endpoint: Endpoint, host: str, report: FailureReport, now: float) -> None:
     """Take over that another host avoids an endpoint for some time."""
-    seconds = min(avoided_seconds, defaults.MAX_AVOID_SECONDS)
-    endpoint.reports[host] = FailureReport(failures, now + seconds)
+    report.heard_at = now
+    report.avoid_until = min(report.avoid_until, now + defaults.MAX_AVOID_SECONDS)
+    endpoint.reports[host] = report
+
+
+def combine_reports(endpoint: Endpoint, now: float) -> FailureReport | None:
+    """Return one report of all hosts that avoid an endpoint, or None if there is none.
+
+    The report of a total is left out, since it came from the same hosts by another way.
+    """
+    present = [
+        report
+        for host, report in endpoint.reports.items()
+        if host != TOTAL and now < report.avoid_until
+    ]
+    if now < endpoint.avoid_until:
+        present.append(FailureReport(endpoint.failures, endpoint.avoid_until))
+    if not present:
+        return None
+    return FailureReport(
+        max(report.failures for report in present),
+        max(report.avoid_until for report in present),
+        sum(report.hosts for report in present),
+    )
 
 
 def drop_old_reports(endpoint: Endpoint, now: float) -> None:
@@ -57,7 +83,7 @@
 
 def count_reporters(endpoint: Endpoint, now: float) -> int:
     """Return how many other hosts avoid an endpoint at present."""
-    return sum(now < report.avoid_until for report in endpoint.reports.values())
+    return sum(report.hosts for report in endpoint.reports.values() if now < report.avoid_until)
 
 
 def get_avoid_until(endpoint: Endpoint, now: float) -> float:
@@ -65,7 +91,7 @@
     reported = [
         report.avoid_until for report in endpoint.reports.values() if now < report.avoid_until
     ]
-    if len(reported) < defaults.CONVINCING_REPORTERS:
+    if count_reporters(endpoint, now) < defaults.CONVINCING_REPORTERS:
         return endpoint.avoid_until
     return max(endpoint.avoid_until, *reported)
 
@@ -73,8 +99,7 @@
 def list_reportable(state: ForwardingState, now: float) -> list[Endpoint]:
     """Return the endpoints whose failures this host tells the others.
 
-    A host for which more than half of a service's endpoints fail is more likely to be cut off itself, and
-    keeps it to itself.
+    If more than half of a service's endpoints fail, this host is more likely to be cut off itself.
     """
     reportable = []
     for endpoints in state.by_service.values():
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -1,33 +1,52 @@
-"""Define the messages by which gateways tell one another about their load."""
+"""Define the messages by which gateways tell one another about their load.
+
+Endpoints are named by their keys and times are whole milliseconds, because the datagrams of a large
+fleet would otherwise fill the links of the hosts that pass them on.
+"""
 
 from dataclasses import dataclass
 
 
 @dataclass(slots=True)
 class EndpointLoad:
-    """Tell the work of a host at one endpoint; see `marjorambridge.forwarding.state.Load`.
+    """Tell the work of one or of all hosts at an endpoint.
 
     Attributes
     ----------
-    pause_seconds : float
-        Longest pause that all the requests bear.
+    endpoint : int
+        Key of the endpoint, see `marjorambridge.forwarding.state.Endpoint`.
+    requests, reads, read_milliseconds, kv_tokens : int
+        As in `marjorambridge.forwarding.state.Load`.
+    pause_milliseconds : int
+        Longest pause that all the requests bear; 0 if any.
     """
 
-    endpoint: str
+    endpoint: int
     requests: int
     reads: int
-    read_seconds: float
+    read_milliseconds: int
     kv_tokens: int
-    pause_seconds: float
+    pause_milliseconds: int
 
 
 @dataclass(slots=True)
 class EndpointFailure:
-    """Tell that a host avoids an endpoint, after how many failures and for how long."""
+    """Tell that hosts avoid an endpoint.
 
-    endpoint: str
+    Attributes
+    ----------
+    failures : int
+        Failures in a row.
+    avoided_milliseconds : int
+        Time for which the endpoint is still avoided.
+    hosts : int
+        How many hosts avoid it.
+    """
+
+    endpoint: int
     failures: int
-    avoided_seconds: float
+    avoided_milliseconds: int
+    hosts: int
 
 
 @dataclass(slots=True)
@@ -47,7 +66,8 @@
 
 
 @dataclass(slots=True)
-class LoadBatch:
-    """Tell the hosts of a zone what several hosts said within a moment."""
+class LoadTotals:
+    """Tell the hosts of a zone the work of all hosts at the endpoints where it changed."""
 
-    shares: tuple[LoadShare, ...]
+    loads: tuple[EndpointLoad, ...]
+    failures: tuple[EndpointFailure, ...] = ()
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -7,6 +7,9 @@
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.manifests.matching import RouteTable
 
+# Name under which an endpoint holds what was told of all other hosts at once.
+TOTAL = "total"
+
 
 @dataclass(slots=True)
 class Load:
@@ -46,10 +49,16 @@
         Failures in a row, as the other host counts them.
     avoid_until : float
         Monotonic time in seconds until which the other host prefers other endpoints.
+    hosts : int
+        How many hosts the report is about.
+    heard_at : float
+        Monotonic time in seconds when it came.
     """
 
     failures: int
     avoid_until: float
+    hosts: int = 1
+    heard_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -64,6 +73,8 @@
         Whether another endpoint answered at its address.
     order : int
         Place in an order of all endpoints on which all hosts agree.
+    key : int
+        Short form of the name in messages; a hash of 31 bits.
     failures : int
         Failures since the last success, those that other hosts reported included.
     avoid_until : float
@@ -88,6 +99,7 @@
     silent: bool = False
     gone: bool = False
     order: int = 0
+    key: int = 0
     cold_until: float = 0.0
     failures: int = 0
     failed_at: float = 0.0
@@ -133,6 +145,7 @@
     table: RouteTable | None = None
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
+    by_key: dict[int, Endpoint] = field(default_factory=dict)
     drained: frozenset[str] = frozenset()
     restored: dict[str, int] = field(default_factory=dict)
     hosts: dict[str, str] = field(default_factory=dict)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -374,7 +374,7 @@
     if ending is Ending.MISDIRECTED:
         note_gone(endpoint)
     elif ending in SUSPICIOUS:
-        avoided = note_failure(endpoint, now)
+        avoided = note_failure(endpoint, transit.attempt_began_at, now)
         transit.gateway.share_load(endpoint)
     logger.bind(
         request=transit.request.request_id,
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -2,13 +2,10 @@
 
 A datagram that is lost leaves another host's picture old for at most a second, when all loads are
 repeated; so none is sent twice. Bytes between zones are dear: one host of each other zone gets a
-datagram and passes it on to its zone. In a large fleet one host of each zone collects what it
-passes on, because the datagrams that a host receives would otherwise grow with the traffic of all.
+datagram and passes it on to its zone. In a large fleet some hosts of each zone collect what comes
+and pass totals on, because what a host hears would otherwise grow with the traffic of all.
 """
 
-import hashlib
-import hmac
-import math
 import time
 from collections import deque
 from dataclasses import dataclass, field
@@ -19,33 +16,45 @@
 from loguru import logger
 
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.health import drop_old_reports, list_reportable, take_report
-from marjorambridge.forwarding.loads import drop_old_loads, take_other_load
-from marjorambridge.forwarding.messages import (
-    EndpointFailure,
-    EndpointLoad,
-    LoadBatch,
-    LoadShare,
+from marjorambridge.forwarding.collection import (
+    Collection,
+    compute_total,
+    drop_old,
+    is_complete,
+    note_heard,
+    note_load,
+    subtract_own,
+)
+from marjorambridge.forwarding.health import combine_reports, drop_old_reports, take_report
+from marjorambridge.forwarding.loads import (
+    LOAD_LIFETIME_SECONDS,
+    drop_old_loads,
+    take_other_load,
+)
+from marjorambridge.forwarding.messages import LoadShare, LoadTotals
+from marjorambridge.forwarding.state import TOTAL, Endpoint, ForwardingState
+from marjorambridge.gateway.datagrams import (
+    make_failure,
+    make_load,
+    make_share,
+    read_failure,
+    read_load,
+    seal,
+    unseal,
 )
-from marjorambridge.forwarding.state import Endpoint, ForwardingState, Load
 from marjorambridge.gateway.streams import STREAM_ERRORS
-from marjorambridge.wire.codec import decode_message, encode_message
-from marjorambridge.wire.exceptions import WireError
 
 # Changes within this time in seconds go out together.
 COALESCE_SECONDS = 0.01
 REPEAT_SECONDS = 1.0
-# Large fleets collect what is passed on, for this time in seconds; in other ones each datagram is
-# passed on at once.
-COLLECT_SECONDS = 0.06
-# Loads in one collected datagram.
-MAX_BATCH_LOADS = 24
-MAC_BYTES = 8
-# Kinds of messages, by the byte that begins a datagram after its MAC.
-KINDS = ("forwarding.LoadShare", "forwarding.LoadBatch")
+# Totals go out at this interval in seconds: with 30 hosts in a zone and 40 endpoints whose load
+# changes between two of them they take about 2.5 Mbit/s, a quarter of a slow link.
+TOTALS_SECONDS = 0.08
+# Hosts of each zone that collect; the second one makes the death of the first harmless.
+COLLECTORS_PER_ZONE = 2
 MAX_QUEUED = 1_000
-# Loads in one datagram, so that it fits a packet.
-MAX_LOADS = 12
+# Loads in one datagram, so that it fits a packet of 1,500 bytes.
+MAX_LOADS = 40
 
 
 @dataclass(slots=True)
@@ -61,10 +70,8 @@
     outbox : deque of (bytes, str)
         Datagrams that wait to be sent, with the host that gets them; the oldest ones are dropped
         when there are too many.
-    collected : dict of (str, str) to EndpointLoad
-        Loads by host and endpoint that this host passes on to its zone next.
-    collected_failures : dict of (str, str) to EndpointFailure
-        The same for failures.
+    collection : Collection
+        What hosts of a large fleet reported to this one.
     """
 
     forwarding: ForwardingState
@@ -72,11 +79,9 @@
     key: bytes
     changed: dict[str, None] = field(default_factory=dict)
     outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
-    collected: dict[tuple[str, str], EndpointLoad] = field(default_factory=dict)
-    collected_failures: dict[tuple[str, str], EndpointFailure] = field(default_factory=dict)
+    collection: Collection = field(default_factory=Collection)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
-    sent_bytes: int = 0
 
 
 async def start_sharing(sharing: LoadSharing, tasks: TaskGroup) -> None:
@@ -86,7 +91,7 @@
     tasks.start_soon(_receive, sharing)
     tasks.start_soon(_send_packets, sharing)
     tasks.start_soon(_repeat, sharing)
-    tasks.start_soon(_pass_on_collected, sharing)
+    tasks.start_soon(_pass_on_totals, sharing)
 
 
 async def close_sharing(sharing: LoadSharing) -> None:
@@ -101,6 +106,9 @@
     sharing.wakeup.set()
 
 
+# Sending.
+
+
 async def _send_packets(sharing: LoadSharing) -> None:
     # Only this task writes to the socket, which takes one writer at a time.
     while True:
@@ -108,105 +116,54 @@
         sharing.wakeup = anyio.Event()
         if sharing.changed:
             await anyio.sleep(COALESCE_SECONDS)
-            _queue_changes(sharing)
+            names, sharing.changed = list(sharing.changed), {}
+            queue_loads(sharing, names, time.monotonic())
         while sharing.outbox:
             packet, host = sharing.outbox.popleft()
             await _send(sharing, packet, host)
 
 
-def _queue_changes(sharing: LoadSharing) -> None:
-    names, sharing.changed = list(sharing.changed), {}
-    now = time.monotonic()
-    collects = is_collecting(sharing.forwarding)
-    for first in range(0, len(names), MAX_LOADS):
+def queue_loads(sharing: LoadSharing, names: list[str], now: float) -> None:
+    """Queue what this host has at the endpoints named; nothing of them says that it is alive."""
+    forwarding = sharing.forwarding
+    for first in range(0, max(1, len(names)), MAX_LOADS):
         part = names[first : first + MAX_LOADS]
-        packet = make_packet(sharing, part, now, for_zone=True)
-        if collects:
-            for host in list_collectors(sharing.forwarding):
-                _queue_or_take(sharing, packet, host, now)
+        share = make_share(forwarding, sharing.own_host, part, now, for_zone=True)
+        packet = seal(sharing.key, share)
+        if is_collecting(forwarding):
+            for host in list_collectors(forwarding):
+                if host == sharing.own_host:
+                    collect(sharing, share, now)
+                else:
+                    sharing.outbox.append((packet, host))
             continue
-        _queue_for_zone(sharing, make_packet(sharing, part, now))
-        for host in choose_relays(sharing.forwarding):
+        for host in choose_relays(forwarding):
             sharing.outbox.append((packet, host))
-
-
-def _queue_or_take(sharing: LoadSharing, packet: bytes, host: str, now: float) -> None:
-    if host == sharing.own_host:
-        pass_on(sharing, take_packet(sharing, packet, now))
-    else:
-        sharing.outbox.append((packet, host))
+        share.for_zone = False
+        _queue_for_zone(sharing, share)
 
 
 def is_collecting(forwarding: ForwardingState) -> bool:
-    """Return whether the fleet is so large that one host of each zone collects loads."""
+    """Return whether the fleet is so large that some hosts of each zone collect loads."""
     return len(forwarding.hosts) > defaults.LARGE_FLEET_HOSTS
 
 
 def list_collectors(forwarding: ForwardingState) -> list[str]:
-    """Return the host of each zone that collects; all hosts agree on it, as far as they agree.
-
-    Where they do not, or where a collector has just died, loads are old until the next repetition.
-    """
-    by_zone: dict[str, str] = {}
+    """Return the hosts that collect; all hosts agree on them, as far as they agree on the fleet."""
+    by_zone: dict[str, list[str]] = {}
     for host, zone in forwarding.hosts.items():
-        if zone not in by_zone or _hash(host) < _hash(by_zone[zone]):
-            by_zone[zone] = host
-    return list(by_zone.values())
+        by_zone.setdefault(zone, []).append(host)
+    return [
+        host
+        for hosts in by_zone.values()
+        for host in sorted(hosts, key=_hash_host)[:COLLECTORS_PER_ZONE]
+    ]
 
 
-def _hash(host: str) -> int:
+def _hash_host(host: str) -> int:
     return xxhash.xxh3_64_intdigest(host.encode())
 
 
-def pass_on(sharing: LoadSharing, share: LoadShare | None) -> None:
-    """Pass a message that is meant for this zone on to its hosts, now or with others."""
-    if share is None or not share.for_zone:
-        return
-    if is_collecting(sharing.forwarding):
-        for load in share.loads:
-            sharing.collected[share.host, load.endpoint] = load
-        for failure in share.failures:
-            sharing.collected_failures[share.host, failure.endpoint] = failure
-        return
-    share.for_zone = False
-    _queue_for_zone(sharing, _seal(sharing, share))
-
-
-async def _pass_on_collected(sharing: LoadSharing) -> None:
-    while True:
-        await anyio.sleep(COLLECT_SECONDS if is_collecting(sharing.forwarding) else REPEAT_SECONDS)
-        queue_collected(sharing)
-
-
-def queue_collected(sharing: LoadSharing) -> None:
-    """Queue what was collected for the hosts of this zone."""
-    items = [*sharing.collected.items(), *sharing.collected_failures.items()]
-    sharing.collected, sharing.collected_failures = {}, {}
-    for first in range(0, len(items), MAX_BATCH_LOADS):
-        _queue_for_zone(
-            sharing, _seal(sharing, _make_batch(items[first : first + MAX_BATCH_LOADS]))
-        )
-
-
-def _make_batch(items: list[tuple[tuple[str, str], EndpointLoad | EndpointFailure]]) -> LoadBatch:
-    shares: dict[str, LoadShare] = {}
-    for (host, _), item in items:
-        share = shares.setdefault(host, LoadShare(host, False, ()))
-        if isinstance(item, EndpointFailure):
-            share.failures += (item,)
-        else:
-            share.loads += (item,)
-    return LoadBatch(tuple(shares.values()))
-
-
-def _queue_for_zone(sharing: LoadSharing, packet: bytes) -> None:
-    own_zone = sharing.forwarding.settings.zone
-    for host, zone in sharing.forwarding.hosts.items():
-        if zone == own_zone and host != sharing.own_host:
-            sharing.outbox.append((packet, host))
-    sharing.wakeup.set()
-
-
 def choose_relays(forwarding: ForwardingState) -> list[str]:
     """Return one host of each other zone; another one each time, so that none is needed."""
     by_zone: dict[str, list[str]] = {}
@@ -216,46 +173,24 @@
     return [forwarding.generator.choice(hosts) for hosts in by_zone.values()]
 
 
+def _queue_for_zone(sharing: LoadSharing, message: LoadShare | LoadTotals) -> None:
+    packet = seal(sharing.key, message)
+    own_zone = sharing.forwarding.settings.zone
+    for host, zone in sharing.forwarding.hosts.items():
+        if zone == own_zone and host != sharing.own_host:
+            sharing.outbox.append((packet, host))
+    sharing.wakeup.set()
+
+
 async def _send(sharing: LoadSharing, packet: bytes, host: str) -> None:
     ip, _, port = host.rpartition(":")
     try:
         await sharing.socket.sendto(packet, ip, int(port))
-        sharing.sent_bytes += len(packet)
     except STREAM_ERRORS as error:
         logger.bind(peer=host, error=repr(error)).debug("a load datagram was not sent")
 
 
-def make_packet(
-    sharing: LoadSharing, names: list[str], now: float, for_zone: bool = False
-) -> bytes:
-    """Return a datagram that tells this host's load and failures at the endpoints named."""
-    failures = tuple(
-        EndpointFailure(endpoint.name, endpoint.failures, endpoint.avoid_until - now)
-        for endpoint in list_reportable(sharing.forwarding, now)
-        if endpoint.name in names
-    )
-    loads = []
-    for name in names:
-        endpoint = sharing.forwarding.endpoints.get(name)
-        if endpoint is None:
-            continue
-        load = endpoint.load
-        remaining = max(0.0, load.read_seconds - (now - load.as_of)) if load.reads else 0.0
-        pause = min(load.pauses, default=math.inf)
-        loads.append(
-            EndpointLoad(name, load.requests, load.reads, remaining, load.kv_tokens, pause)
-        )
-    return _seal(sharing, LoadShare(sharing.own_host, for_zone, tuple(loads), failures))
-
-
-def _seal(sharing: LoadSharing, message: LoadShare | LoadBatch) -> bytes:
-    kind, body = encode_message(message)
-    sealed = bytes([KINDS.index(kind)]) + body
-    return _compute_mac(sharing.key, sealed) + sealed
-
-
-def _compute_mac(key: bytes, body: bytes) -> bytes:
-    return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
+# Receiving.
 
 
 async def _receive(sharing: LoadSharing) -> None:
@@ -264,61 +199,102 @@
             packet, _ = await sharing.socket.receive()
         except STREAM_ERRORS:
             return
-        pass_on(sharing, take_packet(sharing, packet, time.monotonic()))
+        take_packet(sharing, packet, time.monotonic())
 
 
-def take_packet(sharing: LoadSharing, packet: bytes, now: float) -> LoadShare | None:
-    """Take over what other hosts told.
-
-    Returns
-    -------
-    LoadShare or None
-        The message of one host; None for a batch, and if the datagram can't be read.
-    """
-    mac, sealed = packet[:MAC_BYTES], packet[MAC_BYTES:]
-    if not hmac.compare_digest(mac, _compute_mac(sharing.key, sealed)):
-        logger.warning("refused a load datagram with a wrong MAC")
-        return None
-    try:
-        message = decode_message(KINDS[sealed[0]], sealed[1:])
-    except (WireError, IndexError) as error:
-        logger.bind(error=str(error)).warning("refused a load datagram that can't be read")
-        return None
-    if isinstance(message, LoadBatch):
-        for share in message.shares:
-            _take_share(sharing, share, now)
-        return None
-    _take_share(sharing, message, now)
-    return message
-
-
-def _take_share(sharing: LoadSharing, share: LoadShare, now: float) -> None:
-    if share.host == sharing.own_host:
+def take_packet(sharing: LoadSharing, packet: bytes, now: float) -> None:
+    """Take over what other hosts told, and pass on what is meant for this zone."""
+    message = unseal(sharing.key, packet)
+    if isinstance(message, LoadTotals):
+        _take_totals(sharing, message, now)
         return
-    for told in share.loads:
-        endpoint = sharing.forwarding.endpoints.get(told.endpoint)
+    if message is None or message.host == sharing.own_host:
+        return
+    for told in message.failures:
+        endpoint = sharing.forwarding.by_key.get(told.endpoint)
         if endpoint is not None:
-            load = Load(
-                told.requests,
-                told.reads,
-                told.read_seconds,
-                told.kv_tokens,
-                [told.pause_seconds],
-                now,
-            )
-            take_other_load(endpoint, share.host, load)
-    for failure in share.failures:
-        endpoint = sharing.forwarding.endpoints.get(failure.endpoint)
+            take_report(endpoint, message.host, read_failure(told, now), now)
+    if message.for_zone and is_collecting(sharing.forwarding):
+        collect(sharing, message, now)
+        return
+    for told in message.loads:
+        endpoint = sharing.forwarding.by_key.get(told.endpoint)
+        if endpoint is not None:
+            take_other_load(endpoint, message.host, read_load(told, now))
+    if message.for_zone:
+        message.for_zone = False
+        _queue_for_zone(sharing, message)
+
+
+def collect(sharing: LoadSharing, share: LoadShare, now: float) -> None:
+    """Take over a host's loads to tell their totals to this zone."""
+    collection, by_key = sharing.collection, sharing.forwarding.by_key
+    note_heard(collection, now)
+    for told in share.failures:
+        if told.endpoint in by_key:
+            collection.changed[by_key[told.endpoint].name] = None
+    for told in share.loads:
+        endpoint = by_key.get(told.endpoint)
+        if endpoint is None:
+            continue
+        note_load(collection, share.host, endpoint.name, read_load(told, now))
+        if is_complete(collection, now):
+            others = compute_total(collection, endpoint.name, now, without=sharing.own_host)
+            take_other_load(endpoint, TOTAL, others)
+
+
+def _take_totals(sharing: LoadSharing, totals: LoadTotals, now: float) -> None:
+    by_key = sharing.forwarding.by_key
+    for told in totals.failures:
+        if told.endpoint in by_key:
+            take_report(by_key[told.endpoint], TOTAL, read_failure(told, now), now)
+    if is_complete(sharing.collection, now):
+        # What this host collects itself is newer.
+        return
+    for told in totals.loads:
+        endpoint = by_key.get(told.endpoint)
         if endpoint is not None:
-            take_report(endpoint, share.host, failure.failures, failure.avoided_seconds, now)
+            take_other_load(endpoint, TOTAL, subtract_own(endpoint, read_load(told, now), now))
+
+
+# Repeating.
+
+
+async def _pass_on_totals(sharing: LoadSharing) -> None:
+    while True:
+        await anyio.sleep(TOTALS_SECONDS if is_collecting(sharing.forwarding) else REPEAT_SECONDS)
+        queue_totals(sharing, time.monotonic())
+
+
+def queue_totals(sharing: LoadSharing, now: float) -> None:
+    """Queue the totals that changed for the hosts of this zone."""
+    collection, endpoints = sharing.collection, sharing.forwarding.endpoints
+    if not is_complete(collection, now):
+        return
+    names, collection.changed = list(collection.changed), {}
+    for first in range(0, len(names), MAX_LOADS):
+        loads, failures = [], []
+        for name in names[first : first + MAX_LOADS]:
+            endpoint = endpoints.get(name)
+            if endpoint is None:
+                continue
+            loads.append(make_load(endpoint, compute_total(collection, name, now), now))
+            report = combine_reports(endpoint, now)
+            if report is not None:
+                failures.append(make_failure(endpoint, report, now))
+        _queue_for_zone(sharing, LoadTotals(tuple(loads), tuple(failures)))
 
 
 async def _repeat(sharing: LoadSharing) -> None:
     while True:
         await anyio.sleep(REPEAT_SECONDS)
         now = time.monotonic()
+        drop_old(sharing.collection, LOAD_LIFETIME_SECONDS, now)
         for endpoint in list(sharing.forwarding.endpoints.values()):
             drop_old_loads(endpoint, now)
             drop_old_reports(endpoint, now)
             if endpoint.load.requests or now < endpoint.avoid_until:
                 note_change(sharing, endpoint)
+        if is_collecting(sharing.forwarding) and not sharing.changed:
+            queue_loads(sharing, [], now)
+            sharing.wakeup.set()
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -23,9 +23,9 @@
      - endpoint
      - requests
      - reads
-     - read_seconds
+     - read_milliseconds
      - kv_tokens
-     - pause_seconds
+     - pause_milliseconds
 
     """
 
@@ -33,19 +33,19 @@
         'endpoint',
         'requests',
         'reads',
-        'read_seconds',
+        'read_milliseconds',
         'kv_tokens',
-        'pause_seconds',
+        'pause_milliseconds',
     )
 
 
-    def __init__(self, endpoint=None, requests=None, reads=None, read_seconds=None, kv_tokens=None, pause_seconds=None,):
+    def __init__(self, endpoint=None, requests=None, reads=None, read_milliseconds=None, kv_tokens=None, pause_milliseconds=None,):
         self.endpoint = endpoint
         self.requests = requests
         self.reads = reads
-        self.read_seconds = read_seconds
+        self.read_milliseconds = read_milliseconds
         self.kv_tokens = kv_tokens
-        self.pause_seconds = pause_seconds
+        self.pause_milliseconds = pause_milliseconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -57,8 +57,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.endpoint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -72,8 +72,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.read_seconds = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.read_milliseconds = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -82,8 +82,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.pause_seconds = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.pause_milliseconds = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -97,8 +97,8 @@
             return
         oprot.writeStructBegin('EndpointLoad')
         if self.endpoint is not None:
-            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
-            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldBegin('endpoint', TType.I64, 1)
+            oprot.writeI64(self.endpoint)
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.I64, 2)
@@ -108,17 +108,17 @@
             oprot.writeFieldBegin('reads', TType.I64, 3)
             oprot.writeI64(self.reads)
             oprot.writeFieldEnd()
-        if self.read_seconds is not None:
-            oprot.writeFieldBegin('read_seconds', TType.DOUBLE, 4)
-            oprot.writeDouble(self.read_seconds)
+        if self.read_milliseconds is not None:
+            oprot.writeFieldBegin('read_milliseconds', TType.I64, 4)
+            oprot.writeI64(self.read_milliseconds)
             oprot.writeFieldEnd()
         if self.kv_tokens is not None:
             oprot.writeFieldBegin('kv_tokens', TType.I64, 5)
             oprot.writeI64(self.kv_tokens)
             oprot.writeFieldEnd()
-        if self.pause_seconds is not None:
-            oprot.writeFieldBegin('pause_seconds', TType.DOUBLE, 6)
-            oprot.writeDouble(self.pause_seconds)
+        if self.pause_milliseconds is not None:
+            oprot.writeFieldBegin('pause_milliseconds', TType.I64, 6)
+            oprot.writeI64(self.pause_milliseconds)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -150,21 +150,24 @@
     Attributes:
      - endpoint
      - failures
-     - avoided_seconds
+     - avoided_milliseconds
+     - hosts
 
     """
 
     __slots__ = (
         'endpoint',
         'failures',
-        'avoided_seconds',
+        'avoided_milliseconds',
+        'hosts',
     )
 
 
-    def __init__(self, endpoint=None, failures=None, avoided_seconds=None,):
+    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None,):
         self.endpoint = endpoint
         self.failures = failures
-        self.avoided_seconds = avoided_seconds
+        self.avoided_milliseconds = avoided_milliseconds
+        self.hosts = hosts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -176,8 +179,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.endpoint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -186,8 +189,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.avoided_seconds = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.avoided_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.hosts = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -201,16 +209,20 @@
             return
         oprot.writeStructBegin('EndpointFailure')
         if self.endpoint is not None:
-            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
-            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldBegin('endpoint', TType.I64, 1)
+            oprot.writeI64(self.endpoint)
             oprot.writeFieldEnd()
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.I64, 2)
             oprot.writeI64(self.failures)
             oprot.writeFieldEnd()
-        if self.avoided_seconds is not None:
-            oprot.writeFieldBegin('avoided_seconds', TType.DOUBLE, 3)
-            oprot.writeDouble(self.avoided_seconds)
+        if self.avoided_milliseconds is not None:
+            oprot.writeFieldBegin('avoided_milliseconds', TType.I64, 3)
+            oprot.writeI64(self.avoided_milliseconds)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.I64, 4)
+            oprot.writeI64(self.hosts)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -363,20 +375,27 @@
         return not (self == other)
 
 
-class LoadBatch(object):
+class LoadTotals(object):
     """
     Attributes:
-     - shares
+     - loads
+     - failures
 
     """
 
     __slots__ = (
-        'shares',
+        'loads',
+        'failures',
     )
 
 
-    def __init__(self, shares=None,):
-        self.shares = shares
+    def __init__(self, loads=None, failures=[
+    ],):
+        self.loads = loads
+        if failures is self.thrift_spec[2][4]:
+            failures = [
+            ]
+        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -389,12 +408,23 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.shares = []
+                    self.loads = []
                     (_etype17, _size14) = iprot.readListBegin()
                     for _i18 in range(_size14):
-                        _elem19 = LoadShare()
+                        _elem19 = EndpointLoad()
                         _elem19.read(iprot)
-                        self.shares.append(_elem19)
+                        self.loads.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.failures = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = EndpointFailure()
+                        _elem25.read(iprot)
+                        self.failures.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -407,12 +437,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LoadBatch')
-        if self.shares is not None:
-            oprot.writeFieldBegin('shares', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter20 in self.shares:
-                iter20.write(oprot)
+        oprot.writeStructBegin('LoadTotals')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter26 in self.loads:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.failures))
+            for iter27 in self.failures:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -441,19 +478,20 @@
 all_structs.append(EndpointLoad)
 EndpointLoad.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (1, TType.I64, 'endpoint', None, None, ),  # 1
     (2, TType.I64, 'requests', None, None, ),  # 2
     (3, TType.I64, 'reads', None, None, ),  # 3
-    (4, TType.DOUBLE, 'read_seconds', None, None, ),  # 4
+    (4, TType.I64, 'read_milliseconds', None, None, ),  # 4
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
-    (6, TType.DOUBLE, 'pause_seconds', None, None, ),  # 6
+    (6, TType.I64, 'pause_milliseconds', None, None, ),  # 6
 )
 all_structs.append(EndpointFailure)
 EndpointFailure.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (1, TType.I64, 'endpoint', None, None, ),  # 1
     (2, TType.I64, 'failures', None, None, ),  # 2
-    (3, TType.DOUBLE, 'avoided_seconds', None, None, ),  # 3
+    (3, TType.I64, 'avoided_milliseconds', None, None, ),  # 3
+    (4, TType.I64, 'hosts', None, None, ),  # 4
 )
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
@@ -464,10 +502,12 @@
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
 )
-all_structs.append(LoadBatch)
-LoadBatch.thrift_spec = (
+all_structs.append(LoadTotals)
+LoadTotals.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'shares', (TType.STRUCT, [LoadShare, None], False), None, ),  # 1
+    (1, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 1
+    (2, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
+    ], ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -2,18 +2,19 @@
 namespace py forwarding
 
 struct EndpointLoad {
-  1: string endpoint
+  1: i64 endpoint
   2: i64 requests
   3: i64 reads
-  4: double read_seconds
+  4: i64 read_milliseconds
   5: i64 kv_tokens
-  6: double pause_seconds
+  6: i64 pause_milliseconds
 }
 
 struct EndpointFailure {
-  1: string endpoint
+  1: i64 endpoint
   2: i64 failures
-  3: double avoided_seconds
+  3: i64 avoided_milliseconds
+  4: i64 hosts
 }
 
 struct LoadShare {
@@ -23,6 +24,7 @@
   4: list<EndpointFailure> failures = []
 }
 
-struct LoadBatch {
-  1: list<LoadShare> shares
+struct LoadTotals {
+  1: list<EndpointLoad> loads
+  2: list<EndpointFailure> failures = []
 }
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -11,12 +11,17 @@
 )
 from marjorambridge.forwarding.loads import add_request
 from marjorambridge.forwarding.placement import choose_endpoint
+from marjorambridge.forwarding.state import FailureReport
 
 from .world import make_state, make_work
 
 NONE = frozenset()
 
 
+def report(endpoint, host, failures, seconds, now):
+    take_report(endpoint, host, FailureReport(failures, now + seconds), now)
+
+
 def choose(state, now):
     return choose_endpoint(state, make_work(2_000), NONE, now)
 
@@ -25,7 +30,7 @@
     """Guard against an engine that resets each connection and so looks empty to every host."""
     state = make_state(engines=3)
     failing = choose(state, 1.0)
-    take_report(failing, "h2", 1, 1.0, 1.0)
+    report(failing, "h2", 1, 1.0, 1.0)
     assert choose(state, 1.1) is not failing
     # The reports run out, so that an endpoint that has recovered is found.
     assert choose(state, 2.1) is failing
@@ -37,9 +42,9 @@
     reported, other = state.endpoints.values()
     for _ in range(other.slots):
         add_request(other.load, 0, 1.0)
-    take_report(reported, "h2", 1, 5.0, 1.0)
+    report(reported, "h2", 1, 5.0, 1.0)
     assert choose(state, 1.1) is reported
-    take_report(reported, "h3", 1, 5.0, 1.0)
+    report(reported, "h3", 1, 5.0, 1.0)
     assert choose(state, 1.1) is other
 
 
@@ -49,11 +54,11 @@
     now, spans = 1.0, []
     for number, state in enumerate(states):
         (endpoint,) = state.endpoints.values()
-        spans.append(note_failure(endpoint, now))
+        spans.append(note_failure(endpoint, now, now))
         for other in states:
             if other is not state:
                 (known,) = other.endpoints.values()
-                take_report(known, f"h{number}", endpoint.failures, spans[-1], now)
+                report(known, f"h{number}", endpoint.failures, spans[-1], now)
         now += spans[-1]
     assert spans == [min(2.0**n, defaults.MAX_AVOID_SECONDS) for n in range(4)]
 
@@ -63,7 +68,7 @@
     state = make_state(engines=1)
     (endpoint,) = state.endpoints.values()
     for host in ("h2", "h3"):
-        take_report(endpoint, host, 3, 8.0, 1.0)
+        report(endpoint, host, 3, 8.0, 1.0)
     note_success(endpoint, 1.2)
     assert count_reporters(endpoint, 1.3) == 0
 
@@ -72,7 +77,7 @@
     """Guard against the last answer of an engine that has just begun to refuse connections."""
     state = make_state(engines=1)
     (endpoint,) = state.endpoints.values()
-    note_failure(endpoint, 5.0)
+    note_failure(endpoint, 5.0, 5.0)
     note_success(endpoint, 4.0)
     assert endpoint.avoid_until > 5.0
     note_success(endpoint, 5.5)
@@ -84,9 +89,9 @@
     state = make_state(engines=4)
     endpoints = list(state.endpoints.values())
     for endpoint in endpoints[:2]:
-        note_failure(endpoint, 1.0)
+        note_failure(endpoint, 1.0, 1.0)
     assert list_reportable(state, 1.1) == endpoints[:2]
-    note_failure(endpoints[2], 1.0)
+    note_failure(endpoints[2], 1.0, 1.0)
     assert list_reportable(state, 1.1) == []
 
 
@@ -94,6 +99,20 @@
     """Guard against reports of hosts that are gone, which would pile up."""
     state = make_state(engines=1)
     (endpoint,) = state.endpoints.values()
-    take_report(endpoint, "h2", 1, 1.0, 1.0)
+    report(endpoint, "h2", 1, 1.0, 1.0)
     drop_old_reports(endpoint, 2.0 + defaults.FAILURE_MEMORY_SECONDS + 0.1)
     assert not endpoint.reports
+
+
+def test_answers_that_break_together_count_as_one_failure():
+    """Guard against a long pause after one reset that ended several answers at once."""
+    state = make_state(engines=1)
+    (endpoint,) = state.endpoints.values()
+    for began_at in (1.0, 2.0, 3.0):
+        note_failure(endpoint, began_at, 5.0)
+    assert endpoint.failures == 1 and endpoint.avoid_until == 5.0 + defaults.AVOID_SECONDS
+    other = make_state(engines=1)
+    (endpoint,) = other.endpoints.values()
+    report(endpoint, "h2", 1, 1.0, 5.0)
+    note_failure(endpoint, 4.0, 5.1)
+    assert endpoint.failures == 1
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -129,7 +129,7 @@
     """Guard against a flapping endpoint that gets every second request, and against losing it."""
     state = make_state(engines=0, plain=3)
     endpoint = state.endpoints["a0"]
-    spans = [note_failure(endpoint, float(n)) for n in range(6)]
+    spans = [note_failure(endpoint, n, float(n)) for n in range(6)]
     assert spans == sorted(spans) and spans[-1] == defaults.MAX_AVOID_SECONDS
     chosen = {choose_endpoint(state, Work("app"), NONE, 6.0).name for _ in range(30)}
     assert "a0" not in chosen
@@ -142,7 +142,7 @@
     state = make_state(engines=0, plain=1)
     endpoint = state.endpoints["a0"]
     endpoint.silent = True
-    note_failure(endpoint, 0.0)
+    note_failure(endpoint, 0.0, 0.0)
     assert choose_endpoint(state, Work("app"), NONE, 0.1) is endpoint
 
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -5,6 +5,12 @@
 
 import anyio
 
+from marjorambridge.forwarding.collection import (
+    COMPLETE_SECONDS,
+    is_complete,
+    note_heard,
+    note_load,
+)
 from marjorambridge.forwarding.health import note_failure
 from marjorambridge.forwarding.loads import (
     LOAD_LIFETIME_SECONDS,
@@ -12,20 +18,38 @@
     add_request,
     compute_borne_pause,
     compute_remaining_reads,
+    count_kv_tokens,
     count_requests,
     drop_old_loads,
 )
+from marjorambridge.forwarding.state import Load
 from marjorambridge.gateway import sharing as sharing_module
+from marjorambridge.gateway.datagrams import make_share, seal
 from marjorambridge.gateway.sharing import (
+    REPEAT_SECONDS,
+    TOTALS_SECONDS,
     LoadSharing,
     choose_relays,
-    make_packet,
+    collect,
     note_change,
+    queue_loads,
+    queue_totals,
     start_sharing,
     take_packet,
 )
 from tests.forwarding.world import make_state
 
+# Bytes of the headers of Ethernet, IP and UDP.
+PACKET_HEADER_BYTES = 46
+# The slowest links of the users' larger deployments.
+SLOW_LINK_BITS_PER_SECOND = 10e6
+
+
+def make_packet(sharing, names, now, for_zone=False):
+    """Return the datagram of a host's load at some endpoints."""
+    share = make_share(sharing.forwarding, sharing.own_host, names, now, for_zone)
+    return seal(sharing.key, share)
+
 
 def make_pair():
     key = b"k" * 32
@@ -73,9 +97,13 @@
     assert {zones[relay] for relay in relays} == {"z1"} and len(relays) > 5
     assert len(choose_relays(sender.forwarding)) == 2
     add_request(sender.forwarding.endpoints["e0"].load, 1, 0.25)
-    share = take_packet(receiver, make_packet(sender, ["e0"], 1.0, for_zone=True), 1.0)
-    assert share.for_zone and share.host == "h1"
-    assert not take_packet(receiver, make_packet(sender, ["e0"], 1.0), 1.0).for_zone
+    receiver.forwarding.hosts = {"h1": "z0", "h2": "z0", "h3": "z0", "h4": "z1"}
+    take_packet(receiver, make_packet(sender, ["e0"], 1.0, for_zone=True), 1.0)
+    passed_on = list(receiver.outbox)
+    assert {host for _, host in passed_on} == {"h1", "h3"}
+    receiver.outbox.clear()
+    take_packet(receiver, passed_on[0][0], 1.0)
+    assert not receiver.outbox
 
 
 def test_loads_travel_in_both_directions_while_others_are_passed_on():
@@ -183,6 +211,9 @@
                     sharing.forwarding.settings, zone=hosts[sharing.own_host]
                 )
                 await start_sharing(sharing, tasks)
+            # The collectors first wait until every host has reported.
+            await anyio.sleep(REPEAT_SECONDS + COMPLETE_SECONDS + 0.3)
+            received.clear()
             for _ in range(20):
                 for sharing in sharings:
                     endpoint = sharing.forwarding.endpoints["e1"]
@@ -198,19 +229,98 @@
     anyio.run(scenario)
 
 
+def make_large_fleet(number):
+    """Return the sharing of one host of 40 in two zones, each with two endpoints."""
+    hosts = {f"10.0.0.{n}:1": f"z{n % 2}" for n in range(40)}
+    own_host = f"10.0.0.{number}:1"
+    sharing = LoadSharing(make_state(engines=2, hosts=(own_host,)), own_host, b"k" * 32)
+    sharing.forwarding.hosts = dict(hosts)
+    settings = sharing.forwarding.settings
+    sharing.forwarding.settings = replace(settings, zone=hosts[own_host])
+    return sharing
+
+
+def deliver(sender, receiver, now):
+    """Hand the datagrams for one host over."""
+    for packet, host in sender.outbox:
+        if host == receiver.own_host:
+            take_packet(receiver, packet, now)
+    sender.outbox.clear()
+
+
+def make_collector():
+    """Return a collector, after it has heard of the others for long enough, and the time."""
+    collector = make_large_fleet(0)
+    now = 100.0
+    while not is_complete(collector.collection, now):
+        note_heard(collector.collection, now)
+        now += 0.5
+    return collector, now
+
+
+def test_totals_of_a_collector_contain_every_host_once():
+    """Guard against loads that are counted twice or lost where totals replace single reports."""
+    collector, now = make_collector()
+    sender, reader = make_large_fleet(2), make_large_fleet(4)
+    for sharing, count in ((collector, 1), (sender, 2), (reader, 3)):
+        load = sharing.forwarding.endpoints["e0"].load
+        for _ in range(count):
+            add_request(load, 10, 0.25)
+            add_read(load, 0.5, now)
+        share = make_share(sharing.forwarding, sharing.own_host, ["e0"], now, for_zone=True)
+        collect(collector, share, now)
+    queue_totals(collector, now)
+    deliver(collector, reader, now)
+    for sharing in (collector, reader):
+        endpoint = sharing.forwarding.endpoints["e0"]
+        assert count_requests(endpoint) == 6 and count_kv_tokens(endpoint) == 60
+        assert abs(compute_remaining_reads(endpoint, now) - 3.0) < 0.01
+        assert compute_borne_pause(endpoint) == 0.25
+
+
+def test_a_new_collector_tells_nothing_before_it_has_heard_all():
+    """Guard against totals that lack most hosts, which make full engines look empty."""
+    collector, sender = make_large_fleet(0), make_large_fleet(2)
+    add_request(sender.forwarding.endpoints["e0"].load, 10, 0.25)
+    share = make_share(sender.forwarding, sender.own_host, ["e0"], 1.0, for_zone=True)
+    collect(collector, share, 1.0)
+    queue_totals(collector, 1.1)
+    assert not collector.outbox
+    note_heard(collector.collection, 2.0)
+    queue_totals(collector, 2.6)
+    assert collector.outbox
+
+
+def test_the_datagrams_of_a_collector_leave_room_on_a_slow_link():
+    """Guard against totals that fill a link of 10 Mbit/s, so that none arrives (trouble-1)."""
+    collector, now = make_collector()
+    collector.forwarding = make_state(engines=78, hosts=("10.0.0.0:1",))
+    collector.forwarding.hosts = {f"10.0.0.{n}:1": "z0" for n in range(27)}
+    sent, seconds = 0, 2.0
+    for step in range(int(seconds / TOTALS_SECONDS)):
+        now += TOTALS_SECONDS
+        # 120 requests a second change the load of an endpoint three times each.
+        for change in range(int(360 * TOTALS_SECONDS)):
+            name = f"e{(step * 31 + change * 7) % 78}"
+            load = Load(6, 2, 0.35, 120_000, [0.25], now)
+            note_heard(collector.collection, now)
+            note_load(collector.collection, f"10.0.0.{change}:1", name, load)
+        queue_totals(collector, now)
+        sent += sum(len(packet) + PACKET_HEADER_BYTES for packet, _ in collector.outbox)
+        collector.outbox.clear()
+    assert sent * 8 / seconds < SLOW_LINK_BITS_PER_SECOND / 2
+
+
 def test_failures_are_told_also_through_a_collector():
     """Guard against hosts of a large fleet that each learn alone that an endpoint fails."""
-    sender, receiver = make_pair()
-    note_failure(sender.forwarding.endpoints["e0"], 10.0)
-    share = take_packet(receiver, make_packet(sender, ["e0"], 10.2, for_zone=True), 100.0)
-    report = receiver.forwarding.endpoints["e0"].reports["h1"]
-    assert report.failures == 1
-    assert abs(report.avoid_until - 100.8) < 0.01
-    third = make_pair()[0]
-    third.own_host = "h3"
-    receiver.forwarding.hosts = dict.fromkeys((f"h{n}" for n in range(40)), "z0")
-    sharing_module.pass_on(receiver, share)
-    sharing_module.queue_collected(receiver)
-    packet = next(packet for packet, host in receiver.outbox if host == "h3")
-    take_packet(third, packet, 100.0)
-    assert third.forwarding.endpoints["e0"].reports["h1"].failures == 1
+    collector, now = make_collector()
+    sender, reader = make_large_fleet(2), make_large_fleet(4)
+    endpoint = sender.forwarding.endpoints["e0"]
+    note_failure(endpoint, now, now)
+    queue_loads(sender, ["e0"], now + 0.2)
+    deliver(sender, collector, now + 0.2)
+    queue_totals(collector, now + 0.2)
+    deliver(collector, reader, now + 0.2)
+    (report,) = reader.forwarding.endpoints["e0"].reports.values()
+    assert report.failures == 1 and report.hosts == 1
+    assert abs(report.avoid_until - endpoint.avoid_until) < 0.01
