Spread short requests over all engines where loads of others are unknown

Change: without news of other hosts for 1.5 s, choose_open opens all engines. Collectors tell an empty total once a second, so that an idle fleet isn't taken for one without news. The test fails without the condition (run).

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -255,6 +255,8 @@
 LARGE_FLEET_HOSTS = 16
 OPEN_ENGINE_MARGIN = 1.3
 OPEN_ENGINE_EXTRA = 3
+# Age in seconds beyond which the loads of other hosts are unknown; they are told once a second.
+LOAD_NEWS_SECONDS = 1.5
 # Slots of an engine that packed short requests leave free.
 PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -78,16 +78,20 @@
     }
     if definition.engine is None or len(state.hosts) <= defaults.LARGE_FLEET_HOSTS:
         return min(usable, key=lambda endpoint: ranks[endpoint.name])
-    return choose_open(state, usable, ranks)
+    return choose_open(state, usable, ranks, now)
 
 
 def choose_open(
-    state: ForwardingState, usable: list[Endpoint], ranks: dict[str, tuple[float, ...]]
+    state: ForwardingState,
+    usable: list[Endpoint],
+    ranks: dict[str, tuple[float, ...]],
+    now: float,
 ) -> Endpoint:
     """Draw one of the engines that are open for short requests, the emptier ones more likely.
 
     In a large fleet many hosts decide on the same news before they hear of one another. If all took
-    the first engine, it would be full while the next one is idle.
+    the first engine, it would be full while the next one is idle. Hosts without news, such as many
+    that have just started at once, can't tell how many engines are needed, and open all of them.
     """
     ranked = sorted(usable, key=lambda endpoint: ranks[endpoint.name])
     best = ranks[ranked[0].name][:2]
@@ -95,6 +99,8 @@
     running = sum(count_requests(endpoint) for endpoint in equal)
     room = max(1, equal[0].slots - defaults.PACKING_RESERVE_SLOTS)
     count = math.ceil(defaults.OPEN_ENGINE_MARGIN * running / room) + defaults.OPEN_ENGINE_EXTRA
+    if now - state.news_at > defaults.LOAD_NEWS_SECONDS:
+        count = len(equal)
     return min(
         equal[:count],
         key=lambda endpoint: (
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -1,5 +1,6 @@
 """Hold what a host knows about the endpoints that it sends requests to."""
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -138,6 +139,8 @@
         Zones that were taken back, with the index of the command that did it.
     hosts : dict of str to str
         All hosts that send requests to the endpoints, this one included, and their zones.
+    news_at : float
+        Monotonic time in seconds when loads of other hosts were last told.
     """
 
     settings: ForwardingSettings
@@ -149,6 +152,7 @@
     drained: frozenset[str] = frozenset()
     restored: dict[str, int] = field(default_factory=dict)
     hosts: dict[str, str] = field(default_factory=dict)
+    news_at: float = -math.inf
     windows: dict[str, RetryWindow] = field(default_factory=dict)
 
 
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -6,6 +6,7 @@
 and pass totals on, because what a host hears would otherwise grow with the traffic of all.
 """
 
+import math
 import time
 from collections import deque
 from dataclasses import dataclass, field
@@ -72,6 +73,8 @@
         when there are too many.
     collection : Collection
         What hosts of a large fleet reported to this one.
+    told_at : float
+        Monotonic time in seconds when this host last told totals.
     """
 
     forwarding: ForwardingState
@@ -80,6 +83,7 @@
     changed: dict[str, None] = field(default_factory=dict)
     outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
     collection: Collection = field(default_factory=Collection)
+    told_at: float = -math.inf
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
 
@@ -230,6 +234,8 @@
     """Take over a host's loads to tell their totals to this zone."""
     collection, by_key = sharing.collection, sharing.forwarding.by_key
     note_heard(collection, now)
+    if is_complete(collection, now):
+        sharing.forwarding.news_at = now
     for told in share.failures:
         if told.endpoint in by_key:
             collection.changed[by_key[told.endpoint].name] = None
@@ -245,6 +251,7 @@
 
 def _take_totals(sharing: LoadSharing, totals: LoadTotals, now: float) -> None:
     by_key = sharing.forwarding.by_key
+    sharing.forwarding.news_at = now
     for told in totals.failures:
         if told.endpoint in by_key:
             take_report(by_key[told.endpoint], TOTAL, read_failure(told, now), now)
@@ -267,12 +274,15 @@
 
 
 def queue_totals(sharing: LoadSharing, now: float) -> None:
-    """Queue the totals that changed for the hosts of this zone."""
+    """Queue the totals that changed for the hosts of this zone; none say that none changed."""
     collection, endpoints = sharing.collection, sharing.forwarding.endpoints
     if not is_complete(collection, now):
         return
     names, collection.changed = list(collection.changed), {}
-    for first in range(0, len(names), MAX_LOADS):
+    if not names and now - sharing.told_at < REPEAT_SECONDS:
+        return
+    sharing.told_at = now
+    for first in range(0, max(1, len(names)), MAX_LOADS):
         loads, failures = [], []
         for name in names[first : first + MAX_LOADS]:
             endpoint = endpoints.get(name)
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -1,5 +1,7 @@
 """Replay the load patterns that the placement of requests answers."""
 
+from collections import Counter
+
 import pytest
 
 from marjorambridge.conf import defaults
@@ -197,3 +199,19 @@
         endpoint = choose_endpoint(state, make_work(5000), NONE, 1.0)
         chosen[endpoint.name] = chosen.get(endpoint.name, 0) + 1
     assert max(chosen.values()) <= 6
+
+
+def test_hosts_without_news_spread_over_all_engines():
+    """Guard against a fleet that restarts and sends all requests to four engines (trouble-1)."""
+    states = [make_state(engines=40, hosts=[f"h{n}" for n in range(40)]) for _ in range(40)]
+    used = Counter()
+    for number, state in enumerate(states):
+        state.generator.seed(number)
+        for _ in range(4):
+            used[send_short(state, 10.0).name] += 1
+    # 160 requests at 40 engines of 8 slots fit if no engine gets more than its slots.
+    assert max(used.values()) <= 8 and len(used) >= 35
+    # With news of a small load, short requests keep to few engines.
+    for state in states:
+        state.news_at = 10.0
+    assert len({send_short(state, 10.0).name for state in states}) <= 20
