--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -187,9 +187,9 @@
     if head is None:
         result.detail = "there is no answer"
     elif head.misdirected:
-        result.ending = Ending.MISDIRECTED
+        result.ending, result.detail = Ending.MISDIRECTED, head.endpoint_at_fault
     elif head.not_run:
-        result.ending = Ending.NOT_RUN
+        result.ending, result.detail = Ending.NOT_RUN, head.endpoint_at_fault
     elif head.status in SUCCESS and not head.is_signed:
         result.detail = "the answer has no signature"
     elif head.status in SERVER_ERRORS:
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -95,6 +95,9 @@
         Whether another endpoint than the wanted one answered.
     is_event_stream : bool
         Whether the body is a series of events.
+    endpoint_at_fault : str
+        Name or address of the endpoint because of which the request could not run, which may be
+        one that was to help; empty if the answer names none.
     """
 
     status: int
@@ -104,6 +107,7 @@
     not_run: bool = False
     misdirected: bool = False
     is_event_stream: bool = False
+    endpoint_at_fault: str = ""
 
 
 @dataclass(slots=True)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -365,8 +365,12 @@
     now = time.monotonic()
     ending = result.ending
     note_ending(transit.progress, ending)
-    transit.excluded.add(endpoint.name)
     transit.endings.append(f"{endpoint.name}:{ending.value}")
+    helper = find_helper_at_fault(transit.helpers, result.head)
+    if helper is not None:
+        _learn_of_helper(transit, helper, ending, now)
+        return
+    transit.excluded.add(endpoint.name)
     if ending is Ending.COMPLETE:
         note_success(endpoint, transit.attempt_began_at)
         return
@@ -387,6 +391,34 @@
     ).info("an attempt did not complete")
 
 
+def find_helper_at_fault(helpers: list[Endpoint], head: AnswerHead | None) -> Endpoint | None:
+    """Return the helper that an answer names as the cause, or None if it names none of them."""
+    if head is None or not head.endpoint_at_fault:
+        return None
+    for helper in helpers:
+        if head.endpoint_at_fault in (helper.name, helper.address):
+            return helper
+    return None
+
+
+def _learn_of_helper(transit: Transit, helper: Endpoint, ending: Ending, now: float) -> None:
+    """Avoid a helper because of which the chosen endpoint could not run the request."""
+    transit.excluded.add(helper.name)
+    avoided = 0.0
+    if ending is Ending.MISDIRECTED:
+        note_gone(helper)
+    else:
+        avoided = note_failure(helper, transit.attempt_began_at, now)
+        transit.gateway.share_load(helper)
+    logger.bind(
+        request=transit.request.request_id,
+        endpoint=helper.name,
+        address=helper.address,
+        reason=ending.value,
+        avoided_seconds=round(avoided, 3),
+    ).info("a helper kept a prompt from being read")
+
+
 # Answers.
 
 
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -27,6 +27,8 @@
 # The MAC of an endpoint over its answer.
 SIGNATURE = b"x-instance-signature"
 NOT_RUN = b"x-not-executed"
+# The endpoint because of which a request could not run, not the one that answers.
+ENDPOINT_AT_FAULT = b"at-server"
 
 ORDER_TARGET = b"/api/order"
 MISDIRECTED_STATUS = 421
@@ -168,6 +170,7 @@
         not_run=NOT_RUN in values,
         misdirected=status == MISDIRECTED_STATUS,
         is_event_stream=values.get(b"content-type", b"").startswith(b"text/event-stream"),
+        endpoint_at_fault=values.get(ENDPOINT_AT_FAULT, b"").decode("latin-1"),
     )
 
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,10 +1,13 @@
 """Guard what callers get when endpoints answer well, badly, twice or not at all."""
 
+from dataclasses import replace
+
 import anyio
 import pytest
 
 from marjorambridge.gateway.callers import close_idle, stop_listening
-from marjorambridge.manifests.models import Execution
+from marjorambridge.manifests.models import Execution, ServiceDefinition
+from tests.forwarding.world import PROFILE
 
 from .helpers import (
     SIGNED,
@@ -369,3 +372,44 @@
             assert find_header(data.partition(b"\r\n\r\n")[0], b"connection") == b"close"
 
     anyio.run(scenario)
+
+
+ENGINES = replace(
+    make_manifest(Execution.IDEMPOTENT, attempts=2, resumable=False),
+    services=(ServiceDefinition("svc", engine=PROFILE),),
+)
+LONG_PROMPT = b"X-Token-Usage: 154000,100\r\n"
+
+
+@pytest.mark.parametrize("names_address", [True, False])
+def test_a_prompt_is_read_without_the_helper_that_failed(names_address):
+    """Guard against a dead helper that keeps every long prompt from being read (trouble-1)."""
+    at_fault = []
+
+    async def refuse_because_of_helper(endpoint, stream, head):
+        helpers = find_header(head, b"x-helpers").split(b",")
+        if not at_fault:
+            at_fault.append(helpers[0])
+        if at_fault[0] not in helpers:
+            await answer_whole(b"ok")(endpoint, stream, head)
+            return
+        named = at_fault[0] if names_address else find_name(at_fault[0])
+        headers = b"X-Not-Executed: 1\r\nContent-Length: 0\r\nAt-Server: " + named + b"\r\n"
+        await answer(b"503 Unavailable", headers, b"")(endpoint, stream, head)
+
+    def find_name(address):
+        port = int(address.rpartition(b":")[2])
+        return next(e.name for e in world_endpoints if e.port == port).encode()
+
+    world_endpoints = []
+
+    async def scenario():
+        async with run_world(ENGINES, *[refuse_because_of_helper] * 16) as world:
+            world_endpoints.extend(world.endpoints)
+            data = await call(world, make_request(extra=LONG_PROMPT))
+            assert (get_status(data), read_body(data)) == (200, b"ok")
+            address = at_fault[0].decode()
+            for endpoint in world.gateway.forwarding.endpoints.values():
+                assert (endpoint.avoid_until > 0) == (endpoint.address == address)
+
+    run(scenario)
