Draw the readers of a long prompt by lot in a large fleet

Cause: all hosts rank idle engines in the same order, so that long prompts that arrive within the time that news takes are read by the same engines.

Change: fleets of more than 16 hosts draw the readers among 60% of the idle engines; the rest stays free for short requests.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -255,6 +255,9 @@
 LARGE_FLEET_HOSTS = 16
 OPEN_ENGINE_MARGIN = 1.3
 OPEN_ENGINE_EXTRA = 3
+# Share of the idle engines among which a host of such a fleet draws the readers of a long prompt;
+# the others are left to short requests.
+LONG_CHOICE_RATIO = 0.6
 # Age in seconds beyond which the loads of other hosts are unknown; they are told once a second.
 LOAD_NEWS_SECONDS = 1.5
 # Slots of an engine that packed short requests leave free.
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -6,6 +6,7 @@
 engines without short answers, and take as many of them as their objective needs.
 """
 
+import math
 from dataclasses import dataclass
 
 from marjorambridge.conf import defaults
@@ -57,6 +58,8 @@
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
     waits = [_measure(endpoint, now) for endpoint in free[len(reserved) :]]
     waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
+    if len(state.hosts) > defaults.LARGE_FLEET_HOSTS:
+        _shuffle_idle(state, waits)
     chosen = (
         _fit(waits, work, defaults.LONG_READ_RATIO * work.objective_seconds)
         or _fit(waits, work, defaults.LATE_READ_RATIO * work.objective_seconds)
@@ -75,6 +78,16 @@
     pause: float
 
 
+def _shuffle_idle(state: ForwardingState, waits: list[Wait]) -> None:
+    """Mix the first idle engines, so that hosts which decide on the same news choose others.
+
+    Engines further down stay free of long prompts, for the short requests that follow.
+    """
+    idle = [wait for wait in waits if wait.seconds <= IDLE_SECONDS]
+    count = math.ceil(len(idle) * defaults.LONG_CHOICE_RATIO)
+    waits[:count] = state.generator.sample(waits[:count], count)
+
+
 def _measure(endpoint: Endpoint, now: float) -> Wait:
     return Wait(endpoint, compute_remaining_reads(endpoint, now), compute_borne_pause(endpoint))
 
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -215,3 +215,18 @@
     for state in states:
         state.news_at = 10.0
     assert len({send_short(state, 10.0).name for state in states}) <= 20
+
+
+def test_hosts_that_decide_at_once_choose_different_readers():
+    """Guard against long prompts of one moment that all wait at the same engines (trouble-2)."""
+    work, shared, chosen = make_work(220_000, 4.0, 1.0), 0, 0
+    for seed in range(20):
+        names = []
+        for number in range(2):
+            state = make_state(engines=78, hosts=[f"h{n}" for n in range(40)])
+            state.generator.seed(2 * seed + number)
+            names.append({reader.name for reader in choose_readers(state, work, NONE, 1.0)})
+        shared += len(names[0] & names[1])
+        chosen += len(names[0])
+    # Most readers of a prompt begin at once, though another host decides in the same moment.
+    assert shared < chosen / 2
