Open cold engines to short requests before the warm ones are full

Cause: choose_open drew among engines of the best rank only. Ruled out: missing news (gateways told totals throughout).

Change: cold engines follow the warm ones in the order in which engines are opened, so that they take part when the running requests need them.

--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -92,17 +92,20 @@
     In a large fleet many hosts decide on the same news before they hear of one another. If all took
     the first engine, it would be full while the next one is idle. Hosts without news, such as many
     that have just started at once, can't tell how many engines are needed, and open all of them.
+    Cold engines, which take few requests a second from each host, follow the warm ones: a burst
+    while many engines restart would otherwise queue at the warm ones.
     """
     ranked = sorted(usable, key=lambda endpoint: ranks[endpoint.name])
     best = ranks[ranked[0].name][:2]
-    equal = [endpoint for endpoint in ranked if ranks[endpoint.name][:2] == best]
-    running = sum(count_requests(endpoint) for endpoint in equal)
-    room = max(1, equal[0].slots - defaults.PACKING_RESERVE_SLOTS)
+    allowed = (best, (Doubt.NONE, False), (Doubt.COLD, False))
+    candidates = [endpoint for endpoint in ranked if ranks[endpoint.name][:2] in allowed]
+    running = sum(count_requests(endpoint) for endpoint in candidates)
+    room = max(1, candidates[0].slots - defaults.PACKING_RESERVE_SLOTS)
     count = math.ceil(defaults.OPEN_ENGINE_MARGIN * running / room) + defaults.OPEN_ENGINE_EXTRA
     if now - state.news_at > defaults.LOAD_NEWS_SECONDS:
-        count = len(equal)
+        count = len(candidates)
     return min(
-        equal[:count],
+        candidates[:count],
         key=lambda endpoint: (
             ranks[endpoint.name][2],
             count_requests(endpoint) + state.generator.random() * room,
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -230,3 +230,25 @@
         chosen += len(names[0])
     # Most readers of a prompt begin at once, though another host decides in the same moment.
     assert shared < chosen / 2
+
+
+def test_a_burst_uses_cold_engines_before_warm_ones_are_full():
+    """Guard against queues at warm engines while restarted ones are idle (trouble-1)."""
+    hosts = [f"h{n}" for n in range(40)]
+    state = make_state(engines=30, hosts=hosts, rate=100.0, cold_allowance=100.0)
+    cold = list(state.endpoints.values())[:15]
+    for endpoint in cold:
+        endpoint.cold_until = 20.0
+    state.news_at = 10.0
+    used = Counter()
+    for _ in range(6 * 15):
+        used[send_short(state, 10.0).name] += 1
+        finish_reads(state)
+    assert sum(used[endpoint.name] for endpoint in cold) > 0
+    assert max(used.values()) < cold[0].slots
+    # A small load keeps to warm engines.
+    calm = make_state(engines=30, hosts=hosts, rate=100.0, cold_allowance=100.0)
+    calm.news_at = 10.0
+    for endpoint in list(calm.endpoints.values())[:15]:
+        endpoint.cold_until = 20.0
+    assert all(send_short(calm, 10.0).cold_until == 0.0 for _ in range(12))
