Avoid an endpoint for 0.4 s that refused a request

Change: a refusal makes the host prefer others for 0.4 s, and tells the other hosts; it lengthens no later pause. Engines that are merely full recover within that time.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -197,6 +197,9 @@
 # Time in seconds for which an endpoint is avoided after its first failure, and at most.
 AVOID_SECONDS = 1.0
 MAX_AVOID_SECONDS = 8.0
+# Time in seconds for which an endpoint is avoided that refused a request; a slot becomes free in
+# less, and news of the loads of others arrive twice.
+REFUSED_SECONDS = 0.4
 # Time in seconds after which a failure no longer counts.
 FAILURE_MEMORY_SECONDS = 20.0
 # Share of a service's endpoints beyond which a host's failures are more likely its own, and number
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -41,6 +41,16 @@
     return seconds
 
 
+def note_refusal(endpoint: Endpoint, now: float) -> float:
+    """Avoid an endpoint for a moment that refused a request; return for how long.
+
+    It is fuller than this host knows, or it refuses everything, at once, and would look empty.
+    """
+    endpoint.failed_at = now
+    endpoint.avoid_until = max(endpoint.avoid_until, now + defaults.REFUSED_SECONDS)
+    return endpoint.avoid_until - now
+
+
 def note_gone(endpoint: Endpoint) -> None:
     """Note that another endpoint answered at the address."""
     endpoint.gone = True
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -23,7 +23,7 @@
 )
 from marjorambridge.forwarding.budgets import note_request, note_sent, take_retry
 from marjorambridge.forwarding.costs import compute_read_seconds
-from marjorambridge.forwarding.health import note_failure, note_gone, note_success
+from marjorambridge.forwarding.health import note_failure, note_gone, note_refusal, note_success
 from marjorambridge.forwarding.loads import add_read, add_request, finish_read, remove_request
 from marjorambridge.forwarding.placement import Work, choose_endpoint
 from marjorambridge.forwarding.reservations import needs_reservations, plan_shares
@@ -380,6 +380,9 @@
     elif ending in SUSPICIOUS:
         avoided = note_failure(endpoint, transit.attempt_began_at, now)
         transit.gateway.share_load(endpoint)
+    elif ending is Ending.NOT_RUN:
+        avoided = note_refusal(endpoint, now)
+        transit.gateway.share_load(endpoint)
     logger.bind(
         request=transit.request.request_id,
         endpoint=endpoint.name,
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -6,6 +6,7 @@
     drop_old_reports,
     list_reportable,
     note_failure,
+    note_refusal,
     note_success,
     take_report,
 )
@@ -116,3 +117,19 @@
     report(endpoint, "h2", 1, 1.0, 5.0)
     note_failure(endpoint, 4.0, 5.1)
     assert endpoint.failures == 1
+
+
+def test_an_endpoint_that_refuses_all_requests_attracts_no_more_of_them():
+    """Guard against a leaving engine that refuses at once and so looks empty (trouble-1)."""
+    state = make_state(engines=3)
+    refusing = choose(state, 1.0)
+    note_refusal(refusing, 1.0)
+    # An answer that was under way does not make it look well.
+    note_success(refusing, 0.5)
+    assert choose(state, 1.1) is not refusing
+    assert choose(state, 1.0 + defaults.REFUSED_SECONDS + 0.1) is refusing
+    # Refusals in a row are no failures, which would lengthen the pause.
+    for _ in range(5):
+        note_refusal(refusing, 2.0)
+    assert refusing.failures == 0
+    assert refusing.avoid_until == 2.0 + defaults.REFUSED_SECONDS
