Poll more often while a host has no manifest

It polled every 0.5 s, waited 1.1 s for a silent replica, and ignored the other replicas' word that they are current. All callers wait meanwhile.

Change: a host without a manifest polls every 0.15 s, leaves a silent replica after 0.4 s, and follows the first one that says it is current.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -177,6 +177,9 @@
 # Two polls without an answer, so that a host has found another replica before three seconds.
 FEED_PATIENCE_SECONDS = 1.1
 FEED_AVOID_SECONDS = 3.0
+# The same while a host has no manifest yet; a poll without an answer costs a few hundred bytes.
+FEED_FIRST_POLL_SECONDS = 0.15
+FEED_FIRST_PATIENCE_SECONDS = 0.4
 FEED_LOST_SECONDS = 2.0
 # A restarted host serves from a replica that may be old only after this time, because it would
 # otherwise serve nothing while the replicas have no leader.
--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -96,14 +96,19 @@
 
 
 def _poll(state: FollowerState, now: float) -> list[Effect]:
-    effects: list[Effect] = [SetTimer(POLL, now + defaults.FEED_POLL_SECONDS)]
+    # After a loss of the whole fleet, hosts start before the replicas have a leader; callers wait
+    # until a host has its first manifest.
+    is_first = state.version == 0
+    interval = defaults.FEED_FIRST_POLL_SECONDS if is_first else defaults.FEED_POLL_SECONDS
+    patience = defaults.FEED_FIRST_PATIENCE_SECONDS if is_first else defaults.FEED_PATIENCE_SECONDS
+    effects: list[Effect] = [SetTimer(POLL, now + interval)]
     silence = now - state.answered_at
     if not state.is_lost and silence > defaults.FEED_LOST_SECONDS:
         state.is_lost = True
         effects.append(Publish(FeedLost(now, silence)))
     replica = state.replicas.get(state.chosen)
     heard_at = max(replica.answered_at, state.chosen_at) if replica else 0.0
-    if replica is None or now - heard_at > defaults.FEED_PATIENCE_SECONDS:
+    if replica is None or now - heard_at > patience:
         if replica is not None:
             replica.avoid_until = now + defaults.FEED_AVOID_SECONDS
         _choose(state, now)
@@ -141,6 +146,9 @@
     if update.members:
         state.members = update.members
         state.zone_of.update(zip(update.members, update.member_zones, strict=True))
+    if state.version == 0 and update.current and sender != state.chosen:
+        # Replicas tell all followers when they become current; the first one will do.
+        state.chosen, state.chosen_at = sender, now
     if sender != state.chosen:
         return []
     state.answered_at = now
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from marjorambridge.conf import defaults
 from marjorambridge.control.commands import (
     DrainZone,
     ReadBarrier,
@@ -117,6 +118,31 @@
         }
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_hosts_without_a_manifest_follow_the_first_replica_that_is_current(seed):
+    """Guard against hosts that poll too rarely while all callers wait for a first manifest."""
+    fleet = make_fleet(gateways=6, seed=seed)
+    fleet.submit("r0", ReplaceManifest("a", 2, b"two"))
+    fleet.run(1.0)
+    for name in list(fleet.hosts):
+        fleet.kill(name)
+    fleet.run(1.0)
+    gateways = [name for name in fleet.hosts if name.startswith("g")]
+    for name in gateways:
+        fleet.start(name)
+    # Replicas take longer to start.
+    fleet.run(0.45)
+    for name in fleet.hosts:
+        if name not in gateways:
+            fleet.start(name)
+    replicas = [name for name in fleet.hosts if name not in gateways]
+    while not any(fleet.control(name).is_leader for name in replicas):
+        fleet.run(0.01)
+    # Two polls, and a round trip.
+    fleet.run(2 * defaults.FEED_FIRST_POLL_SECONDS + 0.05)
+    assert {fleet.known_version(gateway) for gateway in gateways} == {2}
+
+
 def test_a_replica_at_a_new_address_takes_the_place_of_one_that_is_gone():
     """Guard against a group that counts a lost member for ever and stops at the next loss."""
     fleet = make_fleet()
