Send no manifest that a host would not take

Cause: since hosts without a manifest poll every 0.15 s, replicas without a leader sent each of them the whole manifest each time, and the hosts dropped it.

Change: a poll says whether the host takes a manifest of a replica that is not current.

--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -116,7 +116,14 @@
         return effects
     replica = state.replicas[state.chosen]
     state.serial += 1
-    poll = FeedPoll(state.serial, replica.incarnation, replica.revision, state.version, state.zone)
+    poll = FeedPoll(
+        state.serial,
+        replica.incarnation,
+        replica.revision,
+        state.version,
+        state.zone,
+        may_be_old=not _waits_for_current(state, now),
+    )
     effects.append(SendMessage(state.chosen, poll))
     return effects
 
@@ -170,15 +177,21 @@
     return effects
 
 
+def _waits_for_current(state: FollowerState, now: float) -> bool:
+    """Return whether a manifest of a replica that is not current is refused.
+
+    A host that knows nothing must not begin with a manifest that was replaced long ago, unless
+    nobody can tell it the present one.
+    """
+    return state.version == 0 and now - state.started_at < defaults.FEED_FIRST_SECONDS
+
+
 def _pass_on(state: FollowerState, update: FeedUpdate, follows: bool, now: float) -> list[Effect]:
-    # A host that knows nothing must not begin with a manifest that was replaced long ago, unless
-    # nobody can tell it the present one.
-    may_be_old = not update.current and state.version == 0
-    is_early = now - state.started_at < defaults.FEED_FIRST_SECONDS
+    is_refused = not update.current and _waits_for_current(state, now)
     # A replica that has not noticed the restart of this host tells changes only; the manifest would
     # come without the endpoints that serve it.
     lacks_endpoints = not follows and state.version == 0
-    if (may_be_old and is_early) or lacks_endpoints or update.version <= state.version:
+    if is_refused or lacks_endpoints or update.version <= state.version:
         update.document = b""
     if update.document:
         state.version = update.version
--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -87,6 +87,8 @@
         Version of the manifest that the host holds.
     zone : str
         Availability zone of the host.
+    may_be_old : bool
+        Whether the host also takes a manifest of a replica that is not current.
     """
 
     serial: int
@@ -94,6 +96,7 @@
     revision: int
     version: int
     zone: str
+    may_be_old: bool = True
 
 
 @dataclass(slots=True)
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -88,6 +88,8 @@
         Revision of the endpoint table up to which the host was told; -1 for nothing.
     index, version : int
         Last control index and manifest version that were sent.
+    may_be_old : bool
+        Whether the host also takes a manifest of a replica that is not current.
     hosts : tuple of str
         Hosts that were named last.
     """
@@ -97,6 +99,7 @@
     revision: int = -1
     index: int = -1
     version: int = 0
+    may_be_old: bool = True
     current: bool = False
     hosts: tuple[str, ...] = ()
 
@@ -449,7 +452,7 @@
         follower = state.followers[host] = Follower(now, poll.zone)
     follower.polled_at = now
     follower.revision = poll.revision if poll.incarnation == state.incarnation else -1
-    follower.version = poll.version
+    follower.version, follower.may_be_old = poll.version, poll.may_be_old
     effects: list[Effect] = [_make_update(state, host, follower, poll.serial, now)]
     if is_new:
         effects += _push(state, now)
@@ -470,7 +473,9 @@
     state: ReplicaControl, host: str, follower: Follower, serial: int, now: float
 ) -> SendMessage:
     table, control = state.table, state.control
-    has_news = control.version > follower.version
+    # Manifests of large fleets take most of the bytes between zones; none is sent in vain.
+    is_wanted = follower.may_be_old or _is_current(state, now)
+    has_news = control.version > follower.version and is_wanted
     changed = tuple(
         _describe(known, now)
         for known in table.endpoints.values()
@@ -505,7 +510,9 @@
         host_zones=tuple(hosts[name] for name in told),
     )
     follower.revision, follower.index = table.revision, control.index
-    follower.version, follower.current = max(control.version, follower.version), update.current
+    if has_news:
+        follower.version = control.version
+    follower.current = update.current
     return SendMessage(host, update)
 
 
--- a/marjorambridge/wire/gen/control/ttypes.py
+++ b/marjorambridge/wire/gen/control/ttypes.py
@@ -627,6 +627,7 @@
      - revision
      - version
      - zone
+     - may_be_old
 
     """
 
@@ -636,15 +637,17 @@
         'revision',
         'version',
         'zone',
+        'may_be_old',
     )
 
 
-    def __init__(self, serial=None, incarnation=None, revision=None, version=None, zone=None,):
+    def __init__(self, serial=None, incarnation=None, revision=None, version=None, zone=None, may_be_old=True,):
         self.serial = serial
         self.incarnation = incarnation
         self.revision = revision
         self.version = version
         self.zone = zone
+        self.may_be_old = may_be_old
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -680,6 +683,11 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.may_be_old = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -710,6 +718,10 @@
             oprot.writeFieldBegin('zone', TType.STRING, 5)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
+        if self.may_be_old is not None:
+            oprot.writeFieldBegin('may_be_old', TType.BOOL, 6)
+            oprot.writeBool(self.may_be_old)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1120,6 +1132,7 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.I64, 'version', None, None, ),  # 4
     (5, TType.STRING, 'zone', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'may_be_old', None, True, ),  # 6
 )
 all_structs.append(FeedUpdate)
 FeedUpdate.thrift_spec = (
--- a/marjorambridge/wire/idl/control.thrift
+++ b/marjorambridge/wire/idl/control.thrift
@@ -44,6 +44,7 @@
   3: i64 revision
   4: i64 version
   5: string zone
+  6: bool may_be_old = true
 }
 
 struct FeedUpdate {
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -10,6 +10,7 @@
     RestoreZone,
     RetireEndpoint,
 )
+from marjorambridge.control.messages import FeedUpdate
 
 from .fleet import Fleet
 
@@ -281,3 +282,25 @@
         first = next((n for n in fleet.updates("g0") if n.update.document), None)
         if first is not None:
             assert first.has_endpoints and first.update.changed
+
+
+def test_replicas_send_no_manifest_that_a_host_would_not_take(monkeypatch):
+    """Guard against a large manifest in each answer while a restarted fleet has no leader."""
+    fleet = make_fleet(gateways=6)
+    fleet.submit("r0", ReplaceManifest("a", 2, b"two"))
+    fleet.run(1.0)
+    for name in list(fleet.hosts):
+        fleet.kill(name)
+    fleet.run(1.0)
+    sent = []
+    push = fleet.push
+    monkeypatch.setattr(
+        fleet, "push", lambda *args: (sent.append((fleet.now, args[-1])), push(*args))[1]
+    )
+    for name in fleet.hosts:
+        fleet.start(name)
+    fleet.run(2.0)
+    updates = [content for _, content in sent if isinstance(content, FeedUpdate)]
+    assert updates and all(update.current for update in updates if update.document)
+    # Each host needs one copy, and may ask a second time while the first one is under way.
+    assert sum(bool(update.document) for update in updates) <= 2 * 6
