--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -29,10 +29,22 @@
     until: float = 0.0
     disturbed_at: float = 0.0
     stopped: bool = False
+    has_bad_settings: bool = False
+
+    @property
+    def settings_path(self) -> Path:
+        return self.folder / "node.json"
+
+    def write_settings(self, text: str) -> None:
+        """Replace the settings file in place, as an operator's editor does, and say so twice."""
+        self.settings_path.write_text(text)
+        self.send(signal.SIGHUP)
+        self.send(signal.SIGHUP)
 
     def start(self) -> None:
-        path = self.folder / "node.json"
+        path = self.settings_path
         path.write_text(json.dumps(self.settings))
+        self.has_bad_settings = False
         log = self.folder / f"log-{len(self.logs)}"
         self.logs.append(log)
         environment = {"PATH": os.environ["PATH"], "MARJORAMBRIDGE_NODE_FILE": str(path)}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,9 @@
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 5.0
 CATCH_UP_SECONDS = 4.0
+START_SECONDS = 2.0
+# What an operator may leave in a settings file by mistake; a running process must bear it.
+BAD_SETTINGS = ("", "{", "[1]", '{"seeds": 7}', "\x00\xff")
 MODES = ("delay", "reset", "silent", "cut-in", "cut-out")
 PATHS = {"/once/": "mutating", "/any/": "idempotent", "/stream/": "streaming"}
 
@@ -208,6 +211,24 @@
                 soak.fail(f"{identifier} ran in a drained zone")
 
 
+async def run_settings(soak: Soak) -> None:
+    """Break settings files of running processes and mend them, with signals in series."""
+    # A generator of its own leaves the other faults of a seed as they are.
+    generator = random.Random(f"settings-{soak.seed}")
+    while True:
+        await anyio.sleep(generator.uniform(0.5, 2.0))
+        process = generator.choice(soak.processes)
+        if process.child is None or process.until:
+            continue
+        # A process may end because of bad settings while it starts, but not because of a signal.
+        is_young = time.monotonic() - process.disturbed_at < START_SECONDS
+        process.has_bad_settings = not process.has_bad_settings and not is_young
+        good = process.settings | {"seeds": generator.sample(process.settings["seeds"], 3)}
+        text = generator.choice(BAD_SETTINGS) if process.has_bad_settings else json.dumps(good)
+        soak.note(f"settings {process.name} {text[:12]!r}")
+        process.write_settings(text)
+
+
 async def run_faults(soak: Soak) -> None:
     """Inject one fault after the other; at most one replica is away at a time."""
     while True:
@@ -319,6 +340,7 @@
                 for _ in range(2 * gateways):
                     work.start_soon(run_caller, soak)
                 work.start_soon(run_faults, soak)
+                work.start_soon(run_settings, soak)
                 await anyio.sleep(seconds)
                 work.cancel_scope.cancel()
             await check_end(soak)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,8 @@
 # 107: the stand-in sent the rest of one answer within the length of another (the soak's fault).
 # 108: two replicas lost their disks within the time that one needs to catch up, and later requests
 #      counted as held at a gateway that had been stopped meanwhile (both the soak's fault).
-SEEDS = (107, 108)
+# 301: a change of the settings file ended a gateway that was starting, before it handled signals.
+SEEDS = (107, 108, 301)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
