Check placement on random deployments

Sixty seeded deployments with 1 to 5 zones, 1 to 120 gateways and 1 to 200 engines in random trouble: a request is placed if and only if an endpoint may be used and started, readers of long prompts are distinct, usable and trusted, and Retry-After keeps its bounds.

--- /dev/null
+++ b/tests/forwarding/test_sites.py
@@ -0,0 +1,93 @@
+"""Check decisions on random deployments, since users run ones that nobody here has seen."""
+
+import random
+
+import pytest
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.fleet import apply_entry
+from marjorambridge.forwarding.health import note_failure, note_gone, note_refusal, take_report
+from marjorambridge.forwarding.loads import add_read, add_request
+from marjorambridge.forwarding.placement import (
+    Doubt,
+    can_start,
+    choose_endpoint,
+    compute_doubt,
+    count_requests,
+    is_usable,
+)
+from marjorambridge.forwarding.returns import estimate_return_seconds
+from marjorambridge.forwarding.splitting import choose_readers
+from marjorambridge.forwarding.state import FailureReport, Load
+
+from .world import make_entry, make_state, make_work
+
+NOW = 50.0
+
+
+def make_site(seed):
+    """Return a host's state on a random deployment, in the middle of random trouble."""
+    draw = random.Random(seed)
+    zones = [f"z{n}" for n in range(draw.randint(1, 5))]
+    hosts = [f"h{n}" for n in range(draw.choice((1, 2, 8, 16, 17, 40, 120)))]
+    state = make_state(
+        engines=0, hosts=hosts, rate=draw.choice((0.0, 3.0, 50.0)), cold_allowance=5.0
+    )
+    state.hosts = {host: draw.choice(zones) for host in hosts}
+    state.generator.seed(seed)
+    state.news_at = NOW - draw.choice((0.0, 1.0, 5.0))
+    for number in range(draw.choice((1, 3, 20, 78, 200))):
+        entry = make_entry(f"e{number}", "model", draw.choice(zones), number)
+        apply_entry(state, entry, 0.0)
+        disturb(state, state.endpoints[entry.endpoint], draw)
+    if draw.random() < 0.2:
+        state.drained = frozenset({draw.choice(zones)})
+    return state, draw
+
+
+def disturb(state, endpoint, draw):
+    """Put an endpoint into a random condition."""
+    endpoint.slots = draw.choice((1, 6, 12))
+    endpoint.silent = draw.random() < 0.1
+    endpoint.leaving = draw.random() < 0.1
+    endpoint.cold_until = NOW + 3.0 if draw.random() < 0.2 else 0.0
+    for _ in range(draw.randint(0, endpoint.slots + 2)):
+        add_request(endpoint.load, draw.randint(1, 60_000), draw.choice((0.25, 1.0)))
+    if draw.random() < 0.3:
+        add_read(endpoint.load, draw.uniform(0.0, 4.0), NOW - draw.random())
+    if draw.random() < 0.5:
+        endpoint.other_loads["total"] = Load(draw.randint(0, 9), 1, 0.3, 9_000, [0.25], NOW)
+    if draw.random() < 0.2:
+        note_failure(endpoint, NOW - 0.5, NOW - 0.4)
+    if draw.random() < 0.2:
+        note_refusal(endpoint, NOW - draw.random())
+    if draw.random() < 0.05:
+        note_gone(endpoint)
+    for host in range(draw.choice((0, 0, 1, 4))):
+        take_report(endpoint, f"h{host}", FailureReport(1, NOW + draw.random()), NOW)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_decisions_hold_on_any_deployment(seed):
+    """Guard against a refusal with usable endpoints, and against endpoints that may not be used."""
+    state, draw = make_site(seed)
+    definition = state.table.services["model"]
+    endpoints = list(state.endpoints.values())
+    excluded = frozenset(e.name for e in endpoints if draw.random() < 0.05)
+    allowed = {
+        endpoint.name
+        for endpoint in endpoints
+        if is_usable(state, endpoint, excluded) and can_start(state, definition, endpoint, NOW)
+    }
+    for _ in range(10):
+        chosen = choose_endpoint(state, make_work(draw.randint(1, 9_000)), excluded, NOW)
+        assert (chosen is not None) == bool(allowed)
+        assert chosen is None or chosen.name in allowed
+    work = make_work(draw.randint(60_000, 700_000), draw.uniform(1.0, 6.0), 1.0)
+    readers = choose_readers(state, work, excluded, NOW)
+    assert len({reader.name for reader in readers}) == len(readers) <= defaults.MAX_HELPERS + 1
+    for reader in readers:
+        doubt = compute_doubt(definition, reader, work, count_requests(reader), NOW)
+        assert is_usable(state, reader, excluded) and doubt in (Doubt.NONE, Doubt.FULL)
+    seconds = estimate_return_seconds(state, work, NOW)
+    assert defaults.MIN_RETURN_SECONDS <= seconds <= defaults.MAX_RETURN_SECONDS
