Have zones tell one another their totals instead of each host's loads

Now a host reports to its own zone, and one collector of a zone tells the other zones the total of its own, every 80 ms at most; the second one takes over when the first is silent. A collector also counted a failure twice that the other collector passed on.

--- a/marjorambridge/forwarding/collection.py
+++ b/marjorambridge/forwarding/collection.py
@@ -2,7 +2,8 @@
 
 The load pattern is a burst on a fleet of many hosts: each request changes the load of an endpoint
 three times. If every host heard each change of every other one, the datagrams would fill the links
-just when placement needs them most; totals don't grow with the number of hosts.
+just when placement needs them most; totals don't grow with the number of hosts. Bytes between zones
+are dear, so that a host reports to its own zone only, and zones tell one another their totals.
 """
 
 import math
@@ -14,6 +15,8 @@
 COMPLETE_SECONDS = 1.5
 # A collection that heard nothing for this long, in seconds, begins anew; idle hosts report too.
 SILENCE_SECONDS = 1.5
+# Names under which the totals of other zones stand beside the loads of single hosts.
+ZONE_PREFIX = "zone/"
 
 
 @dataclass(slots=True)
@@ -23,15 +26,18 @@
     Attributes
     ----------
     loads : dict of str to dict of str to Load
-        Loads by endpoint and by host, this one included.
+        Loads by endpoint and by host, this one included, and by other zone.
     changed : dict of str to None
-        Endpoints whose total must be told, in order.
+        Endpoints whose total must be told to this zone, in order.
+    changed_here : dict of str to None
+        Endpoints where the load of this zone's hosts must be told to the other zones, in order.
     since, heard_at : float
         Monotonic times in seconds of the first report and of the last one.
     """
 
     loads: dict[str, dict[str, Load]] = field(default_factory=dict)
     changed: dict[str, None] = field(default_factory=dict)
+    changed_here: dict[str, None] = field(default_factory=dict)
     since: float = math.inf
     heard_at: float = -math.inf
 
@@ -44,9 +50,16 @@
     collection.heard_at = now
 
 
+def note_changed(collection: Collection, host: str, endpoint: str) -> None:
+    """Note that a host, or the total of a zone, told something new about an endpoint."""
+    collection.changed[endpoint] = None
+    if not host.startswith(ZONE_PREFIX):
+        collection.changed_here[endpoint] = None
+
+
 def note_load(collection: Collection, host: str, endpoint: str, load: Load) -> None:
     """Take over the load of a host at an endpoint."""
-    collection.changed[endpoint] = None
+    note_changed(collection, host, endpoint)
     if load.requests or load.reads:
         collection.loads.setdefault(endpoint, {})[host] = load
     else:
@@ -59,11 +72,17 @@
     return is_heard and now - collection.since >= COMPLETE_SECONDS
 
 
-def compute_total(collection: Collection, endpoint: str, now: float, without: str = "") -> Load:
-    """Return the work of all hosts but `without` at an endpoint."""
+def compute_total(
+    collection: Collection,
+    endpoint: str,
+    now: float,
+    without: str = "",
+    only_this_zone: bool = False,
+) -> Load:
+    """Return the work of all hosts but `without`, or of those of this zone, at an endpoint."""
     total = Load(as_of=now)
     for host, load in collection.loads.get(endpoint, {}).items():
-        if host == without:
+        if host == without or (only_this_zone and host.startswith(ZONE_PREFIX)):
             continue
         total.requests += load.requests
         total.kv_tokens += load.kv_tokens
@@ -93,6 +112,7 @@
         for host, load in list(loads.items()):
             if now - load.as_of > lifetime_seconds:
                 del loads[host]
+                note_changed(collection, host, endpoint)
         collection.changed[endpoint] = None
         if not loads:
             del collection.loads[endpoint]
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -63,15 +63,20 @@
     endpoint.reports[host] = report
 
 
-def combine_reports(endpoint: Endpoint, now: float) -> FailureReport | None:
+def combine_reports(
+    endpoint: Endpoint, now: float, without_prefix: str = ""
+) -> FailureReport | None:
     """Return one report of all hosts that avoid an endpoint, or None if there is none.
 
-    The report of a total is left out, since it came from the same hosts by another way.
+    The report of a total is left out, since it came from the same hosts by another way, and so are
+    those whose name has a prefix.
     """
     present = [
         report
         for host, report in endpoint.reports.items()
-        if host != TOTAL and now < report.avoid_until
+        if host != TOTAL
+        and now < report.avoid_until
+        and not (without_prefix and host.startswith(without_prefix))
     ]
     if now < endpoint.avoid_until:
         present.append(FailureReport(endpoint.failures, endpoint.avoid_until))
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -67,7 +67,32 @@
 
 @dataclass(slots=True)
 class LoadTotals:
-    """Tell the hosts of a zone the work of all hosts at the endpoints where it changed."""
+    """Tell the hosts of a zone the work of all hosts at the endpoints where it changed.
 
+    Attributes
+    ----------
+    host : str
+        Host that collected it.
+    """
+
+    host: str
+    loads: tuple[EndpointLoad, ...]
+    failures: tuple[EndpointFailure, ...] = ()
+
+
+@dataclass(slots=True)
+class ZoneTotals:
+    """Tell another zone the work of the hosts of one zone at the endpoints where it changed.
+
+    Attributes
+    ----------
+    zone : str
+        Zone of the hosts.
+    is_first : bool
+        Whether the receiver passes the message on to the other collecting hosts of its zone.
+    """
+
+    zone: str
+    is_first: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -13,6 +13,7 @@
     EndpointLoad,
     LoadShare,
     LoadTotals,
+    ZoneTotals,
 )
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
 from marjorambridge.wire.codec import decode_message, encode_message
@@ -20,7 +21,8 @@
 
 MAC_BYTES = 8
 # Kinds of messages, by the byte that begins a datagram after its MAC.
-KINDS = ("forwarding.LoadShare", "forwarding.LoadTotals")
+KINDS = ("forwarding.LoadShare", "forwarding.LoadTotals", "forwarding.ZoneTotals")
+LoadMessage = LoadShare | LoadTotals | ZoneTotals
 MILLISECONDS = 1_000
 
 
@@ -79,14 +81,14 @@
     return LoadShare(own_host, for_zone, loads, failures)
 
 
-def seal(key: bytes, message: LoadShare | LoadTotals) -> bytes:
+def seal(key: bytes, message: LoadMessage) -> bytes:
     """Return the datagram of a message."""
     kind, body = encode_message(message)
     sealed = bytes([KINDS.index(kind)]) + body
     return _compute_mac(key, sealed) + sealed
 
 
-def unseal(key: bytes, packet: bytes) -> LoadShare | LoadTotals | None:
+def unseal(key: bytes, packet: bytes) -> LoadMessage | None:
     """Return the message of a datagram, or None if it is not of this fleet or can't be read."""
     mac, sealed = packet[:MAC_BYTES], packet[MAC_BYTES:]
     if not hmac.compare_digest(mac, _compute_mac(key, sealed)):
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -2,8 +2,9 @@
 
 A datagram that is lost leaves another host's picture old for at most a second, when all loads are
 repeated; so none is sent twice. Bytes between zones are dear: one host of each other zone gets a
-datagram and passes it on to its zone. In a large fleet some hosts of each zone collect what comes
-and pass totals on, because what a host hears would otherwise grow with the traffic of all.
+datagram and passes it on to its zone. In a large fleet some hosts of each zone collect what its
+hosts tell, tell the other zones the total of their own, and tell their own the total of all; what a
+host hears would otherwise grow with the traffic of all.
 """
 
 import math
@@ -18,10 +19,12 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.collection import (
+    ZONE_PREFIX,
     Collection,
     compute_total,
     drop_old,
     is_complete,
+    note_changed,
     note_heard,
     note_load,
     subtract_own,
@@ -32,9 +35,16 @@
     drop_old_loads,
     take_other_load,
 )
-from marjorambridge.forwarding.messages import LoadShare, LoadTotals
+from marjorambridge.forwarding.messages import (
+    EndpointFailure,
+    EndpointLoad,
+    LoadShare,
+    LoadTotals,
+    ZoneTotals,
+)
 from marjorambridge.forwarding.state import TOTAL, Endpoint, ForwardingState
 from marjorambridge.gateway.datagrams import (
+    LoadMessage,
     make_failure,
     make_load,
     make_share,
@@ -53,6 +63,8 @@
 TOTALS_SECONDS = 0.08
 # Hosts of each zone that collect; the second one makes the death of the first harmless.
 COLLECTORS_PER_ZONE = 2
+# The second one tells the other zones only when the first one was silent for this long, in seconds.
+SPEAKER_SILENCE_SECONDS = 1.5
 MAX_QUEUED = 1_000
 # Loads in one datagram, so that it fits a packet of 1,500 bytes.
 MAX_LOADS = 40
@@ -75,6 +87,8 @@
         What hosts of a large fleet reported to this one.
     told_at : float
         Monotonic time in seconds when this host last told totals.
+    totals_heard_at : dict of str to float
+        Monotonic times in seconds when hosts of this zone last told totals.
     """
 
     forwarding: ForwardingState
@@ -84,6 +98,7 @@
     outbox: deque[tuple[bytes, str]] = field(default_factory=lambda: deque(maxlen=MAX_QUEUED))
     collection: Collection = field(default_factory=Collection)
     told_at: float = -math.inf
+    totals_heard_at: dict[str, float] = field(default_factory=dict)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
 
@@ -135,7 +150,7 @@
         share = make_share(forwarding, sharing.own_host, part, now, for_zone=True)
         packet = seal(sharing.key, share)
         if is_collecting(forwarding):
-            for host in list_collectors(forwarding):
+            for host in list_collectors(forwarding, forwarding.settings.zone):
                 if host == sharing.own_host:
                     collect(sharing, share, now)
                 else:
@@ -152,16 +167,10 @@
     return len(forwarding.hosts) > defaults.LARGE_FLEET_HOSTS
 
 
-def list_collectors(forwarding: ForwardingState) -> list[str]:
-    """Return the hosts that collect; all hosts agree on them, as far as they agree on the fleet."""
-    by_zone: dict[str, list[str]] = {}
-    for host, zone in forwarding.hosts.items():
-        by_zone.setdefault(zone, []).append(host)
-    return [
-        host
-        for hosts in by_zone.values()
-        for host in sorted(hosts, key=_hash_host)[:COLLECTORS_PER_ZONE]
-    ]
+def list_collectors(forwarding: ForwardingState, zone: str) -> list[str]:
+    """Return the hosts of a zone that collect; all agree on them, if they agree on the fleet."""
+    hosts = [host for host, host_zone in forwarding.hosts.items() if host_zone == zone]
+    return sorted(hosts, key=_hash_host)[:COLLECTORS_PER_ZONE]
 
 
 def _hash_host(host: str) -> int:
@@ -177,7 +186,7 @@
     return [forwarding.generator.choice(hosts) for hosts in by_zone.values()]
 
 
-def _queue_for_zone(sharing: LoadSharing, message: LoadShare | LoadTotals) -> None:
+def _queue_for_zone(sharing: LoadSharing, message: LoadMessage) -> None:
     packet = seal(sharing.key, message)
     own_zone = sharing.forwarding.settings.zone
     for host, zone in sharing.forwarding.hosts.items():
@@ -212,6 +221,9 @@
     if isinstance(message, LoadTotals):
         _take_totals(sharing, message, now)
         return
+    if isinstance(message, ZoneTotals):
+        take_zone(sharing, message, now)
+        return
     if message is None or message.host == sharing.own_host:
         return
     for told in message.failures:
@@ -238,12 +250,39 @@
         sharing.forwarding.news_at = now
     for told in share.failures:
         if told.endpoint in by_key:
-            collection.changed[by_key[told.endpoint].name] = None
-    for told in share.loads:
-        endpoint = by_key.get(told.endpoint)
+            note_changed(collection, share.host, by_key[told.endpoint].name)
+    _add_loads(sharing, share.host, share.loads, now)
+
+
+def take_zone(sharing: LoadSharing, totals: ZoneTotals, now: float) -> None:
+    """Take over the total of another zone, and pass it on to the other hosts that collect."""
+    forwarding = sharing.forwarding
+    name = ZONE_PREFIX + totals.zone
+    for told in totals.failures:
+        endpoint = forwarding.by_key.get(told.endpoint)
+        if endpoint is not None:
+            take_report(endpoint, name, read_failure(told, now), now)
+            note_changed(sharing.collection, name, endpoint.name)
+    _add_loads(sharing, name, totals.loads, now)
+    if totals.is_first:
+        totals.is_first = False
+        packet = seal(sharing.key, totals)
+        for host in list_collectors(forwarding, forwarding.settings.zone):
+            if host != sharing.own_host:
+                sharing.outbox.append((packet, host))
+        sharing.wakeup.set()
+
+
+def _add_loads(
+    sharing: LoadSharing, name: str, loads: tuple[EndpointLoad, ...], now: float
+) -> None:
+    """Add what a host or another zone has at endpoints, and take over the total of all."""
+    collection = sharing.collection
+    for told in loads:
+        endpoint = sharing.forwarding.by_key.get(told.endpoint)
         if endpoint is None:
             continue
-        note_load(collection, share.host, endpoint.name, read_load(told, now))
+        note_load(collection, name, endpoint.name, read_load(told, now))
         if is_complete(collection, now):
             others = compute_total(collection, endpoint.name, now, without=sharing.own_host)
             take_other_load(endpoint, TOTAL, others)
@@ -252,12 +291,13 @@
 def _take_totals(sharing: LoadSharing, totals: LoadTotals, now: float) -> None:
     by_key = sharing.forwarding.by_key
     sharing.forwarding.news_at = now
+    sharing.totals_heard_at[totals.host] = now
+    if is_complete(sharing.collection, now):
+        # What this host collects itself is newer, and would be counted twice.
+        return
     for told in totals.failures:
         if told.endpoint in by_key:
             take_report(by_key[told.endpoint], TOTAL, read_failure(told, now), now)
-    if is_complete(sharing.collection, now):
-        # What this host collects itself is newer.
-        return
     for told in totals.loads:
         endpoint = by_key.get(told.endpoint)
         if endpoint is not None:
@@ -274,25 +314,64 @@
 
 
 def queue_totals(sharing: LoadSharing, now: float) -> None:
-    """Queue the totals that changed for the hosts of this zone; none say that none changed."""
-    collection, endpoints = sharing.collection, sharing.forwarding.endpoints
+    """Queue the totals that changed: those of all for this zone, those of this zone for others.
+
+    If nothing changed, an empty message says so once in a while.
+    """
+    collection = sharing.collection
     if not is_complete(collection, now):
         return
+    here, collection.changed_here = list(collection.changed_here), {}
+    if here and is_speaker(sharing, now):
+        _queue_for_other_zones(sharing, here, now)
     names, collection.changed = list(collection.changed), {}
     if not names and now - sharing.told_at < REPEAT_SECONDS:
         return
     sharing.told_at = now
     for first in range(0, max(1, len(names)), MAX_LOADS):
-        loads, failures = [], []
-        for name in names[first : first + MAX_LOADS]:
-            endpoint = endpoints.get(name)
-            if endpoint is None:
-                continue
-            loads.append(make_load(endpoint, compute_total(collection, name, now), now))
-            report = combine_reports(endpoint, now)
-            if report is not None:
-                failures.append(make_failure(endpoint, report, now))
-        _queue_for_zone(sharing, LoadTotals(tuple(loads), tuple(failures)))
+        loads, failures = _describe(sharing, names[first : first + MAX_LOADS], now)
+        _queue_for_zone(sharing, LoadTotals(sharing.own_host, loads, failures))
+
+
+def is_speaker(sharing: LoadSharing, now: float) -> bool:
+    """Return whether this host tells the other zones what its own zone has."""
+    for host in list_collectors(sharing.forwarding, sharing.forwarding.settings.zone):
+        if host == sharing.own_host:
+            return True
+        if now - sharing.totals_heard_at.get(host, -math.inf) < SPEAKER_SILENCE_SECONDS:
+            return False
+    return False
+
+
+def _queue_for_other_zones(sharing: LoadSharing, names: list[str], now: float) -> None:
+    forwarding = sharing.forwarding
+    own_zone = forwarding.settings.zone
+    for first in range(0, len(names), MAX_LOADS):
+        part = names[first : first + MAX_LOADS]
+        loads, failures = _describe(sharing, part, now, only_this_zone=True)
+        packet = seal(sharing.key, ZoneTotals(own_zone, True, loads, failures))
+        for zone in set(forwarding.hosts.values()) - {own_zone}:
+            # Another one each time, so that the death of one loses half of the news at most.
+            host = forwarding.generator.choice(list_collectors(forwarding, zone))
+            sharing.outbox.append((packet, host))
+    sharing.wakeup.set()
+
+
+def _describe(
+    sharing: LoadSharing, names: list[str], now: float, only_this_zone: bool = False
+) -> tuple[tuple[EndpointLoad, ...], tuple[EndpointFailure, ...]]:
+    """Return the totals and the failures of the endpoints named."""
+    loads, failures = [], []
+    for name in names:
+        endpoint = sharing.forwarding.endpoints.get(name)
+        if endpoint is None:
+            continue
+        total = compute_total(sharing.collection, name, now, only_this_zone=only_this_zone)
+        loads.append(make_load(endpoint, total, now))
+        report = combine_reports(endpoint, now, ZONE_PREFIX if only_this_zone else "")
+        if report is not None:
+            failures.append(make_failure(endpoint, report, now))
+    return tuple(loads), tuple(failures)
 
 
 async def _repeat(sharing: LoadSharing) -> None:
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -378,21 +378,24 @@
 class LoadTotals(object):
     """
     Attributes:
+     - host
      - loads
      - failures
 
     """
 
     __slots__ = (
+        'host',
         'loads',
         'failures',
     )
 
 
-    def __init__(self, loads=None, failures=[
+    def __init__(self, host=None, loads=None, failures=[
     ],):
+        self.host = host
         self.loads = loads
-        if failures is self.thrift_spec[2][4]:
+        if failures is self.thrift_spec[3][4]:
             failures = [
             ]
         self.failures = failures
@@ -407,6 +410,11 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
                     (_etype17, _size14) = iprot.readListBegin()
@@ -417,7 +425,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.failures = []
                     (_etype23, _size20) = iprot.readListBegin()
@@ -438,15 +446,19 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('LoadTotals')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
         if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
             for iter26 in self.loads:
                 iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.LIST, 2)
+            oprot.writeFieldBegin('failures', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
             for iter27 in self.failures:
                 iter27.write(oprot)
@@ -475,6 +487,132 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ZoneTotals(object):
+    """
+    Attributes:
+     - zone
+     - is_first
+     - loads
+     - failures
+
+    """
+
+    __slots__ = (
+        'zone',
+        'is_first',
+        'loads',
+        'failures',
+    )
+
+
+    def __init__(self, zone=None, is_first=None, loads=None, failures=[
+    ],):
+        self.zone = zone
+        self.is_first = is_first
+        self.loads = loads
+        if failures is self.thrift_spec[4][4]:
+            failures = [
+            ]
+        self.failures = failures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_first = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = EndpointLoad()
+                        _elem33.read(iprot)
+                        self.loads.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.failures = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = EndpointFailure()
+                        _elem39.read(iprot)
+                        self.failures.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneTotals')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.is_first is not None:
+            oprot.writeFieldBegin('is_first', TType.BOOL, 2)
+            oprot.writeBool(self.is_first)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter40 in self.loads:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.failures))
+            for iter41 in self.failures:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(EndpointLoad)
 EndpointLoad.thrift_spec = (
     None,  # 0
@@ -505,9 +643,19 @@
 all_structs.append(LoadTotals)
 LoadTotals.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 1
-    (2, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
-    ], ),  # 2
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 2
+    (3, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
+    ], ),  # 3
+)
+all_structs.append(ZoneTotals)
+ZoneTotals.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'is_first', None, None, ),  # 2
+    (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
+    (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
+    ], ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -25,6 +25,14 @@
 }
 
 struct LoadTotals {
-  1: list<EndpointLoad> loads
-  2: list<EndpointFailure> failures = []
+  1: string host
+  2: list<EndpointLoad> loads
+  3: list<EndpointFailure> failures = []
+}
+
+struct ZoneTotals {
+  1: string zone
+  2: bool is_first
+  3: list<EndpointLoad> loads
+  4: list<EndpointFailure> failures = []
 }
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -1,9 +1,12 @@
 """Guard what gateways tell one another about their load."""
 
+import random
 import socket
+from collections import deque
 from dataclasses import replace
 
 import anyio
+import pytest
 
 from marjorambridge.forwarding.collection import (
     COMPLETE_SECONDS,
@@ -11,7 +14,7 @@
     note_heard,
     note_load,
 )
-from marjorambridge.forwarding.health import note_failure
+from marjorambridge.forwarding.health import count_reporters, note_failure
 from marjorambridge.forwarding.loads import (
     LOAD_LIFETIME_SECONDS,
     add_read,
@@ -27,10 +30,12 @@
 from marjorambridge.gateway.datagrams import make_share, seal
 from marjorambridge.gateway.sharing import (
     REPEAT_SECONDS,
+    SPEAKER_SILENCE_SECONDS,
     TOTALS_SECONDS,
     LoadSharing,
     choose_relays,
     collect,
+    list_collectors,
     note_change,
     queue_loads,
     queue_totals,
@@ -324,3 +329,127 @@
     (report,) = reader.forwarding.endpoints["e0"].reports.values()
     assert report.failures == 1 and report.hosts == 1
     assert abs(report.avoid_until - endpoint.avoid_until) < 0.01
+
+
+def make_zones(zones=5, hosts_per_zone=8):
+    """Return the sharings of a large fleet by host, after all collectors are complete."""
+    hosts = {
+        f"10.{zone}.0.{n}:1": f"z{zone}" for zone in range(zones) for n in range(hosts_per_zone)
+    }
+    fleet = {}
+    for host, zone in hosts.items():
+        sharing = LoadSharing(make_state(engines=4, hosts=(host,)), host, b"k" * 32)
+        sharing.forwarding.hosts = dict(hosts)
+        sharing.forwarding.settings = replace(sharing.forwarding.settings, zone=zone)
+        fleet[host] = sharing
+    return fleet
+
+
+def exchange(fleet, now, dead=()):
+    """Deliver all datagrams until none is left; return the bytes that crossed zones."""
+    crossed = 0
+    while any(sharing.outbox for sharing in fleet.values()):
+        for host, sharing in fleet.items():
+            packets, sharing.outbox = list(sharing.outbox), deque(maxlen=1_000)
+            for packet, target in packets if host not in dead else ():
+                if host.split(".")[1] != target.split(".")[1]:
+                    crossed += len(packet) + PACKET_HEADER_BYTES
+                if target not in dead:
+                    take_packet(fleet[target], packet, now)
+    return crossed
+
+
+def settle(fleet, now, seconds, dead=()):
+    """Let all hosts tell that they are there, and collectors tell totals, for some time."""
+    until = now + seconds
+    while now < until:
+        for host, sharing in fleet.items():
+            if host not in dead:
+                queue_loads(sharing, [], now)
+                queue_totals(sharing, now)
+        exchange(fleet, now, dead)
+        now += 0.5
+    return now
+
+
+def test_zones_know_the_loads_of_one_another_through_their_collectors():
+    """Guard against zones that each fill engines which another zone has filled already."""
+    fleet = make_zones()
+    now = settle(fleet, 100.0, 3.0)
+    for sharing in fleet.values():
+        add_request(sharing.forwarding.endpoints["e1"].load, 10, 0.25)
+        queue_loads(sharing, ["e1"], now)
+    exchange(fleet, now)
+    for _ in range(2):
+        for sharing in fleet.values():
+            queue_totals(sharing, now)
+        exchange(fleet, now)
+    for sharing in fleet.values():
+        assert count_requests(sharing.forwarding.endpoints["e1"]) == len(fleet)
+
+
+@pytest.mark.parametrize("position", [0, 1], ids=["first collector", "second collector"])
+def test_the_death_of_a_collector_cuts_no_zone_off(position):
+    """Guard against a zone whose loads nobody tells any longer."""
+    fleet = make_zones()
+    now = settle(fleet, 100.0, 3.0)
+    dead = [list_collectors(fleet["10.0.0.0:1"].forwarding, "z0")[position]]
+    now = settle(fleet, now, 2.0 + SPEAKER_SILENCE_SECONDS, dead)
+    for step in range(8):
+        for host, sharing in fleet.items():
+            if host in dead:
+                continue
+            if step == 0:
+                add_request(sharing.forwarding.endpoints["e1"].load, 10, 0.25)
+            queue_loads(sharing, ["e1"], now)
+        exchange(fleet, now, dead)
+        for host, sharing in fleet.items():
+            if host not in dead:
+                queue_totals(sharing, now)
+        exchange(fleet, now, dead)
+        now += 0.25
+    alive = [sharing for host, sharing in fleet.items() if host not in dead]
+    for sharing in alive:
+        assert count_requests(sharing.forwarding.endpoints["e1"]) == len(alive)
+
+
+def test_a_failure_is_told_to_other_zones_once():
+    """Guard against reports that zones hand back to one another as if they were new ones."""
+    fleet = make_zones()
+    now = settle(fleet, 100.0, 3.0)
+    sharing = fleet["10.0.0.0:1"]
+    note_failure(sharing.forwarding.endpoints["e0"], now, now)
+    queue_loads(sharing, ["e0"], now)
+    exchange(fleet, now)
+    for _ in range(4):
+        now += TOTALS_SECONDS
+        for other in fleet.values():
+            queue_totals(other, now)
+        exchange(fleet, now)
+    for host, other in fleet.items():
+        if host != sharing.own_host:
+            assert count_reporters(other.forwarding.endpoints["e0"], now) == 1
+
+
+@pytest.mark.parametrize("hosts_per_zone", [8, 40])
+def test_bytes_between_zones_do_not_grow_with_the_number_of_hosts(hosts_per_zone):
+    """Guard against loads that each host sends to every zone; there those bytes are dear.
+
+    Between 5 zones, 134 requests a second change loads three times each.
+    """
+    fleet = make_zones(hosts_per_zone=hosts_per_zone)
+    now = settle(fleet, 100.0, 3.0)
+    draw = random.Random(1)
+    crossed, seconds = 0, 2.0
+    for _ in range(int(seconds / TOTALS_SECONDS)):
+        for sharing in draw.choices(list(fleet.values()), k=int(134 * 3 * TOTALS_SECONDS)):
+            name = f"e{draw.randrange(4)}"
+            add_request(sharing.forwarding.endpoints[name].load, 10, 0.25)
+            queue_loads(sharing, [name], now)
+        crossed += exchange(fleet, now)
+        for sharing in fleet.values():
+            queue_totals(sharing, now)
+        crossed += exchange(fleet, now)
+        now += TOTALS_SECONDS
+    # Ten pairs of zones in both directions, a packet of 150 bytes at most for each total.
+    assert crossed / seconds <= 20 * 150 / TOTALS_SECONDS
