Send reports of endpoints to a replica of their own zone

Reports went to any replica, four of five across zones where bytes are dear. The answer to a report now names a replica of the endpoint's zone that told the others something within 2.5 s; a hash spreads the endpoints of a zone over its replicas.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -176,6 +176,8 @@
 CONTROL_TICK_SECONDS = 0.1
 # Liveness of endpoints travels once in about the time between two reports of an endpoint.
 GOSSIP_SECONDS = 1.0
+# Replicas tell one another each second what they heard; one that missed two times may be down.
+LISTENER_SILENCE_SECONDS = 2.5
 FEED_POLL_SECONDS = 0.5
 # Polls a second that a replica takes; one costs about 1 ms on a third of a core. With more
 # followers it has each of them poll less often.
--- a/marjorambridge/control/registry.py
+++ b/marjorambridge/control/registry.py
@@ -6,6 +6,11 @@
 for each endpoint would leave it no time to send heartbeats.
 """
 
+import math
+
+import xxhash
+
+from marjorambridge.conf import defaults
 from marjorambridge.control.commands import EndpointRecord, ForgetEndpoints, RegisterEndpoints
 from marjorambridge.control.events import EndpointReported
 from marjorambridge.control.messages import EndpointEntry, EndpointGossip, LiveEndpoint
@@ -39,6 +44,26 @@
     return True, [WriteLog("info", "an endpoint's report changed the table", fields)]
 
 
+def choose_listener(state: ReplicaControl, report: EndpointReport, now: float) -> str:
+    """Return the replica that an endpoint should report to from now on; empty for no preference.
+
+    Reports cross no zone where the endpoint's own zone has a replica, and a hash spreads them over
+    several. Replicas that told nothing lately are left out.
+    """
+    limit = now - defaults.LISTENER_SILENCE_SECONDS
+    listeners = [
+        host
+        for host in state.members
+        if state.zones.get(host) == report.zone
+        and (host == state.host or state.peers_heard_at.get(host, -math.inf) > limit)
+    ]
+    return max(
+        listeners,
+        key=lambda host: xxhash.xxh3_64_intdigest(f"{report.endpoint}/{host}".encode()),
+        default="",
+    )
+
+
 # Registration.
 
 
@@ -146,6 +171,7 @@
     """Take over what another replica heard and return whether hosts must learn of it."""
     changed = state.zones.get(sender) != gossip.zone
     state.zones[sender] = gossip.zone
+    state.peers_heard_at[sender] = now
     for entry in gossip.changed:
         report = EndpointReport(
             endpoint=entry.endpoint,
--- a/marjorambridge/control/state.py
+++ b/marjorambridge/control/state.py
@@ -63,6 +63,8 @@
     ----------
     has_contact : callable
         Takes monotonic seconds; says whether this replica leads, or heard the leader lately.
+    peers_heard_at : dict of str to float
+        Monotonic times in seconds when the other replicas told last what they heard.
     barrier : str
         Identifier of the read barrier in progress; empty if there is none.
     commands : int
@@ -97,6 +99,7 @@
     other_hosts: dict[str, RemoteFollower] = field(default_factory=dict)
     ungossiped: dict[str, None] = field(default_factory=dict)
     gossiped_at: float = 0.0
+    peers_heard_at: dict[str, float] = field(default_factory=dict)
     heard: dict[str, None] = field(default_factory=dict)
     barrier: str = ""
     commands: int = 0
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -19,6 +19,7 @@
     CommandWithdrawn,
     EndpointReported,
 )
+from marjorambridge.control.registry import choose_listener
 from marjorambridge.control.state import ReplicaControl
 from marjorambridge.control.state_machine import is_retired
 from marjorambridge.core import effects, events
@@ -265,6 +266,18 @@
     return await submit(host, RetireEndpoint(make_command_id(host), report.endpoint, report.born))
 
 
+def find_report_address(host: ReplicaHost, report: EndpointReport) -> str:
+    """Return the control address to which an endpoint should report from now on.
+
+    It is empty if the endpoint may go on as it does. The ports are the same on all hosts.
+    """
+    listener = choose_listener(host.control, report, time.monotonic())
+    if listener in ("", host.control.host):
+        return ""
+    _, _, port = host.settings.control.rpartition(":")
+    return f"{listener.rpartition(':')[0]}:{port}"
+
+
 async def _shut_down(host: ReplicaHost) -> None:
     """Pass leadership on, finish the answers in progress and end."""
     if host.stopping:
--- a/marjorambridge/platform/operations.py
+++ b/marjorambridge/platform/operations.py
@@ -14,7 +14,13 @@
     RestoreZone,
     RetireEndpoint,
 )
-from marjorambridge.daemon.replica import ReplicaHost, make_command_id, report_endpoint, submit
+from marjorambridge.daemon.replica import (
+    ReplicaHost,
+    find_report_address,
+    make_command_id,
+    report_endpoint,
+    submit,
+)
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.manifests.exceptions import InvalidManifestError
@@ -86,7 +92,9 @@
         return BAD_REQUEST, encode_error(str(error))
     if not await report_endpoint(host, report):
         return UNAVAILABLE, encode_error("this replica is cut off; report to another one")
-    return OK, encode_body({})
+    address = find_report_address(host, report)
+    # `heartbeat_addr` is where the endpoint sends its next reports.
+    return OK, encode_body({"heartbeat_addr": address} if address else {})
 
 
 async def _take_departure(host: ReplicaHost, endpoint: str, body: bytes) -> tuple[int, bytes]:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -11,6 +11,8 @@
     RetireEndpoint,
 )
 from marjorambridge.control.messages import FeedUpdate
+from marjorambridge.control.registry import choose_listener
+from marjorambridge.discovery.models import EndpointReport
 
 from .fleet import Fleet
 
@@ -304,3 +306,23 @@
     assert updates and all(update.current for update in updates if update.document)
     # Each host needs one copy, and may ask a second time while the first one is under way.
     assert sum(bool(update.document) for update in updates) <= 2 * 6
+
+
+def test_an_endpoint_is_sent_to_a_replica_of_its_own_zone_that_is_alive():
+    """Guard against reports that cross zones for ever, and against ones sent to a dead replica."""
+    fleet = make_fleet(replicas=6)
+    reports = [
+        EndpointReport(f"e{n}", "svc", f"z{n % 3 + 1}", f"10.0.0.{n}:80", 8) for n in range(60)
+    ]
+    chosen = {r.endpoint: choose_listener(fleet.control("r0"), r, fleet.now) for r in reports}
+    for report in reports:
+        assert fleet.hosts[chosen[report.endpoint]].zone == report.zone
+    assert set(chosen.values()) == {f"r{n}" for n in range(6)}
+    lost = next(name for name in ("r1", "r4") if not fleet.control(name).is_leader)
+    fleet.kill(lost)
+    fleet.run(3.0)
+    chosen = {choose_listener(fleet.control("r0"), r, fleet.now) for r in reports}
+    assert lost not in chosen and len(chosen) == 5
+    # A zone without a replica has no preference.
+    report = EndpointReport("e1", "svc", "z9", "10.0.0.1:80", 8)
+    assert choose_listener(fleet.control("r0"), report, fleet.now) == ""
