Bound what endpoints and callers can send that is no message

Now only a whole event moves a stream on; interim answers, comments, failures and events are bounded in number, bytes and time; the head of a refusal says all; collected answers of a host share 48 MB; a request's body has a slowest rate. tests/gateway/test_hostile.py plays each case.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -217,6 +217,11 @@
 REPLACE_SILENT_VOTER_SECONDS = 2.0
 
 # Forwarding (marjorambridge.forwarding).
+# Memory in bytes for answers that a host collects whole; the smallest hosts have 200 MB.
+ANSWER_MEMORY_BYTES = 48 * 1024 * 1024
+# The part of it that only answers get that have begun; otherwise many at once would take the memory
+# from one another, and none would be complete.
+KEPT_ANSWER_MEMORY_BYTES = 16 * 1024 * 1024
 FORWARD_RETRY_RATIO = 0.1
 FORWARD_RETRY_WINDOW_SECONDS = 10.0
 FORWARD_RETRY_ALLOWANCE = 10.0
--- /dev/null
+++ b/marjorambridge/gateway/answers.py
@@ -0,0 +1,171 @@
+"""Receive the answer of an endpoint, and give up what is none.
+
+An endpoint in trouble may send bytes without end, fast or one now and then, in a head, a body or a
+stream. Everything that is read is bounded in time and in bytes, and only what moves the answer on
+gives an endpoint more time. The load pattern is many such endpoints at once: all answers of a host
+share the memory in which they are collected.
+"""
+
+import time
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.lowlevel
+import h11
+from anyio.abc import SocketStream
+
+from marjorambridge.forwarding.attempts import Ending
+from marjorambridge.gateway.messages import Attempt, Dialect, Result
+from marjorambridge.gateway.streams import STREAM_ERRORS
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+# Interim answers (status 1xx) before the final one; HTTP has four kinds of them.
+MAX_INTERIM_ANSWERS = 8
+MAX_ANSWER_BYTES = 16_777_216
+# An endpoint's failure is a line of text. Its body may be this long and take this many seconds,
+# after which another endpoint can still answer in time.
+MAX_FAILURE_BYTES = 65_536
+FAILURE_BODY_SECONDS = 0.5
+SUCCESS = range(200, 300)
+SERVER_ERRORS = range(500, 600)
+
+
+class NoAnswerError(Exception):
+    """What an endpoint sends is no answer, or the connection broke; the request may have run."""
+
+
+@dataclass(slots=True)
+class AnswerReader:
+    """Hold an answer that is being received.
+
+    Attributes
+    ----------
+    interim_answers : int
+        Interim answers so far.
+    failure_ends_at : float
+        Monotonic time in seconds until which the body of a failure is read; 0 if it is none.
+    """
+
+    stream: SocketStream
+    connection: h11.Connection
+    attempt: Attempt
+    dialect: Dialect
+    result: Result
+    interim_answers: int = 0
+    failure_ends_at: float = 0.0
+    parts: list[bytes] = field(default_factory=list)
+
+
+async def receive_answer(reader: AnswerReader) -> None:
+    """Receive an answer into the result of its attempt."""
+    # The request is handed to the parser before anything is received.
+    await anyio.lowlevel.checkpoint()
+    result = reader.result
+    try:
+        while not await _take_event(reader, reader.connection.next_event()):
+            pass
+    except h11.RemoteProtocolError as error:
+        result.detail = f"no valid answer: {error}"
+    except NoAnswerError as error:
+        result.detail = str(error)
+    except ValueError as error:
+        result.detail = f"no valid event: {error}"
+
+
+async def _take_event(reader: AnswerReader, event: object) -> bool:
+    """Take one event of the parser into account and return whether the attempt has ended."""
+    result = reader.result
+    if event is h11.NEED_DATA:
+        return not await _receive_more(reader)
+    if isinstance(event, h11.InformationalResponse):
+        reader.interim_answers += 1
+        if reader.interim_answers > MAX_INTERIM_ANSWERS:
+            raise NoAnswerError("there are too many interim answers")
+        return False
+    if isinstance(event, h11.Response):
+        return _take_head(reader, event)
+    if isinstance(event, h11.Data):
+        return await _take_data(reader, bytes(event.data))
+    if isinstance(event, h11.EndOfMessage):
+        result.body = b"".join(reader.parts)
+        classify(result)
+        return True
+    raise NoAnswerError("the endpoint closed the connection")
+
+
+async def _receive_more(reader: AnswerReader) -> bool:
+    """Receive more bytes and return whether any came in time."""
+    limit = reader.failure_ends_at or reader.attempt.get_stalled_at()
+    with anyio.move_on_after(limit - time.monotonic()):
+        try:
+            data = await reader.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            data = b""
+        except STREAM_ERRORS as error:
+            raise NoAnswerError(repr(error)) from error
+        reader.connection.receive_data(data)
+        return True
+    if reader.failure_ends_at:
+        raise NoAnswerError("the body of a failure did not come in time")
+    reader.result.ending = Ending.STALLED
+    reader.result.detail = "no part of the answer came in time"
+    return False
+
+
+def _take_head(reader: AnswerReader, event: h11.Response) -> bool:
+    result = reader.result
+    head = reader.dialect.decode_answer(event.status_code, list(event.headers.raw_items()))
+    result.head = head
+    if head.request_id not in ("", reader.attempt.request_id):
+        raise NoAnswerError("the answer belongs to another request")
+    if head.not_run or head.misdirected:
+        # The head says all; nothing of the body reaches a caller.
+        classify(result)
+        return True
+    if head.status not in SUCCESS:
+        reader.failure_ends_at = time.monotonic() + FAILURE_BODY_SECONDS
+    return False
+
+
+async def _take_data(reader: AnswerReader, data: bytes) -> bool:
+    attempt, result = reader.attempt, reader.result
+    if _is_passed_on(reader):
+        if not await attempt.pass_event_bytes(result.head, data):
+            result.detail = "the caller is gone"
+            return True
+        return False
+    size = attempt.lease.size + len(data)
+    if size > (MAX_FAILURE_BYTES if reader.failure_ends_at else MAX_ANSWER_BYTES):
+        raise NoAnswerError("the answer is too long")
+    if not attempt.lease.take(len(data)):
+        raise NoAnswerError("this host has no memory left for answers")
+    reader.parts.append(data)
+    return False
+
+
+def _is_passed_on(reader: AnswerReader) -> bool:
+    head = reader.result.head
+    return (
+        reader.attempt.pass_event_bytes is not None
+        and head.status in SUCCESS
+        and head.is_signed
+        and head.is_event_stream
+    )
+
+
+def classify(result: Result) -> None:
+    """Set the ending of an attempt whose answer came whole, or whose head says all."""
+    head = result.head
+    if head is None:
+        result.detail = "there is no answer"
+    elif head.misdirected:
+        result.ending, result.detail = Ending.MISDIRECTED, head.endpoint_at_fault
+    elif head.not_run:
+        result.ending, result.detail = Ending.NOT_RUN, head.endpoint_at_fault
+    elif head.status in SUCCESS and not head.is_signed:
+        result.detail = "the answer has no signature"
+    elif head.status in SERVER_ERRORS:
+        result.ending, result.detail = Ending.FAILED, f"status {head.status}"
+    else:
+        result.ending = Ending.COMPLETE
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -20,6 +20,8 @@
 READ_BYTES = 65_536
 # What a caller sends ahead of an answer is kept up to this size; then it has to wait.
 MAX_AHEAD_BYTES = 262_144
+# Slowest rate at which the body of a request may come, after the idle timeout.
+MIN_BODY_BYTES_PER_SECOND = 10_000
 # Time in seconds for which a refused upload is read on, so that the refusal is not reset away.
 LINGER_SECONDS = 1.0
 BODY_TOO_LONG, HEAD_TOO_LONG, REQUEST_TIMEOUT, SERVER_ERROR = 413, 431, 408, 500
@@ -195,8 +197,11 @@
             await exchange.stream.send(exchange.connection.send(go_on))
         parts: list[bytes] = []
         size = 0
+        began = time.monotonic()
         while True:
-            with anyio.fail_after(limits.idle_timeout_seconds):
+            # A caller that sends a byte now and then must not stay for ever.
+            allowed = limits.idle_timeout_seconds + size / MIN_BODY_BYTES_PER_SECOND
+            with anyio.fail_after(began + allowed - time.monotonic()):
                 event = await _read_event(exchange)
             if isinstance(event, h11.EndOfMessage):
                 exchange.body = b"".join(parts)
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass
 
-# An event that is larger is no event of an engine.
-MAX_EVENT_BYTES = 1_048_576
+# An event that is larger is no event of an engine; it holds some hundred characters.
+MAX_EVENT_BYTES = 65_536
+# Bytes of comments between two events; sound endpoints send a few to keep a connection open.
+MAX_COMMENT_BYTES = 4_096
 
 
 @dataclass(slots=True)
@@ -16,10 +18,13 @@
         Number of the last event that was passed on.
     buffer : bytes
         Beginning of an event that is not complete yet.
+    comment_bytes : int
+        Bytes of comments since the last event.
     """
 
     last_event: int | None = None
     buffer: bytes = b""
+    comment_bytes: int = 0
 
 
 class EventOrderError(ValueError):
@@ -29,12 +34,12 @@
 def take_events(cursor: StreamCursor, data: bytes) -> bytes:
     r"""Return the bytes of the complete events that are due, and keep the rest.
 
-    Events that were passed on before are left out.
+    Events that were passed on before are left out, and so are comments, which are no events.
 
     Raises
     ------
     EventOrderError
-        If an event is missing.
+        If an event is missing, or if what comes is no event.
 
     Examples
     --------
@@ -48,6 +53,12 @@
     due: list[bytes] = []
     while (end := cursor.buffer.find(b"\n\n")) >= 0:
         event, cursor.buffer = cursor.buffer[: end + 2], cursor.buffer[end + 2 :]
+        if is_comment(event):
+            cursor.comment_bytes += len(event)
+            if cursor.comment_bytes > MAX_COMMENT_BYTES:
+                raise EventOrderError(f"{cursor.comment_bytes} bytes came without an event")
+            continue
+        cursor.comment_bytes = 0
         number = find_number(event)
         if number is not None:
             last = cursor.last_event
@@ -62,6 +73,17 @@
     return b"".join(due)
 
 
+def is_comment(event: bytes) -> bool:
+    r"""Return whether a block of lines has no field, so that it is no event.
+
+    Examples
+    --------
+    >>> is_comment(b": still here\n\n"), is_comment(b"\n\n"), is_comment(b"data: x\n\n")
+    (True, True, False)
+    """
+    return all(not line or line.startswith(b":") for line in event.split(b"\n"))
+
+
 def find_number(event: bytes) -> int | None:
     """Return the number of an event, or None if it has none.
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -1,8 +1,10 @@
 """Model requests and answers apart from the header names of a platform."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from marjorambridge.forwarding.attempts import Ending
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -110,6 +112,99 @@
     endpoint_at_fault: str = ""
 
 
+@dataclass(slots=True)
+class AnswerMemory:
+    """Bound the memory of all answers that a host collects whole.
+
+    Attributes
+    ----------
+    free_bytes : int
+        Bytes that answers may still take.
+    kept_bytes : int
+        Bytes of these that are kept for answers that have begun.
+    """
+
+    free_bytes: int
+    kept_bytes: int
+
+
+@dataclass(slots=True)
+class MemoryLease:
+    """Hold the memory that the answer to one request has taken.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that were taken.
+    """
+
+    memory: AnswerMemory
+    size: int = 0
+
+    def take(self, size: int) -> bool:
+        """Take memory and return whether there was enough."""
+        kept = 0 if self.size else self.memory.kept_bytes
+        if size > self.memory.free_bytes - kept:
+            return False
+        self.memory.free_bytes -= size
+        self.size += size
+        return True
+
+    def release(self) -> None:
+        """Give back all that was taken."""
+        self.memory.free_bytes += self.size
+        self.size = 0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Describe one attempt.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` of the endpoint.
+    get_stalled_at : callable
+        Returns the monotonic time in seconds at which the attempt counts as stalled, unless a part
+        of the answer comes before.
+    lease : MemoryLease
+        Memory for an answer that is collected whole; the caller of the attempt releases it.
+    pass_event_bytes : callable or None
+        Takes the head and each piece of an event stream, and returns whether the caller is still
+        there; None if answers are collected whole.
+    """
+
+    address: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    request_id: str
+    get_stalled_at: Callable[[], float]
+    lease: MemoryLease
+    pass_event_bytes: Callable[[AnswerHead, bytes], Awaitable[bool]] | None = None
+
+
+@dataclass(slots=True)
+class Result:
+    """Hold what came of an attempt.
+
+    Attributes
+    ----------
+    head : AnswerHead or None
+        None if no answer came.
+    body : bytes
+        Body of an answer that was collected whole.
+    detail : str
+        What went wrong, for the log.
+    """
+
+    ending: Ending
+    head: AnswerHead | None = None
+    body: bytes = b""
+    detail: str = ""
+
+
 @dataclass(slots=True)
 class Dialect:
     """Translate between HTTP headers and the messages of this module.
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -32,10 +32,17 @@
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import Exchange
-from marjorambridge.gateway.endpoints import Attempt, Result, run_attempt
+from marjorambridge.gateway.endpoints import run_attempt
 from marjorambridge.gateway.events import StreamCursor, take_events
 from marjorambridge.gateway.exceptions import BadRequestError
-from marjorambridge.gateway.messages import AnswerHead, AttemptOptions, CallerRequest
+from marjorambridge.gateway.messages import (
+    AnswerHead,
+    Attempt,
+    AttemptOptions,
+    CallerRequest,
+    MemoryLease,
+    Result,
+)
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet, keep_renewed, list_helpers, release, reserve
 from marjorambridge.manifests.models import Execution
@@ -60,7 +67,9 @@
     ends_at : float
         Monotonic time in seconds at which the caller needs the answer.
     tickets : TicketSet
-        Memory that is reserved for the next attempt.
+        Memory of engines that is reserved for the next attempt.
+    lease : MemoryLease
+        Memory of this host that the answer takes.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 until an event came.
     longest_pause : float
@@ -80,6 +89,7 @@
     work: Work
     ends_at: float
     tickets: TicketSet
+    lease: MemoryLease
     progress: Progress = field(default_factory=Progress)
     cursor: StreamCursor = field(default_factory=StreamCursor)
     attempt_began_at: float = 0.0
@@ -112,6 +122,7 @@
     try:
         outcome = await _serve(transit)
     finally:
+        transit.lease.release()
         await release(transit.tickets)
         _log_end(transit, outcome)
 
@@ -150,7 +161,8 @@
         work.kv_tokens = prompt.prompt_tokens + answer
     ends_at = exchange.arrived_at + seconds - ANSWER_MARGIN_SECONDS
     tickets = TicketSet(gateway, request.request_id)
-    transit = Transit(gateway, exchange, request, admission, work, ends_at, tickets)
+    lease = MemoryLease(gateway.memory)
+    transit = Transit(gateway, exchange, request, admission, work, ends_at, tickets, lease)
     transit.cursor.last_event = request.last_event
     return transit
 
@@ -185,6 +197,7 @@
     if endpoint is None:
         return await _refuse(transit, "no_endpoint")
     while True:
+        transit.lease.release()
         result = await _attempt(transit, endpoint)
         if transit.exchange.caller_gone:
             return "caller_gone"
@@ -254,6 +267,7 @@
     gateway, request, work = transit.gateway, transit.request, transit.work
     now = transit.attempt_began_at = time.monotonic()
     transit.cursor.buffer = b""
+    transit.cursor.comment_bytes = 0
     workspace = transit.admission.workspace
     transit.helper_count = len(transit.helpers)
     options = AttemptOptions(
@@ -270,7 +284,8 @@
         headers=gateway.dialect.encode_attempt(request, options),
         body=request.body,
         request_id=request.request_id,
-        get_patience=lambda: _get_patience(transit),
+        get_stalled_at=lambda: _get_stalled_at(transit),
+        lease=transit.lease,
     )
     if transit.admission.route.execution is Execution.STREAM:
         attempt.pass_event_bytes = lambda head, data: _pass_events(transit, head, data)
@@ -319,21 +334,20 @@
     transit.reading = []
 
 
-def _get_patience(transit: Transit) -> float:
-    """Return how long nothing needs to come from the endpoint, in seconds."""
-    now = time.monotonic()
-    remaining = max(0.0, transit.ends_at - now)
+def _get_stalled_at(transit: Transit) -> float:
+    """Return the monotonic time in seconds at which a silent stream goes on elsewhere.
+
+    Only whole events count. An endpoint whose request may not run again is never given up for its
+    silence, since nothing better can follow.
+    """
     route = transit.admission.route
     if route.execution is not Execution.STREAM or not route.resumable:
-        return remaining
+        return math.inf
     if transit.last_event_at < transit.attempt_began_at:
         allowed = transit.work.read_seconds + defaults.FIRST_EVENT_PATIENCE_SECONDS
-    else:
-        allowed = max(
-            defaults.EVENT_PATIENCE_SECONDS,
-            route.gap_objective_seconds * defaults.EVENT_PATIENCE_GAPS,
-        )
-    return min(allowed, remaining)
+        return transit.attempt_began_at + allowed
+    allowed = route.gap_objective_seconds * defaults.EVENT_PATIENCE_GAPS
+    return transit.last_event_at + max(defaults.EVENT_PATIENCE_SECONDS, allowed)
 
 
 async def _pass_events(transit: Transit, head: AnswerHead, data: bytes) -> bool:
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -6,9 +6,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
-from marjorambridge.gateway.messages import Dialect
+from marjorambridge.gateway.messages import AnswerMemory, Dialect
 
 
 @dataclass(slots=True)
@@ -23,6 +24,8 @@
         Tells the other hosts that this host's load at an endpoint changed.
     updated : anyio.Event
         Set when a replica has told something, and then replaced.
+    memory : AnswerMemory
+        Memory for answers that are collected whole.
     tasks : TaskGroup or None
         Runs what goes on after a request has ended.
     ticket_prefix : str
@@ -36,6 +39,11 @@
     measure: Callable[[Measure], None]
     share_load: Callable[[Endpoint], None] = field(default=lambda endpoint: None)
     updated: anyio.Event = field(default_factory=anyio.Event)
+    memory: AnswerMemory = field(
+        default_factory=lambda: AnswerMemory(
+            defaults.ANSWER_MEMORY_BYTES, defaults.KEPT_ANSWER_MEMORY_BYTES
+        )
+    )
     tasks: TaskGroup | None = None
     ticket_prefix: str = ""
     tickets: int = 0
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -12,7 +12,8 @@
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.attempts import Ending
 from marjorambridge.forwarding.reservations import Share
-from marjorambridge.gateway.endpoints import Attempt, Result, run_attempt
+from marjorambridge.gateway.endpoints import run_attempt
+from marjorambridge.gateway.messages import Attempt, MemoryLease, Result
 from marjorambridge.gateway.state import Gateway
 
 ACCEPTED = 200
@@ -91,10 +92,14 @@
         headers=gateway.dialect.encode_order_headers(share.endpoint.name),
         body=body,
         request_id="",
-        get_patience=lambda: max(0.0, deadline - time.monotonic()),
+        get_stalled_at=lambda: deadline,
+        lease=MemoryLease(gateway.memory),
     )
     gateway.measure(Measure("memory_orders_total"))
-    return await run_attempt(attempt, gateway.dialect)
+    try:
+        return await run_attempt(attempt, gateway.dialect)
+    finally:
+        attempt.lease.release()
 
 
 async def keep_renewed(tickets: TicketSet) -> None:
--- /dev/null
+++ b/tests/gateway/test_hostile.py
@@ -0,0 +1,240 @@
+"""Guard a gateway against endpoints and callers that send what is no message, or without end."""
+
+import time
+from dataclasses import replace
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from marjorambridge.conf import defaults
+from marjorambridge.gateway import answers
+from marjorambridge.gateway.events import MAX_COMMENT_BYTES
+from marjorambridge.manifests.models import CallerLimits, Execution
+
+from .helpers import (
+    SIGNED,
+    answer_whole,
+    call,
+    find_header,
+    make_chunk,
+    make_events,
+    make_manifest,
+    make_request,
+    read_body,
+    run_world,
+    stream_events,
+)
+
+# A whole test lasts less than the deadline of its request, which is 3 s.
+DEADLINE_SECONDS = 3.0
+PAUSE_SECONDS = 0.1
+IDEMPOTENT = make_manifest(Execution.IDEMPOTENT, 2, False)
+STREAM = make_manifest(Execution.STREAM, 2, True)
+BROKEN_PIPE = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
+
+
+def get_status(data: bytes) -> int:
+    return int(data.split(b" ", 2)[1]) if data else 0
+
+
+def make_head(head: bytes, status: bytes, headers: bytes) -> bytes:
+    identifier = find_header(head, b"x-request-id")
+    return b"HTTP/1.1 " + status + b"\r\nX-Request-Id: " + identifier + b"\r\n" + headers + b"\r\n"
+
+
+def send_for_ever(first, again: bytes, pause: float):
+    """Return a script that sends something once, then something else again and again."""
+
+    async def run(endpoint, stream: SocketStream, head: bytes) -> None:
+        sent = 0
+        try:
+            await stream.send(first(head))
+            while True:
+                await stream.send(again)
+                sent += len(again)
+                await anyio.sleep(pause)
+        except BROKEN_PIPE:
+            endpoint.closed.append(sent)
+
+    return run
+
+
+EVENT_STREAM = SIGNED + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+FAILURE = b"Transfer-Encoding: chunked\r\n"
+
+
+def begin_stream(head: bytes) -> bytes:
+    return make_head(head, b"200 OK", EVENT_STREAM) + make_chunk(make_events(1, 2))
+
+
+def begin_failure(head: bytes) -> bytes:
+    return make_head(head, b"500 Failed", FAILURE)
+
+
+def begin_nothing(head: bytes) -> bytes:
+    return b""
+
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "interim answers": send_for_ever(begin_nothing, INTERIM, 0.0),
+    "a head": send_for_ever(begin_nothing, b"HTTP/1.1 200 OK\r\nX-A: " + b"a" * 1000, 0.0),
+    "no protocol": send_for_ever(begin_nothing, b"\x00\xff" * 500, 0.0),
+    "a failure": send_for_ever(begin_failure, make_chunk(b"x" * 4000), 0.0),
+    "a slow failure": send_for_ever(begin_failure, make_chunk(b"x"), PAUSE_SECONDS),
+    "chunk extensions": send_for_ever(
+        lambda head: make_head(head, b"200 OK", SIGNED + FAILURE) + b"1", b";a=b" * 100, 0.0
+    ),
+}
+
+
+@pytest.mark.parametrize("script", ENDLESS_ANSWERS.values(), ids=ENDLESS_ANSWERS.keys())
+def test_an_endless_answer_is_given_up_in_time_for_another_endpoint(script):
+    """Guard against endpoints that hold a request, or the processor, until its deadline."""
+
+    async def scenario():
+        async with run_world(IDEMPOTENT, script, answer_whole(b"good")) as world:
+            began = time.monotonic()
+            data = await call(world, make_request(b"GET", b""))
+            assert (get_status(data), read_body(data)) == (200, b"good")
+            assert time.monotonic() - began < answers.FAILURE_BODY_SECONDS + 0.5
+            assert world.gateway.memory.free_bytes == defaults.ANSWER_MEMORY_BYTES
+
+    anyio.run(scenario)
+
+
+STALLED_STREAMS = {
+    "comments now and then": send_for_ever(begin_stream, make_chunk(b": x\n\n"), PAUSE_SECONDS),
+    "bytes of an event": send_for_ever(begin_stream, make_chunk(b"x"), PAUSE_SECONDS),
+    "comments without end": send_for_ever(begin_stream, make_chunk(b": x\n\n" * 50), 0.0),
+    "an event without end": send_for_ever(begin_stream, make_chunk(b"x" * 4000), 0.0),
+    "interim answers now and then": send_for_ever(begin_nothing, INTERIM, PAUSE_SECONDS),
+}
+
+
+@pytest.mark.parametrize("script", STALLED_STREAMS.values(), ids=STALLED_STREAMS.keys())
+def test_a_stream_that_sends_no_event_goes_on_at_another_endpoint(script):
+    """Guard against stalled streams that never end, because a byte comes now and then."""
+
+    async def scenario():
+        async with run_world(STREAM, script, stream_events(1, 6, "complete")) as world:
+            data = await call(world, make_request())
+            assert get_status(data) == 200
+            assert read_body(data) == make_events(1, 6)
+            assert b": x" not in data
+
+    anyio.run(scenario)
+
+
+def test_a_slow_stream_that_is_sound_is_not_cut():
+    """Guard against taking a slow endpoint for a stalled one; comments between events are fine."""
+
+    async def run(endpoint, stream, head):
+        await stream.send(make_head(head, b"200 OK", EVENT_STREAM))
+        for number in range(1, 4):
+            await stream.send(make_chunk(b": wait\n\n"))
+            await anyio.sleep(defaults.EVENT_PATIENCE_SECONDS * 0.6)
+            await stream.send(make_chunk(make_events(number, number)))
+        await stream.send(b"0\r\n\r\n")
+
+    async def scenario():
+        async with run_world(STREAM, run) as world:
+            data = await call(world, make_request())
+            assert read_body(data) == make_events(1, 3)
+            assert len(world.endpoints[0].requests) == 1
+
+    anyio.run(scenario)
+
+
+def test_comments_are_bounded_between_two_events_only():
+    """Guard against cutting a long stream for the sum of its comments."""
+    comment = b": " + b"x" * (MAX_COMMENT_BYTES // 2) + b"\n\n"
+
+    async def run(endpoint, stream, head):
+        await stream.send(make_head(head, b"200 OK", EVENT_STREAM))
+        for number in range(1, 6):
+            await stream.send(make_chunk(comment))
+            await stream.send(make_chunk(make_events(number, number)))
+        await stream.send(b"0\r\n\r\n")
+
+    async def scenario():
+        async with run_world(STREAM, run) as world:
+            assert read_body(await call(world, make_request())) == make_events(1, 5)
+
+    anyio.run(scenario)
+
+
+def test_all_answers_of_a_host_share_one_bound():
+    """Guard against long answers that together take more memory than the host has."""
+    size = 8_000_000
+
+    async def run(endpoint, stream, head):
+        headers = SIGNED + b"Content-Length: %d\r\n" % size
+        try:
+            await stream.send(make_head(head, b"200 OK", headers) + b"x" * (size - 1))
+            await anyio.sleep(1.0)
+            await stream.send(b"x")
+        except BROKEN_PIPE:
+            return
+
+    async def scenario():
+        async with run_world(IDEMPOTENT, run, run) as world:
+            memory = world.gateway.memory
+            memory.free_bytes, memory.kept_bytes = 20_000_000, 5_000_000
+            statuses = []
+
+            async def ask():
+                statuses.append(get_status(await call(world, make_request(b"GET", b""))))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                tasks.start_soon(ask)
+                while memory.free_bytes > 20_000_000 - 2 * (size - 1):
+                    await anyio.sleep(0.01)
+                for _ in range(3):
+                    tasks.start_soon(ask)
+            assert statuses == [502, 502, 502, 200, 200]
+            assert memory.free_bytes == 20_000_000
+
+    anyio.run(scenario)
+
+
+def test_a_caller_that_reads_nothing_is_left():
+    """Guard against answers that stay in memory for a caller that never reads."""
+
+    async def scenario():
+        body = b"x" * 12_000_000
+        async with run_world(IDEMPOTENT, answer_whole(body)) as world:
+            stream = await anyio.connect_tcp("127.0.0.1", world.port)
+            async with stream:
+                await stream.send(make_request(b"GET", b""))
+                with anyio.fail_after(DEADLINE_SECONDS + 2.0):
+                    while not world.endpoints[0].requests or world.server.active:
+                        await anyio.sleep(0.05)
+            assert world.gateway.memory.free_bytes == defaults.ANSWER_MEMORY_BYTES
+
+    anyio.run(scenario)
+
+
+def test_a_body_that_comes_a_byte_at_a_time_is_refused():
+    """Guard against callers that hold a connection for ever with a byte now and then."""
+    limits = CallerLimits(body_bytes=100_000, idle_timeout_seconds=0.6)
+    manifest = replace(IDEMPOTENT, limits=limits)
+
+    async def scenario():
+        async with run_world(manifest, answer_whole(b"good")) as world:
+            stream = await anyio.connect_tcp("127.0.0.1", world.port)
+            async with stream:
+                head = b"POST /p/x HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: a\r\n"
+                await stream.send(head + b"Content-Length: 1000\r\n\r\n")
+                received = b""
+                with anyio.fail_after(DEADLINE_SECONDS):
+                    while not received:
+                        await stream.send(b"x")
+                        with anyio.move_on_after(0.1):
+                            received = await stream.receive()
+                assert get_status(received) == 408
+            assert not world.endpoints[0].requests
+
+    anyio.run(scenario)
