Rank the senders of a cold endpoint once, and list free engines in one pass

Engines were compared field by field with all busy ones, and all hosts were ranked for each cold engine.

--- a/marjorambridge/forwarding/budgets.py
+++ b/marjorambridge/forwarding/budgets.py
@@ -50,10 +50,27 @@
     hosts = list(state.hosts) or [settings.host]
     if limit >= len(hosts):
         return int(limit // len(hosts))
-    ranked = sorted(
-        hosts, key=lambda host: xxhash.xxh3_64_intdigest(f"{host}/{endpoint.name}".encode())
-    )
-    return 1 if settings.host in ranked[: int(limit)] else 0
+    return int(_is_cold_sender(state, endpoint.name, int(limit)))
+
+
+def _is_cold_sender(state: ForwardingState, endpoint: str, count: int) -> bool:
+    """Return whether this host is among the first `count` in the order of an endpoint.
+
+    Each request asks this of every cold endpoint, and ranking a large fleet takes longer than
+    everything else in a decision; so the answer is kept until the hosts change.
+    """
+    if state.cold_senders_hosts is not state.hosts:
+        state.cold_senders_hosts = state.hosts
+        state.cold_senders.clear()
+    if (endpoint, count) not in state.cold_senders:
+        own = _rank_sender(state.settings.host, endpoint)
+        earlier = sum(_rank_sender(host, endpoint) < own for host in state.hosts)
+        state.cold_senders[endpoint, count] = earlier < count
+    return state.cold_senders[endpoint, count]
+
+
+def _rank_sender(host: str, endpoint: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{host}/{endpoint}".encode())
 
 
 def may_send_cold(state: ForwardingState, endpoint: Endpoint, rate: float, now: float) -> bool:
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -48,12 +48,11 @@
         if is_usable(state, endpoint, excluded)
         and compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in READABLE
     ]
-    strict = [
+    free = [
         endpoint
         for endpoint in trusted
-        if compute_borne_pause(endpoint) < defaults.STRICT_PAUSE_SECONDS
+        if compute_borne_pause(endpoint) >= defaults.STRICT_PAUSE_SECONDS
     ]
-    free = [endpoint for endpoint in trusted if endpoint not in strict]
     free.sort(key=lambda endpoint: endpoint.order)
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
     waits = [_measure(endpoint, now) for endpoint in free[len(reserved) :]]
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -141,6 +141,10 @@
         All hosts that send requests to the endpoints, this one included, and their zones.
     news_at : float
         Monotonic time in seconds when loads of other hosts were last told.
+    cold_senders : dict of tuple of (str, int) to bool
+        Whether this host is among so many hosts that may send to a cold endpoint.
+    cold_senders_hosts : dict of str to str
+        Hosts from which `cold_senders` follows.
     """
 
     settings: ForwardingSettings
@@ -154,6 +158,8 @@
     hosts: dict[str, str] = field(default_factory=dict)
     news_at: float = -math.inf
     windows: dict[str, RetryWindow] = field(default_factory=dict)
+    cold_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
+    cold_senders_hosts: dict[str, str] = field(default_factory=dict)
 
 
 def create_state(settings: ForwardingSettings, seed: int) -> ForwardingState:
--- a/tests/forwarding/test_budgets.py
+++ b/tests/forwarding/test_budgets.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marjorambridge.forwarding.budgets import (
+    compute_cold_share,
     may_send_cold,
     note_request,
     note_sent,
@@ -63,3 +64,15 @@
         count += 1
         assert count < 10
     assert count == 0 or count * 8 <= 8
+
+
+def test_the_hosts_that_warm_an_endpoint_up_follow_the_fleet():
+    """Guard against shares that are kept although hosts came or went."""
+    state = make_state(engines=1, hosts=("h0",), rate=1.0)
+    endpoint = state.endpoints["e0"]
+    endpoint.cold_until = 10.0
+    for names in (range(300), range(1), range(40)):
+        state.hosts = {f"h{n}": "z0" for n in names}
+        fresh = make_state(engines=1, hosts=tuple(state.hosts), rate=1.0)
+        expected = compute_cold_share(fresh, fresh.endpoints["e0"], 4.0)
+        assert compute_cold_share(state, endpoint, 4.0) == expected
