Tell members of a commit when they acknowledge late, and confirm replicas sooner

Cause: the leader told a new commit index only to members with nothing in flight; one that acknowledged after the majority learned of it with the next heartbeat, up to 0.2 s later. Replicas also waited for a tick before they asked for their first barrier, and a new leader dropped commands until the first entry of its term was committed.

--- a/marjorambridge/control/proposals.py
+++ b/marjorambridge/control/proposals.py
@@ -17,9 +17,10 @@
     """Propose a pending command, or send it to the leader."""
     pending = state.pending[command_id]
     pending.sent_at = now
-    if state.is_leader:
+    if state.leader == state.host:
+        # Entries may follow on the first one of a term before that is committed.
         return [propose(now, command_id, pending.payload)]
-    if state.leader and state.leader != state.host:
+    if state.leader:
         return [SendMessage(state.leader, ProposalForward(command_id, pending.payload))]
     return []
 
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -86,11 +86,13 @@
             return [Publish(SnapshotTaken(event.now, CONTROL_GROUP, state.control.index, data))]
         case LeadershipChanged():
             state.leader, state.is_leader = event.leader, event.is_leader
-            return [
+            effects = [
                 effect
                 for command_id in state.pending
                 for effect in send_command(state, command_id, event.now)
             ]
+            # After a restart of the whole fleet callers wait until a replica is current.
+            return effects + renew_barrier(state, event.now)
         case LogPositionChanged():
             state.members = event.voters
         case MessageReceived():
@@ -119,7 +121,7 @@
     message = event.message
     match message:
         case ProposalForward():
-            if not state.is_leader:
+            if state.leader != state.host:
                 return []
             return [propose(event.now, message.command_id, message.payload)]
         case EndpointGossip():
--- a/marjorambridge/replication/leaders.py
+++ b/marjorambridge/replication/leaders.py
@@ -50,6 +50,7 @@
     end = previous + len(entries)
     progress = group.progress[target]
     progress.serial += 1
+    progress.commit_sent = min(group.commit_index, end)
     message = AppendRequest(
         group=group.group,
         cluster=replica.cluster,
@@ -58,7 +59,7 @@
         term=group.term,
         previous_index=previous,
         previous_term=get_term(group.log, previous) or 0,
-        commit_index=min(group.commit_index, end),
+        commit_index=progress.commit_sent,
         serial=progress.serial,
         entries=entries,
     )
@@ -116,9 +117,19 @@
 
 def broadcast_commit(replica: ReplicaState, group: GroupState, effects: list[Effect]) -> None:
     """Tell members that have nothing in flight about a new commit index at once."""
-    for target, progress in group.progress.items():
-        if progress.mode is ProgressMode.REPLICATE and not progress.in_flight:
-            send_heartbeat(replica, group, effects, target)
+    for target in group.progress:
+        send_commit(replica, group, effects, target)
+
+
+def send_commit(
+    replica: ReplicaState, group: GroupState, effects: list[Effect], target: ReplicaId
+) -> None:
+    """Tell a member about a new commit index, unless an append in flight will be followed by it."""
+    progress = group.progress[target]
+    known = min(group.commit_index, progress.match_index)
+    is_idle = progress.mode is ProgressMode.REPLICATE and not progress.in_flight
+    if is_idle and progress.commit_sent < known:
+        send_heartbeat(replica, group, effects, target)
 
 
 def start_snapshot(
@@ -261,3 +272,5 @@
     # Committing the removal of this replica ends its leadership.
     if group.role is Role.LEADER:
         send_entries(replica, group, effects, reply.source, now)
+        # A member that acknowledges after the majority has not been told of the commit yet.
+        send_commit(replica, group, effects, reply.source)
--- a/marjorambridge/replication/state.py
+++ b/marjorambridge/replication/state.py
@@ -82,6 +82,8 @@
         Appends with a smaller number were sent before the last refusal. Acting on their replies
         as well would send several appends for each one, and the number of messages would grow
         without bound when many are lost or late.
+    commit_sent : int
+        Commit index that the member was told last.
     snapshot : Snapshot or None
         Snapshot in transfer; kept here so that a newer one does not change it midway.
     """
@@ -93,6 +95,7 @@
     serial: int = 0
     valid_from: int = 0
     heard_at: float = 0.0
+    commit_sent: int = 0
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
     snapshot_sent_at: float = 0.0
--- a/tests/replication/test_directed.py
+++ b/tests/replication/test_directed.py
@@ -273,6 +273,8 @@
 def test_all_replicas_restart_and_publish_snapshot_and_entries_again():
     fleet = start_fleet()
     fleet.commit(30)
+    # Members learn of a commit at once; the snapshot that it causes still has to be synced.
+    fleet.run(0.1)
     for host in fleet.peers:
         fleet.crash(host)
     fleet.events.clear()
@@ -319,3 +321,15 @@
     joins = [m for m in fleet.sent if isinstance(m, messages.JoinRequest | messages.JoinChallenge)]
     # The new disk asks four hosts every half second.
     assert len(joins) < 3.0 / defaults.JOIN_RETRY_SECONDS * 4 * 4
+
+
+def test_a_member_that_acknowledges_late_learns_of_the_commit_at_once():
+    """Guard against followers that apply what a majority has only at the next heartbeat."""
+    fleet = start_fleet(5)
+    leader = fleet.find_leader()
+    fleet.run(1.0)
+    fleet.propose(leader.host)
+    fleet.run(0.06)
+    for host in fleet.peers:
+        positions = fleet.list_events(ev.LogPositionChanged, host)
+        assert positions[-1].commit_index == positions[-1].last_index
