--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -18,8 +18,8 @@
     compute_hosts_digest,
 )
 from marjorambridge.control.events import FeedLost, FeedRegained, FleetUpdated
-from marjorambridge.control.messages import FeedPoll, FeedUpdate
-from marjorambridge.core.effects import Effect, Publish, SendMessage, SetTimer
+from marjorambridge.control.messages import FeedPoll, FeedUpdate, find_fault
+from marjorambridge.core.effects import Effect, Publish, SendMessage, SetTimer, WriteLog
 from marjorambridge.core.events import Event, MessageReceived, Started, TimerFired
 from marjorambridge.core.identity import TimerKey
 
@@ -111,6 +111,9 @@
             return _poll(state, event.now)
         case TimerFired():
             return _poll(state, event.now)
+        case MessageReceived() if fault := find_fault(event.message):
+            fields = {"peer": event.sender, "reason": fault}
+            return [WriteLog("warning", "dropped a message that contradicts itself", fields)]
         case MessageReceived():
             return _take_update(state, event.sender, event.message, event.now)
     return []
--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -153,3 +153,30 @@
     host_zones: tuple[str, ...]
     poll_after_seconds: float = 0.0
     matches: bool = False
+
+
+def find_fault(message: object) -> str:
+    """Return why a message contradicts itself, or an empty string if it does not.
+
+    A peer that runs another version may send such a message; it must end nothing but itself.
+
+    Examples
+    --------
+    >>> find_fault(EndpointGossip(hosts=("h1",), host_zones=()))
+    '1 hosts come with 0 zones'
+    """
+    match message:
+        case EndpointGossip():
+            pairs = [(message.hosts, message.host_zones, "hosts come with {} zones")]
+        case FeedUpdate():
+            pairs = [
+                (message.hosts, message.host_zones, "hosts come with {} zones"),
+                (message.members, message.member_zones, "replicas come with {} zones"),
+                (message.restored, message.restored_at, "zones come with {} indexes"),
+            ]
+        case _:
+            return ""
+    for names, values, text in pairs:
+        if len(names) != len(values):
+            return f"{len(names)} {text.format(len(values))}"
+    return ""
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -21,6 +21,7 @@
     FeedPoll,
     MemberList,
     ProposalForward,
+    find_fault,
 )
 from marjorambridge.control.proposals import propose, renew_barrier, resend_commands, send_command
 from marjorambridge.control.registry import (
@@ -119,6 +120,10 @@
 
 def _take_message(state: ReplicaControl, event: MessageReceived) -> list[Effect]:
     message = event.message
+    fault = find_fault(message)
+    if fault:
+        fields = {"peer": event.sender, "reason": fault}
+        return [WriteLog("warning", "dropped a message that contradicts itself", fields)]
     match message:
         case ProposalForward():
             if state.leader != state.host:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -1,5 +1,7 @@
 """Guard the control log and the feed against lost processes, lost disks and cuts."""
 
+from dataclasses import replace
+
 import pytest
 
 from marjorambridge.conf import defaults
@@ -10,8 +12,11 @@
     RestoreZone,
     RetireEndpoint,
 )
-from marjorambridge.control.messages import FeedUpdate
+from marjorambridge.control.messages import EndpointGossip, FeedUpdate
 from marjorambridge.control.registry import choose_listener
+from marjorambridge.core.effects import WriteLog
+from marjorambridge.core.events import MessageReceived
+from marjorambridge.core.reducer import step
 from marjorambridge.discovery.models import EndpointReport
 
 from .fleet import Fleet
@@ -326,3 +331,18 @@
     # A zone without a replica has no preference.
     report = EndpointReport("e1", "svc", "z9", "10.0.0.1:80", 8)
     assert choose_listener(fleet.control("r0"), report, fleet.now) == ""
+
+
+def test_a_message_that_contradicts_itself_is_dropped_and_ends_nothing():
+    """Guard against a malformed message that takes a whole process down."""
+    fleet = make_fleet()
+    gossip = EndpointGossip("z1", hosts=("h1",), host_zones=())
+    step(fleet.hosts["r0"].node, MessageReceived(fleet.now, "r1", 1, gossip))
+    update = fleet.updates("g0")[-1].update
+    for name in ("hosts", "members", "restored"):
+        damaged = replace(update, **{name: (*getattr(update, name), "x")})
+        effects = step(fleet.hosts["g0"].node, MessageReceived(fleet.now, "r0", 1, damaged))
+        assert [type(effect) for effect in effects] == [WriteLog]
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    fleet.run(0.5)
+    assert fleet.known_version("g0") == 1
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.lowlevel
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +15,7 @@
 from marjorambridge.transport import network
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
+from marjorambridge.transport.turns import TURNS_PER_ROUND, Turns, run_turns, take_turn
 from marjorambridge.wire.exceptions import WireError
 
 pytestmark = pytest.mark.anyio
@@ -132,3 +134,28 @@
         open_frame(session, data)
     with pytest.raises((HandshakeError, WireError)):
         decode_hello(data, "test")
+
+
+async def test_messages_that_can_wait_leave_room_for_urgent_ones():
+    """Guard against heartbeats of the log that wait behind the polls of hundreds of hosts."""
+    turns = Turns()
+    order = []
+
+    async def wait(number):
+        await take_turn(turns)
+        order.append(number)
+
+    async def hurry():
+        for _ in range(3):
+            await anyio.lowlevel.checkpoint()
+        order.append("urgent")
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_turns, turns)
+        for number in range(200):
+            tasks.start_soon(wait, number)
+        tasks.start_soon(hurry)
+        await wait_for(lambda: len(order) == 201)
+        tasks.cancel_scope.cancel()
+    assert [item for item in order if item != "urgent"] == list(range(200))
+    assert order.index("urgent") <= 4 * TURNS_PER_ROUND
