--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -63,8 +63,10 @@
 TOTALS_SECONDS = 0.08
 # Hosts of each zone that collect; the second one makes the death of the first harmless.
 COLLECTORS_PER_ZONE = 2
-# The second one tells the other zones only when the first one was silent for this long, in seconds.
-SPEAKER_SILENCE_SECONDS = 1.5
+# Only the first of them tells totals; the next one takes over when it was silent for this long, in
+# seconds. Without changes it tells at this interval in seconds that it is there.
+SPEAKER_SILENCE_SECONDS = 0.75
+SPEAKER_INTERVAL_SECONDS = 0.3
 MAX_QUEUED = 1_000
 # Loads in one datagram, so that it fits a packet of 1,500 bytes.
 MAX_LOADS = 40
@@ -309,7 +311,8 @@
 
 async def _pass_on_totals(sharing: LoadSharing) -> None:
     while True:
-        await anyio.sleep(TOTALS_SECONDS if is_collecting(sharing.forwarding) else REPEAT_SECONDS)
+        is_due = is_complete(sharing.collection, time.monotonic())
+        await anyio.sleep(TOTALS_SECONDS if is_due else REPEAT_SECONDS)
         queue_totals(sharing, time.monotonic())
 
 
@@ -322,10 +325,12 @@
     if not is_complete(collection, now):
         return
     here, collection.changed_here = list(collection.changed_here), {}
-    if here and is_speaker(sharing, now):
-        _queue_for_other_zones(sharing, here, now)
     names, collection.changed = list(collection.changed), {}
-    if not names and now - sharing.told_at < REPEAT_SECONDS:
+    if not is_speaker(sharing, now):
+        return
+    if here:
+        _queue_for_other_zones(sharing, here, now)
+    if not names and now - sharing.told_at < SPEAKER_INTERVAL_SECONDS:
         return
     sharing.told_at = now
     for first in range(0, max(1, len(names)), MAX_LOADS):
@@ -334,13 +339,13 @@
 
 
 def is_speaker(sharing: LoadSharing, now: float) -> bool:
-    """Return whether this host tells the other zones what its own zone has."""
+    """Return whether this host tells totals, because no collecting host before it does."""
     for host in list_collectors(sharing.forwarding, sharing.forwarding.settings.zone):
         if host == sharing.own_host:
             return True
         if now - sharing.totals_heard_at.get(host, -math.inf) < SPEAKER_SILENCE_SECONDS:
             return False
-    return False
+    return True
 
 
 def _queue_for_other_zones(sharing: LoadSharing, names: list[str], now: float) -> None:
