Spread the first requests of hosts that have just started over all engines

Cause: after a loss of power each host knows only itself, since the replicas that restarted with it tell one another their hosts once a second; it took the fleet for a small one and packed short requests onto the first engines of the common order. A host that started less than 2.5 s ago now draws among all engines. The new test fails without the change for 9 hosts with 16 engines and for 78 with 54.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -300,6 +300,9 @@
 # Share of the idle engines among which a host of such a fleet draws the readers of a long prompt;
 # the others are left to short requests.
 LONG_CHOICE_RATIO = 0.6
+# Time in seconds after its start in which a host does not know its fleet: replicas that restarted
+# with it tell one another their hosts once a second, and hosts repeat their loads once a second.
+START_NEWS_SECONDS = 2.5
 # Age in seconds beyond which the loads of other hosts are unknown; they are told once a second.
 LOAD_NEWS_SECONDS = 1.5
 # Slots of an engine that packed short requests leave free.
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -119,6 +119,7 @@
             cold_allowance=bounds.cold_allowance,
         ),
         incarnation,
+        started_at=time.monotonic(),
     )
     key = fleets.derive_fleet_key(settings)
     sharing = LoadSharing(forwarding, address, key)
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -12,7 +12,7 @@
     count_kv_tokens,
     count_requests,
 )
-from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, decides_alone
 from marjorambridge.manifests.models import ServiceDefinition
 
 # Endpoints are ordered by a hash of 64 bits.
@@ -76,7 +76,8 @@
     ranks = {
         endpoint.name: rank_endpoint(state, definition, endpoint, work, now) for endpoint in usable
     }
-    if definition.engine is None or len(state.hosts) <= defaults.LARGE_FLEET_HOSTS:
+    is_large = len(state.hosts) > defaults.LARGE_FLEET_HOSTS or decides_alone(state, now)
+    if definition.engine is None or not is_large:
         return min(usable, key=lambda endpoint: ranks[endpoint.name])
     return choose_open(state, usable, ranks, now)
 
@@ -109,7 +110,7 @@
     count = math.ceil(defaults.OPEN_ENGINE_MARGIN * running / room)
     count += defaults.OPEN_ENGINE_EXTRA + math.ceil(defaults.OPEN_ENGINE_RATIO * len(candidates))
     other_zone = defaults.OTHER_ZONE_REQUESTS
-    if now - state.news_at > defaults.LOAD_NEWS_SECONDS:
+    if now - state.news_at > defaults.LOAD_NEWS_SECONDS or decides_alone(state, now):
         count, other_zone = len(candidates), 0.0
     opened = candidates[:count]
     return min(
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -16,7 +16,7 @@
     count_requests,
 )
 from marjorambridge.forwarding.placement import Doubt, Work, compute_doubt, has_memory, is_usable
-from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, decides_alone
 from marjorambridge.manifests.models import ServiceDefinition
 
 # Less than this many seconds of waiting reads are gone before a new part is read.
@@ -57,7 +57,7 @@
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
     waits = [_measure(endpoint, now) for endpoint in free[len(reserved) :]]
     waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
-    if len(state.hosts) > defaults.LARGE_FLEET_HOSTS:
+    if len(state.hosts) > defaults.LARGE_FLEET_HOSTS or decides_alone(state, now):
         _shuffle_idle(state, waits)
     chosen = (
         _fit(waits, work, defaults.LONG_READ_RATIO * work.objective_seconds)
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from marjorambridge.conf import defaults
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.manifests.matching import RouteTable
 
@@ -139,6 +140,8 @@
         Zones that were taken back, with the index of the command that did it.
     hosts : dict of str to str
         All hosts that send requests to the endpoints, this one included, and their zones.
+    started_at : float
+        Monotonic time in seconds when this host started.
     news_at : float
         Monotonic time in seconds when loads of other hosts were last told.
     cold_senders : dict of tuple of (str, int) to bool
@@ -156,12 +159,25 @@
     drained: frozenset[str] = frozenset()
     restored: dict[str, int] = field(default_factory=dict)
     hosts: dict[str, str] = field(default_factory=dict)
+    started_at: float = -math.inf
     news_at: float = -math.inf
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     cold_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
     cold_senders_hosts: dict[str, str] = field(default_factory=dict)
 
 
-def create_state(settings: ForwardingSettings, seed: int) -> ForwardingState:
+def create_state(
+    settings: ForwardingSettings, seed: int, started_at: float = -math.inf
+) -> ForwardingState:
     """Return the state of a host that knows nothing yet."""
-    return ForwardingState(settings, random.Random(seed), hosts={settings.host: settings.zone})
+    return ForwardingState(
+        settings,
+        random.Random(seed),
+        hosts={settings.host: settings.zone},
+        started_at=started_at,
+    )
+
+
+def decides_alone(state: ForwardingState, now: float) -> bool:
+    """Return whether this host has just started, so that it knows neither hosts nor their loads."""
+    return now - state.started_at < defaults.START_NEWS_SECONDS
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -321,3 +321,27 @@
             running[name] -= 1
         ending = [item for item in ending if item[0] > now]
     assert queued <= sent / 50
+
+
+@pytest.mark.parametrize(("engines", "fleet"), [(16, 9), (54, 78)], ids=["small", "large"])
+def test_a_fleet_that_restarts_at_once_spreads_its_first_requests(engines, fleet):
+    """Guard against a restarted fleet whose hosts all send to the same engine (svist, trouble-1).
+
+    Right after a loss of power a host knows itself only, and no loads.
+    """
+    used = Counter()
+    for number in range(fleet):
+        state = make_state(engines=engines, hosts=(f"h{number}",))
+        state.generator.seed(number)
+        state.started_at = 9.0
+        for _ in range(3):
+            used[send_short(state, 10.0).name] += 1
+    assert max(used.values()) <= 3 * math.ceil(3 * fleet / engines)
+    # Later it packs short requests again.
+    calm = make_state(engines=engines)
+    calm.started_at = 10.0 - defaults.START_NEWS_SECONDS
+    packed = set()
+    for _ in range(4):
+        packed.add(send_short(calm, 10.0).name)
+        finish_reads(calm)
+    assert len(packed) == 1
