Compare digests also when a replica becomes current

The test of whole tables failed once its virtual time ran in steps of 2 ms: 14 of about 40 hosts that turned to a restarted replica got a whole table, all pushed when the replica became current. Digests were compared only in answers to polls.

--- a/marjorambridge/control/feed.py
+++ b/marjorambridge/control/feed.py
@@ -32,17 +32,8 @@
         follower.hosts = tuple(names)
     elif follower.revision < 0:
         follower.hosts = ()
-    matches = (
-        follower.revision < 0
-        and poll.table_digest != 0
-        and poll.table_digest == _get_digest(state, now)
-        and _may_tell(state, follower, now)
-    )
-    if matches:
-        follower.revision = state.table.revision
-    update = _make_update(state, host, follower, poll.serial, now)
-    update.matches = matches
-    effects: list[Effect] = [SendMessage(host, update)]
+    follower.table_digest = poll.table_digest
+    effects: list[Effect] = [_make_update(state, host, follower, poll.serial, now)]
     if is_new:
         # The other hosts count the new one in their shares of fleet-wide limits.
         effects += schedule_push(state, now)
@@ -53,7 +44,7 @@
     """Tell every host at once what it lacks."""
     current = is_current(state, now)
     return [
-        SendMessage(host, _make_update(state, host, follower, 0, now))
+        _make_update(state, host, follower, 0, now)
         for host, follower in state.followers.items()
         if follower.index < state.control.index
         or follower.current != current
@@ -91,11 +82,19 @@
 
 def _make_update(
     state: ReplicaControl, host: str, follower: Follower, serial: int, now: float
-) -> FeedUpdate:
+) -> SendMessage:
     table, control = state.table, state.control
     # Manifests of large fleets take most of the bytes between zones; none is sent in vain.
     is_told = _may_tell(state, follower, now)
     has_news = control.version > follower.version and is_told
+    matches = (
+        is_told
+        and follower.revision < 0
+        and follower.table_digest != 0
+        and follower.table_digest == _get_digest(state, now)
+    )
+    if matches:
+        follower.revision = table.revision
     changed = tuple(
         describe(known, now)
         for known in table.endpoints.values()
@@ -132,6 +131,7 @@
         poll_after_seconds=min(
             len(state.followers) / defaults.FEED_POLLS_PER_SECOND, defaults.FEED_MAX_POLL_SECONDS
         ),
+        matches=matches,
     )
     if is_told:
         follower.revision = table.revision
@@ -139,7 +139,7 @@
     if has_news:
         follower.version = control.version
     follower.current = update.current
-    return update
+    return SendMessage(host, update)
 
 
 def _get_digest(state: ReplicaControl, now: float) -> int:
--- a/marjorambridge/control/state.py
+++ b/marjorambridge/control/state.py
@@ -33,6 +33,8 @@
         Last control index and manifest version that were sent.
     may_be_old : bool
         Whether the host also takes a manifest of a replica that is not current.
+    table_digest : int
+        Digest of the endpoints that the host knew at its last poll; 0 for none.
     hosts : tuple of str
         Hosts that were named last.
     """
@@ -43,6 +45,7 @@
     index: int = -1
     version: int = 0
     may_be_old: bool = True
+    table_digest: int = 0
     current: bool = False
     hosts: tuple[str, ...] = ()
 
--- a/tests/control/busy.py
+++ b/tests/control/busy.py
@@ -20,6 +20,8 @@
 # Time in seconds after which an endpoint gives a report up, and between two reports.
 REPORT_TIMEOUT_SECONDS = 1.0
 REPORT_INTERVAL_SECONDS = 1.2
+# Steps of virtual time in which work is done.
+STEP_SECONDS = 0.002
 
 
 class BusyFleet(Fleet):
@@ -124,7 +126,7 @@
         """Fire the timers of a busy replica only when it is free, after what has arrived."""
         end = self.now + seconds
         while self.now < end:
-            self.now = min(end, self.now + 0.001)
+            self.now = min(end, self.now + STEP_SECONDS)
             self.deliver()
             for name, host in self.hosts.items():
                 if host.node is None or self.free_at.get(name, 0.0) > self.now:
