--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -194,6 +194,8 @@
 # Factor by which the time between two polls grows without an answer, and its greatest value.
 FEED_BACKOFF_FACTOR = 1.5
 FEED_MAX_BACKOFF_SECONDS = 1.0
+# The same while a host has no manifest.
+FEED_FIRST_MAX_BACKOFF_SECONDS = 0.45
 # Part of the time between two polls that is drawn, so that hosts that started at once spread out.
 FEED_JITTER_RATIO = 0.2
 # Silence of a replica, in polls, after which a host turns to another one.
--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -135,7 +135,10 @@
     is_first = state.version == 0
     interval = defaults.FEED_FIRST_POLL_SECONDS if is_first else defaults.FEED_POLL_SECONDS
     backoff = interval * defaults.FEED_BACKOFF_FACTOR**state.unanswered
-    interval = max(interval, state.poll_after, min(backoff, defaults.FEED_MAX_BACKOFF_SECONDS))
+    limit = defaults.FEED_MAX_BACKOFF_SECONDS
+    if is_first:
+        limit = defaults.FEED_FIRST_MAX_BACKOFF_SECONDS
+    interval = max(interval, state.poll_after, min(backoff, limit))
     return interval * (1.0 + defaults.FEED_JITTER_RATIO * (state.generator.random() - 0.5))
 
 
--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -35,8 +35,12 @@
 MESSAGE_LIFETIME_SECONDS = 2.0
 MAX_QUEUED_MESSAGES = 4_096
 MAX_BATCH_BYTES = 256 * 1024
+# A connection that lasted for this long in seconds was sound.
+STABLE_CONNECTION_SECONDS = 1.0
 MIN_BACKOFF_SECONDS = 0.05
-MAX_BACKOFF_SECONDS = 1.0
+# After a loss of power hosts and replicas start within a second of one another, and callers wait
+# for the first connections; a refused one costs little.
+MAX_BACKOFF_SECONDS = 0.25
 CONNECTION_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -203,7 +207,7 @@
             logger.bind(peer=host, error=str(error)).warning("handshake with a peer failed")
         except CONNECTION_ERRORS as error:
             logger.bind(peer=host, error=repr(error)).debug("connection to a peer was lost")
-        if time.monotonic() - started > MAX_BACKOFF_SECONDS:
+        if time.monotonic() - started > STABLE_CONNECTION_SECONDS:
             backoff = MIN_BACKOFF_SECONDS
         _drop_old_messages(peer)
         await anyio.sleep(backoff)
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -159,3 +159,19 @@
         tasks.cancel_scope.cancel()
     assert [item for item in order if item != "urgent"] == list(range(200))
     assert order.index("urgent") <= 4 * TURNS_PER_ROUND
+
+
+async def test_a_peer_that_starts_late_is_reached_within_moments():
+    """Guard against hosts that wait a second for a replica which has just started."""
+    pair = Pair(find_free_ports(2))
+    async with anyio.create_task_group() as tasks:
+        await network.start(pair.hosts["a"], tasks, pair.addresses["a"])
+        with anyio.move_on_after(2.0):
+            while True:
+                network.send(pair.hosts["a"], "b", make_message(1))
+                await anyio.sleep(0.1)
+        await network.start(pair.hosts["b"], tasks, pair.addresses["b"])
+        began = anyio.current_time()
+        await wait_for(lambda: pair.received["b"])
+        assert anyio.current_time() - began < 0.5
+        tasks.cancel_scope.cancel()
