--- a/marjorambridge/claims/client.py
+++ b/marjorambridge/claims/client.py
@@ -2,7 +2,8 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from marjorambridge.claims.digests import compute_group, compute_key_digest
 from marjorambridge.claims.events import (
--- a/marjorambridge/claims/digests.py
+++ b/marjorambridge/claims/digests.py
@@ -2,7 +2,8 @@
 
 import hashlib
 import uuid
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 HOUR_SECONDS = 3600
 PARTITIONS = 4096
@@ -61,8 +62,7 @@
     return (number.int >> 80) / 1000 if number.version == 7 else 0.0
 
 
-@dataclass(slots=True)
-class DigestTable:
+class DigestTable(Struct):
     """Hold digests with the hour that they were added for, in 16 bytes each.
 
     The first 12 bits of a digest choose a partition, which holds unsorted records of 14 digest
--- a/marjorambridge/claims/events.py
+++ b/marjorambridge/claims/events.py
@@ -1,13 +1,10 @@
 """Define the events between the requests part and the claims client on the same host."""
 
-from dataclasses import dataclass
-
 from marjorambridge.claims.messages import ClaimStatus, RecordedAnswer
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
 
 
-@dataclass(slots=True)
 class ClaimWanted(Event):
     """Ask the claims client to claim a call; `ClaimDecided` answers.
 
@@ -31,7 +28,6 @@
     request: str = ""
 
 
-@dataclass(slots=True)
 class ClaimCompletionWanted(Event):
     """Ask the claims client to record an answer; `ClaimSettled` answers."""
 
@@ -40,7 +36,6 @@
     give_up_at: float
 
 
-@dataclass(slots=True)
 class ClaimReleaseWanted(Event):
     """Ask the claims client to give a claim back; `ClaimSettled` answers."""
 
@@ -48,7 +43,6 @@
     give_up_at: float
 
 
-@dataclass(slots=True)
 class ClaimDecided(Event):
     """Tell the requests part what became of a claim.
 
@@ -61,7 +55,6 @@
     answer: RecordedAnswer | None = None
 
 
-@dataclass(slots=True)
 class ClaimSettled(Event):
     """Tell the requests part that a completion or a release is committed, or was given up."""
 
@@ -69,7 +62,6 @@
     committed: bool
 
 
-@dataclass(slots=True)
 class WallClockRead(Event):
     """Deliver the host's wall-clock time, in seconds since the epoch, as of `now`.
 
@@ -80,7 +72,6 @@
     wall: float
 
 
-@dataclass(slots=True)
 class ClaimReplicasChanged(Event):
     """Tell the claims client which hosts have replicas of the claims groups."""
 
--- a/marjorambridge/claims/messages.py
+++ b/marjorambridge/claims/messages.py
@@ -1,15 +1,15 @@
 """Define the messages between hosts and the leaders of the claims groups."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from marjorambridge.core.identity import AttemptId
 
 RESULT_UNKNOWN = -1
 
 
-@dataclass(slots=True)
-class RecordedAnswer:
+class RecordedAnswer(Struct):
     """Hold the answer of a completed call; `body` is empty and `kept` false if it was too long.
 
     Attributes
@@ -49,8 +49,7 @@
     RELEASE = "release"
 
 
-@dataclass(slots=True)
-class ClaimRequest:
+class ClaimRequest(Struct):
     """Claim a call before its first byte is sent.
 
     Attributes
@@ -72,8 +71,7 @@
     trace: str | None = None
 
 
-@dataclass(slots=True)
-class ClaimComplete:
+class ClaimComplete(Struct):
     """Record the answer of a claimed call."""
 
     claim: AttemptId
@@ -82,8 +80,7 @@
     answer: RecordedAnswer
 
 
-@dataclass(slots=True)
-class ClaimRelease:
+class ClaimRelease(Struct):
     """Give a claim back because no byte of the call was sent."""
 
     claim: AttemptId
@@ -91,8 +88,7 @@
     key: str
 
 
-@dataclass(slots=True)
-class ClaimAnswer:
+class ClaimAnswer(Struct):
     """Answer a claim, a completion or a release, after its entry is committed.
 
     Attributes
--- a/marjorambridge/claims/state.py
+++ b/marjorambridge/claims/state.py
@@ -1,8 +1,9 @@
 """Hold the state of the claims part: its replicas of the claims groups and its client."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from marjorambridge.claims.commands import Command, Policy
 from marjorambridge.claims.messages import ClaimOperation, RecordedAnswer
 from marjorambridge.claims.state_machine import GroupMachine
@@ -10,8 +11,7 @@
 from marjorambridge.core.identity import AttemptId
 
 
-@dataclass(slots=True)
-class ClaimSettings:
+class ClaimSettings(Struct):
     """Hold the settings of the claims part; names that end in seconds or bytes have that unit.
 
     Attributes
@@ -41,8 +41,7 @@
 WaitKey = tuple[ClaimOperation, AttemptId]
 
 
-@dataclass(slots=True)
-class Waiter:
+class Waiter(Struct):
     """Remember who waits for the result of a command, and since when it is in a proposal.
 
     Attributes
@@ -59,8 +58,7 @@
     trace: str | None = None
 
 
-@dataclass(slots=True)
-class GroupState:
+class GroupState(Struct):
     """Hold one replica of a claims group and, on the leader, the commands in progress.
 
     Attributes
@@ -89,8 +87,7 @@
     waiting: dict[WaitKey, Waiter] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class ReplicaState:
+class ReplicaState(Struct):
     """Hold the replicas of the claims groups on this host.
 
     Attributes
@@ -120,8 +117,7 @@
     RELEASING = "releasing"
 
 
-@dataclass(slots=True)
-class CallState:
+class CallState(Struct):
     """Describe a call that this host claims, or has claimed.
 
     Attributes
@@ -147,8 +143,7 @@
     request: str = ""
 
 
-@dataclass(slots=True)
-class ClientState:
+class ClientState(Struct):
     """Hold the calls of this host and what it knows about the leaders of the groups.
 
     Attributes
@@ -170,8 +165,7 @@
     background: dict[AttemptId, None] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class ClaimsState:
+class ClaimsState(Struct):
     """Hold the whole state of the claims part of one host."""
 
     replica: ReplicaState
--- a/marjorambridge/claims/state_machine.py
+++ b/marjorambridge/claims/state_machine.py
@@ -6,9 +6,9 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.claims.commands import (
     Claim,
@@ -44,8 +44,7 @@
 Claimant = tuple[str, int]
 
 
-@dataclass(slots=True)
-class OpenClaim:
+class OpenClaim(Struct):
     """Describe a claim that is neither completed nor released.
 
     Attributes
@@ -62,8 +61,7 @@
     claimed: float
 
 
-@dataclass(slots=True)
-class ClaimantState:
+class ClaimantState(Struct):
     """Count the open claims of one host process, and tell whether it is marked as lost."""
 
     open: int
@@ -82,8 +80,7 @@
     answer: bytes
 
 
-@dataclass(slots=True)
-class GroupMachine:
+class GroupMachine(Struct):
     """Hold the replicated state of a claims group.
 
     Attributes
@@ -122,8 +119,7 @@
     markers: DigestTable = field(default_factory=DigestTable)
 
 
-@dataclass(slots=True)
-class CommandResult:
+class CommandResult(Struct):
     """Tell what an entry decided about one claim."""
 
     operation: ClaimOperation
--- a/marjorambridge/conf/loading.py
+++ b/marjorambridge/conf/loading.py
@@ -2,15 +2,16 @@
 
 import difflib
 from collections.abc import Iterator
-from dataclasses import MISSING, fields, is_dataclass
 from pathlib import Path
 from typing import Any, get_args, get_origin, get_type_hints
 
 import msgspec
+from msgspec.structs import fields
 
 from marjorambridge.checks.settings import check_settings
 from marjorambridge.conf.exceptions import SettingsError
 from marjorambridge.conf.settings import HostSettings
+from marjorambridge.core.records import is_structure
 
 
 def load_settings(path: Path) -> HostSettings:
@@ -75,13 +76,13 @@
 
     `msgspec` stops at the first fault, so each field is converted on its own.
     """
-    if is_dataclass(kind) and isinstance(raw, dict):
+    if is_structure(kind) and isinstance(raw, dict):
         hints = get_type_hints(kind)
         for item in fields(kind):
             name = f"{path}.{item.name}" if path else item.name
             if item.name in raw:
                 yield from _find_type_faults(raw[item.name], hints[item.name], name)
-            elif item.default is MISSING and item.default_factory is MISSING:
+            elif item.required:
                 yield f"{name} is missing; see docs/ref/settings.md"
     elif get_origin(kind) is tuple and isinstance(raw, list):
         for number, item in enumerate(raw):
@@ -108,9 +109,9 @@
             faults.append(f"unknown setting {name}; {remedy}")
             continue
         kind = hints[key]
-        if is_dataclass(kind):
+        if is_structure(kind):
             faults.extend(find_unknown_keys(value, kind, f"{name}."))
-        elif isinstance(value, list) and get_args(kind) and is_dataclass(get_args(kind)[0]):
+        elif isinstance(value, list) and get_args(kind) and is_structure(get_args(kind)[0]):
             for number, item in enumerate(value):
                 faults.extend(find_unknown_keys(item, get_args(kind)[0], f"{name}[{number}]."))
     return faults
--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -1,16 +1,15 @@
 """Model and load the settings file of a gateway or a replica."""
 
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.conf.exceptions import SettingsError
 
 
-@dataclass(slots=True)
-class FleetBounds:
+class FleetBounds(Struct):
     """Hold the bounds that the deployment sets for all hosts together.
 
     Attributes
@@ -34,8 +33,7 @@
     cold_allowance: float = 0.0
 
 
-@dataclass(slots=True)
-class NodeSettings:
+class NodeSettings(Struct):
     """Hold the settings of one process.
 
     Attributes
--- a/marjorambridge/conf/settings.py
+++ b/marjorambridge/conf/settings.py
@@ -1,12 +1,11 @@
 """Model the settings file of one host."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 
 
-@dataclass(slots=True)
-class Addresses:
+class Addresses(Struct):
     """Give the ``ip:port`` addresses of a host.
 
     Attributes
@@ -27,8 +26,7 @@
     advertised_peer: str = ""
 
 
-@dataclass(slots=True)
-class Replica:
+class Replica(Struct):
     """Name a host that keeps the replicated logs.
 
     Attributes
@@ -43,8 +41,7 @@
     address: str
 
 
-@dataclass(slots=True)
-class LogSettings:
+class LogSettings(Struct):
     """Say what is logged and where.
 
     Attributes
@@ -65,8 +62,7 @@
     trace_ratio: float = 1.0
 
 
-@dataclass(slots=True)
-class RequestSettings:
+class RequestSettings(Struct):
     """Limit and time callers' requests.
 
     Attributes
@@ -94,8 +90,7 @@
     drain_deadline_seconds: float = defaults.DRAIN_DEADLINE_SECONDS
 
 
-@dataclass(slots=True)
-class ClaimSettings:
+class ClaimSettings(Struct):
     """Say how long calls that may run at most once are remembered.
 
     Attributes
@@ -117,8 +112,7 @@
     require_dated_keys: bool = defaults.REQUIRE_DATED_KEYS
 
 
-@dataclass(slots=True)
-class OrderSettings:
+class OrderSettings(Struct):
     """Limit the fleet's use of the weight store.
 
     The daemon does not issue orders to engines yet, so these settings have no effect.
@@ -135,8 +129,7 @@
     weight_store_burst_bytes: float = defaults.WEIGHT_STORE_BURST_BYTES
 
 
-@dataclass(slots=True)
-class HostSettings:
+class HostSettings(Struct):
     """Hold the settings of one host.
 
     Attributes
--- a/marjorambridge/configuration/commands.py
+++ b/marjorambridge/configuration/commands.py
@@ -1,41 +1,36 @@
 """Define the entries of log group 0: operator commands and changes of the view."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.configuration.models import Service, Workspace
 from marjorambridge.core.view import HostEntry
 
 
-@dataclass(slots=True)
-class PutService:
+class PutService(Struct):
     """Create a service or replace the one of the same name."""
 
     service: Service
 
 
-@dataclass(slots=True)
-class DeleteService:
+class DeleteService(Struct):
     """Delete a service that no workspace names."""
 
     name: str
 
 
-@dataclass(slots=True)
-class PutWorkspace:
+class PutWorkspace(Struct):
     """Create a workspace or replace the one of the same name."""
 
     workspace: Workspace
 
 
-@dataclass(slots=True)
-class DeleteWorkspace:
+class DeleteWorkspace(Struct):
     """Delete a workspace."""
 
     name: str
 
 
-@dataclass(slots=True)
-class PutZone:
+class PutZone(Struct):
     """Create an availability zone in service, or change the region of an existing one.
 
     It leaves an existing zone in or out of service, so that answering the questionnaire again
@@ -46,22 +41,19 @@
     region: str
 
 
-@dataclass(slots=True)
-class DeleteZone:
+class DeleteZone(Struct):
     """Delete an availability zone that no service names."""
 
     name: str
 
 
-@dataclass(slots=True)
-class SetZoneOut:
+class SetZoneOut(Struct):
     """Take an availability zone out of service."""
 
     name: str
 
 
-@dataclass(slots=True)
-class SetZoneIn:
+class SetZoneIn(Struct):
     """Return an availability zone to service."""
 
     name: str
@@ -79,15 +71,13 @@
 )
 
 
-@dataclass(slots=True)
-class ApplyConfiguration:
+class ApplyConfiguration(Struct):
     """Apply several changes as one; only their joint result must be valid."""
 
     changes: tuple[Change, ...]
 
 
-@dataclass(slots=True)
-class OperatorCommand:
+class OperatorCommand(Struct):
     """Wrap a change with its identity and the version that it is based on.
 
     Attributes
@@ -113,23 +103,20 @@
     change: Change | ApplyConfiguration
 
 
-@dataclass(slots=True)
-class HostJoined:
+class HostJoined(Struct):
     """Add a host process to the view, or replace an earlier incarnation of it."""
 
     entry: HostEntry
 
 
-@dataclass(slots=True)
-class HostLeaving:
+class HostLeaving(Struct):
     """Mark a host process as leaving; it owns no shards from then on."""
 
     host: str
     incarnation: int
 
 
-@dataclass(slots=True)
-class HostRemoved:
+class HostRemoved(Struct):
     """Remove a host process from the view, unless a later incarnation has joined."""
 
     host: str
--- a/marjorambridge/configuration/comparison.py
+++ b/marjorambridge/configuration/comparison.py
@@ -1,11 +1,11 @@
 """Compare two configurations and list the changes that lead from one to the other."""
 
-import dataclasses
 from collections.abc import Iterator
-from dataclasses import replace
 from enum import StrEnum
 from typing import Any
 
+from msgspec.structs import replace
+
 from marjorambridge.configuration.commands import (
     Change,
     DeleteService,
@@ -121,17 +121,17 @@
 
 
 def _describe_fields(label: str, before: Any, after: Any) -> Iterator[str]:
-    for item in dataclasses.fields(before):
-        old, new = getattr(before, item.name), getattr(after, item.name)
+    for field_name in before.__struct_fields__:
+        old, new = getattr(before, field_name), getattr(after, field_name)
         if old == new:
             continue
         if isinstance(old, tuple):
-            added = [_show(value, item.name) for value in new if value not in old]
-            removed = [_show(value, item.name) for value in old if value not in new]
+            added = [_show(value, field_name) for value in new if value not in old]
+            removed = [_show(value, field_name) for value in old if value not in new]
             parts = [f"+{value}" for value in added] + [f"-{value}" for value in removed]
-            yield f"{label}: {item.name} {' '.join(parts) or 'in another order'}"
+            yield f"{label}: {field_name} {' '.join(parts) or 'in another order'}"
         else:
-            yield f"{label}: {item.name} {_show(old, '')} -> {_show(new, '')}"
+            yield f"{label}: {field_name} {_show(old, '')} -> {_show(new, '')}"
 
 
 def _show(value: Any, name: str) -> str:
--- a/marjorambridge/configuration/faults.py
+++ b/marjorambridge/configuration/faults.py
@@ -3,15 +3,15 @@
 import difflib
 import itertools
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 
 MAX_KNOWN_NAMES = 200
 
 
-@dataclass(slots=True)
-class Fault:
+class Fault(Struct):
     """Describe one fault.
 
     Attributes
--- a/marjorambridge/configuration/models.py
+++ b/marjorambridge/configuration/models.py
@@ -1,8 +1,9 @@
 """Model the configuration that operators create and change."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from marjorambridge.core.view import ShardId
 
 
@@ -21,8 +22,7 @@
     HIGH = "high"
 
 
-@dataclass(slots=True)
-class Service:
+class Service(Struct):
     """Describe a service and how its calls are handled.
 
     Attributes
@@ -65,8 +65,7 @@
     models: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class Workspace:
+class Workspace(Struct):
     """Describe a workspace, its access and its limits.
 
     Attributes
@@ -93,8 +92,7 @@
     concurrent_requests: int = 0
 
 
-@dataclass(slots=True)
-class AvailabilityZone:
+class AvailabilityZone(Struct):
     """Describe an availability zone; a zone that is out gets no new work."""
 
     name: str
@@ -102,8 +100,7 @@
     out: bool = False
 
 
-@dataclass(slots=True)
-class Configuration:
+class Configuration(Struct):
     """Hold the whole configuration.
 
     Attributes
--- a/marjorambridge/configuration/questionnaire.py
+++ b/marjorambridge/configuration/questionnaire.py
@@ -1,12 +1,11 @@
 """Read the filled-in questionnaire of a team and generate a configuration from it."""
 
-import dataclasses
 import typing
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.configuration.exceptions import QuestionnaireError
 from marjorambridge.configuration.faults import Fault, suggest_name
@@ -19,18 +18,17 @@
     Workspace,
 )
 from marjorambridge.configuration.validation import KEY_HASH, find_faults
+from marjorambridge.core.records import is_structure
 
 
-@dataclass(slots=True)
-class ZoneAnswer:
+class ZoneAnswer(Struct):
     """Describe an availability zone as the team answered."""
 
     name: str
     region: str
 
 
-@dataclass(slots=True)
-class ServiceAnswer:
+class ServiceAnswer(Struct):
     """Describe a service as the team answered; the fields are those of `Service`."""
 
     name: str
@@ -45,8 +43,7 @@
     checks_fencing: bool = False
 
 
-@dataclass(slots=True)
-class KeyAnswer:
+class KeyAnswer(Struct):
     """Name a workspace key by its digest or by a reference, never by its text.
 
     Attributes
@@ -61,8 +58,7 @@
     reference: str = ""
 
 
-@dataclass(slots=True)
-class WorkspaceAnswer:
+class WorkspaceAnswer(Struct):
     """Describe a workspace as the team answered."""
 
     name: str
@@ -72,16 +68,14 @@
     concurrent_requests: int = 0
 
 
-@dataclass(slots=True)
-class UrgencyAnswer:
+class UrgencyAnswer(Struct):
     """Rank services and workspaces by name; those not named have normal urgency."""
 
     services: dict[str, Urgency] = field(default_factory=dict)
     workspaces: dict[str, Urgency] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Questionnaire:
+class Questionnaire(Struct):
     """Hold the answers of a team."""
 
     availability_zones: tuple[ZoneAnswer, ...]
@@ -219,18 +213,18 @@
     `msgspec` stops at the first fault, so each field is converted on its own.
     """
     arguments = typing.get_args(kind)
-    if dataclasses.is_dataclass(kind) and isinstance(raw, dict):
+    if is_structure(kind) and isinstance(raw, dict):
         hints = typing.get_type_hints(kind)
         for name in raw:
             if name not in hints:
                 remedy = suggest_name(name, hints, "remove it")
                 yield Fault(f"{path}.{name}", "unknown field", remedy)
-        for item in dataclasses.fields(kind):
+        for item in msgspec.structs.fields(kind):
             if item.name in raw:
                 yield from _find_type_faults(
                     raw[item.name], hints[item.name], f"{path}.{item.name}"
                 )
-            elif item.default is item.default_factory is dataclasses.MISSING:
+            elif item.required:
                 yield Fault(f"{path}.{item.name}", "the field is missing", "add it")
     elif typing.get_origin(kind) is tuple and isinstance(raw, list):
         for number, item in enumerate(raw):
--- a/marjorambridge/configuration/state.py
+++ b/marjorambridge/configuration/state.py
@@ -1,8 +1,9 @@
 """Hold the replicated control state: configuration, view and answers of recent commands."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from marjorambridge.configuration.faults import Fault
 from marjorambridge.configuration.models import Configuration
 from marjorambridge.core.view import View
@@ -23,8 +24,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(slots=True)
-class ChangeRecord:
+class ChangeRecord(Struct):
     """Tell who made an accepted change.
 
     Attributes
@@ -42,8 +42,7 @@
     summary: str
 
 
-@dataclass(slots=True)
-class CommandAnswer:
+class CommandAnswer(Struct):
     """Answer an operator command.
 
     Attributes
@@ -66,8 +65,7 @@
     changes: tuple[ChangeRecord, ...] = ()
 
 
-@dataclass(slots=True)
-class KeptAnswer:
+class KeptAnswer(Struct):
     """Keep the first answer of a command for resends.
 
     Attributes
@@ -93,8 +91,7 @@
     based: bool
 
 
-@dataclass(slots=True)
-class ControlState:
+class ControlState(Struct):
     """Hold the state that every replica and every host derives from log group 0.
 
     `configuration` and `view` are replaced, never changed in place, so that receivers may keep
--- a/marjorambridge/configuration/state_machine.py
+++ b/marjorambridge/configuration/state_machine.py
@@ -13,10 +13,11 @@
 """
 
 import itertools
-from dataclasses import dataclass, replace
 
 import msgspec
 import xxhash
+from msgspec import Struct
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.codec import decode_entry, encode_entry
@@ -61,8 +62,7 @@
 SNAPSHOT_FORMAT = "control-state-1"
 
 
-@dataclass(slots=True)
-class AppliedEntry:
+class AppliedEntry(Struct):
     """Tell what an entry did.
 
     Attributes
--- a/marjorambridge/control/events.py
+++ b/marjorambridge/control/events.py
@@ -1,13 +1,10 @@
 """Define the events of the control state."""
 
-from dataclasses import dataclass
-
 from marjorambridge.control.messages import FeedUpdate
 from marjorambridge.core.events import Event
 from marjorambridge.discovery.models import EndpointReport
 
 
-@dataclass(slots=True)
 class CommandSubmitted(Event):
     """Ask the replica to bring a command into the log; `CommandApplied` answers."""
 
@@ -15,28 +12,24 @@
     payload: bytes
 
 
-@dataclass(slots=True)
 class CommandWithdrawn(Event):
     """Tell that nobody waits for a command any longer; it may still be applied."""
 
     command_id: str
 
 
-@dataclass(slots=True)
 class CommandApplied(Event):
     """Tell that this replica applied a command, so that a majority has stored it."""
 
     command_id: str
 
 
-@dataclass(slots=True)
 class EndpointReported(Event):
     """Deliver the report of an endpoint to this replica."""
 
     report: EndpointReport
 
 
-@dataclass(slots=True)
 class FleetUpdated(Event):
     """Tell a host what the replica that it follows told.
 
@@ -58,14 +51,12 @@
     is_current: bool
 
 
-@dataclass(slots=True)
 class FeedLost(Event):
     """Tell that no replica answers this host."""
 
     silent_seconds: float
 
 
-@dataclass(slots=True)
 class FeedRegained(Event):
     """Tell that a replica answers this host again."""
 
--- a/marjorambridge/control/follower.py
+++ b/marjorambridge/control/follower.py
@@ -7,9 +7,9 @@
 """
 
 import random
-from dataclasses import dataclass, field
 
 import xxhash
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.control.digests import (
@@ -26,8 +26,7 @@
 POLL = TimerKey("control", "poll")
 
 
-@dataclass(slots=True)
-class FollowedReplica:
+class FollowedReplica(Struct):
     """Hold what a host knows about one replica.
 
     Attributes
@@ -45,8 +44,7 @@
     silences: int = 0
 
 
-@dataclass(slots=True)
-class FollowerState:
+class FollowerState(Struct):
     """Hold the state of a host's side of the feed.
 
     Attributes
--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -1,18 +1,16 @@
 """Define the messages of the control state, between replicas and from replicas to hosts."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True)
-class ProposalForward:
+class ProposalForward(Struct):
     """Ask the leader to append a command."""
 
     command_id: str
     payload: bytes
 
 
-@dataclass(slots=True)
-class EndpointEntry:
+class EndpointEntry(Struct):
     """Describe an endpoint to another host; see `discovery.models.EndpointReport`.
 
     Attributes
@@ -36,8 +34,7 @@
     silent: bool = False
 
 
-@dataclass(slots=True)
-class LiveEndpoint:
+class LiveEndpoint(Struct):
     """Tell that an endpoint was heard lately."""
 
     endpoint: str
@@ -45,8 +42,7 @@
     age_seconds: float
 
 
-@dataclass(slots=True)
-class EndpointGossip:
+class EndpointGossip(Struct):
     """Tell the other replicas what this one heard.
 
     Attributes
@@ -68,15 +64,13 @@
     host_zones: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class MemberList:
+class MemberList(Struct):
     """Name the replicas of the group, for one that looks for its leader."""
 
     hosts: tuple[str, ...]
 
 
-@dataclass(slots=True)
-class FeedPoll:
+class FeedPoll(Struct):
     """Ask a replica for what changed, and tell it that this host is alive.
 
     Attributes
@@ -103,8 +97,7 @@
     hosts_digest: int = 0
 
 
-@dataclass(slots=True)
-class FeedUpdate:
+class FeedUpdate(Struct):
     """Tell a host what changed.
 
     Attributes
--- a/marjorambridge/control/state.py
+++ b/marjorambridge/control/state.py
@@ -1,7 +1,8 @@
 """Define the state of a replica's control part."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.control.commands import EndpointRecord
 from marjorambridge.control.state_machine import ControlState
@@ -13,16 +14,14 @@
 PUSH = TimerKey("control", "push")
 
 
-@dataclass(slots=True)
-class PendingCommand:
+class PendingCommand(Struct):
     """Hold a command until this replica has applied it."""
 
     payload: bytes
     sent_at: float
 
 
-@dataclass(slots=True)
-class Follower:
+class Follower(Struct):
     """Hold what a host was told.
 
     Attributes
@@ -50,16 +49,14 @@
     hosts: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class RemoteFollower:
+class RemoteFollower(Struct):
     """Hold a host that follows another replica, and when that replica last said so."""
 
     told_at: float
     zone: str
 
 
-@dataclass(slots=True)
-class ReplicaControl:
+class ReplicaControl(Struct):
     """Hold the state of a replica's control part.
 
     Attributes
--- a/marjorambridge/core/effects.py
+++ b/marjorambridge/core/effects.py
@@ -1,18 +1,17 @@
 """Define the effects that every part may return."""
 
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import TimerKey
 
 
-@dataclass(slots=True)
-class Effect:
+class Effect(Struct):
     """Base of all effects; a driver, or the node reducer, carries them out."""
 
 
-@dataclass(slots=True)
 class SendMessage(Effect):
     """Send a message to a host; it may be lost, and loops back if the host is this one."""
 
@@ -20,7 +19,6 @@
     message: Any
 
 
-@dataclass(slots=True)
 class SetTimer(Effect):
     """Fire a timer at monotonic time `at` in seconds; replaces a timer with an equal key."""
 
@@ -28,28 +26,24 @@
     at: float
 
 
-@dataclass(slots=True)
 class CancelTimer(Effect):
     """Remove a timer, if it is set."""
 
     key: TimerKey
 
 
-@dataclass(slots=True)
 class Publish(Effect):
     """Hand an event to all parts of this host before the next outside event."""
 
     event: Event
 
 
-@dataclass(slots=True)
 class Notify(Effect):
     """Hand an internal event to the driver as well, because it concerns the process."""
 
     event: Event
 
 
-@dataclass(slots=True)
 class WriteLog(Effect):
     """Write one structured log line."""
 
@@ -58,7 +52,6 @@
     fields: dict[str, Any] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
 class Measure(Effect):
     """Record a value in the metric `name`.
 
@@ -77,7 +70,6 @@
     labels: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
 class RecordSpan(Effect):
     """Record one hop of a request for the traces.
 
--- a/marjorambridge/core/events.py
+++ b/marjorambridge/core/events.py
@@ -1,13 +1,13 @@
 """Define the events that every part may receive."""
 
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from marjorambridge.core.identity import TimerKey
 
 
-@dataclass(slots=True)
-class Event:
+class Event(Struct):
     """Base of all events.
 
     Attributes
@@ -19,26 +19,22 @@
     now: float
 
 
-@dataclass(slots=True)
 class Started(Event):
     """Tell every part that the process has started."""
 
 
-@dataclass(slots=True)
 class ShutdownRequested(Event):
     """Ask for a graceful shutdown, or for an immediate one if `forced`."""
 
     forced: bool
 
 
-@dataclass(slots=True)
 class TimerFired(Event):
     """Tell the subscribing part that a timer is due."""
 
     key: TimerKey
 
 
-@dataclass(slots=True)
 class MessageReceived(Event):
     """Deliver a message from another host, or from this one.
 
@@ -49,7 +45,7 @@
     incarnation : int
         Incarnation of the sender's process.
     message : Any
-        One of the dataclasses in the packages' ``messages`` modules.
+        One of the structures in the packages' ``messages`` modules.
     """
 
     sender: str
@@ -57,7 +53,6 @@
     message: Any
 
 
-@dataclass(slots=True)
 class ConfigurationApplied(Event):
     """Tell every part that a configuration is in force on this host.
 
@@ -73,7 +68,6 @@
     configuration: Any
 
 
-@dataclass(slots=True)
 class ViewApplied(Event):
     """Tell every part which hosts are live.
 
@@ -89,7 +83,6 @@
     view: Any
 
 
-@dataclass(slots=True)
 class FreshnessChanged(Event):
     """Tell every part until when this host's configuration and view are known to be current.
 
@@ -102,7 +95,6 @@
     fresh_until: float
 
 
-@dataclass(slots=True)
 class ControlLeaderChanged(Event):
     """Tell that this host learned of another leader of log group 0; empty for none."""
 
--- a/marjorambridge/core/identity.py
+++ b/marjorambridge/core/identity.py
@@ -1,10 +1,9 @@
 """Identify attempts, timers and host processes."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class AttemptId:
+class AttemptId(Struct, frozen=True, order=True):
     """Identify one attempt to run a request, and the permit that it uses.
 
     Attributes
@@ -48,8 +47,7 @@
     return AttemptId(host, int(incarnation), int(number))
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class TimerKey:
+class TimerKey(Struct, frozen=True, order=True):
     """Name a timer; setting a timer with an equal key replaces the earlier one.
 
     Attributes
--- a/marjorambridge/core/outcomes.py
+++ b/marjorambridge/core/outcomes.py
@@ -1,8 +1,9 @@
 """Define the tagged outcomes of a request."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 
 class Reason(StrEnum):
     """Say why a request did not end in `Done`."""
@@ -28,13 +29,11 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
 
 
-@dataclass(slots=True)
-class Done:
+class Done(Struct):
     """The whole answer was delivered."""
 
 
-@dataclass(slots=True)
-class NotRun:
+class NotRun(Struct):
     """No byte of the request was sent to any endpoint.
 
     Attributes
@@ -52,8 +51,7 @@
     retry_after: float | None = None
 
 
-@dataclass(slots=True)
-class Failed:
+class Failed(Struct):
     """The request ended without a whole answer, and it is known that repeating it is safe."""
 
     reason: Reason
@@ -61,8 +59,7 @@
     retry_after: float | None = None
 
 
-@dataclass(slots=True)
-class Unknown:
+class Unknown(Struct):
     """The request may or may not have run."""
 
     reason: Reason
--- a/marjorambridge/core/records.py
+++ b/marjorambridge/core/records.py
@@ -1,11 +1,17 @@
 """Convert events and effects to plain values, for recordings and golden files."""
 
-import dataclasses
 from typing import Any
 
+from msgspec import Struct
+
+
+def is_structure(kind: Any) -> bool:
+    """Return whether a type is a class of plain data, whose fields have names and types."""
+    return isinstance(kind, type) and issubclass(kind, Struct)
+
 
 def make_record(value: Any) -> Any:
-    """Return a value as JSON types; dataclasses name their type, bytes become hexadecimal.
+    """Return a value as JSON types; structures name their type, bytes become hexadecimal.
 
     Examples
     --------
@@ -13,11 +19,8 @@
     >>> make_record(TimerKey("limits", "tick"))
     {'type': 'TimerKey', 'part': 'limits', 'name': 'tick', 'ident': ''}
     """
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        fields = {
-            field.name: make_record(getattr(value, field.name))
-            for field in dataclasses.fields(value)
-        }
+    if isinstance(value, Struct):
+        fields = {name: make_record(getattr(value, name)) for name in value.__struct_fields__}
         return {"type": type(value).__name__} | fields
     if isinstance(value, dict):
         return {str(key): make_record(item) for key, item in value.items()}
--- a/marjorambridge/core/reducer.py
+++ b/marjorambridge/core/reducer.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from marjorambridge.core.effects import Effect, Notify, Publish, SendMessage
 from marjorambridge.core.events import Event, MessageReceived, TimerFired
 from marjorambridge.core.exceptions import MarjorambridgeError
@@ -18,8 +19,7 @@
     """Parts publish events to each other without end; report this with the recorded events."""
 
 
-@dataclass(slots=True)
-class Part:
+class Part(Struct):
     """Describe one package's share of the node's state.
 
     Attributes
@@ -43,8 +43,7 @@
     messages: frozenset[type] = frozenset()
 
 
-@dataclass(slots=True)
-class Node:
+class Node(Struct):
     """Hold the parts of one host and the index of their subscriptions.
 
     Attributes
--- a/marjorambridge/core/timers.py
+++ b/marjorambridge/core/timers.py
@@ -1,13 +1,13 @@
 """Keep the timers that parts subscribe to, without a clock of its own."""
 
 import heapq
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.core.identity import TimerKey
 
 
-@dataclass(slots=True)
-class TimerTable:
+class TimerTable(Struct):
     """Hold the due time of each timer.
 
     A replaced or cancelled timer leaves a stale heap item behind, which is skipped when it
--- a/marjorambridge/core/view.py
+++ b/marjorambridge/core/view.py
@@ -1,9 +1,9 @@
 """Model the committed set of live hosts and the ownership of shards."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
 import xxhash
+from msgspec import Struct, field
 
 
 class HostState(StrEnum):
@@ -13,8 +13,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, frozen=True)
-class HostEntry:
+class HostEntry(Struct, frozen=True):
     """Describe one host process in the view.
 
     Attributes
@@ -41,16 +40,14 @@
     state: HostState = HostState.LIVE
 
 
-@dataclass(slots=True)
-class View:
+class View(Struct):
     """Hold the hosts that are live or leaving, as of one log index."""
 
     index: int = 0
     hosts: dict[str, HostEntry] = field(default_factory=dict)
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class ShardId:
+class ShardId(Struct, frozen=True, order=True):
     """Identify the endpoints of one service in one availability zone and bucket.
 
     Examples
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -2,12 +2,12 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct
 
 from marjorambridge.conf import nodes
 from marjorambridge.conf.nodes import NodeSettings
@@ -42,8 +42,7 @@
 GRACE_MARGIN_SECONDS = 0.4
 
 
-@dataclass(slots=True)
-class GatewayAdapter:
+class GatewayAdapter(Struct):
     """Hold what translates between the gateway and a platform.
 
     Attributes
@@ -59,8 +58,7 @@
     handle_readiness: Callable[["GatewayHost", Exchange], Awaitable[None]]
 
 
-@dataclass(slots=True)
-class GatewayHost:
+class GatewayHost(Struct):
     """Hold the running parts of a gateway's process."""
 
     settings: NodeSettings
--- a/marjorambridge/daemon/recording.py
+++ b/marjorambridge/daemon/recording.py
@@ -3,10 +3,10 @@
 import hashlib
 import pickle
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
+from msgspec import Struct
 
 from marjorambridge.core import reducer
 from marjorambridge.core.effects import Effect
@@ -16,8 +16,7 @@
 from marjorambridge.replication.models import RecoveredReplica
 
 
-@dataclass(slots=True)
-class Beginning:
+class Beginning(Struct):
     """Hold what a node was composed from."""
 
     settings: NodeSettings
@@ -25,8 +24,7 @@
     now: float
 
 
-@dataclass(slots=True)
-class Step:
+class Step(Struct):
     """Hold one outside event and the digest of the effects that it had."""
 
     event: Event
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -2,13 +2,13 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
 import anyio.to_thread
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.conf import nodes
 from marjorambridge.conf.nodes import NodeSettings
@@ -58,8 +58,7 @@
 CallHandler = Callable[["ReplicaHost", Exchange], Awaitable[None]]
 
 
-@dataclass(slots=True)
-class ReplicaHost:
+class ReplicaHost(Struct):
     """Hold the running parts of a replica's process.
 
     Attributes
--- a/marjorambridge/daemon/runtime.py
+++ b/marjorambridge/daemon/runtime.py
@@ -3,10 +3,10 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import anyio
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.core import reducer
 from marjorambridge.core.effects import CancelTimer, Effect, Measure, Publish, SetTimer
@@ -26,8 +26,7 @@
 LATE_TIMER_SECONDS = 0.05
 
 
-@dataclass(slots=True)
-class Runtime:
+class Runtime(Struct):
     """Hold what connects the reducer with the drivers.
 
     Attributes
--- a/marjorambridge/daemon/state.py
+++ b/marjorambridge/daemon/state.py
@@ -1,9 +1,9 @@
 """Hold the running parts of one host."""
 
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
+from msgspec import Struct, field
 
 from marjorambridge.conf.settings import HostSettings
 from marjorambridge.configuration.state import CommandAnswer
@@ -17,23 +17,20 @@
 from marjorambridge.transport.network import Network
 
 
-@dataclass(slots=True)
-class Waiter:
+class Waiter(Struct):
     """Wait for the answer of a command."""
 
     event: anyio.Event = field(default_factory=anyio.Event)
     answer: CommandAnswer | None = None
 
 
-@dataclass(slots=True)
-class Operators:
+class Operators(Struct):
     """Hold the operators' connections that wait for an answer, by command identifier."""
 
     waiting: dict[str, list[Waiter]] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Host:
+class Host(Struct):
     """Hold the running parts of one host.
 
     Attributes
--- a/marjorambridge/discovery/models.py
+++ b/marjorambridge/discovery/models.py
@@ -1,10 +1,9 @@
 """Model what an endpoint says of itself."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True)
-class EndpointReport:
+class EndpointReport(Struct):
     """Hold one report of an endpoint.
 
     Attributes
@@ -34,8 +33,7 @@
     cold_seconds: float = 0.0
 
 
-@dataclass(slots=True)
-class KnownEndpoint:
+class KnownEndpoint(Struct):
     """Hold what a replica knows about an endpoint.
 
     Attributes
--- a/marjorambridge/discovery/table.py
+++ b/marjorambridge/discovery/table.py
@@ -1,6 +1,6 @@
 """Merge reports of endpoints, in whatever order they come."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.discovery.models import EndpointReport, KnownEndpoint
 
@@ -13,8 +13,7 @@
 COLD_TOLERANCE_SECONDS = 0.5
 
 
-@dataclass(slots=True)
-class EndpointTable:
+class EndpointTable(Struct):
     """Hold the endpoints that a replica knows.
 
     Attributes
--- a/marjorambridge/forwarding/admission.py
+++ b/marjorambridge/forwarding/admission.py
@@ -1,8 +1,9 @@
 """Decide at arrival whether a request can be served."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from marjorambridge.forwarding.state import ForwardingState
 from marjorambridge.manifests.matching import choose_service, find_route
 from marjorambridge.manifests.models import Route, WorkspaceKeys
@@ -18,8 +19,7 @@
     NO_ENDPOINT = "no_endpoint"
 
 
-@dataclass(slots=True)
-class Admission:
+class Admission(Struct):
     """Hold what an admitted request is served by."""
 
     route: Route
--- a/marjorambridge/forwarding/attempts.py
+++ b/marjorambridge/forwarding/attempts.py
@@ -1,8 +1,9 @@
 """Decide what follows on an attempt."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from marjorambridge.manifests.models import Execution, Route
 
 
@@ -49,8 +50,7 @@
 HARMLESS = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.MISDIRECTED})
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Hold what the attempts of a request have come to.
 
     Attributes
--- a/marjorambridge/forwarding/collection.py
+++ b/marjorambridge/forwarding/collection.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.forwarding.state import Endpoint, Load
 
@@ -19,8 +20,7 @@
 ZONE_PREFIX = "zone/"
 
 
-@dataclass(slots=True)
-class Collection:
+class Collection(Struct):
     """Hold what hosts reported to this one.
 
     Attributes
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -4,11 +4,10 @@
 fleet would otherwise fill the links of the hosts that pass them on.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True)
-class EndpointLoad:
+class EndpointLoad(Struct):
     """Tell the work of one or of all hosts at an endpoint.
 
     Attributes
@@ -29,8 +28,7 @@
     pause_milliseconds: int
 
 
-@dataclass(slots=True)
-class EndpointFailure:
+class EndpointFailure(Struct):
     """Tell that hosts avoid an endpoint.
 
     Attributes
@@ -49,8 +47,7 @@
     hosts: int
 
 
-@dataclass(slots=True)
-class LoadShare:
+class LoadShare(Struct):
     """Tell the work of a host at the endpoints where it changed, and which ones fail.
 
     Attributes
@@ -65,8 +62,7 @@
     failures: tuple[EndpointFailure, ...] = ()
 
 
-@dataclass(slots=True)
-class LoadTotals:
+class LoadTotals(Struct):
     """Tell the hosts of a zone the work of all hosts at the endpoints where it changed.
 
     Attributes
@@ -80,8 +76,7 @@
     failures: tuple[EndpointFailure, ...] = ()
 
 
-@dataclass(slots=True)
-class ZoneTotals:
+class ZoneTotals(Struct):
     """Tell another zone the work of the hosts of one zone at the endpoints where it changed.
 
     Attributes
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -1,9 +1,10 @@
 """Choose the endpoint of a request."""
 
 import math
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.budgets import may_send_cold
 from marjorambridge.forwarding.health import count_reporters, get_avoid_until
@@ -30,8 +31,7 @@
     FAILED = 5
 
 
-@dataclass(slots=True)
-class Work:
+class Work(Struct):
     """Describe what a request asks of an endpoint.
 
     Attributes
--- a/marjorambridge/forwarding/reservations.py
+++ b/marjorambridge/forwarding/reservations.py
@@ -6,7 +6,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.loads import count_kv_tokens
@@ -14,8 +15,7 @@
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 
 
-@dataclass(slots=True)
-class Share:
+class Share(Struct):
     """Hold the part of a prompt's memory that one engine keeps."""
 
     endpoint: Endpoint
--- a/marjorambridge/forwarding/settings.py
+++ b/marjorambridge/forwarding/settings.py
@@ -1,12 +1,11 @@
 """Model the settings of forwarding."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 
 
-@dataclass(slots=True, frozen=True)
-class ForwardingSettings:
+class ForwardingSettings(Struct, frozen=True):
     """Hold the bounds that a deployment sets, and this host's place.
 
     Attributes
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.loads import (
@@ -68,8 +69,7 @@
     return _put_first(definition, chosen, work)
 
 
-@dataclass(slots=True)
-class Wait:
+class Wait(Struct):
     """Hold how long an engine still reads, and which pause its answers bear, in seconds."""
 
     endpoint: Endpoint
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -3,7 +3,8 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.settings import ForwardingSettings
@@ -13,8 +14,7 @@
 TOTAL = "total"
 
 
-@dataclass(slots=True)
-class Load:
+class Load(Struct):
     """Count the work that one host has at one endpoint.
 
     Attributes
@@ -41,8 +41,7 @@
     as_of: float = 0.0
 
 
-@dataclass(slots=True)
-class FailureReport:
+class FailureReport(Struct):
     """Hold what another host told about failures of an endpoint.
 
     Attributes
@@ -63,8 +62,7 @@
     heard_at: float = 0.0
 
 
-@dataclass(slots=True)
-class Endpoint:
+class Endpoint(Struct):
     """Hold what this host knows about one incarnation of an endpoint.
 
     Attributes
@@ -112,8 +110,7 @@
     reports: dict[str, FailureReport] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class RetryWindow:
+class RetryWindow(Struct):
     """Hold the requests and the further attempts of one service in the last window.
 
     Attributes
@@ -126,8 +123,7 @@
     retries: deque[float] = field(default_factory=deque)
 
 
-@dataclass(slots=True)
-class ForwardingState:
+class ForwardingState(Struct):
     """Hold the state of forwarding on one host.
 
     Attributes
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -7,12 +7,12 @@
 """
 
 import time
-from dataclasses import dataclass, field
 
 import anyio
 import anyio.lowlevel
 import h11
 from anyio.abc import SocketStream
+from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import Ending
 from marjorambridge.gateway.messages import Attempt, Dialect, Result
@@ -35,8 +35,7 @@
     """What an endpoint sends is no answer, or the connection broke; the request may have run."""
 
 
-@dataclass(slots=True)
-class AnswerReader:
+class AnswerReader(Struct):
     """Hold an answer that is being received.
 
     Attributes
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -6,12 +6,12 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import anyio
 import h11
 from anyio.abc import SocketStream, TaskGroup, TaskStatus
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
@@ -29,8 +29,7 @@
 HEADER_EXTRA_BYTES = 4
 
 
-@dataclass(slots=True)
-class Server:
+class Server(Struct):
     """Hold a listening address and its connections.
 
     Attributes
@@ -59,8 +58,7 @@
     listening: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
-@dataclass(slots=True)
-class Exchange:
+class Exchange(Struct):
     """Hold one request and the state of its answer.
 
     Attributes
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -1,6 +1,6 @@
 """Split a stream of server-sent events and keep it in order."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # An event that is larger is no event of an engine; it holds some hundred characters.
 MAX_EVENT_BYTES = 65_536
@@ -8,8 +8,7 @@
 MAX_COMMENT_BYTES = 4_096
 
 
-@dataclass(slots=True)
-class StreamCursor:
+class StreamCursor(Struct):
     """Hold the place in a stream that one or several runs produce.
 
     Attributes
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -1,15 +1,15 @@
 """Model requests and answers apart from the header names of a platform."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import Ending
 
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
-class Prompt:
+class Prompt(Struct):
     """Hold the size of a prompt.
 
     Attributes
@@ -25,8 +25,7 @@
     expected_answer_tokens: int = 0
 
 
-@dataclass(slots=True)
-class CallerRequest:
+class CallerRequest(Struct):
     """Hold a caller's request.
 
     Attributes
@@ -56,8 +55,7 @@
     last_event: int | None = None
 
 
-@dataclass(slots=True)
-class AttemptOptions:
+class AttemptOptions(Struct):
     """Hold what the gateway tells an endpoint besides the caller's own headers.
 
     Attributes
@@ -79,8 +77,7 @@
     helpers: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(Struct):
     """Hold the head of an endpoint's answer.
 
     Attributes
@@ -112,8 +109,7 @@
     endpoint_at_fault: str = ""
 
 
-@dataclass(slots=True)
-class AnswerMemory:
+class AnswerMemory(Struct):
     """Bound the memory of all answers that a host collects whole.
 
     Attributes
@@ -128,8 +124,7 @@
     kept_bytes: int
 
 
-@dataclass(slots=True)
-class MemoryLease:
+class MemoryLease(Struct):
     """Hold the memory that the answer to one request has taken.
 
     Attributes
@@ -156,8 +151,7 @@
         self.size = 0
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """Describe one attempt.
 
     Attributes
@@ -185,8 +179,7 @@
     pass_event_bytes: Callable[[AnswerHead, bytes], Awaitable[bool]] | None = None
 
 
-@dataclass(slots=True)
-class Result:
+class Result(Struct):
     """Hold what came of an attempt.
 
     Attributes
@@ -205,8 +198,7 @@
     detail: str = ""
 
 
-@dataclass(slots=True)
-class Dialect:
+class Dialect(Struct):
     """Translate between HTTP headers and the messages of this module.
 
     Attributes
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -5,10 +5,10 @@
 
 import math
 import time
-from dataclasses import dataclass, field
 
 import anyio
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
@@ -58,8 +58,7 @@
 SUSPICIOUS = frozenset({Ending.NOT_SENT, Ending.FAILED, Ending.BROKEN, Ending.STALLED})
 
 
-@dataclass(slots=True)
-class Transit:
+class Transit(Struct):
     """Hold a request on its way.
 
     Attributes
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -10,12 +10,12 @@
 import math
 import time
 from collections import deque
-from dataclasses import dataclass, field
 
 import anyio
 import xxhash
 from anyio.abc import TaskGroup, UDPSocket
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.collection import (
@@ -72,8 +72,7 @@
 MAX_LOADS = 40
 
 
-@dataclass(slots=True)
-class LoadSharing:
+class LoadSharing(Struct):
     """Hold the socket and the endpoints whose load must be told.
 
     Attributes
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -1,10 +1,10 @@
 """Hold what the drivers of a gateway share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
@@ -12,8 +12,7 @@
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 
 
-@dataclass(slots=True)
-class Gateway:
+class Gateway(Struct):
     """Hold the state of a gateway.
 
     Attributes
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -2,11 +2,11 @@
 
 import math
 import time
-from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
@@ -19,8 +19,7 @@
 ACCEPTED = 200
 
 
-@dataclass(slots=True)
-class TicketSet:
+class TicketSet(Struct):
     """Hold the tickets of one request.
 
     Attributes
--- a/marjorambridge/http/admin.py
+++ b/marjorambridge/http/admin.py
@@ -1,10 +1,10 @@
 """Serve operators and monitoring on the admin address."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from marjorambridge.core.outcomes import Reason
 from marjorambridge.http.bodies import DECODE_ERRORS
@@ -19,8 +19,7 @@
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
-@dataclass(slots=True)
-class AdminCallbacks:
+class AdminCallbacks(Struct):
     """Connect the admin address to the daemon.
 
     Attributes
--- a/marjorambridge/http/answers.py
+++ b/marjorambridge/http/answers.py
@@ -3,10 +3,10 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.core.outcomes import Done, Failed, Reason
 from marjorambridge.http.bodies import CHAT_PATH
@@ -20,8 +20,7 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
-@dataclass(slots=True)
-class _Answer:
+class _Answer(Struct):
     """Track what was written to one caller."""
 
     started: bool = False
--- a/marjorambridge/http/bodies.py
+++ b/marjorambridge/http/bodies.py
@@ -2,10 +2,10 @@
 
 import math
 import re
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from marjorambridge.http.exceptions import RequestError
 from marjorambridge.limits.messages import Announcement
@@ -54,8 +54,7 @@
     prompt: str | list[str]
 
 
-@dataclass(slots=True)
-class ParsedBody:
+class ParsedBody(Struct):
     """Hold what the host needs to know of a completion request.
 
     Attributes
--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -5,11 +5,11 @@
 import time
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
 from typing import Any
 
 import httpcore
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.core.effects import Effect
 from marjorambridge.core.events import Event
@@ -53,15 +53,13 @@
     """The start window passed before the first byte; ask for a new permit."""
 
 
-@dataclass(slots=True)
-class _Pool:
+class _Pool(Struct):
     pool: httpcore.AsyncConnectionPool
     users: int = 0
     last_used: float = 0.0
 
 
-@dataclass(slots=True)
-class _Running:
+class _Running(Struct):
     effect: StartAttempt
     is_engine: bool
     begun: bool = False
@@ -71,8 +69,7 @@
     task: asyncio.Task[None] | None = None
 
 
-@dataclass(slots=True)
-class EndpointDriver:
+class EndpointDriver(Struct):
     """Hold the connections to endpoints and the attempts in progress.
 
     Attributes
--- a/marjorambridge/http/registry.py
+++ b/marjorambridge/http/registry.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.core.effects import Effect
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
@@ -14,8 +15,7 @@
 BUFFER_MAX_BYTES = 8 * 1024 * 1024
 
 
-@dataclass(slots=True)
-class StoredRequest:
+class StoredRequest(Struct):
     """Hold one request from its arrival until `FinishRequest`.
 
     Attributes
@@ -65,8 +65,7 @@
         self.writable.set()
 
 
-@dataclass(slots=True)
-class Registry:
+class Registry(Struct):
     """Hold the requests in progress on this host, by request identifier."""
 
     requests: dict[str, StoredRequest] = field(default_factory=dict)
--- a/marjorambridge/http/reports.py
+++ b/marjorambridge/http/reports.py
@@ -1,6 +1,6 @@
 """Model what the admin address reports to the command-line tool."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.configuration.models import Configuration
 from marjorambridge.configuration.state import ChangeRecord
@@ -9,8 +9,7 @@
 CONFIGURATION_PATH = "/configuration"
 
 
-@dataclass(slots=True)
-class HostLine:
+class HostLine(Struct):
     """Describe one host of the view.
 
     Attributes
@@ -32,8 +31,7 @@
     last_poll_seconds: float | None = None
 
 
-@dataclass(slots=True)
-class EndpointReport:
+class EndpointReport(Struct):
     """Describe an endpoint as the owner of its shard sees it.
 
     Attributes
@@ -57,8 +55,7 @@
     last_seen_seconds: float
 
 
-@dataclass(slots=True)
-class ShardReport:
+class ShardReport(Struct):
     """Describe a shard that the reporting host owns."""
 
     shard: str
@@ -68,8 +65,7 @@
     endpoints: tuple[EndpointReport, ...]
 
 
-@dataclass(slots=True)
-class GroupReport:
+class GroupReport(Struct):
     """Describe a log group as the replica on the reporting host sees it.
 
     Attributes
@@ -89,8 +85,7 @@
     pending: tuple[str, ...]
 
 
-@dataclass(slots=True)
-class HostReport:
+class HostReport(Struct):
     """Report the state of one host without the configuration.
 
     Attributes
@@ -127,8 +122,7 @@
     log_groups: tuple[GroupReport, ...]
 
 
-@dataclass(slots=True)
-class ConfigurationReport:
+class ConfigurationReport(Struct):
     """Report the configuration that a host has applied, and who made the last changes.
 
     Attributes
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -4,10 +4,10 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import uvicorn
+from msgspec import Struct
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 Application = Callable[[dict[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]]
@@ -51,8 +51,7 @@
         yield
 
 
-@dataclass(slots=True)
-class HttpServer:
+class HttpServer(Struct):
     """Hold a running server.
 
     Attributes
--- a/marjorambridge/http/settings.py
+++ b/marjorambridge/http/settings.py
@@ -1,13 +1,12 @@
 """Hold the limits of callers and of connections to endpoints."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 from marjorambridge.http.servers import MAX_HEADER_BYTES
 
 
-@dataclass(slots=True)
-class CallerSettings:
+class CallerSettings(Struct):
     """Limit callers and of connections to endpoints.
 
     Attributes
@@ -36,8 +35,7 @@
     send_seconds: float = 30.0
 
 
-@dataclass(slots=True)
-class EndpointSettings:
+class EndpointSettings(Struct):
     """Limit the connections to endpoints.
 
     Attributes
--- a/marjorambridge/http/streams.py
+++ b/marjorambridge/http/streams.py
@@ -1,8 +1,7 @@
 """Parse server-sent events of engines incrementally."""
 
-from dataclasses import dataclass, field
-
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.http.bodies import DECODE_ERRORS
 from marjorambridge.http.exceptions import EndpointProtocolError
@@ -11,8 +10,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 
-@dataclass(slots=True)
-class EventBuffer:
+class EventBuffer(Struct):
     """Hold the part of a stream that is not yet a whole event."""
 
     rest: bytes = b""
--- a/marjorambridge/limits/admission.py
+++ b/marjorambridge/limits/admission.py
@@ -1,6 +1,6 @@
 """Choose the endpoint of one request within the limits of its shard."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.limits.messages import PermitRequest, PriorityClass
 from marjorambridge.limits.placement import find_least_work
@@ -20,8 +20,7 @@
 MAX_PREFIX_CANDIDATES = 4
 
 
-@dataclass(slots=True)
-class Placement:
+class Placement(Struct):
     """Say where a request fits and what it costs there.
 
     Attributes
--- a/marjorambridge/limits/announcements.py
+++ b/marjorambridge/limits/announcements.py
@@ -1,6 +1,6 @@
 """Take announcements of endpoints into the shard that they belong to."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from marjorambridge.core.effects import Effect, SendMessage
 from marjorambridge.core.view import ShardId, compute_bucket
--- a/marjorambridge/limits/effects.py
+++ b/marjorambridge/limits/effects.py
@@ -1,12 +1,9 @@
 """Define the effects that an owner of shards has on endpoints."""
 
-from dataclasses import dataclass
-
 from marjorambridge.core.effects import Effect
 from marjorambridge.core.identity import AttemptId
 
 
-@dataclass(slots=True)
 class CancelOnEndpoint(Effect):
     """Tell an endpoint to stop an attempt and free its memory.
 
@@ -20,7 +17,6 @@
     attempt: AttemptId
 
 
-@dataclass(slots=True)
 class CancelHostOnEndpoint(Effect):
     """Tell an endpoint to stop all attempts of one incarnation of a host, and older ones."""
 
--- a/marjorambridge/limits/estimates.py
+++ b/marjorambridge/limits/estimates.py
@@ -1,6 +1,6 @@
 """Estimate how long attempts hold an endpoint, from the rates that were measured."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 RATE_WEIGHT = 0.1
 
@@ -19,8 +19,7 @@
 FIRST_TOKEN_FACTOR = 1.5
 
 
-@dataclass(slots=True)
-class Rates:
+class Rates(Struct):
     """Hold the moving averages of a shard.
 
     Attributes
--- a/marjorambridge/limits/events.py
+++ b/marjorambridge/limits/events.py
@@ -1,20 +1,16 @@
 """Define the events that only the owner of shards receives."""
 
-from dataclasses import dataclass
-
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import Announcement
 
 
-@dataclass(slots=True)
 class EndpointAnnounced(Event):
     """Deliver an announcement that an endpoint sent to this host; it may own another's shard."""
 
     announcement: Announcement
 
 
-@dataclass(slots=True)
 class EndpointCancelled(Event):
     """Tell that an endpoint confirmed the end of an attempt, or of all of a host's attempts.
 
--- a/marjorambridge/limits/inventory.py
+++ b/marjorambridge/limits/inventory.py
@@ -1,6 +1,6 @@
 """Tell the issuer of orders what the endpoints of the owned shards serve."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Effect, SendMessage
--- a/marjorambridge/limits/ledger.py
+++ b/marjorambridge/limits/ledger.py
@@ -1,7 +1,8 @@
 """Account for the KV memory and the concurrency that permits hold on endpoints."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import PriorityClass
@@ -10,8 +11,7 @@
 MAX_FREED_TIMES = 1024
 
 
-@dataclass(slots=True)
-class Reservation:
+class Reservation(Struct):
     """Hold the part of a permit that lies on one endpoint.
 
     Attributes
@@ -40,8 +40,7 @@
     exclusive: bool = False
 
 
-@dataclass(slots=True)
-class Permit:
+class Permit(Struct):
     """Hold a permit and its reservations.
 
     The holder is part of the identity: (host, incarnation).
@@ -72,8 +71,7 @@
     parts: dict[str, Reservation] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Account:
+class Account(Struct):
     """Sum the reservations on one endpoint.
 
     Attributes
@@ -110,8 +108,7 @@
     host_cancels: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Ledger:
+class Ledger(Struct):
     """Hold all permits of a shard.
 
     Attributes
--- a/marjorambridge/limits/messages.py
+++ b/marjorambridge/limits/messages.py
@@ -1,8 +1,9 @@
 """Define the messages between hosts and the owners of shards."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from marjorambridge.core.identity import AttemptId
 
 
@@ -29,8 +30,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True)
-class ShardSummary:
+class ShardSummary(Struct):
     """Summarize a shard for the routing of other hosts.
 
     Attributes
@@ -60,8 +60,7 @@
     expected_wait: float = 0.0
 
 
-@dataclass(slots=True)
-class PermitRequest:
+class PermitRequest(Struct):
     """Ask the owner of a shard for the right to start one attempt.
 
     Attributes
@@ -106,8 +105,7 @@
     trace: str | None = None
 
 
-@dataclass(slots=True)
-class EndpointGrant:
+class EndpointGrant(Struct):
     """Name one endpoint of a permit.
 
     Attributes
@@ -131,8 +129,7 @@
     cached_tokens: int = 0
 
 
-@dataclass(slots=True)
-class PermitGranted:
+class PermitGranted(Struct):
     """Grant a permit; several endpoints form a group whose first one leads.
 
     The holder must start within `START_WINDOW` of the moment it sent the request numbered `ask`,
@@ -148,8 +145,7 @@
     summary: ShardSummary
 
 
-@dataclass(slots=True)
-class PermitDenied:
+class PermitDenied(Struct):
     """Refuse a permit; nothing is reserved."""
 
     permit: AttemptId
@@ -159,8 +155,7 @@
     summary: ShardSummary
 
 
-@dataclass(slots=True)
-class PermitQueued:
+class PermitQueued(Struct):
     """Tell that a permit request waits at the owner.
 
     The requester asks again with the same permit identity every `QUEUE_RENEWAL` seconds while
@@ -175,16 +170,14 @@
     summary: ShardSummary
 
 
-@dataclass(slots=True)
-class PermitCancel:
+class PermitCancel(Struct):
     """Withdraw a permit request or an unused permit."""
 
     permit: AttemptId
     shard: str
 
 
-@dataclass(slots=True)
-class PermitRelease:
+class PermitRelease(Struct):
     """Report that an attempt has ended and its memory is free.
 
     Attributes
@@ -208,8 +201,7 @@
     first_token_seconds: float = -1.0
 
 
-@dataclass(slots=True)
-class RunningPermit:
+class RunningPermit(Struct):
     """Describe a running permit to the shard's present owner."""
 
     permit: AttemptId
@@ -218,23 +210,20 @@
     first_token: bool
 
 
-@dataclass(slots=True)
-class PermitRenew:
+class PermitRenew(Struct):
     """Renew the running permits that a host holds at one owner."""
 
     permits: tuple[RunningPermit, ...]
 
 
-@dataclass(slots=True)
-class PermitRevoked:
+class PermitRevoked(Struct):
     """Tell the holder that a permit is void; it stops the attempt and retries elsewhere."""
 
     permit: AttemptId
     shard: str
 
 
-@dataclass(slots=True)
-class CacheEvent:
+class CacheEvent(Struct):
     """Report blocks that an endpoint stored in or evicted from its prefix cache.
 
     Attributes
@@ -250,8 +239,7 @@
     evicted: tuple[bytes, ...] = ()
 
 
-@dataclass(slots=True)
-class Announcement:
+class Announcement(Struct):
     """Describe an endpoint, as it announced itself.
 
     Attributes
@@ -295,8 +283,7 @@
     cache_events: tuple[CacheEvent, ...] = ()
 
 
-@dataclass(slots=True)
-class HandoverPermit:
+class HandoverPermit(Struct):
     """Describe one permit of a shard that changes its owner."""
 
     permit: AttemptId
@@ -305,8 +292,7 @@
     age: float
 
 
-@dataclass(slots=True)
-class HandoverEndpoint:
+class HandoverEndpoint(Struct):
     """Describe one endpoint of a shard that changes its owner.
 
     Attributes
@@ -325,8 +311,7 @@
     baseline: float
 
 
-@dataclass(slots=True)
-class ShardHandover:
+class ShardHandover(Struct):
     """Hand a shard's state to its new owner; the sender grants nothing afterwards.
 
     A state that exceeds one frame is sent in parts, of which the receiver needs all.
--- a/marjorambridge/limits/placement.py
+++ b/marjorambridge/limits/placement.py
@@ -2,7 +2,8 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 CLOSED = -1
 NO_WORK_BOUND = 1 << 62
@@ -12,8 +13,7 @@
 MAX_VISITED_NODES = 96
 
 
-@dataclass(slots=True)
-class PlacementIndex:
+class PlacementIndex(Struct):
     """Hold a complete binary tree over slots; each node keeps the bounds of its subtree.
 
     Attributes
--- a/marjorambridge/limits/prefix.py
+++ b/marjorambridge/limits/prefix.py
@@ -1,13 +1,13 @@
 """Remember which endpoints hold which blocks of prompts in their caches."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.limits.messages import CacheEvent
 
 
-@dataclass(slots=True)
-class PrefixIndex:
+class PrefixIndex(Struct):
     """Map block hashes to endpoints, least recently used pairs first to go.
 
     Attributes
--- a/marjorambridge/limits/queue.py
+++ b/marjorambridge/limits/queue.py
@@ -1,7 +1,8 @@
 """Queue permit requests by class and share each class fairly between workspaces."""
 
 import heapq
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import PermitRequest, PriorityClass
@@ -20,8 +21,7 @@
 MAX_GONE_ITEMS = 256
 
 
-@dataclass(slots=True)
-class QueueEntry:
+class QueueEntry(Struct):
     """Hold one waiting request.
 
     Attributes
@@ -56,8 +56,7 @@
     gone: bool = False
 
 
-@dataclass(slots=True)
-class ClassQueue:
+class ClassQueue(Struct):
     """Hold the waiting requests of one class.
 
     Attributes
@@ -88,8 +87,7 @@
     return {priority: ClassQueue() for priority in CLASSES}
 
 
-@dataclass(slots=True)
-class RequestQueue:
+class RequestQueue(Struct):
     """Hold the waiting requests of a shard."""
 
     classes: dict[PriorityClass, ClassQueue] = field(default_factory=_create_classes)
--- a/marjorambridge/limits/ramp.py
+++ b/marjorambridge/limits/ramp.py
@@ -1,6 +1,6 @@
 """Limit a cold endpoint and detect endpoints that turned cold without warning."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Prefill room of a warm endpoint, which has no prefill limit of its own.
 UNLIMITED_PREFILL = 1 << 60
@@ -10,8 +10,7 @@
 BASELINE_WEIGHT = 0.1
 
 
-@dataclass(slots=True)
-class Ramp:
+class Ramp(Struct):
     """Hold the cold-start state of one incarnation of an endpoint.
 
     Attributes
--- a/marjorambridge/limits/settings.py
+++ b/marjorambridge/limits/settings.py
@@ -1,12 +1,11 @@
 """Hold the settings of the shard owner."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 
 
-@dataclass(slots=True)
-class LimitsSettings:
+class LimitsSettings(Struct):
     """Hold the settings of the shard owner; the defaults are in `conf.defaults`."""
 
     freshness_seconds: float = defaults.FRESHNESS_SECONDS
--- a/marjorambridge/limits/shard.py
+++ b/marjorambridge/limits/shard.py
@@ -1,9 +1,10 @@
 """Hold the state of one owned shard and keep its indexes in step with it."""
 
 import heapq
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.view import ShardId
 from marjorambridge.limits.estimates import Rates
@@ -28,8 +29,7 @@
 RANK_SCALE = 4096
 
 
-@dataclass(slots=True)
-class Endpoint:
+class Endpoint(Struct):
     """Hold one endpoint of a shard.
 
     Attributes
@@ -67,8 +67,7 @@
     counted: tuple[int, int, int, int] = (0, 0, 0, 0)
 
 
-@dataclass(slots=True)
-class AdvanceReservation:
+class AdvanceReservation(Struct):
     """Keep endpoints for the request that waits longest for more than is free at once.
 
     Attributes
@@ -87,8 +86,7 @@
     start: float
 
 
-@dataclass(slots=True)
-class Totals:
+class Totals(Struct):
     """Sum the usable endpoints of a shard."""
 
     endpoints: int = 0
@@ -98,8 +96,7 @@
     prefill: int = 0
 
 
-@dataclass(slots=True)
-class Shard:
+class Shard(Struct):
     """Hold a shard that this host owns.
 
     Attributes
--- a/marjorambridge/limits/state.py
+++ b/marjorambridge/limits/state.py
@@ -1,7 +1,8 @@
 """Hold the state of the shard owner on one host."""
 
 import random
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.configuration.models import Configuration
 from marjorambridge.core.view import View
@@ -12,8 +13,7 @@
 from marjorambridge.orders.messages import EndpointSummary
 
 
-@dataclass(slots=True)
-class HandoverParts:
+class HandoverParts(Struct):
     """Collect the parts of one handover.
 
     Attributes
@@ -27,8 +27,7 @@
     received: dict[int, ShardHandover] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class LimitsState:
+class LimitsState(Struct):
     """Hold the shards that this host owns and what their ownership follows from.
 
     Attributes
--- a/marjorambridge/management/changes.py
+++ b/marjorambridge/management/changes.py
@@ -2,9 +2,9 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import typer
+from msgspec import Struct
 
 from marjorambridge.configuration.commands import ApplyConfiguration, Change
 from marjorambridge.configuration.models import Configuration
@@ -27,8 +27,7 @@
 BuildChange = Callable[[Configuration], Change | ApplyConfiguration]
 
 
-@dataclass(slots=True)
-class ChangeOptions:
+class ChangeOptions(Struct):
     """Hold the options that all state-changing commands have."""
 
     command_id: str = ""
@@ -37,8 +36,7 @@
     as_json: bool = False
 
 
-@dataclass(slots=True)
-class ChangeResult:
+class ChangeResult(Struct):
     """Tell what became of a change.
 
     Attributes
--- a/marjorambridge/management/client.py
+++ b/marjorambridge/management/client.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
 import httpcore
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.http.reports import (
     CONFIGURATION_PATH,
@@ -27,8 +27,7 @@
 Report = TypeVar("Report")
 
 
-@dataclass(slots=True)
-class Client:
+class Client(Struct):
     """Hold the admin addresses in the order of their use, the operator token and connections."""
 
     addresses: tuple[str, ...]
--- a/marjorambridge/management/commands/endpoint.py
+++ b/marjorambridge/management/commands/endpoint.py
@@ -75,4 +75,4 @@
 
 
 def _plain(endpoint) -> dict:
-    return {name: getattr(endpoint, name) for name in endpoint.__dataclass_fields__}
+    return {name: getattr(endpoint, name) for name in endpoint.__struct_fields__}
--- a/marjorambridge/management/commands/service.py
+++ b/marjorambridge/management/commands/service.py
@@ -1,9 +1,9 @@
 """List, show, put and delete services."""
 
-from dataclasses import replace
 from typing import Annotated, Any
 
 import typer
+from msgspec.structs import replace
 
 from marjorambridge.configuration.commands import DeleteService, PutService
 from marjorambridge.configuration.models import Configuration, Service, ServiceKind, Urgency
--- a/marjorambridge/management/commands/workspace.py
+++ b/marjorambridge/management/commands/workspace.py
@@ -1,10 +1,10 @@
 """List, show, put and delete workspaces, and change their keys."""
 
-from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
+from msgspec.structs import replace
 
 from marjorambridge.configuration.commands import DeleteWorkspace, PutWorkspace
 from marjorambridge.configuration.models import Configuration, Urgency, Workspace
--- a/marjorambridge/management/findings.py
+++ b/marjorambridge/management/findings.py
@@ -1,7 +1,8 @@
 """Find what is not well in a fleet, and why."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.configuration.models import Configuration, list_shards
 from marjorambridge.core.view import HostEntry, HostState, View, compute_owner
@@ -12,8 +13,7 @@
 LATE_POLL_SECONDS = 1.2
 
 
-@dataclass(slots=True)
-class Finding:
+class Finding(Struct):
     """Describe one thing that is not well.
 
     Attributes
--- a/marjorambridge/management/options.py
+++ b/marjorambridge/management/options.py
@@ -1,11 +1,11 @@
 """Define the options that several commands share."""
 
 import getpass
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import typer
+from msgspec import Struct
 
 from marjorambridge.management.client import Client
 from marjorambridge.management.exceptions import UsageError
@@ -33,8 +33,7 @@
 ]
 
 
-@dataclass(slots=True)
-class Connection:
+class Connection(Struct):
     """Hold the global options."""
 
     addresses: tuple[str, ...]
--- a/marjorambridge/management/output.py
+++ b/marjorambridge/management/output.py
@@ -1,6 +1,5 @@
 """Print results as tables or JSON, and notes for people on standard error."""
 
-import dataclasses
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -51,6 +50,6 @@
 
 
 def print_fields(value: Any) -> None:
-    """Print a dataclass with one field per line."""
-    rows = [(item.name, getattr(value, item.name)) for item in dataclasses.fields(value)]
+    """Print a structure with one field per line."""
+    rows = [(name, getattr(value, name)) for name in value.__struct_fields__]
     typer.echo(format_table(("field", "value"), rows))
--- a/marjorambridge/management/submission.py
+++ b/marjorambridge/management/submission.py
@@ -7,10 +7,10 @@
 import re
 import secrets
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from marjorambridge.configuration.commands import ApplyConfiguration, Change, OperatorCommand
 from marjorambridge.configuration.json_commands import make_command_object
@@ -29,8 +29,7 @@
 ROUND_PAUSE_SECONDS = 0.5
 
 
-@dataclass(slots=True)
-class CommandIdentity:
+class CommandIdentity(Struct):
     """Hold what identifies a command.
 
     Attributes
--- a/marjorambridge/management/waiting.py
+++ b/marjorambridge/management/waiting.py
@@ -1,7 +1,8 @@
 """Find out whether all live hosts have a version of the configuration in force."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.http.reports import HostLine, HostReport
 
@@ -9,8 +10,7 @@
 POLL_SECONDS = 0.2
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Tell which hosts have a version in force.
 
     Attributes
--- a/marjorambridge/manifests/matching.py
+++ b/marjorambridge/manifests/matching.py
@@ -1,13 +1,13 @@
 """Find the route and the workspace of a request."""
 
 import random
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.manifests.models import Manifest, Route, ServiceDefinition, WorkspaceKeys
 
 
-@dataclass(slots=True)
-class RouteTable:
+class RouteTable(Struct):
     """Index a manifest for the look-ups of a request.
 
     Attributes
--- a/marjorambridge/manifests/models.py
+++ b/marjorambridge/manifests/models.py
@@ -4,9 +4,10 @@
 command by command, is in `marjorambridge.configuration`.
 """
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 
 class Execution(StrEnum):
     """Say how often a request may run.
@@ -19,16 +20,14 @@
     STREAM = "stream"
 
 
-@dataclass(slots=True, frozen=True)
-class RouteTarget:
+class RouteTarget(Struct, frozen=True):
     """Give a service its share of a route's requests."""
 
     service: str
     weight: float
 
 
-@dataclass(slots=True, frozen=True)
-class Route:
+class Route(Struct, frozen=True):
     """Say which service answers the requests of a host name and path prefix, and how.
 
     Attributes
@@ -67,8 +66,7 @@
     resumable: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class EngineProfile:
+class EngineProfile(Struct, frozen=True):
     """Describe how fast the engines of a service work.
 
     Attributes
@@ -104,8 +102,7 @@
     stride_steps: int = 1
 
 
-@dataclass(slots=True, frozen=True)
-class ServiceDefinition:
+class ServiceDefinition(Struct, frozen=True):
     """Describe a service.
 
     Attributes
@@ -125,8 +122,7 @@
     engine: EngineProfile | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class CallerLimits:
+class CallerLimits(Struct, frozen=True):
     """Bound what a caller may send, and how long it may take or stay idle."""
 
     header_bytes: int = 16_384
@@ -135,8 +131,7 @@
     idle_timeout_seconds: float = 15.0
 
 
-@dataclass(slots=True, frozen=True)
-class WorkspaceKeys:
+class WorkspaceKeys(Struct, frozen=True):
     """Hold the keys of a workspace; its priority takes precedence over that of a route."""
 
     name: str
@@ -144,8 +139,7 @@
     priority: int | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class Manifest:
+class Manifest(Struct, frozen=True):
     """Hold a whole configuration; the one with the highest version is in force."""
 
     version: int
--- a/marjorambridge/membership/events.py
+++ b/marjorambridge/membership/events.py
@@ -1,21 +1,17 @@
 """Define the events between the operators' interface and the membership part of a host."""
 
-from dataclasses import dataclass
-
 from marjorambridge.configuration.commands import OperatorCommand
 from marjorambridge.configuration.state import CommandAnswer
 from marjorambridge.core.events import Event
 from marjorambridge.orders.state_machine import SetTarget
 
 
-@dataclass(slots=True)
 class CommandSubmitted(Event):
     """Deliver an operator command; any host accepts it, and `CommandAnswered` answers."""
 
     command: OperatorCommand | SetTarget
 
 
-@dataclass(slots=True)
 class CommandAnswered(Event):
     """Answer an operator command.
 
--- a/marjorambridge/membership/host.py
+++ b/marjorambridge/membership/host.py
@@ -13,9 +13,9 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import replace
 
 import xxhash
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.exceptions import EntryDecodeError, SnapshotDecodeError
--- a/marjorambridge/membership/messages.py
+++ b/marjorambridge/membership/messages.py
@@ -1,12 +1,11 @@
 """Define the messages between hosts and the replicas of log group 0."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.configuration.state import CommandAnswer
 
 
-@dataclass(slots=True)
-class FreshnessQuery:
+class FreshnessQuery(Struct):
     """Ask a replica for the position of its log; also the heartbeat of the host.
 
     Attributes
@@ -37,16 +36,14 @@
     snapshot_offset: int = 0
 
 
-@dataclass(slots=True)
-class CommittedEntry:
+class CommittedEntry(Struct):
     """Carry one committed entry."""
 
     index: int
     payload: bytes
 
 
-@dataclass(slots=True)
-class EntryBatch:
+class EntryBatch(Struct):
     """Carry the committed entries with an index above `after`, up to `through`.
 
     Indices that are not listed belong to entries of the log itself, which change nothing.
@@ -57,8 +54,7 @@
     entries: tuple[CommittedEntry, ...] = ()
 
 
-@dataclass(slots=True)
-class SnapshotChunk:
+class SnapshotChunk(Struct):
     """Carry a part of a snapshot that covers all entries up to `index`.
 
     Attributes
@@ -73,8 +69,7 @@
     data: bytes
 
 
-@dataclass(slots=True)
-class FreshnessReply:
+class FreshnessReply(Struct):
     """Answer a query with the position of the replica's log when the query arrived.
 
     Attributes
@@ -99,15 +94,13 @@
     chunk: SnapshotChunk | None = None
 
 
-@dataclass(slots=True)
-class HostLeaveRequest:
+class HostLeaveRequest(Struct):
     """Ask for the host that sends it to be marked as leaving; later queries repeat this."""
 
     incarnation: int
 
 
-@dataclass(slots=True)
-class CommandForward:
+class CommandForward(Struct):
     """Hand an operator command to the leader.
 
     Attributes
@@ -120,16 +113,14 @@
     payload: bytes
 
 
-@dataclass(slots=True)
-class CommandReply:
+class CommandReply(Struct):
     """Carry the committed answer of a command back to the host that forwarded it."""
 
     command_id: str
     answer: CommandAnswer
 
 
-@dataclass(slots=True)
-class CommandRedirect:
+class CommandRedirect(Struct):
     """Tell that a replica does not lead; `leader` is empty if it knows none."""
 
     command_id: str
--- a/marjorambridge/membership/state.py
+++ b/marjorambridge/membership/state.py
@@ -2,7 +2,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.commands import HostJoined, HostLeaving, HostRemoved
@@ -11,8 +12,7 @@
 from marjorambridge.replication.events import LogPositionChanged
 
 
-@dataclass(slots=True)
-class MembershipSettings:
+class MembershipSettings(Struct):
     """Hold the settings of a host; durations are in seconds and sizes in bytes.
 
     Attributes
@@ -46,8 +46,7 @@
     snapshot_chunk_bytes: int = defaults.SNAPSHOT_CHUNK_BYTES
 
 
-@dataclass(slots=True)
-class Poll:
+class Poll(Struct):
     """Record one poll.
 
     Attributes
@@ -63,8 +62,7 @@
     replies: dict[str, FreshnessReply] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class SnapshotTransfer:
+class SnapshotTransfer(Struct):
     """Collect the chunks of a snapshot from one replica."""
 
     sender: str
@@ -73,8 +71,7 @@
     data: bytearray = field(default_factory=bytearray)
 
 
-@dataclass(slots=True)
-class HostSide:
+class HostSide(Struct):
     """Hold this host's copy of the control state and how current it is.
 
     Attributes
@@ -114,8 +111,7 @@
     halted: str = ""
 
 
-@dataclass(slots=True)
-class HostProgress:
+class HostProgress(Struct):
     """Record the last poll of a host, as one replica saw it.
 
     Attributes
@@ -132,16 +128,14 @@
     last_poll: float
 
 
-@dataclass(slots=True)
-class HostProposal:
+class HostProposal(Struct):
     """Record a proposal about a host that is not yet applied."""
 
     entry: HostJoined | HostLeaving | HostRemoved
     proposed: float
 
 
-@dataclass(slots=True)
-class LeaderCommand:
+class LeaderCommand(Struct):
     """Record a forwarded command that this leader has proposed.
 
     Attributes
@@ -156,8 +150,7 @@
     origins: dict[str, None]
 
 
-@dataclass(slots=True)
-class ReplicaSide:
+class ReplicaSide(Struct):
     """Hold the replica's control state, the recent entries and the host registry.
 
     Attributes
@@ -191,8 +184,7 @@
     halted: str = ""
 
 
-@dataclass(slots=True)
-class PendingCommand:
+class PendingCommand(Struct):
     """Record a command that an operator submitted at this host.
 
     Attributes
@@ -209,8 +201,7 @@
     answer: CommandAnswer | None = None
 
 
-@dataclass(slots=True)
-class MembershipState:
+class MembershipState(Struct):
     """Hold everything of the membership part."""
 
     settings: MembershipSettings
--- a/marjorambridge/node/composition.py
+++ b/marjorambridge/node/composition.py
@@ -1,6 +1,6 @@
 """Build the node of a host from the parts that its role needs."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.claims import events as claim_events
 from marjorambridge.claims import messages as claim_messages
@@ -62,8 +62,7 @@
 )
 
 
-@dataclass(slots=True)
-class NodeSettings:
+class NodeSettings(Struct):
     """Hold the settings of all parts of a node.
 
     Attributes
--- a/marjorambridge/node/gateway.py
+++ b/marjorambridge/node/gateway.py
@@ -1,6 +1,6 @@
 """Build the node of a host that takes callers' requests and follows a replica."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.control import follower
 from marjorambridge.control.events import FeedLost, FeedRegained, FleetUpdated
@@ -9,8 +9,7 @@
 NOTICES = frozenset({FeedLost, FeedRegained, FleetUpdated})
 
 
-@dataclass(slots=True)
-class GatewayNodeSettings:
+class GatewayNodeSettings(Struct):
     """Hold the settings of a gateway's node.
 
     Attributes
--- a/marjorambridge/node/replica.py
+++ b/marjorambridge/node/replica.py
@@ -1,6 +1,6 @@
 """Build the node of a host that keeps a replica of the control log."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.conf import defaults
 from marjorambridge.control import replica as control
@@ -25,8 +25,7 @@
 )
 
 
-@dataclass(slots=True)
-class ReplicaNodeSettings:
+class ReplicaNodeSettings(Struct):
     """Hold the settings of a replica's node.
 
     Attributes
--- a/marjorambridge/orders/effects.py
+++ b/marjorambridge/orders/effects.py
@@ -1,12 +1,9 @@
 """Define the effects that the issuer has on endpoints."""
 
-from dataclasses import dataclass
-
 from marjorambridge.core.effects import Effect
 from marjorambridge.orders.messages import Order
 
 
-@dataclass(slots=True)
 class SendOrder(Effect):
     """Send an order to an endpoint; `OrderAnswered` answers.
 
--- a/marjorambridge/orders/events.py
+++ b/marjorambridge/orders/events.py
@@ -1,6 +1,5 @@
 """Define the events of the orders part."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
@@ -15,7 +14,6 @@
     NOT_SENT = "not_sent"
 
 
-@dataclass(slots=True)
 class OrderAnswered(Event):
     """Deliver an endpoint's answer to an order; ``NOT_SENT`` if `send_by` passed unsent."""
 
@@ -27,7 +25,6 @@
     message: str = ""
 
 
-@dataclass(slots=True)
 class TargetStateApplied(Event):
     """Tell the issuer that an entry changed the target state.
 
--- a/marjorambridge/orders/messages.py
+++ b/marjorambridge/orders/messages.py
@@ -1,8 +1,9 @@
 """Define the messages that shard owners send to the issuer, and the orders to endpoints."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 
 class OrderKind(StrEnum):
     """Tell what an order makes an endpoint do."""
@@ -15,8 +16,7 @@
     SET_ROLE = "set_role"
 
 
-@dataclass(slots=True, frozen=True)
-class Order:
+class Order(Struct, frozen=True):
     """Tell an endpoint to change what it serves.
 
     Attributes
@@ -38,8 +38,7 @@
     load_bytes: int = 0
 
 
-@dataclass(slots=True, frozen=True)
-class EndpointSummary:
+class EndpointSummary(Struct, frozen=True):
     """Tell what an endpoint announced about what it serves.
 
     Attributes
@@ -61,15 +60,13 @@
     age: float = 0.0
 
 
-@dataclass(slots=True)
-class EndpointInventory:
+class EndpointInventory(Struct):
     """Forward the announcements of a shard, or the changed ones, to the issuer."""
 
     endpoints: tuple[EndpointSummary, ...]
 
 
-@dataclass(slots=True)
-class LoadDemand:
+class LoadDemand(Struct):
     """Tell the issuer how many callers wait for a model at one shard owner."""
 
     service: str
--- a/marjorambridge/orders/state.py
+++ b/marjorambridge/orders/state.py
@@ -1,14 +1,13 @@
 """Hold the state of the issuer of orders."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.orders.messages import EndpointSummary, Order
 from marjorambridge.orders.state_machine import TargetState
 
 
-@dataclass(slots=True)
-class OrderSettings:
+class OrderSettings(Struct):
     """Hold the settings of the issuer; names that end in seconds or bytes have that unit.
 
     Attributes
@@ -31,8 +30,7 @@
     burst_bytes: float = defaults.WEIGHT_STORE_BURST_BYTES
 
 
-@dataclass(slots=True)
-class EndpointState:
+class EndpointState(Struct):
     """Hold what the issuer knows about an endpoint and the order in flight to it.
 
     Attributes
@@ -62,8 +60,7 @@
     proposed_bytes: int = 0
 
 
-@dataclass(slots=True)
-class IssuerState:
+class IssuerState(Struct):
     """Hold the issuer of one host; it issues only while it leads group 0 and is fresh.
 
     Attributes
--- a/marjorambridge/orders/state_machine.py
+++ b/marjorambridge/orders/state_machine.py
@@ -1,8 +1,7 @@
 """Apply the committed target state of the endpoints."""
 
-from dataclasses import dataclass, field
-
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.orders.exceptions import OrderEntryError
@@ -58,8 +57,7 @@
 OrderCommand = SetTarget | TakeTokens
 
 
-@dataclass(slots=True)
-class OrderResult:
+class OrderResult(Struct):
     """Tell an operator what became of a command; `version` is that of the target state."""
 
     command: str
@@ -68,8 +66,7 @@
     message: str = ""
 
 
-@dataclass(slots=True)
-class TargetState:
+class TargetState(Struct):
     """Hold the target state and the token bucket of the weight store.
 
     Attributes
--- a/marjorambridge/replication/effects.py
+++ b/marjorambridge/replication/effects.py
@@ -4,18 +4,14 @@
 `SyncStorage` has been answered with `StorageSynced`.
 """
 
-from dataclasses import dataclass
-
 from marjorambridge.core.effects import Effect
 from marjorambridge.replication.models import LogEntry, ReplicaId, Snapshot
 
 
-@dataclass(slots=True)
 class StorageEffect(Effect):
     """Base of the effects for storage."""
 
 
-@dataclass(slots=True)
 class SaveCluster(StorageEffect):
     """Save the identity of the cluster and the voters that every group began with."""
 
@@ -23,7 +19,6 @@
     founders: tuple[ReplicaId, ...]
 
 
-@dataclass(slots=True)
 class SaveVote(StorageEffect):
     """Save a group's term and the replica that got the vote in it."""
 
@@ -32,7 +27,6 @@
     voted_for: ReplicaId
 
 
-@dataclass(slots=True)
 class AppendRecords(StorageEffect):
     """Append entries; they replace all records from the index of the first one on."""
 
@@ -40,7 +34,6 @@
     entries: tuple[LogEntry, ...]
 
 
-@dataclass(slots=True)
 class SaveSnapshot(StorageEffect):
     """Replace a group's snapshot.
 
@@ -56,7 +49,6 @@
     first_index: int
 
 
-@dataclass(slots=True)
 class SyncStorage(StorageEffect):
     """Make all earlier writes durable and answer with `ticket`."""
 
--- a/marjorambridge/replication/events.py
+++ b/marjorambridge/replication/events.py
@@ -1,12 +1,10 @@
 """Define the events by which other parts use the replicated logs."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
 from marjorambridge.core.events import Event
 
 
-@dataclass(slots=True)
 class ProposalRequested(Event):
     """Ask this replica to append a payload to a group's log.
 
@@ -20,7 +18,6 @@
     payload: bytes
 
 
-@dataclass(slots=True)
 class ProposalRefused(Event):
     """Tell that a proposal was not appended.
 
@@ -36,7 +33,6 @@
     leader: str
 
 
-@dataclass(slots=True)
 class EntryCommitted(Event):
     """Deliver the next committed entry of a group, in order and each once per process life.
 
@@ -56,7 +52,6 @@
     proposal: str = ""
 
 
-@dataclass(slots=True)
 class SnapshotInstalled(Event):
     """Replace the state machine's state by a snapshot that covers all entries up to `index`."""
 
@@ -66,14 +61,12 @@
     data: bytes
 
 
-@dataclass(slots=True)
 class SnapshotRequested(Event):
     """Ask the state machine for a snapshot of its state; `SnapshotTaken` answers."""
 
     group: int
 
 
-@dataclass(slots=True)
 class SnapshotTaken(Event):
     """Deliver a snapshot of a state machine that has applied all entries up to `index`."""
 
@@ -82,7 +75,6 @@
     data: bytes
 
 
-@dataclass(slots=True)
 class LeadershipChanged(Event):
     """Tell who leads a group, as far as this replica knows.
 
@@ -101,7 +93,6 @@
     is_leader: bool
 
 
-@dataclass(slots=True)
 class LogPositionChanged(Event):
     """Tell the position of this replica's log, for the freshness poll.
 
@@ -124,14 +115,12 @@
     voters: tuple[str, ...]
 
 
-@dataclass(slots=True)
 class StorageSynced(Event):
     """Tell that all writes up to the `SyncStorage` with this ticket are durable."""
 
     ticket: int
 
 
-@dataclass(slots=True)
 class StorageFailed(Event):
     """Tell that a write or a sync failed; storage carries out nothing from then on."""
 
@@ -139,14 +128,12 @@
     reason: str
 
 
-@dataclass(slots=True)
 class ReplicaHalted(Event):
     """Tell that this replica promises nothing more until its process is started again."""
 
     reason: str
 
 
-@dataclass(slots=True)
 class LeadershipTransferRequested(Event):
     """Ask the leader of a group to pass leadership to `host`, or to any voter if it is empty."""
 
@@ -161,7 +148,6 @@
     REMOVE_HOST = "remove_host"
 
 
-@dataclass(slots=True)
 class MembershipChangeRequested(Event):
     """Ask the leader of a group to add a host's replica as a voter, or to remove it."""
 
@@ -170,7 +156,6 @@
     host: str
 
 
-@dataclass(slots=True)
 class MembershipChangeRefused(Event):
     """Tell that a change of members was not begun."""
 
@@ -179,7 +164,6 @@
     reason: str
 
 
-@dataclass(slots=True)
 class PeersLearned(Event):
     """Name further hosts that may lead the group, for a replica that wants to join it."""
 
@@ -194,7 +178,6 @@
     REPAIRED = "repaired"
 
 
-@dataclass(slots=True)
 class RepairStatus(Event):
     """Tell the committed stage of a repair, or of an added host; `REPAIRED` is the last one."""
 
--- a/marjorambridge/replication/logs.py
+++ b/marjorambridge/replication/logs.py
@@ -1,12 +1,11 @@
 """Keep the entries of one group's log in memory."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.replication.models import LogEntry
 
 
-@dataclass(slots=True)
-class Log:
+class Log(Struct):
     """Hold the entries after a base position, which a snapshot covers."""
 
     base_index: int = 0
--- a/marjorambridge/replication/messages.py
+++ b/marjorambridge/replication/messages.py
@@ -5,13 +5,12 @@
 message to its predecessor.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from marjorambridge.replication.models import LogEntry, Membership, ReplicaId
 
 
-@dataclass(slots=True)
-class VoteRequest:
+class VoteRequest(Struct):
     """Ask for a vote, or with `pre` whether a vote in `term` would be granted.
 
     Attributes
@@ -31,8 +30,7 @@
     transfer: bool
 
 
-@dataclass(slots=True)
-class VoteReply:
+class VoteReply(Struct):
     """Answer a `VoteRequest`; `election` is the term asked for, `term` that of the sender."""
 
     group: int
@@ -45,8 +43,7 @@
     granted: bool
 
 
-@dataclass(slots=True)
-class AppendRequest:
+class AppendRequest(Struct):
     """Send entries after `previous_index`, or a heartbeat if there are none.
 
     Attributes
@@ -67,8 +64,7 @@
     entries: tuple[LogEntry, ...] = ()
 
 
-@dataclass(slots=True)
-class AppendReply:
+class AppendReply(Struct):
     """Acknowledge synced entries up to `match_index`, or refuse.
 
     Attributes
@@ -91,8 +87,7 @@
     hint_term: int = 0
 
 
-@dataclass(slots=True)
-class SnapshotChunk:
+class SnapshotChunk(Struct):
     """Send a part of a snapshot's data, from byte `offset` of `total`."""
 
     group: int
@@ -109,8 +104,7 @@
     serial: int
 
 
-@dataclass(slots=True)
-class SnapshotReply:
+class SnapshotReply(Struct):
     """Ask for the chunk at `offset` of the snapshot at `index`.
 
     Attributes
@@ -129,8 +123,7 @@
     offset: int
 
 
-@dataclass(slots=True)
-class ElectionRequest:
+class ElectionRequest(Struct):
     """Tell the target of a leadership transfer to start an election at once."""
 
     group: int
@@ -140,8 +133,7 @@
     term: int
 
 
-@dataclass(slots=True)
-class JoinRequest:
+class JoinRequest(Struct):
     """Ask the leader to make the sender a member; `token` repeats that of `JoinChallenge`."""
 
     group: int
@@ -150,8 +142,7 @@
     token: int
 
 
-@dataclass(slots=True)
-class JoinChallenge:
+class JoinChallenge(Struct):
     """Ask a joining replica to repeat `token`, because its request may be an old one."""
 
     group: int
@@ -161,15 +152,13 @@
     token: int
 
 
-@dataclass(slots=True)
-class ProbeRequest:
+class ProbeRequest(Struct):
     """Ask a peer whether it belongs to a cluster; sent by a replica that does not."""
 
     source: ReplicaId
 
 
-@dataclass(slots=True)
-class ProbeReply:
+class ProbeReply(Struct):
     """Answer that the sender's data folder is as empty as that of the target.
 
     Attributes
@@ -183,8 +172,7 @@
     peers: tuple[str, ...]
 
 
-@dataclass(slots=True)
-class ClusterOffer:
+class ClusterOffer(Struct):
     """Tell a replica without a cluster which cluster exists and which voters it began with."""
 
     source: ReplicaId
--- a/marjorambridge/replication/models.py
+++ b/marjorambridge/replication/models.py
@@ -1,13 +1,12 @@
 """Define the data that messages, storage and reducer of the replicated logs share."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
 import msgspec
+from msgspec import Struct, field
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class ReplicaId:
+class ReplicaId(Struct, frozen=True, order=True):
     """Identify a replica by its host and by the random identifier of its disk.
 
     A replica that lost its disk has another identity, so that no promise of the old disk is
@@ -25,16 +24,14 @@
     LEARNER = "learner"
 
 
-@dataclass(slots=True, frozen=True, order=True)
-class Member:
+class Member(Struct, frozen=True, order=True):
     """Describe one member of a group."""
 
     replica: ReplicaId
     role: MemberRole = MemberRole.VOTER
 
 
-@dataclass(slots=True, frozen=True)
-class Membership:
+class Membership(Struct, frozen=True):
     """Hold the members of a group.
 
     Attributes
@@ -57,8 +54,7 @@
     MEMBERSHIP = "membership"
 
 
-@dataclass(slots=True, frozen=True)
-class LogEntry:
+class LogEntry(Struct, frozen=True):
     """Hold one entry of a log."""
 
     index: int
@@ -67,8 +63,7 @@
     payload: bytes = b""
 
 
-@dataclass(slots=True, frozen=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """Hold the state of a state machine that has applied all entries up to `index`."""
 
     index: int = 0
@@ -77,8 +72,7 @@
     data: bytes = b""
 
 
-@dataclass(slots=True)
-class RecoveredGroup:
+class RecoveredGroup(Struct):
     """Hold what storage recovered of one group.
 
     Attributes
@@ -97,8 +91,7 @@
     entries: list[LogEntry] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class RecoveredReplica:
+class RecoveredReplica(Struct):
     """Hold what storage recovered of a replica; `cluster` is empty in a new data folder."""
 
     disk: str
--- a/marjorambridge/replication/state.py
+++ b/marjorambridge/replication/state.py
@@ -2,17 +2,17 @@
 
 import random
 from collections import deque
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
+from msgspec import Struct, field
+
 from marjorambridge.conf import defaults
 from marjorambridge.replication.logs import Log
 from marjorambridge.replication.models import Membership, ReplicaId, Snapshot
 
 
-@dataclass(slots=True)
-class ReplicationSettings:
+class ReplicationSettings(Struct):
     """Hold the settings of the replicated logs.
 
     Attributes
@@ -68,8 +68,7 @@
     SNAPSHOT = "snapshot"
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Hold what a leader knows about a member.
 
     Attributes
@@ -101,8 +100,7 @@
     snapshot_sent_at: float = 0.0
 
 
-@dataclass(slots=True)
-class PartialSnapshot:
+class PartialSnapshot(Struct):
     """Collect the chunks of a snapshot; `size` counts the bytes collected."""
 
     index: int
@@ -112,8 +110,7 @@
     size: int = 0
 
 
-@dataclass(slots=True)
-class GroupState:
+class GroupState(Struct):
     """Hold the state of one group on this replica.
 
     Attributes
@@ -166,8 +163,7 @@
     announced_leadership: tuple[Any, ...] = ("", 0, False)
 
 
-@dataclass(slots=True)
-class HeldMessage:
+class HeldMessage(Struct):
     """Hold a promise until the sync with its ticket is done.
 
     Attributes
@@ -183,8 +179,7 @@
     message: Any
 
 
-@dataclass(slots=True)
-class ReplicaState:
+class ReplicaState(Struct):
     """Hold the state of all groups on this replica.
 
     Attributes
--- a/marjorambridge/requests/effects.py
+++ b/marjorambridge/requests/effects.py
@@ -1,14 +1,11 @@
 """Define the effects on callers and on endpoints of carrying a request."""
 
-from dataclasses import dataclass
-
 from marjorambridge.core.effects import Effect
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.core.outcomes import Outcome
 from marjorambridge.limits.messages import EndpointGrant, PriorityClass
 
 
-@dataclass(slots=True)
 class StartAttempt(Effect):
     """Send a request to the endpoints of a permit.
 
@@ -41,14 +38,12 @@
     trace: str = ""
 
 
-@dataclass(slots=True)
 class CancelAttempt(Effect):
     """Stop an attempt: close its connection and tell the endpoints to free its memory."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
 class ForwardHeaders(Effect):
     """Send the status and headers of the answer to the caller."""
 
@@ -57,7 +52,6 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(slots=True)
 class ForwardChunk(Effect):
     """Send a part of the answer to the caller; `index` counts tokens, or bytes for plain ones."""
 
@@ -67,7 +61,6 @@
     data: bytes
 
 
-@dataclass(slots=True)
 class FinishRequest(Effect):
     """Give the caller its final outcome and forget the request's body."""
 
--- a/marjorambridge/requests/events.py
+++ b/marjorambridge/requests/events.py
@@ -1,13 +1,13 @@
 """Define the events of callers' requests and of attempts on endpoints."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import field
+
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
 
 
-@dataclass(slots=True)
 class RequestArrived(Event):
     """Tell that a caller's request was read whole and its syntax is valid.
 
@@ -61,7 +61,6 @@
     trace: str = ""
 
 
-@dataclass(slots=True)
 class LoopDelayMeasured(Event):
     """Tell how late this process handled a timer.
 
@@ -74,21 +73,18 @@
     seconds: float
 
 
-@dataclass(slots=True)
 class CallerGone(Event):
     """Tell that the caller closed its connection before the final answer."""
 
     request: str
 
 
-@dataclass(slots=True)
 class AttemptStarted(Event):
     """Tell that the first byte of an attempt is about to be written to the endpoint."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
 class AttemptHeaders(Event):
     """Deliver the status and headers of an endpoint's answer."""
 
@@ -97,7 +93,6 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-@dataclass(slots=True)
 class AttemptChunk(Event):
     """Deliver a part of an endpoint's answer.
 
@@ -133,7 +128,6 @@
     TIMED_OUT = "timed_out"
 
 
-@dataclass(slots=True)
 class AttemptEnded(Event):
     """Tell that no more of an attempt's answer will come.
 
@@ -155,7 +149,6 @@
     usage: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
 class Drained(Event):
     """Tell that a shutdown has no request left to finish; published once.
 
--- a/marjorambridge/requests/state.py
+++ b/marjorambridge/requests/state.py
@@ -1,9 +1,10 @@
 """Hold the requests of the callers of this host."""
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
 
+from msgspec import Struct, field
+
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.models import ServiceKind
 from marjorambridge.core.identity import AttemptId
@@ -18,8 +19,7 @@
 from marjorambridge.routing.state import RoutingSettings, RoutingState
 
 
-@dataclass(slots=True)
-class RequestSettings:
+class RequestSettings(Struct):
     """Tune how requests are carried; times are in seconds, sizes in bytes."""
 
     start_window: float = defaults.START_WINDOW_SECONDS
@@ -66,8 +66,7 @@
     RELEASING = "releasing"
 
 
-@dataclass(slots=True)
-class Permit:
+class Permit(Struct):
     """Hold a permit from its first ask to the end of its attempt.
 
     Attributes
@@ -102,16 +101,14 @@
     first_token_seconds: float = -1.0
 
 
-@dataclass(slots=True)
-class Denial:
+class Denial(Struct):
     """Remember that a shard refused a request, or did not answer if `reason` is None."""
 
     reason: DenialReason | None
     until: float
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     """Hold one caller's request.
 
     Attributes
@@ -178,8 +175,7 @@
     recorded_from: float = 0.0
 
 
-@dataclass(slots=True)
-class WorkspaceUsage:
+class WorkspaceUsage(Struct):
     """Count a workspace's use of its limits on this host."""
 
     tokens: float
@@ -187,8 +183,7 @@
     running: int = 0
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(Struct):
     """Count admissions and retries of the present and the previous window."""
 
     window: int = 0
@@ -198,8 +193,7 @@
     retries_before: int = 0
 
 
-@dataclass(slots=True)
-class Shutdown:
+class Shutdown(Struct):
     """Hold the times of a shutdown in monotonic seconds, and its counts."""
 
     refuse_from: float
@@ -209,16 +203,14 @@
     drained: bool = False
 
 
-@dataclass(slots=True)
-class Released:
+class Released(Struct):
     """Keep a sent release, to repeat it if the owner's grant arrives once more."""
 
     message: PermitRelease
     until: float
 
 
-@dataclass(slots=True)
-class RequestsState:
+class RequestsState(Struct):
     """Hold the requests part of a host.
 
     Attributes
--- a/marjorambridge/routing/state.py
+++ b/marjorambridge/routing/state.py
@@ -1,6 +1,6 @@
 """Hold what a host knows about the shards that it can ask for permits."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.models import Configuration
@@ -8,8 +8,7 @@
 from marjorambridge.limits.messages import ShardSummary
 
 
-@dataclass(slots=True)
-class RoutingSettings:
+class RoutingSettings(Struct):
     """Tune the choice of a shard.
 
     Attributes
@@ -33,8 +32,7 @@
     affinity_max: float = defaults.AFFINITY_MAX_SECONDS
 
 
-@dataclass(slots=True, frozen=True)
-class Candidate:
+class Candidate(Struct, frozen=True):
     """Describe a shard that is in service, with its present owner."""
 
     shard: str
@@ -42,24 +40,21 @@
     owner: str
 
 
-@dataclass(slots=True)
-class Candidates:
+class Candidates(Struct):
     """Hold the shards of one service that are in service, by whether the region is the host's."""
 
     local: list[Candidate]
     remote: list[Candidate]
 
 
-@dataclass(slots=True)
-class SeenSummary:
+class SeenSummary(Struct):
     """Hold a shard's last summary and when it arrived."""
 
     summary: ShardSummary
     at: float
 
 
-@dataclass(slots=True)
-class RoutingState:
+class RoutingState(Struct):
     """Hold the inputs of the choice of a shard.
 
     Attributes
--- a/marjorambridge/standins/clients.py
+++ b/marjorambridge/standins/clients.py
@@ -3,11 +3,11 @@
 import http.client
 import json
 import time
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(slots=True)
-class StreamResult:
+
+class StreamResult(Struct):
     """Hold what a caller saw of a streamed completion.
 
     Attributes
--- a/marjorambridge/standins/engine.py
+++ b/marjorambridge/standins/engine.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-from dataclasses import asdict
 from typing import Any
 
 import httpcore
 import msgspec
+from msgspec.structs import asdict
 
 from marjorambridge.core.identity import AttemptId, parse_attempt_id
 from marjorambridge.http.bodies import (
--- a/marjorambridge/standins/fleet.py
+++ b/marjorambridge/standins/fleet.py
@@ -14,10 +14,11 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from msgspec import Struct, field
+
 from marjorambridge.configuration.commands import ApplyConfiguration, Change, OperatorCommand
 from marjorambridge.configuration.json_commands import make_command_object
 from marjorambridge.standins.exceptions import FleetError
@@ -28,8 +29,7 @@
 STOP_SECONDS = 15.0
 
 
-@dataclass(slots=True)
-class HostProcess:
+class HostProcess(Struct):
     """Hold one host of the fleet.
 
     Attributes
@@ -58,8 +58,7 @@
         return self.settings["addresses"]["peer"]
 
 
-@dataclass(slots=True)
-class EndpointProcess:
+class EndpointProcess(Struct):
     """Hold one stand-in endpoint of the fleet."""
 
     name: str
@@ -73,8 +72,7 @@
         return f"{self.settings['listen']}:{self.settings['port']}"
 
 
-@dataclass(slots=True)
-class Fleet:
+class Fleet(Struct):
     """Hold the processes of a fleet, and the folder of their files."""
 
     folder: Path
--- a/marjorambridge/standins/scheduler.py
+++ b/marjorambridge/standins/scheduler.py
@@ -4,9 +4,10 @@
 import math
 import random
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
 from itertools import islice
 
+from msgspec import Struct, field
+
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import CacheEvent
 from marjorambridge.standins.exceptions import RefusedError
@@ -16,8 +17,7 @@
 CANCELLED_KEPT = 10_000
 
 
-@dataclass(slots=True)
-class EngineSettings:
+class EngineSettings(Struct):
     """Set up a stand-in engine.
 
     Attributes
@@ -97,8 +97,7 @@
     seed: int = 1
 
 
-@dataclass(slots=True)
-class Run:
+class Run(Struct):
     """Hold one attempt that has memory on this engine.
 
     Attributes
@@ -134,16 +133,14 @@
     ended: str = ""
 
 
-@dataclass(slots=True)
-class Part:
+class Part(Struct):
     """Hold memory for a group whose lead runs on another engine."""
 
     tokens: int
     expires: float
 
 
-@dataclass(slots=True)
-class Faults:
+class Faults(Struct):
     """Hold the faults that tests have switched on.
 
     Attributes
@@ -169,8 +166,7 @@
     leaving: bool = False
 
 
-@dataclass(slots=True)
-class Engine:
+class Engine(Struct):
     """Hold the state of a stand-in engine; times are seconds of the loop's clock.
 
     Attributes
--- a/marjorambridge/standins/service.py
+++ b/marjorambridge/standins/service.py
@@ -3,10 +3,10 @@
 import asyncio
 import hashlib
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.http.bodies import DECODE_ERRORS
 from marjorambridge.http.exceptions import CallerDisconnectedError, RequestError
@@ -20,8 +20,7 @@
 from marjorambridge.standins.processes import create_incarnation, run_from_command_line, run_process
 
 
-@dataclass(slots=True)
-class ServiceSettings:
+class ServiceSettings(Struct):
     """Set up a stand-in plain service.
 
     Attributes
@@ -46,8 +45,7 @@
     announce_seconds: float = 1.0
 
 
-@dataclass(slots=True)
-class ServiceFaults:
+class ServiceFaults(Struct):
     """Hold the faults that tests have switched on.
 
     Attributes
@@ -71,8 +69,7 @@
     delay_seconds: float = 0.0
 
 
-@dataclass(slots=True)
-class PlainService:
+class PlainService(Struct):
     """Hold the state of a stand-in plain service.
 
     Attributes
--- a/marjorambridge/storage/groups.py
+++ b/marjorambridge/storage/groups.py
@@ -1,9 +1,9 @@
 """Store vote, snapshot and records of one group."""
 
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.replication.effects import AppendRecords, SaveSnapshot, SaveVote
 from marjorambridge.replication.models import LogEntry, RecoveredGroup, ReplicaId, Snapshot
@@ -18,16 +18,14 @@
 )
 
 
-@dataclass(slots=True)
-class StoredVote:
+class StoredVote(Struct):
     """Hold the content of a vote file."""
 
     term: int
     voted_for: ReplicaId
 
 
-@dataclass(slots=True)
-class GroupFiles:
+class GroupFiles(Struct):
     """Hold the files of one group and the entries that the next sync writes."""
 
     folder: Path
--- a/marjorambridge/storage/segments.py
+++ b/marjorambridge/storage/segments.py
@@ -6,10 +6,10 @@
 """
 
 import os
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.replication.models import LogEntry
 from marjorambridge.storage.exceptions import make_damage_error
@@ -22,8 +22,7 @@
 _decoder = msgspec.msgpack.Decoder(list[LogEntry])
 
 
-@dataclass(slots=True)
-class Segment:
+class Segment(Struct):
     """Describe one segment file; `last_index` is the greatest index in it."""
 
     number: int
@@ -32,8 +31,7 @@
     last_index: int = 0
 
 
-@dataclass(slots=True)
-class SegmentFiles:
+class SegmentFiles(Struct):
     """Hold the segments of one group, oldest first; records are appended to the last one."""
 
     folder: Path
--- a/marjorambridge/storage/stores.py
+++ b/marjorambridge/storage/stores.py
@@ -7,10 +7,10 @@
 import os
 import uuid
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Effect
@@ -47,16 +47,14 @@
 from marjorambridge.storage.segments import close_segments, sync_segments
 
 
-@dataclass(slots=True)
-class StoredCluster:
+class StoredCluster(Struct):
     """Hold the content of the cluster file."""
 
     cluster: str
     founders: tuple[ReplicaId, ...]
 
 
-@dataclass(slots=True)
-class Store:
+class Store(Struct):
     """Hold an open data folder.
 
     Attributes
--- a/marjorambridge/storage/worker.py
+++ b/marjorambridge/storage/worker.py
@@ -2,18 +2,17 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import anyio
 import anyio.to_thread
+from msgspec import Struct, field
 
 from marjorambridge.core.effects import Effect, Measure
 from marjorambridge.core.events import Event
 from marjorambridge.storage.stores import Store, close_store, execute
 
 
-@dataclass(slots=True)
-class StorageWorker:
+class StorageWorker(Struct):
     """Hold the effects that wait for the disk.
 
     Attributes
--- a/marjorambridge/telemetry/logs.py
+++ b/marjorambridge/telemetry/logs.py
@@ -9,12 +9,12 @@
 import sys
 import time
 import traceback
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from loguru import logger
+from msgspec import Struct
 
 from marjorambridge.conf.settings import LogSettings
 from marjorambridge.core.effects import WriteLog
@@ -31,8 +31,7 @@
 BOUNDED_BURST_LINES = 400.0
 
 
-@dataclass(slots=True)
-class BoundedOutput:
+class BoundedOutput(Struct):
     """Write lines to standard output without ever waiting for its reader.
 
     Attributes
--- a/marjorambridge/telemetry/metrics.py
+++ b/marjorambridge/telemetry/metrics.py
@@ -1,10 +1,9 @@
 """Count and time what the reducers report, for Prometheus."""
 
-from dataclasses import dataclass, field
-
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
 from aioprometheus.metricdict import MetricDict
+from msgspec import Struct, field
 
 from marjorambridge.core.effects import Measure
 from marjorambridge.telemetry.series import SERIES, Kind, Series
@@ -13,8 +12,7 @@
 INFINITY = float("inf")
 
 
-@dataclass(slots=True)
-class Metrics:
+class Metrics(Struct):
     """Hold the registry and its collectors by name.
 
     Attributes
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -1,8 +1,9 @@
 """List every series, with its kind and its labels, which take values from bounded sets only."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 
 class Kind(StrEnum):
     """Kind of a series."""
@@ -12,8 +13,7 @@
     HISTOGRAM = "histogram"
 
 
-@dataclass(slots=True, frozen=True)
-class Series:
+class Series(Struct, frozen=True):
     """Describe one series.
 
     Attributes
--- a/marjorambridge/telemetry/traces.py
+++ b/marjorambridge/telemetry/traces.py
@@ -3,11 +3,11 @@
 import re
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TextIO
 
 import xxhash
+from msgspec import Struct
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
@@ -50,8 +50,7 @@
         self.file.close()
 
 
-@dataclass(slots=True)
-class Traces:
+class Traces(Struct):
     """Hold the tracer and the offset from monotonic to wall-clock time.
 
     Attributes
--- a/marjorambridge/transport/frames.py
+++ b/marjorambridge/transport/frames.py
@@ -3,7 +3,8 @@
 import hashlib
 import hmac
 import struct
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.wire.codec import decode_structure, encode_structure
@@ -16,8 +17,7 @@
 SEQUENCE = struct.Struct(">Q")
 
 
-@dataclass(slots=True)
-class Session:
+class Session(Struct):
     """Hold the key and the frame counter of one direction of a connection."""
 
     key: bytes
--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -10,13 +10,13 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
 from loguru import logger
+from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.events import Event, MessageReceived
@@ -51,16 +51,14 @@
 )
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Hold what waits to be sent to one host."""
 
     queue: deque[tuple[float, Any]] = field(default_factory=deque)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
 
 
-@dataclass(slots=True)
-class Network:
+class Network(Struct):
     """Hold the connections of this host.
 
     Attributes
--- a/marjorambridge/transport/turns.py
+++ b/marjorambridge/transport/turns.py
@@ -7,17 +7,16 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
 
 import anyio
 import anyio.lowlevel
+from msgspec import Struct, field
 
 # Pieces of work in one round of the event loop; one takes about 1 ms on a third of a core.
 TURNS_PER_ROUND = 4
 
 
-@dataclass(slots=True)
-class Turns:
+class Turns(Struct):
     """Hold who waits for a turn, in order."""
 
     waiting: deque[anyio.Event] = field(default_factory=deque)
--- a/marjorambridge/wire/codec.py
+++ b/marjorambridge/wire/codec.py
@@ -1,8 +1,8 @@
 """Encode messages as thrift compact structures and decode them with validation.
 
 The accelerated thrift encoder reads the fields of any object by name, so that it writes the
-slotted dataclasses of the pure packages directly. Decoding fills the generated thrift class, and
-`msgspec` converts it to the dataclass and checks every type.
+slotted structures of the pure packages directly. Decoding fills the generated thrift class, and
+`msgspec` converts it to the structure and checks every type.
 """
 
 import importlib
--- a/marjorambridge/wire/registry.py
+++ b/marjorambridge/wire/registry.py
@@ -4,11 +4,11 @@
 needs few of them and is restarted often.
 """
 
-import dataclasses
 import importlib
-import inspect
 from types import ModuleType
 
+from marjorambridge.core.records import is_structure
+
 PACKAGES = ("claims", "control", "forwarding", "limits", "membership", "orders", "replication")
 
 
@@ -18,11 +18,9 @@
 
 
 def list_messages(module: ModuleType) -> list[type]:
-    """Return the dataclasses that a module defines, in the order of their definition."""
+    """Return the structures that a module defines, in the order of their definition."""
     return [
         value
         for value in vars(module).values()
-        if inspect.isclass(value)
-        and dataclasses.is_dataclass(value)
-        and value.__module__ == module.__name__
+        if is_structure(value) and value.__module__ == module.__name__
     ]
--- a/scripts/generate_idl.py
+++ b/scripts/generate_idl.py
@@ -1,16 +1,18 @@
 """Write the thrift IDL of the message classes; `make wire` then generates the Python code.
 
-Field numbers follow the order of the dataclass fields, so new fields go to the end.
+Field numbers follow the order of the structure fields, so new fields go to the end.
 """
 
-import dataclasses
 import enum
 import sys
 import types
 import typing
 from pathlib import Path
 
+from msgspec import NODEFAULT, structs
+
 from marjorambridge.core.identity import AttemptId
+from marjorambridge.core.records import is_structure
 from marjorambridge.wire.registry import PACKAGES, list_messages, load_messages
 
 FOLDER = Path(__file__).resolve().parent.parent / "marjorambridge" / "wire" / "idl"
@@ -34,13 +36,13 @@
     if origin in (tuple, list):
         inner = describe_type(arguments[0], package)[0]
         if len({item for item in arguments if item is not Ellipsis}) > 1:
-            raise TypeError(f"{annotation} mixes types; use a dataclass instead")
+            raise TypeError(f"{annotation} mixes types; use a structure instead")
         return f"list<{inner}>", False
     if isinstance(annotation, type) and issubclass(annotation, enum.StrEnum):
         return "string", False
     if isinstance(annotation, type) and issubclass(annotation, enum.IntEnum):
         return "i32", False
-    if dataclasses.is_dataclass(annotation):
+    if is_structure(annotation):
         owner = find_owner(annotation, package)
         return (
             annotation.__name__ if owner == package else f"{owner}.{annotation.__name__}"
@@ -57,11 +59,11 @@
 
 
 def list_dependencies(message: type, package: str) -> list[type]:
-    """Return the dataclasses of other modules that a message contains, innermost first."""
+    """Return the structures of other modules that a message contains, innermost first."""
     found: list[type] = []
     for annotation in typing.get_type_hints(message).values():
         for kind in flatten_types(annotation):
-            is_foreign = dataclasses.is_dataclass(kind) and kind not in SHARED
+            is_foreign = is_structure(kind) and kind not in SHARED
             if is_foreign and kind not in list_messages(MODULES[package]):
                 found += [*list_dependencies(kind, package), kind]
     return [kind for kind in found if find_owner(kind, package) == package]
@@ -75,10 +77,10 @@
     return [kind for argument in arguments for kind in flatten_types(argument)]
 
 
-def describe_default(field: dataclasses.Field) -> str:
+def describe_default(field: structs.FieldInfo) -> str:
     """Return the default of a field in IDL syntax, so that an older sender may leave it out."""
     default = field.default
-    if default is dataclasses.MISSING or default is None:
+    if default is NODEFAULT or default is None:
         return ""
     if isinstance(default, bool):
         return f" = {str(default).lower()}"
@@ -99,7 +101,7 @@
     """Return the IDL of one structure."""
     hints = typing.get_type_hints(message)
     lines = []
-    for number, field in enumerate(dataclasses.fields(message), start=1):
+    for number, field in enumerate(structs.fields(message), start=1):
         kind, optional = describe_type(hints[field.name], package)
         prefix = "optional " if optional else ""
         name = f"reserved_{field.name}" if field.name in RESERVED else field.name
--- a/scripts/generate_reference.py
+++ b/scripts/generate_reference.py
@@ -1,6 +1,5 @@
 """Generate the reference pages of the settings and of the command-line tool from the code."""
 
-import dataclasses
 import inspect
 import re
 import sys
@@ -14,6 +13,7 @@
 import typer
 
 from marjorambridge.conf.settings import HostSettings
+from marjorambridge.core.records import is_structure
 from marjorambridge.management.exceptions import ExitCode
 from marjorambridge.management.main import application
 
@@ -50,13 +50,13 @@
     lines = ["", f"## {title}", "", *_list_introduction(kind), ""]
     lines += ["| Setting | Type | Default | Meaning |", "|---|---|---|---|"]
     nested: list[str] = []
-    for item in dataclasses.fields(kind):
+    for item in msgspec.structs.fields(kind):
         name = f"{path}{item.name}"
         hint = hints[item.name]
         cells = (f"`{name}`", _name_type(hint), _show_default(item), meanings.get(item.name, ""))
         lines.append(f"| {' | '.join(cells)} |")
         inner = typing.get_args(hint)[0] if typing.get_origin(hint) is tuple else hint
-        if dataclasses.is_dataclass(inner):
+        if is_structure(inner):
             prefix = f"{name}[]." if inner is not hint else f"{name}."
             nested += _describe_class(inner, prefix, f"`{name}`")
     return lines + nested
@@ -84,15 +84,15 @@
 def _name_type(hint: Any) -> str:
     if typing.get_origin(hint) is tuple:
         return f"list of {_name_type(typing.get_args(hint)[0])}"
-    if dataclasses.is_dataclass(hint):
+    if is_structure(hint):
         return "object"
     return {str: "text", int: "integer", float: "number", bool: "true or false"}[hint]
 
 
-def _show_default(item: dataclasses.Field) -> str:
-    if item.default is not dataclasses.MISSING:
+def _show_default(item: msgspec.structs.FieldInfo) -> str:
+    if item.default is not msgspec.NODEFAULT:
         return f"`{msgspec.json.encode(item.default).decode()}`"
-    return "see below" if item.default_factory is not dataclasses.MISSING else "required"
+    return "required" if item.required else "see below"
 
 
 def describe_commands() -> str:
--- a/tests/configuration/test_state_machine.py
+++ b/tests/configuration/test_state_machine.py
@@ -1,10 +1,9 @@
 """Guard the control state against lost updates, repeated commands and diverging replicas."""
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.configuration.codec import encode_entry
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -1,8 +1,7 @@
 """Guard the control log and the feed against lost processes, lost disks and cuts."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.control.commands import (
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -2,9 +2,9 @@
 
 import math
 from collections import Counter
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.fleet import apply_entry
--- a/tests/gateway/test_hostile.py
+++ b/tests/gateway/test_hostile.py
@@ -1,11 +1,11 @@
 """Guard a gateway against endpoints and callers that send what is no message, or without end."""
 
 import time
-from dataclasses import replace
 
 import anyio
 import pytest
 from anyio.abc import SocketStream
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.gateway import answers
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,9 +1,8 @@
 """Guard what callers get when endpoints answer well, badly, twice or not at all."""
 
-from dataclasses import replace
-
 import anyio
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.gateway.callers import close_idle, stop_listening
 from marjorambridge.manifests.models import Execution, ServiceDefinition
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -3,10 +3,10 @@
 import random
 import socket
 from collections import deque
-from dataclasses import replace
 
 import anyio
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.forwarding.collection import (
     COMPLETE_SECONDS,
--- a/tests/limits/test_inventory.py
+++ b/tests/limits/test_inventory.py
@@ -1,6 +1,6 @@
 """Guard the reports to the issuer of orders against gaps, floods and wrong receivers."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from marjorambridge.conf.defaults import INVENTORY_INTERVAL_SECONDS, INVENTORY_REPEAT_SECONDS
 from marjorambridge.core.events import ControlLeaderChanged
--- a/tests/limits/test_session.py
+++ b/tests/limits/test_session.py
@@ -3,11 +3,11 @@
 ``python -m tests.limits.test_session`` writes the file anew.
 """
 
-import dataclasses
 import json
 from pathlib import Path
 
 import pytest
+from msgspec import Struct
 
 from . import world as worlds
 from .world import Engine, World
@@ -16,9 +16,9 @@
 
 
 def describe(value):
-    """Return a value as JSON data that names its dataclasses."""
-    if dataclasses.is_dataclass(value) and not isinstance(value, type):
-        items = {f.name: describe(getattr(value, f.name)) for f in dataclasses.fields(value)}
+    """Return a value as JSON data that names its structures."""
+    if isinstance(value, Struct):
+        items = {name: describe(getattr(value, name)) for name in value.__struct_fields__}
         return {"type": type(value).__name__, **items}
     if isinstance(value, dict):
         return {str(key): describe(item) for key, item in value.items()}
--- a/tests/limits/test_takeover.py
+++ b/tests/limits/test_takeover.py
@@ -1,8 +1,7 @@
 """Guard the limits of endpoints while the owner of their shard changes."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import SendMessage
--- a/tests/limits/world.py
+++ b/tests/limits/world.py
@@ -3,10 +3,12 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
+from msgspec.structs import replace
+
 from marjorambridge.configuration.models import (
     AvailabilityZone,
     Configuration,
--- a/tests/membership/test_freshness.py
+++ b/tests/membership/test_freshness.py
@@ -1,10 +1,9 @@
 """Guard against a host that is fresh with an old configuration, or that applies an older one."""
 
-from dataclasses import replace
-
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from marjorambridge.configuration.codec import encode_entry
 from marjorambridge.configuration.commands import HostJoined
--- a/tests/orders/fleet.py
+++ b/tests/orders/fleet.py
@@ -1,7 +1,9 @@
 """Run two issuers, group 0 and endpoints that may ignore fencing numbers."""
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from marjorambridge.core.effects import Publish
 from marjorambridge.core.events import FreshnessChanged, MessageReceived, TimerFired
--- a/tests/requests/test_session.py
+++ b/tests/requests/test_session.py
@@ -3,10 +3,11 @@
 Run this module to write the golden file after an intended change.
 """
 
-import dataclasses
 import json
 from pathlib import Path
 
+from msgspec import Struct
+
 from marjorambridge.core.events import ShutdownRequested
 from marjorambridge.limits.messages import DenialReason
 from marjorambridge.requests.events import AttemptEnd, CallerGone
@@ -60,9 +61,9 @@
 
 
 def encode(value):
-    """Return a value as JSON types; dataclasses name their type."""
-    if dataclasses.is_dataclass(value):
-        fields = {f.name: encode(getattr(value, f.name)) for f in dataclasses.fields(value)}
+    """Return a value as JSON types; structures name their type."""
+    if isinstance(value, Struct):
+        fields = {name: encode(getattr(value, name)) for name in value.__struct_fields__}
         return {"type": type(value).__name__} | fields
     if isinstance(value, dict):
         return {str(key): encode(item) for key, item in value.items()}
--- a/tests/telemetry/test_traces.py
+++ b/tests/telemetry/test_traces.py
@@ -3,9 +3,9 @@
 import asyncio
 import json
 from collections import Counter
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from marjorambridge.claims import replica
 from marjorambridge.claims.events import WallClockRead
