Obey endpoints that leave, or want nothing for a while, by their answers

Cause: only reports to the replicas told that an endpoint leaves, and a Retry-After of an endpoint was not read.

Hosts tell one another by the messages about failures; hearsay does not empty a service beyond half of its endpoints. If all endpoints want nothing, callers are refused at once with the time that they gave, spread. An answer without signature and a time that can't be read say nothing.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -235,6 +235,12 @@
 # Time in seconds for which an endpoint is avoided that refused a request; a slot becomes free in
 # less, and news of the loads of others arrive twice.
 REFUSED_SECONDS = 0.4
+# Longest time in seconds for which an endpoint is believed that it wants nothing, and the change of
+# that time which is worth a log line and a message.
+MAX_DECLINED_SECONDS = 120.0
+DECLINED_NEWS_SECONDS = 0.1
+# Endpoints off the table whose last words are remembered.
+MAX_KEPT_WISHES = 1_000
 # Time in seconds after which a failure no longer counts.
 FAILURE_MEMORY_SECONDS = 20.0
 # Share of a service's endpoints beyond which a host's failures are more likely its own, and number
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -4,6 +4,7 @@
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.wishes import keep_wishes, restore_wishes
 from marjorambridge.manifests.matching import build_table
 from marjorambridge.manifests.models import Manifest
 
@@ -48,7 +49,7 @@
     for entry in update.changed:
         apply_entry(state, entry, now)
     for name in update.removed:
-        remove_endpoint(state, name)
+        remove_endpoint(state, name, now)
     if update.base < 0:
         named = {entry.endpoint for entry in update.changed}
         for name, endpoint in state.endpoints.items():
@@ -62,7 +63,7 @@
     if known is not None and known.born > entry.born:
         return
     if known is None or known.born != entry.born or known.address != entry.address:
-        remove_endpoint(state, entry.endpoint)
+        remove_endpoint(state, entry.endpoint, now)
         known = Endpoint(
             entry.endpoint, entry.service, entry.zone, entry.address, entry.slots, entry.born
         )
@@ -71,15 +72,17 @@
         state.endpoints[entry.endpoint] = known
         state.by_key[known.key] = known
         state.by_service.setdefault(entry.service, {})[entry.endpoint] = known
+        restore_wishes(state, known)
     known.slots = entry.slots
     known.leaving = known.leaving or entry.leaving
     known.silent = entry.silent
     known.cold_until = now + entry.cold_seconds
 
 
-def remove_endpoint(state: ForwardingState, name: str) -> None:
-    """Forget an endpoint."""
+def remove_endpoint(state: ForwardingState, name: str, now: float) -> None:
+    """Forget an endpoint, but not what it said of itself."""
     known = state.endpoints.pop(name, None)
     if known is not None:
+        keep_wishes(state, known, now)
         state.by_service[known.service].pop(name, None)
         state.by_key.pop(known.key, None)
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -39,12 +39,15 @@
         Time for which the endpoint is still avoided.
     hosts : int
         How many hosts avoid it.
+    leaving : bool
+        Whether the endpoint told one of them that it leaves.
     """
 
     endpoint: int
     failures: int
     avoided_milliseconds: int
     hosts: int
+    leaving: bool = False
 
 
 class LoadShare(Struct):
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -14,6 +14,7 @@
     count_requests,
 )
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, decides_alone
+from marjorambridge.forwarding.wishes import is_declining
 from marjorambridge.manifests.models import ServiceDefinition
 
 # Endpoints are ordered by a hash of 64 bits.
@@ -67,8 +68,8 @@
         return None
     usable = [
         endpoint
-        for endpoint in state.by_service.get(work.service, {}).values()
-        if is_usable(state, endpoint, excluded) and can_start(state, definition, endpoint, now)
+        for endpoint in list_usable(state, work.service, excluded, now)
+        if can_start(state, definition, endpoint, now)
     ]
     if not usable:
         return None
@@ -124,16 +125,30 @@
     )
 
 
-def is_usable(state: ForwardingState, endpoint: Endpoint, excluded: frozenset[str]) -> bool:
+def is_usable(
+    state: ForwardingState, endpoint: Endpoint, excluded: frozenset[str], now: float
+) -> bool:
     """Return whether new requests may go to an endpoint at all."""
     return not (
         endpoint.leaving
         or endpoint.gone
         or endpoint.zone in state.drained
         or endpoint.name in excluded
+        or is_declining(endpoint, now)
     )
 
 
+def list_usable(
+    state: ForwardingState, service: str, excluded: frozenset[str], now: float
+) -> list[Endpoint]:
+    """Return the endpoints of a service to which new requests may go at all."""
+    return [
+        endpoint
+        for endpoint in state.by_service.get(service, {}).values()
+        if is_usable(state, endpoint, excluded, now)
+    ]
+
+
 def can_start(
     state: ForwardingState, definition: ServiceDefinition, endpoint: Endpoint, now: float
 ) -> bool:
--- a/marjorambridge/forwarding/returns.py
+++ b/marjorambridge/forwarding/returns.py
@@ -21,14 +21,17 @@
 def estimate_return_seconds(state: ForwardingState, work: Work, now: float) -> float:
     """Return the seconds after which a request is expected to find room.
 
-    The least busy endpoint decides, or as many of them as read a long prompt in time. Where none
+    The least busy endpoint decides, or as many of them as read a long prompt in time. Where all
+    that could serve want nothing for a while, the first of them decides by what it said. Where none
     may be used at all, nothing is known about when one will, and the time is that in which hosts
     learn of new endpoints.
     """
     definition = state.table.services.get(work.service) if state.table else None
-    waits = []
+    waits, declined = [], []
     for endpoint in state.by_service.get(work.service, {}).values() if definition else ():
-        if not is_usable(state, endpoint, frozenset()):
+        if not is_usable(state, endpoint, frozenset(), now):
+            if is_usable(state, endpoint, frozenset(), endpoint.declines_until):
+                declined.append(endpoint.declines_until - now)
             continue
         wait = max(compute_remaining_reads(endpoint, now), get_avoid_until(endpoint, now) - now)
         if count_requests(endpoint) >= endpoint.slots:
@@ -43,6 +46,12 @@
         in_time = defaults.LATE_READ_RATIO * work.objective_seconds
         needed = math.ceil(work.read_seconds / in_time) if is_long(work) else 1
         expected = sorted(waits)[min(needed, len(waits)) - 1]
-    spread = 1.0 + state.generator.random() * defaults.RETURN_SPREAD_RATIO
-    expected = max(expected, defaults.MIN_RETURN_SECONDS) * spread
+    elif declined:
+        return min(declined) * draw_spread(state)
+    expected = max(expected, defaults.MIN_RETURN_SECONDS) * draw_spread(state)
     return min(expected, defaults.MAX_RETURN_SECONDS)
+
+
+def draw_spread(state: ForwardingState) -> float:
+    """Return a factor that spreads the returns of callers which are refused together."""
+    return 1.0 + state.generator.random() * defaults.RETURN_SPREAD_RATIO
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -16,7 +16,7 @@
     compute_remaining_reads,
     count_requests,
 )
-from marjorambridge.forwarding.placement import Doubt, Work, compute_doubt, has_memory, is_usable
+from marjorambridge.forwarding.placement import Doubt, Work, compute_doubt, has_memory, list_usable
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, decides_alone
 from marjorambridge.manifests.models import ServiceDefinition
 
@@ -45,9 +45,8 @@
     definition = state.table.services[work.service]
     trusted = [
         endpoint
-        for endpoint in state.by_service.get(work.service, {}).values()
-        if is_usable(state, endpoint, excluded)
-        and compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in READABLE
+        for endpoint in list_usable(state, work.service, excluded, now)
+        if compute_doubt(definition, endpoint, work, count_requests(endpoint), now) in READABLE
     ]
     free = [
         endpoint
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -69,8 +69,12 @@
     ----------
     silent : bool
         Whether the endpoint stopped reporting to the replicas.
+    leaving, told_leaving : bool
+        Whether it leaves for good, and whether a host learned so from an answer of it.
     gone : bool
         Whether another endpoint answered at its address.
+    declines_until : float
+        Monotonic time in seconds until which it asked this host for nothing more.
     order : int
         Place in an order of all endpoints on which all hosts agree.
     key : int
@@ -96,6 +100,7 @@
     slots: int
     born: int
     leaving: bool = False
+    told_leaving: bool = False
     silent: bool = False
     gone: bool = False
     order: int = 0
@@ -104,6 +109,7 @@
     failures: int = 0
     failed_at: float = 0.0
     avoid_until: float = 0.0
+    declines_until: float = 0.0
     sent: deque[float] = field(default_factory=deque)
     load: Load = field(default_factory=Load)
     other_loads: dict[str, Load] = field(default_factory=dict)
@@ -140,6 +146,9 @@
         Monotonic time in seconds when this host started.
     news_at : float
         Monotonic time in seconds when loads of other hosts were last told.
+    kept_wishes : dict of tuple of (str, int) to Endpoint
+        Endpoints that the table lost and that had said something of themselves, by name and start,
+        the oldest first.
     cold_senders : dict of tuple of (str, int) to bool
         Whether this host is among so many hosts that may send to a cold endpoint.
     cold_senders_hosts : dict of str to str
@@ -158,6 +167,7 @@
     started_at: float = -math.inf
     news_at: float = -math.inf
     windows: dict[str, RetryWindow] = field(default_factory=dict)
+    kept_wishes: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
     cold_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
     cold_senders_hosts: dict[str, str] = field(default_factory=dict)
 
--- /dev/null
+++ b/marjorambridge/forwarding/wishes.py
@@ -0,0 +1,87 @@
+"""Obey what endpoints say of themselves in their answers.
+
+The load pattern is a fleet at its limit: engines that are about to leave, or that want nothing for
+a while, say so to the hosts that meet them, long before the replicas tell. What is sent to them all
+the same is refused, and takes the time of the callers and the budget of attempts.
+
+What an endpoint says belongs to one incarnation of it and is kept while the endpoint table loses
+and regains it.
+"""
+
+from msgspec import Struct
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.state import Endpoint, ForwardingState
+
+
+class Wishes(Struct, frozen=True):
+    """Hold what an endpoint said in one answer.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it leaves for good.
+    declined_seconds : float
+        Time for which it wants nothing from this host; 0 if it did not say so.
+    """
+
+    leaving: bool = False
+    declined_seconds: float = 0.0
+
+
+def note_wishes(endpoint: Endpoint, wishes: Wishes, now: float) -> bool:
+    """Take over what an endpoint said and return whether it was news."""
+    is_news = wishes.leaving and not endpoint.leaving
+    endpoint.leaving |= wishes.leaving
+    endpoint.told_leaving |= wishes.leaving
+    if wishes.declined_seconds > 0:
+        seconds = min(wishes.declined_seconds, defaults.MAX_DECLINED_SECONDS)
+        until = now + seconds
+        is_news |= until > endpoint.declines_until + defaults.DECLINED_NEWS_SECONDS
+        endpoint.declines_until = max(endpoint.declines_until, until)
+        # The other hosts learn it as a reason to prefer other endpoints: an endpoint that wants
+        # nothing from one host wants little from the next.
+        endpoint.avoid_until = max(endpoint.avoid_until, until)
+        endpoint.failed_at = now
+    return is_news
+
+
+def is_declining(endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint asked this host for nothing more until later."""
+    return now < endpoint.declines_until
+
+
+def take_leaving(state: ForwardingState, endpoint: Endpoint) -> bool:
+    """Take over that an endpoint told another host that it leaves; return whether it was news.
+
+    Hearsay does not empty a service: beyond a part of its endpoints, only what an endpoint tells
+    this host itself or the replicas counts.
+    """
+    if endpoint.leaving:
+        return False
+    others = state.by_service.get(endpoint.service, {})
+    leaving = sum(other.leaving for other in others.values())
+    if leaving + 1 > defaults.REPORTED_ENDPOINTS_RATIO * len(others):
+        return False
+    endpoint.leaving = endpoint.told_leaving = True
+    return True
+
+
+def keep_wishes(state: ForwardingState, endpoint: Endpoint, now: float) -> None:
+    """Remember what an endpoint said that is taken off the table."""
+    if not endpoint.leaving and not is_declining(endpoint, now):
+        return
+    state.kept_wishes[endpoint.name, endpoint.born] = endpoint
+    while len(state.kept_wishes) > defaults.MAX_KEPT_WISHES:
+        del state.kept_wishes[next(iter(state.kept_wishes))]
+
+
+def restore_wishes(state: ForwardingState, endpoint: Endpoint) -> None:
+    """Apply what the same incarnation said before the table lost it."""
+    before = state.kept_wishes.pop((endpoint.name, endpoint.born), None)
+    if before is None:
+        return
+    endpoint.leaving |= before.leaving
+    endpoint.told_leaving |= before.told_leaving
+    endpoint.declines_until = max(endpoint.declines_until, before.declines_until)
+    endpoint.avoid_until = max(endpoint.avoid_until, before.avoid_until)
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -15,7 +15,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import Ending
-from marjorambridge.gateway.messages import Attempt, Dialect, Result
+from marjorambridge.gateway.messages import SUCCESS, Attempt, Dialect, Result
 from marjorambridge.gateway.streams import STREAM_ERRORS
 
 READ_BYTES = 65_536
@@ -27,7 +27,6 @@
 # after which another endpoint can still answer in time.
 MAX_FAILURE_BYTES = 65_536
 FAILURE_BODY_SECONDS = 0.5
-SUCCESS = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 
 
@@ -118,6 +117,7 @@
     result.head = head
     if head.request_id not in ("", reader.attempt.request_id):
         raise NoAnswerError("the answer belongs to another request")
+    reader.attempt.take_head(head)
     if head.not_run or head.misdirected:
         # The head says all; nothing of the body reaches a caller.
         classify(result)
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -54,9 +54,11 @@
 
 
 def make_failure(endpoint: Endpoint, report: FailureReport, now: float) -> EndpointFailure:
-    """Return what a message tells of failures."""
+    """Return what a message tells of failures, and of an endpoint that leaves."""
     avoided = math.ceil(max(0.0, report.avoid_until - now) * MILLISECONDS)
-    return EndpointFailure(endpoint.key, report.failures, avoided, report.hosts)
+    return EndpointFailure(
+        endpoint.key, report.failures, avoided, report.hosts, endpoint.told_leaving
+    )
 
 
 def read_failure(told: EndpointFailure, now: float) -> FailureReport:
@@ -76,7 +78,7 @@
     failures = tuple(
         make_failure(endpoint, FailureReport(endpoint.failures, endpoint.avoid_until), now)
         for endpoint in endpoints
-        if endpoint.name in reportable
+        if endpoint.name in reportable or endpoint.told_leaving
     )
     return LoadShare(own_host, for_zone, loads, failures)
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -6,6 +6,8 @@
 
 from marjorambridge.forwarding.attempts import Ending
 
+SUCCESS = range(200, 300)
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -94,6 +96,12 @@
         Whether another endpoint than the wanted one answered.
     is_event_stream : bool
         Whether the body is a series of events.
+    leaving : bool
+        Whether the endpoint says that it leaves.
+    declines : bool
+        Whether the status is one of those with which an endpoint turns a request away.
+    retry_after, date : str
+        When it wants requests again, and the time of the answer, as HTTP writes them.
     endpoint_at_fault : str
         Name or address of the endpoint because of which the request could not run, which may be
         one that was to help; empty if the answer names none.
@@ -106,6 +114,10 @@
     not_run: bool = False
     misdirected: bool = False
     is_event_stream: bool = False
+    leaving: bool = False
+    declines: bool = False
+    retry_after: str = ""
+    date: str = ""
     endpoint_at_fault: str = ""
 
 
@@ -163,6 +175,8 @@
         of the answer comes before.
     lease : MemoryLease
         Memory for an answer that is collected whole; the caller of the attempt releases it.
+    take_head : callable
+        Takes the head of the answer as soon as it is there.
     pass_event_bytes : callable or None
         Takes the head and each piece of an event stream, and returns whether the caller is still
         there; None if answers are collected whole.
@@ -176,6 +190,7 @@
     request_id: str
     get_stalled_at: Callable[[], float]
     lease: MemoryLease
+    take_head: Callable[[AnswerHead], None]
     pass_event_bytes: Callable[[AnswerHead, bytes], Awaitable[bool]] | None = None
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -25,7 +25,7 @@
 from marjorambridge.forwarding.costs import compute_read_seconds
 from marjorambridge.forwarding.health import note_failure, note_gone, note_refusal, note_success
 from marjorambridge.forwarding.loads import add_read, add_request, finish_read, remove_request
-from marjorambridge.forwarding.placement import Work, choose_endpoint
+from marjorambridge.forwarding.placement import Work, choose_endpoint, is_usable, list_usable
 from marjorambridge.forwarding.reservations import needs_reservations, plan_shares
 from marjorambridge.forwarding.returns import estimate_return_seconds
 from marjorambridge.forwarding.splitting import choose_readers, is_long
@@ -45,6 +45,7 @@
 )
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet, keep_renewed, list_helpers, release, reserve
+from marjorambridge.gateway.wishes import learn_wishes
 from marjorambridge.manifests.models import Execution
 
 PLAIN_TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
@@ -225,8 +226,11 @@
     gives_up_at = now + defaults.LONG_PROMPT_WAIT_SECONDS
     while True:
         endpoint = await _choose_for_long(transit, excluded)
-        if endpoint is not None or time.monotonic() >= gives_up_at:
+        now = time.monotonic()
+        if endpoint is not None or now >= gives_up_at:
             return endpoint
+        if not list_usable(forwarding, work.service, excluded, now):
+            return None
         await anyio.sleep(defaults.LONG_PROMPT_CHECK_SECONDS)
 
 
@@ -238,6 +242,10 @@
         shares = plan_shares(forwarding, work, readers)
         if not shares or not await reserve(transit.tickets, shares):
             return None
+        if not all(is_usable(forwarding, reader, excluded, time.monotonic()) for reader in readers):
+            # One of them said so while the memory of the others was reserved.
+            await release(transit.tickets)
+            return None
     transit.helpers = readers[1:]
     return readers[0] if readers else None
 
@@ -285,6 +293,7 @@
         request_id=request.request_id,
         get_stalled_at=lambda: _get_stalled_at(transit),
         lease=transit.lease,
+        take_head=lambda head: learn_wishes(gateway, endpoint, request.request_id, head),
     )
     if transit.admission.route.execution is Execution.STREAM:
         attempt.pass_event_bytes = lambda head, data: _pass_events(transit, head, data)
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -42,7 +42,8 @@
     LoadTotals,
     ZoneTotals,
 )
-from marjorambridge.forwarding.state import TOTAL, Endpoint, ForwardingState
+from marjorambridge.forwarding.state import TOTAL, Endpoint, FailureReport, ForwardingState
+from marjorambridge.forwarding.wishes import take_leaving
 from marjorambridge.gateway.datagrams import (
     LoadMessage,
     make_failure,
@@ -230,7 +231,7 @@
     for told in message.failures:
         endpoint = sharing.forwarding.by_key.get(told.endpoint)
         if endpoint is not None:
-            take_report(endpoint, message.host, read_failure(told, now), now)
+            _take_failure(sharing, endpoint, message.host, told, now)
     if message.for_zone and is_collecting(sharing.forwarding):
         collect(sharing, message, now)
         return
@@ -243,6 +244,17 @@
         _queue_for_zone(sharing, message)
 
 
+def _take_failure(
+    sharing: LoadSharing, endpoint: Endpoint, name: str, told: EndpointFailure, now: float
+) -> None:
+    """Take over what a host, or the total of several, told of an endpoint."""
+    take_report(endpoint, name, read_failure(told, now), now)
+    if told.leaving and take_leaving(sharing.forwarding, endpoint):
+        logger.bind(endpoint=endpoint.name, peer=name).info(
+            "another host told that an endpoint leaves"
+        )
+
+
 def collect(sharing: LoadSharing, share: LoadShare, now: float) -> None:
     """Take over a host's loads to tell their totals to this zone."""
     collection, by_key = sharing.collection, sharing.forwarding.by_key
@@ -262,7 +274,7 @@
     for told in totals.failures:
         endpoint = forwarding.by_key.get(told.endpoint)
         if endpoint is not None:
-            take_report(endpoint, name, read_failure(told, now), now)
+            _take_failure(sharing, endpoint, name, told, now)
             note_changed(sharing.collection, name, endpoint.name)
     _add_loads(sharing, name, totals.loads, now)
     if totals.is_first:
@@ -298,7 +310,7 @@
         return
     for told in totals.failures:
         if told.endpoint in by_key:
-            take_report(by_key[told.endpoint], TOTAL, read_failure(told, now), now)
+            _take_failure(sharing, by_key[told.endpoint], TOTAL, told, now)
     for told in totals.loads:
         endpoint = by_key.get(told.endpoint)
         if endpoint is not None:
@@ -373,8 +385,8 @@
         total = compute_total(sharing.collection, name, now, only_this_zone=only_this_zone)
         loads.append(make_load(endpoint, total, now))
         report = combine_reports(endpoint, now, ZONE_PREFIX if only_this_zone else "")
-        if report is not None:
-            failures.append(make_failure(endpoint, report, now))
+        if report is not None or endpoint.told_leaving:
+            failures.append(make_failure(endpoint, report or FailureReport(0, now), now))
     return tuple(loads), tuple(failures)
 
 
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -15,6 +15,7 @@
 from marjorambridge.gateway.endpoints import run_attempt
 from marjorambridge.gateway.messages import Attempt, MemoryLease, Result
 from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.wishes import learn_wishes
 
 ACCEPTED = 200
 
@@ -65,7 +66,7 @@
     order = tickets.gateway.dialect.encode_reservation(
         ticket, share.tokens, defaults.TICKET_LEASE_SECONDS
     )
-    result = await _send_order(tickets.gateway, share, order)
+    result = await _send_order(tickets.gateway, tickets.request_id, share, order)
     if result.head is None:
         tickets.is_uncertain |= result.ending is not Ending.NOT_SENT
     accepted = result.head is not None and result.head.status == ACCEPTED
@@ -81,7 +82,9 @@
     return accepted
 
 
-async def _send_order(gateway: Gateway, share: Share, order: tuple[bytes, bytes]) -> Result:
+async def _send_order(
+    gateway: Gateway, request_id: str, share: Share, order: tuple[bytes, bytes]
+) -> Result:
     target, body = order
     deadline = time.monotonic() + defaults.ORDER_TIMEOUT_SECONDS
     attempt = Attempt(
@@ -93,6 +96,7 @@
         request_id="",
         get_stalled_at=lambda: deadline,
         lease=MemoryLease(gateway.memory),
+        take_head=lambda head: learn_wishes(gateway, share.endpoint, request_id, head),
     )
     gateway.measure(Measure("memory_orders_total"))
     try:
@@ -126,7 +130,7 @@
 
 async def _release_one(tickets: TicketSet, ticket: str, share: Share) -> None:
     order = tickets.gateway.dialect.encode_release(ticket)
-    result = await _send_order(tickets.gateway, share, order)
+    result = await _send_order(tickets.gateway, tickets.request_id, share, order)
     if result.head is None:
         tickets.is_uncertain = True
 
--- /dev/null
+++ b/marjorambridge/gateway/wishes.py
@@ -0,0 +1,84 @@
+"""Read what endpoints say of themselves in the heads of their answers."""
+
+import math
+import time
+
+from loguru import logger
+
+from marjorambridge.forwarding.state import Endpoint
+from marjorambridge.forwarding.wishes import Wishes, note_wishes
+from marjorambridge.gateway.messages import SUCCESS, AnswerHead
+from marjorambridge.gateway.state import Gateway
+
+
+def learn_wishes(gateway: Gateway, endpoint: Endpoint, request_id: str, head: AnswerHead) -> None:
+    """Take over what the head of an answer says, before the rest of the answer has come.
+
+    An answer of another endpoint, or a success without a signature, says nothing of this one.
+    """
+    if head.misdirected or (head.status in SUCCESS and not head.is_signed):
+        return
+    wishes = Wishes(head.leaving, _read_declined_seconds(endpoint, head))
+    if not note_wishes(endpoint, wishes, time.monotonic()):
+        return
+    gateway.share_load(endpoint)
+    logger.bind(
+        request=request_id,
+        endpoint=endpoint.name,
+        address=endpoint.address,
+        status=head.status,
+        leaving=wishes.leaving,
+        avoided_seconds=round(wishes.declined_seconds, 3),
+    ).info("an endpoint wants no more requests")
+
+
+def _read_declined_seconds(endpoint: Endpoint, head: AnswerHead) -> float:
+    if not head.declines or not head.retry_after:
+        return 0.0
+    try:
+        return parse_retry_after(head.retry_after, head.date)
+    except ValueError as error:
+        logger.bind(endpoint=endpoint.name, error=str(error)).warning(
+            "ignored the time after which an endpoint wants requests"
+        )
+        return 0.0
+
+
+def parse_retry_after(value: str, date: str = "") -> float:
+    """Return the seconds that a ``Retry-After`` header gives, as a number or as a date.
+
+    Parameters
+    ----------
+    date : str
+        The ``Date`` header of the same answer, against which a date counts; the clock of this host
+        if it is empty.
+
+    Raises
+    ------
+    ValueError
+        If the value is neither, or no finite number.
+
+    Examples
+    --------
+    >>> parse_retry_after("1.5")
+    1.5
+    >>> parse_retry_after("Fri, 04 Dec 2026 12:00:07 GMT", "Fri, 04 Dec 2026 12:00:00 GMT")
+    7.0
+    """
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = _parse_date(value) - (_parse_date(date) if date else time.time())
+    if not math.isfinite(seconds):
+        raise ValueError(f"{value[:40]!r} is not finite; send seconds or a date")
+    return max(0.0, seconds)
+
+
+def _parse_date(value: str) -> float:
+    # Imported when it is needed, because few endpoints send dates.
+    from email.utils import parsedate_to_datetime
+
+    try:
+        return parsedate_to_datetime(value).timestamp()
+    except (TypeError, ValueError, OverflowError, IndexError) as error:
+        raise ValueError(f"{value[:40]!r} is no date; send seconds or a date") from error
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -27,11 +27,13 @@
 # The MAC of an endpoint over its answer.
 SIGNATURE = b"x-instance-signature"
 NOT_RUN = b"x-not-executed"
+LEAVING = b"server-leaving"
 # The endpoint because of which a request could not run, not the one that answers.
 ENDPOINT_AT_FAULT = b"at-server"
 
 ORDER_TARGET = b"/api/order"
 MISDIRECTED_STATUS = 421
+TURNED_AWAY_STATUS = 503
 # Headers that concern one connection only, or that the parser writes itself.
 CONNECTION_HEADERS = frozenset(
     {
@@ -170,6 +172,10 @@
         not_run=NOT_RUN in values,
         misdirected=status == MISDIRECTED_STATUS,
         is_event_stream=values.get(b"content-type", b"").startswith(b"text/event-stream"),
+        leaving=values.get(LEAVING, b"").strip() == b"1",
+        declines=status == TURNED_AWAY_STATUS,
+        retry_after=values.get(b"retry-after", b"").decode("latin-1"),
+        date=values.get(b"date", b"").decode("latin-1"),
         endpoint_at_fault=values.get(ENDPOINT_AT_FAULT, b"").decode("latin-1"),
     )
 
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -152,6 +152,7 @@
      - failures
      - avoided_milliseconds
      - hosts
+     - leaving
 
     """
 
@@ -160,14 +161,16 @@
         'failures',
         'avoided_milliseconds',
         'hosts',
+        'leaving',
     )
 
 
-    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None,):
+    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False,):
         self.endpoint = endpoint
         self.failures = failures
         self.avoided_milliseconds = avoided_milliseconds
         self.hosts = hosts
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -198,6 +201,11 @@
                     self.hosts = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -224,6 +232,10 @@
             oprot.writeFieldBegin('hosts', TType.I64, 4)
             oprot.writeI64(self.hosts)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -630,6 +642,7 @@
     (2, TType.I64, 'failures', None, None, ),  # 2
     (3, TType.I64, 'avoided_milliseconds', None, None, ),  # 3
     (4, TType.I64, 'hosts', None, None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, False, ),  # 5
 )
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -15,6 +15,7 @@
   2: i64 failures
   3: i64 avoided_milliseconds
   4: i64 hosts
+  5: bool leaving = false
 }
 
 struct LoadShare {
--- a/tests/forwarding/test_sites.py
+++ b/tests/forwarding/test_sites.py
@@ -77,7 +77,7 @@
     allowed = {
         endpoint.name
         for endpoint in endpoints
-        if is_usable(state, endpoint, excluded) and can_start(state, definition, endpoint, NOW)
+        if is_usable(state, endpoint, excluded, NOW) and can_start(state, definition, endpoint, NOW)
     }
     for _ in range(10):
         chosen = choose_endpoint(state, make_work(draw.randint(1, 9_000)), excluded, NOW)
@@ -88,6 +88,6 @@
     assert len({reader.name for reader in readers}) == len(readers) <= defaults.MAX_HELPERS + 1
     for reader in readers:
         doubt = compute_doubt(definition, reader, work, count_requests(reader), NOW)
-        assert is_usable(state, reader, excluded) and doubt in (Doubt.NONE, Doubt.FULL)
+        assert is_usable(state, reader, excluded, NOW) and doubt in (Doubt.NONE, Doubt.FULL)
     seconds = estimate_return_seconds(state, work, NOW)
     assert defaults.MIN_RETURN_SECONDS <= seconds <= defaults.MAX_RETURN_SECONDS
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -26,6 +26,7 @@
     drop_old_loads,
 )
 from marjorambridge.forwarding.state import Load
+from marjorambridge.forwarding.wishes import Wishes, note_wishes
 from marjorambridge.gateway import sharing as sharing_module
 from marjorambridge.gateway.datagrams import make_share, seal
 from marjorambridge.gateway.sharing import (
@@ -63,6 +64,27 @@
     ]
 
 
+def test_a_host_learns_that_an_endpoint_told_another_one_that_it_leaves():
+    """Guard against hosts that each find out by a request that an engine leaves."""
+    sender, receiver = make_pair()
+    note_wishes(sender.forwarding.endpoints["e0"], Wishes(leaving=True), 10.0)
+    take_packet(receiver, make_packet(sender, ["e0"], 10.0), 100.0)
+    assert receiver.forwarding.endpoints["e0"].leaving
+    # Hearsay does not empty a service.
+    note_wishes(sender.forwarding.endpoints["e1"], Wishes(leaving=True), 10.0)
+    take_packet(receiver, make_packet(sender, ["e1"], 10.0), 100.0)
+    assert not receiver.forwarding.endpoints["e1"].leaving
+
+
+def test_hosts_prefer_others_to_an_endpoint_that_declined_to_one_of_them():
+    """Guard against hosts that knock in turn at an engine which wants nothing."""
+    sender, receiver = make_pair()
+    note_wishes(sender.forwarding.endpoints["e0"], Wishes(declined_seconds=4.0), 10.0)
+    take_packet(receiver, make_packet(sender, ["e0"], 10.0), 100.0)
+    endpoint = receiver.forwarding.endpoints["e0"]
+    assert count_reporters(endpoint, 103.9) == 1 and count_reporters(endpoint, 104.1) == 0
+
+
 def test_a_host_knows_the_load_of_another_one():
     """Guard against hosts that all choose the engine that looks idle to each of them."""
     sender, receiver = make_pair()
