Let endpoints of the soak leave and decline by their answers

Each run of the soak has an endpoint leave by its answers alone, or decline with Retry-After, most of the time, and checks what gateways that were not disturbed send it afterwards. The check finds planted requests.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -9,6 +10,8 @@
 import anyio
 from anyio.abc import SocketStream
 
+from .wishes import Wish
+
 ERRORS = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 EVENTS = 12
 
@@ -18,6 +21,8 @@
     """Note what endpoints ran, by request, with endpoint and time."""
 
     by_request: dict[str, list[tuple[str, float]]] = field(default_factory=dict)
+    arrivals: list[tuple[str, str, float]] = field(default_factory=list)
+    wishes: list[Wish] = field(default_factory=list)
 
     def note(self, request: str, endpoint: str) -> None:
         self.by_request.setdefault(request, []).append((endpoint, time.monotonic()))
@@ -37,6 +42,8 @@
     sequence: int = 0
     mode: str = "pass"
     troubled: float = 0.0
+    leaving: bool = False
+    declines_until: float = 0.0
 
     @property
     def address(self) -> str:
@@ -108,6 +115,17 @@
     if headers.get(b"x-expect-instance") != endpoint.name:
         await stream.send(f"HTTP/1.1 421 No\r\n{base}Content-Length: 0\r\n\r\n".encode())
         return
+    now = time.monotonic()
+    endpoint.runs.arrivals.append((endpoint.name, identifier, now))
+    if endpoint.leaving:
+        base += "Server-Leaving: 1\r\n"
+        _note_wish(endpoint, identifier, math.inf, True)
+    if now < endpoint.declines_until:
+        _note_wish(endpoint, identifier, endpoint.declines_until, False)
+        wish = f"Retry-After: {endpoint.declines_until - now:.3f}\r\n"
+        text = f"HTTP/1.1 503 Later\r\n{base}{wish}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        await stream.send(text.encode())
+        return
     fate = endpoint.random.random() if time.monotonic() < endpoint.troubled else 1.0
     if fate < 0.2:
         text = f"HTTP/1.1 503 Full\r\n{base}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -131,6 +149,13 @@
         await stream.send(whole)
 
 
+def _note_wish(endpoint: Endpoint, identifier: str, until: float, is_leave: bool) -> None:
+    # Only an answer that certainly arrives counts.
+    if endpoint.mode == "pass" and time.monotonic() >= endpoint.troubled:
+        wish = Wish(endpoint.name, identifier, time.monotonic(), until, is_leave)
+        endpoint.runs.wishes.append(wish)
+
+
 async def _stream(endpoint, stream, headers: dict, signed: str, fate: float) -> None:
     first = int(headers.get(b"last-event-id", 0)) + 1
     head = f"HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n"
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -28,6 +28,7 @@
     logs: list[Path] = field(default_factory=list)
     until: float = 0.0
     disturbed_at: float = 0.0
+    disturbances: list[float] = field(default_factory=list)
     stopped: bool = False
     has_bad_settings: bool = False
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 
 from .endpoints import EVENTS, Endpoint, Runs, serve_endpoint
 from .processes import Process, make_processes
+from .wishes import check_wishes, end_incarnation, run_wishes
 
 NOT_RUN = {408, 421, 429, 503}
 TIMEOUT_SECONDS = 2.0
@@ -52,6 +53,7 @@
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     drained: dict[str, float] = field(default_factory=dict)
     calls: int = 0
+    sent: dict[str, tuple[str, float]] = field(default_factory=dict)
     replicas_whole_at: float = 0.0
     began: float = field(default_factory=time.monotonic)
 
@@ -111,6 +113,7 @@
         if path == "/once/":
             soak.once.add(identifier)
         began = time.monotonic()
+        soak.sent[identifier] = gateway.name, began
         name = {"X-Request-Id": identifier}
         address = gateway.settings["callers"]
         answer = await call(soak, address, "POST", path + "a?b=c", body, **name)
@@ -255,6 +258,7 @@
 def inject(soak: Soak, process: Process, now: float) -> None:
     kind = soak.random.choice(("kill", "wipe", "stop", "term"))
     process.disturbed_at = now
+    process.disturbances.append(now)
     soak.note(f"{kind} {process.name}")
     process.until = now + soak.random.uniform(0.3, 2.5)
     if process.role == "replica":
@@ -273,6 +277,7 @@
 def recover(soak: Soak, process: Process) -> None:
     process.until = 0.0
     process.disturbed_at = time.monotonic()
+    process.disturbances.append(process.disturbed_at)
     if process.role == "replica":
         soak.replicas_whole_at = time.monotonic() + CATCH_UP_SECONDS
     if process.stopped:
@@ -288,6 +293,7 @@
     """Heal everything and check that what was acknowledged is there and requests are served."""
     for endpoint in soak.endpoints:
         endpoint.mode, endpoint.troubled = "pass", 0.0
+        end_incarnation(soak, endpoint)
     for process in soak.processes:
         if process.until:
             recover(soak, process)
@@ -341,6 +347,7 @@
                     work.start_soon(run_caller, soak)
                 work.start_soon(run_faults, soak)
                 work.start_soon(run_settings, soak)
+                work.start_soon(run_wishes, soak)
                 await anyio.sleep(seconds)
                 work.cancel_scope.cancel()
             await check_end(soak)
@@ -350,6 +357,7 @@
                 process.send(signal.SIGCONT)
                 process.kill()
     check_runs(soak)
+    check_wishes(soak)
     return soak
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 from .endpoints import EVENTS, Runs
 from .processes import Process
 from .run import Soak, check_answer, check_drain, check_runs, is_held_too_long, run_soak
+from .wishes import Wish, check_wishes
 
 # Seeds that failed once, with the cause:
 # 107: the stand-in sent the rest of one answer within the length of another (the soak's fault).
@@ -54,6 +55,26 @@
     assert len(soak.faults) == 1
 
 
+def test_a_request_after_a_wish_is_found(tmp_path):
+    """Guard against a check that does not see requests to an endpoint that wants none."""
+    for is_leave, count in ((True, 1), (False, 3)):
+        soak = make_soak(tmp_path)
+        soak.processes = [Process("g1", "gateway", tmp_path, {})]
+        soak.runs.wishes.append(Wish("i-1", "a", 10.0, 14.0, is_leave))
+        soak.sent["a"] = "g1", 9.9
+        for number in range(count):
+            check_wishes(soak)
+            assert not soak.faults
+            soak.sent[f"b{number}"] = "g1", 12.5
+            soak.runs.arrivals.append(("i-1", f"b{number}", 12.6))
+        check_wishes(soak)
+        assert len(soak.faults) == 1
+        soak.processes[0].disturbances.append(11.0)
+        soak.faults.clear()
+        check_wishes(soak)
+        assert not soak.faults
+
+
 def make_stream(identifier, numbers):
     return b"".join(f"id: {n}\ndata: {identifier}-{n}\n\n".encode() for n in numbers)
 
