Wait for the owner of a shard before it is lost

Cause, from the states of the hosts printed every 0.03 s after the case before has killed the owner: the other host grants until 1.11 s after the restart, the restarted one from 1.35 s on. Nobody grants in between, by design, and hosts are ready from 0.81 s on, so that the test could begin in the gap. Ruled out: a shard without an owner for too long, and states that can't be read.

Change: the test waits for the owner that it is about to lose. Its assertions are unchanged.

--- a/tests/system/test_streams.py
+++ b/tests/system/test_streams.py
@@ -85,7 +85,10 @@
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
 def test_engines_stay_within_their_limits_when_the_owner_of_a_shard_is_lost(fleet, number):
     """An early grant of the new owner, or a late one of the frozen owner, would overload."""
-    victim = fleets.find_owner(fleet, f"{fleets.MODEL}/north/0")
+    # A host that the test before has killed takes the shard over again; in between nobody grants.
+    victim = local.wait_until(
+        lambda: fleets.find_owner(fleet, f"{fleets.MODEL}/north/0"), "the shard has an owner"
+    )
     others = [name for name in fleet.hosts if name != victim]
     with fleets.run_load() as load:
         start_callers(fleet, load, others, f"owner {number.name}", each=6)
