--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -72,8 +72,7 @@
     """
 
     settings: NodeSettings
-    path: Path
-    handle_call: "CallHandler"
+    handle_call: CallHandler
     scope: anyio.CancelScope
     host: "ReplicaHost | None" = None
     stopping: bool = False
@@ -110,7 +109,7 @@
 
 async def _run_until_stopped(settings: NodeSettings, path: Path, handle_call: CallHandler) -> int:
     async with anyio.create_task_group() as tasks:
-        process = ReplicaProcess(settings, path, handle_call, tasks.cancel_scope)
+        process = ReplicaProcess(settings, handle_call, tasks.cancel_scope)
         tasks.start_soon(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -243,7 +243,7 @@
         if not shares or not await reserve(transit.tickets, shares):
             return None
         if not all(is_usable(forwarding, reader, excluded, time.monotonic()) for reader in readers):
-            # One of them said so while the memory of the others was reserved.
+            # One of them left or declined while the memory of the others was reserved.
             await release(transit.tickets)
             return None
     transit.helpers = readers[1:]
--- a/marjorambridge/standins/processes.py
+++ b/marjorambridge/standins/processes.py
@@ -70,7 +70,7 @@
     Parameters
     ----------
     kind : type
-        Dataclass of the settings.
+        Class of the settings.
     run : callable
         Runs the stand-in until it is told to stop.
     """
