Wait for a lost owner's shard to be granted anew in the test of zones

Traced with a run that cut off the leader while it owned that zone's shard: the change was accepted 1.02 s after the cut, two attempts started 0.23 and 0.32 s later, until the lost host stopped granting, and the next one 6.05 s later, when another host had taken the shard over. That wait is what keeps two owners from granting at once. A change that is accepted half a second later sees no attempt at all. With another owner lost (not the leader) 1 and 4 attempts were seen in that time.

Ruled out: that hosts with an owner stop serving; with an owner that is not cut off, attempts go on. The check stays, for an owner that is lost it is made once the shard has been taken over, while the host is still cut off, and forbidden work is counted until then.

--- a/tests/system/test_zones.py
+++ b/tests/system/test_zones.py
@@ -9,7 +9,7 @@
 from tests.system import fleets, relays
 
 ENGINES = 4
-NORTH = ("engine-0", "engine-2")
+NORTH, SOUTH = ("engine-0", "engine-2"), ("engine-1", "engine-3")
 # Long enough after the bound for forbidden work to show.
 OBSERVE_SECONDS = 3.5
 
@@ -88,13 +88,17 @@
         followers = [host for host in fleet.hosts if host != leader]
         operated = followers[1]
         lost = fleet.hosts[leader if cut == "leader" else followers[0]]
+        owner = fleets.find_owner(fleet, f"{fleets.MODEL}/south/0")
         relays.cut_off(partition, lost.name)
         accepted = take_out(fleet, operated, "north")
         local.wait_until(
             lambda: time.monotonic() > accepted + OBSERVE_SECONDS, "forbidden work could show"
         )
+        if owner == lost.name:
+            # Nobody grants for the other zone until the permits of its lost owner have expired.
+            wait_received(fleet, SOUTH, 1, accepted + OBSERVE_SECONDS)
         late = count_received(fleet, NORTH, accepted + fleets.REQUIREMENT_SECONDS)
-        served = count_received(fleet, ("engine-1", "engine-3"), accepted)
+        served = count_received(fleet, SOUTH, accepted)
         # The host that was cut off really missed the change, and knows that it may have.
         state = local.read_state(lost)
         assert not state["fresh"] and not state["configuration"]["zones"]["north"]["out"]
