Play fleets of hosts, engines and callers in simulated time

Two seams are new in the product: a gateway is given what sends a request to an endpoint, and load sharing can run on a socket that is bound elsewhere.

--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -25,3 +25,16 @@
         return 0.0
     alone = tokens / profile.read_tokens_per_second + profile.pair_seconds * tokens * tokens / 2
     return alone / parts
+
+
+def compute_pass_seconds(profile: EngineProfile) -> float:
+    """Return the time of a pass in which all slots of an engine write one event each.
+
+    Examples
+    --------
+    >>> profile = EngineProfile(slots=8, step_seconds=0.001, stride_steps=50)
+    >>> compute_pass_seconds(profile)
+    0.05
+    """
+    step = profile.step_seconds + profile.slots * profile.sequence_seconds
+    return step * profile.stride_steps
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -32,7 +32,6 @@
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import Exchange
-from marjorambridge.gateway.endpoints import run_attempt
 from marjorambridge.gateway.events import StreamCursor, take_events
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
@@ -315,10 +314,10 @@
     """Run an attempt whose tickets, if it has any, are kept alive and then released."""
     tickets = transit.tickets
     if not tickets.held:
-        return await run_attempt(attempt, transit.gateway.dialect)
+        return await transit.gateway.run_attempt(attempt, transit.gateway.dialect)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(keep_renewed, tickets)
-        result = await run_attempt(attempt, transit.gateway.dialect)
+        result = await transit.gateway.run_attempt(attempt, transit.gateway.dialect)
         tasks.cancel_scope.cancel()
     return result
 
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -110,6 +110,11 @@
     ip, _, port = sharing.own_host.rpartition(":")
     sharing.socket = await anyio.create_udp_socket(local_host=ip, local_port=int(port))
     tasks.start_soon(_receive, sharing)
+    run_sharing(sharing, tasks)
+
+
+def run_sharing(sharing: LoadSharing, tasks: TaskGroup) -> None:
+    """Begin to send through a socket that is bound; `take_packet` takes what comes."""
     tasks.start_soon(_send_packets, sharing)
     tasks.start_soon(_repeat, sharing)
     tasks.start_soon(_pass_on_totals, sharing)
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -1,6 +1,6 @@
 """Hold what the drivers of a gateway share."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -9,7 +9,8 @@
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
-from marjorambridge.gateway.messages import AnswerMemory, Dialect
+from marjorambridge.gateway.endpoints import run_attempt
+from marjorambridge.gateway.messages import AnswerMemory, Attempt, Dialect, Result
 
 
 class Gateway(Struct):
@@ -21,6 +22,8 @@
         Takes counters and durations.
     share_load : callable
         Tells the other hosts that this host's load at an endpoint changed.
+    run_attempt : callable
+        Sends a request to an endpoint and returns what came of it.
     updated : anyio.Event
         Set when a replica has told something, and then replaced.
     memory : AnswerMemory
@@ -37,6 +40,7 @@
     dialect: Dialect
     measure: Callable[[Measure], None]
     share_load: Callable[[Endpoint], None] = field(default=lambda endpoint: None)
+    run_attempt: Callable[[Attempt, Dialect], Awaitable[Result]] = run_attempt
     updated: anyio.Event = field(default_factory=anyio.Event)
     memory: AnswerMemory = field(
         default_factory=lambda: AnswerMemory(
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -12,7 +12,6 @@
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.attempts import Ending
 from marjorambridge.forwarding.reservations import Share
-from marjorambridge.gateway.endpoints import run_attempt
 from marjorambridge.gateway.messages import Attempt, MemoryLease, Result
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.wishes import learn_wishes
@@ -100,7 +99,7 @@
     )
     gateway.measure(Measure("memory_orders_total"))
     try:
-        return await run_attempt(attempt, gateway.dialect)
+        return await gateway.run_attempt(attempt, gateway.dialect)
     finally:
         attempt.lease.release()
 
--- /dev/null
+++ b/marjorambridge/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Play fleets of hosts, engines and callers in simulated time."""
--- /dev/null
+++ b/marjorambridge/simulation/__main__.py
@@ -0,0 +1,59 @@
+"""Play scenarios in simulated time, and compare variants of the product on them."""
+
+from pathlib import Path
+
+import typer
+
+from marjorambridge.simulation.drawing import draw_scenario
+from marjorambridge.simulation.experiments import PRESENT, compare, play_variant
+from marjorambridge.simulation.scenarios import Scenario, read_scenario
+from marjorambridge.simulation.variants import read_variants
+
+DEFAULT_JOBS = 3
+DEFAULT_SEEDS = 20
+DRAWN = "drawn"
+
+application = typer.Typer(add_completion=False, no_args_is_help=True)
+
+
+def _get_scenarios(name: str, seeds: int) -> list[Scenario]:
+    """Return the scenario for each seed, beginning with 1."""
+    if name == DRAWN:
+        return [draw_scenario(seed) for seed in range(1, seeds + 1)]
+    return [read_scenario(name)] * seeds
+
+
+@application.command("play")
+def play_one(scenario: str, seed: int = 1) -> None:
+    """Play a scenario once and print what became of the requests of each class."""
+    played = draw_scenario(seed) if scenario == DRAWN else read_scenario(scenario)
+    account = play_variant(played, PRESENT, seed)
+    typer.echo(
+        f"worth {account.worth:.3f}: worst windows {account.windows:.3f}, whole"
+        f" {account.whole:.3f}, worst class {account.worst_class:.3f}"
+    )
+    for name, outcomes in sorted(account.classes.items()):
+        counts = ", ".join(f"{key} {value}" for key, value in sorted(outcomes.items()))
+        typer.echo(f"{name}: {counts}")
+
+
+@application.command("compare")
+def compare_variants(
+    scenarios: list[str], variants: Path, seeds: int = DEFAULT_SEEDS, jobs: int = DEFAULT_JOBS
+) -> None:
+    """Print what each variant of a file is worth against the present product.
+
+    The scenario "drawn" stands for another one with each seed.
+    """
+    read = {scenario: _get_scenarios(scenario, seeds) for scenario in scenarios}
+    for item in compare(read, read_variants(variants), jobs):
+        mark = "clear" if item.is_clear else ""
+        typer.echo(
+            f"{item.scenario:16} {item.variant:40} worth {item.worth:.3f}"
+            f" {item.mean:+.3f} +- {item.error:.3f}, whole {item.whole:.3f}"
+            f" {item.whole_mean:+.3f} +- {item.whole_error:.3f} {mark}"
+        )
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/marjorambridge/simulation/experiments.py
@@ -0,0 +1,108 @@
+"""Compare variants of the product on the same scenarios and seeds."""
+
+import math
+import statistics
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+
+from loguru import logger
+from msgspec import Struct
+
+from marjorambridge.simulation.play import play
+from marjorambridge.simulation.scenarios import Scenario
+from marjorambridge.simulation.variants import Variant, apply_variant
+from marjorambridge.simulation.worth import Account
+
+PRESENT = Variant("present")
+
+
+class Comparison(Struct):
+    """Hold what a variant is worth more than the present product.
+
+    Attributes
+    ----------
+    worth, whole : float
+        Mean of the variant's accounts, as parts of what was owed.
+    mean, error, whole_mean, whole_error : float
+        Mean of the differences of both over the seeds, and twice its standard error.
+    """
+
+    scenario: str
+    variant: str
+    worth: float
+    whole: float
+    mean: float
+    error: float
+    whole_mean: float
+    whole_error: float
+    seeds: int
+
+    @property
+    def is_clear(self) -> bool:
+        """Return whether the difference is clear of zero."""
+        return abs(self.mean) > self.error or abs(self.whole_mean) > self.whole_error
+
+
+def compare(
+    scenarios: dict[str, list[Scenario]], variants: Iterable[Variant], jobs: int
+) -> Iterator[Comparison]:
+    """Play all variants beside the present product and yield the comparisons as they are known.
+
+    Parameters
+    ----------
+    scenarios : dict of str to list of Scenario
+        The scenario of each seed, beginning with 1, by name.
+    """
+    with ProcessPoolExecutor(jobs) as pool:
+        present = {name: _submit(pool, played, PRESENT) for name, played in scenarios.items()}
+        pending = [
+            (name, variant, _submit(pool, played, variant))
+            for name, played in scenarios.items()
+            for variant in variants
+        ]
+        for name, futures in present.items():
+            accounts = [future.result() for future in futures]
+            yield _make(name, PRESENT, accounts, accounts)
+        for name, variant, futures in pending:
+            base = [future.result() for future in present[name]]
+            yield _make(name, variant, base, [future.result() for future in futures])
+
+
+def _submit(pool: ProcessPoolExecutor, scenarios: list[Scenario], variant: Variant) -> list:
+    return [
+        pool.submit(play_variant, scenario, variant, seed)
+        for seed, scenario in enumerate(scenarios, 1)
+    ]
+
+
+def play_variant(scenario: Scenario, variant: Variant, seed: int) -> Account:
+    """Play a scenario with changed constants."""
+    logger.disable("marjorambridge")
+    with apply_variant(variant):
+        return play(scenario, seed)
+
+
+def _make(
+    scenario: str, variant: Variant, base: list[Account], accounts: list[Account]
+) -> Comparison:
+    pairs = list(zip(accounts, base, strict=True))
+    mean, error = _estimate([account.worth - other.worth for account, other in pairs])
+    whole_mean, whole_error = _estimate([account.whole - other.whole for account, other in pairs])
+    return Comparison(
+        scenario,
+        variant.name,
+        statistics.fmean(account.worth for account in accounts),
+        statistics.fmean(account.whole for account in accounts),
+        mean,
+        error,
+        whole_mean,
+        whole_error,
+        len(pairs),
+    )
+
+
+def _estimate(differences: list[float]) -> tuple[float, float]:
+    """Return the mean of differences and twice its standard error."""
+    count = len(differences)
+    error = 2 * statistics.stdev(differences) / math.sqrt(count) if count > 1 else math.inf
+    return statistics.fmean(differences), error
--- /dev/null
+++ b/marjorambridge/simulation/hosts.py
@@ -0,0 +1,370 @@
+"""Run the hosts of a simulated fleet with the product's own request path and load sharing.
+
+Only the ends are replaced: what a host sends to an engine, to another host or to a caller goes
+through simulated time in place of a socket.
+"""
+
+import asyncio
+import time
+
+import anyio
+import h11
+import msgspec
+from anyio.abc import TaskGroup
+from msgspec import Struct, field
+
+from marjorambridge.control.messages import EndpointEntry, FeedUpdate
+from marjorambridge.core.effects import Measure
+from marjorambridge.forwarding.attempts import Ending
+from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
+from marjorambridge.forwarding.settings import ForwardingSettings
+from marjorambridge.forwarding.state import create_state
+from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.messages import (
+    AnswerHead,
+    Attempt,
+    AttemptOptions,
+    CallerRequest,
+    Dialect,
+    Headers,
+    Prompt,
+    Result,
+)
+from marjorambridge.gateway.requests import handle_request
+from marjorambridge.gateway.sharing import LoadSharing, note_change, run_sharing, take_packet
+from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.tickets import open_tickets
+from marjorambridge.manifests.models import CallerLimits, Manifest
+from marjorambridge.simulation import clock, engines
+from marjorambridge.simulation.engines import Engine, Run
+from marjorambridge.simulation.scenarios import Scenario
+
+KEY = b"key of the simulated fleet"
+ACCEPTED, REFUSED, NOT_DONE = 200, 503, 409
+HELPERS, RETRY_AFTER = b"helpers", b"retry-after"
+RESERVE, RELEASE = b"reserve", b"release"
+# Time in seconds in which a host learns the manifest after a start of the whole fleet.
+FIRST_TABLE_SECONDS = 0.5
+
+
+class Host(Struct, eq=False):
+    """Hold a host.
+
+    Attributes
+    ----------
+    scope : anyio.CancelScope or None
+        Ends all that the host does; None while it is down.
+    """
+
+    name: str
+    zone: str
+    gateway: Gateway | None = None
+    sharing: LoadSharing | None = None
+    scope: anyio.CancelScope | None = None
+    tasks: TaskGroup | None = None
+
+
+class Fleet(Struct, eq=False):
+    """Hold hosts, engines and what the replicas would tell of them.
+
+    Attributes
+    ----------
+    entries : dict of str to EndpointEntry
+        The table of endpoints.
+    index : int
+        Number of the last change of zones.
+    """
+
+    scenario: Scenario
+    manifest: Manifest
+    seed: int
+    hosts: dict[str, Host] = field(default_factory=dict)
+    engines: dict[str, Engine] = field(default_factory=dict)
+    entries: dict[str, EndpointEntry] = field(default_factory=dict)
+    drained: tuple[str, ...] = ()
+    restored: dict[str, int] = field(default_factory=dict)
+    index: int = 0
+
+
+class FleetSocket(Struct):
+    """Carry datagrams between the hosts of a fleet."""
+
+    fleet: Fleet
+    host: Host
+
+    async def sendto(self, packet: bytes, ip: str, port: int) -> None:
+        """Deliver a datagram after the time of its way."""
+        other = self.fleet.hosts.get(f"{ip}:{port}")
+        if other is not None:
+            clock.call_later(
+                compute_way(self.fleet, self.host.zone, other.zone), _receive, other, packet
+            )
+
+
+def _receive(host: Host, packet: bytes) -> None:
+    if host.sharing is not None:
+        take_packet(host.sharing, packet, time.monotonic())
+
+
+def compute_way(fleet: Fleet, zone: str, other: str) -> float:
+    """Return the seconds of a message between two zones."""
+    return fleet.scenario.zone_seconds if zone != other else fleet.scenario.zone_seconds / 5
+
+
+# Hosts.
+
+
+async def run_host(fleet: Fleet, host: Host, incarnation: int) -> None:
+    """Run a host until its scope is cancelled."""
+    scenario, now = fleet.scenario, time.monotonic()
+    settings = ForwardingSettings(
+        host.name,
+        host.zone,
+        retry_ratio=scenario.retry_ratio,
+        retry_allowance=scenario.retry_allowance,
+    )
+    forwarding = create_state(settings, incarnation, started_at=now)
+    host.sharing = LoadSharing(forwarding, host.name, KEY, socket=FleetSocket(fleet, host))
+    host.gateway = Gateway(
+        forwarding,
+        DIALECT,
+        measure=_ignore,
+        share_load=lambda endpoint: note_change(host.sharing, endpoint),
+        run_attempt=lambda attempt, dialect: run_attempt(fleet, host, attempt),
+    )
+    with anyio.CancelScope() as host.scope:
+        async with anyio.create_task_group() as host.tasks:
+            open_tickets(host.gateway, host.tasks, incarnation)
+            run_sharing(host.sharing, host.tasks)
+            clock.call_later(FIRST_TABLE_SECONDS, tell_all, fleet, host)
+            await anyio.sleep_forever()
+    host.gateway = host.sharing = host.scope = None
+
+
+def stop_host(host: Host) -> None:
+    """Have a host lose all that it does; it takes nothing more from now on."""
+    if host.scope is not None:
+        host.tasks = None
+        host.scope.cancel()
+
+
+def _ignore(measure: Measure) -> None:
+    """Take no metrics."""
+
+
+def tell_all(fleet: Fleet, host: Host) -> None:
+    """Tell a host everything that the replicas know."""
+    if host.gateway is None:
+        return
+    forwarding = host.gateway.forwarding
+    apply_manifest(forwarding, fleet.manifest)
+    tell(fleet, host, tuple(fleet.entries.values()))
+    forwarding.hosts = {other.name: other.zone for other in fleet.hosts.values()}
+
+
+def tell(fleet: Fleet, host: Host, changed: tuple[EndpointEntry, ...]) -> None:
+    """Tell a host changes of endpoints, and the zones."""
+    if host.gateway is None:
+        return
+    forwarding, now = host.gateway.forwarding, time.monotonic()
+    update = FeedUpdate(
+        serial=0,
+        incarnation=0,
+        revision=0,
+        current=True,
+        base=0,
+        index=fleet.index,
+        version=fleet.manifest.version,
+        document=b"",
+        drained=fleet.drained,
+        restored=tuple(fleet.restored),
+        restored_at=tuple(fleet.restored.values()),
+        changed=changed,
+        removed=(),
+        members=(),
+        member_zones=(),
+        hosts=(),
+        host_zones=(),
+    )
+    apply_endpoints(forwarding, update, now)
+    apply_zones(forwarding, update, now)
+    host.gateway.updated.set()
+    host.gateway.updated = anyio.Event()
+
+
+# Engines.
+
+
+async def run_attempt(fleet: Fleet, host: Host, attempt: Attempt) -> Result:
+    """Send a request, or an order for memory, to a simulated engine."""
+    engine = fleet.engines[attempt.address]
+    way = compute_way(fleet, host.zone, engine.zone)
+    # A connection of its own takes a round trip before the request is on its way.
+    await anyio.sleep(3 * way)
+    if not engine.is_alive:
+        return Result(Ending.NOT_SENT, detail="the engine is down")
+    if attempt.target in (RESERVE, RELEASE):
+        return await _order(engine, attempt, way)
+    headers = dict(attempt.headers)
+    size = msgspec.msgpack.decode(attempt.body, type=Prompt)
+    helpers, held = _find_helpers(fleet, headers.get(HELPERS, b""), engine)
+    events: asyncio.Queue[tuple[int, bool]] = asyncio.Queue()
+    run = Run(
+        size.prompt_tokens,
+        max(0, size.prompt_tokens + size.expected_answer_tokens - held),
+        max(1, round(size.expected_answer_tokens / engine.profile.stride_steps)),
+        lambda number, is_last: clock.call_later(way, events.put_nowait, (number, is_last)),
+        helpers,
+    )
+    if not engines.submit(engine, run):
+        await anyio.sleep(way)
+        return _refuse(run)
+    try:
+        return await _receive_events(attempt, run, events)
+    finally:
+        if not run.is_over:
+            engines.withdraw(engine, run)
+
+
+def _refuse(run: Run) -> Result:
+    head = AnswerHead(REFUSED, not_run=True, endpoint_at_fault=run.at_fault)
+    return Result(Ending.NOT_RUN, head, detail=run.at_fault)
+
+
+async def _receive_events(
+    attempt: Attempt, run: Run, events: asyncio.Queue[tuple[int, bool]]
+) -> Result:
+    head = AnswerHead(ACCEPTED, request_id=attempt.request_id, is_signed=True, is_event_stream=True)
+    while True:
+        with anyio.move_on_after(attempt.get_stalled_at() - time.monotonic()) as scope:
+            number, is_last = await events.get()
+        if scope.cancelled_caught:
+            return Result(Ending.STALLED, head)
+        if number < 0 and run.at_fault:
+            return _refuse(run)
+        if number < 0:
+            return Result(Ending.BROKEN, head, detail="the engine died")
+        if not await attempt.pass_event_bytes(head, b"id: %d\ndata: text\n\n" % number):
+            return Result(Ending.BROKEN, head, detail="the caller is gone")
+        if is_last:
+            return Result(Ending.COMPLETE, head)
+
+
+async def _order(engine: Engine, attempt: Attempt, way: float) -> Result:
+    order = msgspec.msgpack.decode(attempt.body)
+    is_done = True
+    if attempt.target == RESERVE:
+        is_done = engines.reserve(engine, order["ticket"], order["tokens"])
+    else:
+        engines.release(engine, order["ticket"])
+    await anyio.sleep(way)
+    return Result(Ending.COMPLETE, AnswerHead(ACCEPTED if is_done else NOT_DONE))
+
+
+def _find_helpers(fleet: Fleet, names: bytes, lead: Engine) -> tuple[list[Engine], int]:
+    """Return the engines that help, and the memory in tokens that they hold for the request."""
+    found, held = [], 0
+    for item in names.decode().split(",") if names else ():
+        address, _, ticket = item.partition("/")
+        engine = fleet.engines[address]
+        held += engine.tickets.get(ticket, 0)
+        if engine is not lead:
+            found.append(engine)
+    return found, held
+
+
+# The dialect of the simulation.
+
+
+def _encode_attempt(request: CallerRequest, options: AttemptOptions) -> Headers:
+    return [(HELPERS, ",".join(options.helpers).encode())] if options.helpers else []
+
+
+def _encode_retry_after(seconds: float) -> Headers:
+    return [(RETRY_AFTER, f"{seconds:.3f}".encode())]
+
+
+def _encode_reservation(ticket: str, tokens: int, lease: float) -> tuple[bytes, bytes]:
+    return RESERVE, msgspec.msgpack.encode({"ticket": ticket, "tokens": tokens})
+
+
+def _encode_release(ticket: str) -> tuple[bytes, bytes]:
+    return RELEASE, msgspec.msgpack.encode({"ticket": ticket})
+
+
+DIALECT = Dialect(
+    decode_request=lambda method, target, headers, body: msgspec.msgpack.decode(
+        body, type=CallerRequest
+    ),
+    encode_attempt=_encode_attempt,
+    decode_answer=lambda status, headers: AnswerHead(status, headers),
+    encode_retry_after=_encode_retry_after,
+    encode_helper=lambda address, ticket: f"{address}/{ticket}" if ticket else address,
+    encode_reservation=_encode_reservation,
+    encode_release=_encode_release,
+    encode_order_headers=lambda endpoint: [],
+)
+
+
+# Callers.
+
+
+class Answer(Struct, eq=False):
+    """Record the answer that a caller gets, in place of the parser and of the socket.
+
+    Attributes
+    ----------
+    event_times : list of float
+        Monotonic times in seconds at which parts of the body came.
+    """
+
+    our_state: object = h11.SEND_RESPONSE
+    status: int = 0
+    retry_after: float = 0.0
+    event_times: list[float] = field(default_factory=list)
+    is_complete: bool = False
+
+    def send(self, event: object) -> bytes:
+        """Take an event of the answer."""
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+            for name, value in event.headers:
+                if name == RETRY_AFTER:
+                    self.retry_after = float(value)
+        elif isinstance(event, h11.Data):
+            self.event_times.append(time.monotonic())
+        else:
+            self.is_complete = True
+        return b""
+
+
+class NoStream(Struct):
+    """Take bytes that were recorded already."""
+
+    async def send(self, data: bytes) -> None:
+        """Drop the bytes."""
+
+
+async def ask(host: Host, request: CallerRequest, answer: Answer) -> None:
+    """Have a host handle a request; the answer stays as it is if the host stops."""
+    done = anyio.Event()
+    tasks = host.tasks
+
+    async def handle() -> None:
+        try:
+            server = Server(handle_request, CallerLimits)
+            exchange = Exchange(
+                server,
+                NoStream(),
+                answer,
+                time.monotonic(),
+                b"POST",
+                b"/",
+                body=msgspec.msgpack.encode(request),
+            )
+            await handle_request(host.gateway, exchange)
+        finally:
+            done.set()
+
+    tasks.start_soon(handle)
+    await done.wait()
--- /dev/null
+++ b/marjorambridge/simulation/worth.py
@@ -0,0 +1,90 @@
+"""Add up what callers got, against what all of it would have been worth."""
+
+from collections import Counter, defaultdict
+
+from msgspec import Struct, field
+
+from marjorambridge.simulation.callers import Request
+
+# Length in seconds of the windows of which the two worst ones count, and the weights of these, of
+# the whole time and of the class that was served worst.
+WINDOW_SECONDS = 2.0
+WORST_WINDOWS = 2
+WINDOWS_WEIGHT, WHOLE_WEIGHT, CLASS_WEIGHT = 0.5, 0.35, 0.15
+# What a request is worth against the mean of its class: a fixed part, and one by its size.
+FIXED_WORTH, SIZE_WORTH = 0.3, 0.7
+
+
+class Account(Struct):
+    """Hold what came of a simulation, as parts of what was owed (0 to 1).
+
+    Attributes
+    ----------
+    worth : float
+        Weighted mean of the worst windows, of the whole and of the worst class.
+    classes : dict of str to dict of str to int
+        Requests by class and outcome.
+    """
+
+    worth: float
+    whole: float
+    windows: float
+    worst_class: float
+    classes: dict[str, dict[str, int]] = field(default_factory=dict)
+
+
+def find_outcome(request: Request) -> str:
+    """Return what became of a request.
+
+    Examples
+    --------
+    >>> from marjorambridge.simulation.scenarios import WorkloadClass
+    >>> short = WorkloadClass("short", 1.0, 5_000, 1_500, 0.3, 0.25, 10.0, 1.3, 0.33)
+    >>> find_outcome(Request(1, short, "a", 0.0, 1.0, 0.1, 0.2, is_complete=True))
+    'on_time'
+    >>> find_outcome(Request(1, short, "a", 0.0, 1.0, 0.1, 0.3, is_complete=True))
+    'paused'
+    >>> find_outcome(Request(1, short, "a", 0.0, 1.0, refusals=2))
+    'refused'
+    """
+    if not request.is_complete:
+        return "refused" if request.refusals else "failed"
+    if request.first_seconds > request.workload.objective_seconds:
+        return "late"
+    return "on_time" if request.pause_seconds <= request.workload.pause_seconds else "paused"
+
+
+def compute_worth(request: Request) -> tuple[float, float]:
+    """Return what a request earned and what it was worth at best."""
+    factor = FIXED_WORTH + SIZE_WORTH * request.size
+    workload, outcome = request.workload, find_outcome(request)
+    earned = {"on_time": workload.worth, "late": workload.late_worth, "paused": workload.late_worth}
+    return earned.get(outcome, 0.0) * factor, workload.worth * factor
+
+
+def add_up(requests: list[Request], began: float) -> Account:
+    """Return the account of all requests."""
+    whole, windows, by_class = _Sum(), defaultdict(_Sum), defaultdict(_Sum)
+    classes: dict[str, Counter[str]] = defaultdict(Counter)
+    for request in requests:
+        window = int((request.arrived_at - began) / WINDOW_SECONDS)
+        for total in (whole, windows[window], by_class[request.workload.name]):
+            earned, owed = compute_worth(request)
+            total.earned += earned
+            total.owed += owed
+        classes[request.workload.name][find_outcome(request)] += 1
+    worst = sorted(total.share for total in windows.values())[:WORST_WINDOWS]
+    in_windows = sum(worst) / max(1, len(worst))
+    worst_class = min((total.share for total in by_class.values()), default=0.0)
+    worth = WINDOWS_WEIGHT * in_windows + WHOLE_WEIGHT * whole.share + CLASS_WEIGHT * worst_class
+    counts = {name: dict(counter) for name, counter in classes.items()}
+    return Account(worth, whole.share, in_windows, worst_class, counts)
+
+
+class _Sum(Struct):
+    earned: float = 0.0
+    owed: float = 0.0
+
+    @property
+    def share(self) -> float:
+        return self.earned / self.owed if self.owed else 0.0
--- /dev/null
+++ b/tests/simulation/test_clock.py
@@ -0,0 +1,58 @@
+"""Guard against simulations that wait for real time, differ from run to run or never end."""
+
+import time
+
+import anyio
+import pytest
+
+from marjorambridge.simulation import clock
+
+
+def test_an_hour_passes_in_a_moment_and_the_real_clock_is_restored():
+    real, began = time.monotonic, time.perf_counter()
+
+    async def wait() -> float:
+        before = time.monotonic()
+        await anyio.sleep(3_600.0)
+        return time.monotonic() - before
+
+    assert clock.run(wait) == pytest.approx(3_600.0, abs=0.01)
+    assert time.perf_counter() - began < 5.0
+    assert time.monotonic is real
+
+
+def test_timers_of_different_tasks_fire_in_their_order():
+    order = []
+
+    async def note(seconds: float) -> None:
+        await anyio.sleep(seconds)
+        order.append(seconds)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            for seconds in (0.3, 0.1, 0.2):
+                tasks.start_soon(note, seconds)
+
+    clock.run(run)
+    assert order == [0.1, 0.2, 0.3]
+
+
+def test_a_simulation_in_which_nothing_can_happen_says_so():
+    """Guard against a run that hangs because a task waits for what nobody sends."""
+
+    async def wait() -> None:
+        await anyio.Event().wait()
+
+    with pytest.raises(clock.SimulationStuckError):
+        clock.run(wait)
+
+
+def test_the_real_clock_is_restored_after_an_error():
+    real = time.monotonic
+
+    async def fail() -> None:
+        raise ValueError("expected")
+
+    with pytest.raises(ValueError, match="expected"):
+        clock.run(fail)
+    assert time.monotonic is real
--- /dev/null
+++ b/tests/simulation/test_play.py
@@ -0,0 +1,86 @@
+"""Replay loads on whole fleets, with the product's own request path and load sharing."""
+
+import time
+
+import pytest
+from msgspec.structs import replace
+
+from marjorambridge.simulation.drawing import draw_scenario
+from marjorambridge.simulation.exceptions import UnknownConstantError
+from marjorambridge.simulation.play import play
+from marjorambridge.simulation.scenarios import Happening, Trouble, read_scenario
+from marjorambridge.simulation.variants import Variant, apply_variant
+
+
+@pytest.fixture(scope="module")
+def calm():
+    """Return a small fleet with little to do."""
+    scenario = read_scenario("trails")
+    return replace(scenario, seconds=6.0, happenings=())
+
+
+def count(account, outcome):
+    return sum(outcomes.get(outcome, 0) for outcomes in account.classes.values())
+
+
+def test_the_same_seed_gives_the_same_account_whatever_ran_before(calm):
+    """Guard against randomness that has no seed, and real time that gets in."""
+    first = play(calm, 7)
+    play(calm, 8)
+    assert play(calm, 7) == first
+
+
+def test_nothing_is_lost_without_trouble(calm):
+    account = play(calm, 1)
+    total = sum(sum(outcomes.values()) for outcomes in account.classes.values())
+    assert total > 50
+    assert count(account, "on_time") >= 0.95 * total
+    assert not count(account, "failed")
+
+
+def test_a_restart_of_all_hosts_loses_what_was_under_way_and_no_more(calm):
+    """Guard against a fleet that serves nothing, or serves blindly, after it has started anew."""
+    restart = Happening(Trouble.RESTART, 2.0, 0.5)
+    account = play(replace(calm, happenings=(restart,)), 1)
+    assert count(account, "failed") > 0
+    assert count(account, "on_time") > count(account, "failed")
+
+
+def test_a_crash_is_borne_by_streams_that_go_on_elsewhere(calm):
+    crash = Happening(Trouble.CRASH, 2.0, 3.0, count=2)
+    account = play(replace(calm, happenings=(crash,)), 1)
+    assert not count(account, "failed")
+
+
+def test_a_large_fleet_is_played_in_seconds():
+    """Guard against a model that is too slow to compare variants on many seeds."""
+    scenario = replace(read_scenario("trails-large"), seconds=4.0)
+    began = time.process_time()
+    account = play(scenario, 1)
+    assert time.process_time() - began < 60.0
+    assert count(account, "on_time") > 100
+
+
+def test_drawn_scenarios_differ_and_can_be_played():
+    scenarios = [draw_scenario(seed) for seed in range(1, 4)]
+    assert len({scenario.engines for scenario in scenarios}) == 3
+    account = play(replace(scenarios[0], seconds=3.0), 1)
+    assert 0.0 < account.worth <= 1.0
+
+
+def test_a_variant_changes_a_constant_for_one_play_only():
+    from marjorambridge.conf import defaults
+
+    before = defaults.RESERVED_ENGINES
+    with apply_variant(Variant("none", {"RESERVED_ENGINES": 0})):
+        assert defaults.RESERVED_ENGINES == 0
+    assert before == defaults.RESERVED_ENGINES
+
+
+def test_a_variant_of_a_constant_that_is_gone_says_so():
+    """Guard against an ablation that compares the product with itself."""
+    with (
+        pytest.raises(UnknownConstantError, match="NO_SUCH"),
+        apply_variant(Variant("x", {"NO_SUCH": 1})),
+    ):
+        pass
