Derive what a read may take from the pauses that routes state

Cause: the longest read beside short answers (0.19 s), the length of a part (0.3 s), of a harmless one (0.17 s) and the pause that keeps long reads away (0.5 s) were constants that suit routes with pauses of 0.25 s. They now follow from the shortest pause of a service's routes and the pass of its engines.

Besides, a prompt that can't be on time took engines for up to half of the time that was left, also in a burst. Where fewer than half of the engines are idle it is now read only if that takes no longer than its objective.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -273,20 +273,19 @@
 EVENT_PATIENCE_SECONDS = 1.4
 # The same for streams with long pauses, in objectives for the pause; callers wait 8.
 EVENT_PATIENCE_GAPS = 5.0
-# Prompts that an engine reads in less time, in seconds, are short ones. An answer beside one stalls
-# for the read and a pass of about 45 ms, and pauses of 250 ms are still on time.
-SHORT_READ_SECONDS = 0.19
-# Answers that bear longer pauses, in seconds, may run where long prompts are read.
-STRICT_PAUSE_SECONDS = 0.5
+# Pause in seconds that the answers of a service bear if none of its routes states one. A read takes
+# this part of what the shortest pause leaves beside a pass of the engine, for the rest is the way
+# to the caller, but at least that part of the pause.
+UNSTATED_PAUSE_SECONDS = 0.25
+HARMLESS_READ_RATIO = 0.9
+LEAST_READ_RATIO = 0.2
+# Answers that bear pauses of so many times the shortest one may run where long prompts are read.
+STRICT_PAUSE_RATIO = 2.0
 # Part of its objective in which a long prompt is to be read; the rest covers what is not known.
 LONG_READ_RATIO = 0.5
-# Greatest length of a part in seconds, where there are engines enough: answers to long prompts bear
-# pauses of 600 ms and more.
-PART_READ_SECONDS = 0.3
 # Part of its objective beyond which a long prompt also goes where answers are running, if its parts
-# there are so short, in seconds, that the answers stay on time.
+# there are so short that the answers stay on time.
 LATE_READ_RATIO = 0.8
-HARMLESS_READ_SECONDS = 0.17
 # Share of the engines that long prompts find free in a burst of short requests, and how many
 # waiting prompts elsewhere make up for using one of them.
 KEPT_ENGINE_RATIO = 0.15
@@ -317,8 +316,11 @@
 PACKING_RESERVE_SLOTS = 2
 # Helpers of one request; engines accept no more.
 MAX_HELPERS = 16
-# Part of the time that is left in which a prompt that can't be on time is read.
+# A prompt that cannot be on time is read in this part of the time that is left. Where fewer than
+# this part of the engines are idle, it must also take no longer than so many times its objective.
 LATE_PROMPT_RATIO = 0.5
+LATE_IDLE_RATIO = 0.5
+LATE_PROMPT_OBJECTIVES = 1.0
 # Time in seconds for which a long prompt waits until engines are free, and after which it looks
 # again. Parts take 0.3 s; who would have to wait for more of them is told when to come back.
 LONG_PROMPT_WAIT_SECONDS = 0.4
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -4,6 +4,7 @@
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.thresholds import derive_thresholds
 from marjorambridge.forwarding.wishes import keep_wishes, restore_wishes
 from marjorambridge.manifests.matching import build_table
 from marjorambridge.manifests.models import Manifest
@@ -17,6 +18,10 @@
     if state.table is not None and manifest.version <= state.table.manifest.version:
         return False
     state.table = build_table(manifest)
+    state.thresholds = {
+        name: derive_thresholds(manifest, definition)
+        for name, definition in state.table.services.items()
+    }
     return True
 
 
--- a/marjorambridge/forwarding/returns.py
+++ b/marjorambridge/forwarding/returns.py
@@ -27,6 +27,8 @@
     learn of new endpoints.
     """
     definition = state.table.services.get(work.service) if state.table else None
+    is_long_one = definition is not None and is_long(state, work)
+    strict = state.thresholds[work.service].strict_pause_seconds if definition else 0.0
     waits, declined = [], []
     for endpoint in state.by_service.get(work.service, {}).values() if definition else ():
         if not is_usable(state, endpoint, frozenset(), now):
@@ -38,13 +40,13 @@
             wait += defaults.RETRY_WHEN_FULL_SECONDS
         if not can_start(state, definition, endpoint, now):
             wait += defaults.COLD_RETURN_SECONDS
-        if is_long(work) and compute_borne_pause(endpoint) < defaults.STRICT_PAUSE_SECONDS:
+        if is_long_one and compute_borne_pause(endpoint) < strict:
             wait += defaults.SHORT_ANSWER_SECONDS
         waits.append(wait)
     expected = defaults.RETRY_WITHOUT_ENDPOINT_SECONDS
     if waits:
         in_time = defaults.LATE_READ_RATIO * work.objective_seconds
-        needed = math.ceil(work.read_seconds / in_time) if is_long(work) else 1
+        needed = math.ceil(work.read_seconds / in_time) if is_long_one else 1
         expected = sorted(waits)[min(needed, len(waits)) - 1]
     elif declined:
         return min(declined) * draw_spread(state)
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -27,9 +27,9 @@
 READABLE = frozenset({Doubt.NONE, Doubt.FULL})
 
 
-def is_long(work: Work) -> bool:
+def is_long(state: ForwardingState, work: Work) -> bool:
     """Return whether a prompt is too long to be read beside short answers."""
-    return work.read_seconds > defaults.SHORT_READ_SECONDS
+    return work.read_seconds > state.thresholds[work.service].harmless_read_seconds
 
 
 def choose_readers(
@@ -42,7 +42,7 @@
     list of Endpoint
         Empty if no engine can take the prompt without doubt.
     """
-    definition = state.table.services[work.service]
+    definition, thresholds = state.table.services[work.service], state.thresholds[work.service]
     trusted = [
         endpoint
         for endpoint in list_usable(state, work.service, excluded, now)
@@ -51,7 +51,7 @@
     free = [
         endpoint
         for endpoint in trusted
-        if compute_borne_pause(endpoint) >= defaults.STRICT_PAUSE_SECONDS
+        if compute_borne_pause(endpoint) >= thresholds.strict_pause_seconds
     ]
     free.sort(key=lambda endpoint: endpoint.order)
     reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
@@ -59,11 +59,12 @@
     waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
     if len(state.hosts) > defaults.LARGE_FLEET_HOSTS or decides_alone(state, now):
         _shuffle_idle(state, waits)
+    part = thresholds.harmless_read_seconds
     chosen = (
-        _fit(waits, work, defaults.LONG_READ_RATIO * work.objective_seconds)
-        or _fit(waits, work, defaults.LATE_READ_RATIO * work.objective_seconds)
-        or _find_harmless(trusted, work, now)
-        or _fit(waits, work, defaults.LATE_PROMPT_RATIO * work.remaining_seconds, is_late=True)
+        _fit(waits, work, defaults.LONG_READ_RATIO * work.objective_seconds, part)
+        or _fit(waits, work, defaults.LATE_READ_RATIO * work.objective_seconds, part)
+        or _find_harmless(trusted, work, part, now)
+        or _fit(waits, work, _compute_late_limit(waits, work, len(trusted)), part=math.inf)
     )
     return _put_first(definition, chosen, work)
 
@@ -86,37 +87,50 @@
     waits[:count] = state.generator.sample(waits[:count], count)
 
 
+def _compute_late_limit(waits: list[Wait], work: Work, engines: int) -> float:
+    """Return the seconds in which a prompt that can't be on time is read.
+
+    It may keep engines for long while most are idle. In a burst it would keep them from prompts
+    that can be on time.
+    """
+    limit = defaults.LATE_PROMPT_RATIO * work.remaining_seconds
+    idle = sum(wait.seconds <= IDLE_SECONDS and math.isinf(wait.pause) for wait in waits)
+    if idle >= defaults.LATE_IDLE_RATIO * engines:
+        return limit
+    return min(limit, defaults.LATE_PROMPT_OBJECTIVES * work.objective_seconds)
+
+
 def _measure(endpoint: Endpoint, now: float) -> Wait:
     return Wait(endpoint, compute_remaining_reads(endpoint, now), compute_borne_pause(endpoint))
 
 
-def _fit(waits: list[Wait], work: Work, limit: float, is_late: bool = False) -> list[Endpoint]:
+def _fit(waits: list[Wait], work: Work, limit: float, part: float) -> list[Endpoint]:
     """Return the fewest engines that read a prompt within `limit` seconds; none if they can't.
 
-    An engine whose answers would stall for too long is left out. Parts are also short, as long as
-    there is a chance to be on time. A late prompt, which is worth less than others that could be on
-    time, keeps as few engines as possible busy.
+    An engine whose answers would stall for too long is left out. Parts also take at most `part`
+    seconds if there are engines enough. A late prompt, which is worth less than others that could
+    be on time, keeps as few engines as possible busy.
     """
     best: list[Endpoint] = []
     for count in range(1, min(len(waits), defaults.MAX_HELPERS + 1) + 1):
-        part = work.read_seconds / count
-        able = [wait for wait in waits if wait.seconds + part <= wait.pause][:count]
-        if len(able) < count or able[-1].seconds + part > limit:
+        read = work.read_seconds / count
+        able = [wait for wait in waits if wait.seconds + read <= wait.pause][:count]
+        if len(able) < count or able[-1].seconds + read > limit:
             continue
         best = [wait.endpoint for wait in able]
-        if is_late or part <= defaults.PART_READ_SECONDS:
+        if read <= part:
             break
     return best
 
 
-def _find_harmless(engines: list[Endpoint], work: Work, now: float) -> list[Endpoint]:
+def _find_harmless(engines: list[Endpoint], work: Work, part: float, now: float) -> list[Endpoint]:
     """Return engines that read such short parts that running answers stay on time, if any do."""
     idle = [
         endpoint for endpoint in engines if compute_remaining_reads(endpoint, now) <= IDLE_SECONDS
     ]
     idle.sort(key=count_requests)
     idle = idle[: defaults.MAX_HELPERS + 1]
-    if not idle or work.read_seconds / len(idle) > defaults.HARMLESS_READ_SECONDS:
+    if not idle or work.read_seconds / len(idle) > part:
         return []
     return idle
 
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -8,6 +8,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.settings import ForwardingSettings
+from marjorambridge.forwarding.thresholds import Thresholds
 from marjorambridge.manifests.matching import RouteTable
 
 # Name under which an endpoint holds what was told of all other hosts at once.
@@ -136,6 +137,8 @@
     ----------
     table : RouteTable or None
         None until the first manifest is known.
+    thresholds : dict of str to Thresholds
+        Bounds for reads at the engines of each service of the table.
     drained : frozenset of str
         Zones that get no new requests.
     restored : dict of str to int
@@ -158,6 +161,7 @@
     settings: ForwardingSettings
     generator: random.Random
     table: RouteTable | None = None
+    thresholds: dict[str, Thresholds] = field(default_factory=dict)
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
     by_key: dict[int, Endpoint] = field(default_factory=dict)
--- /dev/null
+++ b/marjorambridge/forwarding/thresholds.py
@@ -0,0 +1,57 @@
+"""Derive from a manifest how long prompts may be read beside running answers.
+
+The load pattern is one engine with both: while it reads, all its answers pause. What they bear is
+stated by their routes, and what a pause consists of by the engine's profile; neither is the same
+on two deployments.
+"""
+
+import math
+
+from msgspec import Struct
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.costs import compute_pass_seconds
+from marjorambridge.manifests.models import Manifest, ServiceDefinition
+
+
+class Thresholds(Struct, frozen=True):
+    """Hold the bounds for reads at the engines of a service.
+
+    Attributes
+    ----------
+    harmless_read_seconds : float
+        Longest read beside which all answers stay on time. Prompts that take longer are long ones,
+        and their parts are this short where there are engines enough.
+    strict_pause_seconds : float
+        Answers that bear shorter pauses keep long reads away from their engine.
+    """
+
+    harmless_read_seconds: float = math.inf
+    strict_pause_seconds: float = 0.0
+
+
+def derive_thresholds(manifest: Manifest, definition: ServiceDefinition) -> Thresholds:
+    """Return the bounds for the engines of a service; none for a plain service.
+
+    Examples
+    --------
+    >>> from marjorambridge.manifests.models import EngineProfile
+    >>> profile = EngineProfile(slots=8, step_seconds=0.001, stride_steps=50)
+    >>> derived = derive_thresholds(Manifest(1), ServiceDefinition("model", engine=profile))
+    >>> round(derived.harmless_read_seconds, 3), derived.strict_pause_seconds
+    (0.18, 0.5)
+    """
+    if definition.engine is None:
+        return Thresholds()
+    pauses = [
+        route.gap_objective_seconds
+        for route in manifest.routes
+        if route.gap_objective_seconds > 0
+        and any(target.service == definition.name for target in route.targets)
+    ]
+    shortest = min(pauses, default=defaults.UNSTATED_PAUSE_SECONDS)
+    free = shortest - compute_pass_seconds(definition.engine)
+    return Thresholds(
+        max(defaults.HARMLESS_READ_RATIO * free, defaults.LEAST_READ_RATIO * shortest),
+        defaults.STRICT_PAUSE_RATIO * shortest,
+    )
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -219,7 +219,7 @@
     forwarding, work = transit.gateway.forwarding, transit.work
     excluded, now = frozenset(transit.excluded), time.monotonic()
     transit.helpers = []
-    if not is_long(work):
+    if not is_long(forwarding, work):
         return choose_endpoint(forwarding, work, excluded, now)
     # Engines become free within moments, and a prompt that is refused rarely finds a better time.
     gives_up_at = now + defaults.LONG_PROMPT_WAIT_SECONDS
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -75,7 +75,7 @@
     assert 2 <= len(readers) <= 17
     assert all(reader.load.requests == 0 for reader in readers)
     part = make_work(154_000).read_seconds / len(readers)
-    assert part <= defaults.PART_READ_SECONDS
+    assert part <= state.thresholds["model"].harmless_read_seconds
 
 
 def test_long_prompts_in_a_burst_of_short_ones_find_engines():
@@ -183,7 +183,7 @@
     """Guard against refusing the longest prompts, and against shares that do not hold them."""
     state = make_state(engines=20)
     work = make_work(400_000, 3.0, 1.0, remaining=15.0)
-    assert is_long(work) and needs_reservations(state, work)
+    assert is_long(state, work) and needs_reservations(state, work)
     assert not needs_reservations(state, make_work(200_000))
     readers = choose_readers(state, work, NONE, 0.0)
     shares = plan_shares(state, work, readers)
--- /dev/null
+++ b/tests/forwarding/test_thresholds.py
@@ -0,0 +1,88 @@
+"""Guard against reads that are sized for the pauses of another deployment."""
+
+import random
+
+import pytest
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.costs import compute_pass_seconds
+from marjorambridge.forwarding.loads import add_read, add_request
+from marjorambridge.forwarding.splitting import choose_readers, is_long
+from marjorambridge.forwarding.thresholds import Thresholds, derive_thresholds
+from marjorambridge.manifests.models import (
+    EngineProfile,
+    Execution,
+    Manifest,
+    Route,
+    RouteTarget,
+    ServiceDefinition,
+)
+
+from .world import PROFILE, make_state, make_work
+
+NONE = frozenset()
+
+
+def make_route(name, pause, service="model"):
+    targets = (RouteTarget(service, 1.0),)
+    return Route(name, "h", f"/{name}/", Execution.STREAM, 10.0, 0.3, targets, pause)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_read_and_a_pass_fit_the_shortest_pause_of_any_deployment(seed):
+    draw = random.Random(seed)
+    profile = EngineProfile(
+        slots=draw.choice((2, 8, 32)),
+        step_seconds=draw.uniform(0.0002, 0.004),
+        sequence_seconds=draw.uniform(0.0, 0.00005),
+        stride_steps=draw.choice((1, 8, 64)),
+    )
+    pauses = [draw.uniform(0.05, 2.0) for _ in range(draw.randint(1, 4))]
+    routes = [make_route(f"r{number}", pause) for number, pause in enumerate(pauses)]
+    routes.append(make_route("other", 0.001, "another service"))
+    definition = ServiceDefinition("model", engine=profile)
+    derived = derive_thresholds(Manifest(1, tuple(routes)), definition)
+    one_pass = compute_pass_seconds(profile)
+    assert derived.harmless_read_seconds > 0
+    assert derived.strict_pause_seconds > min(pauses)
+    if one_pass < min(pauses) * (1 - defaults.LEAST_READ_RATIO):
+        assert derived.harmless_read_seconds + one_pass <= min(pauses)
+
+
+def test_a_plain_service_reads_nothing():
+    assert derive_thresholds(Manifest(1), ServiceDefinition("app")) == Thresholds()
+
+
+def test_a_prompt_that_is_short_elsewhere_is_long_where_answers_bear_little():
+    """Guard against constants that suit one deployment's pauses."""
+    work = make_work(20_000)
+    definition = ServiceDefinition("model", engine=PROFILE)
+    state = make_state(engines=4)
+    for pause, expected in ((0.25, False), (0.1, True)):
+        manifest = Manifest(1, (make_route("r", pause),))
+        state.thresholds["model"] = derive_thresholds(manifest, definition)
+        assert is_long(state, work) is expected
+
+
+def test_a_late_prompt_leaves_engines_to_others_while_most_are_busy():
+    """Guard against giant prompts that keep engines in a burst and are late all the same."""
+    work = make_work(300_000, 3.0, 1.0, remaining=15.0)
+    for busy, is_read in ((6, True), (17, False)):
+        state = make_state(engines=20)
+        for endpoint in list(state.endpoints.values())[:busy]:
+            add_request(endpoint.load, 5_000, 0.25)
+        readers = choose_readers(state, work, NONE, 0.0)
+        assert bool(readers) is is_read
+        if readers:
+            assert work.read_seconds / len(readers) <= 7.5
+
+
+def test_a_late_prompt_that_takes_no_longer_than_its_objective_is_read():
+    """Guard against refusing each prompt that comes a moment too late in a burst."""
+    state = make_state(engines=8)
+    work = make_work(130_000, 3.0, 1.0, remaining=15.0)
+    for endpoint in state.endpoints.values():
+        add_read(endpoint.load, 0.6, 0.0)
+    readers = choose_readers(state, work, NONE, 0.0)
+    assert readers
+    assert 0.6 + work.read_seconds / len(readers) <= 3.0
