--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -290,8 +290,6 @@
 # waiting prompts elsewhere make up for using one of them.
 KEPT_ENGINE_RATIO = 0.15
 KEPT_ENGINE_CROWD = 3
-# Engines without answers that long prompts leave to the next short requests.
-RESERVED_ENGINES = 2
 # Share of the borne pause that is left for reading at an engine that gets a short request.
 SHORT_READ_RATIO = 0.6
 # Waiting reads in seconds that count as one more prompt in the way; a short prompt takes 30 ms.
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -53,9 +53,7 @@
         for endpoint in trusted
         if compute_borne_pause(endpoint) >= thresholds.strict_pause_seconds
     ]
-    free.sort(key=lambda endpoint: endpoint.order)
-    reserved = free[: min(defaults.RESERVED_ENGINES, len(free) // 2)]
-    waits = [_measure(endpoint, now) for endpoint in free[len(reserved) :]]
+    waits = [_measure(endpoint, now) for endpoint in free]
     waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
     if len(state.hosts) > defaults.LARGE_FLEET_HOSTS or decides_alone(state, now):
         _shuffle_idle(state, waits)
--- a/tests/simulation/test_play.py
+++ b/tests/simulation/test_play.py
@@ -82,10 +82,10 @@
 def test_a_variant_changes_a_constant_for_one_play_only():
     from marjorambridge.conf import defaults
 
-    before = defaults.RESERVED_ENGINES
-    with apply_variant(Variant("none", {"RESERVED_ENGINES": 0})):
-        assert defaults.RESERVED_ENGINES == 0
-    assert before == defaults.RESERVED_ENGINES
+    before = defaults.MAX_HELPERS
+    with apply_variant(Variant("none", {"MAX_HELPERS": 0})):
+        assert defaults.MAX_HELPERS == 0
+    assert before == defaults.MAX_HELPERS
 
 
 def test_a_variant_of_a_constant_that_is_gone_says_so():
