Ignore pauses that no engine keeps

A route that states a pause shorter than a pass, or hardly longer, made every prompt a long one, which is refused without idle engines. A read that takes no longer than a pass is short whatever the routes say.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -275,10 +275,9 @@
 EVENT_PATIENCE_GAPS = 5.0
 # Pause in seconds that the answers of a service bear if none of its routes states one. A read takes
 # this part of what the shortest pause leaves beside a pass of the engine, for the rest is the way
-# to the caller, but at least that part of the pause.
+# to the caller.
 UNSTATED_PAUSE_SECONDS = 0.25
 HARMLESS_READ_RATIO = 0.9
-LEAST_READ_RATIO = 0.2
 # Answers that bear pauses of so many times the shortest one may run where long prompts are read.
 STRICT_PAUSE_RATIO = 2.0
 # Part of its objective in which a long prompt is to be read; the rest covers what is not known.
--- a/marjorambridge/forwarding/thresholds.py
+++ b/marjorambridge/forwarding/thresholds.py
@@ -50,8 +50,7 @@
         and any(target.service == definition.name for target in route.targets)
     ]
     shortest = min(pauses, default=defaults.UNSTATED_PAUSE_SECONDS)
-    free = shortest - compute_pass_seconds(definition.engine)
-    return Thresholds(
-        max(defaults.HARMLESS_READ_RATIO * free, defaults.LEAST_READ_RATIO * shortest),
-        defaults.STRICT_PAUSE_RATIO * shortest,
-    )
+    one_pass = compute_pass_seconds(definition.engine)
+    # A pause that hardly covers a pass can't be kept, and must not make every prompt a long one.
+    harmless = max(defaults.HARMLESS_READ_RATIO * (shortest - one_pass), one_pass)
+    return Thresholds(harmless, defaults.STRICT_PAUSE_RATIO * shortest)
