Refuse a long prompt whose service a new manifest took away

While it waited for engines, the look-up of its service failed, and the caller got an error of the server in place of a refusal. Before, this could only happen to prompts that already waited; the thresholds would have made it happen to each further attempt.

--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -28,8 +28,12 @@
 
 
 def is_long(state: ForwardingState, work: Work) -> bool:
-    """Return whether a prompt is too long to be read beside short answers."""
-    return work.read_seconds > state.thresholds[work.service].harmless_read_seconds
+    """Return whether a prompt is too long to be read beside short answers.
+
+    Nothing is long for a service that a new manifest has taken away.
+    """
+    thresholds = state.thresholds.get(work.service)
+    return thresholds is not None and work.read_seconds > thresholds.harmless_read_seconds
 
 
 def choose_readers(
@@ -42,7 +46,10 @@
     list of Endpoint
         Empty if no engine can take the prompt without doubt.
     """
-    definition, thresholds = state.table.services[work.service], state.thresholds[work.service]
+    definition = state.table.services.get(work.service)
+    if definition is None:
+        return []
+    thresholds = state.thresholds[work.service]
     trusted = [
         endpoint
         for endpoint in list_usable(state, work.service, excluded, now)
--- a/tests/forwarding/test_thresholds.py
+++ b/tests/forwarding/test_thresholds.py
@@ -5,7 +5,10 @@
 import pytest
 
 from marjorambridge.forwarding.costs import compute_pass_seconds
+from marjorambridge.forwarding.fleet import apply_manifest
 from marjorambridge.forwarding.loads import add_read, add_request
+from marjorambridge.forwarding.placement import choose_endpoint
+from marjorambridge.forwarding.returns import estimate_return_seconds
 from marjorambridge.forwarding.splitting import choose_readers, is_long
 from marjorambridge.forwarding.thresholds import Thresholds, derive_thresholds
 from marjorambridge.manifests.models import (
@@ -73,6 +76,17 @@
         assert is_long(state, work) is expected
 
 
+def test_a_prompt_whose_service_is_taken_away_finds_no_engine():
+    """Guard against an error in place of a refusal when a manifest changes while a prompt waits."""
+    state, work = make_state(engines=4), make_work(300_000, 3.0, 1.0)
+    assert choose_readers(state, work, NONE, 0.0)
+    apply_manifest(state, Manifest(2))
+    assert not is_long(state, work)
+    assert choose_readers(state, work, NONE, 0.0) == []
+    assert choose_endpoint(state, work, NONE, 0.0) is None
+    assert estimate_return_seconds(state, work, 0.0) > 0
+
+
 def test_a_late_prompt_leaves_engines_to_others_while_most_are_busy():
     """Guard against giant prompts that keep engines in a burst and are late all the same."""
     work = make_work(300_000, 3.0, 1.0, remaining=15.0)
