--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 from anyio.abc import TaskGroup
+from loguru import logger
 from msgspec import Struct, field
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
@@ -19,7 +20,7 @@
 from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
-from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.callers import SERVER_ERROR, Exchange, Server
 from marjorambridge.gateway.messages import (
     AnswerHead,
     Attempt,
@@ -363,6 +364,10 @@
                 body=msgspec.msgpack.encode(request),
             )
             await handle_request(host.gateway, exchange)
+        except Exception:
+            # The server answers so, and goes on.
+            logger.exception("handling a request failed")
+            answer.status = SERVER_ERROR
         finally:
             done.set()
 
