--- a/marjorambridge/simulation/callers.py
+++ b/marjorambridge/simulation/callers.py
@@ -10,8 +10,8 @@
 from msgspec import Struct, field
 
 from marjorambridge.gateway.messages import CallerRequest, Prompt
-from marjorambridge.simulation.hosts import REFUSED, Answer, Fleet, Host, ask
-from marjorambridge.simulation.scenarios import Happening, Trouble, WorkloadClass
+from marjorambridge.simulation.hosts import ACCEPTED, REFUSED, Answer, Fleet, Host, ask
+from marjorambridge.simulation.scenarios import EventKind, ScenarioEvent, WorkloadClass
 
 # Longest prompt against the mean length.
 MAX_SIZE = 4.0
@@ -68,7 +68,7 @@
     """Let requests of one class arrive."""
     scenario = load.fleet.scenario
     while (now := time.monotonic() - began) < scenario.seconds:
-        factor = math.prod(_list_factors(scenario.happenings, workload, now))
+        factor = math.prod(_list_factors(scenario.events, workload, now))
         await anyio.sleep(load.generator.expovariate(workload.per_second * factor))
         request = Request(
             len(load.requests),
@@ -82,14 +82,14 @@
 
 
 def _list_factors(
-    happenings: tuple[Happening, ...], workload: WorkloadClass, now: float
+    events: tuple[ScenarioEvent, ...], workload: WorkloadClass, now: float
 ) -> list[float]:
     return [
-        happening.factor
-        for happening in happenings
-        if happening.kind is Trouble.BURST
-        and happening.target in ("", workload.name)
-        and happening.at <= now < happening.at + happening.seconds
+        event.factor
+        for event in events
+        if event.kind is EventKind.BURST
+        and event.target in ("", workload.name)
+        and event.at <= now < event.at + event.seconds
     ]
 
 
@@ -154,7 +154,7 @@
 
 
 def _note(request: Request, answer: Answer, way: float) -> None:
-    if answer.status != 200 or not answer.event_times:
+    if answer.status != ACCEPTED or not answer.event_times:
         return
     times = answer.event_times
     request.first_seconds = min(request.first_seconds, times[0] + way - request.arrived_at)
--- a/marjorambridge/simulation/drawing.py
+++ b/marjorambridge/simulation/drawing.py
@@ -2,9 +2,9 @@
 
 import random
 
-from marjorambridge.forwarding.costs import compute_read_seconds
+from marjorambridge.forwarding.costs import compute_pass_seconds, compute_read_seconds
 from marjorambridge.manifests.models import EngineProfile
-from marjorambridge.simulation.scenarios import Happening, Scenario, Trouble, WorkloadClass
+from marjorambridge.simulation.scenarios import EventKind, Scenario, ScenarioEvent, WorkloadClass
 
 ZONES = ("a", "b", "c")
 SECONDS = 24.0
@@ -45,10 +45,10 @@
         _draw_class(draw, profile, name, size, load * part)
         for name, size, part in zip(("short", "longer", "longest"), tokens, PARTS, strict=True)
     )
-    happenings = tuple(_draw_happening(draw, engines) for _ in range(4))
+    events = tuple(_draw_event(draw, engines) for _ in range(4))
     hosts = draw.choice((4, 9, 15, 18, 30, 60))
     return Scenario(
-        f"drawn-{seed}", ZONES, hosts, engines, profile, classes, happenings, seconds=SECONDS
+        f"drawn-{seed}", ZONES, hosts, engines, profile, classes, events, seconds=SECONDS
     )
 
 
@@ -57,33 +57,34 @@
 ) -> WorkloadClass:
     """Return a class that takes `load` seconds of engine time a second."""
     read = compute_read_seconds(profile, tokens)
-    events = draw.randint(8, 30)
-    step = profile.step_seconds + profile.slots * profile.sequence_seconds
-    event = step * profile.stride_steps
-    engine_seconds = read + events * event / profile.slots
+    answer_events = draw.randint(8, 30)
+    one_pass = compute_pass_seconds(profile)
+    engine_seconds = read + answer_events * one_pass / profile.slots
     is_short = name == "short"
-    objective = (0.2 if is_short else 0.4) + (1.0 if is_short else 1.2) * read + 2 * event
+    objective = (0.2 if is_short else 0.4) + (1.0 if is_short else 1.2) * read + 2 * one_pass
     worth = draw.uniform(0.8, 2.0) if is_short else draw.uniform(4.0, 7.0) * engine_seconds
     return WorkloadClass(
         name,
         load / engine_seconds,
         tokens,
-        events * profile.stride_steps,
+        answer_events * profile.stride_steps,
         objective,
-        5 * event if is_short else 5 * event + read / 4,
+        5 * one_pass if is_short else 5 * one_pass + read / 4,
         12.0,
         worth,
         worth / 4,
     )
 
 
-def _draw_happening(draw: random.Random, engines: int) -> Happening:
-    kind = draw.choice((Trouble.BURST, Trouble.BURST, Trouble.DRAIN, Trouble.SLOW, Trouble.CRASH))
-    return Happening(
+def _draw_event(draw: random.Random, engines: int) -> ScenarioEvent:
+    kind = draw.choice(
+        (EventKind.BURST, EventKind.BURST, EventKind.DRAIN, EventKind.SLOW, EventKind.CRASH)
+    )
+    return ScenarioEvent(
         kind,
         draw.uniform(2.0, 18.0),
         draw.uniform(2.0, 5.0),
-        factor=draw.uniform(1.6, 2.5) if kind is Trouble.BURST else 4.0,
+        factor=draw.uniform(1.6, 2.5) if kind is EventKind.BURST else 4.0,
         count=max(1, engines // 8),
-        target=draw.choice(ZONES) if kind is Trouble.DRAIN else "",
+        target=draw.choice(ZONES) if kind is EventKind.DRAIN else "",
     )
--- a/marjorambridge/simulation/play.py
+++ b/marjorambridge/simulation/play.py
@@ -1,4 +1,4 @@
-"""Play a scenario: start hosts and engines, let requests arrive and trouble happen."""
+"""Play a scenario: start hosts and engines, let requests arrive, and cause its events."""
 
 import random
 import time
@@ -19,7 +19,7 @@
 from marjorambridge.simulation.callers import Load, create_load, run_class
 from marjorambridge.simulation.engines import Engine
 from marjorambridge.simulation.hosts import Fleet, Host, run_host, stop_host, tell
-from marjorambridge.simulation.scenarios import Happening, Scenario, Trouble
+from marjorambridge.simulation.scenarios import EventKind, Scenario, ScenarioEvent
 from marjorambridge.simulation.worth import Account, add_up
 
 SERVICE = "engines"
@@ -54,8 +54,8 @@
         began = time.monotonic()
         for workload in scenario.classes:
             tasks.start_soon(run_class, load, workload, tasks, began)
-        for happening in scenario.happenings:
-            tasks.start_soon(_cause, world, happening)
+        for event in scenario.events:
+            tasks.start_soon(_cause, world, event)
         await anyio.sleep(scenario.seconds + FINISH_SECONDS)
         tasks.cancel_scope.cancel()
     return add_up(load.requests, began)
@@ -108,28 +108,28 @@
     world.tasks.start_soon(run_host, world.fleet, host, world.fleet.seed * 10_000 + world.starts)
 
 
-# Trouble.
+# Events.
 
 
-async def _cause(world: World, happening: Happening) -> None:
-    await anyio.sleep(happening.at)
-    match happening.kind:
-        case Trouble.DRAIN:
-            await _drain(world, happening)
-        case Trouble.SLOW:
-            chosen = _draw_engines(world, happening.count)
+async def _cause(world: World, event: ScenarioEvent) -> None:
+    await anyio.sleep(event.at)
+    match event.kind:
+        case EventKind.DRAIN:
+            await _drain(world, event)
+        case EventKind.SLOW:
+            chosen = _draw_engines(world, event.count)
             for engine in chosen:
-                engine.pace *= happening.factor
-            await anyio.sleep(happening.seconds)
+                engine.pace *= event.factor
+            await anyio.sleep(event.seconds)
             for engine in chosen:
-                engine.pace /= happening.factor
-        case Trouble.CRASH:
-            for engine in _draw_engines(world, happening.count):
-                world.tasks.start_soon(_crash, world, engine, happening.seconds)
-        case Trouble.RESTART:
+                engine.pace /= event.factor
+        case EventKind.CRASH:
+            for engine in _draw_engines(world, event.count):
+                world.tasks.start_soon(_crash, world, engine, event.seconds)
+        case EventKind.RESTART:
             for host in world.fleet.hosts.values():
                 stop_host(host)
-            await anyio.sleep(happening.seconds)
+            await anyio.sleep(event.seconds)
             for host in world.fleet.hosts.values():
                 _start_host(world, host)
 
@@ -139,16 +139,16 @@
     return world.generator.sample(found, min(count, len(found)))
 
 
-async def _drain(world: World, happening: Happening) -> None:
+async def _drain(world: World, event: ScenarioEvent) -> None:
     fleet = world.fleet
-    fleet.drained = (happening.target,)
+    fleet.drained = (event.target,)
     await _tell_all(world, ())
-    await anyio.sleep(happening.seconds)
+    await anyio.sleep(event.seconds)
     fleet.drained = ()
     fleet.index += 1
-    fleet.restored[happening.target] = fleet.index
+    fleet.restored[event.target] = fleet.index
     for engine in fleet.engines.values():
-        if engine.zone == happening.target:
+        if engine.zone == event.target:
             _turn_cold(world, engine)
     await _tell_all(world, ())
 
--- a/marjorambridge/simulation/scenarios.py
+++ b/marjorambridge/simulation/scenarios.py
@@ -44,7 +44,7 @@
     retries: int = 1
 
 
-class Trouble(StrEnum):
+class EventKind(StrEnum):
     """Name what may happen to a fleet.
 
     BURST
@@ -64,10 +64,10 @@
     RESTART = "restart"
 
 
-class Happening(Struct, frozen=True, forbid_unknown_fields=True):
-    """Describe one trouble, from `at` for `seconds`."""
+class ScenarioEvent(Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one event, from `at` for `seconds`."""
 
-    kind: Trouble
+    kind: EventKind
     at: float
     seconds: float
     factor: float = 1.0
@@ -101,7 +101,7 @@
     engines: int
     profile: EngineProfile
     classes: tuple[WorkloadClass, ...]
-    happenings: tuple[Happening, ...] = ()
+    events: tuple[ScenarioEvent, ...] = ()
     seconds: float = 30.0
     host_seconds: float = 0.003
     zone_seconds: float = 0.0005
--- a/tests/simulation/test_play.py
+++ b/tests/simulation/test_play.py
@@ -8,7 +8,7 @@
 from marjorambridge.simulation.drawing import draw_scenario
 from marjorambridge.simulation.exceptions import UnknownConstantError
 from marjorambridge.simulation.play import play
-from marjorambridge.simulation.scenarios import Happening, Trouble, read_scenario
+from marjorambridge.simulation.scenarios import EventKind, ScenarioEvent, read_scenario
 from marjorambridge.simulation.variants import Variant, apply_variant
 
 
@@ -16,7 +16,7 @@
 def calm():
     """Return a small fleet with little to do."""
     scenario = read_scenario("trails")
-    return replace(scenario, seconds=6.0, happenings=())
+    return replace(scenario, seconds=6.0, events=())
 
 
 def count(account, outcome):
@@ -40,15 +40,15 @@
 
 def test_a_restart_of_all_hosts_loses_what_was_under_way_and_no_more(calm):
     """Guard against a fleet that serves nothing, or serves blindly, after it has started anew."""
-    restart = Happening(Trouble.RESTART, 2.0, 0.5)
-    account = play(replace(calm, happenings=(restart,)), 1)
+    restart = ScenarioEvent(EventKind.RESTART, 2.0, 0.5)
+    account = play(replace(calm, events=(restart,)), 1)
     assert count(account, "failed") > 0
     assert count(account, "on_time") > count(account, "failed")
 
 
 def test_a_crash_is_borne_by_streams_that_go_on_elsewhere(calm):
-    crash = Happening(Trouble.CRASH, 2.0, 3.0, count=2)
-    account = play(replace(calm, happenings=(crash,)), 1)
+    crash = ScenarioEvent(EventKind.CRASH, 2.0, 3.0, count=2)
+    account = play(replace(calm, events=(crash,)), 1)
     assert not count(account, "failed")
 
 
@@ -67,7 +67,7 @@
 
     54 engines are half idle, and yet half of the longest prompts were late or refused.
     """
-    scenario = replace(read_scenario("trails-large"), seconds=12.0, happenings=())
+    scenario = replace(read_scenario("trails-large"), seconds=12.0, events=())
     outcomes = play(scenario, seed).classes["dossier"]
     assert outcomes["on_time"] >= 2 / 3 * sum(outcomes.values())
 
