--- a/tests/simulation/test_play.py
+++ b/tests/simulation/test_play.py
@@ -1,6 +1,7 @@
 """Replay loads on whole fleets, with the product's own request path and load sharing."""
 
 import time
+from pathlib import Path
 
 import pytest
 from msgspec.structs import replace
@@ -9,7 +10,7 @@
 from marjorambridge.simulation.exceptions import UnknownConstantError
 from marjorambridge.simulation.play import play
 from marjorambridge.simulation.scenarios import EventKind, ScenarioEvent, read_scenario
-from marjorambridge.simulation.variants import Variant, apply_variant
+from marjorambridge.simulation.variants import Variant, apply_variant, read_variants
 
 
 @pytest.fixture(scope="module")
@@ -95,3 +96,12 @@
         apply_variant(Variant("x", {"NO_SUCH": 1})),
     ):
         pass
+
+
+def test_every_variant_of_the_ablation_names_constants_that_exist():
+    """Guard against an ablation that stops in the middle after a constant was removed."""
+    variants = read_variants(Path(__file__).parents[2] / "benchmarks" / "ablation.json")
+    assert len(variants) > 10
+    for variant in variants:
+        with apply_variant(variant):
+            pass
