--- a/marjorambridge/simulation/experiments.py
+++ b/marjorambridge/simulation/experiments.py
@@ -2,7 +2,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 
 from loguru import logger
@@ -44,7 +44,7 @@
 
 
 def compare(
-    scenarios: dict[str, list[Scenario]], variants: Iterable[Variant], jobs: int
+    scenarios: dict[str, list[Scenario]], variants: list[Variant], jobs: int
 ) -> Iterator[Comparison]:
     """Play all variants beside the present product and yield the comparisons as they are known.
 
@@ -52,7 +52,15 @@
     ----------
     scenarios : dict of str to list of Scenario
         The scenario of each seed, beginning with 1, by name.
+
+    Raises
+    ------
+    UnknownConstantError
+        If a variant changes a constant that is gone, before anything is played.
     """
+    for variant in variants:
+        with apply_variant(variant):
+            pass
     with ProcessPoolExecutor(jobs) as pool:
         present = {name: _submit(pool, played, PRESENT) for name, played in scenarios.items()}
         pending = [
