--- a/tests/simulation/test_play.py
+++ b/tests/simulation/test_play.py
@@ -16,7 +16,7 @@
 @pytest.fixture(scope="module")
 def calm():
     """Return a small fleet with little to do."""
-    scenario = read_scenario("trails")
+    scenario = read_scenario("mixed")
     return replace(scenario, seconds=6.0, events=())
 
 
@@ -55,7 +55,7 @@
 
 def test_a_large_fleet_is_played_in_seconds():
     """Guard against a model that is too slow to compare variants on many seeds."""
-    scenario = replace(read_scenario("trails-large"), seconds=4.0)
+    scenario = replace(read_scenario("mixed-large"), seconds=4.0)
     began = time.process_time()
     account = play(scenario, 1)
     assert time.process_time() - began < 60.0
@@ -68,8 +68,8 @@
 
     54 engines are half idle, and yet half of the longest prompts were late or refused.
     """
-    scenario = replace(read_scenario("trails-large"), seconds=12.0, events=())
-    outcomes = play(scenario, seed).classes["dossier"]
+    scenario = replace(read_scenario("mixed-large"), seconds=12.0, events=())
+    outcomes = play(scenario, seed).classes["longest"]
     assert outcomes["on_time"] >= 2 / 3 * sum(outcomes.values())
 
 
