--- a/marjorambridge/simulation/experiments.py
+++ b/marjorambridge/simulation/experiments.py
@@ -35,7 +35,6 @@
     error: float
     whole_mean: float
     whole_error: float
-    seeds: int
 
     @property
     def is_clear(self) -> bool:
@@ -105,7 +104,6 @@
         error,
         whole_mean,
         whole_error,
-        len(pairs),
     )
 
 
--- a/marjorambridge/simulation/worth.py
+++ b/marjorambridge/simulation/worth.py
@@ -68,8 +68,8 @@
     classes: dict[str, Counter[str]] = defaultdict(Counter)
     for request in requests:
         window = int((request.arrived_at - began) / WINDOW_SECONDS)
+        earned, owed = compute_worth(request)
         for total in (whole, windows[window], by_class[request.workload.name]):
-            earned, owed = compute_worth(request)
             total.earned += earned
             total.owed += owed
         classes[request.workload.name][find_outcome(request)] += 1
