Log what the broken attempts of a crash have in common

The lines of failed attempts named the endpoint only, so that a crash by a prompt, by memory, by a cold start or by chance looked the same. They now have the shared parts of the prompt, whether the first event had come, the memory in use at the endpoint and whether it was cold; the lines of ended requests have the parts. Identifiers of parts are read from the platform's header in its adapter.

--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -42,6 +42,9 @@
         Time for which the caller waits after the arrival; None if it is not specified.
     last_event : int or None
         Number of the last event of this stream that the caller has received.
+    prompt_parts : tuple of int
+        Identifiers of the parts of the prompt, in order, of up to 63 bits. Requests share parts,
+        except the last one, which belongs to the request or to its session.
     """
 
     method: bytes
@@ -55,6 +58,7 @@
     wait_seconds: float | None = None
     prompt: PromptSize | None = None
     last_event: int | None = None
+    prompt_parts: tuple[int, ...] = ()
 
 
 class AttemptOptions(Struct):
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -29,7 +29,13 @@
     record_rejection,
     record_success,
 )
-from marjorambridge.forwarding.loads import add_prefill, add_request, finish_prefill, remove_request
+from marjorambridge.forwarding.loads import (
+    add_prefill,
+    add_request,
+    count_kv_tokens,
+    finish_prefill,
+    remove_request,
+)
 from marjorambridge.forwarding.placement import (
     RequestProfile,
     choose_endpoint,
@@ -64,6 +70,8 @@
 ANSWER_MARGIN_SECONDS = 0.02
 # No attempt can complete in less time.
 MIN_ATTEMPT_SECONDS = 0.02
+# Parts of a prompt in one log line, which bounds its length.
+MAX_LOGGED_PARTS = 16
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while.
 FAILURE_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_SENT, AttemptOutcome.FAILED, AttemptOutcome.BROKEN, AttemptOutcome.STALLED}
@@ -81,6 +89,9 @@
         Memory of engines that is reserved for the next attempt.
     allocation : MemoryAllocation
         Memory of this host that the answer uses.
+    attempt_kv_tokens : int
+        Memory in tokens that the requests of all hosts needed at the endpoint when the last attempt
+        began.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 before the first event.
     longest_gap : float
@@ -104,6 +115,7 @@
     progress: RequestProgress = field(default_factory=RequestProgress)
     cursor: StreamCursor = field(default_factory=StreamCursor)
     attempt_started_at: float = 0.0
+    attempt_kv_tokens: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
@@ -319,6 +331,7 @@
         attempt.send_event_bytes = lambda head, data: _send_events(context, head, data)
     record_send(endpoint, now)
     _add_load(context, endpoint, now)
+    context.attempt_kv_tokens = count_kv_tokens(endpoint)
     result = AttemptResult(AttemptOutcome.TIMED_OUT)
     try:
         with anyio.move_on_after(context.deadline - now):
@@ -431,11 +444,26 @@
         address=endpoint.address,
         reason=outcome.value,
         detail=result.detail,
+        begun=context.last_event_at >= context.attempt_started_at,
+        parts=format_parts(context.request.prompt_parts),
+        kv_tokens=context.attempt_kv_tokens,
+        cold=now < endpoint.cold_until,
         seconds=round(now - context.attempt_started_at, 4),
         avoided_seconds=round(avoided, 3),
     ).info("an attempt did not complete")
 
 
+def format_parts(parts: tuple[int, ...]) -> str:
+    """Return the parts of a prompt that other requests may share, for a log line.
+
+    Examples
+    --------
+    >>> format_parts((0x5C1E07A2, 0x91BD3F06, 0xE4402B7D))
+    '5c1e07a2,91bd3f06'
+    """
+    return ",".join(f"{part:x}" for part in parts[:-1][:MAX_LOGGED_PARTS])
+
+
 def find_helper_at_fault(helpers: list[Endpoint], head: AnswerHead | None) -> Endpoint | None:
     """Return the helper that an answer names as the cause of a rejection, or None."""
     if head is None or not head.endpoint_at_fault:
@@ -518,6 +546,7 @@
         outcome=outcome,
         attempts=",".join(context.attempt_outcomes),
         prompt_tokens=prompt.prompt_tokens if prompt else 0,
+        parts=format_parts(context.request.prompt_parts),
         first_seconds=round(first, 4),
         pause_seconds=round(context.longest_gap, 4),
         helpers=context.helper_count,
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -19,6 +19,8 @@
 # Length of the prompt and greatest length of the answer, in tokens.
 PROMPT_SIZE = b"x-token-usage"
 LENGTH_HINT = b"x-length-hint"
+# Parts of the prompt in order, as comma-separated pairs of identifier and length.
+PROMPT_PARTS = b"x-prefix-hash"
 LAST_EVENT = b"last-event-id"
 WORKSPACE = b"x-tenant"
 EXPECTED_ENDPOINT = b"x-expect-instance"
@@ -34,6 +36,9 @@
 ORDER_TARGET = b"/api/order"
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+HEXADECIMAL_DIGITS = b"0123456789abcdefABCDEF"
+# Identifiers of parts are signed integers of 64 bits in messages between hosts.
+PART_MASK = 2**63 - 1
 # Headers that apply to one connection only, or that the HTTP parser writes itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -53,7 +58,7 @@
 # Headers that only the gateway may set, or that must not reach an endpoint.
 SYSTEM_HEADERS = frozenset({KEY, DEADLINE, WORKSPACE, EXPECTED_ENDPOINT, HELPERS, PRIORITY})
 # A header named by ``Connection`` is dropped, unless the answer depends on it.
-PRESERVED_HEADERS = frozenset({b"host", REQUEST_ID, b"x-model", PROMPT_SIZE, b"x-prefix-hash"})
+PRESERVED_HEADERS = frozenset({b"host", REQUEST_ID, b"x-model", PROMPT_SIZE, PROMPT_PARTS})
 
 
 def decode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> CallerRequest:
@@ -83,6 +88,7 @@
         wait_seconds=_read_milliseconds(values.get(DEADLINE)),
         prompt=_read_prompt(values),
         last_event=_read_number(values.get(LAST_EVENT)),
+        prompt_parts=_read_prompt_parts(values.get(PROMPT_PARTS, b"")),
     )
 
 
@@ -143,6 +149,15 @@
     )
 
 
+def _read_prompt_parts(value: bytes) -> tuple[int, ...]:
+    identifiers = [entry.partition(b":")[0].strip() for entry in value.split(b",")]
+    return tuple(
+        int(identifier, 16) & PART_MASK
+        for identifier in identifiers
+        if identifier and not identifier.strip(HEXADECIMAL_DIGITS)
+    )
+
+
 def encode_attempt(request: CallerRequest, options: AttemptOptions) -> Headers:
     """Return the headers of an attempt."""
     headers = request.headers
