Refuse prompts with a part that crashes engines

Callers saw cut answers at all engines: one part of prompts crashed each engine that began to answer it, and the gateway took each crash for a failure of the engine and sent the prompt to the next one. Another kind of failure that belongs to a request and is attributed to an endpoint would spread the same way.

Evidence: the broken attempts of all crashes have one part in common that no answered request has. The class of the fault is a retry of a deterministic failure.

Gateways now exchange the crashes that their requests saw before a first event, and the answers that show a part to be innocent. A part without an answer is blocked at all hosts after crashes of several engines, under several requests and some time apart; a part that was answered before needs more. A blocked prompt is refused at once with 503, as not run, and with the time of the next test in Retry-After. One host, selected by a hash, sends a single request as a test, ever more rarely. Alternatives: blocking route, key or first part (refuses sound prompts), a limit of attempts for each host (each new request still crashes an engine), replicas that decide (nothing while the core is cut).

tests/gateway/test_crashing_parts.py failed before: 12 engines crashed later than three seconds after the fifth crash, where 3 are tolerated.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -352,3 +352,22 @@
 # Time for which a request at a host that has just started waits for the first manifest; a fleet
 # that was restarted as a whole elects a leader within one second.
 FIRST_MANIFEST_TIMEOUT_SECONDS = 1.5
+# Crashes of engines with which a part of prompts is blocked, and the time that must lie between the
+# first and the last of them. The second pair is for parts that were answered before.
+MIN_CRASHES_NEW_PART = 3
+MIN_CRASH_SPAN_NEW_PART_SECONDS = 0.5
+MIN_CRASHES_ANSWERED_PART = 8
+MIN_CRASH_SPAN_ANSWERED_PART_SECONDS = 2.0
+# Requests that must be among those at which the engines crashed; a caller that repeats a request
+# once sends two.
+MIN_CRASH_REQUESTS = 3
+# Age at which a crash no longer counts, and time for which it is repeated to other hosts.
+CRASH_EXPIRY_SECONDS = 120.0
+CRASH_REPEAT_SECONDS = 5.0
+# Time for which a part is blocked, and time until a request with it is first sent to an engine as a
+# test. The time between two tests doubles.
+PART_BLOCK_SECONDS = 600.0
+FIRST_PART_TEST_SECONDS = 20.0
+# Parts of prompts that a host remembers: suspects, and those that were answered.
+MAX_SUSPECT_PARTS = 2_000
+MAX_ANSWERED_PARTS = 20_000
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -29,6 +29,7 @@
     LoadSharing,
     close_sharing,
     mark_load_changed,
+    queue_crashes,
     start_sharing,
 )
 from marjorambridge.gateway.state import Gateway
@@ -141,6 +142,9 @@
         adapter.dialect,
         record_metric=lambda effect: metrics.record(host_metrics, effect),
         share_load=lambda endpoint: mark_load_changed(sharing, endpoint),
+        share_crashes=lambda crashes, answered: queue_crashes(
+            sharing, crashes, answered, time.monotonic()
+        ),
     )
     return GatewayHost(settings, adapter, runtime, gateway, peers, sharing, host_metrics, scope)
 
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -94,3 +94,44 @@
     is_first: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
+
+
+class CrashEntry(Struct):
+    """The crash of an engine; see `marjorambridge.forwarding.crashes.PartCrash`.
+
+    Attributes
+    ----------
+    age_milliseconds : int
+        Time since the crash.
+    """
+
+    part: int
+    endpoint: int
+    request: int
+    age_milliseconds: int
+    answered_before: bool
+
+
+class PartEntry(Struct):
+    """A part of prompts, and the time since it was blocked or last answered."""
+
+    part: int
+    age_milliseconds: int
+
+
+class CrashReport(Struct):
+    """Crashes of engines, and the parts of prompts that a host blocks or knows to be innocent.
+
+    Attributes
+    ----------
+    for_zone : bool
+        Whether the receiver relays the message to the hosts of its zone.
+    blocked, answered : tuple of PartEntry
+        Parts with which requests are refused, and suspects with which one was answered.
+    """
+
+    host: str
+    for_zone: bool
+    crashes: tuple[CrashEntry, ...] = ()
+    blocked: tuple[PartEntry, ...] = ()
+    answered: tuple[PartEntry, ...] = ()
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.crashes import CrashHistory
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.thresholds import Thresholds
 from marjorambridge.manifests.matching import RouteTable
@@ -156,6 +157,8 @@
         number of such hosts.
     cold_senders_hosts : dict of str to str
         Hosts for which `cold_senders` was computed.
+    crashes : CrashHistory
+        Parts of prompts that may crash engines.
     """
 
     settings: ForwardingSettings
@@ -174,6 +177,7 @@
     saved_hints: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
     cold_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
     cold_senders_hosts: dict[str, str] = field(default_factory=dict)
+    crashes: CrashHistory = field(default_factory=CrashHistory)
 
 
 def create_state(
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -9,6 +9,7 @@
 
 from marjorambridge.forwarding.health import list_reportable_endpoints
 from marjorambridge.forwarding.messages import (
+    CrashReport,
     EndpointFailure,
     EndpointLoad,
     LoadShare,
@@ -21,8 +22,13 @@
 
 MAC_BYTES = 8
 # Kinds of messages; the byte after the MAC of a datagram is an index of this tuple.
-KINDS = ("forwarding.LoadShare", "forwarding.LoadTotals", "forwarding.ZoneTotals")
-LoadMessage = LoadShare | LoadTotals | ZoneTotals
+KINDS = (
+    "forwarding.LoadShare",
+    "forwarding.LoadTotals",
+    "forwarding.ZoneTotals",
+    "forwarding.CrashReport",
+)
+LoadMessage = LoadShare | LoadTotals | ZoneTotals | CrashReport
 MILLISECONDS_PER_SECOND = 1_000
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -23,6 +23,13 @@
 )
 from marjorambridge.forwarding.budgets import consume_retry, record_request, record_send
 from marjorambridge.forwarding.costs import compute_prefill_seconds
+from marjorambridge.forwarding.crashes import (
+    estimate_block_seconds,
+    find_blocked_part,
+    record_answer,
+    record_crash,
+    start_test,
+)
 from marjorambridge.forwarding.health import (
     mark_replaced,
     record_failure,
@@ -48,6 +55,7 @@
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import Exchange
+from marjorambridge.gateway.crash_reports import log_cleared_part, log_new_blocks
 from marjorambridge.gateway.events import StreamCursor, extract_events
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.hints import apply_answer_hints
@@ -218,6 +226,8 @@
 
 async def _run_attempts(context: RequestContext) -> str:
     """Run attempts until one is final, write the answer and return the outcome's name."""
+    if _is_blocked(context):
+        return await _refuse(context, "blocked_part")
     endpoint = await _select_endpoint(context)
     if endpoint is None:
         return await _refuse(context, "no_endpoint")
@@ -240,6 +250,23 @@
         endpoint = next_endpoint
 
 
+def _is_blocked(context: RequestContext) -> bool:
+    """Return whether the prompt has a part that crashes engines, unless it is to test the part."""
+    forwarding, now = context.gateway.forwarding, time.monotonic()
+    part = find_blocked_part(forwarding.crashes, context.request.prompt_parts, now)
+    if part is None:
+        return False
+    settings = forwarding.settings
+    if not context.progress.endpoints_tried and start_test(
+        forwarding.crashes, part, settings.host, forwarding.hosts, now
+    ):
+        logger.bind(request=context.request.request_id, parts=f"{part:x}").info(
+            "a request tests whether a blocked part of prompts still crashes engines"
+        )
+        return False
+    return True
+
+
 async def _select_endpoint(context: RequestContext) -> Endpoint | None:
     """Return the endpoint of the next attempt and store its helper engines in the context."""
     forwarding, profile = context.gateway.forwarding, context.profile
@@ -286,7 +313,7 @@
     route = context.admission.route
     if not may_try_again(route, context.progress, outcome):
         return None
-    if context.deadline - now < MIN_ATTEMPT_SECONDS:
+    if context.deadline - now < MIN_ATTEMPT_SECONDS or _is_blocked(context):
         return None
     endpoint = await _select_endpoint(context)
     if endpoint is None:
@@ -399,6 +426,8 @@
     now = time.monotonic()
     if context.last_event_at:
         context.longest_gap = max(context.longest_gap, now - context.last_event_at)
+    if not _has_begun(context):
+        _record_answer(context, now)
     context.last_event_at = now
     _finish_prefill(context, now)
     exchange = context.exchange
@@ -428,7 +457,11 @@
     context.excluded.add(endpoint.name)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, context.attempt_started_at)
+        if not _has_begun(context):
+            _record_answer(context, now)
         return
+    if outcome is AttemptOutcome.BROKEN and not _has_begun(context):
+        _record_crash(context, endpoint, now)
     avoided = 0.0
     if outcome is AttemptOutcome.MISDIRECTED:
         mark_replaced(endpoint)
@@ -444,7 +477,7 @@
         address=endpoint.address,
         reason=outcome.value,
         detail=result.detail,
-        begun=context.last_event_at >= context.attempt_started_at,
+        begun=_has_begun(context),
         parts=format_parts(context.request.prompt_parts),
         kv_tokens=context.attempt_kv_tokens,
         cold=now < endpoint.cold_until,
@@ -453,6 +486,38 @@
     ).info("an attempt did not complete")
 
 
+def _has_begun(context: RequestContext) -> bool:
+    """Return whether the first event of the attempt has arrived."""
+    return context.last_event_at >= context.attempt_started_at
+
+
+def _record_answer(context: RequestContext, now: float) -> None:
+    """Record that an engine has begun to answer the prompt, so that its parts are innocent."""
+    gateway = context.gateway
+    answered = record_answer(gateway.forwarding.crashes, context.request.prompt_parts, now)
+    for part in answered:
+        log_cleared_part(part)
+    if answered:
+        gateway.share_crashes([], answered)
+
+
+def _record_crash(context: RequestContext, endpoint: Endpoint, now: float) -> None:
+    """Record that an engine may have crashed because of the prompt."""
+    gateway, request = context.gateway, context.request
+    history = gateway.forwarding.crashes
+    crashes = record_crash(
+        history,
+        request.prompt_parts,
+        f"{endpoint.name}/{endpoint.born}",
+        request.request_id,
+        context.attempt_started_at,
+        now,
+    )
+    if crashes:
+        gateway.share_crashes(crashes, [])
+    log_new_blocks(history)
+
+
 def format_parts(parts: tuple[int, ...]) -> str:
     """Return the parts of a prompt that other requests may share, for a log line.
 
@@ -510,8 +575,12 @@
 
 async def _refuse(context: RequestContext, reason: str) -> str:
     """Answer that the request has not run and when to retry."""
-    forwarding = context.gateway.forwarding
-    seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
+    forwarding, now = context.gateway.forwarding, time.monotonic()
+    part = find_blocked_part(forwarding.crashes, context.request.prompt_parts, now)
+    if part is None:
+        seconds = estimate_retry_after_seconds(forwarding, context.profile, now)
+    else:
+        seconds = estimate_block_seconds(forwarding.crashes, part, now)
     headers = [PLAIN_TEXT, *context.gateway.dialect.encode_retry_after(seconds)]
     text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
     await callers.send_answer(context.exchange, UNAVAILABLE, headers, text.encode())
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -29,6 +29,7 @@
     store_load,
     subtract_own_load,
 )
+from marjorambridge.forwarding.crashes import PartCrash
 from marjorambridge.forwarding.health import combine_reports, drop_old_reports, store_failure_report
 from marjorambridge.forwarding.hints import apply_reported_leaving
 from marjorambridge.forwarding.loads import (
@@ -37,6 +38,7 @@
     set_other_load,
 )
 from marjorambridge.forwarding.messages import (
+    CrashReport,
     EndpointFailure,
     EndpointLoad,
     LoadShare,
@@ -49,6 +51,11 @@
     FailureReport,
     ForwardingState,
 )
+from marjorambridge.gateway.crash_reports import (
+    apply_report,
+    build_repeated_reports,
+    build_reports,
+)
 from marjorambridge.gateway.datagrams import (
     LoadMessage,
     build_load_share,
@@ -79,6 +86,10 @@
 MAX_QUEUED_DATAGRAMS = 1_000
 # Loads in one datagram, so that it fits a packet of 1,500 bytes.
 MAX_LOADS_PER_DATAGRAM = 40
+# Hosts of this zone and of other ones that get repeated reports of crashes each second. A host that
+# has just started learns of them within three seconds.
+CRASH_REPORT_PEERS = 2
+CRASH_REPORT_OTHER_ZONE_PEERS = 1
 
 
 class LoadSharing(Struct):
@@ -220,6 +231,40 @@
         logger.bind(peer=host, error=repr(error)).debug("a load datagram was not sent")
 
 
+def queue_crashes(
+    sharing: LoadSharing, crashes: list[PartCrash], answered: list[int], now: float
+) -> None:
+    """Queue new crashes, and suspected parts that were just answered, for all hosts."""
+    for report in build_reports(sharing.own_host, crashes, answered, now):
+        datagram = encode_datagram(sharing.key, report)
+        for host in choose_relays(sharing.forwarding):
+            sharing.outbox.append((datagram, host))
+        report.for_zone = False
+        _queue_for_zone(sharing, report)
+
+
+def queue_repeated_crashes(sharing: LoadSharing, now: float) -> None:
+    """Queue recent crashes and blocked parts for a few random hosts."""
+    forwarding = sharing.forwarding
+    reports = build_repeated_reports(sharing.own_host, forwarding.crashes, now)
+    if not reports:
+        return
+    own_zone = forwarding.settings.zone
+    near = [
+        host
+        for host, zone in forwarding.hosts.items()
+        if zone == own_zone and host != sharing.own_host
+    ]
+    far = [host for host, zone in forwarding.hosts.items() if zone != own_zone]
+    generator = forwarding.generator
+    peers = generator.sample(near, min(len(near), CRASH_REPORT_PEERS))
+    peers += generator.sample(far, min(len(far), CRASH_REPORT_OTHER_ZONE_PEERS))
+    for report in reports:
+        datagram = encode_datagram(sharing.key, report)
+        sharing.outbox.extend((datagram, host) for host in peers)
+    sharing.wakeup.set()
+
+
 # Receiving.
 
 
@@ -243,6 +288,9 @@
         return
     if message is None or message.host == sharing.own_host:
         return
+    if isinstance(message, CrashReport):
+        _apply_crash_report(sharing, message, now)
+        return
     for reported in message.failures:
         endpoint = sharing.forwarding.by_key.get(reported.endpoint)
         if endpoint is not None:
@@ -259,6 +307,16 @@
         _queue_for_zone(sharing, message)
 
 
+def _apply_crash_report(sharing: LoadSharing, report: CrashReport, now: float) -> None:
+    answer = apply_report(sharing.forwarding.crashes, report, sharing.own_host, now)
+    if answer is not None:
+        sharing.outbox.append((encode_datagram(sharing.key, answer), report.host))
+        sharing.wakeup.set()
+    if report.for_zone:
+        report.for_zone = False
+        _queue_for_zone(sharing, report)
+
+
 def _apply_failure(
     sharing: LoadSharing, endpoint: Endpoint, name: str, reported: EndpointFailure, now: float
 ) -> None:
@@ -432,6 +490,7 @@
             drop_old_reports(endpoint, now)
             if endpoint.load.requests or now < endpoint.avoid_until:
                 mark_load_changed(sharing, endpoint)
+        queue_repeated_crashes(sharing, now)
         if uses_aggregation(sharing.forwarding) and not sharing.changed:
             queue_loads(sharing, [], now)
             sharing.wakeup.set()
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -625,6 +625,357 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class CrashEntry(object):
+    """
+    Attributes:
+     - part
+     - endpoint
+     - request
+     - age_milliseconds
+     - answered_before
+
+    """
+
+    __slots__ = (
+        'part',
+        'endpoint',
+        'request',
+        'age_milliseconds',
+        'answered_before',
+    )
+
+
+    def __init__(self, part=None, endpoint=None, request=None, age_milliseconds=None, answered_before=None,):
+        self.part = part
+        self.endpoint = endpoint
+        self.request = request
+        self.age_milliseconds = age_milliseconds
+        self.answered_before = answered_before
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.part = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.endpoint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.request = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.answered_before = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashEntry')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 1)
+            oprot.writeI64(self.part)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.I64, 2)
+            oprot.writeI64(self.endpoint)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.I64, 3)
+            oprot.writeI64(self.request)
+            oprot.writeFieldEnd()
+        if self.age_milliseconds is not None:
+            oprot.writeFieldBegin('age_milliseconds', TType.I64, 4)
+            oprot.writeI64(self.age_milliseconds)
+            oprot.writeFieldEnd()
+        if self.answered_before is not None:
+            oprot.writeFieldBegin('answered_before', TType.BOOL, 5)
+            oprot.writeBool(self.answered_before)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartEntry(object):
+    """
+    Attributes:
+     - part
+     - age_milliseconds
+
+    """
+
+    __slots__ = (
+        'part',
+        'age_milliseconds',
+    )
+
+
+    def __init__(self, part=None, age_milliseconds=None,):
+        self.part = part
+        self.age_milliseconds = age_milliseconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.part = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartEntry')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 1)
+            oprot.writeI64(self.part)
+            oprot.writeFieldEnd()
+        if self.age_milliseconds is not None:
+            oprot.writeFieldBegin('age_milliseconds', TType.I64, 2)
+            oprot.writeI64(self.age_milliseconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - host
+     - for_zone
+     - crashes
+     - blocked
+     - answered
+
+    """
+
+    __slots__ = (
+        'host',
+        'for_zone',
+        'crashes',
+        'blocked',
+        'answered',
+    )
+
+
+    def __init__(self, host=None, for_zone=None, crashes=[
+    ], blocked=[
+    ], answered=[
+    ],):
+        self.host = host
+        self.for_zone = for_zone
+        if crashes is self.thrift_spec[3][4]:
+            crashes = [
+            ]
+        self.crashes = crashes
+        if blocked is self.thrift_spec[4][4]:
+            blocked = [
+            ]
+        self.blocked = blocked
+        if answered is self.thrift_spec[5][4]:
+            answered = [
+            ]
+        self.answered = answered
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.for_zone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = CrashEntry()
+                        _elem47.read(iprot)
+                        self.crashes.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.blocked = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = PartEntry()
+                        _elem53.read(iprot)
+                        self.blocked.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.answered = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = PartEntry()
+                        _elem59.read(iprot)
+                        self.answered.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.for_zone is not None:
+            oprot.writeFieldBegin('for_zone', TType.BOOL, 2)
+            oprot.writeBool(self.for_zone)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter60 in self.crashes:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.blocked is not None:
+            oprot.writeFieldBegin('blocked', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.blocked))
+            for iter61 in self.blocked:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.answered))
+            for iter62 in self.answered:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(EndpointLoad)
 EndpointLoad.thrift_spec = (
     None,  # 0
@@ -670,5 +1021,32 @@
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
 )
+all_structs.append(CrashEntry)
+CrashEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'part', None, None, ),  # 1
+    (2, TType.I64, 'endpoint', None, None, ),  # 2
+    (3, TType.I64, 'request', None, None, ),  # 3
+    (4, TType.I64, 'age_milliseconds', None, None, ),  # 4
+    (5, TType.BOOL, 'answered_before', None, None, ),  # 5
+)
+all_structs.append(PartEntry)
+PartEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'part', None, None, ),  # 1
+    (2, TType.I64, 'age_milliseconds', None, None, ),  # 2
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'for_zone', None, None, ),  # 2
+    (3, TType.LIST, 'crashes', (TType.STRUCT, [CrashEntry, None], False), [
+    ], ),  # 3
+    (4, TType.LIST, 'blocked', (TType.STRUCT, [PartEntry, None], False), [
+    ], ),  # 4
+    (5, TType.LIST, 'answered', (TType.STRUCT, [PartEntry, None], False), [
+    ], ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -37,3 +37,24 @@
   3: list<EndpointLoad> loads
   4: list<EndpointFailure> failures = []
 }
+
+struct CrashEntry {
+  1: i64 part
+  2: i64 endpoint
+  3: i64 request
+  4: i64 age_milliseconds
+  5: bool answered_before
+}
+
+struct PartEntry {
+  1: i64 part
+  2: i64 age_milliseconds
+}
+
+struct CrashReport {
+  1: string host
+  2: bool for_zone
+  3: list<CrashEntry> crashes = []
+  4: list<PartEntry> blocked = []
+  5: list<PartEntry> answered = []
+}
--- /dev/null
+++ b/tests/forwarding/test_crashes.py
@@ -0,0 +1,143 @@
+"""Test which parts of prompts are blocked after crashes of engines."""
+
+import math
+
+import pytest
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.crashes import (
+    CrashHistory,
+    count_tests,
+    estimate_block_seconds,
+    find_blocked_part,
+    record_answer,
+    record_crash,
+    start_test,
+    store_answer,
+    store_block,
+)
+
+COMMON, CRASHING, OWN = 0x5C, 0xDEAD, 0x1
+PROMPT = (COMMON, CRASHING, OWN)
+SOUND_PROMPT = (COMMON, OWN)
+
+
+def crash(history, number, now, parts=PROMPT, request=None):
+    request = f"r{number}" if request is None else request
+    return record_crash(history, parts, f"e{number}/1", request, now - 0.1, now)
+
+
+def find_blocked(history, now, parts=PROMPT):
+    return find_blocked_part(history, parts, now)
+
+
+def test_only_the_crashing_part_is_blocked():
+    """Guard against refusing sound prompts that share a caller and other parts."""
+    history = CrashHistory()
+    record_answer(history, SOUND_PROMPT, 0.0)
+    for number in range(5):
+        now = 1.0 + 0.3 * number
+        crash(history, number, now)
+        record_answer(history, SOUND_PROMPT, now + 0.05)
+    assert find_blocked(history, 3.0) == CRASHING
+    assert find_blocked(history, 3.0, SOUND_PROMPT) is None
+
+
+def test_the_own_part_of_a_request_is_not_blocked():
+    """Guard against remembering a part for each request."""
+    history = CrashHistory()
+    crash(history, 1, 1.0, parts=(OWN,))
+    assert not history.suspects
+
+
+@pytest.mark.parametrize(
+    ("crashes", "requests", "gap_seconds"), [(2, 2, 1.0), (6, 2, 1.0), (20, 20, 0.01)]
+)
+def test_chance_blocks_no_new_part(crashes, requests, gap_seconds):
+    """Guard against blaming a prompt for few crashes, one caller's, or those of one moment."""
+    history = CrashHistory()
+    for number in range(crashes):
+        crash(history, number, 1.0 + gap_seconds * number, request=f"r{number % requests}")
+    assert find_blocked(history, 8.0) is None
+
+
+def test_a_common_part_needs_more_crashes():
+    """Guard against refusing all prompts of a service when many engines crash by chance."""
+    history = CrashHistory()
+    record_answer(history, SOUND_PROMPT, 0.0)
+    for number in range(defaults.MIN_CRASHES_ANSWERED_PART - 1):
+        crash(history, number, 1.0 + number, parts=SOUND_PROMPT)
+    assert find_blocked(history, 10.0) is None
+    # A part that was sound once may crash engines after they changed.
+    crash(history, 99, 10.0, parts=SOUND_PROMPT)
+    assert find_blocked(history, 10.0) == COMMON
+
+
+def test_an_answer_clears_a_part():
+    """Guard against a part that stays blocked although engines answer it."""
+    history = CrashHistory()
+    for number in range(4):
+        crash(history, number, 1.0 + number)
+    assert find_blocked(history, 5.0) == COMMON
+    assert sorted(record_answer(history, PROMPT, 6.0)) == [COMMON, CRASHING]
+    assert find_blocked(history, 6.0) is None
+    # Crashes and blocks of earlier moments, which other hosts report late, change nothing.
+    assert not store_block(history, CRASHING, 5.5, 6.5)
+    assert find_blocked(history, 6.5) is None
+
+
+def test_an_answer_during_the_attempt_clears_the_crash():
+    """Guard against suspecting a part that another engine answers at the same time."""
+    history = CrashHistory()
+    record_answer(history, SOUND_PROMPT, 0.95)
+    assert [item.part for item in crash(history, 1, 1.0)] == [CRASHING]
+
+
+def test_an_old_answer_keeps_later_crashes():
+    """Guard against a late report of an answer that hides the crashes after it."""
+    history = CrashHistory()
+    for number in range(4):
+        crash(history, number, 1.0 + number)
+    assert not store_answer(history, CRASHING, 2.5)
+    assert find_blocked(history, 5.0, (CRASHING, OWN)) == CRASHING
+
+
+def test_one_host_tests_a_blocked_part_ever_more_rarely():
+    """Guard against a part that is blocked forever, and against tests by all hosts."""
+    hosts = {f"h{number}": "z0" for number in range(8)}
+    histories = {host: CrashHistory() for host in hosts}
+    tests = []
+    for history in histories.values():
+        store_block(history, CRASHING, 0.0, 0.0)
+    for now in range(1, int(defaults.PART_BLOCK_SECONDS)):
+        for host, history in histories.items():
+            if find_blocked(history, now) and start_test(history, CRASHING, host, hosts, now):
+                tests.append((host, now))
+    first = defaults.FIRST_PART_TEST_SECONDS
+    assert [now for _, now in tests] == [first, 3 * first, 7 * first, 15 * first]
+    assert len({host for host, _ in tests}) == 1
+    assert find_blocked(histories["h0"], defaults.PART_BLOCK_SECONDS) is None
+
+
+def test_retry_after_of_a_blocked_part_is_the_next_test():
+    """Guard against telling callers to return at once."""
+    history = CrashHistory()
+    store_block(history, CRASHING, 0.0, 0.0)
+    first, end = defaults.FIRST_PART_TEST_SECONDS, defaults.PART_BLOCK_SECONDS
+    assert math.isclose(estimate_block_seconds(history, CRASHING, 5.0), first - 5.0)
+    assert math.isclose(estimate_block_seconds(history, CRASHING, first), 2 * first)
+    assert math.isclose(estimate_block_seconds(history, CRASHING, end - 1.0), 1.0)
+    assert count_tests(0.0, first - 0.001) == 0
+
+
+def test_memory_is_bounded():
+    """Guard against callers that send new parts without end."""
+    history = CrashHistory()
+    for number in range(defaults.MAX_ANSWERED_PARTS + 10):
+        record_answer(history, (number, OWN), float(number))
+    assert len(history.answered_at) == defaults.MAX_ANSWERED_PARTS
+    store_block(history, CRASHING, 1e6, 1e6)
+    for number in range(defaults.MAX_SUSPECT_PARTS + 10):
+        crash(history, number, 1e6 + number, parts=(10**6 + number, OWN))
+    assert len(history.suspects) == defaults.MAX_SUSPECT_PARTS
+    assert find_blocked(history, 1e6 + 1) == CRASHING
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -20,8 +20,8 @@
 RESUMABLE = make_manifest(Execution.STREAM, 2, True)
 SHARED, CRASHING, SOUND = b"5c1e07a2:40", b"dead:900", b"91bd3f06:900"
 ENGINES = 6
-# The bound of the users: later than three seconds after the fifth crash, at most three more requests
-# with the part may reach an engine.
+# The bound of the users: later than three seconds after the fifth crash, at most three more
+# requests with the part may reach an engine.
 CONTACT_SECONDS = 3.0
 TOLERATED_REQUESTS = 3
 EVENTS = 4
