Cut a stream whose rest is an error, or that ended inside an event

Callers saw streams that looked complete although a part was missing: after a stream had broken off, a complete answer of the next endpoint that is no stream of events (a 400, 404, 204 or plain text) ended the caller's stream regularly. So did a stream that ended regularly but inside an event, chunked or without framing. A stream without an event, such as that of an engine that crashed after its head, was forwarded as an empty success.

Such an answer now counts as a failed or broken attempt: another endpoint goes on if the route allows it, and otherwise the connection is reset. The text of the error never reached the stream here.

--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -15,7 +15,13 @@
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import AttemptOutcome
-from marjorambridge.gateway.messages import SUCCESS_STATUSES, Attempt, AttemptResult, Dialect
+from marjorambridge.gateway.messages import (
+    SUCCESS_STATUSES,
+    AnswerHead,
+    Attempt,
+    AttemptResult,
+    Dialect,
+)
 from marjorambridge.gateway.streams import STREAM_ERRORS
 
 READ_BYTES = 65_536
@@ -129,7 +135,7 @@
 
 async def _handle_data(reader: AnswerReader, data: bytes) -> bool:
     attempt, result = reader.attempt, reader.result
-    if _is_streamed(reader):
+    if attempt.send_event_bytes is not None and is_event_stream(result.head):
         if not await attempt.send_event_bytes(result.head, data):
             result.detail = "the caller closed the connection"
             return True
@@ -143,10 +149,10 @@
     return False
 
 
-def _is_streamed(reader: AnswerReader) -> bool:
-    head = reader.result.head
+def is_event_stream(head: AnswerHead | None) -> bool:
+    """Return whether the head is that of a successful, signed stream of events."""
     return (
-        reader.attempt.send_event_bytes is not None
+        head is not None
         and head.status in SUCCESS_STATUSES
         and head.is_signed
         and head.is_event_stream
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -54,6 +54,7 @@
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
+from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.crash_reports import log_cleared_part, log_new_blocks
 from marjorambridge.gateway.events import StreamCursor, extract_events
@@ -368,9 +369,25 @@
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         gateway.share_load(endpoint)
         await release(context.tickets)
+    _check_stream(context, result)
     return result
 
 
+def _check_stream(context: RequestContext, result: AttemptResult) -> None:
+    """Change the outcome of a complete answer that can't be the rest of the caller's stream."""
+    is_stream = context.admission.route.execution is Execution.STREAM
+    if not is_stream or result.outcome is not AttemptOutcome.COMPLETE:
+        return
+    if not is_event_stream(result.head):
+        if context.exchange.has_head:
+            result.outcome = AttemptOutcome.FAILED
+            result.detail = f"status {result.head.status} instead of the rest of the stream"
+    elif context.cursor.buffer:
+        result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended inside an event"
+    elif context.cursor.last_event is None and not context.exchange.has_head:
+        result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended without an event"
+
+
 async def _run_with_tickets(context: RequestContext, attempt: Attempt) -> AttemptResult:
     """Run an attempt and renew its tickets, if there are any, until it ends."""
     tickets = context.tickets
@@ -567,7 +584,7 @@
     if exchange.has_head:
         await callers.end_answer(exchange)
         return "served"
-    if context.cursor.buffer or head is None:
+    if head is None:
         return await _fail(context, result.outcome)
     await callers.send_answer(exchange, head.status, head.headers, result.body)
     return "served" if result.outcome is AttemptOutcome.COMPLETE else "endpoint_failed"
