Use a connection of its own for each attempt at an endpoint of the product's protocol

A plain service that wrote a refusal twice answered the next call on the same kept connection with it: the caller got "not run", or the call was sent to a second endpoint, while the service ran it. Engines could do the same. Gateways of the platform already connect for each attempt.

tests/http/test_endpoints.py, a refusal that is written twice, failed before, with and without a pause between the two. The test that engines' connections are reused guarded a saving of one round trip that can't be had together with this; it is replaced by one that no connection is left open. Cancels and orders still share connections: their answers name the endpoint and the incarnation.

--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -412,7 +412,8 @@
     except RequestError as error:
         raise EndpointProtocolError(str(error)) from error
     connect_timeout_seconds = max(0.001, effect.start_by - driver.clock())
-    headers = build_headers(stored, effect)
+    # On a kept connection, a refusal that the endpoint writes twice would answer the next attempt.
+    headers = [*build_headers(stored, effect), (b"connection", b"close")]
     if content or stored.method not in ("GET", "HEAD", "OPTIONS"):
         headers.append((b"content-length", str(len(content)).encode()))
     entry = _get_pool(driver, address)
@@ -543,7 +544,7 @@
 
 
 async def _drain_response(pieces: AsyncIterator[bytes]) -> None:
-    """Read the end of the HTTP message after the end marker, so that its connection is reused."""
+    """Read the end of the HTTP message after the end marker, so that the engine can complete it."""
     with contextlib.suppress(TimeoutError, *NETWORK_ERRORS):
         async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
             async for _ in pieces:
--- a/tests/http/test_endpoints.py
+++ b/tests/http/test_endpoints.py
@@ -1,6 +1,7 @@
 """Guard attempts against late starts, unreported retries and cut answers that look complete."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -57,7 +58,9 @@
     asyncio.run(run())
 
 
-def test_a_whole_stream_is_complete_and_its_connection_is_reused():
+def test_a_whole_stream_is_complete_and_its_connection_is_closed():
+    """Guard against an answer that is read by the next attempt on the same connection."""
+
     async def run():
         async with serve_engine() as (address, engine), run_driver() as attempts:
             for _ in range(2):
@@ -68,7 +71,7 @@
                 assert sum(chunk.count for chunk in chunks) == 20
                 assert ended.usage["completion_tokens"] == 20
                 assert all(chunk.token_ends[-1] == len(chunk.data) for chunk in chunks)
-            assert len(attempts.driver.pools[address].pool.connections) == 1
+                assert not attempts.driver.pools[address].pool.connections
             assert [start["traceparent"] for start in engine.starts] == ["00-ab", "00-ab"]
 
     asyncio.run(run())
@@ -298,3 +301,36 @@
             assert (await attempts.wait_for_end(second)).end is AttemptEnd.NOT_SENT
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_a_refusal_that_is_written_twice_does_not_answer_the_next_call(pause):
+    """Guard against "not run" for a call that runs, from a refusal left on a kept connection."""
+    body = b'{"error":{"outcome":"not_run"}}'
+    refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    runs = []
+
+    async def handle(reader, writer):
+        with contextlib.suppress(ConnectionError), contextlib.closing(writer):
+            while await reader.read(65536):
+                runs.append(writer)
+                first = len(runs) == 1
+                writer.write(
+                    refusal if first else b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                )
+                if first:
+                    await asyncio.sleep(pause)
+                    writer.write(refusal)
+                await writer.drain()
+
+    async def run():
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        async with server, run_driver() as attempts:
+            grant = build_grant("{}:{}".format(*server.sockets[0].getsockname()), tokens=0)
+            refused = await attempts.wait_for_end(attempts.start(grant, **PLAIN))
+            assert refused.end is AttemptEnd.REFUSED
+            second = attempts.start(grant, **PLAIN)
+            assert (await attempts.wait_for_end(second)).end is AttemptEnd.COMPLETE
+            assert join(attempts.select(AttemptChunk, second)) == "ok" and len(runs) == 2
+
+    asyncio.run(run())
