Do not block a rare first part together with the part that crashes engines

A crash of an engine at which a blocked part was waiting no longer counts for other parts, and of several parts with the same crashes the last one, which the fewest requests share, is blocked first. A part with one crash is no longer repeated to other hosts, which bounds the messages after the loss of many engines.

--- a/marjorambridge/forwarding/crashes.py
+++ b/marjorambridge/forwarding/crashes.py
@@ -104,7 +104,9 @@
         Monotonic time in seconds at which the attempt began.
     """
     crashes = []
-    for part in list_shared_parts(parts):
+    # The later a part, the fewer requests share it. If several parts have the same crashes, the
+    # last of them is blocked first, and then explains the crashes of the others.
+    for part in reversed(list_shared_parts(parts)):
         answered_at = history.answered_at.get(part)
         if answered_at is not None and answered_at >= began_at:
             continue
@@ -141,7 +143,7 @@
     if crash.endpoint in suspect.crashes:
         return False
     suspect.crashes[crash.endpoint] = crash
-    if math.isinf(suspect.blocked_at) and has_enough_evidence(suspect):
+    if math.isinf(suspect.blocked_at) and has_enough_evidence(history, crash.part):
         suspect.blocked_at = now
         history.new_blocks.append(crash.part)
     return True
@@ -158,14 +160,28 @@
     return history.answered_at.get(part, -math.inf) >= at
 
 
-def has_enough_evidence(suspect: SuspectPart) -> bool:
+def has_enough_evidence(history: CrashHistory, part: int) -> bool:
     """Return whether chance is an unlikely cause of the crashes of a part.
 
+    Crashes of engines at which another, blocked part was waiting are explained by that one.
+
     The crashes of one moment may have one cause, and the attempts of one caller may fail by chance,
     so that several engines, several requests and some time between the crashes are required. Chance
     hits common parts most, which were answered before, so that these require more.
     """
-    crashes = suspect.crashes.values()
+    explained = {
+        endpoint
+        for suspect in history.suspects.values()
+        if not math.isinf(suspect.blocked_at)
+        for endpoint in suspect.crashes
+    }
+    crashes = [
+        crash
+        for endpoint, crash in history.suspects[part].crashes.items()
+        if endpoint not in explained
+    ]
+    if not crashes:
+        return False
     times = [crash.at for crash in crashes]
     common = any(crash.answered_before for crash in crashes)
     needed = defaults.MIN_CRASHES_ANSWERED_PART if common else defaults.MIN_CRASHES_NEW_PART
@@ -288,10 +304,14 @@
 
 
 def list_recent_crashes(history: CrashHistory, now: float) -> list[PartCrash]:
-    """Return the crashes that are still sent to the other hosts, in case a message was lost."""
+    """Return the crashes that are still sent to the other hosts, in case a message was lost.
+
+    Parts with a single crash are left out: after the loss of many engines they are most parts.
+    """
     return [
         crash
         for suspect in history.suspects.values()
+        if len(suspect.crashes) > 1
         for crash in suspect.crashes.values()
         if now - crash.at <= defaults.CRASH_REPEAT_SECONDS
     ]
