Repeat a request of the simulated holder that a frozen owner left unanswered

The fault was the harness': its holder repeated a request only after the answer that it is queued, while the product repeats it to another owner after OWNER_TIMEOUT_SECONDS without an answer (requests/acquisition.py, renew_permit_request; tests/requests/test_permits.py: a denial or an owner timeout leads to another shard).

--- a/tests/limits/world.py
+++ b/tests/limits/world.py
@@ -12,6 +12,7 @@
 
 from msgspec.structs import replace
 
+from marjorambridge.conf.defaults import OWNER_TIMEOUT_SECONDS
 from marjorambridge.configuration.models import (
     AvailabilityZone,
     Configuration,
@@ -245,14 +246,26 @@
             self.after(start + number / per_second, lambda: asked.append(self.ask(**request)))
         return asked
 
-    def send_request(self, permit: AttemptId) -> None:
+    def send_request(self, permit: AttemptId, passed: float | None = None) -> None:
         old = self.requests[permit]
-        passed = self.settings.queue_renewal_interval_seconds if old.ask else 0.0
+        if passed is None:
+            passed = self.settings.queue_renewal_interval_seconds if old.ask else 0.0
         request = replace(old, ask=old.ask + 1, remaining=old.remaining - passed)
         self.requests[permit] = request
         self.requested_at[permit, request.ask] = self.now
         send = partial(self.deliver, permit.host, self.owner(), request, permit.incarnation)
         self.after(self.latency, send)
+        # As in the product, the owner may have been lost with the request.
+        again = partial(self._repeat_unanswered, permit, request.ask, len(self.answers[permit]))
+        self.after(OWNER_TIMEOUT_SECONDS, partial(self.on_host, permit.host, again))
+
+    def _repeat_unanswered(self, permit: AttemptId, ask: int, answers: int) -> None:
+        request = self.requests[permit]
+        is_current = permit.incarnation == self.incarnations.get(permit.host, 1)
+        is_unanswered = request.ask == ask and len(self.answers[permit]) == answers
+        in_time = self.now - self.requested_at[permit, ask] < request.remaining
+        if is_current and is_unanswered and in_time:
+            self.send_request(permit, OWNER_TIMEOUT_SECONDS)
 
     def _receive(self, owner: str, holder: str, message: Any) -> None:
         permit = message.permit
