--- a/tests/http/test_endpoints.py
+++ b/tests/http/test_endpoints.py
@@ -145,6 +145,8 @@
         (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", "cut", 200),
         (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", "server_error", None),
         (b"", "cut", None),
+        (b"HTTP/1.1 200 X\r\nContent-Len", "cut", None),
+        (b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n", "cut", None),
     ],
 )
 def test_the_framing_of_a_plain_answer_decides_whether_it_is_whole(answer, end, status):
--- a/tests/requests/test_outcomes.py
+++ b/tests/requests/test_outcomes.py
@@ -46,6 +46,27 @@
     assert len(hs.find(h.effects, fx.ForwardHeaders)) == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "end"), [(400, End.CLIENT_ERROR), (500, End.SERVER_ERROR), (503, End.REFUSED)]
+)
+def test_an_error_of_the_next_endpoint_does_not_continue_a_stream(status, end):
+    """Guard against the text of an error in a stream, and against one that looks complete."""
+    h = hs.build_harness()
+    hs.arrive(h, prompt_bytes=300, output_tokens=50)
+    first = hs.start(h).attempt
+    hs.chunk(h, first, 0, b"abc")
+    hs.end(h, first, End.CUT)
+    for number in range(2, 6):
+        hs.advance(h, 0.5)
+        if hs.find(h.effects, fx.FinishRequest):
+            break
+        failed = hs.start(h, f"e{number}", status).attempt
+        hs.chunk(h, failed, 3, b"oops")
+        hs.end(h, failed, end)
+    assert hs.read_text(h) == b"abc" and isinstance(hs.outcome(h), Failed)
+    assert [head.status for head in hs.find(h.effects, fx.ForwardHeaders)] == [200]
+
+
 def test_failed_attempts_without_content_are_not_forwarded_and_are_limited():
     h = hs.build_harness()
     for ident, failures in (("all", 4), ("some", 3)):
