Let the soak send prompts with a part that crashes endpoints

The endpoints of the soak end all their connections and start again when they begin to answer such a prompt, while hosts are killed, suspended and restarted. The check is the users' bound: at most three requests with the part reach endpoints later than three seconds after the fifth crash, from hosts without a fault in this time. A test plants the fault in the check.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import SocketStream
 
+from .crashes import Crash, crash, has_crashing_part
 from .hints import Hint
 
 CONNECTION_ERRORS = (
@@ -23,11 +25,12 @@
 
 @dataclass
 class EndpointLog:
-    """Requests that endpoints executed, with endpoint and time; arrivals, and hints sent."""
+    """Requests that endpoints executed, with endpoint and time; arrivals, crashes, hints sent."""
 
     by_request: dict[str, list[tuple[str, float]]] = field(default_factory=dict)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     hints: list[Hint] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
 
     def record_execution(self, request: str, endpoint: str) -> None:
         self.by_request.setdefault(request, []).append((endpoint, time.monotonic()))
@@ -53,6 +56,7 @@
     errors_until: float = 0.0
     leaving: bool = False
     rejects_until: float = 0.0
+    connections: set[anyio.CancelScope] = field(default_factory=set)
 
     @property
     def address(self) -> str:
@@ -105,17 +109,25 @@
 
 
 async def _handle_connection(endpoint: Endpoint, stream: SocketStream) -> None:
-    with contextlib.suppress(*CONNECTION_ERRORS):
-        async with stream:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                data += await stream.receive()
-            head, _, body = data.partition(b"\r\n\r\n")
-            lines = [line.partition(b":") for line in head.split(b"\r\n")[1:]]
-            headers = {name.lower(): value.strip().decode() for name, _, value in lines}
-            while len(body) < int(headers.get(b"content-length", 0)):
-                body += await stream.receive()
-            await _handle_request(endpoint, stream, head, headers, body)
+    with contextlib.suppress(*CONNECTION_ERRORS), anyio.CancelScope() as scope:
+        endpoint.connections.add(scope)
+        try:
+            async with stream:
+                await _serve_request(endpoint, stream)
+        finally:
+            endpoint.connections.discard(scope)
+
+
+async def _serve_request(endpoint: Endpoint, stream: SocketStream) -> None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = [line.partition(b":") for line in head.split(b"\r\n")[1:]]
+    headers = {name.lower(): value.strip().decode() for name, _, value in lines}
+    while len(body) < int(headers.get(b"content-length", 0)):
+        body += await stream.receive()
+    await _handle_request(endpoint, stream, head, headers, body)
 
 
 async def _handle_request(endpoint, stream, head: bytes, headers: dict, body: bytes) -> None:
@@ -175,6 +187,9 @@
     first = int(headers.get(b"last-event-id", 0)) + 1
     head = f"HTTP/1.1 200 OK\r\n{signed_headers}Content-Type: text/event-stream\r\n"
     await stream.send(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+    if has_crashing_part(headers):
+        crash(endpoint.endpoint_log, endpoint, headers[b"x-request-id"])
+        await anyio.lowlevel.checkpoint()
     for number in range(first, EVENTS_PER_STREAM + 1):
         await anyio.sleep(0.02)
         event = f"id: {number}\ndata: {headers[b'x-request-id']}-{number}\n\n".encode()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 import anyio
 import httpcore
 
+from .crashes import SHARED_PART, check_crashes, describe_prompt, send_crashing_prompts
 from .endpoints import EVENTS_PER_STREAM, Endpoint, EndpointLog, serve_endpoint
 from .hints import check_hints, end_incarnation, inject_hints
 from .processes import Process, make_processes
@@ -117,7 +118,7 @@
             soak.at_most_once.add(identifier)
         started_at = time.monotonic()
         soak.sent[identifier] = gateway.name, started_at
-        headers = {"X-Request-Id": identifier}
+        headers = {"X-Request-Id": identifier} | describe_prompt(soak.calls, SHARED_PART)
         address = gateway.settings["callers"]
         answer = await send_request(soak, address, "POST", path + "a?b=c", body, **headers)
         elapsed = time.monotonic() - started_at
@@ -363,6 +364,7 @@
                 work.start_soon(inject_faults, soak)
                 work.start_soon(change_settings, soak)
                 work.start_soon(inject_hints, soak)
+                work.start_soon(send_crashing_prompts, soak, send_request)
                 await anyio.sleep(seconds)
                 work.cancel_scope.cancel()
             await check_final_state(soak)
@@ -373,6 +375,7 @@
                 process.kill()
     check_executions(soak)
     check_hints(soak)
+    check_crashes(soak)
     return soak
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from .crashes import Crash, check_crashes
 from .endpoints import EVENTS_PER_STREAM, EndpointLog
 from .hints import Hint, check_hints
 from .processes import Process
@@ -76,6 +77,26 @@
         assert not soak.faults
 
 
+def test_a_crashing_part_that_keeps_reaching_endpoints_is_detected(tmp_path):
+    """Guard against a check that misses prompts which crash one endpoint after the other."""
+    soak = make_soak(tmp_path)
+    soak.processes = [Process("g1", "gateway", tmp_path, {})]
+    for number in range(9):
+        soak.sent[f"c{number}"] = "g1", 0.0
+        at = 10.0 + number if number < 5 else 20.0 + number
+        soak.endpoint_log.crashes.append(Crash("i-1", f"c{number}", at))
+        if number == 7:
+            check_crashes(soak)
+            assert not soak.faults
+    check_crashes(soak)
+    assert len(soak.faults) == 1
+    # A host that was restarted had no time to learn of the part.
+    soak.faults.clear()
+    soak.processes[0].fault_times.append(27.5)
+    check_crashes(soak)
+    assert not soak.faults
+
+
 def make_stream(identifier, numbers):
     return b"".join(f"id: {n}\ndata: {identifier}-{n}\n\n".encode() for n in numbers)
 
