Probe the ports of the soak on all addresses

Only 127.0.0.1 was probed, while processes and endpoints listen on other loopback addresses, so that two runs at a time could take each other's ports. A test holds a port of 127.0.2.6, which must not count as free.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,8 @@
 DRAIN_SECONDS = 5.0
 CATCH_UP_SECONDS = 4.0
 START_SECONDS = 2.0
+# Ports that the processes and endpoints use, on several loopback addresses.
+PORTS = 12
 # Invalid content that an operator may write by mistake; a running process tolerates it.
 INVALID_SETTINGS = ("", "{", "[1]", '{"seeds": 7}', "\x00\xff")
 MODES = ("delay", "reset", "silent", "cut-in", "cut-out")
@@ -392,9 +394,22 @@
 
 
 def find_base_port() -> int:
+    """Return the first of some consecutive ports that are free on all addresses."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("", 0))
+            base = min(probe.getsockname()[1], 60_000)
+        if all(is_free_port(base + number) for number in range(PORTS)):
+            return base
+
+
+def is_free_port(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return min(probe.getsockname()[1], 60_000)
+        try:
+            probe.bind(("", port))
+        except OSError:
+            return False
+    return True
 
 
 def main() -> int:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Run regression seeds of the soak, and test that its checks detect violations."""
 
 import random
+import socket
 import time
 
 import anyio
@@ -10,7 +11,17 @@
 from .endpoints import EVENTS_PER_STREAM, EndpointLog
 from .hints import Hint, check_hints
 from .processes import Process
-from .run import Soak, check_answer, check_drain, check_executions, exceeds_timeout, run_soak
+from .run import (
+    PORTS,
+    Soak,
+    check_answer,
+    check_drain,
+    check_executions,
+    exceeds_timeout,
+    find_base_port,
+    is_free_port,
+    run_soak,
+)
 
 # Seeds that have failed, with the cause:
 # 107: a simulated endpoint sent the rest of one answer within the length of another (a fault of the
@@ -33,6 +44,15 @@
     return Soak(1, tmp_path, 1, random.Random(1), [])
 
 
+def test_a_port_in_use_on_any_address_is_not_free():
+    """Guard against two runs that use the same ports on their other loopback addresses."""
+    with socket.socket() as used:
+        used.bind(("127.0.2.6", 0))
+        assert not is_free_port(used.getsockname()[1])
+    base = find_base_port()
+    assert all(is_free_port(base + number) for number in range(PORTS))
+
+
 def test_a_second_execution_of_an_at_most_once_request_is_detected(tmp_path):
     """Guard against a check that misses a host that repeats an at-most-once call."""
     soak = make_soak(tmp_path)
