Drop the right suspect when all are blocked, and do not take an error for an answer

* With 2,000 blocked parts, a new suspect was dropped again before it was judged, and a KeyError ended the request, or the task that receives datagrams.
Room is made before the new one is stored.
* A complete answer with a status of 4xx cleared the parts of its prompt, although the engine had not begun to write an answer.
Only successes do.

Both tests failed before.

--- a/marjorambridge/forwarding/crashes.py
+++ b/marjorambridge/forwarding/crashes.py
@@ -133,10 +133,7 @@
     """
     if is_answered_since(history, crash.part, crash.at):
         return False
-    suspect = history.suspects.get(crash.part)
-    if suspect is None:
-        suspect = history.suspects[crash.part] = SuspectPart()
-        _limit_suspects(history)
+    suspect = _get_suspect(history, crash.part)
     for endpoint, known in list(suspect.crashes.items()):
         if now - known.at > defaults.CRASH_EXPIRY_SECONDS:
             del suspect.crashes[endpoint]
@@ -149,10 +146,15 @@
     return True
 
 
-def _limit_suspects(history: CrashHistory) -> None:
-    while len(history.suspects) > defaults.MAX_SUSPECT_PARTS:
-        unblocked = (part for part, item in history.suspects.items() if math.isinf(item.blocked_at))
-        del history.suspects[next(unblocked, next(iter(history.suspects)))]
+def _get_suspect(history: CrashHistory, part: int) -> SuspectPart:
+    """Return a part that is or becomes a suspect, in the place of the oldest one if necessary."""
+    suspects = history.suspects
+    if part not in suspects:
+        while len(suspects) >= defaults.MAX_SUSPECT_PARTS:
+            unblocked = (other for other, item in suspects.items() if math.isinf(item.blocked_at))
+            del suspects[next(unblocked, next(iter(suspects)))]
+        suspects[part] = SuspectPart()
+    return suspects[part]
 
 
 def is_answered_since(history: CrashHistory, part: int, at: float) -> bool:
@@ -201,8 +203,7 @@
     """Store that another host refuses requests with a part, and return whether that is new."""
     if is_answered_since(history, part, blocked_at) or now >= get_block_end(blocked_at):
         return False
-    suspect = history.suspects.setdefault(part, SuspectPart())
-    _limit_suspects(history)
+    suspect = _get_suspect(history, part)
     is_new = math.isinf(suspect.blocked_at)
     suspect.blocked_at = min(suspect.blocked_at, blocked_at)
     if is_new:
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -61,6 +61,7 @@
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.hints import apply_answer_hints
 from marjorambridge.gateway.messages import (
+    SUCCESS_STATUSES,
     AnswerHead,
     Attempt,
     AttemptOptions,
@@ -474,7 +475,7 @@
     context.excluded.add(endpoint.name)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, context.attempt_started_at)
-        if not _has_begun(context):
+        if not _has_begun(context) and result.head.status in SUCCESS_STATUSES:
             _record_answer(context, now)
         return
     if outcome is AttemptOutcome.BROKEN and not _has_begun(context):
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -161,3 +161,13 @@
         crash(history, number, 1e6 + number, parts=(10**6 + number, OWN))
     assert len(history.suspects) == defaults.MAX_SUSPECT_PARTS
     assert find_blocked(history, 1e6 + 1) == CRASHING
+
+
+def test_a_new_suspect_replaces_the_oldest_when_all_are_blocked():
+    """Guard against an error of the host when no unblocked part can be dropped."""
+    history = CrashHistory()
+    for part in range(defaults.MAX_SUSPECT_PARTS):
+        store_block(history, part, 0.0, 0.0)
+    crash(history, 1, 1.0)
+    assert len(history.suspects) == defaults.MAX_SUSPECT_PARTS
+    assert CRASHING in history.suspects and 0 not in history.suspects
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -7,6 +7,7 @@
 
 from .helpers import (
     SIGNED,
+    answer,
     call,
     find_header,
     make_events,
@@ -78,3 +79,25 @@
             assert float(find_header(head, b"retry-after")) > 5
 
     anyio.run(scenario)
+
+
+def test_an_error_is_no_answer_to_a_crashing_prompt():
+    """Guard against a part that is taken for innocent because an engine refused to read it."""
+
+    async def refuse_twice(endpoint, stream, head):
+        if len(endpoint.requests) <= 2:
+            await answer(b"400 Bad Request", SIGNED + b"Content-Length: 0\r\n", b"")(
+                endpoint, stream, head
+            )
+        else:
+            await crash_on_part(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, refuse_twice) as harness:
+            for number in range(3):
+                await call(harness, make_prompt(number, SHARED, CRASHING))
+                harness.gateway.forwarding.endpoints["e0"].avoid_until = 0.0
+            history = harness.gateway.forwarding.crashes
+            assert 0xDEAD in history.suspects and not history.answered_at
+
+    anyio.run(scenario)
