--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -23,13 +23,7 @@
 )
 from marjorambridge.forwarding.budgets import consume_retry, record_request, record_send
 from marjorambridge.forwarding.costs import compute_prefill_seconds
-from marjorambridge.forwarding.crashes import (
-    estimate_block_seconds,
-    find_blocked_part,
-    record_answer,
-    record_crash,
-    start_test,
-)
+from marjorambridge.forwarding.crashes import estimate_block_seconds, find_blocked_part
 from marjorambridge.forwarding.health import (
     mark_replaced,
     record_failure,
@@ -56,7 +50,12 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
-from marjorambridge.gateway.crash_reports import log_cleared_part, log_new_blocks
+from marjorambridge.gateway.crashes import (
+    format_parts,
+    is_blocked,
+    record_prompt_answer,
+    record_prompt_crash,
+)
 from marjorambridge.gateway.events import StreamCursor, extract_events
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.hints import apply_answer_hints
@@ -80,8 +79,6 @@
 ANSWER_MARGIN_SECONDS = 0.02
 # No attempt can complete in less time.
 MIN_ATTEMPT_SECONDS = 0.02
-# Parts of a prompt in one log line, which bounds its length.
-MAX_LOGGED_PARTS = 16
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while.
 FAILURE_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_SENT, AttemptOutcome.FAILED, AttemptOutcome.BROKEN, AttemptOutcome.STALLED}
@@ -228,7 +225,7 @@
 
 async def _run_attempts(context: RequestContext) -> str:
     """Run attempts until one is final, write the answer and return the outcome's name."""
-    if _is_blocked(context):
+    if is_blocked(context.gateway, context.request, may_test=True):
         return await _refuse(context, "blocked_part")
     endpoint = await _select_endpoint(context)
     if endpoint is None:
@@ -252,23 +249,6 @@
         endpoint = next_endpoint
 
 
-def _is_blocked(context: RequestContext) -> bool:
-    """Return whether the prompt has a part that crashes engines, unless it is to test the part."""
-    forwarding, now = context.gateway.forwarding, time.monotonic()
-    part = find_blocked_part(forwarding.crashes, context.request.prompt_parts, now)
-    if part is None:
-        return False
-    settings = forwarding.settings
-    if not context.progress.endpoints_tried and start_test(
-        forwarding.crashes, part, settings.host, forwarding.hosts, now
-    ):
-        logger.bind(request=context.request.request_id, parts=f"{part:x}").info(
-            "a request tests whether a blocked part of prompts still crashes engines"
-        )
-        return False
-    return True
-
-
 async def _select_endpoint(context: RequestContext) -> Endpoint | None:
     """Return the endpoint of the next attempt and store its helper engines in the context."""
     forwarding, profile = context.gateway.forwarding, context.profile
@@ -315,7 +295,9 @@
     route = context.admission.route
     if not may_try_again(route, context.progress, outcome):
         return None
-    if context.deadline - now < MIN_ATTEMPT_SECONDS or _is_blocked(context):
+    if context.deadline - now < MIN_ATTEMPT_SECONDS:
+        return None
+    if is_blocked(context.gateway, context.request, may_test=False):
         return None
     endpoint = await _select_endpoint(context)
     if endpoint is None:
@@ -445,7 +427,7 @@
     if context.last_event_at:
         context.longest_gap = max(context.longest_gap, now - context.last_event_at)
     if not _has_begun(context):
-        _record_answer(context, now)
+        record_prompt_answer(context.gateway, context.request, now)
     context.last_event_at = now
     _finish_prefill(context, now)
     exchange = context.exchange
@@ -476,10 +458,12 @@
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, context.attempt_started_at)
         if not _has_begun(context) and result.head.status in SUCCESS_STATUSES:
-            _record_answer(context, now)
+            record_prompt_answer(context.gateway, context.request, now)
         return
     if outcome is AttemptOutcome.BROKEN and not _has_begun(context):
-        _record_crash(context, endpoint, now)
+        record_prompt_crash(
+            context.gateway, context.request, endpoint, context.attempt_started_at, now
+        )
     avoided = 0.0
     if outcome is AttemptOutcome.MISDIRECTED:
         mark_replaced(endpoint)
@@ -509,44 +493,6 @@
     return context.last_event_at >= context.attempt_started_at
 
 
-def _record_answer(context: RequestContext, now: float) -> None:
-    """Record that an engine has begun to answer the prompt, so that its parts are innocent."""
-    gateway = context.gateway
-    answered = record_answer(gateway.forwarding.crashes, context.request.prompt_parts, now)
-    for part in answered:
-        log_cleared_part(part)
-    if answered:
-        gateway.share_crashes([], answered)
-
-
-def _record_crash(context: RequestContext, endpoint: Endpoint, now: float) -> None:
-    """Record that an engine may have crashed because of the prompt."""
-    gateway, request = context.gateway, context.request
-    history = gateway.forwarding.crashes
-    crashes = record_crash(
-        history,
-        request.prompt_parts,
-        f"{endpoint.name}/{endpoint.born}",
-        request.request_id,
-        context.attempt_started_at,
-        now,
-    )
-    if crashes:
-        gateway.share_crashes(crashes, [])
-    log_new_blocks(history)
-
-
-def format_parts(parts: tuple[int, ...]) -> str:
-    """Return the parts of a prompt that other requests may share, for a log line.
-
-    Examples
-    --------
-    >>> format_parts((0x5C1E07A2, 0x91BD3F06, 0xE4402B7D))
-    '5c1e07a2,91bd3f06'
-    """
-    return ",".join(f"{part:x}" for part in parts[:-1][:MAX_LOGGED_PARTS])
-
-
 def find_helper_at_fault(helpers: list[Endpoint], head: AnswerHead | None) -> Endpoint | None:
     """Return the helper that an answer names as the cause of a rejection, or None."""
     if head is None or not head.endpoint_at_fault:
