--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -233,6 +233,11 @@
     return len(body) >= int(find_header(head, b"content-length") or 0)
 
 
+def get_status(data: bytes) -> int:
+    """Return the status of an answer; 0 if the connection ended without one."""
+    return int(data.split(b" ", 2)[1]) if data else 0
+
+
 def read_body(data: bytes) -> bytes:
     """Return the body of an answer, with the chunks joined."""
     head, _, body = data.partition(b"\r\n\r\n")
--- a/tests/gateway/test_hostile.py
+++ b/tests/gateway/test_hostile.py
@@ -17,6 +17,7 @@
     answer_whole,
     call,
     find_header,
+    get_status,
     make_chunk,
     make_events,
     make_manifest,
@@ -34,10 +35,6 @@
 BROKEN_PIPE = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
 
 
-def get_status(data: bytes) -> int:
-    return int(data.split(b" ", 2)[1]) if data else 0
-
-
 def make_head(head: bytes, status: bytes, headers: bytes) -> bytes:
     identifier = find_header(head, b"x-request-id")
     return b"HTTP/1.1 " + status + b"\r\nX-Request-Id: " + identifier + b"\r\n" + headers + b"\r\n"
--- a/tests/gateway/test_interrupted_answers.py
+++ b/tests/gateway/test_interrupted_answers.py
@@ -11,6 +11,7 @@
     answer_whole,
     call,
     find_header,
+    get_status,
     make_events,
     make_manifest,
     make_request,
@@ -31,10 +32,6 @@
     anyio.run(scenario)
 
 
-def get_status(data: bytes) -> int:
-    return int(data.split(b" ", 2)[1]) if data else 0
-
-
 def send_bytes(data: bytes):
     """Return a script that writes some bytes and closes the connection regularly."""
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -14,6 +14,7 @@
     answer_whole,
     call,
     find_header,
+    get_status,
     make_events,
     make_manifest,
     make_request,
@@ -48,10 +49,6 @@
     anyio.run(scenario)
 
 
-def get_status(data: bytes) -> int:
-    return int(data.split(b" ", 2)[1]) if data else 0
-
-
 def test_bytes_reach_the_endpoint_and_the_caller_unchanged():
     """Guard against a changed method, path, query, status, body or MAC."""
 
