Log which replica a host polls and why it left another one

A host that gets changes too late could not be told from a replica that wrongly counts as current: nothing named the polled replica. The line names both replicas, the reason and the version that the host holds.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -166,7 +166,7 @@
     if replica is None or now - waiting_since > answer_timeout:
         if replica is not None:
             _avoid_unresponsive(replica, now)
-        _choose_replica(state, now)
+        effects += _choose_replica(state, "unresponsive" if replica else "none polled", now)
     if not state.polled_replica:
         return effects
     replica = state.replicas[state.polled_replica]
@@ -196,17 +196,25 @@
     replica.consecutive_timeouts += 1
 
 
-def _choose_replica(state: SubscriberState, now: float) -> None:
-    """Select the replica to poll; see `_make_sort_key`."""
+def _choose_replica(state: SubscriberState, reason: str, now: float) -> list[Effect]:
+    """Select the replica to poll, see `_make_sort_key`, and log why the last one is left."""
     candidates = list(dict.fromkeys([*state.members, *state.seeds]))
     if not candidates:
-        return
+        return []
+    previous = state.polled_replica
     state.polled_replica = min(candidates, key=lambda host: _make_sort_key(state, host, now))
     state.polled_since = now
     state.min_poll_interval = 0.0
     replica = state.replicas.setdefault(state.polled_replica, ReplicaStatus())
     # Its updates may have been missed while another replica was polled.
     replica.incarnation = replica.revision = 0
+    fields = {
+        "replica": state.polled_replica,
+        "previous": previous,
+        "reason": reason,
+        "version": state.version,
+    }
+    return [WriteLog("info", "the polled replica changed", fields)]
 
 
 def _make_sort_key(state: SubscriberState, host: str, now: float) -> tuple[float, bool, int]:
@@ -256,7 +264,8 @@
     if min(
         _make_sort_key(state, host, now) for host in state.members or (sender,)
     ) < _make_sort_key(state, sender, now):
-        _choose_replica(state, now)
+        reason = "better replica" if update.current else "not current"
+        effects += _choose_replica(state, reason, now)
         # The answer timeout of a replica starts when it is selected, so it is polled immediately.
         effects.append(SetTimer(POLL, now))
     return effects
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -39,6 +39,7 @@
     "permits": "number of permits",
     "phase": "step of a claim",
     "prompt_tokens": "length of a prompt in tokens",
+    "previous": "replica that the host polled before; empty for none",
     "reason": "reason of an outcome or of a halt",
     "removed": "number of endpoints that an update from a replica removed",
     "replica": "host that keeps a replica",
