Limit the exponents of backoffs that have no other end

A host that reached no replica for about half an hour, or had a removed replica among its seeds for some hours, computed 1.5**n or 2**n for the next wait and ended with an OverflowError; an endpoint with a thousand failures in a row failed the requests of callers in the same way. Found by the simulation of silent connections, where a timer fired often. All backoffs now share one limit of their steps. Both tests fail without the change.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -1,5 +1,9 @@
 """Default values of all settings and constants, with the unit in the name."""
 
+# Steps after which a backoff no longer grows; all reach their upper bound earlier, and many more
+# would overflow a float.
+MAX_BACKOFF_STEPS = 30
+
 # Freshness and membership. FRESHNESS_SECONDS plus START_WINDOW_SECONDS bounds how long new work can
 # start after a zone is taken out of service; the required bound is 3 s.
 FRESHNESS_SECONDS = 1.8
--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -137,7 +137,8 @@
         if is_first
         else defaults.FEED_POLL_INTERVAL_SECONDS
     )
-    backoff = interval * defaults.FEED_BACKOFF_FACTOR**state.unanswered_polls
+    steps = min(state.unanswered_polls, defaults.MAX_BACKOFF_STEPS)
+    backoff = interval * defaults.FEED_BACKOFF_FACTOR**steps
     limit = defaults.FEED_MAX_BACKOFF_SECONDS
     if is_first:
         limit = defaults.FEED_INITIAL_MAX_BACKOFF_SECONDS
@@ -191,7 +192,8 @@
 
     The time grows because each retry makes the host switch away from a replica that answers.
     """
-    seconds = defaults.FEED_AVOID_SECONDS * 2**replica.consecutive_timeouts
+    steps = min(replica.consecutive_timeouts, defaults.MAX_BACKOFF_STEPS)
+    seconds = defaults.FEED_AVOID_SECONDS * 2**steps
     replica.avoid_until = now + min(seconds, defaults.FEED_MAX_AVOID_SECONDS)
     replica.consecutive_timeouts += 1
 
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -42,9 +42,8 @@
     reported = max((report.failures for report in earlier), default=0)
     endpoint.failures = max(endpoint.failures, reported) + 1
     endpoint.failed_at = now
-    seconds = min(
-        defaults.FIRST_AVOID_SECONDS * 2 ** (endpoint.failures - 1), defaults.MAX_AVOID_SECONDS
-    )
+    steps = min(endpoint.failures - 1, defaults.MAX_BACKOFF_STEPS)
+    seconds = min(defaults.FIRST_AVOID_SECONDS * 2**steps, defaults.MAX_AVOID_SECONDS)
     endpoint.avoid_until = now + seconds
     return seconds
 
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -187,6 +187,19 @@
     assert [fleet.known_version(f"g{n}") for n in range(6)] == [4] * 6
 
 
+def test_a_host_survives_days_without_an_answer():
+    """Guard against a backoff that overflows, which ends the process of the host."""
+    fleet = make_fleet(gateways=1)
+    state = fleet.hosts["g0"].node.parts["control"].state
+    state.unanswered_polls = 10_000
+    for replica in state.replicas.values():
+        replica.consecutive_timeouts = 10_000
+    for name in [name for name in fleet.hosts if name.startswith("r")]:
+        fleet.kill(name)
+    fleet.run(30.0)
+    assert state.unanswered_polls > 10_000
+
+
 def test_a_read_is_answered_only_by_a_replica_with_the_latest_version():
     """Guard against a restarted replica that returns an older configuration."""
     fleet = make_fleet()
--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -133,3 +133,12 @@
         record_rejection(rejecting, 2.0)
     assert rejecting.failures == 0
     assert rejecting.avoid_until == 2.0 + defaults.REJECTION_AVOID_SECONDS
+
+
+def test_an_endpoint_may_fail_thousands_of_times():
+    """Guard against an avoidance that overflows, which fails the request of the caller."""
+    state = make_state(1)
+    endpoint = next(iter(state.endpoints.values()))
+    for number in range(2_000):
+        now = 10.0 * number
+        assert record_failure(endpoint, now, now) <= defaults.MAX_AVOID_SECONDS
