Switch to another replica when the answer timeout ends, not at the next poll

Callers were handled by an old manifest, because their host waited for a replica that could not answer. The host looked at the answer timeout of 1.1 s only when the next poll was due, and the interval of polls grows to 1 s without answers, so that it left a silent replica after up to 2 s; two of them in a row exceed the 3 s after which a host counts as in contact. Polls are now due at the end of the timeout at the latest. Ruled out: replicas that count as current and lag (in the traces they all had the change).

The new test fails before the change.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -157,17 +157,21 @@
     answer_timeout = max(
         answer_timeout, defaults.FEED_ANSWER_TIMEOUT_POLLS * state.min_poll_interval
     )
-    effects: list[Effect] = [SetTimer(POLL, now + interval)]
+    effects: list[Effect] = []
     unanswered_seconds = now - state.answered_at
     if not state.is_lost and unanswered_seconds > defaults.FEED_LOSS_TIMEOUT_SECONDS:
         state.is_lost = True
         effects.append(Publish(FeedLost(now, unanswered_seconds)))
     replica = state.replicas.get(state.polled_replica)
     waiting_since = max(replica.answered_at, state.polled_since) if replica else 0.0
-    if replica is None or now - waiting_since > answer_timeout:
+    answer_due_at = waiting_since + answer_timeout
+    if replica is None or now >= answer_due_at:
         if replica is not None:
             _avoid_unresponsive(replica, now)
         effects += _choose_replica(state, "unresponsive" if replica else "none polled", now)
+        answer_due_at = now + answer_timeout
+    # The interval grows without answers, but must not delay the switch to another replica.
+    effects.append(SetTimer(POLL, min(now + interval, answer_due_at)))
     if not state.polled_replica:
         return effects
     replica = state.replicas[state.polled_replica]
--- a/marjorambridge/requests/retries.py
+++ b/marjorambridge/requests/retries.py
@@ -37,5 +37,5 @@
 def compute_backoff(settings: RequestSettings, backoffs: int, random: Random) -> float:
     """Return a jittered delay in seconds that doubles with each backoff, up to a maximum."""
     steps = min(backoffs, defaults.MAX_BACKOFF_STEPS)
-    delay = min(settings.max_backoff, settings.initial_backoff * 2.0 ** steps)
+    delay = min(settings.max_backoff, settings.initial_backoff * 2.0**steps)
     return delay * random.uniform(0.5, 1.0)
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -200,6 +200,25 @@
     assert state.unanswered_polls > 10_000
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_host_leaves_an_unresponsive_replica_at_its_answer_timeout(seed):
+    """Guard against a switch that waits for the next poll, whose interval grows without answers."""
+    fleet = make_fleet(gateways=3, seed=seed)
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    fleet.run(1.0)
+    subscribers = [fleet.hosts[f"g{n}"].node.parts["control"].state for n in range(3)]
+    polled = {state.host: state.polled_replica for state in subscribers}
+    for name in list(fleet.hosts):
+        if name.startswith("r"):
+            fleet.kill(name)
+    # An answer that was sent before, the answer timeout, and the delay of a message.
+    fleet.run(defaults.FEED_ANSWER_TIMEOUT_SECONDS + 0.01)
+    assert all(state.polled_replica != polled[state.host] for state in subscribers)
+    polled = {state.host: state.polled_replica for state in subscribers}
+    fleet.run(defaults.FEED_ANSWER_TIMEOUT_SECONDS + 0.01)
+    assert all(state.polled_replica != polled[state.host] for state in subscribers)
+
+
 def test_a_read_is_answered_only_by_a_replica_with_the_latest_version():
     """Guard against a restarted replica that returns an older configuration."""
     fleet = make_fleet()
