Close connections between hosts that carried no message for three seconds

Callers were handled by an old manifest for up to 2.9 s after a newer one was acknowledged, when open connections had fallen silent without a reset, as behind a firewall that lost its state. A host that leaves a silent replica polls the next one over a connection from its past, which is silent, too, or gets the answer over such a connection; it tried one replica after the other, 1.1 s each. The same holds for votes between replicas that follow one leader. A connection is now closed after 3 s without a message, longer than any regular pause, so that the next message opens a new one.

--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -33,6 +33,9 @@
 # is closed so that a new one can be opened when the network has recovered.
 SEND_TIMEOUT_SECONDS = 2.0
 MESSAGE_LIFETIME_SECONDS = 2.0
+# A connection without a message for this long is closed. It may have become silent without a reset,
+# and the next message would be lost. Regular messages are sent at least every 1.3 s.
+IDLE_TIMEOUT_SECONDS = 3.0
 MAX_QUEUED_MESSAGES = 4_096
 MAX_BATCH_BYTES = 256 * 1024
 # The backoff is reset after a connection that lasted this long.
@@ -252,7 +255,10 @@
     network: Network, stream: ByteStream, session: frames.Session, peer: Peer
 ) -> None:
     while True:
-        await peer.wakeup.wait()
+        with anyio.move_on_after(IDLE_TIMEOUT_SECONDS):
+            await peer.wakeup.wait()
+        if not peer.wakeup.is_set():
+            return
         batch = _encode_batch(session, peer)
         try:
             with anyio.fail_after(SEND_TIMEOUT_SECONDS):
--- a/tests/control/links.py
+++ b/tests/control/links.py
@@ -39,6 +39,7 @@
     retransmissions: int = 0
     connecting_since: float | None = None
     syns_sent: int = 0
+    used_at: float = 0.0
     retry_at: float = 0.0
     backoff: float = network.MIN_BACKOFF_SECONDS
 
@@ -68,6 +69,11 @@
     limit = now - network.MESSAGE_LIFETIME_SECONDS
     while link.queue and link.queue[0][0] < limit:
         link.queue.popleft()
+    idle_since = now - network.IDLE_TIMEOUT_SECONDS
+    if link.is_open and link.unacknowledged_since is None and link.used_at < idle_since:
+        link.is_open = link.silent = False
+    if link.queue:
+        link.used_at = now
     if not link.is_open and not _connect(link, now, passes_data and passes_replies, is_listening):
         return []
     arrived = _retransmit(link, now, passes_data, passes_replies)
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -1,5 +1,6 @@
 """Test connections between hosts: lost peers, wrong keys and hosts of other fleets."""
 
+import contextlib
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 
@@ -72,6 +73,69 @@
             await network.close(host)
 
 
+class Relay:
+    """Forward connections to a host until they are silenced; new ones work again.
+
+    What is sent on a silent connection is read and dropped, so that only the hosts can tell.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.count = 0
+        self.silent = set()
+
+    async def serve(self, address, task_status=anyio.TASK_STATUS_IGNORED):
+        ip, _, port = address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
+        async with listener, anyio.create_task_group() as tasks:
+            task_status.started()
+            await listener.serve(self.handle, tasks)
+
+    async def handle(self, dialer):
+        self.count += 1
+        ip, _, port = self.target.rpartition(":")
+        acceptor = await anyio.connect_tcp(ip, int(port))
+        async with acceptor, dialer, anyio.create_task_group() as tasks:
+            tasks.start_soon(self.forward, self.count, acceptor, dialer)
+            await self.forward(self.count, dialer, acceptor)
+            tasks.cancel_scope.cancel()
+
+    async def forward(self, number, source, target):
+        with contextlib.suppress(anyio.EndOfStream, *network.CONNECTION_ERRORS):
+            while True:
+                data = await source.receive()
+                if number not in self.silent:
+                    await target.send(data)
+
+    def silence(self):
+        self.silent = set(range(self.count + 1))
+
+
+@asynccontextmanager
+async def running_relay(pair):
+    """Route the messages to host b through a relay."""
+    relay = Relay(pair.addresses["b"])
+    (port,) = find_free_ports(1)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(relay.serve, f"127.0.0.1:{port}")
+        pair.hosts["a"].resolve = {"b": f"127.0.0.1:{port}"}.get
+        yield relay
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_connection_that_fell_silent_while_idle_loses_no_message(monkeypatch):
+    """Guard against a message that is lost because its connection was not used for a while."""
+    monkeypatch.setattr(network, "IDLE_TIMEOUT_SECONDS", 0.2)
+    async with running_pair() as pair, running_relay(pair) as relay:
+        network.send(pair.hosts["a"], "b", make_message(1))
+        await wait_for(lambda: len(pair.received["b"]) == 1)
+        relay.silence()
+        await anyio.sleep(0.4)
+        network.send(pair.hosts["a"], "b", make_message(2))
+        with anyio.fail_after(network.SEND_TIMEOUT_SECONDS):
+            await wait_for(lambda: len(pair.received["b"]) == 2)
+
+
 async def test_messages_arrive_in_order_with_their_sender():
     async with running_pair() as pair:
         for number in range(100):
