Acknowledge frames between hosts, so that a silent connection in use is replaced

After connections had fallen silent without a reset, hosts and replicas noticed it only where TCP itself lacked acknowledgements, after 2 s; behind anything that acknowledges segments and drops them the messages of a pair of hosts were lost for good, votes, entries and manifests included. The acceptor now returns the number of frames that it has read, at most ten times a second, and the dialer replaces a connection whose frames are unacknowledged for 1 s. The handshake says whether a host does so; hosts of older versions are served as before.

The test of a silent connection in use fails before the change (the messages never arrive).

--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -4,7 +4,6 @@
 are dropped when the peer can't be reached, and the reducers tolerate the loss.
 """
 
-import contextlib
 import secrets
 import socket
 import time
@@ -22,6 +21,18 @@
 from marjorambridge.core.events import Event, MessageReceived
 from marjorambridge.core.exceptions import MarjorambridgeError
 from marjorambridge.transport import frames
+from marjorambridge.transport.acknowledgements import (
+    ACKNOWLEDGEMENT_INTERVAL_SECONDS,
+    STREAM_ERRORS,
+    ReceivedFrames,
+    SentFrames,
+    compute_timeout,
+    count_received,
+    end_received,
+    read_acknowledgements,
+    record_batch,
+    send_acknowledgements,
+)
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.turn_queue import TurnQueue, acquire_turn, grant_turns
 from marjorambridge.wire.codec import decode_message, encode_message
@@ -44,14 +55,7 @@
 # After a power failure hosts and replicas start within a second of one another, and callers wait
 # for the first connections; a refused connection costs little.
 MAX_BACKOFF_SECONDS = 0.25
-CONNECTION_ERRORS = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.IncompleteRead,
-    MarjorambridgeError,
-)
+CONNECTION_ERRORS = (*STREAM_ERRORS, MarjorambridgeError)
 
 
 class Peer(Struct):
@@ -149,6 +153,7 @@
             incarnation=network.incarnation,
             address=network.address,
             nonce=secrets.token_bytes(frames.NONCE_BYTES),
+            acknowledges=True,
         )
     )
 
@@ -182,8 +187,25 @@
         acceptor = _make_hello(network)
         await stream.send(frames.add_length(acceptor))
     session = frames.derive_session(network.fleet_key, dialer, acceptor)
+    received = ReceivedFrames()
+    if hello.acknowledges:
+        network.tasks.start_soon(send_acknowledgements, stream, received)
+    try:
+        await _receive_frames(network, hello, session, reader, received)
+    finally:
+        end_received(received)
+
+
+async def _receive_frames(
+    network: Network,
+    hello: Hello,
+    session: frames.Session,
+    reader: BufferedByteReceiveStream,
+    received: ReceivedFrames,
+) -> None:
     while True:
         data = await _read_frame(reader)
+        count_received(received)
         if not network.is_urgent(hello.host):
             await acquire_turn(network.turn_queue)
         frame = frames.open_frame(session, data)
@@ -230,34 +252,34 @@
     async with stream:
         _set_options(stream)
         dialer = _make_hello(network)
+        reader = BufferedByteReceiveStream(stream)
         with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
             await stream.send(frames.add_length(dialer))
-            acceptor = await _read_frame(BufferedByteReceiveStream(stream))
+            acceptor = await _read_frame(reader)
         hello = frames.decode_hello(acceptor, network.fleet)
         if hello.host != host:
             raise HandshakeError(f"{address} is {hello.host!r}, not {host!r}; check the settings")
         session = frames.derive_session(network.fleet_key, dialer, acceptor)
+        sent = SentFrames(is_acknowledged=bool(hello.acknowledges))
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_close, stream, tasks.cancel_scope)
-            await _send_batches(network, stream, session, peer)
+            tasks.start_soon(read_acknowledgements, reader, sent, tasks.cancel_scope)
+            await _send_batches(network, host, stream, session, peer, sent)
             tasks.cancel_scope.cancel()
 
 
-async def _cancel_on_close(stream: ByteStream, scope: anyio.CancelScope) -> None:
-    # The acceptor sends nothing after its handshake, so any return of receive() means that the
-    # connection is closed.
-    with contextlib.suppress(CONNECTION_ERRORS):
-        await stream.receive()
-    scope.cancel()
-
-
 async def _send_batches(
-    network: Network, stream: ByteStream, session: frames.Session, peer: Peer
+    network: Network,
+    host: str,
+    stream: ByteStream,
+    session: frames.Session,
+    peer: Peer,
+    sent: SentFrames,
 ) -> None:
+    idle_at = time.monotonic() + IDLE_TIMEOUT_SECONDS
     while True:
-        with anyio.move_on_after(IDLE_TIMEOUT_SECONDS):
-            await peer.wakeup.wait()
-        if not peer.wakeup.is_set():
+        if not await _wait_for_messages(peer, sent, idle_at):
+            if sent.batches:
+                logger.bind(peer=host).info("a connection to a peer is silent")
             return
         batch = _encode_batch(session, peer)
         try:
@@ -267,6 +289,29 @@
             logger.bind(error=repr(error)).debug("failed to send to a peer")
             return
         network.sent_bytes += len(batch)
+        now = time.monotonic()
+        record_batch(sent, session.sequence, now)
+        idle_at = now + IDLE_TIMEOUT_SECONDS
+
+
+async def _wait_for_messages(peer: Peer, sent: SentFrames, idle_at: float) -> bool:
+    """Wait for messages; return whether there are any and the connection may be used."""
+    while True:
+        now = time.monotonic()
+        # Acknowledgements that arrive meanwhile do not end the wait.
+        ends_at = [at for at in (idle_at, compute_timeout(sent)) if at is not None and at > now]
+        with anyio.move_on_after(min(ends_at, default=now) - now):
+            await peer.wakeup.wait()
+        silent_at = compute_timeout(sent)
+        if silent_at is not None and time.monotonic() >= silent_at:
+            # First read the acknowledgements that arrived while this process was busy.
+            await anyio.sleep(ACKNOWLEDGEMENT_INTERVAL_SECONDS)
+            if compute_timeout(sent) == silent_at:
+                return False
+        if peer.wakeup.is_set():
+            return True
+        if time.monotonic() >= idle_at and not sent.batches:
+            return False
 
 
 def _encode_batch(session: frames.Session, peer: Peer) -> bytes:
--- a/marjorambridge/wire/gen/frame/ttypes.py
+++ b/marjorambridge/wire/gen/frame/ttypes.py
@@ -26,6 +26,7 @@
      - incarnation
      - address
      - nonce
+     - acknowledges
 
     """
 
@@ -36,16 +37,18 @@
         'incarnation',
         'address',
         'nonce',
+        'acknowledges',
     )
 
 
-    def __init__(self, version=None, fleet=None, host=None, incarnation=None, address=None, nonce=None,):
+    def __init__(self, version=None, fleet=None, host=None, incarnation=None, address=None, nonce=None, acknowledges=None,):
         self.version = version
         self.fleet = fleet
         self.host = host
         self.incarnation = incarnation
         self.address = address
         self.nonce = nonce
+        self.acknowledges = acknowledges
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -86,6 +89,11 @@
                     self.nonce = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.acknowledges = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -120,6 +128,10 @@
             oprot.writeFieldBegin('nonce', TType.STRING, 6)
             oprot.writeBinary(self.nonce)
             oprot.writeFieldEnd()
+        if self.acknowledges is not None:
+            oprot.writeFieldBegin('acknowledges', TType.BOOL, 7)
+            oprot.writeBool(self.acknowledges)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -268,6 +280,7 @@
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'nonce', 'BINARY', None, ),  # 6
+    (7, TType.BOOL, 'acknowledges', None, None, ),  # 7
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/marjorambridge/wire/idl/frame.thrift
+++ b/marjorambridge/wire/idl/frame.thrift
@@ -10,6 +10,8 @@
   4: i64 incarnation
   5: string address
   6: binary nonce
+  // Whether the sender acknowledges frames, or understands acknowledgements; missing in old hosts.
+  7: bool acknowledges
 }
 
 struct Frame {
--- a/tests/control/links.py
+++ b/tests/control/links.py
@@ -1,13 +1,14 @@
 """Simulate the connections between hosts: partitions, silence, retransmission and reconnection.
 
 A connection carries messages in one direction, as in `marjorambridge.transport.network`. Messages
-that are not acknowledged are retransmitted until the user timeout closes the connection.
+that are not acknowledged are retransmitted until a timeout closes the connection.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
 from marjorambridge.transport import network
+from marjorambridge.transport.acknowledgements import ACKNOWLEDGEMENT_TIMEOUT_SECONDS
 
 # Times after the first transmission at which unacknowledged data is sent again, in seconds.
 RETRANSMISSIONS = (0.2, 0.6, 1.4, 3.0)
@@ -78,7 +79,7 @@
         return []
     arrived = _retransmit(link, now, passes_data, passes_replies)
     waits_since = link.unacknowledged_since
-    if waits_since is not None and now - waits_since >= network.SEND_TIMEOUT_SECONDS:
+    if waits_since is not None and now - waits_since >= ACKNOWLEDGEMENT_TIMEOUT_SECONDS:
         close_link(link, now)
         return arrived
     while link.queue:
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -13,7 +13,7 @@
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.limits.messages import PermitCancel
 from marjorambridge.standins.fleet import find_free_ports
-from marjorambridge.transport import network
+from marjorambridge.transport import frames, network
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
 from marjorambridge.transport.turn_queue import (
@@ -22,7 +22,9 @@
     acquire_turn,
     grant_turns,
 )
+from marjorambridge.wire.codec import decode_structure
 from marjorambridge.wire.exceptions import WireError
+from marjorambridge.wire.gen.frame.ttypes import Hello
 
 pytestmark = pytest.mark.anyio
 
@@ -129,6 +131,8 @@
     async with running_pair() as pair, running_relay(pair) as relay:
         network.send(pair.hosts["a"], "b", make_message(1))
         await wait_for(lambda: len(pair.received["b"]) == 1)
+        # The acknowledgement of the first message is under way.
+        await anyio.sleep(0.1)
         relay.silence()
         await anyio.sleep(0.4)
         network.send(pair.hosts["a"], "b", make_message(2))
@@ -136,6 +140,57 @@
             await wait_for(lambda: len(pair.received["b"]) == 2)
 
 
+async def test_a_connection_that_falls_silent_in_use_is_replaced():
+    """Guard against messages that are lost for good where TCP sees no fault."""
+    async with running_pair() as pair, running_relay(pair) as relay:
+        with anyio.fail_after(20):
+            for number in range(200):
+                network.send(pair.hosts["a"], "b", make_message(number))
+                if number == 5:
+                    relay.silence()
+                last = max([m.message.permit.number for m in pair.received["b"]], default=0)
+                if last > 10:
+                    break
+                await anyio.sleep(0.05)
+    assert last > 10 and relay.count == 2
+
+
+async def test_a_connection_in_use_without_faults_is_kept():
+    """Guard against acknowledgements that come too late for a sound connection."""
+    async with running_pair() as pair, running_relay(pair) as relay:
+        for number in range(30):
+            network.send(pair.hosts["a"], "b", make_message(number))
+            await anyio.sleep(0.05)
+        await anyio.sleep(1.2)
+        network.send(pair.hosts["a"], "b", make_message(30))
+        await wait_for(lambda: len(pair.received["b"]) == 31)
+    assert relay.count == 1
+
+
+async def test_a_peer_without_acknowledgements_is_not_taken_for_silent(monkeypatch):
+    """Guard against connections between two versions that are closed again and again."""
+    make_hello = network._make_hello
+
+    def make_old_hello(host):
+        hello = decode_structure(make_hello(host), Hello)
+        hello.acknowledges = None
+        return frames.encode_hello(hello)
+
+    async def send_nothing(stream, received):
+        pass
+
+    monkeypatch.setattr(network, "send_acknowledgements", send_nothing)
+    async with running_pair() as pair, running_relay(pair) as relay:
+        monkeypatch.setattr(
+            network, "_make_hello", lambda h: make_old_hello(h) if h.host == "b" else make_hello(h)
+        )
+        for number in range(30):
+            network.send(pair.hosts["a"], "b", make_message(number))
+            await anyio.sleep(0.05)
+        await wait_for(lambda: len(pair.received["b"]) == 30)
+    assert relay.count == 1
+
+
 async def test_messages_arrive_in_order_with_their_sender():
     async with running_pair() as pair:
         for number in range(100):
