Prefer replicas that were unresponsive to one that is not current

A host that polls a replica which is cut off from the others stayed with it while it avoided the others, for up to 24 s after they had recovered, and handled callers by an old manifest meanwhile. Both reasons to avoid a replica shared one time, and an outdated replica was avoided for 3 s only. An outdated replica now comes after all others: one that was unresponsive may answer again, but the outdated one certainly lacks changes. The test fails before the change: the host still has version 1 after 2 s.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -33,7 +33,10 @@
     Attributes
     ----------
     avoid_until : float
-        Monotonic time in seconds until which other replicas are preferred.
+        Monotonic time in seconds until which other replicas are preferred, because this one was
+        unresponsive.
+    outdated_until : float
+        Monotonic time in seconds until which this replica counts as not current.
     consecutive_timeouts : int
         Timeouts since the replica's last answer.
     """
@@ -42,6 +45,7 @@
     revision: int = 0
     answered_at: float = 0.0
     avoid_until: float = 0.0
+    outdated_until: float = 0.0
     consecutive_timeouts: int = 0
 
 
@@ -223,16 +227,19 @@
     return [WriteLog("info", "the polled replica changed", fields)]
 
 
-def _make_sort_key(state: SubscriberState, host: str, now: float) -> tuple[float, bool, int]:
+def _make_sort_key(state: SubscriberState, host: str, now: float) -> tuple[bool, float, bool, int]:
     """Return the sort key of a replica; the lowest one is polled.
 
-    Replicas that are avoided come last, in the order in which the avoidance ends. Replicas in the
-    zone of this host come before others, and a hash breaks ties.
+    Replicas that are not current come last: one that was unresponsive may have recovered, but the
+    answers of an outdated one lack changes. Replicas that are avoided come before them, in the
+    order in which the avoidance ends. Replicas in the zone of this host come before others, and a
+    hash breaks ties.
     """
-    replica = state.replicas.get(host)
-    avoided_for = max(0.0, replica.avoid_until - now) if replica is not None else 0.0
+    replica = state.replicas.get(host, ReplicaStatus())
+    is_outdated = replica.outdated_until > now
+    avoided_for = max(0.0, replica.avoid_until - now)
     order = xxhash.xxh3_64_intdigest(f"{state.host}/{host}".encode())
-    return avoided_for, state.zone_of.get(host, "") != state.zone, order
+    return is_outdated, avoided_for, state.zone_of.get(host, "") != state.zone, order
 
 
 def _handle_update(
@@ -265,8 +272,10 @@
         state.is_lost = False
         effects.append(Publish(FeedRegained(now, sender)))
     effects += _publish_update(state, update, can_apply_endpoints, now)
-    if not update.current and now >= replica.avoid_until:
-        replica.avoid_until = now + defaults.FEED_AVOID_SECONDS
+    if update.current:
+        replica.outdated_until = 0.0
+    elif now >= replica.outdated_until:
+        replica.outdated_until = now + defaults.FEED_AVOID_SECONDS
     if min(
         _make_sort_key(state, host, now) for host in state.members or (sender,)
     ) < _make_sort_key(state, sender, now):
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -4,6 +4,7 @@
 from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
+from marjorambridge.control import subscriber
 from marjorambridge.control.commands import (
     DrainZone,
     ReadBarrier,
@@ -40,6 +41,19 @@
     return [n for n, h in fleet.hosts.items() if h.node and h.disk and n != leader]
 
 
+def cut_off_from_replicas(fleet, isolated):
+    """Cut a replica off from all others, but not from the hosts."""
+    is_connected_by_default = Fleet.is_connected
+
+    def is_connected(self, one, other):
+        between_replicas = self.hosts[one].disk and self.hosts[other].disk
+        return not (between_replicas and isolated in (one, other)) and is_connected_by_default(
+            self, one, other
+        )
+
+    fleet.is_connected = is_connected.__get__(fleet)
+
+
 def test_replicas_outside_the_seeds_become_voters():
     """Guard against a group that consists of the seeds only and tolerates too few failures."""
     fleet = make_fleet()
@@ -166,15 +180,7 @@
     """Guard against hosts that keep polling a replica which no longer receives changes."""
     fleet = make_fleet(gateways=6)
     isolated = list_followers(fleet)[0]
-    is_connected_by_default = Fleet.is_connected
-
-    def is_connected(self, one, other):
-        between_replicas = self.hosts[one].disk and self.hosts[other].disk
-        return not (between_replicas and isolated in (one, other)) and is_connected_by_default(
-            self, one, other
-        )
-
-    fleet.is_connected = is_connected.__get__(fleet)
+    cut_off_from_replicas(fleet, isolated)
     fleet.run(2.0)
     fleet.submit(isolated, ReadBarrier("read"))
     fleet.run(1.0)
@@ -219,6 +225,31 @@
     assert all(state.polled_replica != polled[state.host] for state in subscribers)
 
 
+def test_a_host_prefers_a_replica_that_was_unresponsive_to_an_outdated_one():
+    """Guard against a host that stays with a replica which is cut off from the others.
+
+    The others were unresponsive before, so that the host would avoid them for longer.
+    """
+    fleet = make_fleet(gateways=1)
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    fleet.run(1.0)
+    state = fleet.hosts["g0"].node.parts["control"].state
+    isolated = list_followers(fleet)[0]
+    cut_off_from_replicas(fleet, isolated)
+    for name in ("r0", "r1", "r2", "r3", "r4"):
+        status = state.replicas.setdefault(name, subscriber.ReplicaStatus())
+        status.avoid_until = 0.0 if name == isolated else fleet.now + 20.0
+    state.polled_replica = isolated
+    fleet.run(0.5)
+    leader = next(n for n in list_followers(fleet) if n != isolated)
+    fleet.submit(leader, ReplaceManifest("b", 2, b"two"))
+    # The subscription at the former replica would push the change.
+    for name in set(fleet.control(leader).members) - {isolated}:
+        fleet.control(name).subscribers.pop("g0", None)
+    fleet.run(defaults.LEADER_CONTACT_TIMEOUT_SECONDS + 1.0)
+    assert fleet.known_version("g0") == 2
+
+
 def test_a_read_is_answered_only_by_a_replica_with_the_latest_version():
     """Guard against a restarted replica that returns an older configuration."""
     fleet = make_fleet()
