Keep to the requests a second that an endpoint names in its answers

Engines in need name in Server-Limit how many requests a second they take from all hosts together, and got several times as many: no code read the header. It is now a hint like that of a leaving endpoint. Each host may send a fixed share of the limit in any 4 s, a hash selects the senders where there are more hosts than requests, and hosts tell one another the newest limit or its end with their load reports. The limit survives the removal of the endpoint from the table and ends with an incarnation, or with a signed answer without the header.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -248,6 +248,10 @@
 # that causes a log line and a message.
 MAX_REJECTED_SECONDS = 120.0
 REJECTED_CHANGE_SECONDS = 0.1
+# Requests per second that are sent to an endpoint that takes fewer, in order to learn when it takes
+# more, and time for which hosts tell one another that a limit has ended.
+MIN_REQUEST_LIMIT_PER_SECOND = 0.1
+ENDED_LIMIT_REPORT_SECONDS = 5.0
 # Endpoints removed from the table whose hints are stored.
 MAX_SAVED_HINTS = 1_000
 # Age at which a failure no longer counts.
--- a/marjorambridge/forwarding/budgets.py
+++ b/marjorambridge/forwarding/budgets.py
@@ -5,9 +5,9 @@
 the same moment.
 """
 
-import xxhash
-
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.request_limits import record_limited_send
+from marjorambridge.forwarding.shares import is_selected_sender
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, RetryWindow
 
 COLD_WINDOW_SECONDS = 1.0
@@ -51,27 +51,7 @@
     hosts = list(state.hosts) or [settings.host]
     if limit >= len(hosts):
         return int(limit // len(hosts))
-    return int(_is_cold_sender(state, endpoint.name, int(limit)))
-
-
-def _is_cold_sender(state: ForwardingState, endpoint: str, count: int) -> bool:
-    """Return whether this host is among the first `count` by the hash of host and endpoint.
-
-    Each request needs this for every cold endpoint, and ordering the hosts of a large fleet takes
-    longer than the rest of a decision, so the result is cached until the hosts change.
-    """
-    if state.cold_senders_hosts is not state.hosts:
-        state.cold_senders_hosts = state.hosts
-        state.cold_senders.clear()
-    if (endpoint, count) not in state.cold_senders:
-        own = _hash_sender(state.settings.host, endpoint)
-        earlier = sum(_hash_sender(host, endpoint) < own for host in state.hosts)
-        state.cold_senders[endpoint, count] = earlier < count
-    return state.cold_senders[endpoint, count]
-
-
-def _hash_sender(host: str, endpoint: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{host}/{endpoint}".encode())
+    return int(is_selected_sender(state, endpoint.name, int(limit)))
 
 
 def may_send_cold(state: ForwardingState, endpoint: Endpoint, rate: float, now: float) -> bool:
@@ -82,7 +62,8 @@
 
 
 def record_send(endpoint: Endpoint, now: float) -> None:
-    """Record the time of a request to an endpoint, for the limit of cold endpoints."""
+    """Record the time of a request to an endpoint, for the limits of cold and limited ones."""
+    record_limited_send(endpoint, now)
     endpoint.recent_sends.append(now)
     while endpoint.recent_sends and endpoint.recent_sends[0] <= now - COLD_WINDOW_SECONDS:
         endpoint.recent_sends.popleft()
--- a/marjorambridge/forwarding/hints.py
+++ b/marjorambridge/forwarding/hints.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.request_limits import apply_request_limit, is_limited
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 
 
@@ -23,10 +24,14 @@
         Whether it is shutting down.
     rejected_seconds : float
         Time for which it rejects requests of this host; 0 if it does not.
+    request_limit : float or None
+        Requests per second that it takes from all hosts; infinite if it states that it has no
+        limit, and None if the answer says nothing about it.
     """
 
     leaving: bool = False
     rejected_seconds: float = 0.0
+    request_limit: float | None = None
 
 
 def apply_hints(endpoint: Endpoint, hints: EndpointHints, now: float) -> bool:
@@ -43,6 +48,8 @@
         # rejects requests of one host accepts few from another.
         endpoint.avoid_until = max(endpoint.avoid_until, until)
         endpoint.failed_at = now
+    if hints.request_limit is not None:
+        is_new |= apply_request_limit(endpoint, hints.request_limit, now)
     return is_new
 
 
@@ -69,7 +76,7 @@
 
 def save_hints(state: ForwardingState, endpoint: Endpoint, now: float) -> None:
     """Save the hints of an endpoint that is removed from the table."""
-    if not endpoint.leaving and not is_rejecting(endpoint, now):
+    if not (endpoint.leaving or is_rejecting(endpoint, now) or is_limited(endpoint)):
         return
     state.saved_hints[endpoint.name, endpoint.born] = endpoint
     while len(state.saved_hints) > defaults.MAX_SAVED_HINTS:
@@ -85,3 +92,5 @@
     endpoint.signalled_leaving |= before.signalled_leaving
     endpoint.rejects_until = max(endpoint.rejects_until, before.rejects_until)
     endpoint.avoid_until = max(endpoint.avoid_until, before.avoid_until)
+    if apply_request_limit(endpoint, before.request_limit, before.limit_seen_at):
+        endpoint.limited_sends = before.limited_sends
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -41,6 +41,10 @@
         Number of hosts that avoid it.
     leaving : bool
         Whether the endpoint signalled to one of them that it is leaving.
+    request_limit : float
+        Requests per second that the endpoint takes from all hosts; negative for no limit.
+    limit_age_milliseconds : int
+        Time since the endpoint stated the limit, or that it has none; negative if it is unknown.
     """
 
     endpoint: int
@@ -48,6 +52,8 @@
     avoided_milliseconds: int
     hosts: int
     leaving: bool = False
+    request_limit: float = -1.0
+    limit_age_milliseconds: int = -1
 
 
 class LoadShare(Struct):
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -14,6 +14,7 @@
     count_kv_tokens,
     count_requests,
 )
+from marjorambridge.forwarding.request_limits import may_send_limited
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, is_starting
 from marjorambridge.manifests.models import ServiceDefinition
 
@@ -158,7 +159,9 @@
 def can_start(
     state: ForwardingState, definition: ServiceDefinition, endpoint: Endpoint, now: float
 ) -> bool:
-    """Return whether the limit of a cold endpoint allows one more request."""
+    """Return whether the limits of a cold or limited endpoint allow one more request."""
+    if not may_send_limited(state, endpoint, now):
+        return False
     rate = definition.cold_requests_per_second
     if now >= endpoint.cold_until or rate <= 0:
         return True
--- a/marjorambridge/forwarding/retry_after.py
+++ b/marjorambridge/forwarding/retry_after.py
@@ -14,6 +14,7 @@
     count_requests,
 )
 from marjorambridge.forwarding.placement import RequestProfile, can_start, is_usable
+from marjorambridge.forwarding.request_limits import compute_limit_wait
 from marjorambridge.forwarding.splitting import is_long_prompt
 from marjorambridge.forwarding.state import ForwardingState
 
@@ -43,7 +44,10 @@
         )
         if count_requests(endpoint) >= endpoint.slots:
             wait += defaults.FULL_ENDPOINT_RETRY_AFTER_SECONDS
-        if not can_start(state, definition, endpoint, now):
+        limit_wait = compute_limit_wait(state, endpoint, now)
+        if limit_wait > 0:
+            wait = max(wait, limit_wait)
+        elif not can_start(state, definition, endpoint, now):
             wait += defaults.COLD_ENDPOINT_RETRY_AFTER_SECONDS
         if is_long and compute_pause_limit(endpoint) < strict:
             wait += defaults.SHORT_ANSWER_SECONDS
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -23,6 +23,7 @@
     has_memory,
     list_usable,
 )
+from marjorambridge.forwarding.request_limits import is_limited, may_send_limited
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, is_starting
 from marjorambridge.manifests.models import ServiceDefinition
 
@@ -62,7 +63,10 @@
         for endpoint in list_usable(state, profile.service, excluded, now)
         if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
         in PREFILL_ALLOWED
+        and may_send_limited(state, endpoint, now)
     ]
+    # A prefill shard is no request, but work for an endpoint in need.
+    eligible = [endpoint for endpoint in eligible if not is_limited(endpoint)] or eligible
     candidates = [
         endpoint
         for endpoint in eligible
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -87,6 +87,13 @@
         Monotonic time in seconds until which other endpoints are preferred.
     recent_sends : deque of float
         Times of the last requests, for the limit of a cold endpoint.
+    request_limit : float
+        Requests per second that it takes from all hosts, as its answers state; infinite for no
+        limit.
+    limit_seen_at : float
+        Monotonic time in seconds of the answer that stated `request_limit`.
+    limited_sends : deque of float
+        Times of the last requests while it states a limit.
     load : Load
         Load of this host.
     other_loads : dict of str to Load
@@ -113,6 +120,9 @@
     avoid_until: float = 0.0
     rejects_until: float = 0.0
     recent_sends: deque[float] = field(default_factory=deque)
+    request_limit: float = math.inf
+    limit_seen_at: float = -math.inf
+    limited_sends: deque[float] = field(default_factory=deque)
     load: Load = field(default_factory=Load)
     other_loads: dict[str, Load] = field(default_factory=dict)
     reports: dict[str, FailureReport] = field(default_factory=dict)
@@ -152,11 +162,11 @@
         Monotonic time in seconds at which loads of other hosts were last received.
     saved_hints : dict of tuple of (str, int) to Endpoint
         Endpoints with hints that were removed from the table, by name and start, the oldest first.
-    cold_senders : dict of tuple of (str, int) to bool
-        Whether this host is among the hosts that may send to a cold endpoint, by endpoint and
-        number of such hosts.
-    cold_senders_hosts : dict of str to str
-        Hosts for which `cold_senders` was computed.
+    selected_senders : dict of tuple of (str, int) to bool
+        Whether this host is among the hosts that may send to an endpoint, by endpoint and number
+        of such hosts.
+    selected_senders_hosts : dict of str to str
+        Hosts for which `selected_senders` was computed.
     crashes : CrashHistory
         Parts of prompts that may crash engines.
     """
@@ -175,8 +185,8 @@
     loads_received_at: float = -math.inf
     retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
     saved_hints: dict[tuple[str, int], Endpoint] = field(default_factory=dict)
-    cold_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
-    cold_senders_hosts: dict[str, str] = field(default_factory=dict)
+    selected_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
+    selected_senders_hosts: dict[str, str] = field(default_factory=dict)
     crashes: CrashHistory = field(default_factory=CrashHistory)
 
 
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -16,6 +16,11 @@
     LoadTotals,
     ZoneTotals,
 )
+from marjorambridge.forwarding.request_limits import (
+    apply_request_limit,
+    has_recent_limit,
+    is_limited,
+)
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
@@ -64,11 +69,26 @@
 
 
 def encode_failure(endpoint: Endpoint, report: FailureReport, now: float) -> EndpointFailure:
-    """Return the message entry for the failures and the leaving state of an endpoint."""
+    """Return the message entry for the failures and the hints of an endpoint."""
     avoided = math.ceil(max(0.0, report.avoid_until - now) * MILLISECONDS_PER_SECOND)
-    return EndpointFailure(
+    entry = EndpointFailure(
         endpoint.key, report.failures, avoided, report.hosts, endpoint.signalled_leaving
     )
+    if has_recent_limit(endpoint, now):
+        if is_limited(endpoint):
+            entry.request_limit = endpoint.request_limit
+        age = math.ceil((now - endpoint.limit_seen_at) * MILLISECONDS_PER_SECOND)
+        entry.limit_age_milliseconds = max(0, age)
+    return entry
+
+
+def apply_reported_limit(endpoint: Endpoint, reported: EndpointFailure, now: float) -> bool:
+    """Apply the limit that a message entry reports, if any; return whether it changed."""
+    if reported.limit_age_milliseconds < 0 or math.isnan(reported.request_limit):
+        return False
+    rate = reported.request_limit if reported.request_limit >= 0 else math.inf
+    seen_at = now - reported.limit_age_milliseconds / MILLISECONDS_PER_SECOND
+    return apply_request_limit(endpoint, rate, seen_at)
 
 
 def decode_failure(reported: EndpointFailure, now: float) -> FailureReport:
@@ -90,7 +110,9 @@
     failures = tuple(
         encode_failure(endpoint, FailureReport(endpoint.failures, endpoint.avoid_until), now)
         for endpoint in endpoints
-        if endpoint.name in reportable or endpoint.signalled_leaving
+        if endpoint.name in reportable
+        or endpoint.signalled_leaving
+        or has_recent_limit(endpoint, now)
     )
     return LoadShare(own_host, for_zone, loads, failures)
 
--- a/marjorambridge/gateway/hints.py
+++ b/marjorambridge/gateway/hints.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from marjorambridge.forwarding.hints import EndpointHints, apply_hints
+from marjorambridge.forwarding.request_limits import is_limited
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.messages import SUCCESS_STATUSES, AnswerHead
 from marjorambridge.gateway.state import Gateway
@@ -20,7 +21,9 @@
     """
     if head.misdirected or (head.status in SUCCESS_STATUSES and not head.is_signed):
         return
-    hints = EndpointHints(head.leaving, _read_rejected_seconds(endpoint, head))
+    hints = EndpointHints(
+        head.leaving, _read_rejected_seconds(endpoint, head), _read_request_limit(endpoint, head)
+    )
     if not apply_hints(endpoint, hints, time.monotonic()):
         return
     gateway.share_load(endpoint)
@@ -31,7 +34,8 @@
         status=head.status,
         leaving=hints.leaving,
         avoided_seconds=round(hints.rejected_seconds, 3),
-    ).info("an endpoint is leaving or rejects requests for a time")
+        request_limit=endpoint.request_limit if is_limited(endpoint) else -1.0,
+    ).info("an endpoint is leaving, rejects requests for a time, or states another limit")
 
 
 def _read_rejected_seconds(endpoint: Endpoint, head: AnswerHead) -> float:
@@ -46,6 +50,38 @@
         return 0.0
 
 
+def _read_request_limit(endpoint: Endpoint, head: AnswerHead) -> float | None:
+    """Return the limit in an answer; infinite if a signed answer names none."""
+    if not head.request_limit:
+        return math.inf if head.is_signed else None
+    try:
+        return parse_request_limit(head.request_limit)
+    except ValueError as error:
+        logger.bind(endpoint=endpoint.name, error=str(error)).warning(
+            "ignored an invalid limit of an endpoint"
+        )
+        return None
+
+
+def parse_request_limit(value: str) -> float:
+    """Return the requests per second of a limit.
+
+    Raises
+    ------
+    ValueError
+        If the value is no finite number of at least 0.
+
+    Examples
+    --------
+    >>> parse_request_limit("2.5")
+    2.5
+    """
+    rate = float(value)
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(f"{value[:40]!r} is not a rate; send a decimal number of at least 0")
+    return rate
+
+
 def parse_retry_after(value: str, date: str = "") -> float:
     """Return the seconds of a ``Retry-After`` header, which has a number or a date.
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -106,6 +106,8 @@
         Whether the status is the one with which an endpoint rejects a request.
     retry_after, date : str
         Values of the ``Retry-After`` and ``Date`` headers.
+    request_limit : str
+        Requests per second that the endpoint takes from all hosts; empty if the head names none.
     endpoint_at_fault : str
         Name or address of the endpoint that prevented the request from running, which may be a
         helper; empty if the head names none.
@@ -122,6 +124,7 @@
     is_unavailable: bool = False
     retry_after: str = ""
     date: str = ""
+    request_limit: str = ""
     endpoint_at_fault: str = ""
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -43,6 +43,7 @@
     is_usable,
     list_usable,
 )
+from marjorambridge.forwarding.request_limits import may_send_limited
 from marjorambridge.forwarding.reservations import needs_reservations, plan_memory_shares
 from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
@@ -279,7 +280,10 @@
         shares = plan_memory_shares(forwarding, profile, engines)
         if not shares or not await reserve(context.tickets, shares):
             return None
-        if not all(is_usable(forwarding, engine, excluded, time.monotonic()) for engine in engines):
+        now = time.monotonic()
+        if not may_send_limited(forwarding, engines[0], now) or not all(
+            is_usable(forwarding, engine, excluded, now) for engine in engines
+        ):
             # An engine became unusable while the memory was being reserved.
             await release(context.tickets)
             return None
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -45,6 +45,7 @@
     LoadTotals,
     ZoneTotals,
 )
+from marjorambridge.forwarding.request_limits import has_recent_limit
 from marjorambridge.forwarding.state import (
     OTHER_HOSTS_TOTAL,
     Endpoint,
@@ -58,6 +59,7 @@
 )
 from marjorambridge.gateway.datagrams import (
     LoadMessage,
+    apply_reported_limit,
     build_load_share,
     decode_datagram,
     decode_failure,
@@ -322,6 +324,10 @@
 ) -> None:
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
+    if apply_reported_limit(endpoint, reported, now):
+        logger.bind(endpoint=endpoint.name, peer=name, request_limit=reported.request_limit).info(
+            "another host reported the limit of an endpoint"
+        )
     if reported.leaving and apply_reported_leaving(sharing.forwarding, endpoint):
         logger.bind(endpoint=endpoint.name, peer=name).info(
             "another host reported that an endpoint is leaving"
@@ -475,7 +481,8 @@
         total = compute_total(sharing.aggregation, name, now, only_this_zone=only_this_zone)
         loads.append(encode_load(endpoint, total, now))
         report = combine_reports(endpoint, now, ZONE_TOTAL_PREFIX if only_this_zone else "")
-        if report is not None or endpoint.signalled_leaving:
+        has_hints = endpoint.signalled_leaving or has_recent_limit(endpoint, now)
+        if report is not None or has_hints:
             failures.append(encode_failure(endpoint, report or FailureReport(0, now), now))
     return tuple(loads), tuple(failures)
 
@@ -488,7 +495,8 @@
         for endpoint in list(sharing.forwarding.endpoints.values()):
             drop_old_loads(endpoint, now)
             drop_old_reports(endpoint, now)
-            if endpoint.load.requests or now < endpoint.avoid_until:
+            is_told = now < endpoint.avoid_until or has_recent_limit(endpoint, now)
+            if endpoint.load.requests or is_told:
                 mark_load_changed(sharing, endpoint)
         queue_repeated_crashes(sharing, now)
         if uses_aggregation(sharing.forwarding) and not sharing.changed:
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -30,6 +30,8 @@
 SIGNATURE = b"x-instance-signature"
 NOT_RUN = b"x-not-executed"
 LEAVING = b"server-leaving"
+# Requests per second from all hosts together, as a decimal number.
+REQUEST_LIMIT = b"server-limit"
 # The endpoint that prevented a request from running, not the one that answers.
 ENDPOINT_AT_FAULT = b"at-server"
 
@@ -191,6 +193,7 @@
         is_unavailable=status == UNAVAILABLE_STATUS,
         retry_after=values.get(b"retry-after", b"").decode("latin-1"),
         date=values.get(b"date", b"").decode("latin-1"),
+        request_limit=values.get(REQUEST_LIMIT, b"").decode("latin-1").strip(),
         endpoint_at_fault=values.get(ENDPOINT_AT_FAULT, b"").decode("latin-1"),
     )
 
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -45,6 +45,7 @@
     "replica": "host that keeps a replica",
     "replicas_answering": "replicas that answered the last poll",
     "request": "identifier of a request",
+    "request_limit": "requests per second that an endpoint takes from all hosts; negative for none",
     "requests": "number of different requests",
     "route": "route of a request",
     "seconds": "duration in seconds",
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -153,6 +153,8 @@
      - avoided_milliseconds
      - hosts
      - leaving
+     - request_limit
+     - limit_age_milliseconds
 
     """
 
@@ -162,15 +164,19 @@
         'avoided_milliseconds',
         'hosts',
         'leaving',
+        'request_limit',
+        'limit_age_milliseconds',
     )
 
 
-    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False,):
+    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False, request_limit=-1.0000000000000000, limit_age_milliseconds=-1,):
         self.endpoint = endpoint
         self.failures = failures
         self.avoided_milliseconds = avoided_milliseconds
         self.hosts = hosts
         self.leaving = leaving
+        self.request_limit = request_limit
+        self.limit_age_milliseconds = limit_age_milliseconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -206,6 +212,16 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.request_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.limit_age_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -236,6 +252,14 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 5)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.request_limit is not None:
+            oprot.writeFieldBegin('request_limit', TType.DOUBLE, 6)
+            oprot.writeDouble(self.request_limit)
+            oprot.writeFieldEnd()
+        if self.limit_age_milliseconds is not None:
+            oprot.writeFieldBegin('limit_age_milliseconds', TType.I64, 7)
+            oprot.writeI64(self.limit_age_milliseconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -994,6 +1018,8 @@
     (3, TType.I64, 'avoided_milliseconds', None, None, ),  # 3
     (4, TType.I64, 'hosts', None, None, ),  # 4
     (5, TType.BOOL, 'leaving', None, False, ),  # 5
+    (6, TType.DOUBLE, 'request_limit', None, -1.0000000000000000, ),  # 6
+    (7, TType.I64, 'limit_age_milliseconds', None, -1, ),  # 7
 )
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -16,6 +16,8 @@
   3: i64 avoided_milliseconds
   4: i64 hosts
   5: bool leaving = false
+  6: double request_limit = -1.0
+  7: i64 limit_age_milliseconds = -1
 }
 
 struct LoadShare {
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -496,3 +496,30 @@
         now += interval
     # Ten pairs of zones in both directions, a packet of 150 bytes at most for each total.
     assert cross_zone_bytes / seconds <= 20 * 150 / ZONE_TOTALS_SECONDS
+
+
+def test_hosts_tell_one_another_the_newest_limit_of_an_endpoint():
+    """Guard against hosts that never learn of a limit, or that it has ended."""
+    states = [make_state(1, hosts=(f"10.0.0.{n}:1", f"10.0.0.{3 - n}:1")) for n in (1, 2)]
+    first, second = (LoadSharing(state, state.settings.host, b"k") for state in states)
+    ends = [state.endpoints["e0"] for state in states]
+    apply_hints(ends[0], EndpointHints(request_limit=2.5), 10.0)
+    handle_datagram(second, make_datagram(first, ["e0"], 10.5), 10.501)
+    assert ends[1].request_limit == 2.5
+    apply_hints(ends[1], EndpointHints(request_limit=math.inf), 11.0)
+    # The report of a host that has not seen the end yet is older.
+    handle_datagram(second, make_datagram(first, ["e0"], 11.1), 11.101)
+    assert math.isinf(ends[1].request_limit)
+    handle_datagram(first, make_datagram(second, ["e0"], 11.2), 11.201)
+    assert math.isinf(ends[0].request_limit)
+
+
+def test_totals_contain_the_limit_of_an_endpoint():
+    """Guard against limits that do not pass the aggregating hosts of a large fleet."""
+    aggregator, now = make_aggregator()
+    sender, other_host = make_large_fleet(2), make_large_fleet(4)
+    apply_hints(sender.forwarding.endpoints["e0"], EndpointHints(request_limit=2.5), now)
+    handle_datagram(aggregator, make_datagram(sender, ["e0"], now, for_zone=True), now)
+    queue_totals(aggregator, now)
+    deliver(aggregator, other_host, now)
+    assert other_host.forwarding.endpoints["e0"].request_limit == 2.5
