--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -7,6 +7,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.conf.exceptions import SettingsError
+from marjorambridge.core.addresses import is_address
 
 
 class FleetBounds(Struct):
@@ -115,12 +116,6 @@
     return faults
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text is ``ip:port``."""
-    ip, _, port = text.rpartition(":")
-    return bool(ip) and port.isdecimal() and 0 < int(port) < 65_536
-
-
 def get_peer_address(settings: NodeSettings) -> str:
     """Return the address at which other hosts connect to this one."""
     return f"{settings.ip}:{settings.peer_ports[0]}"
--- a/marjorambridge/http/bodies.py
+++ b/marjorambridge/http/bodies.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Struct
 
+from marjorambridge.core.addresses import is_address
 from marjorambridge.http.exceptions import RequestError
 from marjorambridge.limits.messages import Announcement
 
@@ -19,7 +20,6 @@
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]*")
-_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9A-Fa-f:.]+\]):(\d{1,5})")
 
 
 class _ContentPart(msgspec.Struct):
@@ -161,18 +161,6 @@
     )
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text is an IP address with a port.
-
-    Examples
-    --------
-    >>> is_address("10.0.0.1:8000"), is_address("10.0.0.1"), is_address("[::1]:80")
-    (True, False, True)
-    """
-    match = _ADDRESS.fullmatch(text)
-    return match is not None and 0 < int(match.group(2)) < 65536
-
-
 def parse_announcement(body: bytes) -> Announcement:
     """Parse the body of ``/v1/announce``; block hashes are base64 in JSON.
 
