Refuse configurations with a version that messages between hosts can't hold

A version of 2**63 or more was accepted and stored, and then every replica ended with an OverflowError when it sent the version to hosts, after each restart again. Such a configuration is now invalid. The new case of the test fails before the change.

--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -26,6 +26,8 @@
 EXECUTIONS = {"idempotent": Execution.IDEMPOTENT, "streaming": Execution.STREAM}
 # The documents repeat names, so that even the fastest level reduces them to a tenth.
 COMPRESSION_LEVEL = 1
+# Messages between hosts hold versions as signed integers of 64 bits.
+MAX_VERSION = 2**63 - 1
 # The cost of attention is given in milliseconds per million pairs of tokens.
 SECONDS_PER_PAIR = 1e-9
 SECONDS_PER_MILLISECOND = 1e-3
@@ -108,7 +110,7 @@
 class ConfigurationDocument(msgspec.Struct):
     """A whole configuration; `tenants` is missing where requests need no key."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(le=MAX_VERSION)]
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
@@ -128,7 +130,7 @@
     """
     try:
         document = _DECODER.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         raise InvalidManifestError(f"unreadable configuration: {error}") from error
     return Manifest(
         version=document.version,
--- a/tests/manifests/test_validation.py
+++ b/tests/manifests/test_validation.py
@@ -93,6 +93,7 @@
             tenants=[{"name": "t1", "api_keys": ["k"]}, {"name": "t2", "api_keys": ["k"]}]
         ),
         b"[" * 100_000,
+        b'{"version": 9223372036854775808, "routes": [], "services": []}',
     ],
     ids=[
         "cut",
@@ -107,6 +108,7 @@
         "same prefix",
         "shared key",
         "deep",
+        "version that no message can hold",
     ],
 )
 def test_an_invalid_document_is_refused(document):
