Refuse requests that arrive late in a planned stop, and end the others with an answer

Reported by operators of similar systems: requests that came late in the grace time of a host were passed on and cut without an answer at its end. It could happen here with a request whose body took longer than the 2.8 s after which the host accepts no connections, and with a long request on a connection that was accepted before. The first is now refused as not run, with a short Retry-After; the second gets a deadline that ends before the process does, and a final answer. The new tests set the times that a stop sets, which the code before did not have.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -46,6 +46,8 @@
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # Answers that are not complete this long before the end of the grace time are aborted.
 GRACE_MARGIN_SECONDS = 0.4
+# Requests that arrived during the grace time get a final answer this long before that.
+FINAL_ANSWER_SECONDS = 0.2
 
 
 class GatewayAdapter(Struct):
@@ -259,10 +261,12 @@
     started_at = time.monotonic()
     host.stopping = True
     host.server.closing = True
+    ends_at = started_at + host.settings.bounds.shutdown_grace_seconds - GRACE_MARGIN_SECONDS
+    host.gateway.accepts_until = started_at + UNREADY_GRACE_SECONDS
+    host.gateway.ends_at = ends_at - FINAL_ANSWER_SECONDS
     await anyio.sleep(UNREADY_GRACE_SECONDS)
     callers.stop_listening(host.server)
     callers.close_idle_connections(host.server)
-    ends_at = started_at + host.settings.bounds.shutdown_grace_seconds - GRACE_MARGIN_SECONDS
     while host.server.active and time.monotonic() < ends_at:
         await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         callers.close_idle_connections(host.server)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -143,6 +143,9 @@
     except BadRequestError as error:
         await _answer_text(exchange, error.status, str(error))
         return
+    if time.monotonic() >= gateway.accepts_until:
+        await _refuse_late(gateway, exchange, request)
+        return
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
         await _refuse_admission(gateway, exchange, request, admitted)
@@ -190,7 +193,8 @@
         answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
         profile.prefill_seconds = compute_prefill_seconds(definition.engine, prompt.prompt_tokens)
         profile.kv_tokens = prompt.prompt_tokens + answer
-    deadline = exchange.arrived_at + seconds - ANSWER_MARGIN_SECONDS
+    # A host that is stopping ends before some answers are complete; they get a final answer then.
+    deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
     tickets = TicketSet(gateway, request.request_id)
     allocation = MemoryAllocation(gateway.memory)
     context = RequestContext(
@@ -217,6 +221,21 @@
     await callers.send_answer(exchange, status, headers, text.encode())
 
 
+async def _refuse_late(gateway: Gateway, exchange: Exchange, request: CallerRequest) -> None:
+    """Refuse a request that was complete only after this host stopped to accept any.
+
+    It might not end before the process does, and another host can serve it at once.
+    """
+    logger.bind(request=request.request_id, reason="stopping", status=UNAVAILABLE).info(
+        "a request was not admitted"
+    )
+    gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": "stopping"}))
+    seconds = defaults.MIN_RETRY_AFTER_SECONDS
+    headers = [PLAIN_TEXT, *gateway.dialect.encode_retry_after(seconds)]
+    text = "this host is stopping and has not run the request; send it again"
+    await callers.send_answer(exchange, UNAVAILABLE, headers, text.encode())
+
+
 async def _answer_text(exchange: Exchange, status: int, text: str) -> None:
     await callers.send_answer(exchange, status, [PLAIN_TEXT], text.encode())
 
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -1,5 +1,6 @@
 """Define the state that the I/O tasks of a gateway share."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -34,6 +35,9 @@
         Memory for buffered answers.
     tasks : TaskGroup or None
         Runs tasks that outlast their request.
+    accepts_until, ends_at : float
+        Monotonic times in seconds after which a host that is stopping refuses requests, and at
+        which it ends; infinite while it is not stopping.
     ticket_prefix : str
         Prefix of all tickets of this process.
     ticket_count : int
@@ -55,5 +59,7 @@
         )
     )
     tasks: TaskGroup | None = None
+    accepts_until: float = math.inf
+    ends_at: float = math.inf
     ticket_prefix: str = ""
     ticket_count: int = 0
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,5 +1,7 @@
 """Test the answers to callers when endpoints answer correctly, wrongly, twice or not at all."""
 
+import time
+
 import anyio
 import pytest
 from msgspec.structs import replace
@@ -375,6 +377,38 @@
     make_manifest(Execution.IDEMPOTENT, attempts=2, resumable=False),
     services=(ServiceDefinition("svc", engine=PROFILE),),
 )
+
+
+async def wait_forever(endpoint, stream, head):
+    await anyio.sleep_forever()
+
+
+def test_a_request_that_arrives_late_in_a_planned_stop_is_refused():
+    """Guard against a request that is passed on and then cut by the end of the process."""
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, answer_whole(b"ok")) as harness:
+            harness.gateway.accepts_until = time.monotonic()
+            data = await call(harness, make_request())
+            assert get_status(data) == 503 and b"Retry-After: " in data
+            assert not harness.endpoints[0].requests
+
+    run(scenario)
+
+
+def test_a_request_that_outlasts_a_planned_stop_gets_a_final_answer():
+    """Guard against a connection that is cut without an answer at the end of the grace time."""
+
+    async def scenario():
+        async with run_gateway(ONCE, wait_forever) as harness:
+            harness.gateway.ends_at = time.monotonic() + 0.5
+            with anyio.fail_after(1.0):
+                data = await call(harness, make_request())
+            assert get_status(data) == 504
+
+    run(scenario)
+
+
 LONG_PROMPT = b"X-Token-Usage: 154000,100\r\n"
 
 
