--- a/marjorambridge/transport/acknowledgements.py
+++ b/marjorambridge/transport/acknowledgements.py
@@ -79,13 +79,11 @@
     """
 
     is_acknowledged: bool
-    count: int = 0
     batches: deque[tuple[int, float]] = field(default_factory=deque)
 
 
 def record_batch(frames: SentFrames, count: int, now: float) -> None:
     """Record that a batch was sent, after which `count` frames have been sent in all."""
-    frames.count = count
     if frames.is_acknowledged:
         frames.batches.append((count, now))
 
