--- a/marjorambridge/forwarding/admission.py
+++ b/marjorambridge/forwarding/admission.py
@@ -17,6 +17,7 @@
     UNKNOWN_KEY = "unknown_key"
     NO_TIME = "no_time"
     NO_ENDPOINT = "no_endpoint"
+    STOPPING = "stopping"
 
 
 class Admission(Struct):
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -143,9 +143,6 @@
     except BadRequestError as error:
         await _answer_text(exchange, error.status, str(error))
         return
-    if time.monotonic() >= gateway.accepts_until:
-        await _refuse_late(gateway, exchange, request)
-        return
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
         await _refuse_admission(gateway, exchange, request, admitted)
@@ -164,7 +161,13 @@
 async def _admit(
     gateway: Gateway, exchange: Exchange, request: CallerRequest
 ) -> Admission | Refusal:
-    """Admit or refuse a request; before the first manifest arrives, wait a limited time for it."""
+    """Admit or refuse a request; before the first manifest arrives, wait a limited time for it.
+
+    A request that is complete late in a planned stop might not end before the process does, and
+    another host can serve it at once.
+    """
+    if time.monotonic() >= gateway.accepts_until:
+        return Refusal.STOPPING
     wait_deadline = exchange.arrived_at + defaults.FIRST_MANIFEST_TIMEOUT_SECONDS
     while True:
         admitted = admit_request(gateway.forwarding, request.host_name, request.path, request.key)
@@ -210,6 +213,7 @@
     status, text = {
         Refusal.NO_ROUTE: (NOT_FOUND, "no route matches; check host name and path"),
         Refusal.UNKNOWN_KEY: (UNAUTHORIZED, "the key is unknown; use a key of a workspace"),
+        Refusal.STOPPING: (UNAVAILABLE, "this host is stopping; the request has not run"),
     }.get(refusal, (UNAVAILABLE, "this host has no configuration yet; come back later"))
     logger.bind(request=request.request_id, reason=refusal.value, status=status).info(
         "a request was not admitted"
@@ -217,25 +221,13 @@
     gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": refusal.value}))
     headers = [PLAIN_TEXT]
     if status == UNAVAILABLE:
-        headers += gateway.dialect.encode_retry_after(defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS)
+        seconds = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
+        if refusal is Refusal.STOPPING:
+            seconds = defaults.MIN_RETRY_AFTER_SECONDS
+        headers += gateway.dialect.encode_retry_after(seconds)
     await callers.send_answer(exchange, status, headers, text.encode())
 
 
-async def _refuse_late(gateway: Gateway, exchange: Exchange, request: CallerRequest) -> None:
-    """Refuse a request that was complete only after this host stopped to accept any.
-
-    It might not end before the process does, and another host can serve it at once.
-    """
-    logger.bind(request=request.request_id, reason="stopping", status=UNAVAILABLE).info(
-        "a request was not admitted"
-    )
-    gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": "stopping"}))
-    seconds = defaults.MIN_RETRY_AFTER_SECONDS
-    headers = [PLAIN_TEXT, *gateway.dialect.encode_retry_after(seconds)]
-    text = "this host is stopping and has not run the request; send it again"
-    await callers.send_answer(exchange, UNAVAILABLE, headers, text.encode())
-
-
 async def _answer_text(exchange: Exchange, status: int, text: str) -> None:
     await callers.send_answer(exchange, status, [PLAIN_TEXT], text.encode())
 
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -7,14 +7,11 @@
 
 from marjorambridge.control.commands import DrainZone, ReplaceManifest, RestoreZone
 from marjorambridge.control.events import CommandWithdrawn
-from marjorambridge.core.effects import Notify, SendMessage, SetTimer
 from marjorambridge.core.events import MessageReceived, TimerFired
-from marjorambridge.core.reducer import step
-from marjorambridge.core.timers import compute_next_due, pop_due, set_timer
+from marjorambridge.core.timers import compute_next_due, pop_due
 from marjorambridge.daemon.replica import COMMAND_TIMEOUT_SECONDS
-from marjorambridge.replication.effects import StorageEffect, SyncStorage
 
-from .fleet import DELAY, SYNC_DELAY, Fleet
+from .fleet import DELAY, Fleet
 from .links import Link, close_link, pump_link
 
 STEP_SECONDS = 0.01
@@ -164,21 +161,13 @@
         return self.blocked[one, other] <= 0 and self.is_up(one) and self.is_up(other)
 
     def dispatch(self, name, event):
-        host = self.hosts[name]
         event.now = self.read_clock(name)
-        for effect in step(host.node, event):
-            if isinstance(effect, SetTimer):
-                set_timer(host.timers, effect.key, effect.at)
-            elif isinstance(effect, SendMessage):
-                link = self.links.setdefault((name, effect.to), Link(name, effect.to))
-                link.queue.append((self.now, host.generation, effect.message))
-                self.pump(link)
-            elif isinstance(effect, Notify):
-                host.notices.append(effect.event)
-            elif isinstance(effect, StorageEffect):
-                host.disk.writes.append(effect)
-                if isinstance(effect, SyncStorage):
-                    self.schedule(SYNC_DELAY, "sync", name, name, host.generation, effect)
+        super().dispatch(name, event)
+
+    def send(self, name, effect):
+        link = self.links.setdefault((name, effect.to), Link(name, effect.to))
+        link.queue.append((self.now, self.hosts[name].generation, effect.message))
+        self.pump(link)
 
     def pump(self, link):
         if link.target not in self.hosts or not self.is_up(link.source):
--- a/tests/control/fleet.py
+++ b/tests/control/fleet.py
@@ -91,7 +91,7 @@
             if isinstance(effect, SetTimer):
                 set_timer(host.timers, effect.key, effect.at)
             elif isinstance(effect, SendMessage):
-                self.schedule(DELAY, "message", name, effect.to, host.generation, effect.message)
+                self.send(name, effect)
             elif isinstance(effect, Notify):
                 host.notices.append(effect.event)
             elif isinstance(effect, StorageEffect):
@@ -99,6 +99,10 @@
                 if isinstance(effect, SyncStorage):
                     self.schedule(SYNC_DELAY, "sync", name, name, host.generation, effect)
 
+    def send(self, name, effect):
+        generation = self.hosts[name].generation
+        self.schedule(DELAY, "message", name, effect.to, generation, effect.message)
+
     def schedule(self, delay, kind, source, target, generation, content):
         self.serial += 1
         item = (self.now + delay, self.serial, kind, source, target, generation, content)
