Share the errors of decoding, and the delivery loop of the simulated fleets

The bodies of the HTTP interface, the reports of endpoints and the configurations of the platform each listed the exceptions that msgspec raises for unreadable bytes, and three simulated fleets took due items from their queue with the same lines. Each is in one place now; behaviour is unchanged.

--- a/marjorambridge/http/bodies.py
+++ b/marjorambridge/http/bodies.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from marjorambridge.core.addresses import is_address
+from marjorambridge.core.decoding import DECODE_ERRORS
 from marjorambridge.http.exceptions import RequestError
 from marjorambridge.limits.messages import Announcement
 
@@ -16,8 +17,6 @@
 MAX_OUTPUT_TOKENS = 10_000_000
 MAX_NAME_CHARACTERS = 200
 
-# msgspec raises RecursionError for deeply nested arrays and UnicodeError for broken surrogates.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]*")
 
--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from marjorambridge.core.decoding import DECODE_ERRORS
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.models import (
     CallerLimits,
@@ -130,7 +131,7 @@
     """
     try:
         document = _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidManifestError(f"unreadable configuration: {error}") from error
     return Manifest(
         version=document.version,
--- a/marjorambridge/platform/reports.py
+++ b/marjorambridge/platform/reports.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from marjorambridge.core.addresses import is_address
+from marjorambridge.core.decoding import DECODE_ERRORS
 from marjorambridge.core.exceptions import MarjorambridgeError
 from marjorambridge.discovery.models import EndpointReport
 
@@ -21,8 +22,6 @@
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
-# msgspec raises RecursionError for deep nesting and UnicodeError for broken surrogates.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
--- a/tests/control/busy.py
+++ b/tests/control/busy.py
@@ -1,6 +1,5 @@
 """Run a fleet whose replicas spend CPU time on each message, as on a fraction of a core."""
 
-import heapq
 import itertools
 from collections import deque
 
@@ -80,12 +79,8 @@
             self.schedule(self.busy_until[name] - self.now, "free", name, name, 0, None)
 
     def deliver(self):
-        while self.queue and self.queue[0][0] <= self.now:
-            item = heapq.heappop(self.queue)
+        for item, host in self.pop_due_items():
             _, _, kind, source, target, generation, content = item
-            host = self.hosts.get(target)
-            if host is None or host.node is None:
-                continue
             if kind == "free":
                 self.process_next(target)
             elif kind == "endpoint":
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -184,12 +184,8 @@
 
     def deliver(self):
         held = []
-        while self.queue and self.queue[0][0] <= self.now:
-            item = heapq.heappop(self.queue)
+        for item, host in self.pop_due_items():
             _, _, kind, source, target, generation, content = item
-            host = self.hosts.get(target)
-            if host is None or host.node is None:
-                continue
             if target in self.stopped:
                 held.append(item)
             elif kind == "sync":
--- a/tests/control/fleet.py
+++ b/tests/control/fleet.py
@@ -127,12 +127,17 @@
                 for key in pop_due(host.timers, self.now) if host.node else ():
                     self.dispatch(name, TimerFired(self.now, key))
 
-    def deliver(self):
+    def pop_due_items(self):
+        """Remove and yield the items that are due, with their hosts; those of others are lost."""
         while self.queue and self.queue[0][0] <= self.now:
-            _, _, kind, source, target, generation, content = heapq.heappop(self.queue)
-            host = self.hosts.get(target)
-            if host is None or host.node is None:
-                continue
+            item = heapq.heappop(self.queue)
+            host = self.hosts.get(item[4])
+            if host is not None and host.node is not None:
+                yield item, host
+
+    def deliver(self):
+        for item, host in self.pop_due_items():
+            _, _, kind, source, target, generation, content = item
             if kind == "sync":
                 if host.generation == generation:
                     self.sync(host, content)
