Send messages again whose connection ended before they were acknowledged

Cause: frames between hosts are acknowledged, but a connection that was reset or silent took its unacknowledged messages with it. The poll of a host to the first restarted replica was lost, and the answer timeouts of two lost replicas came next.

Change: the messages go back to the head of the queue, with the time at which they were queued, and are sent on the next connection. They are numbered across connections; the receiver drops those that it had. Hosts of older versions say nothing of it in their handshake and get no repeats.

Within one incarnation none arrives twice.

--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -23,6 +23,7 @@
     "error": "text of an error of this program, its settings or the operating system",
     "first_seconds": "time from the arrival of a request to the first part of its answer",
     "forced": "whether a shutdown aborts the requests in progress",
+    "frames": "messages to a peer, of which each is a frame",
     "group": "number of the replicated log group",
     "has_replica": "whether the host keeps a replica of the logs",
     "incarnation": "incarnation of the process",
--- a/marjorambridge/transport/acknowledgements.py
+++ b/marjorambridge/transport/acknowledgements.py
@@ -3,12 +3,13 @@
 A connection may pass nothing any longer without being reset, and what is between two hosts may
 still acknowledge the segments of TCP. The acceptor therefore returns the number of frames that it
 has read, and the dialer closes a connection on which frames stay unacknowledged. The numbers are
-not authenticated: a forged one can only hide that a connection is silent.
+not authenticated: a forged one can only hide that a connection is silent, or that a frame was lost.
 """
 
 import contextlib
 import struct
 from collections import deque
+from typing import Any
 
 import anyio
 from anyio.abc import ByteStream
@@ -67,6 +68,24 @@
             await anyio.sleep(ACKNOWLEDGEMENT_INTERVAL_SECONDS)
 
 
+class SentBatch(Struct):
+    """Frames that were sent together.
+
+    Attributes
+    ----------
+    last : int
+        Number of the last frame on its connection, counted from 1.
+    sent_at : float
+        Monotonic time in seconds.
+    messages : list
+        What the frames carry, in order.
+    """
+
+    last: int
+    sent_at: float
+    messages: list[Any]
+
+
 class SentFrames(Struct):
     """Frames that a dialer has sent.
 
@@ -74,34 +93,58 @@
     ----------
     is_acknowledged : bool
         Whether the acceptor sends acknowledgements; hosts of older versions do not.
-    batches : deque of tuple of (int, float)
-        Number of the last frame, and time in monotonic seconds, of each unacknowledged batch.
+    acknowledged : int
+        Number of the last frame that the acceptor has read.
+    batches : deque of SentBatch
+        Batches that are not completely acknowledged, the oldest first.
     """
 
     is_acknowledged: bool
-    batches: deque[tuple[int, float]] = field(default_factory=deque)
+    acknowledged: int = 0
+    batches: deque[SentBatch] = field(default_factory=deque)
 
 
-def record_batch(frames: SentFrames, count: int, now: float) -> None:
-    """Record that a batch was sent, after which `count` frames have been sent in all."""
+def record_batch(frames: SentFrames, batch: SentBatch) -> None:
+    """Record that a batch is sent."""
     if frames.is_acknowledged:
-        frames.batches.append((count, now))
+        frames.batches.append(batch)
 
 
 def record_acknowledgement(frames: SentFrames, count: int) -> None:
     """Record that the acceptor has read `count` frames."""
-    while frames.batches and frames.batches[0][0] <= count:
+    frames.acknowledged = count
+    while frames.batches and frames.batches[0].last <= count:
         frames.batches.popleft()
 
 
+def list_unacknowledged(frames: SentFrames) -> list[Any]:
+    """Return what the frames carry that the acceptor may not have read, in order.
+
+    Examples
+    --------
+    >>> frames = SentFrames(is_acknowledged=True)
+    >>> record_batch(frames, SentBatch(2, 5.0, ["a", "b"]))
+    >>> record_batch(frames, SentBatch(3, 5.5, ["c"]))
+    >>> record_acknowledgement(frames, 1)
+    >>> list_unacknowledged(frames)
+    ['b', 'c']
+    """
+    return [
+        message
+        for batch in frames.batches
+        for number, message in enumerate(batch.messages, batch.last - len(batch.messages) + 1)
+        if number > frames.acknowledged
+    ]
+
+
 def compute_timeout(frames: SentFrames) -> float | None:
     """Return the time at which the connection counts as silent; None if nothing is outstanding.
 
     Examples
     --------
     >>> frames = SentFrames(is_acknowledged=True)
-    >>> record_batch(frames, 2, now=5.0)
-    >>> record_batch(frames, 3, now=5.5)
+    >>> record_batch(frames, SentBatch(2, 5.0, ["a", "b"]))
+    >>> record_batch(frames, SentBatch(3, 5.5, ["c"]))
     >>> record_acknowledgement(frames, 2)
     >>> compute_timeout(frames) - ACKNOWLEDGEMENT_TIMEOUT_SECONDS
     5.5
@@ -109,7 +152,7 @@
     >>> compute_timeout(frames) is None
     True
     """
-    return frames.batches[0][1] + ACKNOWLEDGEMENT_TIMEOUT_SECONDS if frames.batches else None
+    return frames.batches[0].sent_at + ACKNOWLEDGEMENT_TIMEOUT_SECONDS if frames.batches else None
 
 
 async def read_acknowledgements(
--- a/marjorambridge/transport/frames.py
+++ b/marjorambridge/transport/frames.py
@@ -15,6 +15,7 @@
 MAC_BYTES = 16
 LENGTH = struct.Struct(">I")
 SEQUENCE = struct.Struct(">Q")
+MAX_MESSAGE_NUMBER = 2**63 - 1
 
 
 class Session(Struct):
@@ -65,7 +66,7 @@
     return Session(digest.digest())
 
 
-def _compute_mac(session: Session, kind: str, body: bytes, trace: str) -> bytes:
+def _compute_mac(session: Session, kind: str, body: bytes, trace: str, number: int | None) -> bytes:
     digest = hashlib.blake2b(key=session.key, digest_size=MAC_BYTES)
     encoded_kind = kind.encode()
     encoded_trace = trace.encode()
@@ -73,13 +74,25 @@
     digest.update(LENGTH.pack(len(encoded_kind)) + encoded_kind)
     digest.update(LENGTH.pack(len(encoded_trace)) + encoded_trace)
     digest.update(body)
+    if number is not None:
+        digest.update(SEQUENCE.pack(number))
     return digest.digest()
 
 
-def seal_frame(session: Session, kind: str, body: bytes, trace: str = "") -> bytes:
-    """Return the bytes of the next frame of a session, without the length prefix."""
-    mac = _compute_mac(session, kind, body, trace)
-    frame = Frame(sequence=session.sequence, kind=kind, body=body, trace=trace, mac=mac)
+def seal_frame(
+    session: Session, kind: str, body: bytes, trace: str = "", number: int | None = None
+) -> bytes:
+    """Return the bytes of the next frame of a session, without the length prefix.
+
+    Parameters
+    ----------
+    number : int or None
+        Number of the message among those to this peer; None if the peer does not recognize repeats.
+    """
+    mac = _compute_mac(session, kind, body, trace, number)
+    frame = Frame(
+        sequence=session.sequence, kind=kind, body=body, trace=trace, mac=mac, number=number
+    )
     session.sequence += 1
     return encode_structure(frame, Frame)
 
@@ -97,7 +110,11 @@
     frame = decode_structure(data, Frame)
     if frame.sequence != session.sequence:
         raise FrameError(f"received frame {frame.sequence} where {session.sequence} was expected")
-    expected = _compute_mac(session, frame.kind or "", frame.body or b"", frame.trace or "")
+    if frame.number is not None and not 0 < frame.number <= MAX_MESSAGE_NUMBER:
+        raise FrameError(f"message number {frame.number} is out of range; the peer is faulty")
+    expected = _compute_mac(
+        session, frame.kind or "", frame.body or b"", frame.trace or "", frame.number
+    )
     if not hmac.compare_digest(expected, frame.mac or b""):
         raise FrameError("wrong MAC; check that both hosts have the same fleet key file")
     session.sequence += 1
--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -1,7 +1,11 @@
 """Send messages to other hosts and receive theirs, over authenticated TCP connections.
 
 Each host opens its own connection for the messages that it sends. Delivery is best effort: messages
-are dropped when the peer can't be reached, and the reducers tolerate the loss.
+are dropped when the peer can't be reached for some time, and the reducers tolerate the loss.
+
+A message whose connection ended without an acknowledgement is sent again on the next one. The peer
+recognizes by its number that it arrived before. A peer that restarted meanwhile does not, so that a
+message may reach two incarnations of a host; the reducers tolerate that, too.
 """
 
 import secrets
@@ -25,10 +29,12 @@
     ACKNOWLEDGEMENT_INTERVAL_SECONDS,
     STREAM_ERRORS,
     ReceivedFrames,
+    SentBatch,
     SentFrames,
     compute_timeout,
     count_received,
     end_received,
+    list_unacknowledged,
     read_acknowledgements,
     record_batch,
     send_acknowledgements,
@@ -48,6 +54,8 @@
 # and the next message would be lost. Regular messages are sent at least every 1.3 s.
 IDLE_TIMEOUT_SECONDS = 3.0
 MAX_QUEUED_MESSAGES = 4_096
+# The connections of a process that ended may still be read after the first ones of its successor.
+MAX_KNOWN_INCARNATIONS = 4
 MAX_BATCH_BYTES = 256 * 1024
 # The backoff is reset after a connection that lasted this long.
 STABLE_CONNECTION_SECONDS = 1.0
@@ -58,10 +66,33 @@
 CONNECTION_ERRORS = (*STREAM_ERRORS, MarjorambridgeError)
 
 
+class QueuedMessage(Struct):
+    """A message that waits to be sent or to be acknowledged.
+
+    Attributes
+    ----------
+    queued_at : float
+        Monotonic time in seconds.
+    number : int
+        Number among the messages to this peer; 0 before the message was sent.
+    """
+
+    queued_at: float
+    message: Any
+    number: int = 0
+
+
 class Peer(Struct):
-    """Queue of the messages to one host."""
+    """Queue of the messages to one host.
 
-    queue: deque[tuple[float, Any]] = field(default_factory=deque)
+    Attributes
+    ----------
+    last_number : int
+        Number of the last message that was sent.
+    """
+
+    queue: deque[QueuedMessage] = field(default_factory=deque)
+    last_number: int = 0
     wakeup: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -80,6 +111,8 @@
         Queue of the low-priority messages that wait to be processed.
     handshake_addresses : dict of str to str
         Addresses from authenticated handshakes, for hosts that are not in the view yet.
+    received_numbers : dict of str to dict of int to int
+        Number of the last message from each host, by incarnation.
     sent_bytes, received_bytes : int
         Totals for the metrics.
     """
@@ -95,6 +128,7 @@
     turn_queue: TurnQueue = field(default_factory=TurnQueue)
     peers: dict[str, Peer] = field(default_factory=dict)
     handshake_addresses: dict[str, str] = field(default_factory=dict)
+    received_numbers: dict[str, dict[int, int]] = field(default_factory=dict)
     tasks: TaskGroup | None = None
     closed: anyio.Event = field(default_factory=anyio.Event)
     sent_bytes: int = 0
@@ -121,7 +155,7 @@
         network.tasks.start_soon(_run_sender, network, host, peer)
     if len(peer.queue) >= MAX_QUEUED_MESSAGES:
         peer.queue.popleft()
-    peer.queue.append((time.monotonic(), message))
+    peer.queue.append(QueuedMessage(time.monotonic(), message))
     peer.wakeup.set()
 
 
@@ -154,6 +188,7 @@
             address=network.address,
             nonce=secrets.token_bytes(frames.NONCE_BYTES),
             acknowledges=True,
+            recognizes_repeats=True,
         )
     )
 
@@ -211,10 +246,29 @@
         frame = frames.open_frame(session, data)
         network.received_bytes += len(data) + frames.LENGTH.size
         network.handshake_addresses[hello.host] = hello.address
+        if _is_repeated(network, hello, frame.number):
+            continue
         message = decode_message(frame.kind, frame.body)
         network.post(MessageReceived(time.monotonic(), hello.host, hello.incarnation, message))
 
 
+def _is_repeated(network: Network, hello: Hello, number: int | None) -> bool:
+    """Return whether a message arrived before, and store its number otherwise.
+
+    Messages are sent in the order of their numbers, so that one with a lower number than the last
+    arrived before, or was given up by its sender.
+    """
+    if number is None:
+        return False
+    numbers = network.received_numbers.setdefault(hello.host, {})
+    if number <= numbers.get(hello.incarnation, 0):
+        return True
+    numbers[hello.incarnation] = number
+    if len(numbers) > MAX_KNOWN_INCARNATIONS:
+        del numbers[next(iter(numbers))]
+    return False
+
+
 async def _run_sender(network: Network, host: str, peer: Peer) -> None:
     backoff = MIN_BACKOFF_SECONDS
     while True:
@@ -239,7 +293,7 @@
 
 def _drop_old_messages(peer: Peer) -> None:
     limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
-    while peer.queue and peer.queue[0][0] < limit:
+    while peer.queue and peer.queue[0].queued_at < limit:
         peer.queue.popleft()
     if not peer.queue:
         peer.wakeup = anyio.Event()
@@ -261,10 +315,25 @@
             raise HandshakeError(f"{address} is {hello.host!r}, not {host!r}; check the settings")
         session = frames.derive_session(network.fleet_key, dialer, acceptor)
         sent = SentFrames(is_acknowledged=bool(hello.acknowledges))
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(read_acknowledgements, reader, sent, tasks.cancel_scope)
-            await _send_batches(network, host, stream, session, peer, sent)
-            tasks.cancel_scope.cancel()
+        is_numbered = bool(hello.recognizes_repeats)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read_acknowledgements, reader, sent, tasks.cancel_scope)
+                await _send_batches(network, host, stream, session, peer, sent, is_numbered)
+                tasks.cancel_scope.cancel()
+        finally:
+            if is_numbered:
+                _queue_again(peer, sent, host)
+
+
+def _queue_again(peer: Peer, sent: SentFrames, host: str) -> None:
+    """Queue the messages that may not have arrived, before all others."""
+    messages = list_unacknowledged(sent)
+    if not messages:
+        return
+    peer.queue.extendleft(reversed(messages))
+    peer.wakeup.set()
+    logger.bind(peer=host, frames=len(messages)).info("messages to a peer are sent again")
 
 
 async def _send_batches(
@@ -274,6 +343,7 @@
     session: frames.Session,
     peer: Peer,
     sent: SentFrames,
+    is_numbered: bool,
 ) -> None:
     idle_at = time.monotonic() + IDLE_TIMEOUT_SECONDS
     while True:
@@ -281,17 +351,20 @@
             if sent.batches:
                 logger.bind(peer=host).info("a connection to a peer is silent")
             return
-        batch = _encode_batch(session, peer)
+        data, messages = _encode_batch(session, peer, is_numbered)
+        if not messages:
+            continue
+        batch = SentBatch(session.sequence, time.monotonic(), messages)
+        record_batch(sent, batch)
         try:
             with anyio.fail_after(SEND_TIMEOUT_SECONDS):
-                await stream.send(batch)
+                await stream.send(data)
         except (TimeoutError, *CONNECTION_ERRORS) as error:
             logger.bind(error=repr(error)).debug("failed to send to a peer")
             return
-        network.sent_bytes += len(batch)
-        now = time.monotonic()
-        record_batch(sent, session.sequence, now)
-        idle_at = now + IDLE_TIMEOUT_SECONDS
+        network.sent_bytes += len(data)
+        batch.sent_at = time.monotonic()
+        idle_at = batch.sent_at + IDLE_TIMEOUT_SECONDS
 
 
 async def _wait_for_messages(peer: Peer, sent: SentFrames, idle_at: float) -> bool:
@@ -314,18 +387,27 @@
             return False
 
 
-def _encode_batch(session: frames.Session, peer: Peer) -> bytes:
+def _encode_batch(
+    session: frames.Session, peer: Peer, is_numbered: bool
+) -> tuple[bytes, list[QueuedMessage]]:
+    """Return the frames of the next batch and the messages in them."""
     parts: list[bytes] = []
+    messages: list[QueuedMessage] = []
     size = 0
     limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
     while peer.queue and size < MAX_BATCH_BYTES:
-        queued_at, message = peer.queue.popleft()
-        if queued_at < limit:
+        queued = peer.queue.popleft()
+        if queued.queued_at < limit or (queued.number and not is_numbered):
             continue
-        kind, body = encode_message(message)
-        data = frames.add_length(frames.seal_frame(session, kind, body))
+        if not queued.number:
+            peer.last_number += 1
+            queued.number = peer.last_number
+        kind, body = encode_message(queued.message)
+        number = queued.number if is_numbered else None
+        data = frames.add_length(frames.seal_frame(session, kind, body, number=number))
         parts.append(data)
+        messages.append(queued)
         size += len(data)
     if not peer.queue:
         peer.wakeup = anyio.Event()
-    return b"".join(parts)
+    return b"".join(parts), messages
--- a/marjorambridge/wire/gen/frame/ttypes.py
+++ b/marjorambridge/wire/gen/frame/ttypes.py
@@ -27,6 +27,7 @@
      - address
      - nonce
      - acknowledges
+     - recognizes_repeats
 
     """
 
@@ -38,10 +39,11 @@
         'address',
         'nonce',
         'acknowledges',
+        'recognizes_repeats',
     )
 
 
-    def __init__(self, version=None, fleet=None, host=None, incarnation=None, address=None, nonce=None, acknowledges=None,):
+    def __init__(self, version=None, fleet=None, host=None, incarnation=None, address=None, nonce=None, acknowledges=None, recognizes_repeats=None,):
         self.version = version
         self.fleet = fleet
         self.host = host
@@ -49,6 +51,7 @@
         self.address = address
         self.nonce = nonce
         self.acknowledges = acknowledges
+        self.recognizes_repeats = recognizes_repeats
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -94,6 +97,11 @@
                     self.acknowledges = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.recognizes_repeats = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -132,6 +140,10 @@
             oprot.writeFieldBegin('acknowledges', TType.BOOL, 7)
             oprot.writeBool(self.acknowledges)
             oprot.writeFieldEnd()
+        if self.recognizes_repeats is not None:
+            oprot.writeFieldBegin('recognizes_repeats', TType.BOOL, 8)
+            oprot.writeBool(self.recognizes_repeats)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -165,6 +177,7 @@
      - body
      - trace
      - mac
+     - number
 
     """
 
@@ -174,15 +187,17 @@
         'body',
         'trace',
         'mac',
+        'number',
     )
 
 
-    def __init__(self, sequence=None, kind=None, body=None, trace=None, mac=None,):
+    def __init__(self, sequence=None, kind=None, body=None, trace=None, mac=None, number=None,):
         self.sequence = sequence
         self.kind = kind
         self.body = body
         self.trace = trace
         self.mac = mac
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -218,6 +233,11 @@
                     self.mac = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -248,6 +268,10 @@
             oprot.writeFieldBegin('mac', TType.STRING, 5)
             oprot.writeBinary(self.mac)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 6)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -281,6 +305,7 @@
     (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'nonce', 'BINARY', None, ),  # 6
     (7, TType.BOOL, 'acknowledges', None, None, ),  # 7
+    (8, TType.BOOL, 'recognizes_repeats', None, None, ),  # 8
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -290,6 +315,7 @@
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'trace', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'mac', 'BINARY', None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/marjorambridge/wire/idl/frame.thrift
+++ b/marjorambridge/wire/idl/frame.thrift
@@ -12,6 +12,8 @@
   6: binary nonce
   // Whether the sender acknowledges frames, or understands acknowledgements; missing in old hosts.
   7: bool acknowledges
+  // Whether the sender recognizes messages that arrive again by their numbers; missing in old hosts.
+  8: bool recognizes_repeats
 }
 
 struct Frame {
@@ -20,4 +22,7 @@
   3: binary body
   4: string trace
   5: binary mac
+  // Number of the message among those of this host to the peer, on all connections; missing if the
+  // peer does not recognize repeats.
+  6: i64 number
 }
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -12,7 +12,7 @@
 from marjorambridge.daemon.replica import COMMAND_TIMEOUT_SECONDS
 
 from .fleet import DELAY, Fleet
-from .links import Link, close_link, pump_link
+from .links import Item, Link, close_link, pump_link
 
 STEP_SECONDS = 0.01
 # Bounds of the deployments: time without a disturbance after which a host counts as in touch, time
@@ -60,6 +60,7 @@
 
     def __init__(self, **settings):
         self.links = {}
+        self.received_numbers = {}
         self.blocked = Counter()
         self.stopped = {}
         self.clock_lag = Counter()
@@ -166,7 +167,7 @@
 
     def send(self, name, effect):
         link = self.links.setdefault((name, effect.to), Link(name, effect.to))
-        link.queue.append((self.now, self.hosts[name].generation, effect.message))
+        link.queue.append(Item(self.now, self.hosts[name].generation, effect.message))
         self.pump(link)
 
     def pump(self, link):
@@ -179,8 +180,14 @@
             self.passes(link.target, link.source),
             self.hosts[link.target].node is not None,
         )
-        for _, generation, message in arrived:
-            self.schedule(DELAY, "message", link.source, link.target, generation, message)
+        target_generation = self.hosts[link.target].generation
+        for item in arrived:
+            incarnations = link.source, item.generation, link.target, target_generation
+            if item.number > self.received_numbers.get(incarnations, 0):
+                self.received_numbers[incarnations] = item.number
+                self.schedule(
+                    DELAY, "message", link.source, link.target, item.generation, item.message
+                )
 
     def deliver(self):
         held = []
--- a/tests/control/links.py
+++ b/tests/control/links.py
@@ -1,14 +1,18 @@
 """Simulate the connections between hosts: partitions, silence, retransmission and reconnection.
 
 A connection carries messages in one direction, as in `marjorambridge.transport.network`. Messages
-that are not acknowledged are retransmitted until a timeout closes the connection.
+that are not acknowledged are retransmitted until a timeout closes the connection, and then sent on
+the next one.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
 from marjorambridge.transport import network
-from marjorambridge.transport.acknowledgements import ACKNOWLEDGEMENT_TIMEOUT_SECONDS
+from marjorambridge.transport.acknowledgements import (
+    ACKNOWLEDGEMENT_INTERVAL_SECONDS,
+    ACKNOWLEDGEMENT_TIMEOUT_SECONDS,
+)
 
 # Times after the first transmission at which unacknowledged data is sent again, in seconds.
 RETRANSMISSIONS = (0.2, 0.6, 1.4, 3.0)
@@ -16,12 +20,24 @@
 SYN_RETRY_SECONDS = 1.0
 
 
+@dataclass
+class Item:
+    """A message of one incarnation of a host; the number is 0 before it was sent."""
+
+    queued_at: float
+    generation: int
+    message: object
+    number: int = 0
+
+
 @dataclass
 class Link:
     """The connection from one host to another and the messages that wait for it.
 
     Attributes
     ----------
+    received : list of (float, Item)
+        Messages that arrived and are not acknowledged yet, with the time of their arrival.
     silent : bool
         Whether the connection passes nothing any longer, without a reset.
     unacknowledged_since : float or None
@@ -36,6 +52,8 @@
     silent: bool = False
     queue: deque = field(default_factory=deque)
     in_flight: list = field(default_factory=list)
+    received: list = field(default_factory=list)
+    last_number: int = 0
     unacknowledged_since: float | None = None
     retransmissions: int = 0
     connecting_since: float | None = None
@@ -46,9 +64,11 @@
 
 
 def close_link(link: Link, now: float) -> None:
-    """Close the connection; messages in flight are lost."""
+    """Close the connection; messages that are not acknowledged are sent again on the next one."""
     link.is_open = link.silent = False
-    link.in_flight.clear()
+    unacknowledged = [item for _, item in link.received] + link.in_flight
+    link.queue.extendleft(reversed(unacknowledged))
+    link.received, link.in_flight = [], []
     link.unacknowledged_since = link.connecting_since = None
     link.retransmissions = 0
     link.retry_at = now + link.backoff
@@ -68,7 +88,7 @@
         Whether a process at the target accepts connections.
     """
     limit = now - network.MESSAGE_LIFETIME_SECONDS
-    while link.queue and link.queue[0][0] < limit:
+    while link.queue and link.queue[0].queued_at < limit:
         link.queue.popleft()
     idle_since = now - network.IDLE_TIMEOUT_SECONDS
     if link.is_open and link.unacknowledged_since is None and link.used_at < idle_since:
@@ -77,13 +97,20 @@
         link.used_at = now
     if not link.is_open and not _connect(link, now, passes_data and passes_replies, is_listening):
         return []
+    if passes_replies and not link.silent:
+        acknowledged_until = now - ACKNOWLEDGEMENT_INTERVAL_SECONDS
+        link.received = [entry for entry in link.received if entry[0] > acknowledged_until]
     arrived = _retransmit(link, now, passes_data, passes_replies)
+    link.received += [(now, item) for item in arrived]
     waits_since = link.unacknowledged_since
     if waits_since is not None and now - waits_since >= ACKNOWLEDGEMENT_TIMEOUT_SECONDS:
         close_link(link, now)
         return arrived
     while link.queue:
         item = link.queue.popleft()
+        if not item.number:
+            link.last_number += 1
+            item.number = link.last_number
         if link.silent or not passes_data:
             link.in_flight.append(item)
         elif link.in_flight:
@@ -91,6 +118,7 @@
             link.in_flight.append(item)
         else:
             arrived.append(item)
+            link.received.append((now, item))
         if (link.silent or not passes_data or not passes_replies) and waits_since is None:
             waits_since = link.unacknowledged_since = now
     return arrived
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -14,6 +14,7 @@
 from marjorambridge.limits.messages import PermitCancel
 from marjorambridge.standins.fleet import find_free_ports
 from marjorambridge.transport import frames, network
+from marjorambridge.transport.acknowledgements import ACKNOWLEDGEMENT_TIMEOUT_SECONDS
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
 from marjorambridge.transport.turn_queue import (
@@ -22,9 +23,9 @@
     acquire_turn,
     grant_turns,
 )
-from marjorambridge.wire.codec import decode_structure
+from marjorambridge.wire.codec import decode_structure, encode_structure
 from marjorambridge.wire.exceptions import WireError
-from marjorambridge.wire.gen.frame.ttypes import Hello
+from marjorambridge.wire.gen.frame.ttypes import Frame, Hello
 
 pytestmark = pytest.mark.anyio
 
@@ -85,6 +86,7 @@
         self.target = target
         self.count = 0
         self.silent = set()
+        self.answers_nothing = False
 
     async def serve(self, address, task_status=anyio.TASK_STATUS_IGNORED):
         ip, _, port = address.rpartition(":")
@@ -98,15 +100,16 @@
         ip, _, port = self.target.rpartition(":")
         acceptor = await anyio.connect_tcp(ip, int(port))
         async with acceptor, dialer, anyio.create_task_group() as tasks:
-            tasks.start_soon(self.forward, self.count, acceptor, dialer)
-            await self.forward(self.count, dialer, acceptor)
+            tasks.start_soon(self.forward, self.count, acceptor, dialer, True)
+            await self.forward(self.count, dialer, acceptor, False)
             tasks.cancel_scope.cancel()
 
-    async def forward(self, number, source, target):
+    async def forward(self, number, source, target, is_answer):
         with contextlib.suppress(anyio.EndOfStream, *network.CONNECTION_ERRORS):
             while True:
                 data = await source.receive()
-                if number not in self.silent:
+                is_lost = number in self.silent or (is_answer and self.answers_nothing)
+                if not is_lost:
                     await target.send(data)
 
     def silence(self):
@@ -155,6 +158,94 @@
     assert last > 10 and relay.count == 2
 
 
+async def test_messages_on_a_connection_that_fell_silent_are_sent_again():
+    """Guard against a poll of a replica that is lost with its connection and never repeated."""
+    async with running_pair() as pair, running_relay(pair) as relay:
+        network.send(pair.hosts["a"], "b", make_message(0))
+        await wait_for(lambda: pair.received["b"])
+        await anyio.sleep(0.2)
+        relay.silence()
+        for number in range(1, 4):
+            network.send(pair.hosts["a"], "b", make_message(number))
+        with anyio.fail_after(network.MESSAGE_LIFETIME_SECONDS):
+            await wait_for(lambda: len(pair.received["b"]) == 4)
+    assert [event.message for event in pair.received["b"]] == [make_message(n) for n in range(4)]
+
+
+async def test_messages_to_a_peer_that_lost_power_reach_its_successor():
+    """Guard against the loss of the first message after a peer restarted without a reset."""
+    async with running_pair() as pair, running_relay(pair) as relay:
+        network.send(pair.hosts["a"], "b", make_message(0))
+        await wait_for(lambda: pair.received["b"])
+        await anyio.sleep(0.2)
+        relay.silence()
+        network.send(pair.hosts["a"], "b", make_message(1))
+        pair.hosts["b"].received_numbers.clear()
+        pair.hosts["b"].incarnation = 2
+        with anyio.fail_after(network.MESSAGE_LIFETIME_SECONDS):
+            await wait_for(lambda: len(pair.received["b"]) == 2)
+
+
+async def test_a_message_whose_acknowledgement_is_lost_is_delivered_once():
+    """Guard against messages that are handled twice because they were sent again."""
+    async with running_pair() as pair, running_relay(pair) as relay:
+        network.send(pair.hosts["a"], "b", make_message(0))
+        await wait_for(lambda: pair.received["b"])
+        await anyio.sleep(0.2)
+        relay.answers_nothing = True
+        network.send(pair.hosts["a"], "b", make_message(1))
+        # The handshake of the next connection needs an answer.
+        await anyio.sleep(ACKNOWLEDGEMENT_TIMEOUT_SECONDS)
+        relay.answers_nothing = False
+        await wait_for(lambda: relay.count == 2)
+        network.send(pair.hosts["a"], "b", make_message(2))
+        await wait_for(lambda: len(pair.received["b"]) >= 3)
+    assert [event.message for event in pair.received["b"]] == [make_message(n) for n in range(3)]
+
+
+async def test_messages_are_not_sent_again_to_a_peer_that_does_not_recognize_them(monkeypatch):
+    """Guard against repeated messages to a host of an older version."""
+    make_hello = network._make_hello
+
+    def make_old_hello(host):
+        hello = decode_structure(make_hello(host), Hello)
+        hello.recognizes_repeats = None
+        return frames.encode_hello(hello)
+
+    async with running_pair() as pair, running_relay(pair) as relay:
+        monkeypatch.setattr(network, "_make_hello", make_old_hello)
+        network.send(pair.hosts["a"], "b", make_message(0))
+        await wait_for(lambda: pair.received["b"])
+        await anyio.sleep(0.2)
+        relay.answers_nothing = True
+        network.send(pair.hosts["a"], "b", make_message(1))
+        await anyio.sleep(ACKNOWLEDGEMENT_TIMEOUT_SECONDS)
+        relay.answers_nothing = False
+        await anyio.sleep(0.5)
+        network.send(pair.hosts["a"], "b", make_message(2))
+        await wait_for(lambda: len(pair.received["b"]) >= 3)
+    assert [event.message for event in pair.received["b"]] == [make_message(n) for n in range(3)]
+    assert pair.hosts["b"].received_numbers == {}
+
+
+def test_late_frames_of_an_old_connection_are_recognized():
+    """Guard against a message that is read from its old connection after it was sent again."""
+    receiver = Pair([1, 2]).hosts["b"]
+
+    def arrives(number, incarnation=1):
+        hello = Hello(host="a", incarnation=incarnation)
+        return not network._is_repeated(receiver, hello, number)
+
+    assert [arrives(1), arrives(2), arrives(4), arrives(2), arrives(3), arrives(5)] == [
+        True, True, True, False, False, True,
+    ]  # fmt: skip
+    # Numbers of another incarnation start anew, and those of the last one stay known.
+    assert [arrives(1, 2), arrives(5), arrives(1, 2), arrives(2, 2)] == [True, False, False, True]
+    for incarnation in range(3, 50):
+        assert arrives(1, incarnation)
+    assert len(receiver.received_numbers["a"]) == network.MAX_KNOWN_INCARNATIONS
+
+
 async def test_a_connection_in_use_without_faults_is_kept():
     """Guard against acknowledgements that come too late for a sound connection."""
     async with running_pair() as pair, running_relay(pair) as relay:
@@ -242,6 +333,13 @@
     second[second.index(b"body")] ^= 1
     with pytest.raises(FrameError, match="wrong MAC"):
         open_frame(receiver, bytes(second))
+    with pytest.raises(FrameError, match="wrong MAC"):
+        renumber = decode_structure(
+            seal_frame(receiver, "limits.PermitCancel", b"", number=1), Frame
+        )
+        renumber.number = 2
+        receiver.sequence -= 1
+        open_frame(receiver, encode_structure(renumber, Frame))
 
 
 def test_a_host_of_another_fleet_is_refused():
