Let a voter that was removed while it was cut off join again

Cause: when a lost disk leaves an even number of voters, the leader also removes an unresponsive one. The removed voter never gets the entry that says so, since the leader sends it nothing any longer. By its own log it is a voter, so that it asked for votes for ever and never to join. The next loss of a zone left three replicas, of which two were voters.

Change: a replica without contact to a leader for two election timeouts asks to join, whatever its log says. Leaders ignore the request of a member, as before.

--- a/marjorambridge/replication/memberships.py
+++ b/marjorambridge/replication/memberships.py
@@ -30,7 +30,6 @@
     find_member_of_host,
     get_membership,
     get_membership_at,
-    is_voter,
     list_voters,
 )
 from marjorambridge.replication.state import GroupState, ReplicaState, Role
@@ -207,13 +206,16 @@
 def send_join_requests(
     replica: ReplicaState, group: GroupState, effects: list[Effect], now: float
 ) -> None:
-    """Send join requests unless this replica is a voter, or a learner in contact with a leader."""
+    """Send join requests unless this replica is a member and in contact with a leader, or leads.
+
+    A voter that was removed while it was cut off holds no entry that says so, and the leader sends
+    it nothing any longer. The leader ignores the request of a replica that is a member.
+    """
     membership = get_membership(group)
     contact_age = now - group.leader_contact_at
     is_member = find_member(membership, replica.replica) is not None
-    if is_voter(membership, replica.replica) or (
-        is_member and contact_age < 2 * replica.settings.election_timeout_seconds
-    ):
+    has_contact = contact_age < 2 * replica.settings.election_timeout_seconds
+    if group.role is Role.LEADER or (is_member and has_contact):
         return
     hosts = {*replica.settings.peers, *replica.discovered_peers}
     hosts.update(item.replica.host for item in membership.members)
