Repeat writes that found no room on the disk

What callers saw: after the disks of three hosts were full for some seconds each, one after the other, no host accepted a change until the end, although all processes ran (reported by other operators, reproduced with marjorambridged).

Cause: a replica whose write failed stored nothing more until its process was restarted. A platform's replica starts its parts anew by itself; played in the same way, it went on before, too.

Change: a write that fails for lack of room is no failure of the disk. The store removes what was written since the last sync, and the worker repeats the effects every 0.5 s until they are synced. Nothing was acknowledged before. Frames of a failed sync are removed as well: they could be read, but not after a loss of power. Other errors end the store as before.

--- a/marjorambridge/storage/exceptions.py
+++ b/marjorambridge/storage/exceptions.py
@@ -15,6 +15,10 @@
     """Data that was synced cannot be read back."""
 
 
+class DiskFullError(StorageError):
+    """The disk has no room for a write; nothing was reported as synced, and it can be repeated."""
+
+
 def make_damage_error(path: object, problem: str) -> DamagedDataError:
     """Return the error for a damaged file, with the remedy."""
     return DamagedDataError(
--- a/marjorambridge/storage/groups.py
+++ b/marjorambridge/storage/groups.py
@@ -12,6 +12,7 @@
 from marjorambridge.storage.segments import (
     SegmentFiles,
     append_entries,
+    discard_unsynced_frames,
     open_segments,
     remove_segments,
     sync_segments,
@@ -124,6 +125,12 @@
         files.pending = []
 
 
+def discard_unsynced_entries(files: GroupFiles) -> None:
+    """Remove the entries that were collected or written since the last sync."""
+    files.pending = []
+    discard_unsynced_frames(files.segments)
+
+
 def save_snapshot(files: GroupFiles, effect: SaveSnapshot) -> None:
     """Replace the snapshot and remove the segments that it makes obsolete."""
     if effect.first_index == 0:
--- a/marjorambridge/storage/segments.py
+++ b/marjorambridge/storage/segments.py
@@ -23,12 +23,22 @@
 
 
 class Segment(Struct):
-    """Describe one segment file; `last_index` is the greatest index in it."""
+    """Describe one segment file.
+
+    Attributes
+    ----------
+    size, synced_size : int
+        Bytes that were written, and those of them that are durable.
+    last_index, synced_last_index : int
+        Greatest index in these bytes.
+    """
 
     number: int
     path: Path
     size: int = 0
     last_index: int = 0
+    synced_size: int = 0
+    synced_last_index: int = 0
 
 
 class SegmentFiles(Struct):
@@ -76,9 +86,14 @@
         open_last_segment(files)
         # The truncation of a torn tail must be durable before a new frame is appended.
         sync_descriptor(files.descriptor)
+        _mark_synced(files.segments[-1])
     return files, written
 
 
+def _mark_synced(segment: Segment) -> None:
+    segment.synced_size, segment.synced_last_index = segment.size, segment.last_index
+
+
 def open_last_segment(files: SegmentFiles) -> None:
     """Open the last segment for appending, creating its file if needed."""
     flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
@@ -112,6 +127,27 @@
     if files.has_unsynced_frames:
         sync_descriptor(files.descriptor)
         files.has_unsynced_frames = False
+        _mark_synced(files.segments[-1])
+
+
+def discard_unsynced_frames(files: SegmentFiles) -> None:
+    """Remove what was written since the last sync, after a write failed.
+
+    Frames must not stay in the file when a sync failed: they can be read until a loss of power,
+    but are not durable.
+    """
+    close_segments(files)
+    if files.segments and not files.segments[-1].path.exists():
+        # The file could not be created.
+        files.segments.pop()
+    if files.segments:
+        segment = files.segments[-1]
+        os.truncate(segment.path, segment.synced_size)
+        segment.size, segment.last_index = segment.synced_size, segment.synced_last_index
+        open_last_segment(files)
+        sync_descriptor(files.descriptor)
+    sync_directory(files.folder)
+    files.has_unsynced_frames = False
 
 
 def remove_segments(files: SegmentFiles, first_index: int) -> None:
--- a/marjorambridge/storage/stores.py
+++ b/marjorambridge/storage/stores.py
@@ -3,6 +3,7 @@
 The functions block on the disk; the daemon calls them from one worker thread.
 """
 
+import errno
 import fcntl
 import os
 import uuid
@@ -26,6 +27,7 @@
 from marjorambridge.replication.events import StorageFailed, StorageSynced
 from marjorambridge.replication.models import RecoveredReplica, ReplicaId
 from marjorambridge.storage.exceptions import (
+    DiskFullError,
     FolderLockedError,
     StorageError,
     make_damage_error,
@@ -39,6 +41,7 @@
 from marjorambridge.storage.groups import (
     GroupFiles,
     collect_entries,
+    discard_unsynced_entries,
     open_group,
     save_snapshot,
     save_vote,
@@ -46,6 +49,10 @@
 )
 from marjorambridge.storage.segments import close_segments, sync_segments
 
+# Errors of a write for which there is no room: on the disk, in a quota, or under the limit of the
+# size of files.
+FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
 
 class StoredCluster(Struct):
     """Hold the content of the cluster file."""
@@ -61,9 +68,11 @@
     ----------
     waiting : list of StorageEffect
         Writes that the next `SyncStorage` executes.
+    is_interrupted : bool
+        Whether the last writes failed because the disk was full, and their rest must be discarded.
     failure : str
-        Reason of the first failed write or sync; nothing is written after it, because a later sync
-        may succeed without the data of the failed one.
+        Reason of the first other failure of a write or sync; nothing is written after it, because
+        the content of the disk is unknown.
     """
 
     folder: Path
@@ -71,6 +80,7 @@
     max_segment_bytes: int
     groups: dict[int, GroupFiles] = field(default_factory=dict)
     waiting: list[StorageEffect] = field(default_factory=list)
+    is_interrupted: bool = False
     failure: str = ""
 
 
@@ -169,7 +179,26 @@
         Effects in the order in which the reducer returned them.
     now : float
         Monotonic time in seconds for the events.
+
+    Raises
+    ------
+    DiskFullError
+        If there is no room for a write. The store is as before the call, and the same effects can
+        be executed again later.
     """
+    waiting = list(store.waiting)
+    try:
+        if store.is_interrupted and not store.failure:
+            discard_unsynced_writes(store)
+        return _execute_all(store, effects, now)
+    except DiskFullError:
+        # Nothing of this call has been reported as synced, so that all of it is repeated. A write
+        # that was completed is repeated with the same result.
+        store.waiting, store.is_interrupted = waiting, True
+        raise
+
+
+def _execute_all(store: Store, effects: Iterable[Effect], now: float) -> list[Event]:
     events: list[Event] = []
     for effect in effects:
         if not isinstance(effect, StorageEffect):
@@ -181,7 +210,7 @@
             try:
                 flush_writes(store)
             except OSError as error:
-                store.failure = f"{store.folder}: {error.strerror or error}"
+                record_failure(store, error)
         if store.failure:
             events.append(StorageFailed(now, effect.ticket, store.failure))
         else:
@@ -189,6 +218,21 @@
     return events
 
 
+def record_failure(store: Store, error: OSError) -> None:
+    """Record that a write or sync failed for another reason than a full disk.
+
+    Raises
+    ------
+    DiskFullError
+        If the disk is full.
+    """
+    if error.errno in FULL_DISK_ERRORS:
+        raise DiskFullError(
+            f"{store.folder}: {error.strerror}; free or add space, the writes are repeated"
+        ) from error
+    store.failure = f"{store.folder}: {error.strerror or error}"
+
+
 def flush_writes(store: Store) -> None:
     """Write and sync the collected effects."""
     waiting, store.waiting = store.waiting, []
@@ -207,6 +251,16 @@
         sync_segments(files.segments)
 
 
+def discard_unsynced_writes(store: Store) -> None:
+    """Remove what was written since the last sync of each group."""
+    try:
+        for files in store.groups.values():
+            discard_unsynced_entries(files)
+        store.is_interrupted = False
+    except OSError as error:
+        record_failure(store, error)
+
+
 def get_group(store: Store, number: int) -> GroupFiles:
     """Return the files of a group, creating its folder if needed."""
     if number not in store.groups:
--- a/marjorambridge/storage/worker.py
+++ b/marjorambridge/storage/worker.py
@@ -5,12 +5,20 @@
 
 import anyio
 import anyio.to_thread
+from loguru import logger
 from msgspec import Struct, field
 
 from marjorambridge.core.effects import Effect, Measure
 from marjorambridge.core.events import Event
+from marjorambridge.storage.exceptions import DiskFullError
 from marjorambridge.storage.stores import Store, close_store, execute
 
+# Interval at which writes are repeated while the disk is full.
+FULL_DISK_RETRY_SECONDS = 0.5
+# Effects that may wait for a full disk, which bounds the memory that they use; with more of them
+# the store fails.
+MAX_WAITING_EFFECTS = 20_000
+
 
 class StorageWorker(Struct):
     """Hold a store and the effects that are queued for it.
@@ -43,13 +51,37 @@
         worker.wakeup = anyio.Event()
         batch, worker.waiting = worker.waiting, []
         started_at = time.monotonic()
-        completed = await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0)
+        completed = await _execute_batch(worker, batch)
         worker.record_metric(Measure("log_sync_seconds", time.monotonic() - started_at))
         for event in completed:
             event.now = time.monotonic()
             worker.post_event(event)
 
 
+async def _execute_batch(worker: StorageWorker, batch: list[Effect]) -> list[Event]:
+    """Execute effects, again and again while the disk is full, and return the completion events.
+
+    To the replica a full disk is a slow one: it votes and acknowledges nothing until there is room
+    again, and no process has to be restarted then.
+    """
+    is_full = False
+    while True:
+        try:
+            completed = await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0)
+        except DiskFullError as error:
+            worker.record_metric(Measure("disk_full_writes_total"))
+            if not is_full:
+                logger.bind(error=str(error)).error("the disk is full; writes wait for room")
+            is_full = True
+            if len(worker.waiting) > MAX_WAITING_EFFECTS:
+                worker.store.failure = str(error)
+            await anyio.sleep(FULL_DISK_RETRY_SECONDS)
+            continue
+        if is_full:
+            logger.info("the disk has room again")
+        return completed
+
+
 async def close(worker: StorageWorker) -> None:
     """Close the data folder; writes that were not synced are dropped."""
     with anyio.CancelScope(shield=True):
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -112,6 +112,7 @@
     "log_sync_seconds": Series(
         Kind.HISTOGRAM, "Time to write and sync one batch of the logs.", (), SYNC_BUCKETS
     ),
+    "disk_full_writes_total": _counter("Writes of the logs that failed because the disk was full."),
     # Claims.
     "claims_answered_total": _counter(
         "Claim messages that this leader answered.", "operation", "status"
