Close the data folder only after the write that is under way

What operators saw: "Bad file descriptor" at a shutdown, once in about 90 stops; a descriptor that another file got meanwhile could have received the write.

Cause: the store was closed in one thread while another one was writing to it.

Change: one thread at a time uses the store. A stop waits for it for 2 s; after that the folder stays open and locked until the process ends, and a log line says so.

--- a/marjorambridge/storage/worker.py
+++ b/marjorambridge/storage/worker.py
@@ -15,6 +15,8 @@
 
 # Interval at which writes are repeated while the disk is full.
 FULL_DISK_RETRY_SECONDS = 0.5
+# Time for which a stop waits for a write that is under way.
+CLOSE_TIMEOUT_SECONDS = 2.0
 # Effects that may wait for a full disk, which bounds the memory that they use; with more of them
 # the store fails.
 MAX_WAITING_EFFECTS = 20_000
@@ -29,12 +31,15 @@
         Called with each completion event, in the event loop.
     record_metric : callable
         Called with the duration of each batch, in the event loop.
+    thread : anyio.CapacityLimiter
+        Lets one call use the store at a time.
     """
 
     store: Store
     post_event: Callable[[Event], None]
     record_metric: Callable[[Measure], None] = lambda effect: None
     waiting: list[Effect] = field(default_factory=list)
+    thread: anyio.CapacityLimiter = field(default_factory=lambda: anyio.CapacityLimiter(1))
     wakeup: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -67,7 +72,9 @@
     is_full = False
     while True:
         try:
-            completed = await anyio.to_thread.run_sync(execute, worker.store, batch, 0.0)
+            completed = await anyio.to_thread.run_sync(
+                execute, worker.store, batch, 0.0, limiter=worker.thread
+            )
         except DiskFullError as error:
             worker.record_metric(Measure("disk_full_writes_total"))
             if not is_full:
@@ -83,6 +90,14 @@
 
 
 async def close(worker: StorageWorker) -> None:
-    """Close the data folder; writes that were not synced are dropped."""
-    with anyio.CancelScope(shield=True):
-        await anyio.to_thread.run_sync(close_store, worker.store)
+    """Close the data folder, once the write that is under way has ended.
+
+    Writes that were not synced are dropped. If the write does not end in time, the folder stays
+    open and locked until the process ends.
+    """
+    with anyio.move_on_after(CLOSE_TIMEOUT_SECONDS, shield=True) as scope:
+        await anyio.to_thread.run_sync(close_store, worker.store, limiter=worker.thread)
+    if scope.cancelled_caught:
+        logger.bind(seconds=CLOSE_TIMEOUT_SECONDS).warning(
+            "the data folder stays open, because a write has not ended"
+        )
