Repeat a request that crashes endpoints in the soak

One request, on a stream, safe or unsafe path, is sent to all gateways again and again, and may reach endpoints three times later than three seconds after its third crash. The prompts with a crashing part have different bodies now; with the same body they were one request.

--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -1,4 +1,7 @@
-"""Send prompts with a part that crashes endpoints, and check that it stops reaching them."""
+"""Send requests that crash endpoints, and check that they stop reaching them.
+
+Some are different prompts with one part in common, the others are one request that is repeated.
+"""
 
 import random
 import time
@@ -9,18 +12,21 @@
 from .hints import end_incarnation
 
 SHARED_PART, CRASHING_PART = "5c", "dead"
-# The users' bound: requests with the part that may reach endpoints later than the time of contact
-# after the fifth crash, from hosts without a fault in this time.
-CONTACT_SECONDS, COUNTED_CRASHES, TOLERATED_REQUESTS = 3.0, 5, 3
+DEADLY_BODY, DEADLY_PATHS = b"deadly", ("/stream/d", "/any/d", "/once/d")
+# The users' bound: requests that may reach endpoints later than the time of contact after the fifth
+# crash by a part, or the third one by a repeated request, from hosts without a fault in this time.
+CONTACT_SECONDS, TOLERATED_REQUESTS = 3.0, 3
+COUNTED_CRASHES = {"part": 5, "request": 3}
 
 
 @dataclass
 class Crash:
-    """A request with the crashing part that reached an endpoint."""
+    """A request that crashed an endpoint, because of its part or as a whole."""
 
     endpoint: str
     identifier: str
     at: float
+    cause: str = "part"
 
 
 def describe_prompt(number: int, *parts: str) -> dict[str, str]:
@@ -47,31 +53,56 @@
             soak.sent[identifier] = gateway.name, time.monotonic()
             headers = describe_prompt(number, SHARED_PART, CRASHING_PART)
             headers["X-Request-Id"] = identifier
-            tasks.start_soon(_send, send_request, soak, gateway, headers)
+            body = b"%d" % number
+            tasks.start_soon(_send, send_request, soak, gateway, "/stream/a", body, headers)
             await anyio.sleep(generator.uniform(0.2, 0.5))
 
 
-async def _send(send_request, soak, gateway, headers: dict[str, str]) -> None:
+async def repeat_deadly_request(soak, send_request) -> None:
+    """Send one request again and again to all gateways, each time with another identifier."""
+    generator = random.Random(f"deadly-{soak.seed}")
+    path = generator.choice(DEADLY_PATHS)
+    await anyio.sleep(generator.uniform(0.5, 2.0))
+    number = 0
+    async with anyio.create_task_group() as tasks:
+        while True:
+            number += 1
+            gateway = generator.choice([p for p in soak.processes if p.role == "gateway"])
+            identifier = f"d{soak.seed}-{number}"
+            soak.sent[identifier] = gateway.name, time.monotonic()
+            headers = {"X-Request-Id": identifier}
+            tasks.start_soon(_send, send_request, soak, gateway, path, DEADLY_BODY, headers)
+            await anyio.sleep(generator.uniform(0.2, 0.5))
+
+
+async def _send(
+    send_request, soak, gateway, path: str, body: bytes, headers: dict[str, str]
+) -> None:
     address = gateway.settings["callers"]
-    answer = await send_request(soak, address, "POST", "/stream/a", b"", **headers)
+    answer = await send_request(soak, address, "POST", path, body, **headers)
     if answer is not None and answer[0] == 200:
         soak.record_fault(f"{headers['X-Request-Id']} was answered, though its endpoints crashed")
 
 
-def crash(endpoint_log, endpoint, identifier: str) -> None:
+def crash(endpoint_log, endpoint, identifier: str, cause: str = "part") -> None:
     """End all connections of an endpoint, which starts again at once under its name."""
-    endpoint_log.crashes.append(Crash(endpoint.name, identifier, time.monotonic()))
+    endpoint_log.crashes.append(Crash(endpoint.name, identifier, time.monotonic(), cause))
     end_incarnation(endpoint_log, endpoint)
     for scope in list(endpoint.connections):
         scope.cancel()
 
 
 def check_crashes(soak) -> None:
-    """Check that few requests with the part reach endpoints once hosts know of the crashes."""
-    crashes = sorted(soak.endpoint_log.crashes, key=lambda item: item.at)
-    if len(crashes) < COUNTED_CRASHES:
+    """Check that few of the requests reach endpoints once hosts know of the crashes."""
+    for cause, counted in COUNTED_CRASHES.items():
+        crashes = [item for item in soak.endpoint_log.crashes if item.cause == cause]
+        _check_crashes(soak, sorted(crashes, key=lambda item: item.at), counted)
+
+
+def _check_crashes(soak, crashes: list[Crash], counted: int) -> None:
+    if len(crashes) < counted:
         return
-    limit = crashes[COUNTED_CRASHES - 1].at + CONTACT_SECONDS
+    limit = crashes[counted - 1].at + CONTACT_SECONDS
     faults = {process.name: process.fault_times for process in soak.processes}
     late = []
     for item in crashes:
@@ -80,4 +111,4 @@
         if item.at > limit and in_contact:
             late.append(item.identifier)
     if len(late) > TOLERATED_REQUESTS:
-        soak.record_fault(f"{len(late)} requests with a crashing part reached endpoints: {late}")
+        soak.record_fault(f"{len(late)} requests that crash endpoints reached some: {late}")
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -11,7 +11,7 @@
 import anyio.lowlevel
 from anyio.abc import SocketStream
 
-from .crashes import Crash, crash, has_crashing_part
+from .crashes import DEADLY_BODY, Crash, crash, has_crashing_part
 from .hints import Hint
 
 CONNECTION_ERRORS = (
@@ -156,6 +156,9 @@
         await stream.send(text.encode())
         return
     endpoint.endpoint_log.record_execution(identifier, endpoint.name)
+    if body == DEADLY_BODY:
+        crash(endpoint.endpoint_log, endpoint, identifier, "request")
+        await anyio.lowlevel.checkpoint()
     signed_headers = f"{base_headers}X-Instance-Signature: mac-{identifier}\r\n"
     if b" /stream/" in head.split(b"\r\n")[0]:
         await _send_stream(endpoint, stream, headers, signed_headers, sample)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,13 @@
 import anyio
 import httpcore
 
-from .crashes import SHARED_PART, check_crashes, describe_prompt, send_crashing_prompts
+from .crashes import (
+    SHARED_PART,
+    check_crashes,
+    describe_prompt,
+    repeat_deadly_request,
+    send_crashing_prompts,
+)
 from .endpoints import EVENTS_PER_STREAM, Endpoint, EndpointLog, serve_endpoint
 from .hints import check_hints, end_incarnation, inject_hints
 from .processes import Process, make_processes
@@ -367,6 +373,7 @@
                 work.start_soon(change_settings, soak)
                 work.start_soon(inject_hints, soak)
                 work.start_soon(send_crashing_prompts, soak, send_request)
+                work.start_soon(repeat_deadly_request, soak, send_request)
                 await anyio.sleep(seconds)
                 work.cancel_scope.cancel()
             await check_final_state(soak)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -120,6 +120,21 @@
     assert not soak.faults
 
 
+def test_a_repeated_request_that_keeps_reaching_endpoints_is_detected(tmp_path):
+    """Guard against a check that counts the crashes of a request with those of a part."""
+    soak = make_soak(tmp_path)
+    soak.processes = [Process("g1", "gateway", tmp_path, {})]
+    for number in range(7):
+        soak.sent[f"d{number}"] = "g1", 0.0
+        at = 10.0 + number if number < 3 else 20.0 + number
+        soak.endpoint_log.crashes.append(Crash("i-1", f"d{number}", at, "request"))
+        if number == 5:
+            check_crashes(soak)
+            assert not soak.faults
+    check_crashes(soak)
+    assert len(soak.faults) == 1
+
+
 def test_hints_of_a_crashed_endpoint_expire(tmp_path):
     """Guard against a check that reports requests to the next incarnation of an endpoint."""
     log = EndpointLog(hints=[Hint("i-1", "a", 10.0, math.inf, True)])
