--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -8,21 +8,17 @@
 
 import anyio
 from loguru import logger
-from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
-from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.admission import Admission, Refusal, admit_request
 from marjorambridge.forwarding.attempts import (
     AttemptOutcome,
     NextStep,
-    RequestProgress,
     decide_next_step,
     may_try_again,
     record_outcome,
 )
 from marjorambridge.forwarding.budgets import consume_retry, record_request, record_send
-from marjorambridge.forwarding.costs import compute_prefill_seconds
 from marjorambridge.forwarding.health import (
     mark_replaced,
     record_failure,
@@ -37,29 +33,26 @@
     remove_request,
 )
 from marjorambridge.forwarding.placement import (
-    RequestProfile,
     choose_endpoint,
     is_usable,
     list_usable,
 )
 from marjorambridge.forwarding.request_limits import may_send_limited
 from marjorambridge.forwarding.reservations import needs_reservations, plan_memory_shares
-from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
+from marjorambridge.gateway.contexts import RequestContext, create_context
 from marjorambridge.gateway.crash_reports import format_cause
 from marjorambridge.gateway.crashes import (
-    find_block,
-    find_causes,
     format_parts,
     is_blocked,
     record_first_answer,
     record_possible_crash,
 )
-from marjorambridge.gateway.events import StreamCursor, extract_events
+from marjorambridge.gateway.events import extract_events
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.hints import apply_answer_hints
 from marjorambridge.gateway.messages import (
@@ -69,17 +62,20 @@
     AttemptOptions,
     AttemptResult,
     CallerRequest,
-    MemoryAllocation,
+)
+from marjorambridge.gateway.outcomes import (
+    answer_text,
+    deliver,
+    fail,
+    log_outcome,
+    refuse,
+    refuse_admission,
 )
 from marjorambridge.gateway.state import Gateway
-from marjorambridge.gateway.tickets import TicketSet, list_helpers, release, renew_tickets, reserve
+from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, reserve
 from marjorambridge.manifests.models import Execution
 
-PLAIN_TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 CHUNKED = (b"Transfer-Encoding", b"chunked")
-UNAUTHORIZED, NOT_FOUND, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 401, 404, 502, 503, 504
-# Part of the deadline that is left for the transfer of the answer to the caller.
-ANSWER_MARGIN_SECONDS = 0.02
 # No attempt can complete in less time.
 MIN_ATTEMPT_SECONDS = 0.02
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while.
@@ -88,57 +84,6 @@
 )
 
 
-class RequestContext(Struct):
-    """Store the state of a request that is being handled.
-
-    Attributes
-    ----------
-    deadline : float
-        Monotonic time in seconds by which the answer must be complete.
-    tickets : TicketSet
-        Memory of engines that is reserved for the next attempt.
-    allocation : MemoryAllocation
-        Memory of this host that the answer uses.
-    causes : tuple of int
-        What may crash engines, the whole request first; see `marjorambridge.forwarding.causes`.
-    attempt_kv_tokens : int
-        Memory in tokens that the requests of all hosts needed at the endpoint when the last attempt
-        began.
-    first_event_at, last_event_at : float
-        Monotonic times in seconds; 0 before the first event.
-    longest_gap : float
-        Longest time in seconds between two events.
-    helper_count : int
-        Number of helper engines of the last attempt.
-    helpers : list of Endpoint
-        Helper engines of the next attempt.
-    prefilling : list of Endpoint
-        Endpoints that prefill the prompt; empty after the first event of an attempt.
-    """
-
-    gateway: Gateway
-    exchange: Exchange
-    request: CallerRequest
-    admission: Admission
-    profile: RequestProfile
-    deadline: float
-    tickets: TicketSet
-    allocation: MemoryAllocation
-    causes: tuple[int, ...]
-    progress: RequestProgress = field(default_factory=RequestProgress)
-    cursor: StreamCursor = field(default_factory=StreamCursor)
-    attempt_started_at: float = 0.0
-    attempt_kv_tokens: int = 0
-    first_event_at: float = 0.0
-    last_event_at: float = 0.0
-    longest_gap: float = 0.0
-    helper_count: int = 0
-    prefilling: list[Endpoint] = field(default_factory=list)
-    helpers: list[Endpoint] = field(default_factory=list)
-    excluded: set[str] = field(default_factory=set)
-    attempt_outcomes: list[str] = field(default_factory=list)
-
-
 async def handle_request(gateway: Gateway, exchange: Exchange) -> None:
     """Handle a request and write its answer."""
     try:
@@ -146,13 +91,13 @@
             exchange.method, exchange.target, exchange.headers, exchange.body
         )
     except BadRequestError as error:
-        await _answer_text(exchange, error.status, str(error))
+        await answer_text(exchange, error.status, str(error))
         return
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
-        await _refuse_admission(gateway, exchange, request, admitted)
+        await refuse_admission(gateway, exchange, request, admitted)
         return
-    context = _create_context(gateway, exchange, request, admitted)
+    context = create_context(gateway, exchange, request, admitted)
     record_request(gateway.forwarding, admitted.service, time.monotonic())
     outcome = "caller_gone"
     try:
@@ -160,7 +105,7 @@
     finally:
         context.allocation.release()
         await release(context.tickets)
-        _log_outcome(context, outcome)
+        log_outcome(context, outcome)
 
 
 async def _admit(
@@ -183,72 +128,16 @@
             await gateway.updated.wait()
 
 
-def _create_context(
-    gateway: Gateway, exchange: Exchange, request: CallerRequest, admission: Admission
-) -> RequestContext:
-    route = admission.route
-    seconds = route.timeout_seconds
-    if request.wait_seconds is not None:
-        seconds = min(seconds, request.wait_seconds)
-    definition = gateway.forwarding.table.services[admission.service]
-    profile = RequestProfile(
-        admission.service,
-        objective_seconds=route.objective_seconds or math.inf,
-        pause_seconds=route.gap_objective_seconds or math.inf,
-    )
-    if definition.engine is not None and request.prompt is not None:
-        prompt = request.prompt
-        answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
-        profile.prefill_seconds = compute_prefill_seconds(definition.engine, prompt.prompt_tokens)
-        profile.kv_tokens = prompt.prompt_tokens + answer
-    # A host that is stopping ends before some answers are complete; they get a final answer then.
-    deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
-    tickets = TicketSet(gateway, request.request_id)
-    allocation = MemoryAllocation(gateway.memory)
-    workspace = admission.workspace.name if admission.workspace else ""
-    causes = find_causes(request, workspace)
-    context = RequestContext(
-        gateway, exchange, request, admission, profile, deadline, tickets, allocation, causes
-    )
-    context.cursor.last_event = request.last_event
-    return context
-
-
-async def _refuse_admission(
-    gateway: Gateway, exchange: Exchange, request: CallerRequest, refusal: Refusal
-) -> None:
-    status, text = {
-        Refusal.NO_ROUTE: (NOT_FOUND, "no route matches; check host name and path"),
-        Refusal.UNKNOWN_KEY: (UNAUTHORIZED, "the key is unknown; use a key of a workspace"),
-        Refusal.STOPPING: (UNAVAILABLE, "this host is stopping; the request has not run"),
-    }.get(refusal, (UNAVAILABLE, "this host has no configuration yet; come back later"))
-    logger.bind(request=request.request_id, reason=refusal.value, status=status).info(
-        "a request was not admitted"
-    )
-    gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": refusal.value}))
-    headers = [PLAIN_TEXT]
-    if status == UNAVAILABLE:
-        seconds = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
-        if refusal is Refusal.STOPPING:
-            seconds = defaults.MIN_RETRY_AFTER_SECONDS
-        headers += gateway.dialect.encode_retry_after(seconds)
-    await callers.send_answer(exchange, status, headers, text.encode())
-
-
-async def _answer_text(exchange: Exchange, status: int, text: str) -> None:
-    await callers.send_answer(exchange, status, [PLAIN_TEXT], text.encode())
-
-
 # Attempts.
 
 
 async def _run_attempts(context: RequestContext) -> str:
     """Run attempts until one is final, write the answer and return the outcome's name."""
     if is_blocked(context.gateway, context.request, context.causes, may_test=True):
-        return await _refuse(context, "blocked")
+        return await refuse(context, "blocked")
     endpoint = await _select_endpoint(context)
     if endpoint is None:
-        return await _refuse(context, "no_endpoint")
+        return await refuse(context, "no_endpoint")
     while True:
         context.allocation.release()
         result = await _run_attempt(context, endpoint)
@@ -260,11 +149,11 @@
             context.admission.route, context.progress, result.outcome, next_endpoint is not None
         )
         if step is NextStep.DELIVER:
-            return await _deliver(context, result)
+            return await deliver(context, result)
         if step is NextStep.REFUSE:
-            return await _refuse(context, result.outcome.value)
+            return await refuse(context, result.outcome.value)
         if step is NextStep.FAIL:
-            return await _fail(context, result.outcome)
+            return await fail(context, result.outcome)
         endpoint = next_endpoint
 
 
@@ -545,68 +434,3 @@
         reason=outcome.value,
         avoided_seconds=round(avoided, 3),
     ).info("a helper engine prevented the prefill of a prompt")
-
-
-# Answers.
-
-
-async def _deliver(context: RequestContext, result: AttemptResult) -> str:
-    exchange, head = context.exchange, result.head
-    if exchange.has_head:
-        await callers.end_answer(exchange)
-        return "served"
-    if head is None:
-        return await _fail(context, result.outcome)
-    await callers.send_answer(exchange, head.status, head.headers, result.body)
-    return "served" if result.outcome is AttemptOutcome.COMPLETE else "endpoint_failed"
-
-
-async def _refuse(context: RequestContext, reason: str) -> str:
-    """Answer that the request has not run and when to retry."""
-    block = find_block(context.gateway, context.causes)
-    if block is not None:
-        reason, seconds = block
-    else:
-        forwarding = context.gateway.forwarding
-        seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
-    headers = [PLAIN_TEXT, *context.gateway.dialect.encode_retry_after(seconds)]
-    text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
-    await callers.send_answer(context.exchange, UNAVAILABLE, headers, text.encode())
-    return f"refused_{reason}"
-
-
-async def _fail(context: RequestContext, outcome: AttemptOutcome) -> str:
-    """Answer that the request failed, or reset the connection if the answer has started."""
-    if context.exchange.has_head:
-        context.exchange.must_reset = True
-        return f"cut_{outcome.value}"
-    if outcome is AttemptOutcome.TIMED_OUT and not context.progress.may_have_run:
-        return await _refuse(context, "no_time")
-    status = GATEWAY_TIMEOUT if outcome is AttemptOutcome.TIMED_OUT else BAD_GATEWAY
-    await _answer_text(context.exchange, status, f"the endpoint failed ({outcome.value})")
-    return f"failed_{outcome.value}"
-
-
-def _log_outcome(context: RequestContext, outcome: str) -> None:
-    now = time.monotonic()
-    arrived = context.exchange.arrived_at
-    first = context.first_event_at - arrived if context.first_event_at else now - arrived
-    prompt = context.request.prompt
-    gateway = context.gateway
-    gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": outcome}))
-    gateway.record_metric(Measure("forwarded_first_answer_seconds", first, {}))
-    table = gateway.forwarding.table
-    logger.bind(
-        request=context.request.request_id,
-        route=context.admission.route.name,
-        service=context.admission.service,
-        outcome=outcome,
-        attempts=",".join(context.attempt_outcomes),
-        prompt_tokens=prompt.prompt_tokens if prompt else 0,
-        parts=format_parts(context.request.prompt_parts),
-        first_seconds=round(first, 4),
-        pause_seconds=round(context.longest_gap, 4),
-        helpers=context.helper_count,
-        seconds=round(now - arrived, 4),
-        version=table.manifest.version if table else 0,
-    ).info("a request ended")
