--- a/tests/control/test_disturbances.py
+++ b/tests/control/test_disturbances.py
@@ -38,3 +38,8 @@
 def test_changes_are_in_force_in_time_after_overlapping_losses():
     """Guard against a host that tries lost replicas first, when one zone and then all are lost."""
     assert play_day(450).violations == []
+
+
+def test_changes_are_in_force_in_time_after_a_removed_voter_returned():
+    """Guard against a majority that elects no leader, because one of it is no voter any longer."""
+    assert play_day(5127, disturbances=9).violations == []
