Try a replica of another zone after a timeout

Cause: a host prefers the replicas of its own zone, and these are lost together. It tried three of them, one answer timeout (1.1 s) after the other, while six others worked.

Change: for 3 s after a timeout, the replicas of that zone come after those of other zones. A host whose own replica alone is lost polls another zone for this time, and returns then.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -7,6 +7,7 @@
 the host continues with the state it has.
 """
 
+import math
 import random
 
 import xxhash
@@ -39,6 +40,8 @@
         Monotonic time in seconds until which this replica counts as not current.
     consecutive_timeouts : int
         Timeouts since the replica's last answer.
+    timed_out_at : float
+        Monotonic time in seconds of the last timeout.
     """
 
     incarnation: int = 0
@@ -47,6 +50,7 @@
     avoid_until: float = 0.0
     outdated_until: float = 0.0
     consecutive_timeouts: int = 0
+    timed_out_at: float = -math.inf
 
 
 class SubscriberState(Struct):
@@ -215,6 +219,7 @@
     seconds = defaults.FEED_AVOID_SECONDS * 2**steps
     replica.avoid_until = now + min(seconds, defaults.FEED_MAX_AVOID_SECONDS)
     replica.consecutive_timeouts += 1
+    replica.timed_out_at = now
 
 
 def _choose_replica(state: SubscriberState, reason: str, now: float) -> list[Effect]:
@@ -238,19 +243,37 @@
     return [WriteLog("info", "the polled replica changed", fields)]
 
 
-def _make_sort_key(state: SubscriberState, host: str, now: float) -> tuple[bool, float, bool, int]:
+def _make_sort_key(
+    state: SubscriberState, host: str, now: float
+) -> tuple[bool, float, bool, bool, int]:
     """Return the sort key of a replica; the lowest one is polled.
 
     Replicas that are not current come last: one that was unresponsive may have recovered, but the
     answers of an outdated one lack changes. Replicas that are avoided come before them, in the
-    order in which the avoidance ends. Replicas in the zone of this host come before others, and a
-    hash breaks ties.
+    order in which the avoidance ends. Of the others, those in a zone where one has just timed out
+    come last, because a zone may be lost as a whole, and each timeout delays changes. Replicas in
+    the zone of this host come before others, and a hash breaks ties.
     """
     replica = state.replicas.get(host, ReplicaStatus())
     is_outdated = replica.outdated_until > now
     avoided_for = max(0.0, replica.avoid_until - now)
+    zone = state.zone_of.get(host, "")
     order = xxhash.xxh3_64_intdigest(f"{state.host}/{host}".encode())
-    return is_outdated, avoided_for, state.zone_of.get(host, "") != state.zone, order
+    return (
+        is_outdated,
+        avoided_for,
+        _has_recent_timeout(state, zone, now),
+        zone != state.zone,
+        order,
+    )
+
+
+def _has_recent_timeout(state: SubscriberState, zone: str, now: float) -> bool:
+    limit = now - defaults.FEED_AVOID_SECONDS
+    return any(
+        replica.timed_out_at > limit and state.zone_of.get(host, "") == zone
+        for host, replica in state.replicas.items()
+    )
 
 
 def _handle_update(
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -225,6 +225,22 @@
     assert all(state.polled_replica != polled[state.host] for state in subscribers)
 
 
+def test_a_host_whose_zone_lost_its_replicas_tries_another_zone_next():
+    """Guard against changes that are late by one answer timeout for each replica of a zone."""
+    fleet = make_fleet(replicas=9, gateways=1)
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    # All replicas have joined and told one another their zones.
+    fleet.run(5.0)
+    lost = [name for name, host in fleet.hosts.items() if host.disk and host.zone == "z1"]
+    state = fleet.hosts["g0"].node.parts["control"].state
+    assert len(lost) == 3 and state.polled_replica in lost
+    for name in lost:
+        fleet.kill(name)
+    # An answer that was sent before, the answer timeout, and the delay of two messages.
+    fleet.run(defaults.FEED_ANSWER_TIMEOUT_SECONDS + 0.01)
+    assert state.polled_replica not in lost and state.unanswered_polls == 0
+
+
 def test_a_host_prefers_a_replica_that_was_unresponsive_to_an_outdated_one():
     """Guard against a host that stays with a replica which is cut off from the others.
 
