Keep the zones of replicas that an update does not know

A replica that has just started knows the zones of no others, and its updates made every host forget them, so that hosts polled replicas of other zones until the next update.

Evidence: test_a_replica_that_knows_no_zones_does_not_make_hosts_forget_them fails before and passes now.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -283,7 +283,8 @@
     replica.answered_at = now
     if update.members:
         state.members = update.members
-        state.zone_of.update(zip(update.members, update.member_zones, strict=True))
+        zones = zip(update.members, update.member_zones, strict=True)
+        state.zone_of.update((member, zone) for member, zone in zones if zone)
     if state.version == 0 and update.current and sender != state.polled_replica:
         # Replicas notify all subscribers when they become current; select the first one.
         state.polled_replica, state.polled_since = sender, now
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -225,6 +225,20 @@
     assert all(state.polled_replica != polled[state.host] for state in subscribers)
 
 
+def test_a_replica_that_knows_no_zones_does_not_make_hosts_forget_them():
+    """Guard against hosts that poll other zones, because their replica has just started."""
+    fleet = make_fleet(gateways=1)
+    fleet.run(5.0)
+    state = fleet.hosts["g0"].node.parts["control"].state
+    known = dict(state.zone_of)
+    assert set(known) == set(state.members) and all(known.values())
+    replica = fleet.control(state.polled_replica)
+    replica.zones.clear()
+    fleet.submit("r0", ReplaceManifest("a", 1, b"one"))
+    fleet.run(0.1)
+    assert fleet.known_version("g0") == 1 and state.zone_of == known
+
+
 def test_a_host_whose_zone_lost_its_replicas_tries_another_zone_next():
     """Guard against changes that are late by one answer timeout for each replica of a zone."""
     fleet = make_fleet(replicas=9, gateways=1)
