Wait in the tests of processes until restarted endpoints listen

The test before it starts an engine again and ends before the engine listens (its output has two start lines), and the setup of the next one calls it at once. The setup now waits for an answer of each endpoint.

--- a/tests/system/fleets.py
+++ b/tests/system/fleets.py
@@ -70,6 +70,8 @@
 def restore(fleet):
     """Restart hosts that a test killed, resume suspended ones, and clear all faults."""
     for name in fleet.endpoints:
+        # The last test may have started it again just before its end.
+        local.wait_until(lambda name=name: read_inventory(fleet, name), f"{name} listens")
         if name.startswith("engine"):
             set_fault(fleet, name, kind="clear")
         else:
