--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -43,35 +43,34 @@
     """Send different prompts with the crashing part to all gateways."""
     # A separate generator keeps the other faults of a seed as they are.
     generator = random.Random(f"crashes-{soak.seed}")
-    await anyio.sleep(generator.uniform(0.5, 2.0))
-    number = 0
-    async with anyio.create_task_group() as tasks:
-        while True:
-            number += 1
-            gateway = generator.choice([p for p in soak.processes if p.role == "gateway"])
-            identifier = f"c{soak.seed}-{number}"
-            soak.sent[identifier] = gateway.name, time.monotonic()
-            headers = describe_prompt(number, SHARED_PART, CRASHING_PART)
-            headers["X-Request-Id"] = identifier
-            body = b"%d" % number
-            tasks.start_soon(_send, send_request, soak, gateway, "/stream/a", body, headers)
-            await anyio.sleep(generator.uniform(0.2, 0.5))
+
+    def make_request(number: int):
+        parts = describe_prompt(number, SHARED_PART, CRASHING_PART)
+        return "/stream/a", b"%d" % number, parts
+
+    await _send_repeatedly(soak, send_request, generator, "c", make_request)
 
 
 async def repeat_deadly_request(soak, send_request) -> None:
     """Send one request again and again to all gateways, each time with another identifier."""
     generator = random.Random(f"deadly-{soak.seed}")
     path = generator.choice(DEADLY_PATHS)
+    await _send_repeatedly(soak, send_request, generator, "d", lambda _: (path, DEADLY_BODY, {}))
+
+
+async def _send_repeatedly(soak, send_request, generator, prefix: str, make_request) -> None:
+    """Send the requests with path, body and headers that a function returns for a number."""
     await anyio.sleep(generator.uniform(0.5, 2.0))
     number = 0
     async with anyio.create_task_group() as tasks:
         while True:
             number += 1
             gateway = generator.choice([p for p in soak.processes if p.role == "gateway"])
-            identifier = f"d{soak.seed}-{number}"
+            identifier = f"{prefix}{soak.seed}-{number}"
             soak.sent[identifier] = gateway.name, time.monotonic()
-            headers = {"X-Request-Id": identifier}
-            tasks.start_soon(_send, send_request, soak, gateway, path, DEADLY_BODY, headers)
+            path, body, headers = make_request(number)
+            headers["X-Request-Id"] = identifier
+            tasks.start_soon(_send, send_request, soak, gateway, path, body, headers)
             await anyio.sleep(generator.uniform(0.2, 0.5))
 
 
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -14,7 +14,10 @@
 from marjorambridge.limits.messages import PermitCancel
 from marjorambridge.standins.fleet import find_free_ports
 from marjorambridge.transport import frames, network
-from marjorambridge.transport.acknowledgements import ACKNOWLEDGEMENT_TIMEOUT_SECONDS
+from marjorambridge.transport.acknowledgements import (
+    ACKNOWLEDGEMENT_INTERVAL_SECONDS,
+    ACKNOWLEDGEMENT_TIMEOUT_SECONDS,
+)
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
 from marjorambridge.transport.frames import decode_hello, derive_session, open_frame, seal_frame
 from marjorambridge.transport.turn_queue import (
@@ -158,12 +161,26 @@
     assert last > 10 and relay.count == 2
 
 
+async def send_first(pair):
+    """Send message 0 and wait until it is acknowledged."""
+    network.send(pair.hosts["a"], "b", make_message(0))
+    await wait_for(lambda: pair.received["b"])
+    await anyio.sleep(2 * ACKNOWLEDGEMENT_INTERVAL_SECONDS)
+
+
+async def send_without_acknowledgement(pair, relay):
+    """Send message 1, whose acknowledgement is lost."""
+    relay.answers_nothing = True
+    network.send(pair.hosts["a"], "b", make_message(1))
+    # The handshake of the next connection needs an answer.
+    await anyio.sleep(ACKNOWLEDGEMENT_TIMEOUT_SECONDS)
+    relay.answers_nothing = False
+
+
 async def test_messages_on_a_connection_that_fell_silent_are_sent_again():
     """Guard against a poll of a replica that is lost with its connection and never repeated."""
     async with running_pair() as pair, running_relay(pair) as relay:
-        network.send(pair.hosts["a"], "b", make_message(0))
-        await wait_for(lambda: pair.received["b"])
-        await anyio.sleep(0.2)
+        await send_first(pair)
         relay.silence()
         for number in range(1, 4):
             network.send(pair.hosts["a"], "b", make_message(number))
@@ -175,9 +192,7 @@
 async def test_messages_to_a_peer_that_lost_power_reach_its_successor():
     """Guard against the loss of the first message after a peer restarted without a reset."""
     async with running_pair() as pair, running_relay(pair) as relay:
-        network.send(pair.hosts["a"], "b", make_message(0))
-        await wait_for(lambda: pair.received["b"])
-        await anyio.sleep(0.2)
+        await send_first(pair)
         relay.silence()
         network.send(pair.hosts["a"], "b", make_message(1))
         pair.hosts["b"].received_numbers.clear()
@@ -189,14 +204,8 @@
 async def test_a_message_whose_acknowledgement_is_lost_is_delivered_once():
     """Guard against messages that are handled twice because they were sent again."""
     async with running_pair() as pair, running_relay(pair) as relay:
-        network.send(pair.hosts["a"], "b", make_message(0))
-        await wait_for(lambda: pair.received["b"])
-        await anyio.sleep(0.2)
-        relay.answers_nothing = True
-        network.send(pair.hosts["a"], "b", make_message(1))
-        # The handshake of the next connection needs an answer.
-        await anyio.sleep(ACKNOWLEDGEMENT_TIMEOUT_SECONDS)
-        relay.answers_nothing = False
+        await send_first(pair)
+        await send_without_acknowledgement(pair, relay)
         await wait_for(lambda: relay.count == 2)
         network.send(pair.hosts["a"], "b", make_message(2))
         await wait_for(lambda: len(pair.received["b"]) >= 3)
@@ -214,13 +223,8 @@
 
     async with running_pair() as pair, running_relay(pair) as relay:
         monkeypatch.setattr(network, "_make_hello", make_old_hello)
-        network.send(pair.hosts["a"], "b", make_message(0))
-        await wait_for(lambda: pair.received["b"])
-        await anyio.sleep(0.2)
-        relay.answers_nothing = True
-        network.send(pair.hosts["a"], "b", make_message(1))
-        await anyio.sleep(ACKNOWLEDGEMENT_TIMEOUT_SECONDS)
-        relay.answers_nothing = False
+        await send_first(pair)
+        await send_without_acknowledgement(pair, relay)
         await anyio.sleep(0.5)
         network.send(pair.hosts["a"], "b", make_message(2))
         await wait_for(lambda: len(pair.received["b"]) >= 3)
