Let forwarded commands expire before newer ones can be applied

Cause: an operator gave up a restoration after a second and had it applied through another replica. The first replica withdrew it, but its message to the leader waited for a connection, was sent again 2 s later, and was applied after the drain that followed.

--- a/marjorambridge/control/proposals.py
+++ b/marjorambridge/control/proposals.py
@@ -21,7 +21,10 @@
         # Entries may be appended before the first one of the term is committed.
         return [propose(now, command_id, pending.payload)]
     if state.leader:
-        return [SendMessage(state.leader, ProposalForward(command_id, pending.payload))]
+        # Sent again below while the command is pending. A forward that waits for a connection would
+        # outlive a command that was withdrawn, and be applied after newer ones.
+        message = ProposalForward(command_id, pending.payload)
+        return [SendMessage(state.leader, message, defaults.LOG_COMMAND_RETRY_SECONDS)]
     return []
 
 
--- a/marjorambridge/core/effects.py
+++ b/marjorambridge/core/effects.py
@@ -1,5 +1,6 @@
 """Define the effects that every component may return."""
 
+import math
 from typing import Any
 
 from msgspec import Struct, field
@@ -13,10 +14,18 @@
 
 
 class SendMessage(Effect):
-    """Send a message to a host; delivery is not guaranteed. A message to this host loops back."""
+    """Send a message to a host; delivery is not guaranteed. A message to this host loops back.
+
+    Attributes
+    ----------
+    lifetime : float
+        Time in seconds for which the message may wait to be sent, or to be sent again; the
+        transport has a limit of its own.
+    """
 
     to: str
     message: Any
+    lifetime: float = math.inf
 
 
 class SetTimer(Effect):
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -220,7 +220,7 @@
 def _connect_handlers(host: ReplicaHost) -> None:
     handlers = host.runtime.handlers
     handlers[effects.SendMessage] = lambda effect: network.send(
-        host.network, effect.to, effect.message
+        host.network, effect.to, effect.message, effect.lifetime
     )
     handlers[effects.WriteLog] = logs.write
     handlers[effects.Measure] = lambda effect: metrics.record(host.metrics, effect)
--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -8,6 +8,7 @@
 message may reach two incarnations of a host; the reducers tolerate that, too.
 """
 
+import math
 import secrets
 import socket
 import time
@@ -71,13 +72,13 @@
 
     Attributes
     ----------
-    queued_at : float
-        Monotonic time in seconds.
+    expires_at : float
+        Monotonic time in seconds after which it is not sent, or not sent again.
     number : int
         Number among the messages to this peer; 0 before the message was sent.
     """
 
-    queued_at: float
+    expires_at: float
     message: Any
     number: int = 0
 
@@ -147,15 +148,22 @@
         await network.closed.wait()
 
 
-def send(network: Network, host: str, message: Any) -> None:
-    """Queue a message; the oldest one is dropped when the queue is full."""
+def send(network: Network, host: str, message: Any, lifetime: float = math.inf) -> None:
+    """Queue a message; the oldest one is dropped when the queue is full.
+
+    Parameters
+    ----------
+    lifetime : float
+        Time in seconds for which the message may wait, if less than `MESSAGE_LIFETIME_SECONDS`.
+    """
     peer = network.peers.get(host)
     if peer is None:
         peer = network.peers[host] = Peer()
         network.tasks.start_soon(_run_sender, network, host, peer)
     if len(peer.queue) >= MAX_QUEUED_MESSAGES:
         peer.queue.popleft()
-    peer.queue.append(QueuedMessage(time.monotonic(), message))
+    expires_at = time.monotonic() + min(lifetime, MESSAGE_LIFETIME_SECONDS)
+    peer.queue.append(QueuedMessage(expires_at, message))
     peer.wakeup.set()
 
 
@@ -292,8 +300,8 @@
 
 
 def _drop_old_messages(peer: Peer) -> None:
-    limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
-    while peer.queue and peer.queue[0].queued_at < limit:
+    now = time.monotonic()
+    while peer.queue and peer.queue[0].expires_at < now:
         peer.queue.popleft()
     if not peer.queue:
         peer.wakeup = anyio.Event()
@@ -394,10 +402,10 @@
     parts: list[bytes] = []
     messages: list[QueuedMessage] = []
     size = 0
-    limit = time.monotonic() - MESSAGE_LIFETIME_SECONDS
+    now = time.monotonic()
     while peer.queue and size < MAX_BATCH_BYTES:
         queued = peer.queue.popleft()
-        if queued.queued_at < limit or (queued.number and not is_numbered):
+        if queued.expires_at < now or (queued.number and not is_numbered):
             continue
         if not queued.number:
             peer.last_number += 1
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -10,6 +10,7 @@
 from marjorambridge.core.events import MessageReceived, TimerFired
 from marjorambridge.core.timers import compute_next_due, pop_due
 from marjorambridge.daemon.replica import COMMAND_TIMEOUT_SECONDS
+from marjorambridge.transport.network import MESSAGE_LIFETIME_SECONDS
 
 from .fleet import DELAY, Fleet
 from .links import Item, Link, close_link, pump_link
@@ -167,7 +168,8 @@
 
     def send(self, name, effect):
         link = self.links.setdefault((name, effect.to), Link(name, effect.to))
-        link.queue.append(Item(self.now, self.hosts[name].generation, effect.message))
+        expires_at = self.now + min(effect.lifetime, MESSAGE_LIFETIME_SECONDS)
+        link.queue.append(Item(expires_at, self.hosts[name].generation, effect.message))
         self.pump(link)
 
     def pump(self, link):
--- a/tests/control/links.py
+++ b/tests/control/links.py
@@ -24,7 +24,7 @@
 class Item:
     """A message of one incarnation of a host; the number is 0 before it was sent."""
 
-    queued_at: float
+    expires_at: float
     generation: int
     message: object
     number: int = 0
@@ -87,9 +87,8 @@
     is_listening : bool
         Whether a process at the target accepts connections.
     """
-    limit = now - network.MESSAGE_LIFETIME_SECONDS
-    while link.queue and link.queue[0].queued_at < limit:
-        link.queue.popleft()
+    if link.queue and any(item.expires_at < now for item in link.queue):
+        link.queue = deque(item for item in link.queue if item.expires_at >= now)
     idle_since = now - network.IDLE_TIMEOUT_SECONDS
     if link.is_open and link.unacknowledged_since is None and link.used_at < idle_since:
         link.is_open = link.silent = False
--- a/tests/control/test_disturbances.py
+++ b/tests/control/test_disturbances.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from marjorambridge.control.commands import DrainZone, RestoreZone
+from marjorambridge.control.events import CommandWithdrawn
+from marjorambridge.daemon.replica import COMMAND_TIMEOUT_SECONDS
+
 from .disturbed import DisturbedFleet
 from .random_days import play_day
 
@@ -43,3 +47,24 @@
 def test_changes_are_in_force_in_time_after_a_removed_voter_returned():
     """Guard against a majority that elects no leader, because one of it is no voter any longer."""
     assert play_day(5127, disturbances=9).violations == []
+
+
+def test_a_restoration_that_was_withdrawn_does_not_undo_a_newer_drain():
+    """Guard against a command that waits for a connection and is applied after newer ones."""
+    fleet = DisturbedFleet(replicas=3, gateways=1, seed=1)
+    fleet.run(4.0)
+    leader = next(name for name in fleet.list_core() if fleet.control(name).is_leader)
+    follower, other = (name for name in fleet.list_core() if name != leader)
+    fleet.submit(leader, DrainZone("drain-1", "z1"))
+    fleet.run(0.5)
+    pairs = {(follower, leader), (leader, follower)}
+    fleet.cut(pairs)
+    fleet.submit(follower, RestoreZone("restore-1", "z1"))
+    fleet.run(COMMAND_TIMEOUT_SECONDS)
+    fleet.dispatch(follower, CommandWithdrawn(fleet.now, "restore-1"))
+    fleet.submit(other, DrainZone("drain-2", "z1"))
+    fleet.run(0.2)
+    assert fleet.is_applied(other, "drain-2")
+    fleet.heal(pairs)
+    fleet.run(3.0)
+    assert all(fleet.control(name).control.drained for name in fleet.list_core())
--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -401,3 +401,18 @@
         await wait_for(lambda: pair.received["b"])
         assert anyio.current_time() - started_at < 0.5
         tasks.cancel_scope.cancel()
+
+
+async def test_a_message_with_a_short_lifetime_is_not_sent_late():
+    """Guard against a message that waits for a connection for longer than it is valid."""
+    pair = Pair(find_free_ports(2))
+    async with anyio.create_task_group() as tasks:
+        await network.start(pair.hosts["a"], tasks, pair.addresses["a"])
+        network.send(pair.hosts["a"], "b", make_message(1), lifetime=0.1)
+        network.send(pair.hosts["a"], "b", make_message(2))
+        await anyio.sleep(0.3)
+        await network.start(pair.hosts["b"], tasks, pair.addresses["b"])
+        await wait_for(lambda: pair.received["b"])
+        await network.close(pair.hosts["a"])
+        await network.close(pair.hosts["b"])
+    assert [event.message for event in pair.received["b"]] == [make_message(2)]
