Keep the recorded sessions by an effect of its own for messages that expire

Messages with a lifetime have their own effect now, and the sessions are as recorded. Behaviour is unchanged.

--- a/marjorambridge/control/proposals.py
+++ b/marjorambridge/control/proposals.py
@@ -4,7 +4,7 @@
 from marjorambridge.control.commands import AnyCommand, ReadBarrier, encode_command
 from marjorambridge.control.messages import ProposalForward
 from marjorambridge.control.state import CONTROL_GROUP, ControlReplicaState, PendingCommand
-from marjorambridge.core.effects import Effect, Publish, SendMessage
+from marjorambridge.core.effects import Effect, Publish, SendExpiringMessage
 from marjorambridge.replication.events import ProposalRequested
 
 
@@ -24,7 +24,8 @@
         # Sent again below while the command is pending. A forward that waits for a connection would
         # outlive a command that was withdrawn, and be applied after newer ones.
         message = ProposalForward(command_id, pending.payload)
-        return [SendMessage(state.leader, message, defaults.LOG_COMMAND_RETRY_SECONDS)]
+        lifetime = defaults.LOG_COMMAND_RETRY_SECONDS
+        return [SendExpiringMessage(state.leader, message, lifetime)]
     return []
 
 
--- a/marjorambridge/core/effects.py
+++ b/marjorambridge/core/effects.py
@@ -1,6 +1,5 @@
 """Define the effects that every component may return."""
 
-import math
 from typing import Any
 
 from msgspec import Struct, field
@@ -14,18 +13,22 @@
 
 
 class SendMessage(Effect):
-    """Send a message to a host; delivery is not guaranteed. A message to this host loops back.
+    """Send a message to a host; delivery is not guaranteed. A message to this host loops back."""
+
+    to: str
+    message: Any
+
+
+class SendExpiringMessage(SendMessage):
+    """Send a message that is valid for a short time only.
 
     Attributes
     ----------
     lifetime : float
-        Time in seconds for which the message may wait to be sent, or to be sent again; the
-        transport has a limit of its own.
+        Time in seconds for which the message may wait to be sent, or to be sent again.
     """
 
-    to: str
-    message: Any
-    lifetime: float = math.inf
+    lifetime: float
 
 
 class SetTimer(Effect):
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -156,7 +156,7 @@
     handlers = host.runtime.handlers
     configure_tickets(host.gateway, tasks, host.runtime.node.incarnation)
     handlers[effects.SendMessage] = lambda effect: network.send(
-        host.network, effect.to, effect.message, effect.lifetime
+        host.network, effect.to, effect.message
     )
     handlers[effects.WriteLog] = logs.write
     handlers[effects.Measure] = lambda effect: host.gateway.record_metric(effect)
--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -151,7 +151,7 @@
 def _connect_handlers(host: Host) -> None:
     handlers = host.runtime.handlers
     handlers[effects.SendMessage] = lambda effect: network.send(
-        host.network, effect.to, effect.message, effect.lifetime
+        host.network, effect.to, effect.message
     )
     handlers[effects.WriteLog] = logs.write
     handlers[effects.Measure] = lambda effect: metrics.record(host.metrics, effect)
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -220,6 +220,9 @@
 def _connect_handlers(host: ReplicaHost) -> None:
     handlers = host.runtime.handlers
     handlers[effects.SendMessage] = lambda effect: network.send(
+        host.network, effect.to, effect.message
+    )
+    handlers[effects.SendExpiringMessage] = lambda effect: network.send(
         host.network, effect.to, effect.message, effect.lifetime
     )
     handlers[effects.WriteLog] = logs.write
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -168,7 +168,8 @@
 
     def send(self, name, effect):
         link = self.links.setdefault((name, effect.to), Link(name, effect.to))
-        expires_at = self.now + min(effect.lifetime, MESSAGE_LIFETIME_SECONDS)
+        lifetime = getattr(effect, "lifetime", MESSAGE_LIFETIME_SECONDS)
+        expires_at = self.now + min(lifetime, MESSAGE_LIFETIME_SECONDS)
         link.queue.append(Item(expires_at, self.hosts[name].generation, effect.message))
         self.pump(link)
 
