--- a/tests/transport/test_network.py
+++ b/tests/transport/test_network.py
@@ -79,6 +79,19 @@
             await network.close(host)
 
 
+def make_successor(pair: Pair) -> network.Network:
+    """Return the next incarnation of host b."""
+    return network.Network(
+        host="b",
+        incarnation=2,
+        fleet="test",
+        fleet_key=b"k" * 32,
+        address=pair.addresses["b"],
+        resolve=pair.addresses.get,
+        post=pair.received["b"].append,
+    )
+
+
 class Relay:
     """Forward connections to a host until they are silenced; new ones work again.
 
@@ -195,10 +208,13 @@
         await send_first(pair)
         relay.silence()
         network.send(pair.hosts["a"], "b", make_message(1))
-        pair.hosts["b"].received_numbers.clear()
-        pair.hosts["b"].incarnation = 2
-        with anyio.fail_after(network.MESSAGE_LIFETIME_SECONDS):
-            await wait_for(lambda: len(pair.received["b"]) == 2)
+        await network.close(pair.hosts["b"])
+        async with anyio.create_task_group() as tasks:
+            successor = make_successor(pair)
+            await network.start(successor, tasks, pair.addresses["b"])
+            with anyio.fail_after(network.MESSAGE_LIFETIME_SECONDS):
+                await wait_for(lambda: len(pair.received["b"]) == 2)
+            await network.close(successor)
 
 
 async def test_a_message_whose_acknowledgement_is_lost_is_delivered_once():
@@ -309,15 +325,7 @@
         await wait_for(lambda: len(pair.received["b"]) == 1)
         await network.close(pair.hosts["b"])
         async with anyio.create_task_group() as tasks:
-            replacement = network.Network(
-                host="b",
-                incarnation=2,
-                fleet="test",
-                fleet_key=b"k" * 32,
-                address=pair.addresses["b"],
-                resolve=pair.addresses.get,
-                post=pair.received["b"].append,
-            )
+            replacement = make_successor(pair)
             await network.start(replacement, tasks, pair.addresses["b"])
             with anyio.fail_after(20):
                 while len(pair.received["b"]) < 2:
