Deliver the events that arrive together with an invalid one

What callers saw: a stream that an engine broke off with an invalid event went on at another engine, but without the events that had arrived in the same piece as the invalid one. If they were the first, the stream began with the third event; the answer looked whole.

Cause: extract_events advanced the cursor for each event of a piece, and then raised the error of the last one. The events before it were dropped, and the next attempt resumed after them.

Change: the events before an error are returned and sent, the error is kept in the cursor and raised after that.

Evidence: of the new test's three cases, two (no number, missing event) fail without the change with events 1 and 2 missing; the third arrives in two pieces and passes before, too.

--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -19,11 +19,19 @@
         Start of an event that is not complete yet.
     comment_bytes : int
         Bytes of comments since the last event.
+    error : EventOrderError or None
+        Error of the event that follows those returned last.
     """
 
     last_event: int | None = None
     buffer: bytes = b""
     comment_bytes: int = 0
+    error: "EventOrderError | None" = None
+
+
+def reset_attempt(cursor: StreamCursor) -> None:
+    """Drop what belongs to the previous attempt only."""
+    cursor.buffer, cursor.comment_bytes, cursor.error = b"", 0, None
 
 
 class EventOrderError(ValueError):
@@ -33,12 +41,14 @@
 def extract_events(cursor: StreamCursor, data: bytes) -> bytes:
     r"""Return the new complete events as bytes, and buffer an incomplete one.
 
-    Comments, and events that were returned before, are left out.
+    Comments, and events that were returned before, are left out. If an event is missing or invalid,
+    the events before it are returned, and the error is stored in the cursor, to be raised once they
+    are sent.
 
     Raises
     ------
     EventOrderError
-        If an event is missing, or if the data is no valid event.
+        If an event is missing or invalid, and there are no events before it.
 
     Examples
     --------
@@ -50,6 +60,16 @@
     """
     cursor.buffer += data
     complete: list[bytes] = []
+    try:
+        _extract_complete(cursor, complete)
+    except EventOrderError as error:
+        if not complete:
+            raise
+        cursor.error = error
+    return b"".join(complete)
+
+
+def _extract_complete(cursor: StreamCursor, complete: list[bytes]) -> None:
     while (end := cursor.buffer.find(b"\n\n")) >= 0:
         event, cursor.buffer = cursor.buffer[: end + 2], cursor.buffer[end + 2 :]
         if is_comment(event):
@@ -69,7 +89,6 @@
         complete.append(event)
     if len(cursor.buffer) > MAX_EVENT_BYTES:
         raise EventOrderError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-    return b"".join(complete)
 
 
 def is_comment(event: bytes) -> bool:
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -52,7 +52,7 @@
     record_first_answer,
     record_possible_crash,
 )
-from marjorambridge.gateway.events import extract_events
+from marjorambridge.gateway.events import extract_events, reset_attempt
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.hints import apply_answer_hints
 from marjorambridge.gateway.messages import (
@@ -227,8 +227,7 @@
     """Run one attempt and account for its load at the endpoints."""
     gateway, request, profile = context.gateway, context.request, context.profile
     now = context.attempt_started_at = time.monotonic()
-    context.cursor.buffer = b""
-    context.cursor.comment_bytes = 0
+    reset_attempt(context.cursor)
     workspace = context.admission.workspace
     context.helper_count = len(context.helpers)
     options = AttemptOptions(
@@ -352,6 +351,8 @@
     except callers.STREAM_ERRORS:
         exchange.caller_gone = True
         return False
+    if context.cursor.error is not None:
+        raise context.cursor.error
     return True
 
 
--- a/tests/gateway/test_interrupted_answers.py
+++ b/tests/gateway/test_interrupted_answers.py
@@ -101,6 +101,24 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "invalid",
+    [b"id: x\ndata: y\n\n", make_events(4, 4), b"x" * 70_000],
+    ids=["no number", "missing event", "endless"],
+)
+def test_events_before_an_invalid_one_are_not_lost(invalid):
+    """Guard against a stream without the events that arrived together with an invalid one."""
+    first = stream_without_framing(make_events(1, 2) + invalid)
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, first, stream_events(1, 6, "complete")) as harness:
+            data = await call(harness, make_request())
+            assert read_body(data) == make_events(1, 6)
+            assert data.endswith(END_OF_CHUNKS)
+
+    run(scenario)
+
+
 def test_a_stream_without_framing_ends_with_its_connection():
     """Guard against refusing sound streams that have neither a length nor chunks."""
 
