--- a/marjorambridge/core/outcomes.py
+++ b/marjorambridge/core/outcomes.py
@@ -17,6 +17,7 @@
     NOT_FRESH = "not_fresh"
     SHUTTING_DOWN = "shutting_down"
     NO_ENDPOINT = "no_endpoint"
+    BLOCKED = "blocked"
     DEADLINE = "deadline"
     CALLER_GONE = "caller_gone"
     ENDPOINT_ERROR = "endpoint_error"
@@ -29,6 +30,31 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
 
 
+# HTTP status of the answer for each reason.
+HTTP_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.RATE_LIMITED: 429,
+    Reason.OVERLOADED: 503,
+    Reason.NOT_FRESH: 503,
+    Reason.SHUTTING_DOWN: 503,
+    Reason.NO_ENDPOINT: 503,
+    Reason.BLOCKED: 503,
+    Reason.DEADLINE: 504,
+    Reason.CALLER_GONE: 499,
+    Reason.ENDPOINT_ERROR: 502,
+    Reason.STREAM_CUT: 502,
+    Reason.CLAIM_IN_PROGRESS: 409,
+    Reason.CLAIM_MISMATCH: 422,
+    Reason.CLAIM_EXPIRED: 410,
+    Reason.CLAIM_UNAVAILABLE: 503,
+    Reason.CLAIMANT_LOST: 502,
+    Reason.ANSWER_NOT_KEPT: 410,
+}
+
+
 class Done(Struct):
     """The complete answer was delivered."""
 
--- a/marjorambridge/http/answers.py
+++ b/marjorambridge/http/answers.py
@@ -5,11 +5,17 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from msgspec import Struct, field
 
 from marjorambridge.core.outcomes import Done, Failed, Reason
-from marjorambridge.http.bodies import CHAT_PATH
+from marjorambridge.http.completions import (
+    Completion,
+    build_answer,
+    build_usage,
+    encode_chunk,
+    encode_end,
+    encode_event,
+)
 from marjorambridge.http.headers import ANSWER_DROPPED_HEADERS
 from marjorambridge.http.messages import send_json
 from marjorambridge.http.outcomes import encode_outcome
@@ -30,55 +36,8 @@
     size: int = 0
 
 
-def _encode_event(payload: Any) -> bytes:
-    return b"data: " + msgspec.json.encode(payload) + b"\n\n"
-
-
-def _encode_stream_chunk(
-    stored: StoredRequest, created: int, text: str, finish: str | None
-) -> bytes:
-    chat = stored.path == CHAT_PATH
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
-    if chat:
-        choice["delta"] = {"content": text} if text else {}
-    else:
-        choice["text"] = text
-    return _encode_event(
-        {
-            "id": stored.request,
-            "object": "chat.completion.chunk" if chat else "text_completion",
-            "created": created,
-            "model": stored.model,
-            "choices": [choice],
-        }
-    )
-
-
-def _build_usage(effect: FinishRequest) -> dict[str, int]:
-    return {
-        "prompt_tokens": effect.prompt_tokens,
-        "completion_tokens": effect.output_tokens,
-        "total_tokens": effect.prompt_tokens + effect.output_tokens,
-    }
-
-
-def _build_answer(
-    stored: StoredRequest, created: int, text: str, effect: FinishRequest
-) -> dict[str, Any]:
-    chat = stored.path == CHAT_PATH
-    choice: dict[str, Any] = {"index": 0, "finish_reason": effect.finish or "stop"}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {
-        "id": stored.request,
-        "object": "chat.completion" if chat else "text_completion",
-        "created": created,
-        "model": stored.model,
-        "choices": [choice],
-        "usage": _build_usage(effect),
-    }
+def _describe(stored: StoredRequest, created: int) -> Completion:
+    return Completion(stored.request, stored.path, stored.model, created)
 
 
 def _select_headers(effect: ForwardHeaders, method: str) -> list[tuple[bytes, bytes]]:
@@ -146,21 +105,21 @@
         return
     if isinstance(effect, ForwardChunk):
         text = effect.data.decode("utf-8", "replace")
-        await write(_encode_stream_chunk(stored, created, text, None))
+        await write(encode_chunk(_describe(stored, created), text, None))
         return
     answer.ended = True
     if not isinstance(effect.outcome, Done):
         status, body, headers_out = encode_outcome(effect.outcome)
         if answer.started:
-            await write(_encode_event(body), more=False)
+            await write(encode_event(body), more=False)
         else:
             await send_json(send, status, body, headers_out)
         return
-    data = _encode_stream_chunk(stored, created, "", effect.finish or "stop")
-    if stored.include_usage:
-        usage = {"id": stored.request, "choices": [], "usage": _build_usage(effect)}
-        data += _encode_event({**usage, "model": stored.model, "created": created})
-    await write(data + b"data: [DONE]\n\n", more=False)
+    usage = build_usage(effect.prompt_tokens, effect.output_tokens)
+    end = encode_end(
+        _describe(stored, created), effect.finish, usage if stored.include_usage else None
+    )
+    await write(end, more=False)
 
 
 async def _write_collected_effect(
@@ -187,7 +146,8 @@
         answer.ended = True
         if isinstance(effect.outcome, Done):
             text = b"".join(answer.parts).decode("utf-8", "replace")
-            body = _build_answer(stored, created, text, effect)
+            usage = build_usage(effect.prompt_tokens, effect.output_tokens)
+            body = build_answer(_describe(stored, created), text, effect.finish, usage)
             await send_json(send, 200, body, (("x-request-id", stored.request),))
         else:
             status, body, headers = encode_outcome(effect.outcome)
--- a/marjorambridge/http/bodies.py
+++ b/marjorambridge/http/bodies.py
@@ -3,6 +3,7 @@
 import math
 import re
 from typing import Any
+from urllib.parse import unquote
 
 import msgspec
 from msgspec import Struct
@@ -14,6 +15,11 @@
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
+CANCEL_PATH = "/v1/cancel"
+SERVICES_PREFIX = "/services/"
+SERVICE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+# Statuses with which an endpoint may state that it did not run a request.
+NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
 MAX_OUTPUT_TOKENS = 10_000_000
 MAX_NAME_CHARACTERS = 200
 
@@ -82,6 +88,28 @@
     return len(text) <= MAX_NAME_CHARACTERS and _NAME.fullmatch(text) is not None
 
 
+def parse_service_target(method: str, target: str) -> tuple[str, str]:
+    """Return the service that a call names, and the path and query for it.
+
+    Raises
+    ------
+    RequestError
+        If the path or the method is not valid.
+
+    Examples
+    --------
+    >>> parse_service_target("GET", "/services/erp/stock?item=7")
+    ('erp', '/stock?item=7')
+    """
+    service, _, rest = target[len(SERVICES_PREFIX) :].partition("/")
+    service = unquote(service)
+    if not is_name(service) or "/" in service:
+        raise RequestError("the path must have the form /services/SERVICE/PATH")
+    if method not in SERVICE_METHODS:
+        raise RequestError(f"method {method[:20]!r} is not supported for services", 405)
+    return service, f"/{rest}"
+
+
 def decode_object(body: bytes) -> dict[str, msgspec.Raw]:
     """Decode the fields of a JSON object without decoding their values.
 
@@ -160,6 +188,47 @@
     )
 
 
+def encode_engine_body(body: bytes, protocol_fields: dict[str, Any]) -> bytes:
+    """Return the body for an engine: the caller's fields and those of the engine protocol.
+
+    The engine always streams, because only a stream can be resumed.
+    """
+    fields: dict[str, Any] = dict(decode_object(body))
+    fields.pop("stream_options", None)
+    return msgspec.json.encode(fields | {"stream": True} | protocol_fields)
+
+
+def reports_not_run(status: int, body: bytes) -> bool:
+    """Return whether an answer of an endpoint states that it did not run the request.
+
+    Examples
+    --------
+    >>> reports_not_run(503, b'{"error":{"outcome":"not_run"}}'), reports_not_run(503, b"")
+    (True, False)
+    """
+    if status not in NOT_RUN_STATUSES:
+        return False
+    try:
+        error = msgspec.json.decode(body, type=dict[str, Any]).get("error")
+    except DECODE_ERRORS:
+        return False
+    return isinstance(error, dict) and error.get("outcome") == "not_run"
+
+
+def confirms_cancel(endpoint: str, incarnation: int, answer: dict[str, Any]) -> bool:
+    """Return whether the answer to a cancel confirms that the attempt has ended.
+
+    An answer of a newer incarnation confirms it too, because the attempt ended with the older
+    process. An answer of another endpoint at the same address confirms nothing.
+    """
+    answered_incarnation = answer.get("incarnation")
+    return (
+        answer.get("endpoint") == endpoint
+        and isinstance(answered_incarnation, int)
+        and answered_incarnation >= incarnation
+    )
+
+
 def parse_announcement(body: bytes) -> Announcement:
     """Parse the body of ``/v1/announce``; block hashes are base64 in JSON.
 
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -7,7 +7,6 @@
 import uuid
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import unquote
 
 from marjorambridge.core.events import Event
 from marjorambridge.core.outcomes import NotRun, Reason
@@ -15,9 +14,10 @@
 from marjorambridge.http.bodies import (
     CHAT_PATH,
     COMPLETIONS_PATH,
-    is_name,
+    SERVICES_PREFIX,
     parse_announcement,
     parse_completion,
+    parse_service_target,
 )
 from marjorambridge.http.exceptions import RequestError
 from marjorambridge.http.headers import (
@@ -44,10 +44,6 @@
 
 ANNOUNCE_PATH = "/v1/announce"
 
-SERVICES_PREFIX = "/services/"
-
-SERVICE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
-
 HashPrefixes = Callable[[bytes, float], tuple[tuple[bytes, ...], tuple[int, ...]]]
 
 
@@ -119,16 +115,10 @@
             (name, headers[name]) for name in ("traceparent", "tracestate") if name in headers
         )
     else:
-        raw = scope["raw_path"].decode("latin-1")
-        service, _, rest = raw[len(SERVICES_PREFIX) :].partition("/")
-        service = unquote(service)
-        if not is_name(service) or "/" in service:
-            raise RequestError("the path must have the form /services/SERVICE/PATH")
-        if method not in SERVICE_METHODS:
-            raise RequestError(f"method {method[:20]!r} is not supported for services", 405)
         query = scope["query_string"].decode("latin-1")
-        arrived.service = service
-        arrived.path = stored.path = f"/{rest}" + (f"?{query}" if query else "")
+        target = scope["raw_path"].decode("latin-1") + (f"?{query}" if query else "")
+        arrived.service, arrived.path = parse_service_target(method, target)
+        stored.path = arrived.path
         named = {part.strip().lower() for part in headers.get("connection", "").split(",") if part}
         stored.headers = tuple(
             (name, value)
--- a/marjorambridge/http/endpoint_requests.py
+++ b/marjorambridge/http/endpoint_requests.py
@@ -3,10 +3,9 @@
 from typing import Any
 
 import httpcore
-import msgspec
 
 from marjorambridge.core.spans import SpanKind, name_span
-from marjorambridge.http.bodies import decode_object
+from marjorambridge.http.bodies import encode_engine_body
 from marjorambridge.http.registry import StoredRequest
 from marjorambridge.requests.effects import StartAttempt
 from marjorambridge.telemetry.traces import build_traceparent
@@ -21,21 +20,17 @@
 
 
 def build_engine_body(stored: StoredRequest, effect: StartAttempt) -> bytes:
-    """Return the body for an engine: the caller's fields and those of the engine protocol.
-
-    The engine always streams, because only a stream can be resumed.
-    """
-    fields: dict[str, Any] = dict(decode_object(stored.body))
-    fields.pop("stream_options", None)
-    fields["stream"] = True
-    fields["attempt"] = str(effect.attempt)
-    # A restarted engine rejects requests granted to its earlier incarnation, because it is cold
-    # and its limit does not count these grants.
-    fields["incarnation"] = effect.endpoints[0].incarnation
-    fields["priority"] = str(effect.priority)
-    fields["resume_from"] = effect.resume_from
-    fields["kv_tokens"] = sum(item.tokens for item in effect.endpoints)
-    fields["group"] = []
+    """Return the body for an engine with the fields of the engine protocol."""
+    fields: dict[str, Any] = {
+        "attempt": str(effect.attempt),
+        # A restarted engine rejects requests granted to its earlier incarnation, because it is cold
+        # and its limit does not count these grants.
+        "incarnation": effect.endpoints[0].incarnation,
+        "priority": str(effect.priority),
+        "resume_from": effect.resume_from,
+        "kv_tokens": sum(item.tokens for item in effect.endpoints),
+        "group": [],
+    }
     if len(effect.endpoints) > 1:
         fields["group"] = [
             {
@@ -46,7 +41,7 @@
             }
             for item in effect.endpoints
         ]
-    return msgspec.json.encode(fields)
+    return encode_engine_body(stored.body, fields)
 
 
 def build_headers(stored: StoredRequest, effect: StartAttempt) -> list[tuple[bytes, bytes]]:
--- a/marjorambridge/http/endpoints.py
+++ b/marjorambridge/http/endpoints.py
@@ -15,7 +15,13 @@
 from marjorambridge.core.events import Event
 from marjorambridge.core.identity import AttemptId
 from marjorambridge.http import orders
-from marjorambridge.http.bodies import DECODE_ERRORS
+from marjorambridge.http.bodies import (
+    CANCEL_PATH,
+    DECODE_ERRORS,
+    NOT_RUN_STATUSES,
+    confirms_cancel,
+    reports_not_run,
+)
 from marjorambridge.http.endpoint_requests import build_engine_body, build_headers, build_url
 from marjorambridge.http.exceptions import EndpointProtocolError, HttpError, RequestError
 from marjorambridge.http.registry import RequestRegistry, StoredRequest
@@ -34,13 +40,11 @@
     AttemptStarted,
 )
 
-CANCEL_PATH = "/v1/cancel"
 PARTS_PATH = "/v1/parts"
 MAX_ERROR_BYTES = 64 * 1024
 MAX_MESSAGE_CHARACTERS = 500
 MAX_ENDED_ATTEMPTS = 10_000
 DRAIN_TIMEOUT_SECONDS = 0.2
-NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
 NETWORK_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -241,22 +245,12 @@
 async def _send_cancel(
     driver: EndpointDriver, endpoint: str, incarnation: int, address: str, body: dict[str, Any]
 ) -> bool:
-    """Send a cancel and return whether the endpoint confirmed it.
-
-    An answer of a newer incarnation confirms it too, because the attempt ended with the older
-    process. An answer of another endpoint at the same address confirms nothing.
-    """
+    """Send a cancel and return whether the endpoint confirmed it."""
     try:
         status, answer = await _post_json(driver, address, CANCEL_PATH, body)
     except EndpointProtocolError:
         return False
-    answered_incarnation = answer.get("incarnation")
-    return (
-        status == 200
-        and answer.get("endpoint") == endpoint
-        and isinstance(answered_incarnation, int)
-        and answered_incarnation >= incarnation
-    )
+    return status == 200 and confirms_cancel(endpoint, incarnation, answer)
 
 
 async def _cancel_on_endpoint(driver: EndpointDriver, effect: CancelOnEndpoint) -> None:
@@ -473,7 +467,6 @@
     status = response.status
     parts: list[bytes] = []
     size = 0
-    refused = False
     pieces = response.aiter_stream().__aiter__()
     async for piece in pieces:
         parts.append(piece)
@@ -481,8 +474,7 @@
         if size > MAX_ERROR_BYTES:
             break
     body = b"".join(parts)
-    if status in NOT_RUN_STATUSES:
-        refused = _reports_not_run(body)
+    refused = reports_not_run(status, body)
     text = body[:MAX_MESSAGE_CHARACTERS].decode("utf-8", "replace")
     message = f"the endpoint answered with status {status}: {text}"
     if refused:
@@ -500,14 +492,6 @@
     return _end_plain_answer(driver, attempt, stored, response, headers)
 
 
-def _reports_not_run(body: bytes) -> bool:
-    try:
-        error = msgspec.json.decode(body, type=dict[str, Any]).get("error")
-    except DECODE_ERRORS:
-        return False
-    return isinstance(error, dict) and error.get("outcome") == "not_run"
-
-
 def _end_plain_answer(
     driver: EndpointDriver,
     attempt: AttemptId,
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -7,9 +7,8 @@
 import httpcore
 import pytest
 
-from marjorambridge.core.outcomes import Done, Failed, NotRun, Reason, Unknown
+from marjorambridge.core.outcomes import HTTP_STATUSES, Done, Failed, NotRun, Reason, Unknown
 from marjorambridge.http import callers, servers
-from marjorambridge.http.outcomes import STATUSES
 from marjorambridge.http.registry import RequestRegistry, deliver_effect
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.events import EndpointAnnounced
@@ -127,7 +126,7 @@
 
 
 def test_every_reason_has_a_status():
-    assert set(STATUSES) == set(Reason)
+    assert set(HTTP_STATUSES) == set(Reason)
 
 
 def test_a_caller_that_closes_is_reported_and_its_answer_dropped():
