Let a dialect define errors, events and cancellation

The gateway wrote its errors as plain text, took event streams by their id only and left an attempt to the end of its connection. What a platform gets and sends is unchanged.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -165,7 +165,9 @@
     await start_sharing(host.sharing, tasks)
     tasks.start_soon(run_timers, host.runtime)
     host.server = Server(
-        lambda exchange: handle_request(host.gateway, exchange), lambda: _get_limits(host)
+        lambda exchange: handle_request(host.gateway, exchange),
+        lambda: _get_limits(host),
+        encode_error=host.adapter.dialect.encode_error,
     )
     host.readiness = Server(
         lambda exchange: host.adapter.handle_readiness(host, exchange), CallerLimits
--- a/marjorambridge/forwarding/admission.py
+++ b/marjorambridge/forwarding/admission.py
@@ -3,10 +3,11 @@
 from enum import StrEnum
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from marjorambridge.forwarding.state import ForwardingState
 from marjorambridge.manifests.matching import choose_service, find_route
-from marjorambridge.manifests.models import Route, WorkspaceKeys
+from marjorambridge.manifests.models import Execution, Route, WorkspaceKeys
 
 
 class Refusal(StrEnum):
@@ -29,9 +30,20 @@
 
 
 def admit_request(
-    state: ForwardingState, host_name: str, path: str, key: str
+    state: ForwardingState,
+    host_name: str,
+    path: str,
+    key: str,
+    repeatable: bool | None = None,
 ) -> Admission | Refusal:
-    """Return the route, the workspace and the service of a request, or the reason to refuse it."""
+    """Return the route, the workspace and the service of a request, or the reason to refuse it.
+
+    Parameters
+    ----------
+    repeatable : bool or None
+        Whether the caller allows more than one run; None to leave it to the route. Streams are
+        repeated as their route allows.
+    """
     if state.table is None:
         return Refusal.NO_MANIFEST
     route = find_route(state.table, host_name, path)
@@ -40,4 +52,7 @@
     workspace = state.table.workspaces.get(key) if key else None
     if workspace is None and state.table.manifest.requires_keys and not route.public:
         return Refusal.UNKNOWN_KEY
+    if repeatable is not None and route.execution is not Execution.STREAM:
+        execution = Execution.IDEMPOTENT if repeatable else Execution.AT_MOST_ONCE
+        route = replace(route, execution=execution)
     return Admission(route, workspace, choose_service(route, state.generator))
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -15,6 +15,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import AttemptOutcome
+from marjorambridge.gateway.exceptions import FailedStreamError
 from marjorambridge.gateway.messages import (
     SUCCESS_STATUSES,
     AnswerHead,
@@ -75,6 +76,8 @@
         result.detail = str(error)
     except ValueError as error:
         result.detail = f"no valid event: {error}"
+    except FailedStreamError as error:
+        result.outcome, result.detail = AttemptOutcome.FAILED, str(error)
 
 
 async def _handle_event(reader: AnswerReader, event: object) -> bool:
@@ -93,6 +96,7 @@
         return await _handle_data(reader, bytes(event.data))
     if isinstance(event, h11.EndOfMessage):
         result.body = b"".join(reader.parts)
+        _check_end(reader)
         classify_result(result)
         return True
     raise InvalidAnswerError("the endpoint closed the connection")
@@ -149,6 +153,14 @@
     return False
 
 
+def _check_end(reader: AnswerReader) -> None:
+    head = reader.result.head
+    if head.status not in SUCCESS_STATUSES:
+        reader.dialect.decode_failure(head, reader.result.body)
+    elif head.has_unknown_end and reader.attempt.method != b"HEAD":
+        raise InvalidAnswerError("a cut of the answer can't be told from its end")
+
+
 def is_event_stream(head: AnswerHead | None) -> bool:
     """Return whether the head is that of a successful, signed stream of events."""
     return (
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -13,6 +13,7 @@
 from loguru import logger
 from msgspec import Struct, field
 
+from marjorambridge.core.outcomes import NotRun, Outcome, Reason
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.manifests.models import CallerLimits
@@ -30,6 +31,11 @@
 HEADER_OVERHEAD_BYTES = 4
 
 
+def encode_text(outcome: Outcome) -> tuple[Headers, bytes]:
+    """Return headers and body of an answer with a plain text."""
+    return [(b"Content-Type", b"text/plain; charset=utf-8")], outcome.message.encode()
+
+
 class Server(Struct):
     """Store the state of an HTTP server.
 
@@ -39,6 +45,8 @@
         Returns the current limits for callers.
     wait_for_turn : callable or None
         Waits until the request may be served, if other work has priority.
+    encode_error : callable
+        Returns headers and body of the answer to a request that is no valid HTTP.
     closing : bool
         Whether answers carry ``Connection: close``.
     waiting : set of anyio.CancelScope
@@ -52,6 +60,7 @@
     handle: Callable[["Exchange"], Awaitable[None]]
     get_limits: Callable[[], CallerLimits]
     wait_for_turn: Callable[[], Awaitable[None]] | None = None
+    encode_error: Callable[[Outcome], tuple[Headers, bytes]] = encode_text
     closing: bool = False
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
@@ -315,9 +324,10 @@
     """Answer a request that can't be accepted, and close the connection for writing."""
     if exchange.connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    headers = [(b"Content-Type", b"text/plain; charset=utf-8"), (b"Connection", b"close")]
+    reason = Reason.TOO_LARGE if status == BODY_TOO_LONG else Reason.BAD_REQUEST
+    headers, body = exchange.server.encode_error(NotRun(reason, text))
     try:
-        await send_answer(exchange, status, headers, text.encode())
+        await send_answer(exchange, status, [*headers, (b"Connection", b"close")], body)
         await exchange.stream.send_eof()
         with anyio.move_on_after(LINGER_SECONDS):
             while True:
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -40,6 +40,8 @@
         Monotonic times in seconds; 0 before the first event.
     longest_gap : float
         Longest time in seconds between two events.
+    collected : list of bytes
+        Events of a request that gets them as one answer.
     helper_count : int
         Number of helper engines of the last attempt.
     helpers : list of Endpoint
@@ -64,6 +66,7 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
+    collected: list[bytes] = field(default_factory=list)
     helper_count: int = 0
     prefilling: list[Endpoint] = field(default_factory=list)
     helpers: list[Endpoint] = field(default_factory=list)
@@ -101,3 +104,13 @@
     )
     context.cursor.last_event = request.last_event
     return context
+
+
+def has_events(context: RequestContext) -> bool:
+    """Return whether events of a stream were accepted, so that another attempt continues it."""
+    return context.exchange.has_head or bool(context.collected)
+
+
+def count_collected_bytes(context: RequestContext) -> int:
+    """Return the size of the collected events."""
+    return sum(map(len, context.collected))
--- a/marjorambridge/gateway/exceptions.py
+++ b/marjorambridge/gateway/exceptions.py
@@ -1,6 +1,7 @@
 """Define the errors of the gateway."""
 
 from marjorambridge.core.exceptions import MarjorambridgeError
+from marjorambridge.core.outcomes import Reason
 
 
 class BadRequestError(MarjorambridgeError):
@@ -10,8 +11,15 @@
     ----------
     status : int
         HTTP status of the answer.
+    reason : Reason
+        Why the request is refused.
     """
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(self, status: int, message: str, reason: Reason = Reason.BAD_REQUEST) -> None:
         super().__init__(message)
         self.status = status
+        self.reason = reason
+
+
+class FailedStreamError(MarjorambridgeError):
+    """An endpoint reports in its stream that the request failed."""
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, field
 
+from marjorambridge.core.outcomes import Outcome
 from marjorambridge.forwarding.attempts import AttemptOutcome
 
 SUCCESS_STATUSES = range(200, 300)
@@ -45,6 +46,13 @@
     prompt_parts : tuple of int
         Identifiers of the parts of the prompt, in order, of up to 63 bits. Requests share parts,
         except the last one, which belongs to the request or to its session.
+    repeatable : bool or None
+        Whether the caller allows that the request runs more than once; None to leave it to the
+        route. Streams are repeated as their route allows.
+    collects_events : bool
+        Whether the caller gets the events of a stream as one answer.
+    form : object
+        What the dialect needs to write the answer; only the dialect reads it.
     """
 
     method: bytes
@@ -59,6 +67,9 @@
     prompt: PromptSize | None = None
     last_event: int | None = None
     prompt_parts: tuple[int, ...] = ()
+    repeatable: bool | None = None
+    collects_events: bool = False
+    form: object = None
 
 
 class AttemptOptions(Struct):
@@ -68,6 +79,14 @@
     ----------
     endpoint : str
         Identifier of the only endpoint that may run the request.
+    address : str
+        ``ip:port`` of the endpoint.
+    born : int
+        Start of the only incarnation that may run the request, in Unix milliseconds.
+    attempt : str
+        Identifier of the attempt, unique among all hosts and restarts.
+    kv_tokens : int
+        Memory of the engine in tokens that the request is expected to need; 0 if unknown.
     remaining_seconds : float
         Time until the deadline of the request.
     last_event : int or None
@@ -78,11 +97,42 @@
 
     endpoint: str
     remaining_seconds: float
+    address: str = ""
+    born: int = 0
+    attempt: str = ""
+    kv_tokens: int = 0
     workspace: str = ""
     last_event: int | None = None
     helpers: tuple[str, ...] = ()
 
 
+class AttemptMessage(Struct):
+    """The request that is sent to an endpoint; its method is that of the caller."""
+
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+class StreamEvent(Struct):
+    """Describe one event of a stream.
+
+    Attributes
+    ----------
+    data : bytes
+        What the caller gets for it.
+    first, last : int or None
+        Numbers of its first and last item, for example of tokens; None if it has no items.
+    is_end : bool
+        Whether the stream is complete with this event.
+    """
+
+    data: bytes
+    first: int | None = None
+    last: int | None = None
+    is_end: bool = False
+
+
 class AnswerHead(Struct):
     """Describe the head of an endpoint's answer.
 
@@ -93,13 +143,15 @@
     request_id : str
         Identifier of the request that is answered.
     is_signed : bool
-        Whether the answer carries the endpoint's MAC.
+        Whether the answer carries the endpoint's MAC, or comes in a dialect without MACs.
     not_run : bool
         Whether the head states that the endpoint did not run the request.
     misdirected : bool
         Whether the answer comes from another endpoint than the requested one.
     is_event_stream : bool
         Whether the body is a stream of server-sent events.
+    has_unknown_end : bool
+        Whether a cut of the body can't be told from its end, and counts as one.
     leaving : bool
         Whether the head states that the endpoint is leaving.
     is_unavailable : bool
@@ -120,6 +172,7 @@
     not_run: bool = False
     misdirected: bool = False
     is_event_stream: bool = False
+    has_unknown_end: bool = False
     leaving: bool = False
     is_unavailable: bool = False
     retry_after: str = ""
@@ -164,10 +217,10 @@
         self.size += size
         return True
 
-    def release(self) -> None:
-        """Free all allocated memory."""
-        self.memory.free_bytes += self.size
-        self.size = 0
+    def release(self, kept_bytes: int = 0) -> None:
+        """Free all allocated memory except for some bytes."""
+        self.memory.free_bytes += self.size - kept_bytes
+        self.size = kept_bytes
 
 
 class Attempt(Struct):
@@ -220,34 +273,76 @@
     detail: str = ""
 
 
+def keep_head(head: AnswerHead, body: bytes) -> None:
+    """Leave a head as it is, in a dialect whose heads determine the outcome."""
+
+
+def encode_no_cut(request: CallerRequest, outcome: Outcome) -> bytes:
+    """Return no bytes, in a dialect that resets the connection of a cut stream."""
+    return b""
+
+
+def encode_no_cancel(request: CallerRequest, attempt: str) -> None:
+    """Return no order, in a dialect whose endpoints notice the end of a connection."""
+
+
 class Dialect(Struct):
-    """Translate between HTTP headers and the messages of this module.
+    """Translate between HTTP messages and the messages of this module.
 
     Attributes
     ----------
     decode_request : callable
         Takes method, target, headers and body; raises `BadRequestError`.
     encode_attempt : callable
-        Returns the headers of an attempt.
+        Returns what is sent to an endpoint.
     decode_answer : callable
         Takes status and headers.
-    encode_retry_after : callable
-        Takes seconds; returns the headers with the time after which the caller should retry.
-    encode_helper : callable
-        Takes the address of a helper engine, and its ticket or an empty string.
-    encode_reservation : callable
-        Takes ticket, tokens and lease in seconds; returns target and body of the order.
-    encode_release : callable
-        Takes a ticket; returns target and body of the order.
+    encode_error : callable
+        Takes an outcome that is no success; returns headers and body of the answer.
     encode_order_headers : callable
         Takes the identifier of the only endpoint that may execute the order.
+    encode_helper : callable or None
+        Takes the address of a helper engine, and its ticket or an empty string. None if each prompt
+        is read by one engine.
+    encode_reservation : callable or None
+        Takes ticket, tokens and lease in seconds; returns target and body of the order.
+    encode_release : callable or None
+        Takes a ticket; returns target and body of the order.
+    read_event : callable or None
+        Takes the bytes of an event; raises `EventOrderError` if it is invalid and
+        `FailedStreamError` if it reports a failure. None to forward events unchanged by their
+        ``id``.
+    has_end_event : bool
+        Whether streams end with an event, without which they count as cut.
+    decode_failure : callable
+        Completes the head of an answer that is no success from its body.
+    forwards_server_errors : bool
+        Whether callers get the answers of endpoints with status 500 or above.
+    encode_collected : callable or None
+        Takes the joined events of a request that collects them; returns headers and body.
+    encode_cut : callable
+        Returns the bytes that end a stream that was cut; none to reset the connection.
+    encode_cancel : callable
+        Takes a request and the identifier of its attempt; returns target and body of the order to
+        cancel it, or None if the endpoint notices the end of the connection.
+    is_cancelled : callable or None
+        Takes the name and the incarnation of an endpoint and the body of its answer to the order;
+        returns whether it confirms that the attempt has ended.
     """
 
     decode_request: Callable[[bytes, bytes, Headers, bytes], CallerRequest]
-    encode_attempt: Callable[[CallerRequest, AttemptOptions], Headers]
+    encode_attempt: Callable[[CallerRequest, AttemptOptions], AttemptMessage]
     decode_answer: Callable[[int, Headers], AnswerHead]
-    encode_retry_after: Callable[[float], Headers]
-    encode_helper: Callable[[str, str], str]
-    encode_reservation: Callable[[str, int, float], tuple[bytes, bytes]]
-    encode_release: Callable[[str], tuple[bytes, bytes]]
+    encode_error: Callable[[Outcome], tuple[Headers, bytes]]
     encode_order_headers: Callable[[str], Headers]
+    encode_helper: Callable[[str, str], str] | None = None
+    encode_reservation: Callable[[str, int, float], tuple[bytes, bytes]] | None = None
+    encode_release: Callable[[str], tuple[bytes, bytes]] | None = None
+    read_event: Callable[[CallerRequest, bytes], StreamEvent] | None = None
+    has_end_event: bool = False
+    decode_failure: Callable[[AnswerHead, bytes], None] = keep_head
+    forwards_server_errors: bool = True
+    encode_collected: Callable[[CallerRequest, bytes], tuple[Headers, bytes]] | None = None
+    encode_cut: Callable[[CallerRequest, Outcome], bytes] = encode_no_cut
+    encode_cancel: Callable[[CallerRequest, str], tuple[bytes, bytes] | None] = encode_no_cancel
+    is_cancelled: Callable[[str, int, bytes], bool] | None = None
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -6,57 +6,77 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
+from marjorambridge.core.outcomes import HTTP_STATUSES, Failed, NotRun, Outcome, Reason, Unknown
 from marjorambridge.forwarding.admission import Refusal
-from marjorambridge.forwarding.attempts import AttemptOutcome
+from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
 from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
 from marjorambridge.gateway import callers
+from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext
 from marjorambridge.gateway.crashes import find_block, format_parts
+from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import AttemptResult, CallerRequest
 from marjorambridge.gateway.state import Gateway
 
-PLAIN_TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
-UNAUTHORIZED, NOT_FOUND, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 401, 404, 502, 503, 504
-
 
 async def refuse_admission(
     gateway: Gateway, exchange: Exchange, request: CallerRequest, refusal: Refusal
 ) -> None:
     """Answer that a request was not admitted, and why."""
-    status, text = {
-        Refusal.NO_ROUTE: (NOT_FOUND, "no route matches; check host name and path"),
-        Refusal.UNKNOWN_KEY: (UNAUTHORIZED, "the key is unknown; use a key of a workspace"),
-        Refusal.STOPPING: (UNAVAILABLE, "this host is stopping; the request has not run"),
-    }.get(refusal, (UNAVAILABLE, "this host has no configuration yet; come back later"))
-    logger.bind(request=request.request_id, reason=refusal.value, status=status).info(
-        "a request was not admitted"
+    retry_after = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
+    outcome = {
+        Refusal.NO_ROUTE: NotRun(
+            Reason.UNKNOWN_SERVICE, "no route matches; check host name and path"
+        ),
+        Refusal.UNKNOWN_KEY: NotRun(
+            Reason.UNAUTHENTICATED, "the key is unknown; use a key of a workspace"
+        ),
+        Refusal.STOPPING: NotRun(
+            Reason.SHUTTING_DOWN,
+            "this host is stopping; the request has not run",
+            defaults.MIN_RETRY_AFTER_SECONDS,
+        ),
+    }.get(
+        refusal,
+        NotRun(
+            Reason.NOT_FRESH, "this host has no configuration yet; come back later", retry_after
+        ),
     )
+    logger.bind(
+        request=request.request_id, reason=refusal.value, status=HTTP_STATUSES[outcome.reason]
+    ).info("a request was not admitted")
     gateway.record_metric(Measure("forwarded_requests_total", 1.0, {"outcome": refusal.value}))
-    headers = [PLAIN_TEXT]
-    if status == UNAVAILABLE:
-        seconds = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
-        if refusal is Refusal.STOPPING:
-            seconds = defaults.MIN_RETRY_AFTER_SECONDS
-        headers += gateway.dialect.encode_retry_after(seconds)
-    await callers.send_answer(exchange, status, headers, text.encode())
+    await _answer_outcome(gateway, exchange, outcome)
+
+
+async def answer_invalid(gateway: Gateway, exchange: Exchange, error: BadRequestError) -> None:
+    """Answer that a request is invalid."""
+    outcome = NotRun(error.reason, str(error))
+    await _answer_outcome(gateway, exchange, outcome, error.status)
 
 
-async def answer_text(exchange: Exchange, status: int, text: str) -> None:
-    """Write an answer with a text of this host."""
-    await callers.send_answer(exchange, status, [PLAIN_TEXT], text.encode())
+async def _answer_outcome(
+    gateway: Gateway, exchange: Exchange, outcome: Outcome, status: int = 0
+) -> None:
+    headers, body = gateway.dialect.encode_error(outcome)
+    await callers.send_answer(exchange, status or HTTP_STATUSES[outcome.reason], headers, body)
 
 
 async def deliver(context: RequestContext, result: AttemptResult) -> str:
     """Write the answer of an endpoint, or the end of its stream."""
-    exchange, head = context.exchange, result.head
+    exchange, head, dialect = context.exchange, result.head, context.gateway.dialect
     if exchange.has_head:
         await callers.end_answer(exchange)
         return "served"
-    if head is None:
+    is_complete = result.outcome is AttemptOutcome.COMPLETE
+    if head is None or not (is_complete or dialect.forwards_server_errors):
         return await fail(context, result.outcome)
-    await callers.send_answer(exchange, head.status, head.headers, result.body)
-    return "served" if result.outcome is AttemptOutcome.COMPLETE else "endpoint_failed"
+    headers, body = head.headers, result.body
+    if context.request.collects_events and is_event_stream(head):
+        headers, body = dialect.encode_collected(context.request, b"".join(context.collected))
+    await callers.send_answer(exchange, head.status, headers, body)
+    return "served" if is_complete else "endpoint_failed"
 
 
 async def refuse(context: RequestContext, reason: str) -> str:
@@ -67,24 +87,41 @@
     else:
         forwarding = context.gateway.forwarding
         seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
-    headers = [PLAIN_TEXT, *context.gateway.dialect.encode_retry_after(seconds)]
     text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
-    await callers.send_answer(context.exchange, UNAVAILABLE, headers, text.encode())
+    kind = Reason.NO_ENDPOINT if block is None else Reason.BLOCKED
+    await _answer_outcome(context.gateway, context.exchange, NotRun(kind, text, seconds))
     return f"refused_{reason}"
 
 
 async def fail(context: RequestContext, outcome: AttemptOutcome) -> str:
-    """Answer that the request failed, or reset the connection if the answer has started."""
-    if context.exchange.has_head:
-        context.exchange.must_reset = True
+    """Answer that the request failed, or end the answer as incomplete if it has started."""
+    exchange, dialect = context.exchange, context.gateway.dialect
+    if exchange.has_head:
+        failure = _describe_failure(context, Reason.STREAM_CUT, outcome)
+        end = dialect.encode_cut(context.request, failure)
+        if end:
+            await callers.send_part(exchange, end)
+            await callers.end_answer(exchange)
+        else:
+            exchange.must_reset = True
         return f"cut_{outcome.value}"
-    if outcome is AttemptOutcome.TIMED_OUT and not context.progress.may_have_run:
+    is_late = outcome is AttemptOutcome.TIMED_OUT
+    if is_late and not context.progress.may_have_run:
         return await refuse(context, "no_time")
-    status = GATEWAY_TIMEOUT if outcome is AttemptOutcome.TIMED_OUT else BAD_GATEWAY
-    await answer_text(context.exchange, status, f"the endpoint failed ({outcome.value})")
+    reason = Reason.DEADLINE if is_late else Reason.ENDPOINT_ERROR
+    failure = _describe_failure(context, reason, outcome)
+    await _answer_outcome(context.gateway, exchange, failure)
     return f"failed_{outcome.value}"
 
 
+def _describe_failure(context: RequestContext, reason: Reason, outcome: AttemptOutcome) -> Outcome:
+    """Return the outcome of a request that may have run and has no whole answer."""
+    text = f"the endpoint failed ({outcome.value})"
+    if is_repeatable(context.admission.route):
+        return Failed(reason, f"{text}; send the request again")
+    return Unknown(reason, f"{text}; look up its effect before sending it again")
+
+
 def log_outcome(context: RequestContext, outcome: str) -> None:
     """Log how a request ended, and record it in the metrics."""
     now = time.monotonic()
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -42,9 +42,19 @@
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway import callers
-from marjorambridge.gateway.answers import is_event_stream
+from marjorambridge.gateway.answers import (
+    MAX_ANSWER_BYTES,
+    InvalidAnswerError,
+    is_event_stream,
+)
 from marjorambridge.gateway.callers import Exchange
-from marjorambridge.gateway.contexts import RequestContext, create_context
+from marjorambridge.gateway.cancellations import start_cancellation
+from marjorambridge.gateway.contexts import (
+    RequestContext,
+    count_collected_bytes,
+    create_context,
+    has_events,
+)
 from marjorambridge.gateway.crash_reports import format_cause
 from marjorambridge.gateway.crashes import (
     format_parts,
@@ -64,14 +74,14 @@
     CallerRequest,
 )
 from marjorambridge.gateway.outcomes import (
-    answer_text,
+    answer_invalid,
     deliver,
     fail,
     log_outcome,
     refuse,
     refuse_admission,
 )
-from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.state import Gateway, create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, reserve
 from marjorambridge.manifests.models import Execution
 
@@ -91,7 +101,7 @@
             exchange.method, exchange.target, exchange.headers, exchange.body
         )
     except BadRequestError as error:
-        await answer_text(exchange, error.status, str(error))
+        await answer_invalid(gateway, exchange, error)
         return
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
@@ -120,7 +130,9 @@
         return Refusal.STOPPING
     wait_deadline = exchange.arrived_at + defaults.FIRST_MANIFEST_TIMEOUT_SECONDS
     while True:
-        admitted = admit_request(gateway.forwarding, request.host_name, request.path, request.key)
+        admitted = admit_request(
+            gateway.forwarding, request.host_name, request.path, request.key, request.repeatable
+        )
         remaining = wait_deadline - time.monotonic()
         if admitted is not Refusal.NO_MANIFEST or remaining <= 0:
             return admitted
@@ -139,7 +151,7 @@
     if endpoint is None:
         return await refuse(context, "no_endpoint")
     while True:
-        context.allocation.release()
+        context.allocation.release(count_collected_bytes(context))
         result = await _run_attempt(context, endpoint)
         if context.exchange.caller_gone:
             return "caller_gone"
@@ -162,7 +174,8 @@
     forwarding, profile = context.gateway.forwarding, context.profile
     excluded, now = frozenset(context.excluded), time.monotonic()
     context.helpers = []
-    if not is_long_prompt(forwarding, profile):
+    may_split = context.gateway.dialect.encode_helper is not None
+    if not may_split or not is_long_prompt(forwarding, profile):
         return choose_endpoint(forwarding, profile, excluded, now)
     # Engines become free within a short time, and a later retry of the caller rarely finds more
     # free engines.
@@ -233,16 +246,21 @@
     options = AttemptOptions(
         endpoint=endpoint.name,
         remaining_seconds=context.deadline - now,
+        address=endpoint.address,
+        born=endpoint.born,
+        attempt=create_attempt_id(gateway),
+        kv_tokens=profile.kv_tokens,
         workspace=workspace.name if workspace else "",
-        last_event=context.cursor.last_event if context.exchange.has_head else None,
+        last_event=context.cursor.last_event if has_events(context) else None,
         helpers=list_helpers(context.tickets, [helper.address for helper in context.helpers]),
     )
+    message = gateway.dialect.encode_attempt(request, options)
     attempt = Attempt(
         address=endpoint.address,
         method=request.method,
-        target=request.target,
-        headers=gateway.dialect.encode_attempt(request, options),
-        body=request.body,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
         request_id=request.request_id,
         get_stall_deadline=lambda: _get_stall_deadline(context),
         allocation=context.allocation,
@@ -261,6 +279,7 @@
         _finish_prefill(context, time.monotonic())
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         gateway.share_load(endpoint)
+        start_cancellation(gateway, request, endpoint, options.attempt, result.outcome)
         await release(context.tickets)
     _check_stream(context, result)
     return result
@@ -271,13 +290,18 @@
     is_stream = context.admission.route.execution is Execution.STREAM
     if not is_stream or result.outcome is not AttemptOutcome.COMPLETE:
         return
+    cursor, has_end_event = context.cursor, context.gateway.dialect.has_end_event
+    status = result.head.status
     if not is_event_stream(result.head):
-        if context.exchange.has_head:
+        if has_events(context) or (has_end_event and status in SUCCESS_STATUSES):
             result.outcome = AttemptOutcome.FAILED
-            result.detail = f"status {result.head.status} instead of the rest of the stream"
-    elif context.cursor.buffer:
+            result.detail = f"status {status} instead of the rest of the stream"
+    elif cursor.buffer:
         result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended inside an event"
-    elif context.cursor.last_event is None and not context.exchange.has_head:
+    elif has_end_event and not cursor.has_ended:
+        result.outcome = AttemptOutcome.BROKEN
+        result.detail = "the stream ended without its end event"
+    elif cursor.last_event is None and not has_events(context):
         result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended without an event"
 
 
@@ -330,7 +354,11 @@
 
 async def _send_events(context: RequestContext, head: AnswerHead, data: bytes) -> bool:
     """Send the complete events to the caller; return False if the caller has disconnected."""
-    events = extract_events(context.cursor, data)
+    read, before = context.gateway.dialect.read_event, context.cursor.last_event
+    if read is None:
+        events = extract_events(context.cursor, data)
+    else:
+        events = extract_events(context.cursor, data, lambda event: read(context.request, event))
     if not events:
         return True
     now = time.monotonic()
@@ -340,19 +368,37 @@
         record_first_answer(context.gateway, context.causes, now)
     context.last_event_at = now
     _finish_prefill(context, now)
+    context.first_event_at = context.first_event_at or now
+    if context.request.collects_events:
+        _collect_events(context, events, before)
+    elif not await _forward_events(context, head, events):
+        return False
+    if context.cursor.error is not None:
+        raise context.cursor.error
+    return True
+
+
+def _collect_events(context: RequestContext, events: bytes, before: int | None) -> None:
+    """Keep events for an answer that is sent as a whole; `before` is the event before them."""
+    allocation = context.allocation
+    if allocation.size + len(events) > MAX_ANSWER_BYTES or not allocation.allocate(len(events)):
+        # Another attempt sends them again.
+        context.cursor.last_event = before
+        raise InvalidAnswerError("the answer is too long for the memory of this host")
+    context.collected.append(events)
+
+
+async def _forward_events(context: RequestContext, head: AnswerHead, events: bytes) -> bool:
     exchange = context.exchange
     try:
         if exchange.has_head:
             await callers.send_part(exchange, events)
         else:
-            context.first_event_at = now
             context.progress.answer_started = True
             await callers.start_answer(exchange, head.status, [*head.headers, CHUNKED], events)
     except callers.STREAM_ERRORS:
         exchange.caller_gone = True
         return False
-    if context.cursor.error is not None:
-        raise context.cursor.error
     return True
 
 
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -42,6 +42,10 @@
         Prefix of all tickets of this process.
     ticket_count : int
         Number of tickets created.
+    attempt_prefix : str
+        Prefix of the identifiers of all attempts of this process.
+    attempt_count : int
+        Number of attempts made.
     """
 
     forwarding: ForwardingState
@@ -63,3 +67,11 @@
     ends_at: float = math.inf
     ticket_prefix: str = ""
     ticket_count: int = 0
+    attempt_prefix: str = ""
+    attempt_count: int = 0
+
+
+def create_attempt_id(gateway: Gateway) -> str:
+    """Return the identifier of a new attempt."""
+    gateway.attempt_count += 1
+    return f"{gateway.attempt_prefix}:{gateway.attempt_count}"
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -156,3 +156,4 @@
     """Set up a gateway to reserve memory; its tickets are unique to this process."""
     gateway.tasks = tasks
     gateway.ticket_prefix = f"{incarnation:x}"
+    gateway.attempt_prefix = f"{gateway.forwarding.settings.host}:{incarnation}"
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -2,9 +2,12 @@
 
 import msgspec
 
+from marjorambridge.core.outcomes import Outcome
+from marjorambridge.gateway import callers
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
     AnswerHead,
+    AttemptMessage,
     AttemptOptions,
     CallerRequest,
     Dialect,
@@ -160,8 +163,8 @@
     )
 
 
-def encode_attempt(request: CallerRequest, options: AttemptOptions) -> Headers:
-    """Return the headers of an attempt."""
+def encode_attempt(request: CallerRequest, options: AttemptOptions) -> AttemptMessage:
+    """Return the caller's request with the headers of an attempt."""
     headers = request.headers
     if options.last_event is not None:
         headers = [(name, value) for name, value in headers if name.lower() != LAST_EVENT]
@@ -175,7 +178,7 @@
         added.append((b"X-Tenant", options.workspace.encode("latin-1")))
     if options.helpers:
         added.append((b"X-Helpers", ",".join(options.helpers).encode()))
-    return [*headers, *added]
+    return AttemptMessage(request.target, [*headers, *added], request.body)
 
 
 def decode_answer(status: int, headers: Headers) -> AnswerHead:
@@ -198,9 +201,13 @@
     )
 
 
-def encode_retry_after(seconds: float) -> Headers:
-    """Return the headers that state after which time a caller may retry."""
-    return [(b"Retry-After", f"{seconds:.2f}".encode())]
+def encode_error(outcome: Outcome) -> tuple[Headers, bytes]:
+    """Return headers and text of an answer of this host, with the time to come back if any."""
+    headers, body = callers.encode_text(outcome)
+    retry_after = getattr(outcome, "retry_after", None)
+    if retry_after is not None:
+        headers.append((b"Retry-After", f"{retry_after:.2f}".encode()))
+    return headers, body
 
 
 def encode_helper(address: str, ticket: str) -> str:
@@ -240,9 +247,9 @@
         decode_request,
         encode_attempt,
         decode_answer,
-        encode_retry_after,
+        encode_error,
+        encode_order_headers,
         encode_helper,
         encode_reservation,
         encode_release,
-        encode_order_headers,
     )
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -16,6 +16,7 @@
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.core.effects import Measure
+from marjorambridge.core.outcomes import Outcome
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
 from marjorambridge.forwarding.settings import ForwardingSettings
@@ -24,6 +25,7 @@
 from marjorambridge.gateway.messages import (
     AnswerHead,
     Attempt,
+    AttemptMessage,
     AttemptOptions,
     AttemptResult,
     CallerRequest,
@@ -289,12 +291,17 @@
 # The dialect of the simulation.
 
 
-def _encode_attempt(request: CallerRequest, options: AttemptOptions) -> Headers:
-    return [(HELPERS_HEADER, ",".join(options.helpers).encode())] if options.helpers else []
+def _encode_attempt(request: CallerRequest, options: AttemptOptions) -> AttemptMessage:
+    helpers = ",".join(options.helpers).encode()
+    headers = [(HELPERS_HEADER, helpers)] if options.helpers else []
+    return AttemptMessage(request.target, headers, request.body)
 
 
-def _encode_retry_after(seconds: float) -> Headers:
-    return [(RETRY_AFTER_HEADER, f"{seconds:.3f}".encode())]
+def _encode_error(outcome: Outcome) -> tuple[Headers, bytes]:
+    retry_after = getattr(outcome, "retry_after", None)
+    if retry_after is None:
+        return [], b""
+    return [(RETRY_AFTER_HEADER, f"{retry_after:.3f}".encode())], b""
 
 
 def _encode_reservation(ticket: str, tokens: int, lease: float) -> tuple[bytes, bytes]:
@@ -311,7 +318,7 @@
     ),
     encode_attempt=_encode_attempt,
     decode_answer=lambda status, headers: AnswerHead(status, headers),
-    encode_retry_after=_encode_retry_after,
+    encode_error=_encode_error,
     encode_helper=lambda address, ticket: f"{address}/{ticket}" if ticket else address,
     encode_reservation=_encode_reservation,
     encode_release=_encode_release,
