Give the gateway the access of workspaces, and bound events without content

The behaviour on a platform is unchanged: its manifests name no services of a workspace, and all its events have content.

--- a/marjorambridge/api/requests.py
+++ b/marjorambridge/api/requests.py
@@ -25,6 +25,7 @@
     parse_repeatable,
     parse_timeout,
 )
+from marjorambridge.requests.admission import SAFE_METHODS
 from marjorambridge.routing.prefixes import compute_prefix
 
 TRACE_HEADERS = ("traceparent", "tracestate")
@@ -147,6 +148,8 @@
     service, rest = parse_service_target(method, target)
     named = {part.strip().lower() for part in values.get("connection", "").split(",")}
     dropped = DROPPED_HEADERS | named
+    if request.repeatable is None and method in SAFE_METHODS:
+        request.repeatable = True
     request.path = f"{SERVICES_PREFIX}{service}{rest.partition('?')[0]}"
     request.target = rest.encode("latin-1")
     request.headers = [
--- a/marjorambridge/forwarding/admission.py
+++ b/marjorambridge/forwarding/admission.py
@@ -16,6 +16,7 @@
     NO_MANIFEST = "no_manifest"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
+    NO_ACCESS = "no_access"
     NO_TIME = "no_time"
     NO_ENDPOINT = "no_endpoint"
     STOPPING = "stopping"
@@ -52,7 +53,11 @@
     workspace = state.table.workspaces.get(key) if key else None
     if workspace is None and state.table.manifest.requires_keys and not route.public:
         return Refusal.UNKNOWN_KEY
+    service = choose_service(route, state.generator)
+    allowed = workspace.services if workspace is not None else None
+    if allowed is not None and service not in allowed:
+        return Refusal.NO_ACCESS
     if repeatable is not None and route.execution is not Execution.STREAM:
         execution = Execution.IDEMPOTENT if repeatable else Execution.AT_MOST_ONCE
         route = replace(route, execution=execution)
-    return Admission(route, workspace, choose_service(route, state.generator))
+    return Admission(route, workspace, service)
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -23,7 +23,7 @@
     buffer : bytes
         Start of an event that is not complete yet.
     comment_bytes : int
-        Bytes of comments since the last event.
+        Bytes of comments, and of events without content, since the last event.
     has_ended : bool
         Whether the event arrived with which a stream ends.
     error : Exception or None
@@ -97,12 +97,13 @@
     while not cursor.has_ended and (end := _find_event_end(cursor.buffer)) >= 0:
         event, cursor.buffer = cursor.buffer[:end], cursor.buffer[end:]
         if is_comment(event):
-            cursor.comment_bytes += len(event)
-            if cursor.comment_bytes > MAX_COMMENT_BYTES:
-                raise EventOrderError(f"{cursor.comment_bytes} bytes of comments without an event")
+            _count_comment(cursor, event)
             continue
-        cursor.comment_bytes = 0
         read = read_event(event)
+        if not read.data and read.first is None and not read.is_end:
+            _count_comment(cursor, event)
+            continue
+        cursor.comment_bytes = 0
         if read.first is not None:
             last = cursor.last_event
             if last is not None and read.last <= last:
@@ -117,6 +118,13 @@
         raise EventOrderError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
 
 
+def _count_comment(cursor: StreamCursor, event: bytes) -> None:
+    """Count what brings the answer no further, of which an endpoint may send a bounded amount."""
+    cursor.comment_bytes += len(event)
+    if cursor.comment_bytes > MAX_COMMENT_BYTES:
+        raise EventOrderError(f"{cursor.comment_bytes} bytes of comments without an event")
+
+
 def _find_event_end(buffer: bytes) -> int:
     """Return the length of the first complete event, whose lines end with LF or CRLF, or -1."""
     end = buffer.find(b"\n\n")
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -32,6 +32,10 @@
         Refusal.UNKNOWN_KEY: NotRun(
             Reason.UNAUTHENTICATED, "the key is unknown; use a key of a workspace"
         ),
+        Refusal.NO_ACCESS: NotRun(
+            Reason.UNKNOWN_SERVICE,
+            "the workspace has no access to this service; ask for it or use another key",
+        ),
         Refusal.STOPPING: NotRun(
             Reason.SHUTTING_DOWN,
             "this host is stopping; the request has not run",
--- a/marjorambridge/manifests/models.py
+++ b/marjorambridge/manifests/models.py
@@ -132,11 +132,18 @@
 
 
 class WorkspaceKeys(Struct, frozen=True):
-    """The keys of a workspace; its priority takes precedence over that of a route."""
+    """The keys of a workspace; its priority takes precedence over that of a route.
+
+    Attributes
+    ----------
+    services : frozenset of str or None
+        Services that it may call; None for all.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    services: frozenset[str] | None = None
 
 
 class Manifest(Struct, frozen=True):
--- a/tests/gateway/test_own_dialect.py
+++ b/tests/gateway/test_own_dialect.py
@@ -1,5 +1,6 @@
 """Test what only the product's own caller API and endpoint protocol have."""
 
+import contextlib
 import json
 
 import anyio
@@ -200,6 +201,41 @@
     run(scenario)
 
 
+def test_a_safe_call_is_repeated():
+    """Guard against a failed read that another endpoint could have answered."""
+
+    async def scenario():
+        scripts = close_at_once, answer_whole(b"good")
+        async with run_gateway(CALLS, *scripts, wire=OWN) as harness:
+            assert get_status(await call(harness, make_call(method=b"GET"))) == 200
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("event", [b'data: {"index":0}\n\n', b"event: ping\n\n"])
+def test_events_without_content_are_bounded(event):
+    """Guard against an engine that keeps a host busy without an answer."""
+
+    async def flood(endpoint, stream, head):
+        if head.startswith(b"POST /v1/cancel"):
+            return
+        start = answer(b"200 OK", b"Content-Type: text/event-stream\r\nConnection: close\r\n", b"")
+        await start(endpoint, stream, head)
+        with contextlib.suppress(anyio.BrokenResourceError):
+            while True:
+                await stream.send(event * 10)
+                endpoint.closed.append(len(event) * 10)
+
+    async def scenario():
+        async with run_gateway(STREAM, flood, stream(1, 3, "complete"), wire=OWN) as harness:
+            data = await call(harness, make_completion(stream=True))
+            assert OWN.list_items(data) == [1, 2, 3]
+            # What one engine may send, and what its connection held.
+            assert sum(harness.endpoints[0].closed) < 1_000_000
+
+    run(scenario)
+
+
 def test_an_answer_without_framing_is_cut():
     """Guard against the cut answer of a plain service that is taken for whole."""
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -329,6 +329,21 @@
     run(scenario)
 
 
+@over_both_dialects
+@pytest.mark.parametrize(("services", "status"), [({"svc"}, 200), ({"other"}, 404), (set(), 404)])
+def test_a_workspace_calls_only_its_services(services, status, wire):
+    """Guard against a workspace that calls a service to which it has no access."""
+    workspaces = (replace(ONCE.workspaces[0], services=frozenset(services)),)
+    manifest = replace(ONCE, workspaces=workspaces)
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(b"x"), wire=wire) as harness:
+            assert get_status(await call(harness, make_request(wire=wire))) == status
+            assert len(harness.endpoints[0].requests) == (status == 200)
+
+    run(scenario)
+
+
 @over_both_dialects
 def test_a_host_without_a_manifest_refuses_after_a_short_wait(wire):
     """Guard against a 404 from a host that has no configuration yet."""
--- a/tests/gateway/wires.py
+++ b/tests/gateway/wires.py
@@ -10,7 +10,7 @@
 from marjorambridge.api.dialect import create_dialect as create_own_dialect
 from marjorambridge.gateway.messages import Dialect
 from marjorambridge.http.headers import parse_key
-from marjorambridge.manifests.models import Manifest, Route, WorkspaceKeys
+from marjorambridge.manifests.models import Manifest, Route
 from marjorambridge.platform.dialect import create_dialect as create_platform_dialect
 
 BYTES_PER_TOKEN = 3.0
@@ -116,7 +116,7 @@
         manifest,
         routes=tuple(adapt_route(route) for route in manifest.routes),
         workspaces=tuple(
-            WorkspaceKeys(item.name, tuple(parse_key(f"Bearer {key}") for key in item.keys))
+            replace(item, keys=tuple(parse_key(f"Bearer {key}") for key in item.keys))
             for item in manifest.workspaces
         ),
     )
