Check the types of the packages that the users run

The 43 errors of the five packages were missing cases of None, a variable with two types and an outcome that is never a success; none was a fault that callers could see. Errors to callers have a type of their own now (Unsuccessful), what concerns prompts of several engines is one optional part of a dialect, and a service is looked up in one place.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 	$(BIN)/black --check --quiet marjorambridge tests benchmarks scripts
 	$(BIN)/ruff check --quiet marjorambridge tests benchmarks scripts
 	$(BIN)/lint-imports
+	$(BIN)/python scripts/check_types.py
 	$(BIN)/python scripts/generate_reference.py --check
 
 format: environment
--- a/marjorambridge/api/streams.py
+++ b/marjorambridge/api/streams.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from marjorambridge.api.requests import CompletionForm
-from marjorambridge.core.outcomes import Outcome
+from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.gateway.events import EventOrderError
 from marjorambridge.gateway.exceptions import FailedStreamError
 from marjorambridge.gateway.messages import CallerRequest, Headers, StreamEvent
@@ -38,7 +38,7 @@
     FailedStreamError
         If the engine reports a failure.
     """
-    form = request.form
+    form = _get_form(request)
     try:
         found = parse_events(EventBuffer(), event)
         if not found:
@@ -61,6 +61,11 @@
     return StreamEvent(data, first, last)
 
 
+def _get_form(request: CallerRequest) -> CompletionForm:
+    assert isinstance(request.form, CompletionForm), "only completions have events"
+    return request.form
+
+
 def _record_end(form: CompletionForm, chunk: EngineChunk) -> None:
     if chunk.usage:
         form.prompt_tokens = chunk.usage.get("prompt_tokens", form.prompt_tokens)
@@ -77,14 +82,14 @@
 
 def encode_collected(request: CallerRequest, data: bytes) -> tuple[Headers, bytes]:
     """Return headers and body of an answer that is not streamed, from its text."""
-    form = request.form
+    form = _get_form(request)
     usage = build_usage(form.prompt_tokens, form.output_tokens)
     text = data.decode("utf-8", "replace")
     body = build_answer(form.completion, text, form.finish, usage)
     return [JSON_TYPE], msgspec.json.encode(body)
 
 
-def encode_cut(request: CallerRequest, outcome: Outcome) -> bytes:
+def encode_cut(request: CallerRequest, outcome: Unsuccessful) -> bytes:
     """Return the error event that ends a stream; none for a plain service, which has no events."""
     if not isinstance(request.form, CompletionForm):
         return b""
@@ -92,7 +97,7 @@
     return encode_event(body)
 
 
-def encode_error(outcome: Outcome) -> tuple[Headers, bytes]:
+def encode_error(outcome: Unsuccessful) -> tuple[Headers, bytes]:
     """Return headers and body of an answer that is no success."""
     _, body, headers = encode_outcome(outcome)
     encoded = [(name.encode(), value.encode()) for name, value in headers]
--- a/marjorambridge/control/messages.py
+++ b/marjorambridge/control/messages.py
@@ -1,5 +1,7 @@
 """Define the messages of the control state, between replicas and from replicas to hosts."""
 
+from collections.abc import Sized
+
 from msgspec import Struct
 
 
@@ -160,7 +162,9 @@
     """
     match message:
         case EndpointGossip():
-            pairs = [(message.hosts, message.host_zones, "hosts but {} zones")]
+            pairs: list[tuple[Sized, Sized, str]] = [
+                (message.hosts, message.host_zones, "hosts but {} zones")
+            ]
         case FeedUpdate():
             pairs = [
                 (message.hosts, message.host_zones, "hosts but {} zones"),
--- a/marjorambridge/core/outcomes.py
+++ b/marjorambridge/core/outcomes.py
@@ -92,7 +92,8 @@
     message: str
 
 
-Outcome = Done | NotRun | Failed | Unknown
+Unsuccessful = NotRun | Failed | Unknown
+Outcome = Done | Unsuccessful
 
 # Names of the outcomes in answers, metrics and traces.
 OUTCOME_NAMES = {Done: "done", NotRun: "not_run", Failed: "failed", Unknown: "unknown"}
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -4,7 +4,7 @@
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.forwarding.hints import restore_hints, save_hints
-from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition
 from marjorambridge.forwarding.thresholds import derive_thresholds
 from marjorambridge.manifests.matching import build_route_table
 from marjorambridge.manifests.models import Manifest
@@ -41,7 +41,7 @@
 
 def get_cold_start_seconds(state: ForwardingState, service: str) -> float:
     """Return the time for which an endpoint of a service stays cold; 0 if unknown."""
-    definition = state.table.services.get(service) if state.table else None
+    definition = find_definition(state, service)
     return definition.cold_start_seconds if definition else 0.0
 
 
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -15,7 +15,7 @@
     count_requests,
 )
 from marjorambridge.forwarding.request_limits import may_send_limited
-from marjorambridge.forwarding.state import Endpoint, ForwardingState, is_starting
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition, is_starting
 from marjorambridge.manifests.models import ServiceDefinition
 
 # Endpoints are ordered by a hash of 64 bits.
@@ -65,7 +65,7 @@
     The load pattern is a burst of short requests at engines that prefill long prompts: the
     outstanding prefill of all hosts decides, and then the number of running requests.
     """
-    definition = state.table.services.get(profile.service) if state.table else None
+    definition = find_definition(state, profile.service)
     if definition is None:
         return None
     usable = [
--- a/marjorambridge/forwarding/reservations.py
+++ b/marjorambridge/forwarding/reservations.py
@@ -12,7 +12,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.loads import count_kv_tokens
 from marjorambridge.forwarding.placement import RequestProfile
-from marjorambridge.forwarding.state import Endpoint, ForwardingState
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition
 
 
 class MemoryShare(Struct):
@@ -24,7 +24,7 @@
 
 def needs_reservations(state: ForwardingState, profile: RequestProfile) -> bool:
     """Return whether a request needs more memory than one engine has."""
-    definition = state.table.services.get(profile.service) if state.table else None
+    definition = find_definition(state, profile.service)
     if definition is None or definition.engine is None or definition.engine.kv_tokens <= 0:
         return False
     return profile.kv_tokens > definition.engine.kv_tokens * defaults.SINGLE_ENGINE_MEMORY_RATIO
@@ -46,7 +46,10 @@
     list of MemoryShare
         Shares of the engines after the first one; empty if there is not enough free memory.
     """
-    engine = state.table.services[profile.service].engine
+    definition = find_definition(state, profile.service)
+    if definition is None or definition.engine is None:
+        return []
+    engine = definition.engine
     free_tokens = {
         endpoint.name: engine.kv_tokens * defaults.RESERVABLE_MEMORY_RATIO
         - count_kv_tokens(endpoint)
--- a/marjorambridge/forwarding/retry_after.py
+++ b/marjorambridge/forwarding/retry_after.py
@@ -16,7 +16,7 @@
 from marjorambridge.forwarding.placement import RequestProfile, can_start, is_usable
 from marjorambridge.forwarding.request_limits import compute_limit_wait
 from marjorambridge.forwarding.splitting import is_long_prompt
-from marjorambridge.forwarding.state import ForwardingState
+from marjorambridge.forwarding.state import ForwardingState, find_definition
 
 
 def estimate_retry_after_seconds(
@@ -30,11 +30,12 @@
     be used, it is unknown when one can be, and the result is the time in which hosts receive new
     endpoints.
     """
-    definition = state.table.services.get(profile.service) if state.table else None
+    definition = find_definition(state, profile.service)
     is_long = definition is not None and is_long_prompt(state, profile)
     strict = state.thresholds[profile.service].strict_pause_limit_seconds if definition else 0.0
     waits, rejected = [], []
-    for endpoint in state.by_service.get(profile.service, {}).values() if definition else ():
+    endpoints = state.by_service.get(profile.service, {}).values() if definition else ()
+    for endpoint in endpoints:
         if not is_usable(state, endpoint, frozenset(), now):
             if is_usable(state, endpoint, frozenset(), endpoint.rejects_until):
                 rejected.append(endpoint.rejects_until - now)
@@ -47,7 +48,7 @@
         limit_wait = compute_limit_wait(state, endpoint, now)
         if limit_wait > 0:
             wait = max(wait, limit_wait)
-        elif not can_start(state, definition, endpoint, now):
+        elif definition is not None and not can_start(state, definition, endpoint, now):
             wait += defaults.COLD_ENDPOINT_RETRY_AFTER_SECONDS
         if is_long and compute_pause_limit(endpoint) < strict:
             wait += defaults.SHORT_ANSWER_SECONDS
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -24,7 +24,7 @@
     list_usable,
 )
 from marjorambridge.forwarding.request_limits import is_limited, may_send_limited
-from marjorambridge.forwarding.state import Endpoint, ForwardingState, is_starting
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition, is_starting
 from marjorambridge.manifests.models import ServiceDefinition
 
 # An engine with at most this much outstanding prefill counts as idle, because that prefill ends
@@ -54,7 +54,7 @@
     list of Endpoint
         Empty if the engines that need not be avoided can't take the prompt.
     """
-    definition = state.table.services.get(profile.service)
+    definition = find_definition(state, profile.service)
     if definition is None:
         return []
     thresholds = state.thresholds[profile.service]
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -11,6 +11,7 @@
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.thresholds import Thresholds
 from marjorambridge.manifests.matching import RouteTable
+from marjorambridge.manifests.models import ServiceDefinition
 
 # Key under which an endpoint stores the total of all other hosts.
 OTHER_HOSTS_TOTAL = "total"
@@ -206,3 +207,8 @@
 def is_starting(state: ForwardingState, now: float) -> bool:
     """Return whether this host has just started, so that other hosts and loads are unknown."""
     return now - state.started_at < defaults.STARTUP_SYNC_SECONDS
+
+
+def find_definition(state: ForwardingState, service: str) -> ServiceDefinition | None:
+    """Return the definition of a service; None if it has none, or before the first manifest."""
+    return state.table.services.get(service) if state.table is not None else None
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -141,9 +141,9 @@
 
 
 async def _handle_data(reader: AnswerReader, data: bytes) -> bool:
-    attempt, result = reader.attempt, reader.result
-    if attempt.send_event_bytes is not None and is_event_stream(result.head):
-        if not await attempt.send_event_bytes(result.head, data):
+    attempt, result, head = reader.attempt, reader.result, reader.result.head
+    if attempt.send_event_bytes is not None and head is not None and is_event_stream(head):
+        if not await attempt.send_event_bytes(head, data):
             result.detail = "the caller closed the connection"
             return True
         return False
@@ -158,6 +158,8 @@
 
 def _check_end(reader: AnswerReader) -> None:
     head = reader.result.head
+    if head is None:
+        return
     if head.status not in SUCCESS_STATUSES:
         reader.dialect.decode_failure(head, reader.result.body)
     elif head.has_unknown_end and reader.attempt.method != b"HEAD":
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from msgspec import Struct, field
 
-from marjorambridge.core.outcomes import NotRun, Outcome, Reason
+from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.manifests.models import CallerLimits
@@ -31,7 +31,7 @@
 HEADER_OVERHEAD_BYTES = 4
 
 
-def encode_text(outcome: Outcome) -> tuple[Headers, bytes]:
+def encode_text(outcome: Unsuccessful) -> tuple[Headers, bytes]:
     """Return headers and body of an answer with a plain text."""
     return [(b"Content-Type", b"text/plain; charset=utf-8")], outcome.message.encode()
 
@@ -60,7 +60,7 @@
     handle: Callable[["Exchange"], Awaitable[None]]
     get_limits: Callable[[], CallerLimits]
     wait_for_turn: Callable[[], Awaitable[None]] | None = None
-    encode_error: Callable[[Outcome], tuple[Headers, bytes]] = encode_text
+    encode_error: Callable[[Unsuccessful], tuple[Headers, bytes]] = encode_text
     closing: bool = False
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
@@ -240,7 +240,10 @@
     return False
 
 
-async def _read_event(exchange: Exchange) -> h11.Event | type[h11.PAUSED]:
+async def _read_event(
+    exchange: Exchange,
+) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    """Return the next event of the parser, which is never `h11.NEED_DATA`."""
     while True:
         event = exchange.connection.next_event()
         if event is not h11.NEED_DATA:
--- a/marjorambridge/gateway/cancellations.py
+++ b/marjorambridge/gateway/cancellations.py
@@ -9,7 +9,7 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.messages import AnswerHead, Attempt, CallerRequest, MemoryAllocation
-from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.state import Gateway, get_tasks
 
 # Outcomes after which the endpoint may still run the request and keep its memory.
 UNFINISHED = frozenset({AttemptOutcome.BROKEN, AttemptOutcome.STALLED, AttemptOutcome.TIMED_OUT})
@@ -27,7 +27,7 @@
         return
     order = gateway.dialect.encode_cancel(request, attempt_id)
     if order is not None:
-        gateway.tasks.start_soon(_cancel_attempt, gateway, endpoint, attempt_id, order)
+        get_tasks(gateway).start_soon(_cancel_attempt, gateway, endpoint, attempt_id, order)
 
 
 async def _cancel_attempt(
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -8,7 +8,7 @@
 from marjorambridge.forwarding.attempts import RequestProgress
 from marjorambridge.forwarding.costs import compute_prefill_seconds
 from marjorambridge.forwarding.placement import RequestProfile
-from marjorambridge.forwarding.state import Endpoint
+from marjorambridge.forwarding.state import Endpoint, find_definition
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.crashes import find_causes
 from marjorambridge.gateway.events import StreamCursor
@@ -82,16 +82,17 @@
     seconds = route.timeout_seconds
     if request.wait_seconds is not None:
         seconds = min(seconds, request.wait_seconds)
-    definition = gateway.forwarding.table.services[admission.service]
+    definition = find_definition(gateway.forwarding, admission.service)
     profile = RequestProfile(
         admission.service,
         objective_seconds=route.objective_seconds or math.inf,
         pause_seconds=route.gap_objective_seconds or math.inf,
     )
-    if definition.engine is not None and request.prompt is not None:
+    engine = definition.engine if definition is not None else None
+    if engine is not None and request.prompt is not None:
         prompt = request.prompt
         answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
-        profile.prefill_seconds = compute_prefill_seconds(definition.engine, prompt.prompt_tokens)
+        profile.prefill_seconds = compute_prefill_seconds(engine, prompt.prompt_tokens)
         profile.kv_tokens = prompt.prompt_tokens + answer
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
--- a/marjorambridge/gateway/crash_reports.py
+++ b/marjorambridge/gateway/crash_reports.py
@@ -97,8 +97,8 @@
     innocent, because a request with them was answered since.
     """
     suspected = []
-    for entry in report.crashes:
-        crash = _decode_crash(entry, now)
+    for reported in report.crashes:
+        crash = _decode_crash(reported, now)
         suspected.append((crash.cause, crash.at))
         store_crash(history, crash, now)
     for entry in report.blocked:
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -49,7 +49,7 @@
 def read_numbered_event(event: bytes) -> StreamEvent:
     """Return an event that is forwarded unchanged, with the number that it names, if any."""
     number = parse_event_number(event)
-    return StreamEvent(event, number, number)
+    return StreamEvent(event, number, number or 0)
 
 
 def extract_events(
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from marjorambridge.core.outcomes import Outcome
+from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 
 SUCCESS_STATUSES = range(200, 300)
@@ -121,15 +121,17 @@
     ----------
     data : bytes
         What the caller gets for it.
-    first, last : int or None
-        Numbers of its first and last item, for example of tokens; None if it has no items.
+    first : int or None
+        Number of its first item, for example of a token; None if it has no items.
+    last : int
+        Number of its last item, if it has any.
     is_end : bool
         Whether the stream is complete with this event.
     """
 
     data: bytes
     first: int | None = None
-    last: int | None = None
+    last: int = 0
     is_end: bool = False
 
 
@@ -277,7 +279,17 @@
     """Leave a head as it is, in a dialect whose heads determine the outcome."""
 
 
-def encode_no_cut(request: CallerRequest, outcome: Outcome) -> bytes:
+def encode_joined(request: CallerRequest, events: bytes) -> tuple[Headers, bytes]:
+    """Return the events as they are."""
+    return [], events
+
+
+def confirm_nothing(endpoint: str, born: int, body: bytes) -> bool:
+    """Return that no cancellation was confirmed, in a dialect that orders none."""
+    return False
+
+
+def encode_no_cut(request: CallerRequest, outcome: Unsuccessful) -> bytes:
     """Return no bytes, in a dialect that resets the connection of a cut stream."""
     return b""
 
@@ -286,6 +298,24 @@
     """Return no order, in a dialect whose endpoints notice the end of a connection."""
 
 
+class HelperDialect(Struct):
+    """Translate what concerns prompts that several engines read.
+
+    Attributes
+    ----------
+    encode_helper : callable
+        Takes the address of a helper engine, and its ticket or an empty string.
+    encode_reservation : callable
+        Takes ticket, tokens and lease in seconds; returns target and body of the order.
+    encode_release : callable
+        Takes a ticket; returns target and body of the order.
+    """
+
+    encode_helper: Callable[[str, str], str]
+    encode_reservation: Callable[[str, int, float], tuple[bytes, bytes]]
+    encode_release: Callable[[str], tuple[bytes, bytes]]
+
+
 class Dialect(Struct):
     """Translate between HTTP messages and the messages of this module.
 
@@ -301,13 +331,8 @@
         Takes an outcome that is no success; returns headers and body of the answer.
     encode_order_headers : callable
         Takes the identifier of the only endpoint that may execute the order.
-    encode_helper : callable or None
-        Takes the address of a helper engine, and its ticket or an empty string. None if each prompt
-        is read by one engine.
-    encode_reservation : callable or None
-        Takes ticket, tokens and lease in seconds; returns target and body of the order.
-    encode_release : callable or None
-        Takes a ticket; returns target and body of the order.
+    helpers : HelperDialect or None
+        None if each prompt is read by one engine.
     read_event : callable or None
         Takes the bytes of an event; raises `EventOrderError` if it is invalid and
         `FailedStreamError` if it reports a failure. None to forward events unchanged by their
@@ -318,14 +343,14 @@
         Completes the head of an answer that is no success from its body.
     forwards_server_errors : bool
         Whether callers get the answers of endpoints with status 500 or above.
-    encode_collected : callable or None
+    encode_collected : callable
         Takes the joined events of a request that collects them; returns headers and body.
     encode_cut : callable
         Returns the bytes that end a stream that was cut; none to reset the connection.
     encode_cancel : callable
         Takes a request and the identifier of its attempt; returns target and body of the order to
         cancel it, or None if the endpoint notices the end of the connection.
-    is_cancelled : callable or None
+    is_cancelled : callable
         Takes the name and the incarnation of an endpoint and the body of its answer to the order;
         returns whether it confirms that the attempt has ended.
     """
@@ -333,16 +358,14 @@
     decode_request: Callable[[bytes, bytes, Headers, bytes], CallerRequest]
     encode_attempt: Callable[[CallerRequest, AttemptOptions], AttemptMessage]
     decode_answer: Callable[[int, Headers], AnswerHead]
-    encode_error: Callable[[Outcome], tuple[Headers, bytes]]
+    encode_error: Callable[[Unsuccessful], tuple[Headers, bytes]]
     encode_order_headers: Callable[[str], Headers]
-    encode_helper: Callable[[str, str], str] | None = None
-    encode_reservation: Callable[[str, int, float], tuple[bytes, bytes]] | None = None
-    encode_release: Callable[[str], tuple[bytes, bytes]] | None = None
+    helpers: HelperDialect | None = None
     read_event: Callable[[CallerRequest, bytes], StreamEvent] | None = None
     has_end_event: bool = False
     decode_failure: Callable[[AnswerHead, bytes], None] = keep_head
     forwards_server_errors: bool = True
-    encode_collected: Callable[[CallerRequest, bytes], tuple[Headers, bytes]] | None = None
-    encode_cut: Callable[[CallerRequest, Outcome], bytes] = encode_no_cut
+    encode_collected: Callable[[CallerRequest, bytes], tuple[Headers, bytes]] = encode_joined
+    encode_cut: Callable[[CallerRequest, Unsuccessful], bytes] = encode_no_cut
     encode_cancel: Callable[[CallerRequest, str], tuple[bytes, bytes] | None] = encode_no_cancel
-    is_cancelled: Callable[[str, int, bytes], bool] | None = None
+    is_cancelled: Callable[[str, int, bytes], bool] = confirm_nothing
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -6,7 +6,14 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
-from marjorambridge.core.outcomes import HTTP_STATUSES, Failed, NotRun, Outcome, Reason, Unknown
+from marjorambridge.core.outcomes import (
+    HTTP_STATUSES,
+    Failed,
+    NotRun,
+    Reason,
+    Unknown,
+    Unsuccessful,
+)
 from marjorambridge.forwarding.admission import Refusal
 from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
 from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
@@ -61,7 +68,7 @@
 
 
 async def _answer_outcome(
-    gateway: Gateway, exchange: Exchange, outcome: Outcome, status: int = 0
+    gateway: Gateway, exchange: Exchange, outcome: Unsuccessful, status: int = 0
 ) -> None:
     headers, body = gateway.dialect.encode_error(outcome)
     await callers.send_answer(exchange, status or HTTP_STATUSES[outcome.reason], headers, body)
@@ -118,7 +125,9 @@
     return f"failed_{outcome.value}"
 
 
-def _describe_failure(context: RequestContext, reason: Reason, outcome: AttemptOutcome) -> Outcome:
+def _describe_failure(
+    context: RequestContext, reason: Reason, outcome: AttemptOutcome
+) -> Unsuccessful:
     """Return the outcome of a request that may have run and has no whole answer."""
     text = f"the endpoint failed ({outcome.value})"
     if is_repeatable(context.admission.route):
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -146,9 +146,7 @@
     if is_blocked(context.gateway, context.request, context.causes, may_test=True):
         return await refuse(context, "blocked")
     endpoint = await _select_endpoint(context)
-    if endpoint is None:
-        return await refuse(context, "no_endpoint")
-    while True:
+    while endpoint is not None:
         context.allocation.release(count_collected_bytes(context))
         result = await _run_attempt(context, endpoint)
         if context.exchange.caller_gone:
@@ -165,6 +163,7 @@
         if step is NextStep.FAIL:
             return await fail(context, result.outcome)
         endpoint = next_endpoint
+    return await refuse(context, "no_endpoint")
 
 
 async def _select_endpoint(context: RequestContext) -> Endpoint | None:
@@ -172,7 +171,7 @@
     forwarding, profile = context.gateway.forwarding, context.profile
     excluded, now = frozenset(context.excluded), time.monotonic()
     context.helpers = []
-    may_split = context.gateway.dialect.encode_helper is not None
+    may_split = context.gateway.dialect.helpers is not None
     if not may_split or not is_long_prompt(forwarding, profile):
         return choose_endpoint(forwarding, profile, excluded, now)
     # Engines become free within a short time, and a later retry of the caller rarely finds more
@@ -286,11 +285,12 @@
 def _check_stream(context: RequestContext, result: AttemptResult) -> None:
     """Change the outcome of a complete answer that can't be the rest of the caller's stream."""
     is_stream = context.admission.route.execution is Execution.STREAM
-    if not is_stream or result.outcome is not AttemptOutcome.COMPLETE:
+    head = result.head
+    if not is_stream or head is None or result.outcome is not AttemptOutcome.COMPLETE:
         return
     cursor, has_end_event = context.cursor, context.gateway.dialect.has_end_event
-    status = result.head.status
-    if not is_event_stream(result.head):
+    status = head.status
+    if not is_event_stream(head):
         if has_events(context) or (has_end_event and status in SUCCESS_STATUSES):
             result.outcome = AttemptOutcome.FAILED
             result.detail = f"status {status} instead of the rest of the stream"
@@ -397,7 +397,8 @@
     context.excluded.add(endpoint.name)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, context.attempt_started_at)
-        if not _has_begun(context) and result.head.status in SUCCESS_STATUSES:
+        head = result.head
+        if not _has_begun(context) and head is not None and head.status in SUCCESS_STATUSES:
             record_first_answer(context.gateway, context.causes, now)
         return
     if outcome is AttemptOutcome.BROKEN and not _has_begun(context):
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -226,6 +226,7 @@
 
 
 async def _send(sharing: LoadSharing, datagram: bytes, host: str) -> None:
+    assert sharing.socket is not None, "start_sharing opens the socket"
     ip, _, port = host.rpartition(":")
     try:
         await sharing.socket.sendto(datagram, ip, int(port))
@@ -271,6 +272,7 @@
 
 
 async def _receive(sharing: LoadSharing) -> None:
+    assert sharing.socket is not None, "start_sharing opens the socket"
     while True:
         try:
             datagram, _ = await sharing.socket.receive()
@@ -293,10 +295,10 @@
     if isinstance(message, CrashReport):
         _apply_crash_report(sharing, message, now)
         return
-    for reported in message.failures:
-        endpoint = sharing.forwarding.by_key.get(reported.endpoint)
+    for failure in message.failures:
+        endpoint = sharing.forwarding.by_key.get(failure.endpoint)
         if endpoint is not None:
-            _apply_failure(sharing, endpoint, message.host, reported, now)
+            _apply_failure(sharing, endpoint, message.host, failure, now)
     if message.for_zone and uses_aggregation(sharing.forwarding):
         aggregate_share(sharing, message, now)
         return
@@ -387,9 +389,9 @@
     if is_complete(sharing.aggregation, now):
         # The loads that this host aggregates itself are newer, and would be counted twice.
         return
-    for reported in totals.failures:
-        if reported.endpoint in by_key:
-            _apply_failure(sharing, by_key[reported.endpoint], OTHER_HOSTS_TOTAL, reported, now)
+    for failure in totals.failures:
+        if failure.endpoint in by_key:
+            _apply_failure(sharing, by_key[failure.endpoint], OTHER_HOSTS_TOTAL, failure, now)
     for reported in totals.loads:
         endpoint = by_key.get(reported.endpoint)
         if endpoint is not None:
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -75,3 +75,9 @@
     """Return the identifier of a new attempt."""
     gateway.attempt_count += 1
     return f"{gateway.attempt_prefix}:{gateway.attempt_count}"
+
+
+def get_tasks(gateway: Gateway) -> TaskGroup:
+    """Return the group that runs tasks which outlast their request."""
+    assert gateway.tasks is not None, "configure_tickets sets the task group"
+    return gateway.tasks
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -13,8 +13,8 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.reservations import MemoryShare
 from marjorambridge.gateway.hints import apply_answer_hints
-from marjorambridge.gateway.messages import Attempt, AttemptResult, MemoryAllocation
-from marjorambridge.gateway.state import Gateway
+from marjorambridge.gateway.messages import Attempt, AttemptResult, HelperDialect, MemoryAllocation
+from marjorambridge.gateway.state import Gateway, get_tasks
 
 ACCEPTED = 200
 
@@ -62,7 +62,7 @@
 
 
 async def _order_reservation(tickets: TicketSet, ticket: str, share: MemoryShare) -> bool:
-    order = tickets.gateway.dialect.encode_reservation(
+    order = _get_helper_dialect(tickets).encode_reservation(
         ticket, share.tokens, defaults.TICKET_LEASE_SECONDS
     )
     result = await _send_order(tickets.gateway, tickets.request_id, share, order)
@@ -81,6 +81,12 @@
     return accepted
 
 
+def _get_helper_dialect(tickets: TicketSet) -> HelperDialect:
+    helpers = tickets.gateway.dialect.helpers
+    assert helpers is not None, "only dialects with helpers split prompts"
+    return helpers
+
+
 async def _send_order(
     gateway: Gateway, request_id: str, share: MemoryShare, order: tuple[bytes, bytes]
 ) -> AttemptResult:
@@ -124,11 +130,11 @@
                 if ticket not in refused or tickets.has_unanswered_order:
                     tasks.start_soon(_release_ticket, tickets, ticket, share)
     if tickets.has_unanswered_order and held:
-        tickets.gateway.tasks.start_soon(_repeat_release, tickets, held)
+        get_tasks(tickets.gateway).start_soon(_repeat_release, tickets, held)
 
 
 async def _release_ticket(tickets: TicketSet, ticket: str, share: MemoryShare) -> None:
-    order = tickets.gateway.dialect.encode_release(ticket)
+    order = _get_helper_dialect(tickets).encode_release(ticket)
     result = await _send_order(tickets.gateway, tickets.request_id, share, order)
     if result.head is None:
         tickets.has_unanswered_order = True
@@ -146,7 +152,9 @@
 def list_helpers(tickets: TicketSet, addresses: list[str]) -> tuple[str, ...]:
     """Return the helpers of a request with their tickets, in the encoding of the platform."""
     by_address = {share.endpoint.address: ticket for ticket, share in tickets.held.items()}
-    encode = tickets.gateway.dialect.encode_helper
+    if not by_address and not addresses:
+        return ()
+    encode = _get_helper_dialect(tickets).encode_helper
     ticketed = [encode(address, ticket) for address, ticket in by_address.items()]
     plain = [encode(address, "") for address in addresses if address not in by_address]
     return (*ticketed, *plain)
--- a/marjorambridge/http/outcomes.py
+++ b/marjorambridge/http/outcomes.py
@@ -3,7 +3,7 @@
 import math
 from typing import Any
 
-from marjorambridge.core.outcomes import HTTP_STATUSES, OUTCOME_NAMES, Done, Outcome
+from marjorambridge.core.outcomes import HTTP_STATUSES, OUTCOME_NAMES, Unsuccessful
 
 
 def encode_error(
@@ -20,8 +20,10 @@
     }
 
 
-def encode_outcome(outcome: Outcome) -> tuple[int, dict[str, Any], tuple[tuple[str, str], ...]]:
-    """Return status, JSON body and headers for an outcome that is not `Done`.
+def encode_outcome(
+    outcome: Unsuccessful,
+) -> tuple[int, dict[str, Any], tuple[tuple[str, str], ...]]:
+    """Return status, JSON body and headers for a request that has no whole answer.
 
     Examples
     --------
@@ -29,7 +31,6 @@
     >>> encode_outcome(NotRun(Reason.OVERLOADED, "try again later", 0.4))[::2]
     (503, (('retry-after', '1'),))
     """
-    assert not isinstance(outcome, Done)
     retry_after = getattr(outcome, "retry_after", None)
     headers: tuple[tuple[str, str], ...] = ()
     if retry_after is not None:
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from marjorambridge.core.outcomes import Outcome
+from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
@@ -12,6 +12,7 @@
     CallerRequest,
     Dialect,
     Headers,
+    HelperDialect,
     PromptSize,
 )
 
@@ -201,7 +202,7 @@
     )
 
 
-def encode_error(outcome: Outcome) -> tuple[Headers, bytes]:
+def encode_error(outcome: Unsuccessful) -> tuple[Headers, bytes]:
     """Return headers and text of an answer of this host, with the time to come back if any."""
     headers, body = callers.encode_text(outcome)
     retry_after = getattr(outcome, "retry_after", None)
@@ -249,7 +250,5 @@
         decode_answer,
         encode_error,
         encode_order_headers,
-        encode_helper,
-        encode_reservation,
-        encode_release,
+        HelperDialect(encode_helper, encode_reservation, encode_release),
     )
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -16,7 +16,7 @@
 
 from marjorambridge.control.messages import EndpointEntry, FeedUpdate
 from marjorambridge.core.effects import Measure
-from marjorambridge.core.outcomes import Outcome
+from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
 from marjorambridge.forwarding.settings import ForwardingSettings
@@ -31,6 +31,7 @@
     CallerRequest,
     Dialect,
     Headers,
+    HelperDialect,
     PromptSize,
 )
 from marjorambridge.gateway.requests import handle_request
@@ -299,7 +300,7 @@
     return AttemptMessage(request.target, headers, request.body)
 
 
-def _encode_error(outcome: Outcome) -> tuple[Headers, bytes]:
+def _encode_error(outcome: Unsuccessful) -> tuple[Headers, bytes]:
     retry_after = getattr(outcome, "retry_after", None)
     if retry_after is None:
         return [], b""
@@ -321,10 +322,12 @@
     encode_attempt=_encode_attempt,
     decode_answer=lambda status, headers: AnswerHead(status, headers),
     encode_error=_encode_error,
-    encode_helper=lambda address, ticket: f"{address}/{ticket}" if ticket else address,
-    encode_reservation=_encode_reservation,
-    encode_release=_encode_release,
     encode_order_headers=lambda endpoint: [],
+    helpers=HelperDialect(
+        encode_helper=lambda address, ticket: f"{address}/{ticket}" if ticket else address,
+        encode_reservation=_encode_reservation,
+        encode_release=_encode_release,
+    ),
 )
 
 
