--- a/marjorambridge/api/requests.py
+++ b/marjorambridge/api/requests.py
@@ -28,6 +28,8 @@
 from marjorambridge.requests.admission import SAFE_METHODS
 from marjorambridge.routing.prefixes import compute_prefix
 
+# Completions have routes of their own, so that they can't reach a plain service.
+MODELS_PREFIX = "/models/"
 TRACE_HEADERS = ("traceparent", "tracestate")
 # Identifiers of parts are signed integers of 64 bits in messages between hosts.
 PART_MASK = 2**63 - 1
@@ -113,7 +115,7 @@
 
 
 def _add_completion(request: CallerRequest, values: dict[str, str], bytes_per_token: float) -> None:
-    """Add what the body of a completion request says; a model is routed like a service."""
+    """Add what the body of a completion request says; it is routed by the model."""
     path = request.path
     if request.method != b"POST":
         raise RequestError(f"{path} takes only POST", 405)
@@ -123,7 +125,7 @@
     parts = [int.from_bytes(block) for block in blocks]
     parts.append(xxhash.xxh3_64_intdigest(parsed.prompt))
     completion = Completion(request.request_id, path, parsed.model, int(time.time()))
-    request.path = f"{SERVICES_PREFIX}{parsed.model}/"
+    request.path = f"{MODELS_PREFIX}{parsed.model}/"
     request.headers = [
         (name.encode(), values[name].encode("latin-1")) for name in TRACE_HEADERS if name in values
     ]
--- a/tests/gateway/test_own_dialect.py
+++ b/tests/gateway/test_own_dialect.py
@@ -251,7 +251,19 @@
     run(scenario)
 
 
-BODY = b'{"model":"svc","prompt":"x"}'
+def test_a_completion_does_not_reach_a_plain_service():
+    """Guard against a prompt that is sent to a service which is no engine."""
+
+    async def scenario():
+        async with run_gateway(CALLS, answer_whole(b"x"), wire=OWN) as harness:
+            del harness.gateway.forwarding.table.routes[""]["/models/svc/"]
+            error = read_error(await call(harness, make_completion()))
+            assert error == (404, "unknown_service", "not_run")
+            assert not harness.endpoints[0].requests
+
+    run(scenario)
+
+
 INVALID = {
     "other path": (b"POST /v1/models HTTP/1.1\r\n", b"", 404, "bad_request"),
     "other method": (b"GET /v1/completions HTTP/1.1\r\n", b"", 405, "bad_request"),
--- a/tests/gateway/wires.py
+++ b/tests/gateway/wires.py
@@ -8,7 +8,9 @@
 from msgspec.structs import replace
 
 from marjorambridge.api.dialect import create_dialect as create_own_dialect
+from marjorambridge.api.requests import MODELS_PREFIX
 from marjorambridge.gateway.messages import Dialect
+from marjorambridge.http.bodies import SERVICES_PREFIX
 from marjorambridge.http.headers import parse_key
 from marjorambridge.manifests.models import Manifest, Route
 from marjorambridge.platform.dialect import create_dialect as create_platform_dialect
@@ -114,7 +116,11 @@
     """Return the manifest with the paths and hashed keys of the own interface."""
     return replace(
         manifest,
-        routes=tuple(adapt_route(route) for route in manifest.routes),
+        routes=tuple(
+            adapt_route(route, prefix)
+            for route in manifest.routes
+            for prefix in (SERVICES_PREFIX, MODELS_PREFIX)
+        ),
         workspaces=tuple(
             replace(item, keys=tuple(parse_key(f"Bearer {key}") for key in item.keys))
             for item in manifest.workspaces
@@ -122,8 +128,8 @@
     )
 
 
-def adapt_route(route: Route) -> Route:
-    return replace(route, host_name="", path_prefix=f"/services/{route.targets[0].service}/")
+def adapt_route(route: Route, prefix: str) -> Route:
+    return replace(route, host_name="", path_prefix=f"{prefix}{route.targets[0].service}/")
 
 
 def make_own_request(method: bytes, body: bytes, extra: bytes, key: bytes, streams: bool) -> bytes:
