Send orders to endpoints in one place

Found on reading the change again: the cancellation of an attempt built and sent its order as tickets already did; both call gateway/orders.py now. The constants BODILESS_STATUSES, JSON_TYPE and the mask of parts, which the dialect of the own interface had defined again, have one copy. Behaviour is unchanged.

--- a/marjorambridge/api/endpoints.py
+++ b/marjorambridge/api/endpoints.py
@@ -15,6 +15,7 @@
     Headers,
 )
 from marjorambridge.http.bodies import (
+    BODILESS_STATUSES,
     CANCEL_PATH,
     confirms_cancel,
     encode_engine_body,
@@ -25,7 +26,6 @@
 JSON_TYPE = (b"Content-Type", b"application/json")
 ATTEMPT = b"X-Marjorambridge-Attempt"
 IDEMPOTENCY_KEY = b"Idempotency-Key"
-BODILESS_STATUSES = frozenset({204, 304})
 UNAVAILABLE_STATUS = 503
 
 
--- a/marjorambridge/api/requests.py
+++ b/marjorambridge/api/requests.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from marjorambridge.core.outcomes import Reason
+from marjorambridge.forwarding.causes import HASH_MASK
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import CallerRequest, Headers, PromptSize
 from marjorambridge.http.bodies import (
@@ -31,8 +32,6 @@
 # Completions have routes of their own, so that they can't reach a plain service.
 MODELS_PREFIX = "/models/"
 TRACE_HEADERS = ("traceparent", "tracestate")
-# Identifiers of parts are signed integers of 64 bits in messages between hosts.
-PART_MASK = 2**63 - 1
 
 
 class CompletionForm(Struct):
@@ -130,7 +129,7 @@
         (name.encode(), values[name].encode("latin-1")) for name in TRACE_HEADERS if name in values
     ]
     request.prompt = PromptSize(tokens, parsed.output_tokens)
-    request.prompt_parts = tuple(part & PART_MASK for part in parts)
+    request.prompt_parts = tuple(part & HASH_MASK for part in parts)
     # Tokens are numbered from 1, and the caller has none of them.
     request.last_event = 0
     request.repeatable = None
--- a/marjorambridge/api/streams.py
+++ b/marjorambridge/api/streams.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from marjorambridge.api.endpoints import JSON_TYPE
 from marjorambridge.api.requests import CompletionForm
 from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.gateway.events import EventOrderError
@@ -24,7 +25,6 @@
     parse_events,
 )
 
-JSON_TYPE = (b"Content-Type", b"application/json")
 MAX_MESSAGE_CHARACTERS = 500
 
 
--- a/marjorambridge/gateway/cancellations.py
+++ b/marjorambridge/gateway/cancellations.py
@@ -8,7 +8,8 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.state import Endpoint
-from marjorambridge.gateway.messages import AnswerHead, Attempt, CallerRequest, MemoryAllocation
+from marjorambridge.gateway.messages import AnswerHead, CallerRequest
+from marjorambridge.gateway.orders import send_order
 from marjorambridge.gateway.state import Gateway, get_tasks
 
 # Outcomes after which the endpoint may still run the request and keep its memory.
@@ -51,25 +52,8 @@
 async def _order_cancellation(
     gateway: Gateway, endpoint: Endpoint, order: tuple[bytes, bytes]
 ) -> bool:
-    dialect = gateway.dialect
-    target, body = order
-    deadline = time.monotonic() + defaults.ORDER_TIMEOUT_SECONDS
-    attempt = Attempt(
-        address=endpoint.address,
-        method=b"POST",
-        target=target,
-        headers=dialect.encode_order_headers(endpoint.name),
-        body=body,
-        request_id="",
-        get_stall_deadline=lambda: deadline,
-        allocation=MemoryAllocation(gateway.memory),
-        handle_head=_ignore_head,
-    )
-    try:
-        result = await gateway.run_attempt(attempt, dialect)
-    finally:
-        attempt.allocation.release()
-    return result.outcome is AttemptOutcome.COMPLETE and dialect.is_cancelled(
+    result = await send_order(gateway, endpoint, order, _ignore_head)
+    return result.outcome is AttemptOutcome.COMPLETE and gateway.dialect.is_cancelled(
         endpoint.name, endpoint.born, result.body
     )
 
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -1,7 +1,6 @@
 """Reserve, renew and release memory of engines for one request."""
 
 import math
-import time
 
 import anyio
 from anyio.abc import TaskGroup
@@ -13,7 +12,8 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.reservations import MemoryShare
 from marjorambridge.gateway.hints import apply_answer_hints
-from marjorambridge.gateway.messages import Attempt, AttemptResult, HelperDialect, MemoryAllocation
+from marjorambridge.gateway.messages import AttemptResult, HelperDialect
+from marjorambridge.gateway.orders import send_order
 from marjorambridge.gateway.state import Gateway, get_tasks
 
 ACCEPTED = 200
@@ -90,24 +90,13 @@
 async def _send_order(
     gateway: Gateway, request_id: str, share: MemoryShare, order: tuple[bytes, bytes]
 ) -> AttemptResult:
-    target, body = order
-    deadline = time.monotonic() + defaults.ORDER_TIMEOUT_SECONDS
-    attempt = Attempt(
-        address=share.endpoint.address,
-        method=b"POST",
-        target=target,
-        headers=gateway.dialect.encode_order_headers(share.endpoint.name),
-        body=body,
-        request_id="",
-        get_stall_deadline=lambda: deadline,
-        allocation=MemoryAllocation(gateway.memory),
-        handle_head=lambda head: apply_answer_hints(gateway, share.endpoint, request_id, head),
-    )
     gateway.record_metric(Measure("memory_orders_total"))
-    try:
-        return await gateway.run_attempt(attempt, gateway.dialect)
-    finally:
-        attempt.allocation.release()
+    return await send_order(
+        gateway,
+        share.endpoint,
+        order,
+        lambda head: apply_answer_hints(gateway, share.endpoint, request_id, head),
+    )
 
 
 async def renew_tickets(tickets: TicketSet) -> None:
--- a/marjorambridge/http/answers.py
+++ b/marjorambridge/http/answers.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.core.outcomes import Done, Failed, Reason
+from marjorambridge.http.bodies import BODILESS_STATUSES
 from marjorambridge.http.completions import (
     Completion,
     build_answer,
@@ -23,8 +24,6 @@
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 
-BODILESS_STATUSES = frozenset({204, 304})
-
 
 class _AnswerProgress(Struct):
     """Progress of the answer to one caller."""
--- a/marjorambridge/http/bodies.py
+++ b/marjorambridge/http/bodies.py
@@ -18,6 +18,7 @@
 CANCEL_PATH = "/v1/cancel"
 SERVICES_PREFIX = "/services/"
 SERVICE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+BODILESS_STATUSES = frozenset({204, 304})
 # Statuses with which an endpoint may state that it did not run a request.
 NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
 MAX_OUTPUT_TOKENS = 10_000_000
