--- a/review/3/case.py
+++ b/review/3/case.py
@@ -88,7 +88,9 @@
         except ERRORS as error:
             if writer is not None:
                 cut.append((identifier, gateway.name))
-                record.write("client lost the channel without an answer to", identifier, repr(error))
+                record.write(
+                    "client lost the channel without an answer to", identifier, repr(error)
+                )
         finally:
             if writer is not None:
                 writer.close()
