--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -65,7 +65,7 @@
     for _ in range(50):
         prefix = f"127.{random.randint(20, 240)}.{random.randint(1, 250)}"
         try:
-            for number in (1, 2, 3, 4, 5, 6, 11, 12, 13, 14):
+            for number in (*range(1, 8), *range(11, 20)):
                 for port in (CONTROL, FRONTEND, READINESS, PEER, METRICS, ENGINE_PORT):
                     with socket.socket() as probe:
                         probe.bind((f"{prefix}.{number}", port))
@@ -435,6 +435,8 @@
 def run_case(main, record_path):
     """Run a case and exit with 1 if its rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(record_path)
+    # Also a case that is stopped ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(finish(main, record))
     except Exception as error:
