--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,6 +23,8 @@
     run_case,
 )
 
+# One engine of seven is a share of 0.14.
+ENGINES = 7
 FAILED_SHARE = 0.4
 TROUBLE_SECONDS = 6.0
 # A promise that the request has not run.
@@ -74,8 +76,8 @@
     grey = make_respond(trouble, bookings)
     sound = make_respond(Trouble(), bookings)
     engines = [
-        Engine(fleet, 11 + n, "app", ("za", "zb", "zc")[n], grey if n == 0 else sound, slots=6)
-        for n in range(3)
+        Engine(fleet, 11 + n, "app", ("za", "zb", "zc")[n % 3], grey if n == 0 else sound, slots=6)
+        for n in range(ENGINES)
     ]
     try:
         fleet.start()
@@ -89,12 +91,12 @@
         await fleet.wait_until_ready()
         await asyncio.sleep(2.0)
         clients = []
-        for number in range(300):
-            if number == 60 and has_trouble():
+        for number in range(600):
+            if number == 100 and has_trouble():
                 trouble.ends_at = time.monotonic() + TROUBLE_SECONDS
                 record.write("engine", engines[0].name, "fails part of its requests from now on")
             clients.append(asyncio.create_task(book(fleet, record, number, results)))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.025)
         await asyncio.gather(*clients)
         runs = {name for engine in engines for _, name in engine.runs}
         refused = sorted(
