--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
