--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -343,6 +343,9 @@
         Completes the head of an answer that is no success from its body.
     forwards_server_errors : bool
         Whether callers get the answers of endpoints with status 500 or above.
+    not_run_statuses : frozenset of int
+        Statuses that tell a caller that its request has not run, whoever sends them; empty if only
+        the body says so.
     encode_collected : callable
         Takes the joined events of a request that collects them; returns headers and body.
     encode_cut : callable
@@ -365,6 +368,7 @@
     has_end_event: bool = False
     decode_failure: Callable[[AnswerHead, bytes], None] = keep_head
     forwards_server_errors: bool = True
+    not_run_statuses: frozenset[int] = frozenset()
     encode_collected: Callable[[CallerRequest, bytes], tuple[Headers, bytes]] = encode_joined
     encode_cut: Callable[[CallerRequest, Unsuccessful], bytes] = encode_no_cut
     encode_cancel: Callable[[CallerRequest, str], tuple[bytes, bytes] | None] = encode_no_cancel
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -83,6 +83,12 @@
     is_complete = result.outcome is AttemptOutcome.COMPLETE
     if head is None or not (is_complete or dialect.forwards_server_errors):
         return await fail(context, result.outcome)
+    if head.status in dialect.not_run_statuses and not is_repeatable(context.admission.route):
+        # Answers that state that the request has not run never get here.
+        logger.bind(request=context.request.request_id, status=head.status).info(
+            "an answer was replaced, because its status would state that the request has not run"
+        )
+        return await fail(context, AttemptOutcome.FAILED)
     headers, body = head.headers, result.body
     if context.request.collects_events and is_event_stream(head):
         headers, body = dialect.encode_collected(context.request, b"".join(context.collected))
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -42,6 +42,8 @@
 ORDER_TARGET = b"/api/order"
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Callers repeat a request after these statuses, because they state that it has not run.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, UNAVAILABLE_STATUS})
 HEXADECIMAL_DIGITS = b"0123456789abcdefABCDEF"
 # Identifiers of parts are signed integers of 64 bits in messages between hosts.
 PART_MASK = 2**63 - 1
@@ -251,4 +253,5 @@
         encode_error,
         encode_order_headers,
         HelperDialect(encode_helper, encode_reservation, encode_release),
+        not_run_statuses=NOT_RUN_STATUSES,
     )
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -122,6 +122,41 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("status", [b"408 Late", b"429 Slow Down", b"503 Unavailable"])
+@pytest.mark.parametrize("manifest", [ONCE, NON_RESUMABLE], ids=["call", "stream"])
+def test_a_status_without_a_statement_of_the_endpoint_is_not_forwarded_as_not_run(status, manifest):
+    """Guard against a caller that repeats a request that ran, because its status says "not run"."""
+    ran = answer(status, SIGNED + b"Retry-After: 1\r\nContent-Length: 4\r\n", b"done")
+
+    async def scenario():
+        async with run_gateway(manifest, ran, answer_whole(b"again")) as harness:
+            data = await call(harness, make_request())
+            assert get_status(data) == 502
+            # Only the endpoint's own status may carry its MAC.
+            head = data.partition(b"\r\n\r\n")[0]
+            assert not find_header(head, b"x-instance-signature")
+            assert not find_header(head, b"retry-after")
+            assert [len(endpoint.requests) for endpoint in harness.endpoints] == [1, 0]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("status", [b"429 Slow Down", b"503 Unavailable"])
+def test_a_repeatable_request_gets_the_status_of_its_endpoint(status):
+    """Guard against a changed answer where a repetition by the caller does no harm."""
+    manifest = make_manifest(Execution.IDEMPOTENT, 1, False)
+    failed = answer(status, SIGNED + b"Content-Length: 4\r\n", b"oops")
+
+    async def scenario():
+        async with run_gateway(manifest, failed) as harness:
+            data = await call(harness, make_request(b"GET", b""))
+            assert get_status(data) == int(status[:3])
+            head = data.partition(b"\r\n\r\n")[0]
+            assert find_header(head, b"x-instance-signature") == b"mac-1"
+
+    run(scenario)
+
+
 @over_both_dialects
 def test_rejected_request_is_retried_within_the_limit_of_endpoints(wire):
     """Guard against more endpoints than the route allows, and a refusal without Retry-After."""
