--- a/marjorambridge/control/commands.py
+++ b/marjorambridge/control/commands.py
@@ -4,6 +4,9 @@
 
 from marjorambridge.control.exceptions import ControlDecodeError
 
+# Orders that earlier versions put into the log have no condition.
+UNCONDITIONAL = -1
+
 
 class Command(msgspec.Struct, tag_field="kind", array_like=True, frozen=True):
     """Base of all commands.
@@ -30,16 +33,29 @@
     document: bytes
 
 
-class DrainZone(Command, tag="drain", frozen=True):
-    """Stop sending requests to the endpoints of a zone."""
+class ZoneOrder(Command, frozen=True):
+    """Base of the orders for a zone, which change nothing after a newer one was applied.
+
+    An order may wait for seconds on its way to the log. Meanwhile its sender may have sent it again
+    elsewhere, and then others.
+
+    Attributes
+    ----------
+    follows : int
+        Index of the last order for the zone that was applied when this one was accepted; 0 if there
+        was none, `UNCONDITIONAL` to apply it in any case.
+    """
 
     zone: str
+    follows: int = UNCONDITIONAL
 
 
-class RestoreZone(Command, tag="restore", frozen=True):
-    """Resume sending requests to the endpoints of a drained zone."""
+class DrainZone(ZoneOrder, tag="drain", frozen=True):
+    """Stop sending requests to the endpoints of a zone."""
 
-    zone: str
+
+class RestoreZone(ZoneOrder, tag="restore", frozen=True):
+    """Resume sending requests to the endpoints of a drained zone."""
 
 
 class EndpointRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -127,7 +143,7 @@
     Examples
     --------
     >>> decode_command(encode_command(DrainZone("c1", "north")))
-    DrainZone(command_id='c1', zone='north')
+    DrainZone(command_id='c1', zone='north', follows=-1)
     """
     try:
         return _DECODER.decode(payload)
--- a/marjorambridge/control/state_machine.py
+++ b/marjorambridge/control/state_machine.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from marjorambridge.control.commands import (
+    UNCONDITIONAL,
     AnyCommand,
     DrainZone,
     EndpointRecord,
@@ -11,6 +12,7 @@
     ReplaceManifest,
     RestoreZone,
     RetireEndpoint,
+    ZoneOrder,
     decode_command,
 )
 from marjorambridge.control.exceptions import ControlDecodeError
@@ -36,6 +38,8 @@
         Drained zones with the index of the command that drained them.
     restored : dict of str to int
         Formerly drained zones with the index of the command that last restored them.
+    zone_orders : dict of str to int
+        Index of the last order for each zone, also of one that found the zone as it should be.
     registered : dict of str to EndpointRecord
         Endpoints that reported, by their identifier.
     retired : dict of str to int
@@ -49,6 +53,7 @@
     document: bytes = b""
     drained: dict[str, int] = {}
     restored: dict[str, int] = {}
+    zone_orders: dict[str, int] = {}
     registered: dict[str, EndpointRecord] = {}
     retired: dict[str, int] = {}
     recent: dict[str, None] = {}
@@ -79,11 +84,8 @@
         case ReplaceManifest():
             if command.version > state.version:
                 state.version, state.document = command.version, command.document
-        case DrainZone():
-            state.drained[command.zone] = index
-        case RestoreZone():
-            if state.drained.pop(command.zone, None) is not None:
-                state.restored[command.zone] = index
+        case DrainZone() | RestoreZone():
+            _apply_zone_order(state, index, command)
         case RegisterEndpoints():
             for record in command.endpoints:
                 known = state.registered.get(record.endpoint)
@@ -99,6 +101,18 @@
     return command
 
 
+def _apply_zone_order(state: ControlState, index: int, order: ZoneOrder) -> None:
+    """Apply an order, unless it has a condition and another order was applied before it."""
+    if order.follows != UNCONDITIONAL:
+        if order.follows != state.zone_orders.get(order.zone, 0):
+            return
+        state.zone_orders[order.zone] = index
+    if isinstance(order, DrainZone):
+        state.drained[order.zone] = index
+    elif state.drained.pop(order.zone, None) is not None:
+        state.restored[order.zone] = index
+
+
 def _retire_endpoint(state: ControlState, command: RetireEndpoint) -> None:
     registered = state.registered.get(command.endpoint)
     if registered is not None and registered.born <= command.born:
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -12,7 +12,14 @@
 
 from marjorambridge.conf import nodes
 from marjorambridge.conf.nodes import NodeSettings
-from marjorambridge.control.commands import AnyCommand, RetireEndpoint, encode_command
+from marjorambridge.control.commands import (
+    AnyCommand,
+    DrainZone,
+    ReadBarrier,
+    RestoreZone,
+    RetireEndpoint,
+    encode_command,
+)
 from marjorambridge.control.events import (
     CommandApplied,
     CommandSubmitted,
@@ -49,6 +56,8 @@
 
 # Operators and endpoints try another replica after one second.
 COMMAND_TIMEOUT_SECONDS = 0.9
+# What is read so soon after a stall of the event loop may have arrived before or during the stall.
+STALL_BACKLOG_SECONDS = 1.0
 # Delay before the components restart after a disk failure.
 STORAGE_RETRY_DELAY_SECONDS = 0.5
 # Time for the transfer of leadership and for the answers in progress at a shutdown.
@@ -117,14 +126,14 @@
         )
         while not process.stopping:
             try:
-                await _run_once(process)
+                await run_components(process)
             except StorageError as error:
                 logger.bind(error=str(error)).error("the data folder can't be used; retrying")
             await anyio.sleep(STORAGE_RETRY_DELAY_SECONDS)
     return 0
 
 
-async def _run_once(process: ReplicaProcess) -> None:
+async def run_components(process: ReplicaProcess) -> None:
     """Run the components until the disk fails or the process is stopped."""
     settings = process.settings
     started_at = time.monotonic()
@@ -273,6 +282,72 @@
     return waiter.is_set()
 
 
+async def confirm_recent(host: ReplicaHost, arrived_at: float) -> bool:
+    """Return whether a call that can be outdated by later ones may still be carried out.
+
+    A call may wait long before it is read: in the socket of a host that was frozen, or on a link
+    that was cut. Its sender has left by then, and may have had newer calls acknowledged elsewhere.
+    The barrier brings this replica up to date; while it waits, a connection that the sender has
+    closed ends the call.
+
+    Parameters
+    ----------
+    arrived_at : float
+        Monotonic time in seconds at which the first byte of the call was read.
+    """
+    if not await submit_command(host, ReadBarrier(make_command_id(host))):
+        return False
+    waited = time.monotonic() - arrived_at
+    if arrived_at - host.runtime.resumed_at < STALL_BACKLOG_SECONDS:
+        reason = "the process was stalled before"
+    elif waited >= COMMAND_TIMEOUT_SECONDS:
+        reason = "it waited for too long"
+    else:
+        return True
+    logger.bind(reason=reason, seconds=round(waited, 4)).info("a call may be outdated")
+    return False
+
+
+async def order_zone(host: ReplicaHost, zone: str, drains: bool, arrived_at: float) -> bool:
+    """Drain or restore a zone, and return whether it is drained or restored now.
+
+    Parameters
+    ----------
+    arrived_at : float
+        Monotonic time in seconds at which the first byte of the order was read.
+    """
+    if not await confirm_recent(host, arrived_at):
+        return False
+    follows = host.control.control.zone_orders.get(zone, 0)
+    kind = DrainZone if drains else RestoreZone
+    if not await submit_command(host, kind(make_command_id(host), zone, follows)):
+        return False
+    # An order that another one has overtaken is acknowledged if both ask for the same.
+    return (zone in host.control.control.drained) == drains
+
+
+async def deregister_endpoint(
+    host: ReplicaHost, endpoint: str, born: int, arrived_at: float
+) -> bool:
+    """Retire an endpoint and return whether the log has it.
+
+    Parameters
+    ----------
+    born : int
+        Start of the leaving incarnation in Unix milliseconds; 0 for the one that is known.
+    arrived_at : float
+        Monotonic time in seconds at which the first byte of the call was read.
+    """
+    if not born:
+        # Without its start, a late call would retire an incarnation that has started since.
+        if not await confirm_recent(host, arrived_at):
+            return False
+        entry = host.control.table.endpoints.get(endpoint)
+        # An incarnation without a report has started before now.
+        born = entry.report.born if entry else time.time_ns() // 1_000_000
+    return await submit_command(host, RetireEndpoint(make_command_id(host), endpoint, born))
+
+
 async def report_endpoint(host: ReplicaHost, report: EndpointReport) -> bool:
     """Apply the report of an endpoint and return whether it may be acknowledged.
 
--- a/marjorambridge/daemon/runtime.py
+++ b/marjorambridge/daemon/runtime.py
@@ -1,5 +1,6 @@
 """Run the node reducer: pass events to it, fire its timers and execute its effects."""
 
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -35,6 +36,8 @@
         Executes the effects of each class; must not block.
     record : callable or None
         Records each event and its effects, for a later replay.
+    resumed_at : float
+        Monotonic time in seconds at which the event loop last went on after a stall.
     """
 
     node: reducer.Node
@@ -44,6 +47,7 @@
     pending: deque[Event] = field(default_factory=deque)
     applying: bool = False
     wakeup: anyio.Event = field(default_factory=anyio.Event)
+    resumed_at: float = -math.inf
 
 
 def post(runtime: Runtime, event: Event) -> None:
@@ -86,7 +90,7 @@
 
 async def run_timers(runtime: Runtime) -> None:
     """Fire timers when they are due, until cancelled."""
-    checked_at = time.monotonic()
+    checked_at = _read_running_time()
     while True:
         due = compute_next_due(runtime.timers)
         now = time.monotonic()
@@ -99,11 +103,13 @@
             # Timers that are always due must not keep other tasks from running.
             await anyio.sleep(0)
         now = time.monotonic()
-        if now - checked_at > EVENT_LOOP_STALL_SECONDS + MAX_TIMER_WAIT_SECONDS:
-            logger.bind(seconds=round(now - checked_at, 3)).warning("the event loop was stalled")
+        previous, checked_at = checked_at, _read_running_time()
+        elapsed = checked_at - previous
+        if elapsed > EVENT_LOOP_STALL_SECONDS + MAX_TIMER_WAIT_SECONDS:
+            runtime.resumed_at = now
+            logger.bind(seconds=round(elapsed, 3)).warning("the event loop was stalled")
             _handle_effect(runtime, Measure("event_loop_stalls_total"))
-            _handle_effect(runtime, Measure("event_loop_stalled_seconds_total", now - checked_at))
-        checked_at = now
+            _handle_effect(runtime, Measure("event_loop_stalled_seconds_total", elapsed))
         if due is not None and now - due > LATE_TIMER_SECONDS:
             # First handle what arrived while the loop was busy: a heartbeat of the leader that was
             # received in time must be applied before the election timer fires.
@@ -113,6 +119,11 @@
             post(runtime, TimerFired(now, key))
 
 
+def _read_running_time() -> float:
+    """Return the seconds since the machine started, including those in which it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def apply_recovery(runtime: Runtime, effect: Effect) -> None:
     """Execute an effect of recovery, before the first event of the process."""
     if isinstance(effect, Publish):
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -154,9 +154,10 @@
     """Serve the next request and return whether the connection can be reused."""
     if not connection.trailing_data[0] and not await _wait_for_request(server, stream, connection):
         return False
+    arrived_at = time.monotonic()
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
-    exchange = Exchange(server, stream, connection, time.monotonic())
+    exchange = Exchange(server, stream, connection, arrived_at)
     server.active += 1
     try:
         if not await _read_request(exchange):
--- a/marjorambridge/platform/operations.py
+++ b/marjorambridge/platform/operations.py
@@ -6,18 +6,13 @@
 
 from loguru import logger
 
-from marjorambridge.control.commands import (
-    AnyCommand,
-    DrainZone,
-    ReadBarrier,
-    ReplaceManifest,
-    RestoreZone,
-    RetireEndpoint,
-)
+from marjorambridge.control.commands import ReadBarrier, ReplaceManifest
 from marjorambridge.daemon.replica import (
     ReplicaHost,
+    deregister_endpoint,
     find_report_address,
     make_command_id,
+    order_zone,
     report_endpoint,
     submit_command,
 )
@@ -43,27 +38,33 @@
     path = exchange.target.partition(b"?")[0].decode("latin-1")
     for method, prefix, handle in CALLS:
         if exchange.method == method and path.startswith(prefix):
-            status, body = await handle(host, unquote(path[len(prefix) :]), exchange.body)
+            status, body = await handle(host, unquote(path[len(prefix) :]), exchange)
             await callers.send_answer(exchange, status, [JSON_TYPE], body)
             return
     body = encode_error("unknown call; check method and path")
     await callers.send_answer(exchange, NOT_FOUND, [JSON_TYPE], body)
 
 
-async def _replace_configuration(host: ReplicaHost, rest: str, body: bytes) -> tuple[int, bytes]:
+async def _replace_configuration(
+    host: ReplicaHost, rest: str, exchange: Exchange
+) -> tuple[int, bytes]:
     if rest:
         return NOT_FOUND, encode_error("unknown call; check the path")
     try:
-        manifest = decode_document(body)
+        manifest = decode_document(exchange.body)
         validate_manifest(manifest)
     except InvalidManifestError as error:
         logger.bind(error=str(error)).info("a configuration was refused")
         return BAD_REQUEST, encode_error(str(error))
-    command = ReplaceManifest(make_command_id(host), manifest.version, compress_document(body))
-    return await _submit_and_answer(host, command, str(manifest.version))
+    document = compress_document(exchange.body)
+    command = ReplaceManifest(make_command_id(host), manifest.version, document)
+    ended = submit_command(host, command)
+    return await _log_and_answer("ReplaceManifest", str(manifest.version), ended)
 
 
-async def _read_configuration(host: ReplicaHost, rest: str, body: bytes) -> tuple[int, bytes]:
+async def _read_configuration(
+    host: ReplicaHost, rest: str, exchange: Exchange
+) -> tuple[int, bytes]:
     if not await submit_command(host, ReadBarrier(make_command_id(host))):
         return UNAVAILABLE, encode_error("this replica can't tell whether it is up to date")
     document = host.control.control.document
@@ -72,21 +73,26 @@
     return OK, expand_document(document)
 
 
-async def _drain_zone(host: ReplicaHost, zone: str, body: bytes) -> tuple[int, bytes]:
-    if zone not in host.settings.zones:
-        return NOT_FOUND, encode_error(f"zone {zone!r} is unknown; check its name")
-    return await _submit_and_answer(host, DrainZone(make_command_id(host), zone), zone)
+async def _drain_zone(host: ReplicaHost, zone: str, exchange: Exchange) -> tuple[int, bytes]:
+    return await _order_zone(host, zone, exchange, drains=True)
 
 
-async def _restore_zone(host: ReplicaHost, zone: str, body: bytes) -> tuple[int, bytes]:
+async def _restore_zone(host: ReplicaHost, zone: str, exchange: Exchange) -> tuple[int, bytes]:
+    return await _order_zone(host, zone, exchange, drains=False)
+
+
+async def _order_zone(
+    host: ReplicaHost, zone: str, exchange: Exchange, drains: bool
+) -> tuple[int, bytes]:
     if zone not in host.settings.zones:
         return NOT_FOUND, encode_error(f"zone {zone!r} is unknown; check its name")
-    return await _submit_and_answer(host, RestoreZone(make_command_id(host), zone), zone)
+    kind = "DrainZone" if drains else "RestoreZone"
+    return await _log_and_answer(kind, zone, order_zone(host, zone, drains, exchange.arrived_at))
 
 
-async def _handle_report(host: ReplicaHost, endpoint: str, body: bytes) -> tuple[int, bytes]:
+async def _handle_report(host: ReplicaHost, endpoint: str, exchange: Exchange) -> tuple[int, bytes]:
     try:
-        report = decode_report(endpoint, body)
+        report = decode_report(endpoint, exchange.body)
     except InvalidReportError as error:
         logger.bind(error=str(error)).info("a report of an endpoint was refused")
         return BAD_REQUEST, encode_error(str(error))
@@ -98,37 +104,37 @@
 
 
 async def _handle_deregistration(
-    host: ReplicaHost, endpoint: str, body: bytes
+    host: ReplicaHost, endpoint: str, exchange: Exchange
 ) -> tuple[int, bytes]:
     try:
-        born = decode_deregistration(body)
+        born = decode_deregistration(exchange.body)
     except InvalidReportError as error:
         return BAD_REQUEST, encode_error(str(error))
-    if not born:
-        entry = host.control.table.endpoints.get(endpoint)
-        # An incarnation without a report has started before now.
-        born = entry.report.born if entry else time.time_ns() // 1_000_000
-    command = RetireEndpoint(make_command_id(host), endpoint, born)
-    return await _submit_and_answer(host, command, endpoint)
+    ended = deregister_endpoint(host, endpoint, born, exchange.arrived_at)
+    return await _log_and_answer("RetireEndpoint", endpoint, ended)
 
 
-async def _submit_and_answer(
-    host: ReplicaHost, command: AnyCommand, subject: str
-) -> tuple[int, bytes]:
+async def _log_and_answer(kind: str, subject: str, ended: Awaitable[bool]) -> tuple[int, bytes]:
+    """Wait for the end of a command, log it and return the answer."""
     started_at = time.monotonic()
-    applied = await submit_command(host, command)
-    logger.bind(
-        kind=type(command).__name__,
-        outcome="applied" if applied else "not_applied",
-        seconds=round(time.monotonic() - started_at, 4),
-        subject=subject,
-    ).info("a command ended")
+    # This function is cancelled when its caller leaves.
+    outcome = "given_up"
+    try:
+        applied = await ended
+        outcome = "applied" if applied else "not_applied"
+    finally:
+        logger.bind(
+            kind=kind,
+            outcome=outcome,
+            seconds=round(time.monotonic() - started_at, 4),
+            subject=subject,
+        ).info("a command ended")
     if not applied:
-        return UNAVAILABLE, encode_error("the replicas did not agree in time; send it again")
+        return UNAVAILABLE, encode_error("the command was not applied in time; send it again")
     return OK, encode_body({})
 
 
-Call = Callable[[ReplicaHost, str, bytes], Awaitable[tuple[int, bytes]]]
+Call = Callable[[ReplicaHost, str, Exchange], Awaitable[tuple[int, bytes]]]
 
 CALLS: tuple[tuple[bytes, str, Call], ...] = (
     (b"POST", "/api/Instances.Heartbeat/", _handle_report),
--- a/tests/control/disturbed.py
+++ b/tests/control/disturbed.py
@@ -242,8 +242,12 @@
             self.changes.append(Change(0, zone))
 
     def is_change_acked(self, change):
+        """Return whether the replica acknowledges a change, as its process decides it."""
         replica = change.replica
-        return replica and self.runs(replica) and self.is_applied(replica, change.command_id)
+        if not (replica and self.runs(replica) and self.is_applied(replica, change.command_id)):
+            return False
+        drained = self.control(replica).control.drained
+        return not change.zone or (change.zone in drained) == change.drains
 
     def operate(self):
         for change in list(self.changes):
@@ -280,7 +284,8 @@
     def make_command(self, change):
         if change.zone:
             kind = DrainZone if change.drains else RestoreZone
-            return kind(change.command_id, change.zone)
+            follows = self.control(change.replica).control.zone_orders.get(change.zone, 0)
+            return kind(change.command_id, change.zone, follows)
         return ReplaceManifest(change.command_id, change.version, b"%d" % change.version)
 
     # The check.
