Bound the numbers of configurations in their manifests

What callers would see: an engine profile with a tiny read_per_s, which was acknowledged, made the estimate of a prefill infinite; each request to the service got 500, since its load could not be reported.

Change: durations are bounded to a year, and counts, weights, rates and sizes to 2**40, when a document is decoded; the document itself is kept as it is. A prefill is estimated at a year at most. Negative weights stay invalid.

--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -2,6 +2,9 @@
 
 from marjorambridge.manifests.models import EngineProfile
 
+# No caller waits for longer than a year, and sums of estimates stay within all messages.
+MAX_PREFILL_SECONDS = 31_536_000.0
+
 
 def compute_prefill_seconds(profile: EngineProfile, tokens: float, parts: int = 1) -> float:
     """Return the time in which an idle engine prefills one of `parts` equal shards of a prompt.
@@ -25,7 +28,7 @@
     if profile.read_tokens_per_second <= 0:
         return 0.0
     alone = tokens / profile.read_tokens_per_second + profile.pair_seconds * tokens * tokens / 2
-    return alone / parts
+    return min(alone / parts, MAX_PREFILL_SECONDS)
 
 
 def estimate_kv_tokens(profile: EngineProfile, prompt_tokens: int, answer_tokens: int) -> int:
--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -1,7 +1,8 @@
 """Decode the platform's configuration documents into manifests.
 
 Only this module uses the platform's names for the fields of a configuration. A document is stored
-as the operator sent it, because it must be returned unchanged.
+as the operator sent it, because it must be returned unchanged. Its numbers are bounded in the
+manifest, so that nothing that was acknowledged exceeds what hosts can compute with or send.
 """
 
 import zlib
@@ -10,6 +11,7 @@
 import msgspec
 
 from marjorambridge.core.decoding import DECODE_ERRORS
+from marjorambridge.core.numbers import clamp, clamp_whole
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.models import (
     CallerLimits,
@@ -32,6 +34,12 @@
 # The cost of attention is given in milliseconds per million pairs of tokens.
 SECONDS_PER_PAIR = 1e-9
 SECONDS_PER_MILLISECOND = 1e-3
+# A year; operators write greater numbers for "no limit".
+MAX_SECONDS = 31_536_000.0
+# Bound of weights, rates, counts and sizes.
+MAX_NUMBER = 2**40
+# An engine that reads more slowly than this many tokens per second serves nobody.
+MIN_READ_TOKENS_PER_SECOND = 0.001
 
 
 class SplitDocument(msgspec.Struct):
@@ -145,10 +153,10 @@
         routes=tuple(_translate_route(route) for route in document.routes),
         services=tuple(_translate_service(service) for service in document.services),
         limits=CallerLimits(
-            header_bytes=document.limits.max_header_bytes,
-            body_bytes=document.limits.max_body_bytes,
-            header_timeout_seconds=document.limits.header_timeout_ms * SECONDS_PER_MILLISECOND,
-            idle_timeout_seconds=document.limits.idle_timeout_ms * SECONDS_PER_MILLISECOND,
+            header_bytes=clamp_whole(document.limits.max_header_bytes, MAX_NUMBER),
+            body_bytes=clamp_whole(document.limits.max_body_bytes, MAX_NUMBER),
+            header_timeout_seconds=_convert_milliseconds(document.limits.header_timeout_ms),
+            idle_timeout_seconds=_convert_milliseconds(document.limits.idle_timeout_ms),
         ),
         workspaces=tuple(
             WorkspaceKeys(tenant.name, tuple(tenant.api_keys), tenant.priority)
@@ -167,10 +175,13 @@
         host_name=route.hostname.lower(),
         path_prefix=route.path_prefix,
         execution=EXECUTIONS.get(route.type, Execution.AT_MOST_ONCE),
-        timeout_seconds=route.timeout_ms * SECONDS_PER_MILLISECOND,
-        objective_seconds=route.slo_ms * SECONDS_PER_MILLISECOND,
-        targets=tuple(RouteTarget(share.backend, share.weight) for share in shares),
-        gap_objective_seconds=(route.target_gap_ms or 0.0) * SECONDS_PER_MILLISECOND,
+        timeout_seconds=_convert_milliseconds(route.timeout_ms),
+        objective_seconds=_convert_milliseconds(route.slo_ms),
+        # Negative weights are invalid, and stay so.
+        targets=tuple(
+            RouteTarget(share.backend, clamp(share.weight, -1.0, MAX_NUMBER)) for share in shares
+        ),
+        gap_objective_seconds=_convert_milliseconds(route.target_gap_ms or 0.0),
         priority=route.priority,
         max_endpoints=max(1, route.attempts),
         public=route.public,
@@ -182,28 +193,39 @@
     profile = service.engine_profile
     return ServiceDefinition(
         name=service.name,
-        max_connections=service.max_conns,
-        cold_start_seconds=service.cold_start_s,
-        cold_requests_per_second=service.cold_per_s,
+        max_connections=clamp_whole(service.max_conns, MAX_NUMBER),
+        cold_start_seconds=clamp(service.cold_start_s, 0.0, MAX_SECONDS),
+        cold_requests_per_second=clamp(service.cold_per_s, 0.0, MAX_NUMBER),
         engine=_translate_profile(profile) if profile is not None else None,
     )
 
 
 def _translate_profile(profile: ProfileDocument) -> EngineProfile:
+    speed = profile.read_per_s
     return EngineProfile(
-        slots=profile.slots,
-        kv_tokens=profile.kv_capacity,
-        step_seconds=profile.step_ms * SECONDS_PER_MILLISECOND,
-        sequence_seconds=profile.per_seq_ms * SECONDS_PER_MILLISECOND,
-        context_seconds=profile.context_per_k * SECONDS_PER_MILLISECOND / 1_000,
-        read_tokens_per_second=profile.read_per_s,
-        pair_seconds=profile.pairs_per_m * SECONDS_PER_PAIR,
-        chunk_tokens=profile.chunk,
-        stride_steps=profile.stride,
-        usual_answer_tokens=round(profile.usual.answer) if profile.usual is not None else 0,
+        slots=clamp_whole(profile.slots, MAX_NUMBER),
+        kv_tokens=clamp_whole(profile.kv_capacity, MAX_NUMBER),
+        step_seconds=_convert_milliseconds(profile.step_ms),
+        sequence_seconds=_convert_milliseconds(profile.per_seq_ms),
+        context_seconds=_convert_milliseconds(profile.context_per_k) / 1_000,
+        # Without a speed, the time of a prefill is not estimated.
+        read_tokens_per_second=(
+            clamp(speed, MIN_READ_TOKENS_PER_SECOND, MAX_NUMBER) if speed > 0 else 0.0
+        ),
+        pair_seconds=clamp(profile.pairs_per_m, 0.0, MAX_NUMBER) * SECONDS_PER_PAIR,
+        chunk_tokens=clamp_whole(profile.chunk, MAX_NUMBER),
+        stride_steps=clamp_whole(profile.stride, MAX_NUMBER),
+        usual_answer_tokens=(
+            clamp_whole(profile.usual.answer, MAX_NUMBER) if profile.usual is not None else 0
+        ),
     )
 
 
+def _convert_milliseconds(value: float) -> float:
+    """Return the seconds of a duration, from 0 to a year."""
+    return clamp(value * SECONDS_PER_MILLISECOND, 0.0, MAX_SECONDS)
+
+
 def compress_document(data: bytes) -> bytes:
     """Return a document in the form in which it is stored and sent to hosts."""
     return zlib.compress(data, COMPRESSION_LEVEL)
--- a/tests/gateway/test_extreme_numbers.py
+++ b/tests/gateway/test_extreme_numbers.py
@@ -1,5 +1,7 @@
 """Test that numbers of callers, endpoints and hosts of any size end nothing but their request."""
 
+import json
+
 import anyio
 import pytest
 from hypothesis import given
@@ -28,7 +30,10 @@
     repeat_loads,
     start_sharing_tasks,
 )
-from marjorambridge.manifests.models import Execution, ServiceDefinition
+from marjorambridge.manifests.exceptions import InvalidManifestError
+from marjorambridge.manifests.models import CallerLimits, Execution, ServiceDefinition
+from marjorambridge.manifests.validation import validate_manifest
+from marjorambridge.platform.documents import decode_document
 from tests.forwarding.helpers import PROFILE, make_state
 
 from .helpers import (
@@ -42,6 +47,17 @@
 )
 
 KEY = b"k" * 32
+PROFILE_DOCUMENT = {
+    "slots": 8,
+    "kv_capacity": 315_000,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2048,
+    "stride": 51,
+}
 ENGINES = (ServiceDefinition("svc", engine=replace(PROFILE, usual_answer_tokens=1_600)),)
 EXTREMES = [
     b"9223372036854775807",
@@ -134,6 +150,84 @@
     anyio.run(scenario)
 
 
+LOCATIONS = [
+    *[("routes", 0, name) for name in ("timeout_ms", "slo_ms", "target_gap_ms", "priority")],
+    ("routes", 0, "attempts"),
+    *[("routes", 0, "split", share, "weight") for share in (0, 1)],
+    *[("limits", name) for name in ("max_header_bytes", "max_body_bytes")],
+    *[("limits", name) for name in ("header_timeout_ms", "idle_timeout_ms")],
+    *[("services", 0, name) for name in ("max_conns", "cold_start_s", "cold_per_s")],
+    *[("services", 0, "engine_profile", name) for name in PROFILE_DOCUMENT],
+    ("services", 0, "engine_profile", "usual", "answer"),
+]
+# Text, because JSON has no bounds that Python's numbers have.
+CONFIGURED = ["1e308", "5e-324", "-1e308", "9223372036854775807", "1e400", "-1", "0"]
+
+
+@pytest.mark.parametrize("value", CONFIGURED)
+@pytest.mark.parametrize("location", LOCATIONS, ids=lambda location: str(location[-1]))
+def test_a_number_of_an_accepted_configuration_is_served_and_reported(location, value):
+    """Guard against an acknowledged configuration that ends hosts, or fails all requests."""
+    document = make_document()
+    target = document
+    for name in location[:-1]:
+        target = target[name]
+    target[location[-1]] = "VALUE"
+    try:
+        body = json.dumps(document).replace('"VALUE"', value)
+        manifest = decode_document(body.encode())
+        validate_manifest(manifest)
+    except InvalidManifestError:
+        return
+    limited = location[0] == "limits" and manifest.limits != CallerLimits()
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(b"good")) as harness:
+            sharing = LoadSharing(harness.gateway.forwarding, "h1", KEY)
+            names = list(harness.gateway.forwarding.endpoints)
+            harness.gateway.share_load = lambda endpoint: queue_loads(
+                sharing, names, anyio.current_time()
+            )
+            request = make_request(b"GET", b"", extra=b"X-Token-Usage: 5000,80\r\n")
+            if limited:
+                # Limits of almost nothing refuse requests, or close their connections.
+                await send_bytes(harness, request)
+            else:
+                assert get_status(await call(harness, request)) in (200, 503, 504)
+            queue_loads(sharing, names, anyio.current_time())
+
+    anyio.run(scenario)
+
+
+def make_document():
+    route = {
+        "name": "r1",
+        "hostname": "app.example",
+        "path_prefix": "/p/",
+        "type": "idempotent",
+        "timeout_ms": 5_000,
+        "slo_ms": 300,
+        "target_gap_ms": 250,
+        "priority": 1,
+        "attempts": 2,
+        "split": [{"backend": "svc", "weight": 90}, {"backend": "svc", "weight": 10}],
+    }
+    service = {"name": "svc", "engine_profile": PROFILE_DOCUMENT | {"usual": {"answer": 1600}}}
+    return {"version": 1, "routes": [route], "services": [service], "limits": {}}
+
+
+async def send_bytes(harness, request):
+    """Send a request, and accept any end of the connection."""
+    async with await anyio.connect_tcp("127.0.0.1", harness.port) as stream:
+        await stream.send(request)
+        with anyio.move_on_after(1.0):
+            try:
+                answered = await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            assert not answered.startswith(b"HTTP/1.1 500")
+
+
 def draw_entries(kind, **fixed):
     """Return a strategy for tuples of message entries with any numbers."""
     values = {
