Review, ROUTE: an empty list of workspaces allows no key

Callers saw: after a configuration had taken the last workspace away, requests with any key ran on routes that are not public.

Cause: the decoder told an empty list of workspaces from a missing one by its truth value. Only a missing list means that no key is needed. Other places in which empty and missing differ were read and compare with None.

Test: test_a_configuration_without_any_workspace_allows_no_key fails for the empty list on the commit before (1 of 4 cases).

--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -162,7 +162,8 @@
             WorkspaceKeys(tenant.name, tuple(tenant.api_keys), tenant.priority)
             for tenant in document.tenants or ()
         ),
-        requires_keys=bool(document.tenants),
+        # An empty list holds no key, so that no request with a key is allowed.
+        requires_keys=document.tenants is not None,
     )
 
 
--- a/tests/manifests/test_validation.py
+++ b/tests/manifests/test_validation.py
@@ -1,7 +1,12 @@
 """Test the decoding, storage and validation of manifests."""
 
+import msgspec
 import pytest
 
+from marjorambridge.forwarding.admission import Refusal, admit_request
+from marjorambridge.forwarding.fleet import apply_manifest
+from marjorambridge.forwarding.settings import ForwardingSettings
+from marjorambridge.forwarding.state import create_state
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.validation import validate_manifest
 from marjorambridge.platform.documents import (
@@ -57,6 +62,28 @@
     assert manifest.requires_keys and manifest.workspaces[0].keys == ("k1", "k2")
 
 
+@pytest.mark.parametrize(
+    ("tenants", "refusal"),
+    [
+        ({"tenants": []}, Refusal.UNKNOWN_KEY),
+        ({"tenants": [{"name": "t1", "api_keys": []}]}, Refusal.UNKNOWN_KEY),
+        ({"tenants": None}, None),
+        ({}, None),
+    ],
+)
+def test_a_configuration_without_any_workspace_allows_no_key(tenants, refusal):
+    """Guard against routes that are open to everybody after the last workspace was removed."""
+    document = msgspec.json.decode(make_document())
+    del document["tenants"]
+    manifest = decode_document(encode_body(document | tenants))
+    validate_manifest(manifest)
+    state = create_state(ForwardingSettings("h1", "z1"), 1)
+    apply_manifest(state, manifest)
+    for key in ("", "some-key"):
+        admitted = admit_request(state, "app.example", "/p/x", key)
+        assert (admitted if isinstance(admitted, Refusal) else None) is refusal
+
+
 def test_a_stored_document_is_returned_unchanged():
     """Guard against a configuration that is read back in another form than it was sent."""
     document = make_document()
