--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -244,6 +244,8 @@
 # Time for which an endpoint is avoided after it rejected a request. A slot becomes free and two
 # load reports of other hosts arrive within it.
 REJECTION_AVOID_SECONDS = 0.4
+# Replicas notice within it that an endpoint has stopped reporting.
+REPLACED_SECONDS = 10.0
 # Longest time for which an endpoint can reject requests, and the smallest extension of that time
 # that causes a log line and a message.
 MAX_REJECTED_SECONDS = 120.0
--- a/marjorambridge/forwarding/attempts.py
+++ b/marjorambridge/forwarding/attempts.py
@@ -18,6 +18,9 @@
         The endpoint answered that it did not run the request.
     MISDIRECTED
         Another endpoint has the address now; it did not run the request.
+    DECLINED
+        The endpoint can't serve what this request asks for, and did not run it. That says nothing
+        about the endpoint.
     FAILED
         The endpoint answered with an error of its own.
     BROKEN
@@ -32,6 +35,7 @@
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     MISDIRECTED = "misdirected"
+    DECLINED = "declined"
     FAILED = "failed"
     BROKEN = "broken"
     STALLED = "stalled"
@@ -48,7 +52,12 @@
 
 
 NOT_EXECUTED = frozenset(
-    {AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED}
+    {
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.NOT_RUN,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.DECLINED,
+    }
 )
 
 
@@ -61,12 +70,15 @@
         Endpoints that received the request, as far as they count against the route's limit.
     may_have_run : bool
         Whether an endpoint may have run it.
+    is_misdirected : bool
+        Whether an endpoint answered that the request is for another one.
     answer_started : bool
         Whether a part of an answer was sent to the caller.
     """
 
     endpoints_tried: int = 0
     may_have_run: bool = False
+    is_misdirected: bool = False
     answer_started: bool = False
 
 
@@ -77,11 +89,24 @@
     return route.execution is Execution.IDEMPOTENT
 
 
+def judge_misdirected(progress: RequestProgress, is_conditional: bool) -> AttemptOutcome:
+    """Return the outcome of an attempt that the endpoint answered as misdirected.
+
+    The answer counts as that of another endpoint at the address only if the request can't be its
+    cause: the request sets no condition of its own, and no endpoint answered it so before.
+    """
+    if is_conditional or progress.is_misdirected:
+        return AttemptOutcome.DECLINED
+    return AttemptOutcome.MISDIRECTED
+
+
 def record_outcome(progress: RequestProgress, outcome: AttemptOutcome) -> None:
     """Update the progress of a request after an attempt."""
     if outcome is AttemptOutcome.NOT_SENT:
         return
-    if outcome is not AttemptOutcome.MISDIRECTED:
+    if outcome is AttemptOutcome.MISDIRECTED:
+        progress.is_misdirected = True
+    else:
         progress.endpoints_tried += 1
     if outcome not in NOT_EXECUTED:
         progress.may_have_run = True
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -59,9 +59,22 @@
     return endpoint.avoid_until - now
 
 
-def mark_replaced(endpoint: Endpoint) -> None:
-    """Mark an endpoint as replaced after another one answered at its address."""
-    endpoint.replaced = True
+def mark_replaced(endpoint: Endpoint, now: float) -> None:
+    """Send nothing to an endpoint for a while, after another one answered at its address.
+
+    An endpoint that has ended is removed within that time, because its reports have stopped.
+    """
+    endpoint.replaced_until = now + defaults.REPLACED_SECONDS
+
+
+def is_replaced(endpoint: Endpoint, now: float) -> bool:
+    """Return whether another endpoint counts as having the address."""
+    return now < endpoint.replaced_until
+
+
+def clear_replaced(endpoint: Endpoint) -> None:
+    """Use an endpoint again, because it was not the cause of an answer from its address."""
+    endpoint.replaced_until = 0.0
 
 
 def store_failure_report(endpoint: Endpoint, host: str, report: FailureReport, now: float) -> None:
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -7,7 +7,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.budgets import may_send_cold
-from marjorambridge.forwarding.health import count_reporters, get_avoid_until
+from marjorambridge.forwarding.health import count_reporters, get_avoid_until, is_replaced
 from marjorambridge.forwarding.hints import is_rejecting
 from marjorambridge.forwarding.loads import (
     compute_remaining_prefill_seconds,
@@ -138,7 +138,7 @@
     """Return whether new requests may be sent to an endpoint."""
     return not (
         endpoint.leaving
-        or endpoint.replaced
+        or is_replaced(endpoint, now)
         or endpoint.zone in state.drained
         or endpoint.name in excluded
         or is_rejecting(endpoint, now)
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -74,8 +74,8 @@
         Whether the endpoint stopped reporting to the replicas.
     leaving, signalled_leaving : bool
         Whether it is shutting down, and whether it signalled so in an answer to a host.
-    replaced : bool
-        Whether another endpoint answered at its address.
+    replaced_until : float
+        Monotonic time in seconds until which another endpoint counts as having its address.
     rejects_until : float
         Monotonic time in seconds until which it rejects requests of this host.
     order : int
@@ -112,7 +112,7 @@
     leaving: bool = False
     signalled_leaving: bool = False
     silent: bool = False
-    replaced: bool = False
+    replaced_until: float = 0.0
     order: int = 0
     key: int = 0
     cold_until: float = 0.0
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -48,6 +48,8 @@
         Number of helper engines of the last attempt.
     helpers : list of Endpoint
         Helper engines of the next attempt.
+    replaced : Endpoint or None
+        Endpoint at whose address another one seems to have answered this request.
     prefilling : list of Endpoint
         Endpoints that prefill the prompt; empty after the first event of an attempt.
     """
@@ -73,6 +75,7 @@
     helper_count: int = 0
     prefilling: list[Endpoint] = field(default_factory=list)
     helpers: list[Endpoint] = field(default_factory=list)
+    replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -51,6 +51,8 @@
         route. Streams are repeated as their route allows.
     collects_events : bool
         Whether the caller gets the events of a stream as one answer.
+    is_conditional : bool
+        Whether the request names what the endpoint must have; others answer it as misdirected.
     form : object
         What the dialect needs to write the answer; only the dialect reads it.
     """
@@ -69,6 +71,7 @@
     prompt_parts: tuple[int, ...] = ()
     repeatable: bool | None = None
     collects_events: bool = False
+    is_conditional: bool = False
     form: object = None
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -14,11 +14,13 @@
     AttemptOutcome,
     NextStep,
     decide_next_step,
+    judge_misdirected,
     may_try_again,
     record_outcome,
 )
 from marjorambridge.forwarding.budgets import consume_retry, record_request, record_send
 from marjorambridge.forwarding.health import (
+    clear_replaced,
     mark_replaced,
     record_failure,
     record_rejection,
@@ -279,6 +281,8 @@
         start_cancellation(gateway, request, endpoint, options.attempt, result.outcome)
         await release(context.tickets)
     _check_stream(context, result)
+    if result.outcome is AttemptOutcome.MISDIRECTED:
+        result.outcome = judge_misdirected(context.progress, request.is_conditional)
     return result
 
 
@@ -408,7 +412,9 @@
         )
     avoided = 0.0
     if outcome is AttemptOutcome.MISDIRECTED:
-        mark_replaced(endpoint)
+        _mark_replaced(context, endpoint, now)
+    elif outcome is AttemptOutcome.DECLINED:
+        _use_replaced_again(context)
     elif outcome in FAILURE_OUTCOMES:
         avoided = record_failure(endpoint, context.attempt_started_at, now)
         context.gateway.share_load(endpoint)
@@ -431,6 +437,18 @@
     ).info("an attempt did not complete")
 
 
+def _mark_replaced(context: RequestContext, endpoint: Endpoint, now: float) -> None:
+    context.replaced = endpoint
+    mark_replaced(endpoint, now)
+
+
+def _use_replaced_again(context: RequestContext) -> None:
+    """Use the endpoint of an earlier answer again, because the request was the cause of it."""
+    if context.replaced is not None:
+        clear_replaced(context.replaced)
+        context.replaced = None
+
+
 def _has_begun(context: RequestContext) -> bool:
     """Return whether the first event of the attempt has arrived."""
     return context.last_event_at >= context.attempt_started_at
@@ -453,7 +471,9 @@
     context.excluded.add(helper.name)
     avoided = 0.0
     if outcome is AttemptOutcome.MISDIRECTED:
-        mark_replaced(helper)
+        _mark_replaced(context, helper, now)
+    elif outcome is AttemptOutcome.DECLINED:
+        _use_replaced_again(context)
     else:
         avoided = record_failure(helper, context.attempt_started_at, now)
         context.gateway.share_load(helper)
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -29,6 +29,8 @@
 LAST_EVENT = b"last-event-id"
 WORKSPACE = b"x-tenant"
 EXPECTED_ENDPOINT = b"x-expect-instance"
+# Endpoints whose weights have another version answer as misdirected.
+EXPECTED_VERSION = b"x-expect-version"
 HELPERS = b"x-helpers"
 PRIORITY = b"x-request-priority"
 # The MAC of an endpoint over its answer.
@@ -100,6 +102,7 @@
         prompt=_read_prompt(values),
         last_event=_read_count(values, LAST_EVENT),
         prompt_parts=_read_prompt_parts(values.get(PROMPT_PARTS, b"")),
+        is_conditional=EXPECTED_VERSION in values,
     )
 
 
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -14,7 +14,12 @@
 )
 from marjorambridge.manifests.models import Execution, Route, RouteTarget
 
-NOT_EXECUTED = {AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED}
+NOT_EXECUTED = {
+    AttemptOutcome.NOT_SENT,
+    AttemptOutcome.NOT_RUN,
+    AttemptOutcome.MISDIRECTED,
+    AttemptOutcome.DECLINED,
+}
 
 
 def make_route(execution, attempts, resumable):
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -8,7 +8,12 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.fleet import apply_entry
-from marjorambridge.forwarding.health import mark_replaced, record_failure, record_success
+from marjorambridge.forwarding.health import (
+    is_replaced,
+    mark_replaced,
+    record_failure,
+    record_success,
+)
 from marjorambridge.forwarding.loads import (
     add_prefill,
     add_request,
@@ -130,7 +135,7 @@
     if reason == "leaving":
         one.leaving = True
     elif reason == "gone":
-        mark_replaced(one)
+        mark_replaced(one, 0.0)
     elif reason == "drained":
         state.drained = frozenset({one.zone})
     else:
@@ -173,14 +178,23 @@
     assert set(counts.values()) == {4}
 
 
+def test_an_endpoint_that_still_reports_is_used_again():
+    """Guard against an endpoint that one answer takes out of use for good."""
+    state = make_state(engines=1)
+    mark_replaced(state.endpoints["e0"], 5.0)
+    late = 5.0 + defaults.REPLACED_SECONDS
+    assert choose_endpoint(state, make_profile(100), NONE, late - 0.1) is None
+    assert choose_endpoint(state, make_profile(100), NONE, late) is state.endpoints["e0"]
+
+
 def test_a_new_incarnation_does_not_inherit_state():
     """Guard against health, failures or the leaving mark of an earlier process."""
     state = make_state(engines=1)
-    mark_replaced(state.endpoints["e0"])
+    mark_replaced(state.endpoints["e0"], 0.0)
     apply_entry(state, make_entry("e0", "model", "z0", 0, leaving=True), 0.0)
     apply_entry(state, make_entry("e0", "model", "z0", 0, born=2), 0.0)
     endpoint = state.endpoints["e0"]
-    assert not endpoint.replaced and not endpoint.leaving
+    assert not is_replaced(endpoint, 0.0) and not endpoint.leaving
     apply_entry(state, make_entry("e0", "model", "z0", 0, leaving=True, sequence=9), 0.0)
     assert not state.endpoints["e0"].leaving
 
--- a/tests/forwarding/test_random_deployments.py
+++ b/tests/forwarding/test_random_deployments.py
@@ -67,7 +67,7 @@
     if draw.random() < 0.2:
         record_rejection(endpoint, NOW - draw.random())
     if draw.random() < 0.05:
-        mark_replaced(endpoint)
+        mark_replaced(endpoint, NOW)
     for host in range(draw.choice((0, 0, 1, 4))):
         store_failure_report(endpoint, f"h{host}", FailureReport(1, NOW + draw.random()), NOW)
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -106,6 +106,43 @@
     test_idempotent_request_is_retried_at_another_endpoint(first, PLATFORM)
 
 
+@pytest.mark.parametrize("extra", [b"X-Expect-Version: 2\r\n", b""], ids=["version", "other"])
+def test_a_request_that_no_endpoint_takes_costs_other_requests_nothing(extra):
+    """Guard against a service that one request takes away from all callers of a host."""
+
+    def run_unless_asked(endpoint, stream, head):
+        wanted = find_header(head, b"x-own") != b"unwanted"
+        return (answer_whole(b"good") if wanted else MISDIRECTED)(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, *[run_unless_asked] * 4) as harness:
+            unwanted = make_request(b"GET", b"", extra=b"X-Own: unwanted\r\n" + extra)
+            for _ in range(3):
+                data = await call(harness, unwanted)
+                assert get_status(data) == 503 and b"has not run" in data
+            # Each request ends after the attempts of its route; one answer may be of another
+            # endpoint at the address, and does not count.
+            sent = sum(len(endpoint.requests) for endpoint in harness.endpoints)
+            assert sent <= 3 * (2 if extra else 3)
+            data = await call(harness, make_request(b"GET", b""))
+            assert get_status(data) == 200
+            assert harness.endpoints[0].requests[-1].find(b"unwanted") < 0
+
+    run(scenario)
+
+
+def test_an_address_of_another_endpoint_is_not_used_by_the_next_requests():
+    """Guard against a detour of each request, where an endpoint has the address of another one."""
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, MISDIRECTED, answer_whole(b"good")) as harness:
+            for _ in range(3):
+                assert get_status(await call(harness, make_request(b"GET", b""))) == 200
+            assert [len(endpoint.requests) for endpoint in harness.endpoints] == [1, 3]
+
+    run(scenario)
+
+
 @over_both_dialects
 @pytest.mark.parametrize("first", [close_at_once, BROKEN_500], ids=["closed", "500"])
 def test_a_request_that_may_have_run_is_not_repeated(first, wire):
