--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -3,7 +3,7 @@
 A faulty endpoint may send an endless head, body or stream, at a high rate or one byte at a time.
 All reads are bounded in time and in bytes, and only progress of the answer extends the stall
 deadline. The load pattern is many such endpoints at the same time, so all buffered answers of a
-host share one memory limit.
+host share one memory limit, and bodies in many small pieces one rate.
 """
 
 import time
@@ -23,6 +23,7 @@
     AttemptResult,
     Dialect,
 )
+from marjorambridge.gateway.pieces import PieceCount, handle_piece
 from marjorambridge.gateway.streams import STREAM_ERRORS
 
 READ_BYTES = 65_536
@@ -46,6 +47,8 @@
 
     Attributes
     ----------
+    pieces : PieceCount
+        Pieces of the body.
     interim_answers : int
         Number of interim answers received.
     failure_deadline : float
@@ -57,6 +60,7 @@
     attempt: Attempt
     dialect: Dialect
     result: AttemptResult
+    pieces: PieceCount
     interim_answers: int = 0
     failure_deadline: float = 0.0
     parts: list[bytes] = field(default_factory=list)
@@ -93,6 +97,8 @@
     if isinstance(event, h11.Response):
         return _handle_head(reader, event)
     if isinstance(event, h11.Data):
+        if await handle_piece(reader.pieces, len(event.data)) and _has_stalled(reader):
+            return True
         return await _handle_data(reader, bytes(event.data))
     if isinstance(event, h11.EndOfMessage):
         result.body = b"".join(reader.parts)
@@ -116,12 +122,17 @@
         return True
     if reader.failure_deadline:
         raise InvalidAnswerError("the body of a failure did not arrive in time")
+    # The deadline may have been postponed, because no other endpoint can continue the answer.
+    return not _has_stalled(reader)
+
+
+def _has_stalled(reader: AnswerReader) -> bool:
+    """Return whether the stall deadline has passed, and store it in the result."""
     if reader.attempt.get_stall_deadline() > time.monotonic():
-        # The deadline was postponed, because no other endpoint can continue the answer.
-        return True
+        return False
     reader.result.outcome = AttemptOutcome.STALLED
     reader.result.detail = "the answer made no progress in time"
-    return False
+    return True
 
 
 def _handle_head(reader: AnswerReader, event: h11.Response) -> bool:
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -15,6 +15,7 @@
 
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.gateway.messages import Headers
+from marjorambridge.gateway.pieces import PieceCount, PieceLimit, handle_piece
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.manifests.models import CallerLimits
 
@@ -47,6 +48,8 @@
         Waits until the request may be served, if other work has priority.
     encode_error : callable
         Returns headers and body of the answer to a request that is no valid HTTP.
+    piece_limit : PieceLimit
+        Rate of requests in many small pieces.
     closing : bool
         Whether answers carry ``Connection: close``.
     waiting : set of anyio.CancelScope
@@ -61,6 +64,7 @@
     get_limits: Callable[[], CallerLimits]
     wait_for_turn: Callable[[], Awaitable[None]] | None = None
     encode_error: Callable[[Unsuccessful], tuple[Headers, bytes]] = encode_text
+    piece_limit: PieceLimit = field(default_factory=PieceLimit)
     closing: bool = False
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
@@ -211,6 +215,7 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await exchange.stream.send(exchange.connection.send(interim))
         parts: list[bytes] = []
+        pieces = PieceCount(exchange.server.piece_limit)
         size = 0
         began = time.monotonic()
         while True:
@@ -223,6 +228,7 @@
                 return True
             if not isinstance(event, h11.Data):
                 return False
+            await handle_piece(pieces, len(event.data))
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > limits.body_bytes:
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -1,8 +1,9 @@
 """Split a stream of server-sent events into events and check their order."""
 
+import re
 from collections.abc import Callable
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from marjorambridge.core.numbers import parse_count
 from marjorambridge.gateway.exceptions import FailedStreamError
@@ -13,6 +14,11 @@
 # Bytes of comments between two events; endpoints send a few as keepalives.
 MAX_COMMENT_BYTES = 4_096
 MAX_EVENT_NUMBER = 2**53
+# Pieces of one event, and of what precedes it; endpoints send an event in one or a few.
+MAX_EVENT_PIECES = 1_024
+# An event ends with an empty line; lines end with LF or CRLF.
+_EVENT_END = re.compile(rb"\n\r?\n")
+MAX_END_BYTES = 3
 
 
 class StreamCursor(Struct):
@@ -22,8 +28,12 @@
     ----------
     last_event : int or None
         Number of the last event that was sent to the caller.
-    buffer : bytes
+    buffer : bytearray
         Start of an event that is not complete yet.
+    searched : int
+        Length of the start of the buffer in which no event ends.
+    pieces : int
+        Pieces since the last event.
     comment_bytes : int
         Bytes of comments, and of events without content, since the last event.
     has_ended : bool
@@ -33,7 +43,9 @@
     """
 
     last_event: int | None = None
-    buffer: bytes = b""
+    buffer: bytearray = field(default_factory=bytearray)
+    searched: int = 0
+    pieces: int = 0
     comment_bytes: int = 0
     has_ended: bool = False
     error: Exception | None = None
@@ -41,7 +53,8 @@
 
 def reset_attempt(cursor: StreamCursor) -> None:
     """Drop what belongs to the previous attempt only."""
-    cursor.buffer, cursor.comment_bytes, cursor.error = b"", 0, None
+    cursor.buffer, cursor.searched, cursor.pieces = bytearray(), 0, 0
+    cursor.comment_bytes, cursor.error = 0, None
 
 
 class EventOrderError(ValueError):
@@ -77,12 +90,13 @@
     >>> cursor = StreamCursor()
     >>> extract_events(cursor, b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
-    >>> cursor.last_event, cursor.buffer
+    >>> cursor.last_event, bytes(cursor.buffer)
     (1, b'id: 2\nda')
     """
     if cursor.has_ended:
         return b""
     cursor.buffer += data
+    cursor.pieces += 1
     complete: list[bytes] = []
     try:
         _extract_complete(cursor, complete, read_event)
@@ -96,8 +110,7 @@
 def _extract_complete(
     cursor: StreamCursor, complete: list[bytes], read_event: Callable[[bytes], StreamEvent]
 ) -> None:
-    while not cursor.has_ended and (end := _find_event_end(cursor.buffer)) >= 0:
-        event, cursor.buffer = cursor.buffer[:end], cursor.buffer[end:]
+    while not cursor.has_ended and (event := _take_event(cursor)):
         if is_comment(event):
             _count_comment(cursor, event)
             continue
@@ -105,7 +118,7 @@
         if not read.data and read.first is None and not read.is_end:
             _count_comment(cursor, event)
             continue
-        cursor.comment_bytes = 0
+        cursor.comment_bytes = cursor.pieces = 0
         if read.first is not None:
             last = cursor.last_event
             if last is not None and read.last <= last:
@@ -115,9 +128,12 @@
             cursor.last_event = read.last
         complete.append(read.data)
         if read.is_end:
-            cursor.has_ended, cursor.buffer = True, b""
+            cursor.has_ended = True
+            cursor.buffer.clear()
     if len(cursor.buffer) > MAX_EVENT_BYTES:
         raise EventOrderError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+    if cursor.pieces > MAX_EVENT_PIECES:
+        raise EventOrderError(f"an event comes in more than {MAX_EVENT_PIECES} pieces")
 
 
 def _count_comment(cursor: StreamCursor, event: bytes) -> None:
@@ -127,13 +143,20 @@
         raise EventOrderError(f"{cursor.comment_bytes} bytes of comments without an event")
 
 
-def _find_event_end(buffer: bytes) -> int:
-    """Return the length of the first complete event, whose lines end with LF or CRLF, or -1."""
-    end = buffer.find(b"\n\n")
-    other = buffer.find(b"\r\n\r\n", 0, end if end >= 0 else len(buffer))
-    if other >= 0:
-        return other + 4
-    return end + 2 if end >= 0 else -1
+def _take_event(cursor: StreamCursor) -> bytes:
+    """Remove the first complete event from the buffer and return it; empty if there is none.
+
+    Only bytes that were not searched before are searched, since an event may come byte by byte.
+    """
+    buffer = cursor.buffer
+    found = _EVENT_END.search(buffer, max(0, cursor.searched - MAX_END_BYTES + 1))
+    if found is None:
+        cursor.searched = len(buffer)
+        return b""
+    event = bytes(buffer[: found.end()])
+    del buffer[: found.end()]
+    cursor.searched = 0
+    return event
 
 
 def is_comment(event: bytes) -> bool:
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -6,6 +6,7 @@
 
 from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
+from marjorambridge.gateway.pieces import PieceLimit
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -242,6 +243,8 @@
         Memory for a buffered answer; whoever runs the attempt releases it.
     handle_head : callable
         Called with the head of the answer as soon as it is received.
+    piece_limit : PieceLimit
+        Rate of answers in many small pieces, which all attempts of a host share.
     send_event_bytes : callable or None
         Takes the head and a piece of an event stream, sends the piece to the caller and returns
         whether the caller is still connected; None if answers are buffered.
@@ -256,6 +259,7 @@
     get_stall_deadline: Callable[[], float]
     allocation: MemoryAllocation
     handle_head: Callable[[AnswerHead], None]
+    piece_limit: PieceLimit = field(default_factory=PieceLimit)
     send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[bool]] | None = None
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -264,6 +264,7 @@
         get_stall_deadline=lambda: get_stall_deadline(context, endpoint.name),
         allocation=context.allocation,
         handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
+        piece_limit=gateway.piece_limit,
     )
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, head, data)
--- a/marjorambridge/http/streams.py
+++ b/marjorambridge/http/streams.py
@@ -11,10 +11,19 @@
 
 
 class EventBuffer(Struct):
-    """The part of a stream that is not yet a complete event."""
+    """The part of a stream that is not yet a complete event.
 
-    incomplete_line: bytes = b""
+    Attributes
+    ----------
+    data : list of bytes
+        Data of the complete lines.
+    data_bytes : int
+        Their size.
+    """
+
+    incomplete_line: bytearray = field(default_factory=bytearray)
     data: list[bytes] = field(default_factory=list)
+    data_bytes: int = 0
 
 
 class _Choice(msgspec.Struct):
@@ -56,16 +65,21 @@
     [b'bc']
     """
     events: list[bytes] = []
-    lines = (buffer.incomplete_line + piece).split(b"\n")
-    buffer.incomplete_line = lines.pop()
-    for line in lines:
-        line = line.removesuffix(b"\r")
+    first, *others = piece.split(b"\n")
+    # Only the new bytes are searched and copied, since an event may come byte by byte.
+    buffer.incomplete_line += first
+    for following in others:
+        line = bytes(buffer.incomplete_line).removesuffix(b"\r")
+        buffer.incomplete_line = bytearray(following)
         if line.startswith(b"data:"):
-            buffer.data.append(line[5:].removeprefix(b" "))
+            data = line[5:].removeprefix(b" ")
+            buffer.data.append(data)
+            buffer.data_bytes += len(data)
         elif not line and buffer.data:
             events.append(b"\n".join(buffer.data))
             buffer.data.clear()
-    if len(buffer.incomplete_line) + sum(map(len, buffer.data)) > MAX_EVENT_BYTES:
+            buffer.data_bytes = 0
+    if len(buffer.incomplete_line) + buffer.data_bytes > MAX_EVENT_BYTES:
         raise EndpointProtocolError(
             f"an event of the engine is larger than {MAX_EVENT_BYTES} bytes; send smaller chunks"
         )
