Send names of workspaces as UTF-8, and refuse those with control characters

Names that begin or end with a space, or hold a line break, failed as well.

Change: header values hold any bytes above 127, so names are sent as UTF-8; a name with a control character makes a configuration invalid, since no request of the workspace could be sent.

--- a/marjorambridge/manifests/validation.py
+++ b/marjorambridge/manifests/validation.py
@@ -1,8 +1,12 @@
 """Check a manifest as a whole before it is accepted."""
 
+import re
+
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.models import Manifest, Route
 
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+
 
 def validate_manifest(manifest: Manifest) -> None:
     """Check for anything that would make a route ambiguous or impossible to serve.
@@ -27,6 +31,11 @@
         prefixes.add(prefix)
     owners: dict[str, str] = {}
     for workspace in manifest.workspaces:
+        if _CONTROL_CHARACTER.search(workspace.name):
+            raise InvalidManifestError(
+                f"workspace {workspace.name!r}: the name has a control character, which no header "
+                "can hold; rename it"
+            )
         for key in workspace.keys:
             if owners.setdefault(key, workspace.name) != workspace.name:
                 raise InvalidManifestError(
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -186,7 +186,8 @@
         (b"X-Expect-Instance", options.endpoint.encode("latin-1")),
     ]
     if options.workspace:
-        added.append((b"X-Tenant", options.workspace.encode("latin-1")))
+        # Header values hold any bytes above 127; a value can't begin or end with a space.
+        added.append((b"X-Tenant", options.workspace.strip().encode()))
     if options.helpers:
         added.append((b"X-Helpers", ",".join(options.helpers).encode()))
     return AttemptMessage(request.target, [*headers, *added], request.body)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from marjorambridge.gateway.callers import close_idle_connections, stop_listening
-from marjorambridge.manifests.models import Execution, ServiceDefinition
+from marjorambridge.manifests.models import Execution, ServiceDefinition, WorkspaceKeys
 from tests.forwarding.helpers import PROFILE
 
 from .helpers import (
@@ -72,6 +72,21 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("name", ["Svišť", "Müller", "蕨", "two words", " spaces "])
+def test_a_workspace_may_have_any_name(name):
+    """Guard against a workspace whose requests fail, because its name is not Latin-1."""
+    workspaces = (WorkspaceKeys(name, ("key-1",)),)
+    manifest = replace(IDEMPOTENT, workspaces=workspaces)
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(b"good")) as harness:
+            assert get_status(await call(harness, make_request(b"GET", b""))) == 200
+            seen = harness.endpoints[0].requests[0]
+            assert find_header(seen, b"x-tenant").decode() == name.strip()
+
+    run(scenario)
+
+
 @over_both_dialects
 @pytest.mark.parametrize(
     "first",
--- a/tests/manifests/test_validation.py
+++ b/tests/manifests/test_validation.py
@@ -62,6 +62,14 @@
     assert manifest.requires_keys and manifest.workspaces[0].keys == ("k1", "k2")
 
 
+@pytest.mark.parametrize("name", ["a\nb", "a\r", "\x00", "\x7f"])
+def test_a_workspace_whose_name_no_header_can_hold_is_refused(name):
+    """Guard against an acknowledged configuration with which all requests of a workspace fail."""
+    document = make_document(tenants=[{"name": name, "api_keys": ["k1"]}])
+    with pytest.raises(InvalidManifestError, match="control character"):
+        validate_manifest(decode_document(document))
+
+
 @pytest.mark.parametrize(
     ("tenants", "refusal"),
     [
