Sync the folder after each removed segment

Cause: several segments were unlinked before one sync of the folder. A loss of power may undo any subset of them, which leaves a gap in the log.

--- a/marjorambridge/storage/segments.py
+++ b/marjorambridge/storage/segments.py
@@ -154,7 +154,8 @@
     """Remove the segments without an entry from `first_index` on; 0 removes all.
 
     If all are removed, the newest is removed first, so that a crash meanwhile leaves no gap in the
-    log.
+    log. Each removal is made durable before the next one, because a loss of power may undo any of
+    those that are not.
     """
     start_segment(files)
     if first_index == 0:
@@ -168,7 +169,7 @@
     for segment in obsolete:
         segment.path.unlink()
         files.segments.remove(segment)
-    sync_directory(files.folder)
+        sync_directory(files.folder)
 
 
 def close_segments(files: SegmentFiles) -> None:
--- a/tests/storage/test_stores.py
+++ b/tests/storage/test_stores.py
@@ -1,7 +1,10 @@
 """Test the data folder against loss, damage, concurrent use and unbounded growth."""
 
 import errno
+import itertools
 import os
+import shutil
+from pathlib import Path
 
 import pytest
 
@@ -176,6 +179,49 @@
     close_store(store)
 
 
+@pytest.mark.parametrize("first_index", [0, 90])
+def test_a_loss_of_power_while_segments_are_removed_leaves_no_gap(
+    first_index, tmp_path, monkeypatch
+):
+    """Guard against a replica that does not start, because any of several removals was undone."""
+    folder, lost = tmp_path / "store", tmp_path / "lost"
+    store, _ = open_store(folder, max_segment_bytes=600)
+    for index in range(1, 101):
+        write(store, ef.SaveEntries(0, make_entries(index, index, size=100)))
+    removed, states = [], []
+    unlink, sync = Path.unlink, segments.sync_directory
+
+    def record_unlink(path, *arguments):
+        if path.suffix == ".log":
+            removed.append((path.name, path.read_bytes()))
+        unlink(path, *arguments)
+        states.append((list(removed), {item.name: item.read_bytes() for item in group.iterdir()}))
+
+    def record_sync(path):
+        sync(path)
+        removed.clear()
+
+    group = folder / "group-0"
+    monkeypatch.setattr(Path, "unlink", record_unlink)
+    monkeypatch.setattr(segments, "sync_directory", record_sync)
+    write(store, ef.SaveSnapshot(0, mo.Snapshot(95, 1, data=b"s"), first_index))
+    monkeypatch.undo()
+    close_store(store)
+    assert len(states) > 3
+    for undone, kept in states:
+        for size in range(len(undone) + 1):
+            for subset in itertools.combinations(undone, size):
+                shutil.rmtree(lost, ignore_errors=True)
+                shutil.copytree(folder, lost)
+                shutil.rmtree(lost / "group-0")
+                (lost / "group-0").mkdir()
+                for name, data in [*kept.items(), *subset]:
+                    (lost / "group-0" / name).write_bytes(data)
+                again, recovered = open_store(lost)
+                assert recovered.groups[0].snapshot.index == 95
+                close_store(again)
+
+
 def test_a_snapshot_that_replaces_the_log_drops_contradicting_records(tmp_path, monkeypatch):
     store, _ = open_store(tmp_path)
     write(store, ef.SaveEntries(0, make_entries(1, 9)))
