Bound the poll interval that a replica asks of a host

What operators would see: after one update that asks a gateway to poll in a billion seconds, it polls no more, and changes reach it only by pushes.

Found by generated messages between hosts (tests/control/test_generated_messages.py, 1,500 examples by hand; the test in the suite plays 40). Replicas ask for 1.3 s at most, so that nothing changes between hosts of this version.

Test: test_a_replica_delays_the_polls_of_a_host_only_within_limits fails for 2 of 4 values on the commit before.

--- a/marjorambridge/control/subscriber.py
+++ b/marjorambridge/control/subscriber.py
@@ -24,6 +24,7 @@
 from marjorambridge.core.effects import Effect, Publish, SendMessage, SetTimer, WriteLog
 from marjorambridge.core.events import Event, MessageReceived, Started, TimerFired
 from marjorambridge.core.identity import TimerKey
+from marjorambridge.core.numbers import clamp
 
 POLL = TimerKey("control", "poll")
 
@@ -293,7 +294,9 @@
         return _publish_update(state, update, False, now) if update.current else []
     state.answered_at = now
     state.unanswered_polls = replica.consecutive_timeouts = 0
-    state.min_poll_interval = update.poll_after_seconds
+    state.min_poll_interval = clamp(
+        update.poll_after_seconds, 0.0, defaults.FEED_MAX_POLL_INTERVAL_SECONDS
+    )
     is_new_table = update.incarnation != replica.incarnation
     can_apply_endpoints = update.base < 0 or update.matches
     if not is_new_table:
