--- a/marjorambridge/gateway/pieces.py
+++ b/marjorambridge/gateway/pieces.py
@@ -12,12 +12,12 @@
 import anyio.lowlevel
 from msgspec import Struct, field
 
-# A piece takes about 0.05 ms on a core, and 0.2 ms on a third of a slow one.
+# Pieces that a connection handles before other tasks get a turn.
 PIECES_PER_TURN = 64
 # Pieces of one body that are never delayed: a number, and one for each of so many bytes.
 FREE_PIECES = 1_000
 BYTES_PER_FREE_PIECE = 8
-# Rate of all delayed pieces of a host together; about a tenth of a core.
+# Rate of all delayed pieces of a host together.
 DELAYED_PIECES_PER_SECOND = 2_000.0
 
 
