--- a/marjorambridge/core/numbers.py
+++ b/marjorambridge/core/numbers.py
@@ -8,13 +8,17 @@
 import math
 import re
 
+# Numbers with more digits may not fit 64 bits.
+MAX_COUNT_DIGITS = 18
+MAX_COUNT = 10**MAX_COUNT_DIGITS
+YEAR_SECONDS = 31_536_000.0
 _DECIMAL = re.compile(r"[+-]?(\d+(\.\d*)?|\.\d+)([eE][+-]?\d{1,9})?", re.ASCII)
 
 
 def parse_count(text: bytes) -> int | None:
     """Return the whole number of at least 0 in ASCII digits; None if the text is none.
 
-    Numbers of more than 18 digits, which 64 bits may not hold, are returned as 10 ** 18.
+    Numbers of more than `MAX_COUNT_DIGITS` are returned as `MAX_COUNT`.
 
     Examples
     --------
@@ -26,7 +30,7 @@
     if not digits.isdigit():
         return None
     digits = digits.lstrip(b"0") or b"0"
-    return int(digits) if len(digits) <= 18 else 10**18
+    return int(digits) if len(digits) <= MAX_COUNT_DIGITS else MAX_COUNT
 
 
 def parse_decimal(text: str) -> float | None:
--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -1,9 +1,10 @@
 """Estimates of prefill and decode times, from the published profile of an engine."""
 
+from marjorambridge.core.numbers import YEAR_SECONDS
 from marjorambridge.manifests.models import EngineProfile
 
 # No caller waits for longer than a year, and sums of estimates stay within all messages.
-MAX_PREFILL_SECONDS = 31_536_000.0
+MAX_PREFILL_SECONDS = YEAR_SECONDS
 
 
 def compute_prefill_seconds(profile: EngineProfile, tokens: float, parts: int = 1) -> float:
--- a/marjorambridge/gateway/crash_reports.py
+++ b/marjorambridge/gateway/crash_reports.py
@@ -4,7 +4,6 @@
 
 from loguru import logger
 
-from marjorambridge.core.numbers import clamp_whole
 from marjorambridge.forwarding.causes import is_whole_request
 from marjorambridge.forwarding.crashes import (
     Crash,
@@ -18,10 +17,8 @@
     take_new_blocks,
 )
 from marjorambridge.forwarding.messages import CauseEntry, CrashEntry, CrashReport
+from marjorambridge.gateway.datagrams import decode_seconds, encode_seconds
 
-MILLISECONDS_PER_SECOND = 1_000
-# Longer than any crash counts.
-MAX_AGE_MILLISECONDS = 2**40
 # Entries in one report, so that its datagram fits a packet of 1,500 bytes.
 MAX_REPORT_ENTRIES = 30
 
@@ -84,11 +81,11 @@
 
 
 def _encode_age(at: float, now: float) -> int:
-    return clamp_whole((now - at) * MILLISECONDS_PER_SECOND, MAX_AGE_MILLISECONDS)
+    return encode_seconds(now - at)
 
 
 def _decode_age(milliseconds: int, now: float) -> float:
-    return now - clamp_whole(milliseconds, MAX_AGE_MILLISECONDS) / MILLISECONDS_PER_SECOND
+    return now - decode_seconds(milliseconds)
 
 
 def apply_report(
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -48,19 +48,19 @@
         endpoint.key,
         clamp_whole(load.requests, MAX_REPORTED),
         clamp_whole(load.reads, MAX_REPORTED),
-        _encode_seconds(remaining),
+        encode_seconds(remaining),
         clamp_whole(load.kv_tokens, MAX_REPORTED),
-        0 if math.isinf(pause_limit) else max(1, _encode_seconds(pause_limit)),
+        0 if math.isinf(pause_limit) else max(1, encode_seconds(pause_limit)),
     )
 
 
 def decode_load(reported: EndpointLoad, now: float) -> Load:
     """Return the load that a message entry reports."""
-    pause_limit = _decode_seconds(reported.pause_milliseconds) or math.inf
+    pause_limit = decode_seconds(reported.pause_milliseconds) or math.inf
     return Load(
         clamp_whole(reported.requests, MAX_REPORTED),
         clamp_whole(reported.reads, MAX_REPORTED),
-        _decode_seconds(reported.read_milliseconds),
+        decode_seconds(reported.read_milliseconds),
         clamp_whole(reported.kv_tokens, MAX_REPORTED),
         [pause_limit] if reported.requests else [],
         now,
@@ -72,14 +72,14 @@
     entry = EndpointFailure(
         endpoint.key,
         clamp_whole(report.failures, MAX_REPORTED),
-        _encode_seconds(report.avoid_until - now),
+        encode_seconds(report.avoid_until - now),
         clamp_whole(report.hosts, MAX_REPORTED),
         endpoint.signalled_leaving,
     )
     if has_recent_limit(endpoint, now):
         if is_limited(endpoint):
             entry.request_limit = endpoint.request_limit
-        entry.limit_age_milliseconds = _encode_seconds(now - endpoint.limit_seen_at)
+        entry.limit_age_milliseconds = encode_seconds(now - endpoint.limit_seen_at)
     return entry
 
 
@@ -88,7 +88,7 @@
     if reported.limit_age_milliseconds < 0 or math.isnan(reported.request_limit):
         return False
     rate = reported.request_limit if reported.request_limit >= 0 else math.inf
-    seen_at = now - _decode_seconds(reported.limit_age_milliseconds)
+    seen_at = now - decode_seconds(reported.limit_age_milliseconds)
     return apply_request_limit(endpoint, rate, seen_at)
 
 
@@ -96,17 +96,18 @@
     """Return the failures that a message entry reports."""
     return FailureReport(
         clamp_whole(reported.failures, MAX_REPORTED),
-        now + _decode_seconds(reported.avoided_milliseconds),
+        now + decode_seconds(reported.avoided_milliseconds),
         max(1, clamp_whole(reported.hosts, MAX_REPORTED)),
     )
 
 
-def _encode_seconds(seconds: float) -> int:
+def encode_seconds(seconds: float) -> int:
     """Return the whole milliseconds of a duration; 0 if it is negative."""
     return clamp_whole(seconds * MILLISECONDS_PER_SECOND, MAX_REPORTED)
 
 
-def _decode_seconds(milliseconds: int) -> float:
+def decode_seconds(milliseconds: int) -> float:
+    """Return the duration of whole milliseconds in a message; 0 if it is negative."""
     return clamp_whole(milliseconds, MAX_REPORTED) / MILLISECONDS_PER_SECOND
 
 
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -13,8 +13,6 @@
 import math
 import time
 from collections import deque
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import anyio
 import xxhash
@@ -97,6 +95,8 @@
 # has just started learns of them within three seconds.
 CRASH_REPORT_PEERS = 2
 CRASH_REPORT_OTHER_ZONE_PEERS = 1
+# Logs an error of what is done in this context, and goes on after it.
+LOGGED_ERRORS = logger.catch(message="sharing the loads failed")
 
 
 class LoadSharing(Struct):
@@ -160,15 +160,6 @@
     sharing.wakeup.set()
 
 
-@contextmanager
-def _log_errors() -> Iterator[None]:
-    """Log an error of what is done in this context, and go on after it."""
-    try:
-        yield
-    except Exception:
-        logger.exception("sharing the loads failed")
-
-
 # Sending.
 
 
@@ -180,7 +171,7 @@
         if sharing.changed:
             await anyio.sleep(COALESCE_SECONDS)
             names, sharing.changed = list(sharing.changed), {}
-            with _log_errors():
+            with LOGGED_ERRORS:
                 queue_loads(sharing, names, time.monotonic())
         while sharing.outbox:
             datagram, host = sharing.outbox.popleft()
@@ -293,7 +284,7 @@
             datagram, _ = await sharing.socket.receive()
         except STREAM_ERRORS:
             return
-        with _log_errors():
+        with LOGGED_ERRORS:
             handle_datagram(sharing, datagram, time.monotonic())
 
 
@@ -426,7 +417,7 @@
         is_due = is_complete(sharing.aggregation, time.monotonic())
         interval = compute_totals_interval(sharing.forwarding)
         await anyio.sleep(interval if is_due else REPEAT_SECONDS)
-        with _log_errors():
+        with LOGGED_ERRORS:
             queue_totals(sharing, time.monotonic())
 
 
@@ -509,7 +500,7 @@
 async def _repeat_loads(sharing: LoadSharing) -> None:
     while True:
         await anyio.sleep(REPEAT_SECONDS)
-        with _log_errors():
+        with LOGGED_ERRORS:
             repeat_loads(sharing, time.monotonic())
 
 
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -89,7 +89,5 @@
 
 
 async def _run_contained(run: Callable[[], Awaitable[None]]) -> None:
-    try:
+    with logger.catch(message="a task that outlasts its request failed"):
         await run()
-    except Exception:
-        logger.exception("a task that outlasts its request failed")
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -100,7 +100,7 @@
         key=values.get(KEY, b"").decode("latin-1"),
         wait_seconds=_read_milliseconds(values.get(DEADLINE)),
         prompt=_read_prompt(values),
-        last_event=_read_count(values, LAST_EVENT),
+        last_event=parse_count(values.get(LAST_EVENT, b"")),
         prompt_parts=_read_prompt_parts(values.get(PROMPT_PARTS, b"")),
         is_conditional=EXPECTED_VERSION in values,
     )
@@ -145,12 +145,8 @@
     return max(0.0, milliseconds / 1_000) if milliseconds is not None else None
 
 
-def _read_count(values: dict[bytes, bytes], name: bytes) -> int | None:
-    return parse_count(values.get(name, b""))
-
-
-def _bound_tokens(count: int | None) -> int:
-    return min(count or 0, MAX_TOKENS)
+def _read_tokens(text: bytes) -> int:
+    return min(parse_count(text) or 0, MAX_TOKENS)
 
 
 def _read_prompt(values: dict[bytes, bytes]) -> PromptSize | None:
@@ -159,9 +155,9 @@
         return None
     prompt_tokens, _, answer_tokens = size.partition(b",")
     return PromptSize(
-        prompt_tokens=_bound_tokens(parse_count(prompt_tokens)),
-        max_answer_tokens=_bound_tokens(parse_count(answer_tokens)),
-        expected_answer_tokens=_bound_tokens(_read_count(values, LENGTH_HINT)),
+        prompt_tokens=_read_tokens(prompt_tokens),
+        max_answer_tokens=_read_tokens(answer_tokens),
+        expected_answer_tokens=_read_tokens(values.get(LENGTH_HINT, b"")),
     )
 
 
--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from marjorambridge.core.decoding import DECODE_ERRORS
-from marjorambridge.core.numbers import clamp, clamp_whole
+from marjorambridge.core.numbers import YEAR_SECONDS, clamp, clamp_whole
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.models import (
     CallerLimits,
@@ -34,8 +34,8 @@
 # The cost of attention is given in milliseconds per million pairs of tokens.
 SECONDS_PER_PAIR = 1e-9
 SECONDS_PER_MILLISECOND = 1e-3
-# A year; operators write greater numbers for "no limit".
-MAX_SECONDS = 31_536_000.0
+# Operators write greater numbers for "no limit".
+MAX_SECONDS = YEAR_SECONDS
 # Bound of weights, rates, counts and sizes.
 MAX_NUMBER = 2**40
 # An engine that reads more slowly than this many tokens per second serves nobody.
--- a/marjorambridge/platform/operations.py
+++ b/marjorambridge/platform/operations.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from urllib.parse import unquote
 
 from loguru import logger
@@ -73,14 +74,6 @@
     return OK, expand_document(document)
 
 
-async def _drain_zone(host: ReplicaHost, zone: str, exchange: Exchange) -> tuple[int, bytes]:
-    return await _order_zone(host, zone, exchange, drains=True)
-
-
-async def _restore_zone(host: ReplicaHost, zone: str, exchange: Exchange) -> tuple[int, bytes]:
-    return await _order_zone(host, zone, exchange, drains=False)
-
-
 async def _order_zone(
     host: ReplicaHost, zone: str, exchange: Exchange, drains: bool
 ) -> tuple[int, bytes]:
@@ -141,6 +134,6 @@
     (b"POST", "/api/Instances.Deregister/", _handle_deregistration),
     (b"POST", "/api/Config.Replace", _replace_configuration),
     (b"GET", "/api/Config.Read", _read_configuration),
-    (b"POST", "/api/Drain.Begin/", _drain_zone),
-    (b"POST", "/api/Drain.Finish/", _restore_zone),
+    (b"POST", "/api/Drain.Begin/", partial(_order_zone, drains=True)),
+    (b"POST", "/api/Drain.Finish/", partial(_order_zone, drains=False)),
 )
