Read an accepted connection only when a task receives

Callers saw, on trial: gateways that grew to 445 MB under 120 bodies of 4 MB although only 60 MB of bodies were received; with 300 MB they are killed.

Cause: the event loop reads from an accepted connection from the start, and anyio stops that only after a task has waited for data. Data that arrived before the first receive was followed by all that the peer sent, read into a queue without a bound. Outgoing connections are paused by anyio from the start. Ruled out: copies made by joining the parts (one body at a time), the parser's buffer.

--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -6,6 +6,8 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from marjorambridge.transport.reading import limit_reading_ahead
+
 # A peer that disappears without a reset is detected by these keepalive probes, with times in
 # seconds; data that is sent to it and not acknowledged counts as lost after about the same time.
 KEEPALIVE_IDLE_SECONDS = 1
@@ -23,7 +25,8 @@
 
 
 def set_options(stream: SocketStream) -> None:
-    """Disable Nagle's algorithm and enable the detection of unreachable peers."""
+    """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead."""
+    limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
