Bound the memory of the bodies of all callers together

Callers saw (real processes, arm64; callers send all but the last byte): 120 bodies of 4 MB took a gateway to 640 MB, 480 to 2,516 MB; 40 reports of 15 MB took a replica to 836 MB. With 300 MB each is killed with all that it serves. 148 of 571 other requests were answered within 0.8 s beside 480 bodies.

Cause: the size of a body was bounded for each request only, a replica took 16 MiB for a report, and a long body could bring nothing for minutes.

Change: the memory is reserved before the first byte is read, from a share of what the process may use (a setting, or the smallest limit of machine, process and control group). If there is none, the largest stalled body makes room, and a request without room gets a 503 with the time of the next release. Sizes are checked before reading; reports have 64 KiB. Bodies go to endpoints in slices. What is discarded of refused requests shares a rate.

Ruled out as a bound: the number of connections (still open).

--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -9,6 +9,9 @@
 from marjorambridge.conf.exceptions import SettingsError
 from marjorambridge.core.addresses import is_address
 
+# A program needs about 40 MB for itself.
+MIN_MEMORY_MEGABYTES = 100
+
 
 class FleetBounds(Struct):
     """Bounds that the deployment sets for all hosts together.
@@ -59,6 +62,8 @@
         Whether the fleet starts for the first time, with empty disks.
     data_folder : str
         Folder for the state of a replica.
+    memory_megabytes : int or None
+        Memory that this process may use; None for the limits of the machine and of the process.
     """
 
     host: str
@@ -73,6 +78,7 @@
     control: str = ""
     bootstrap: bool = False
     data_folder: str = ""
+    memory_megabytes: int | None = None
     metrics_port: int = 0
     log_level: str = "INFO"
 
@@ -114,6 +120,11 @@
         faults.append("a replica needs data_folder; name a folder on its disk")
     if not settings.control and not settings.callers:
         faults.append("neither callers nor control is set; set the address that this host serves")
+    megabytes = settings.memory_megabytes
+    if megabytes is not None and megabytes < MIN_MEMORY_MEGABYTES:
+        faults.append(
+            f"memory_megabytes is {megabytes}; write {MIN_MEMORY_MEGABYTES} or more, or null"
+        )
     crashes = settings.bounds.min_request_crashes
     if crashes < 2:
         faults.append(f"min_request_crashes is {crashes}; write 2 or more, as 1 may be chance")
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from marjorambridge.conf import nodes
+from marjorambridge.conf.memory import divide_memory
 from marjorambridge.conf.nodes import NodeSettings
 from marjorambridge.control import subscriber
 from marjorambridge.control.events import FeedLost, FeedRegained, FleetUpdated
@@ -21,8 +22,9 @@
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
 from marjorambridge.gateway import callers
+from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
-from marjorambridge.gateway.messages import Dialect
+from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.gateway.requests import handle_request
 from marjorambridge.gateway.sharing import (
@@ -77,6 +79,7 @@
     sharing: LoadSharing
     metrics: metrics.Metrics
     scope: anyio.CancelScope
+    body_memory: BodyMemory
     server: Server | None = None
     readiness: Server | None = None
     stopping: bool = False
@@ -140,16 +143,28 @@
         post=lambda event: post(runtime, event),
     )
     host_metrics = metrics.start()
+    shares = divide_memory(settings.memory_megabytes)
     gateway = Gateway(
         forwarding,
         adapter.dialect,
+        memory=AnswerMemory(shares.answers, shares.started_answers),
         record_metric=lambda effect: metrics.record(host_metrics, effect),
         share_load=lambda endpoint: mark_load_changed(sharing, endpoint),
         share_crashes=lambda crashes, answered: queue_crashes(
             sharing, crashes, answered, time.monotonic()
         ),
     )
-    return GatewayHost(settings, adapter, runtime, gateway, peers, sharing, host_metrics, scope)
+    return GatewayHost(
+        settings,
+        adapter,
+        runtime,
+        gateway,
+        peers,
+        sharing,
+        host_metrics,
+        scope,
+        BodyMemory(shares.bodies),
+    )
 
 
 async def _start(host: GatewayHost, path: Path, tasks: TaskGroup) -> None:
@@ -168,9 +183,12 @@
         lambda exchange: handle_request(host.gateway, exchange),
         lambda: _get_limits(host),
         encode_error=host.adapter.dialect.encode_error,
+        memory=host.body_memory,
     )
     host.readiness = Server(
-        lambda exchange: host.adapter.handle_readiness(host, exchange), CallerLimits
+        lambda exchange: host.adapter.handle_readiness(host, exchange),
+        CallerLimits,
+        memory=host.body_memory,
     )
     for server, address in (
         (host.readiness, host.settings.readiness),
@@ -184,7 +202,9 @@
         lambda: tasks.start_soon(_shut_down, host),
         lambda: _reload(host, path),
     )
-    await start_metrics_server(host.metrics, tasks, host.settings.ip, host.settings.metrics_port)
+    await start_metrics_server(
+        host.metrics, host.body_memory, tasks, host.settings.ip, host.settings.metrics_port
+    )
     tasks.start_soon(signals.watch_settings, path, lambda: _reload(host, path))
 
 
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.conf import nodes
+from marjorambridge.conf.memory import divide_memory
 from marjorambridge.conf.nodes import NodeSettings
 from marjorambridge.control.commands import (
     AnyCommand,
@@ -35,6 +36,7 @@
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
 from marjorambridge.discovery.models import EndpointReport
 from marjorambridge.gateway import callers
+from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.manifests.models import CallerLimits
@@ -62,9 +64,24 @@
 STORAGE_RETRY_DELAY_SECONDS = 0.5
 # Time for the transfer of leadership and for the answers in progress at a shutdown.
 SHUTDOWN_DELAY_SECONDS = 1.0
-MAX_CONTROL_BODY_BYTES = 16_777_216
+# Greatest sizes of a configuration and of all other calls, which have some hundred bytes.
+MAX_MANIFEST_BODY_BYTES = 16_777_216
+MAX_CALL_BODY_BYTES = 65_536
 
-CallHandler = Callable[["ReplicaHost", Exchange], Awaitable[None]]
+
+class ReplicaAdapter(Struct):
+    """Functions that translate between the replica and a platform.
+
+    Attributes
+    ----------
+    handle_call : callable
+        Answers a call of an operator or an endpoint.
+    get_body_limit : callable
+        Takes method and target of a call, and returns the size of its longest body.
+    """
+
+    handle_call: Callable[["ReplicaHost", Exchange], Awaitable[None]]
+    get_body_limit: Callable[[bytes, bytes], int]
 
 
 class ReplicaProcess(Struct):
@@ -81,7 +98,7 @@
     """
 
     settings: NodeSettings
-    handle_call: CallHandler
+    adapter: ReplicaAdapter
     scope: anyio.CancelScope
     host: "ReplicaHost | None" = None
     stopping: bool = False
@@ -111,14 +128,14 @@
     server: Server | None = None
 
 
-def run(settings: NodeSettings, path: Path, handle_call: CallHandler) -> int:
+def run(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
     """Run a replica until a signal stops it and return the exit code."""
-    return anyio.run(_run_until_stopped, settings, path, handle_call)
+    return anyio.run(_run_until_stopped, settings, path, adapter)
 
 
-async def _run_until_stopped(settings: NodeSettings, path: Path, handle_call: CallHandler) -> int:
+async def _run_until_stopped(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
     async with anyio.create_task_group() as tasks:
-        process = ReplicaProcess(settings, handle_call, tasks.cancel_scope)
+        process = ReplicaProcess(settings, adapter, tasks.cancel_scope)
         tasks.start_soon(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
@@ -141,7 +158,7 @@
     async with anyio.create_task_group() as tasks:
         host, recovery = _create_host(settings, store, recovered, tasks.cancel_scope)
         try:
-            await _start(host, recovery, process.handle_call, tasks)
+            await _start(host, recovery, process.adapter, tasks)
             process.host = host
             logger.bind(
                 incarnation=host.incarnation,
@@ -205,7 +222,7 @@
 async def _start(
     host: ReplicaHost,
     recovery: list[effects.Effect],
-    handle_call: CallHandler,
+    adapter: ReplicaAdapter,
     tasks: TaskGroup,
 ) -> None:
     _connect_handlers(host)
@@ -215,15 +232,19 @@
     for effect in recovery:
         driver.apply_recovery(host.runtime, effect)
     post(host.runtime, events.Started(time.monotonic()))
-    limits = CallerLimits(body_bytes=MAX_CONTROL_BODY_BYTES)
+    memory = BodyMemory(divide_memory(host.settings.memory_megabytes).bodies)
     host.server = Server(
-        lambda exchange: handle_call(host, exchange),
-        lambda: limits,
+        lambda exchange: adapter.handle_call(host, exchange),
+        CallerLimits,
         wait_for_turn=lambda: acquire_turn(host.network.turn_queue),
+        memory=memory,
+        get_body_limit=adapter.get_body_limit,
     )
     ip, _, port = host.settings.control.rpartition(":")
     await callers.start_server(host.server, tasks, ip, int(port))
-    await start_metrics_server(host.metrics, tasks, host.settings.ip, host.settings.metrics_port)
+    await start_metrics_server(
+        host.metrics, memory, tasks, host.settings.ip, host.settings.metrics_port
+    )
 
 
 def _connect_handlers(host: ReplicaHost) -> None:
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -13,21 +13,29 @@
 from loguru import logger
 from msgspec import Struct, field
 
+from marjorambridge.core.numbers import parse_count
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
+from marjorambridge.gateway import bodies
+from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.pieces import PieceCount, PieceLimit, handle_piece
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.manifests.models import CallerLimits
+from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer
 
-READ_BYTES = 65_536
 # Pipelined requests are buffered up to this size; beyond it the connection is not read.
 MAX_PIPELINED_BYTES = 262_144
 # Lowest average rate at which the body of a request may arrive, after the idle timeout.
 MIN_BODY_BYTES_PER_SECOND = 10_000
+# Memory for the bodies of a server for which none was set.
+DEFAULT_BODY_MEMORY_BYTES = 16_777_216
 # After a refusal, the rest of the request is read for this time in seconds. Closing the connection
 # with unread data would reset it, and the caller could lose the refusal.
 LINGER_SECONDS = 1.0
-BODY_TOO_LONG, HEAD_TOO_LONG, REQUEST_TIMEOUT, SERVER_ERROR = 413, 431, 408, 500
+# Rate of all requests that are discarded together, so that they leave time for others.
+DISCARDED_BYTES_PER_SECOND = 16_000_000
+BODY_TOO_LONG, HEAD_TOO_LONG, REQUEST_TIMEOUT = 413, 431, 408
+SERVER_ERROR, NO_MEMORY = 500, 503
 # Colon, space and line end of a header.
 HEADER_OVERHEAD_BYTES = 4
 
@@ -37,6 +45,20 @@
     return [(b"Content-Type", b"text/plain; charset=utf-8")], outcome.message.encode()
 
 
+class RefusedRequestError(Exception):
+    """A request is refused before all of it was read.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer.
+    """
+
+    def __init__(self, status: int, outcome: NotRun) -> None:
+        super().__init__(outcome.message)
+        self.status, self.outcome = status, outcome
+
+
 class Server(Struct):
     """Store the state of an HTTP server.
 
@@ -50,8 +72,15 @@
         Returns headers and body of the answer to a request that is no valid HTTP.
     piece_limit : PieceLimit
         Rate of requests in many small pieces.
+    memory : BodyMemory
+        Memory for the bodies of all requests.
+    get_body_limit : callable or None
+        Takes method and target of a request, and returns the size of the longest body; None if the
+        limits for callers name it.
     closing : bool
         Whether answers carry ``Connection: close``.
+    discard_at : float
+        Monotonic time in seconds at which the next bytes of refused requests may be discarded.
     waiting : set of anyio.CancelScope
         Scopes of the connections that are idle between two requests.
     active : int
@@ -65,7 +94,10 @@
     wait_for_turn: Callable[[], Awaitable[None]] | None = None
     encode_error: Callable[[Unsuccessful], tuple[Headers, bytes]] = encode_text
     piece_limit: PieceLimit = field(default_factory=PieceLimit)
+    memory: BodyMemory = field(default_factory=lambda: BodyMemory(DEFAULT_BODY_MEMORY_BYTES))
+    get_body_limit: Callable[[bytes, bytes], int] | None = None
     closing: bool = False
+    discard_at: float = 0.0
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -79,6 +111,8 @@
     ----------
     arrived_at : float
         Monotonic time in seconds at which the first byte of the request was read.
+    reservation : BodyReservation
+        Memory for the body.
     has_head, is_complete : bool
         Whether the head of the answer, and whether all of it, was written.
     caller_gone : bool
@@ -91,6 +125,7 @@
     stream: SocketStream
     connection: h11.Connection
     arrived_at: float
+    reservation: BodyReservation
     method: bytes = b""
     target: bytes = b""
     headers: Headers = field(default_factory=list)
@@ -108,6 +143,7 @@
 
 async def _run_server(server: Server, ip: str, port: int, *, task_status: TaskStatus) -> None:
     listener = await anyio.create_tcp_listener(local_host=ip, local_port=port, backlog=1024)
+    limit_receive_buffer(listener)
     with server.scope:
         async with anyio.create_task_group() as connections:
             task_status.started()
@@ -161,7 +197,7 @@
     arrived_at = time.monotonic()
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
-    exchange = Exchange(server, stream, connection, arrived_at)
+    exchange = Exchange(server, stream, connection, arrived_at, BodyReservation(server.memory))
     server.active += 1
     try:
         if not await _read_request(exchange):
@@ -169,6 +205,7 @@
         await _run_handler(exchange)
     finally:
         server.active -= 1
+        bodies.release(exchange.reservation)
     if exchange.must_reset or exchange.caller_gone or not exchange.is_complete:
         await reset(stream)
         return False
@@ -193,60 +230,119 @@
 
 
 async def _read_request(exchange: Exchange) -> bool:
-    """Read a complete request; if it is invalid, refuse it and return False."""
-    limits = exchange.server.get_limits()
+    """Read a complete request; if it is refused, answer that and return False."""
     try:
-        with anyio.fail_after(limits.header_timeout_seconds):
-            head = await _read_event(exchange)
-        if not isinstance(head, h11.Request):
-            return False
-        exchange.method, exchange.target = head.method, head.target
-        exchange.headers = list(head.headers.raw_items())
-        # The parser checks the limit only for heads that arrive in several pieces.
-        size = sum(
-            len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in exchange.headers
-        )
-        if size > limits.header_bytes:
-            await refuse_request(
-                exchange, HEAD_TOO_LONG, "the headers are too long; send shorter ones"
-            )
-            return False
-        if exchange.connection.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            await exchange.stream.send(exchange.connection.send(interim))
-        parts: list[bytes] = []
-        pieces = PieceCount(exchange.server.piece_limit)
-        size = 0
-        began = time.monotonic()
-        while True:
-            # Bounds how long a caller that sends single bytes can hold the connection.
-            allowed = limits.idle_timeout_seconds + size / MIN_BODY_BYTES_PER_SECOND
-            with anyio.fail_after(began + allowed - time.monotonic()):
-                event = await _read_event(exchange)
-            if isinstance(event, h11.EndOfMessage):
-                exchange.body = b"".join(parts)
-                return True
-            if not isinstance(event, h11.Data):
-                return False
-            await handle_piece(pieces, len(event.data))
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > limits.body_bytes:
-                await refuse_request(
-                    exchange, BODY_TOO_LONG, "the body is too long; send a shorter one"
-                )
-                return False
+        return await _read_head(exchange) and await _read_body(exchange)
+    except RefusedRequestError as error:
+        status, outcome = error.status, error.outcome
     except TimeoutError:
-        await refuse_request(
-            exchange, REQUEST_TIMEOUT, "the request did not arrive in time; send it again"
-        )
+        status, text = REQUEST_TIMEOUT, "the request did not arrive in time; send it again"
+        outcome = NotRun(Reason.BAD_REQUEST, text)
     except h11.RemoteProtocolError as error:
-        await refuse_request(
-            exchange, error.error_status_hint, "the request is no valid HTTP/1.1 request"
-        )
+        status, text = error.error_status_hint, "the request is no valid HTTP/1.1 request"
+        outcome = NotRun(Reason.BAD_REQUEST, text)
+    # What was received of the body is freed before this, with the frames of the error.
+    await _refuse(exchange, status, outcome)
     return False
 
 
+async def _read_head(exchange: Exchange) -> bool:
+    limits = exchange.server.get_limits()
+    with anyio.fail_after(limits.header_timeout_seconds):
+        head = await _read_event(exchange)
+    if not isinstance(head, h11.Request):
+        return False
+    exchange.method, exchange.target = head.method, head.target
+    exchange.headers = list(head.headers.raw_items())
+    # The parser checks the limit only for heads that arrive in several pieces.
+    size = sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in exchange.headers)
+    if size > limits.header_bytes:
+        text = "the headers are too long; send shorter ones"
+        raise RefusedRequestError(HEAD_TOO_LONG, NotRun(Reason.BAD_REQUEST, text))
+    return True
+
+
+async def _read_body(exchange: Exchange) -> bool:
+    """Reserve memory for the body and read it."""
+    server, reservation = exchange.server, exchange.reservation
+    if server.get_body_limit is not None:
+        limit = server.get_body_limit(exchange.method, exchange.target)
+    else:
+        limit = server.get_limits().body_bytes
+    length = _get_body_length(exchange.headers)
+    if length is not None and length > limit:
+        raise _make_length_error()
+    first_bytes = bodies.SMALL_BODY_BYTES if length is None else length
+    if not await bodies.reserve(reservation, first_bytes):
+        raise _make_memory_error(reservation)
+    if exchange.connection.they_are_waiting_for_100_continue:
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        await exchange.stream.send(exchange.connection.send(interim))
+    try:
+        with anyio.CancelScope() as scope:
+            bodies.start_reading(reservation, time.monotonic(), scope)
+            return await _receive_body(exchange, limit)
+    finally:
+        bodies.finish_reading(reservation)
+    # The scope was cancelled, because the body has to make room for others.
+    raise TimeoutError
+
+
+def _get_body_length(headers: Headers) -> int | None:
+    """Return the length of a body, or None if it comes in chunks; the parser checks the headers."""
+    values = {name.lower(): value for name, value in headers}
+    if b"transfer-encoding" in values:
+        return None
+    return parse_count(values.get(b"content-length", b"0")) or 0
+
+
+async def _receive_body(exchange: Exchange, limit: int) -> bool:
+    idle_seconds = exchange.server.get_limits().idle_timeout_seconds
+    reservation = exchange.reservation
+    parts: list[bytes] = []
+    pieces = PieceCount(exchange.server.piece_limit)
+    while True:
+        # Bounds how long a caller can hold the connection with few bytes, or with none.
+        remaining = (
+            reservation.began_at
+            + idle_seconds
+            + reservation.received / MIN_BODY_BYTES_PER_SECOND
+            - time.monotonic()
+        )
+        with anyio.fail_after(min(idle_seconds, remaining)):
+            event = await _read_event(exchange)
+        if isinstance(event, h11.EndOfMessage):
+            exchange.body = b"".join(parts)
+            return True
+        if not isinstance(event, h11.Data):
+            return False
+        size = len(event.data)
+        await handle_piece(pieces, size)
+        bodies.record_bytes(reservation, size, time.monotonic())
+        if reservation.received > limit:
+            raise _make_length_error()
+        if reservation.received > reservation.size:
+            grown = min(limit, max(2 * reservation.size, reservation.received))
+            if not await bodies.reserve(reservation, grown):
+                raise _make_memory_error(reservation)
+        parts.append(bytes(event.data))
+
+
+def _make_length_error() -> RefusedRequestError:
+    text = "the body is too long; send a shorter one"
+    return RefusedRequestError(BODY_TOO_LONG, NotRun(Reason.TOO_LARGE, text))
+
+
+def _make_memory_error(reservation: BodyReservation) -> RefusedRequestError:
+    memory = reservation.memory
+    seconds = bodies.estimate_retry_after_seconds(memory, time.monotonic())
+    logger.bind(used=memory.used, seconds=round(seconds, 2)).info(
+        "a request was refused, because the memory for bodies is used up"
+    )
+    text = f"this host has no memory for the body; come back in {seconds:.2f} s"
+    return RefusedRequestError(NO_MEMORY, NotRun(Reason.OVERLOADED, text, seconds))
+
+
 async def _read_event(
     exchange: Exchange,
 ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
@@ -290,6 +386,8 @@
             return
         exchange.connection.receive_data(data)
         pipelined += len(data)
+        if not bodies.extend(exchange.reservation, len(data)):
+            return
 
 
 # Answers.
@@ -330,17 +428,24 @@
     exchange.is_complete = True
 
 
-async def refuse_request(exchange: Exchange, status: int, text: str) -> None:
-    """Answer a request that can't be accepted, and close the connection for writing."""
+async def _refuse(exchange: Exchange, status: int, outcome: NotRun) -> None:
+    """Answer that a request that may not be complete has not run, and close the connection."""
     if exchange.connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    reason = Reason.TOO_LARGE if status == BODY_TOO_LONG else Reason.BAD_REQUEST
-    headers, body = exchange.server.encode_error(NotRun(reason, text))
+    headers, body = exchange.server.encode_error(outcome)
+    bodies.release(exchange.reservation)
     try:
         await send_answer(exchange, status, [*headers, (b"Connection", b"close")], body)
         await exchange.stream.send_eof()
         with anyio.move_on_after(LINGER_SECONDS):
             while True:
-                await exchange.stream.receive(READ_BYTES)
+                data = await exchange.stream.receive(READ_BYTES)
+                await anyio.sleep(_delay_discard(exchange.server, len(data), time.monotonic()))
     except (*STREAM_ERRORS, h11.LocalProtocolError):
         return
+
+
+def _delay_discard(server: Server, size: int, now: float) -> float:
+    """Return the seconds to wait after some bytes of refused requests were discarded."""
+    server.discard_at = max(server.discard_at, now) + size / DISCARDED_BYTES_PER_SECOND
+    return server.discard_at - now
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -15,6 +15,9 @@
 from marjorambridge.gateway.pieces import PieceCount
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 
+# Bodies are sent in slices, so that an endpoint that doesn't read them causes no further copy.
+SEND_BYTES = 65_536
+
 
 async def run_attempt(attempt: Attempt, dialect: Dialect) -> AttemptResult:
     """Send a request and receive its answer."""
@@ -43,12 +46,14 @@
     if attempt.body or attempt.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         headers.append((b"Content-Length", str(len(attempt.body)).encode()))
     request = h11.Request(method=attempt.method, target=attempt.target, headers=headers)
-    data = connection.send(request) or b""
+    head = connection.send(request) or b""
     if attempt.body:
-        data += connection.send(h11.Data(data=attempt.body)) or b""
-    data += connection.send(h11.EndOfMessage()) or b""
+        connection.send(h11.Data(data=attempt.body))
+    connection.send(h11.EndOfMessage())
     try:
-        await stream.send(data)
+        await stream.send(head + attempt.body[:SEND_BYTES])
+        for start in range(SEND_BYTES, len(attempt.body), SEND_BYTES):
+            await stream.send(attempt.body[start : start + SEND_BYTES])
     except STREAM_ERRORS:
         # The endpoint may have answered before it read the whole request; the receiving task
         # handles both cases.
--- a/marjorambridge/gateway/metrics.py
+++ b/marjorambridge/gateway/metrics.py
@@ -3,6 +3,7 @@
 from anyio.abc import TaskGroup
 
 from marjorambridge.gateway import callers
+from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.telemetry.metrics import Metrics, render
@@ -12,10 +13,12 @@
 OK, NOT_FOUND = 200, 404
 
 
-async def start_metrics_server(metrics: Metrics, tasks: TaskGroup, ip: str, port: int) -> None:
+async def start_metrics_server(
+    metrics: Metrics, memory: BodyMemory, tasks: TaskGroup, ip: str, port: int
+) -> None:
     """Serve the metrics until the task group is cancelled; port 0 disables the server."""
     if port:
-        server = Server(lambda exchange: _answer(metrics, exchange), CallerLimits)
+        server = Server(lambda exchange: _answer(metrics, exchange), CallerLimits, memory=memory)
         await callers.start_server(server, tasks, ip, port)
 
 
--- a/marjorambridge/platform/main.py
+++ b/marjorambridge/platform/main.py
@@ -52,4 +52,5 @@
     from marjorambridge.daemon import replica
     from marjorambridge.platform import operations
 
-    return replica.run(settings, path, operations.handle_call)
+    calls = replica.ReplicaAdapter(operations.handle_call, operations.get_body_limit)
+    return replica.run(settings, path, calls)
--- a/marjorambridge/platform/operations.py
+++ b/marjorambridge/platform/operations.py
@@ -9,6 +9,8 @@
 
 from marjorambridge.control.commands import ReadBarrier, ReplaceManifest
 from marjorambridge.daemon.replica import (
+    MAX_CALL_BODY_BYTES,
+    MAX_MANIFEST_BODY_BYTES,
     ReplicaHost,
     deregister_endpoint,
     find_report_address,
@@ -31,6 +33,7 @@
 from marjorambridge.platform.reports import InvalidReportError, decode_deregistration, decode_report
 
 JSON_TYPE = (b"Content-Type", b"application/json")
+REPLACE_CONFIGURATION = b"/api/Config.Replace"
 OK, BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 200, 400, 404, 503
 
 
@@ -46,6 +49,13 @@
     await callers.send_answer(exchange, NOT_FOUND, [JSON_TYPE], body)
 
 
+def get_body_limit(method: bytes, target: bytes) -> int:
+    """Return the size in bytes of the longest body of a call."""
+    if method == b"POST" and target.startswith(REPLACE_CONFIGURATION):
+        return MAX_MANIFEST_BODY_BYTES
+    return MAX_CALL_BODY_BYTES
+
+
 async def _replace_configuration(
     host: ReplicaHost, rest: str, exchange: Exchange
 ) -> tuple[int, bytes]:
@@ -132,7 +142,7 @@
 CALLS: tuple[tuple[bytes, str, Call], ...] = (
     (b"POST", "/api/Instances.Heartbeat/", _handle_report),
     (b"POST", "/api/Instances.Deregister/", _handle_deregistration),
-    (b"POST", "/api/Config.Replace", _replace_configuration),
+    (b"POST", REPLACE_CONFIGURATION.decode(), _replace_configuration),
     (b"GET", "/api/Config.Read", _read_configuration),
     (b"POST", "/api/Drain.Begin/", partial(_order_zone, drains=True)),
     (b"POST", "/api/Drain.Finish/", partial(_order_zone, drains=False)),
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -21,6 +21,7 @@
 from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
+from marjorambridge.gateway.bodies import BodyReservation
 from marjorambridge.gateway.callers import SERVER_ERROR, Exchange, Server
 from marjorambridge.gateway.messages import (
     AnswerHead,
@@ -383,6 +384,7 @@
                 NullStream(),
                 answer,
                 time.monotonic(),
+                BodyReservation(server.memory),
                 b"POST",
                 b"/",
                 body=msgspec.msgpack.encode(request),
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -30,6 +30,7 @@
     "bootstrap": True,
     "data_dir": "/data/x",
     "heartbeat_ms": 1200,
+    "limits.memory_mb": 300,
     "bounds.grace_s": 8,
     "bounds.retry_ratio": 0.2,
     "bounds.retry_window_s": 10,
@@ -118,3 +119,18 @@
         if "platform" not in path.parts and names.search(path.read_text(encoding="utf-8"))
     ]
     assert not found
+
+
+def test_the_memory_of_a_machine_reaches_the_settings(tmp_path):
+    """Guard against bounds of memory that ignore what the platform says of its machines."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    for role in ("gateway", "replica"):
+        path = tmp_path / f"{role}.json"
+        path.write_text(fill((ROOT / deploy["roles"][role]["template"]).read_text()))
+        assert load_node_settings(path).memory_megabytes == 300
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps(settings | {"memory_megabytes": 3}))
+        with pytest.raises(SettingsError, match="memory_megabytes is 3"):
+            load_node_settings(path)
+        path.write_text(json.dumps(settings | {"memory_megabytes": None}))
+        assert load_node_settings(path).memory_megabytes is None
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -10,10 +10,11 @@
 from marjorambridge.conf.nodes import NodeSettings
 from marjorambridge.daemon.replica import (
     STALL_BACKLOG_SECONDS,
+    ReplicaAdapter,
     ReplicaProcess,
     run_components,
 )
-from marjorambridge.platform.operations import handle_call
+from marjorambridge.platform.operations import get_body_limit, handle_call
 from tests.soak.run import find_base_port
 
 START_SECONDS = 20.0
@@ -38,7 +39,9 @@
         data_folder=str(folder),
     )
     async with anyio.create_task_group() as tasks:
-        process = ReplicaProcess(settings, handle_call, tasks.cancel_scope)
+        process = ReplicaProcess(
+            settings, ReplicaAdapter(handle_call, get_body_limit), tasks.cancel_scope
+        )
         tasks.start_soon(run_components, process)
         with anyio.fail_after(START_SECONDS):
             while process.host is None or not process.host.control.confirmed:
@@ -69,6 +72,28 @@
     await anyio.sleep(SETTLE_SECONDS)
 
 
+def test_a_long_report_is_refused_before_it_is_read(tmp_path):
+    """Guard against reports as long as configurations, which together end a replica."""
+
+    async def scenario():
+        async with run_replica(tmp_path) as host:
+            ip, _, port = host.settings.control.rpartition(":")
+            for path, status in (("Instances.Heartbeat/i-1", 413), ("Config.Replace", 0)):
+                async with await anyio.connect_tcp(ip, int(port)) as stream:
+                    head = (
+                        f"POST /api/{path} HTTP/1.1\r\nHost: x\r\nContent-Length: 15000000\r\n\r\n"
+                    )
+                    await stream.send(head.encode() + b"x" * 60_000)
+                    data = b""
+                    with anyio.move_on_after(0.5):
+                        data = await stream.receive()
+                    assert int(data[9:12] or 0) == status
+            await anyio.sleep(0.1)
+            assert host.server.memory.used == 0
+
+    anyio.run(scenario)
+
+
 def make_report(born):
     return msgspec.json.encode(
         {
