Bound the processor time of peers' bytes in sum

Change: each connection measures its processor time between two waits. Beyond 1 ms, a message takes it from a fifth of a core that all messages share and waits for it in turn; forwarded events are exempt. An endpoint whose floods took 20 ms without progress is given up.

--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -3,7 +3,7 @@
 A faulty endpoint may send an endless head, body or stream, at a high rate or one byte at a time.
 All reads are bounded in time and in bytes, and only progress of the answer extends the stall
 deadline. The load pattern is many such endpoints at the same time, so all buffered answers of a
-host share one memory limit, and bodies in many small pieces one rate.
+host share one memory limit, and the handling of their bytes a budget of processor time.
 """
 
 import time
@@ -22,9 +22,20 @@
     Attempt,
     AttemptResult,
     Dialect,
+    Forwarded,
 )
-from marjorambridge.gateway.pieces import PieceCount, handle_piece
 from marjorambridge.gateway.streams import STREAM_ERRORS
+from marjorambridge.gateway.work import (
+    PIECES_PER_TURN,
+    PROGRESS_PIECE_BYTES,
+    IdleWorkError,
+    WorkMeter,
+    count_piece,
+    end_turn,
+    exclude,
+    give_way,
+    start_turn,
+)
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -47,8 +58,8 @@
 
     Attributes
     ----------
-    pieces : PieceCount
-        Pieces of the body.
+    meter : WorkMeter
+        Processor time for the answer.
     interim_answers : int
         Number of interim answers received.
     failure_deadline : float
@@ -60,7 +71,7 @@
     attempt: Attempt
     dialect: Dialect
     result: AttemptResult
-    pieces: PieceCount
+    meter: WorkMeter
     interim_answers: int = 0
     failure_deadline: float = 0.0
     parts: list[bytes] = field(default_factory=list)
@@ -71,12 +82,13 @@
     # Lets the sending task give the request to the parser before anything is received.
     await anyio.lowlevel.checkpoint()
     result = reader.result
+    start_turn(reader.meter)
     try:
         while not await _handle_event(reader, reader.connection.next_event()):
             pass
     except h11.RemoteProtocolError as error:
         result.detail = f"no valid answer: {error}"
-    except InvalidAnswerError as error:
+    except (InvalidAnswerError, IdleWorkError) as error:
         result.detail = str(error)
     except ValueError as error:
         result.detail = f"no valid event: {error}"
@@ -97,9 +109,7 @@
     if isinstance(event, h11.Response):
         return _handle_head(reader, event)
     if isinstance(event, h11.Data):
-        if await handle_piece(reader.pieces, len(event.data)) and _has_stalled(reader):
-            return True
-        return await _handle_data(reader, bytes(event.data))
+        return await _handle_data(reader, bytes(event.data)) or await _end_piece(reader)
     if isinstance(event, h11.EndOfMessage):
         result.body = b"".join(reader.parts)
         _check_end(reader)
@@ -108,8 +118,19 @@
     raise InvalidAnswerError("the endpoint closed the connection")
 
 
+async def _end_piece(reader: AnswerReader) -> bool:
+    """Give way to other tasks after some pieces; return whether the answer has stalled."""
+    meter = reader.meter
+    if meter.pieces < PIECES_PER_TURN:
+        return False
+    return await give_way(meter) and _has_stalled(reader)
+
+
 async def _receive_more(reader: AnswerReader) -> bool:
     """Receive more bytes and return whether any arrived before the deadline."""
+    delay = end_turn(reader.meter)
+    if delay > 0:
+        await anyio.sleep(delay)
     limit = reader.failure_deadline or reader.attempt.get_stall_deadline()
     with anyio.move_on_after(limit - time.monotonic()):
         try:
@@ -118,6 +139,7 @@
             data = b""
         except STREAM_ERRORS as error:
             raise InvalidAnswerError(repr(error)) from error
+        start_turn(reader.meter)
         reader.connection.receive_data(data)
         return True
     if reader.failure_deadline:
@@ -152,18 +174,33 @@
 
 
 async def _handle_data(reader: AnswerReader, data: bytes) -> bool:
-    attempt, result, head = reader.attempt, reader.result, reader.result.head
+    attempt, head = reader.attempt, reader.result.head
     if attempt.send_event_bytes is not None and head is not None and is_event_stream(head):
-        if not await attempt.send_event_bytes(head, data):
-            result.detail = "the caller closed the connection"
-            return True
-        return False
+        return await _forward(reader, head, data)
     size = attempt.allocation.size + len(data)
     if size > (MAX_FAILURE_BYTES if reader.failure_deadline else MAX_ANSWER_BYTES):
         raise InvalidAnswerError("the answer is too long")
     if not attempt.allocation.allocate(len(data)):
         raise InvalidAnswerError("the memory limit for buffered answers of this host is reached")
     reader.parts.append(data)
+    count_piece(reader.meter, len(data) >= PROGRESS_PIECE_BYTES)
+    return False
+
+
+async def _forward(reader: AnswerReader, head: AnswerHead, data: bytes) -> bool:
+    """Forward the events of a piece, and return whether the attempt has ended."""
+    send_event_bytes, meter = reader.attempt.send_event_bytes, reader.meter
+    assert send_event_bytes is not None, "only streams have pieces that are forwarded"
+    meter.is_buffered = False
+    before = time.thread_time()
+    forwarded = await send_event_bytes(head, data)
+    if forwarded is Forwarded.CALLER_GONE:
+        reader.result.detail = "the caller closed the connection"
+        return True
+    has_progress = forwarded is Forwarded.EVENTS
+    if has_progress:
+        exclude(meter, before)
+    count_piece(meter, has_progress)
     return False
 
 
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -18,8 +18,17 @@
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.messages import Headers
-from marjorambridge.gateway.pieces import PieceCount, PieceLimit, handle_piece
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
+from marjorambridge.gateway.work import (
+    PIECES_PER_TURN,
+    PROGRESS_PIECE_BYTES,
+    WorkBudget,
+    WorkMeter,
+    count_piece,
+    end_turn,
+    give_way,
+    start_turn,
+)
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer
 
@@ -70,8 +79,8 @@
         Waits until the request may be served, if other work has priority.
     encode_error : callable
         Returns headers and body of the answer to a request that is no valid HTTP.
-    piece_limit : PieceLimit
-        Rate of requests in many small pieces.
+    work : WorkBudget
+        Processor time for the bytes of requests.
     memory : BodyMemory
         Memory for the bodies of all requests.
     get_body_limit : callable or None
@@ -93,7 +102,7 @@
     get_limits: Callable[[], CallerLimits]
     wait_for_turn: Callable[[], Awaitable[None]] | None = None
     encode_error: Callable[[Unsuccessful], tuple[Headers, bytes]] = encode_text
-    piece_limit: PieceLimit = field(default_factory=PieceLimit)
+    work: WorkBudget = field(default_factory=WorkBudget)
     memory: BodyMemory = field(default_factory=lambda: BodyMemory(DEFAULT_BODY_MEMORY_BYTES))
     get_body_limit: Callable[[bytes, bytes], int] | None = None
     closing: bool = False
@@ -113,6 +122,8 @@
         Monotonic time in seconds at which the first byte of the request was read.
     reservation : BodyReservation
         Memory for the body.
+    meter : WorkMeter
+        Processor time for the bytes of the request.
     has_head, is_complete : bool
         Whether the head of the answer, and whether all of it, was written.
     caller_gone : bool
@@ -126,6 +137,7 @@
     connection: h11.Connection
     arrived_at: float
     reservation: BodyReservation
+    meter: WorkMeter
     method: bytes = b""
     target: bytes = b""
     headers: Headers = field(default_factory=list)
@@ -197,7 +209,9 @@
     arrived_at = time.monotonic()
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
-    exchange = Exchange(server, stream, connection, arrived_at, BodyReservation(server.memory))
+    reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
+    exchange = Exchange(server, stream, connection, arrived_at, reservation, meter)
+    start_turn(meter)
     server.active += 1
     try:
         if not await _read_request(exchange):
@@ -300,7 +314,7 @@
     idle_seconds = exchange.server.get_limits().idle_timeout_seconds
     reservation = exchange.reservation
     parts: list[bytes] = []
-    pieces = PieceCount(exchange.server.piece_limit)
+    meter = exchange.meter
     while True:
         # Bounds how long a caller can hold the connection with few bytes, or with none.
         remaining = (
@@ -317,7 +331,9 @@
         if not isinstance(event, h11.Data):
             return False
         size = len(event.data)
-        await handle_piece(pieces, size)
+        count_piece(meter, size >= PROGRESS_PIECE_BYTES)
+        if meter.pieces >= PIECES_PER_TURN:
+            await give_way(meter)
         bodies.record_bytes(reservation, size, time.monotonic())
         if reservation.received > limit:
             raise _make_length_error()
@@ -351,10 +367,14 @@
         event = exchange.connection.next_event()
         if event is not h11.NEED_DATA:
             return event
+        delay = end_turn(exchange.meter)
+        if delay > 0:
+            await anyio.sleep(delay)
         try:
             data = await exchange.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             data = b""
+        start_turn(exchange.meter)
         exchange.connection.receive_data(data)
 
 
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -12,8 +12,8 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.gateway.answers import MAX_HEAD_BYTES, AnswerReader, receive_answer
 from marjorambridge.gateway.messages import Attempt, AttemptResult, Dialect
-from marjorambridge.gateway.pieces import PieceCount
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
+from marjorambridge.gateway.work import WorkMeter
 
 # Bodies are sent in slices, so that an endpoint that doesn't read them causes no further copy.
 SEND_BYTES = 65_536
@@ -33,8 +33,8 @@
         async with anyio.create_task_group() as tasks:
             connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
             tasks.start_soon(_send_request, stream, connection, attempt)
-            pieces = PieceCount(attempt.piece_limit)
-            await receive_answer(AnswerReader(stream, connection, attempt, dialect, result, pieces))
+            meter = WorkMeter(attempt.work, attempt.address)
+            await receive_answer(AnswerReader(stream, connection, attempt, dialect, result, meter))
             tasks.cancel_scope.cancel()
     finally:
         await reset(stream)
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -1,12 +1,13 @@
 """Model requests and answers independently of the header names of a platform."""
 
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 
 from msgspec import Struct, field
 
 from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
-from marjorambridge.gateway.pieces import PieceLimit
+from marjorambridge.gateway.work import WorkBudget
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -229,6 +230,14 @@
         self.size = kept_bytes
 
 
+class Forwarded(Enum):
+    """What a piece of an event stream led to."""
+
+    NO_EVENT = auto()
+    EVENTS = auto()
+    CALLER_GONE = auto()
+
+
 class Attempt(Struct):
     """Describe one attempt of a request.
 
@@ -243,11 +252,11 @@
         Memory for a buffered answer; whoever runs the attempt releases it.
     handle_head : callable
         Called with the head of the answer as soon as it is received.
-    piece_limit : PieceLimit
-        Rate of answers in many small pieces, which all attempts of a host share.
+    work : WorkBudget
+        Processor time for answers, which all attempts of a host share.
     send_event_bytes : callable or None
-        Takes the head and a piece of an event stream, sends the piece to the caller and returns
-        whether the caller is still connected; None if answers are buffered.
+        Takes the head and a piece of an event stream, and sends the events that are complete with
+        it to the caller; None if answers are buffered.
     """
 
     address: str
@@ -259,8 +268,8 @@
     get_stall_deadline: Callable[[], float]
     allocation: MemoryAllocation
     handle_head: Callable[[AnswerHead], None]
-    piece_limit: PieceLimit = field(default_factory=PieceLimit)
-    send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[bool]] | None = None
+    work: WorkBudget = field(default_factory=WorkBudget)
+    send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[Forwarded]] | None = None
 
 
 class AttemptResult(Struct):
--- a/marjorambridge/gateway/orders.py
+++ b/marjorambridge/gateway/orders.py
@@ -28,7 +28,7 @@
         get_stall_deadline=lambda: deadline,
         allocation=MemoryAllocation(gateway.memory),
         handle_head=handle_head,
-        piece_limit=gateway.piece_limit,
+        work=gateway.work,
     )
     try:
         return await gateway.run_attempt(attempt, gateway.dialect)
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -73,6 +73,7 @@
     AttemptOptions,
     AttemptResult,
     CallerRequest,
+    Forwarded,
 )
 from marjorambridge.gateway.outcomes import (
     answer_invalid,
@@ -264,7 +265,7 @@
         get_stall_deadline=lambda: get_stall_deadline(context, endpoint.name),
         allocation=context.allocation,
         handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
-        piece_limit=gateway.piece_limit,
+        work=gateway.work,
     )
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, head, data)
@@ -339,15 +340,15 @@
     context.prefilling = []
 
 
-async def _send_events(context: RequestContext, head: AnswerHead, data: bytes) -> bool:
-    """Send the complete events to the caller; return False if the caller has disconnected."""
+async def _send_events(context: RequestContext, head: AnswerHead, data: bytes) -> Forwarded:
+    """Send the complete events to the caller."""
     read, before = context.gateway.dialect.read_event, context.cursor.last_event
     if read is None:
         events = extract_events(context.cursor, data)
     else:
         events = extract_events(context.cursor, data, lambda event: read(context.request, event))
     if not events:
-        return True
+        return Forwarded.NO_EVENT
     now = time.monotonic()
     if context.last_event_at:
         context.longest_gap = max(context.longest_gap, now - context.last_event_at)
@@ -359,10 +360,10 @@
     if context.request.collects_events:
         _collect_events(context, events, before)
     elif not await _forward_events(context, head, events):
-        return False
+        return Forwarded.CALLER_GONE
     if context.cursor.error is not None:
         raise context.cursor.error
-    return True
+    return Forwarded.EVENTS
 
 
 def _collect_events(context: RequestContext, events: bytes, before: int | None) -> None:
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -14,7 +14,7 @@
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
 from marjorambridge.gateway.endpoints import run_attempt
 from marjorambridge.gateway.messages import AnswerMemory, Attempt, AttemptResult, Dialect
-from marjorambridge.gateway.pieces import PieceLimit
+from marjorambridge.gateway.work import WorkBudget
 
 
 class Gateway(Struct):
@@ -35,8 +35,8 @@
         Set when an update from a replica was applied, and then replaced.
     memory : AnswerMemory
         Memory for buffered answers.
-    piece_limit : PieceLimit
-        Rate of answers in many small pieces.
+    work : WorkBudget
+        Processor time for answers.
     tasks : TaskGroup or None
         Runs tasks that outlast their request.
     accepts_until, ends_at : float
@@ -66,7 +66,7 @@
             defaults.ANSWER_MEMORY_BYTES, defaults.STARTED_ANSWER_MEMORY_BYTES
         )
     )
-    piece_limit: PieceLimit = field(default_factory=PieceLimit)
+    work: WorkBudget = field(default_factory=WorkBudget)
     tasks: TaskGroup | None = None
     accepts_until: float = math.inf
     ends_at: float = math.inf
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -44,6 +44,7 @@
 )
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import configure_tickets
+from marjorambridge.gateway.work import WorkMeter
 from marjorambridge.manifests.models import CallerLimits, Manifest
 from marjorambridge.simulation import clock, engines
 from marjorambridge.simulation.engines import Engine, EngineRun
@@ -385,6 +386,7 @@
                 answer,
                 time.monotonic(),
                 BodyReservation(server.memory),
+                WorkMeter(server.work),
                 b"POST",
                 b"/",
                 body=msgspec.msgpack.encode(request),
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_work.py
@@ -1,4 +1,4 @@
-"""Test that bodies in many small pieces cost other requests no time."""
+"""Test that the bytes of peers leave time for other requests."""
 
 import time
 
@@ -14,13 +14,22 @@
     StreamCursor,
     extract_events,
 )
-from marjorambridge.gateway.pieces import (
-    DELAYED_PIECES_PER_SECOND,
+from marjorambridge.gateway.work import (
+    FREE_SECONDS,
+    IDLE_WORK_DECREASE,
+    MAX_IDLE_WORK_SECONDS,
+    MAX_PEERS,
+    PIECES_PER_PROGRESS,
     PIECES_PER_TURN,
-    PieceCount,
-    PieceLimit,
-    handle_piece,
-    reserve_turn,
+    SAVED_SECONDS,
+    SHARED_RATIO,
+    IdleWorkError,
+    WorkBudget,
+    WorkMeter,
+    count_piece,
+    give_way,
+    settle,
+    start_turn,
 )
 from marjorambridge.http.streams import EventBuffer, parse_events
 from marjorambridge.manifests.models import Execution
@@ -122,42 +131,98 @@
     async def scenario():
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(count_turns)
-            count = PieceCount()
+            meter = WorkMeter(WorkBudget())
+            start_turn(meter)
             for _ in range(10 * PIECES_PER_TURN):
-                await handle_piece(count, 1)
+                count_piece(meter, False)
+                if meter.pieces >= PIECES_PER_TURN:
+                    await give_way(meter)
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
     assert len(turns) >= 10
 
 
-def test_small_pieces_of_all_bodies_share_one_rate():
+def test_messages_together_take_a_bounded_part_of_a_processor():
     """Guard against many such peers, which together would take the whole processor."""
-    limit, now, handled = PieceLimit(), 5.0, 0
-    delays = [0.0] * 20
+    budget, now, taken, turn = WorkBudget(), 5.0, 0.0, 0.002
+    due = [0.0] * 20
+    meters = [WorkMeter(budget, used=FREE_SECONDS) for _ in due]
     while now < 7.0:
-        for number, due in enumerate(delays):
-            if due <= now:
-                count = PieceCount(limit, pieces=10_000, size=10_000)
-                delays[number] = now + reserve_turn(count, now)
-                handled += PIECES_PER_TURN
+        for number, meter in enumerate(meters):
+            if due[number] <= now:
+                meter.pieces = PIECES_PER_TURN
+                due[number] = now + settle(meter, turn, now)
+                taken += turn
         now += 0.001
-    allowed = 2.0 * DELAYED_PIECES_PER_SECOND + 20 * PIECES_PER_TURN
-    assert allowed / 2 < handled <= allowed
-
-
-@pytest.mark.parametrize("size", [16, 1_460, 65_536])
-def test_bodies_in_pieces_of_usual_size_are_not_delayed(size):
-    """Guard against a slow answer of an endpoint that writes short events one by one."""
-    for pieces in (PIECES_PER_TURN, 10_000, 1_000_000):
-        assert reserve_turn(PieceCount(pieces=pieces, size=pieces * size), 5.0) == 0.0
+    allowed = 2.0 * SHARED_RATIO + SAVED_SECONDS + 20 * turn
+    assert allowed / 2 < taken <= allowed
+
+
+@pytest.mark.parametrize("pieces", [1, PIECES_PER_PROGRESS, 10 * PIECES_PER_PROGRESS])
+def test_forwarded_events_in_usual_pieces_are_not_delayed(pieces):
+    """Guard against a sound stream that waits for a share beside endpoints that send too much."""
+    budget = WorkBudget(free_at=100.0)
+    meter = WorkMeter(budget, "10.0.0.1:80", is_buffered=False, used=1.0)
+    for _ in range(100):
+        meter.pieces = pieces
+        meter.progress = -(-pieces // PIECES_PER_PROGRESS)
+        assert settle(meter, 0.01, 5.0) == 0.0
+    assert budget.free_at == 100.0 and not budget.peers
+
+
+def test_short_messages_are_not_delayed():
+    """Guard against answers of sound endpoints that wait for a share although they are short."""
+    budget = WorkBudget(free_at=100.0)
+    meter = WorkMeter(budget, "10.0.0.1:80", pieces=1, progress=1)
+    assert settle(meter, FREE_SECONDS / 2, 5.0) == settle(meter, FREE_SECONDS / 2, 5.0) == 0.0
+    assert settle(meter, FREE_SECONDS / 2, 5.0) > 0.0
+
+
+def test_an_endpoint_without_progress_is_given_up_for_all_attempts():
+    """Guard against attempt after attempt at an endpoint that sends nothing valid."""
+    budget, address = WorkBudget(), "10.0.0.1:80"
+    first = WorkMeter(budget, address, pieces=64, used=FREE_SECONDS)
+    with pytest.raises(IdleWorkError):
+        for _ in range(100):
+            settle(first, 0.001, 5.0)
+    assert first.used <= FREE_SECONDS + MAX_IDLE_WORK_SECONDS + 0.002
+    with pytest.raises(IdleWorkError):
+        settle(WorkMeter(budget, address, pieces=64), 0.0001, 5.0)
+    settle(WorkMeter(budget, "10.0.0.2:80", pieces=64), 0.0001, 5.0)
+    # Neither waiting for the head of an answer nor a slow endpoint counts.
+    settle(WorkMeter(budget, address), 0.0001, 5.0)
+    settle(WorkMeter(budget, address, pieces=1, used=FREE_SECONDS), 0.0001, 5.0)
+    later = 5.0 + MAX_IDLE_WORK_SECONDS / IDLE_WORK_DECREASE
+    settle(WorkMeter(budget, address, pieces=64), 0.0001, later)
+
+
+def test_progress_clears_an_endpoint():
+    """Guard against a sound endpoint that is given up for the sum of its keepalive comments."""
+    budget, address = WorkBudget(), "10.0.0.1:80"
+    for _ in range(100):
+        idle = WorkMeter(budget, address, pieces=64, used=FREE_SECONDS)
+        settle(idle, MAX_IDLE_WORK_SECONDS * 0.9, 5.0)
+        settle(WorkMeter(budget, address, pieces=1, progress=1), 0.0001, 5.0)
+    assert not budget.peers
+
+
+def test_endpoints_that_are_gone_are_forgotten():
+    """Guard against memory that grows with each endpoint that ever sent too much."""
+    budget = WorkBudget()
+    for number in range(20 * MAX_PEERS):
+        meter = WorkMeter(budget, str(number), pieces=64, used=FREE_SECONDS)
+        settle(meter, 0.001, 5.0 + number)
+    assert len(budget.peers) <= MAX_PEERS + 1
 
 
 def flood(headers, piece):
     """Return a script that answers with pieces without end, as fast as they are read."""
     headers = SIGNED + headers + b"Transfer-Encoding: chunked\r\n"
     return send_repeatedly(
-        lambda endpoint, head: make_head(head, b"200 OK", headers), make_chunk(piece) * 10_000, 0.0
+        lambda endpoint, head: make_head(head, b"200 OK", headers),
+        make_chunk(piece) * (1 + 50_000 // len(piece)),
+        0.0,
     )
 
 
@@ -185,17 +250,18 @@
 
 
 EVENTS = b"Content-Type: text/event-stream\r\n"
-
-
-@pytest.mark.parametrize(
-    ("manifest", "headers", "piece"),
-    [
-        (RESUMABLE, EVENTS, b"x"),
-        (RESUMABLE, EVENTS, b"\n"),
-        (IDEMPOTENT, b"", b"x"),
-    ],
-    ids=["event", "lines", "body"],
-)
+FLOODS = {
+    "event": (RESUMABLE, EVENTS, b"x"),
+    "lines": (RESUMABLE, EVENTS, b"\n"),
+    "empty events": (RESUMABLE, EVENTS, b"\n\n"),
+    "many lines": (RESUMABLE, EVENTS, b"\n" * 60_000),
+    "starts of events": (RESUMABLE, EVENTS, b"id: 1\n"),
+    "comments": (RESUMABLE, EVENTS, b":\n\n"),
+    "body": (IDEMPOTENT, b"", b"x"),
+}
+
+
+@pytest.mark.parametrize(("manifest", "headers", "piece"), FLOODS.values(), ids=FLOODS.keys())
 def test_a_flood_of_small_pieces_does_not_delay_other_requests(manifest, headers, piece):
     """Guard against endpoints whose bytes in single chunks stop a host for all its callers."""
     script = or_sound(flood(headers, piece))
