Keep memory for short answers beside endless ones

Callers saw: three endless bodies of one service, and 502 for each short answer of all others until the endless ones ended.

Cause: a first piece of an answer could not use the part of the memory that is reserved for answers that have begun, and three answers of up to 16 MiB took the rest.

Change: answers up to 64 KiB may use all memory, long ones that have begun leave a quarter of the reserved part to them.

Evidence: test_long_answers_leave_memory_for_short_ones, and the flood of a body in large pieces in tests/gateway/test_work.py (502 for a sound request), fail without the change.

--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -10,6 +10,10 @@
 from marjorambridge.gateway.work import WorkBudget
 
 SUCCESS_STATUSES = range(200, 300)
+# Answers up to this size may use all memory for answers, and this part of what is reserved is for
+# them alone.
+SMALL_ANSWER_BYTES = 65_536
+SMALL_ANSWER_RATIO = 0.25
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -196,7 +200,7 @@
     free_bytes : int
         Bytes that are not allocated.
     reserved_bytes : int
-        Free bytes that only answers with an allocation may use.
+        Free bytes that only small answers, and long ones that have begun, may use.
     """
 
     free_bytes: int
@@ -217,7 +221,11 @@
 
     def allocate(self, size: int) -> bool:
         """Allocate more memory and return whether there was enough."""
-        reserved = 0 if self.size else self.memory.reserved_bytes
+        reserved = self.memory.reserved_bytes
+        if self.size + size <= SMALL_ANSWER_BYTES:
+            reserved = 0
+        elif self.size > SMALL_ANSWER_BYTES:
+            reserved = int(reserved * SMALL_ANSWER_RATIO)
         if size > self.memory.free_bytes - reserved:
             return False
         self.memory.free_bytes -= size
--- a/tests/gateway/test_hostile.py
+++ b/tests/gateway/test_hostile.py
@@ -9,6 +9,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.gateway import answers
 from marjorambridge.gateway.events import MAX_COMMENT_BYTES
+from marjorambridge.gateway.messages import AnswerMemory, MemoryAllocation
 from marjorambridge.manifests.models import CallerLimits, Execution
 
 from .helpers import (
@@ -191,6 +192,20 @@
     anyio.run(scenario)
 
 
+def test_long_answers_leave_memory_for_short_ones():
+    """Guard against a few endless answers that let the short ones of all others fail."""
+    memory = AnswerMemory(20_000_000, 5_000_000)
+    long_ones = [MemoryAllocation(memory) for _ in range(3)]
+    while any(answer.allocate(50_000) for answer in long_ones):
+        assert memory.free_bytes >= 0
+    short = MemoryAllocation(memory)
+    assert short.allocate(50_000)
+    assert not short.allocate(50_000)
+    for answer in (*long_ones, short):
+        answer.release()
+    assert memory.free_bytes == 20_000_000
+
+
 @over_both_dialects
 def test_answer_is_dropped_if_the_caller_does_not_read(wire):
     """Guard against answers that stay in memory for a caller that never reads."""
--- a/tests/gateway/test_work.py
+++ b/tests/gateway/test_work.py
@@ -258,6 +258,7 @@
     "starts of events": (RESUMABLE, EVENTS, b"id: 1\n"),
     "comments": (RESUMABLE, EVENTS, b":\n\n"),
     "body": (IDEMPOTENT, b"", b"x"),
+    "body in large pieces": (IDEMPOTENT, b"", b"x" * 60_000),
 }
 
 
