Charge a connection for its own processor time only

Callers would see: a stream whose endpoint pauses inside an event beside a busy host, or a body that waited for memory, delayed by up to seconds, and others with it.

Cause: the time of a turn was measured from before the wait if the wait ended without data, or was one for memory, so that it included the work of others. Found on reading the change.

Change: each turn starts after the wait.

--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -142,6 +142,7 @@
         start_turn(reader.meter)
         reader.connection.receive_data(data)
         return True
+    start_turn(reader.meter)
     if reader.failure_deadline:
         raise InvalidAnswerError("the body of a failure did not arrive in time")
     # The deadline may have been postponed, because no other endpoint can continue the answer.
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -315,6 +315,7 @@
     reservation = exchange.reservation
     parts: list[bytes] = []
     meter = exchange.meter
+    start_turn(meter)
     while True:
         # Bounds how long a caller can hold the connection with few bytes, or with none.
         remaining = (
@@ -341,6 +342,7 @@
             grown = min(limit, max(2 * reservation.size, reservation.received))
             if not await bodies.reserve(reservation, grown):
                 raise _make_memory_error(reservation)
+            start_turn(meter)
         parts.append(bytes(event.data))
 
 
--- a/tests/gateway/test_work.py
+++ b/tests/gateway/test_work.py
@@ -7,6 +7,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marjorambridge.conf import defaults
+from marjorambridge.gateway.bodies import (
+    MAX_WAIT_SECONDS,
+    BodyMemory,
+    BodyReservation,
+    extend,
+    release,
+)
 from marjorambridge.gateway.events import (
     MAX_EVENT_BYTES,
     MAX_EVENT_PIECES,
@@ -49,6 +57,7 @@
 )
 from .wires import find_header
 
+EVENTS = b"Content-Type: text/event-stream\r\n"
 IDEMPOTENT = make_manifest(Execution.IDEMPOTENT, 1, False)
 RESUMABLE = make_manifest(Execution.STREAM, 2, True)
 # Bound of the pages for an answer after the timeout of its route; none of these may come near it.
@@ -216,6 +225,61 @@
     assert len(budget.peers) <= MAX_PEERS + 1
 
 
+async def keep_busy():
+    """Use the processor in short turns."""
+    while True:
+        ends_at = time.thread_time() + 0.002
+        while time.thread_time() < ends_at:
+            pass
+        await anyio.lowlevel.checkpoint()
+
+
+def test_a_silent_endpoint_is_not_charged_for_the_work_of_others(monkeypatch):
+    """Guard against a stream that is delayed, because the host was busy while it was silent."""
+    monkeypatch.setattr("marjorambridge.gateway.stalls.choose_endpoint", lambda *arguments: None)
+    silent_seconds = defaults.EVENT_TIMEOUT_SECONDS + 4 * defaults.STALL_CHECK_INTERVAL_SECONDS
+
+    async def pause(endpoint, stream, head):
+        begin = make_head(head, b"200 OK", SIGNED + EVENTS + b"Connection: close\r\n")
+        event = endpoint.wire.make_events(2, 2)
+        await stream.send(begin + endpoint.wire.make_events(1, 1))
+        await anyio.sleep(0.05)
+        await stream.send(event[:2])
+        await anyio.sleep(silent_seconds)
+        await stream.send(event[2:])
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, pause) as harness:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keep_busy)
+                assert b"id: 2" in await call(harness, make_request())
+                tasks.cancel_scope.cancel()
+            assert harness.gateway.work.free_at < time.monotonic()
+
+    anyio.run(scenario)
+
+
+def test_a_body_that_waits_for_memory_is_not_charged_for_the_work_of_others():
+    """Guard against a body that is delayed, because the host was busy while it waited."""
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, answer_whole(b"good")) as harness:
+            memory = harness.server.memory = BodyMemory(100_000)
+            holder = BodyReservation(memory)
+            assert extend(holder, 60_000)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keep_busy)
+                tasks.start_soon(call, harness, make_request(body=b"x" * 70_000))
+                await anyio.sleep(MAX_WAIT_SECONDS / 2)
+                release(holder)
+                await anyio.sleep(MAX_WAIT_SECONDS / 2)
+                tasks.cancel_scope.cancel()
+            assert harness.endpoints[0].requests
+            assert harness.server.work.free_at < time.monotonic()
+
+    anyio.run(scenario)
+
+
 def flood(headers, piece):
     """Return a script that answers with pieces without end, as fast as they are read."""
     headers = SIGNED + headers + b"Transfer-Encoding: chunked\r\n"
@@ -249,7 +313,6 @@
     return run
 
 
-EVENTS = b"Content-Type: text/event-stream\r\n"
 FLOODS = {
     "event": (RESUMABLE, EVENTS, b"x"),
     "lines": (RESUMABLE, EVENTS, b"\n"),
