Refuse settings whose memory can't hold the longest configuration

With memory_megabytes of 100 to 111, a replica refused a configuration of 16 MiB each time with a Retry-After, since three quarters of its share for bodies are less. Its test fails with the former bound of 100.

--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -9,8 +9,8 @@
 from marjorambridge.conf.exceptions import SettingsError
 from marjorambridge.core.addresses import is_address
 
-# A program needs about 40 MB for itself.
-MIN_MEMORY_MEGABYTES = 100
+# A program needs about 40 MB for itself, and the share of bodies has to hold the longest one.
+MIN_MEMORY_MEGABYTES = 120
 
 
 class FleetBounds(Struct):
--- a/tests/conf/test_memory.py
+++ b/tests/conf/test_memory.py
@@ -5,6 +5,9 @@
 import pytest
 
 from marjorambridge.conf import memory
+from marjorambridge.conf.nodes import MIN_MEMORY_MEGABYTES
+from marjorambridge.daemon.replica import MAX_MANIFEST_BODY_BYTES
+from marjorambridge.gateway.bodies import BodyMemory, BodyReservation, extend
 
 
 @pytest.fixture
@@ -26,6 +29,13 @@
     assert shares.started_answers < shares.answers
 
 
+def test_the_smallest_host_can_take_the_longest_configuration():
+    """Guard against a configuration that a replica refuses each time, for lack of memory."""
+    shares = memory.divide_memory(MIN_MEMORY_MEGABYTES)
+    reservation = BodyReservation(BodyMemory(shares.bodies))
+    assert extend(reservation, MAX_MANIFEST_BODY_BYTES)
+
+
 def test_without_a_setting_the_smallest_limit_counts(group):
     """Guard against a process that is killed, because only the machine's memory was looked at."""
     machine = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
