List the log field of reserved bytes

The test of log fields failed on: the line about the memory for bodies has a field that the list of fields did not have. The page that is made from the list follows.

--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -61,6 +61,7 @@
     "term": "term of a log group",
     "ticket": "identifier of a reservation of memory",
     "trace": "trace of a request; empty if it is not traced",
+    "used": "bytes of memory that are reserved for bodies of requests",
     "version": "version of the manifest",
     "workspace": "workspace of the configuration",
     "zone": "availability zone",
