Wait for the budget of processor time in one place

Answers and callers each counted a piece, compared the number of pieces and waited for the delay. Counting a piece now gives way by itself, one function waits, and a turn begins in one place after each read. The size of a read has one copy, and the least limit of memory no default, since the machine's is always known. Behaviour is unchanged.

--- a/marjorambridge/conf/memory.py
+++ b/marjorambridge/conf/memory.py
@@ -42,7 +42,7 @@
     >>> divide_memory(300)
     MemoryShares(bodies=60000000, answers=48000000, started_answers=16000000)
     """
-    size = min(find_limits(), default=0) if megabytes is None else megabytes * BYTES_PER_MEGABYTE
+    size = min(find_limits()) if megabytes is None else megabytes * BYTES_PER_MEGABYTE
     answers = int(size * ANSWER_RATIO)
     return MemoryShares(int(size * BODY_RATIO), answers, int(answers * STARTED_ANSWER_RATIO))
 
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -26,18 +26,16 @@
 )
 from marjorambridge.gateway.streams import STREAM_ERRORS
 from marjorambridge.gateway.work import (
-    PIECES_PER_TURN,
     PROGRESS_PIECE_BYTES,
     IdleWorkError,
     WorkMeter,
-    count_piece,
-    end_turn,
     exclude,
-    give_way,
+    finish_piece,
     start_turn,
+    wait_for_budget,
 )
+from marjorambridge.transport.reading import READ_BYTES
 
-READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 # Interim answers (status 1xx) before the final one; HTTP defines four kinds of them.
 MAX_INTERIM_ANSWERS = 8
@@ -109,7 +107,7 @@
     if isinstance(event, h11.Response):
         return _handle_head(reader, event)
     if isinstance(event, h11.Data):
-        return await _handle_data(reader, bytes(event.data)) or await _end_piece(reader)
+        return await _handle_data(reader, bytes(event.data))
     if isinstance(event, h11.EndOfMessage):
         result.body = b"".join(reader.parts)
         _check_end(reader)
@@ -118,19 +116,9 @@
     raise InvalidAnswerError("the endpoint closed the connection")
 
 
-async def _end_piece(reader: AnswerReader) -> bool:
-    """Give way to other tasks after some pieces; return whether the answer has stalled."""
-    meter = reader.meter
-    if meter.pieces < PIECES_PER_TURN:
-        return False
-    return await give_way(meter) and _has_stalled(reader)
-
-
 async def _receive_more(reader: AnswerReader) -> bool:
     """Receive more bytes and return whether any arrived before the deadline."""
-    delay = end_turn(reader.meter)
-    if delay > 0:
-        await anyio.sleep(delay)
+    await wait_for_budget(reader.meter)
     limit = reader.failure_deadline or reader.attempt.get_stall_deadline()
     with anyio.move_on_after(limit - time.monotonic()):
         try:
@@ -139,10 +127,10 @@
             data = b""
         except STREAM_ERRORS as error:
             raise InvalidAnswerError(repr(error)) from error
-        start_turn(reader.meter)
+        finally:
+            start_turn(reader.meter)
         reader.connection.receive_data(data)
         return True
-    start_turn(reader.meter)
     if reader.failure_deadline:
         raise InvalidAnswerError("the body of a failure did not arrive in time")
     # The deadline may have been postponed, because no other endpoint can continue the answer.
@@ -184,8 +172,7 @@
     if not attempt.allocation.allocate(len(data)):
         raise InvalidAnswerError("the memory limit for buffered answers of this host is reached")
     reader.parts.append(data)
-    count_piece(reader.meter, len(data) >= PROGRESS_PIECE_BYTES)
-    return False
+    return await _finish_piece(reader, len(data) >= PROGRESS_PIECE_BYTES)
 
 
 async def _forward(reader: AnswerReader, head: AnswerHead, data: bytes) -> bool:
@@ -201,8 +188,12 @@
     has_progress = forwarded is Forwarded.EVENTS
     if has_progress:
         exclude(meter, before)
-    count_piece(meter, has_progress)
-    return False
+    return await _finish_piece(reader, has_progress)
+
+
+async def _finish_piece(reader: AnswerReader, has_progress: bool) -> bool:
+    """Count a piece of the answer, and return whether the answer stalled while others had turns."""
+    return await finish_piece(reader.meter, has_progress) and _has_stalled(reader)
 
 
 def _check_end(reader: AnswerReader) -> None:
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -20,14 +20,12 @@
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.gateway.work import (
-    PIECES_PER_TURN,
     PROGRESS_PIECE_BYTES,
     WorkBudget,
     WorkMeter,
-    count_piece,
-    end_turn,
-    give_way,
+    finish_piece,
     start_turn,
+    wait_for_budget,
 )
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer
@@ -332,9 +330,7 @@
         if not isinstance(event, h11.Data):
             return False
         size = len(event.data)
-        count_piece(meter, size >= PROGRESS_PIECE_BYTES)
-        if meter.pieces >= PIECES_PER_TURN:
-            await give_way(meter)
+        await finish_piece(meter, size >= PROGRESS_PIECE_BYTES)
         bodies.record_bytes(reservation, size, time.monotonic())
         if reservation.received > limit:
             raise _make_length_error()
@@ -369,9 +365,7 @@
         event = exchange.connection.next_event()
         if event is not h11.NEED_DATA:
             return event
-        delay = end_turn(exchange.meter)
-        if delay > 0:
-            await anyio.sleep(delay)
+        await wait_for_budget(exchange.meter)
         try:
             data = await exchange.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
--- a/marjorambridge/gateway/work.py
+++ b/marjorambridge/gateway/work.py
@@ -108,14 +108,27 @@
     meter.pieces = meter.progress = 0
 
 
-def count_piece(meter: WorkMeter, has_progress: bool) -> None:
-    """Count a piece of the message."""
+async def finish_piece(meter: WorkMeter, has_progress: bool) -> bool:
+    """Count a piece, and give way to other tasks after some; return whether this waited.
+
+    Raises
+    ------
+    IdleWorkError
+        If the bytes of the endpoint took too much time without progress.
+    """
     meter.pieces += 1
     meter.progress += has_progress
+    if meter.pieces < PIECES_PER_TURN:
+        return False
+    has_waited = await wait_for_budget(meter)
+    if not has_waited:
+        await anyio.lowlevel.checkpoint()
+    start_turn(meter)
+    return has_waited
 
 
-async def give_way(meter: WorkMeter) -> bool:
-    """End a turn, let other tasks run and start the next one; return whether this waited.
+async def wait_for_budget(meter: WorkMeter) -> bool:
+    """End a turn and wait until its time is in the budget; return whether this waited.
 
     Raises
     ------
@@ -125,9 +138,6 @@
     delay = end_turn(meter)
     if delay > 0:
         await anyio.sleep(delay)
-    else:
-        await anyio.lowlevel.checkpoint()
-    start_turn(meter)
     return delay > 0
 
 
--- a/tests/gateway/test_work.py
+++ b/tests/gateway/test_work.py
@@ -34,8 +34,7 @@
     IdleWorkError,
     WorkBudget,
     WorkMeter,
-    count_piece,
-    give_way,
+    finish_piece,
     settle,
     start_turn,
 )
@@ -143,9 +142,7 @@
             meter = WorkMeter(WorkBudget())
             start_turn(meter)
             for _ in range(10 * PIECES_PER_TURN):
-                count_piece(meter, False)
-                if meter.pieces >= PIECES_PER_TURN:
-                    await give_way(meter)
+                await finish_piece(meter, False)
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
