Keep a silent attempt until another one has brought the next event

Callers saw streams with status 200 end with a reset. The check beforehand showed that another attempt was possible, not that it succeeds.

The class of fault: something ends before what follows is certain. Now a second attempt starts beside the silent one. The one that brings the next event first is kept, and the other is cancelled. A second attempt needs the same retry budget, limit of endpoints and cold limits as before, and at most two run at the same time.

Ruled out for these cuts: the end of the process, since they come before and after a signal alike.

--- a/marjorambridge/forwarding/attempts.py
+++ b/marjorambridge/forwarding/attempts.py
@@ -27,6 +27,8 @@
         The connection ended or the answer was invalid; the request may have run.
     STALLED
         Nothing was received before a timeout.
+    OVERTAKEN
+        An attempt that was started because of a silent one was cancelled, because that one went on.
     TIMED_OUT
         The deadline of the request passed.
     """
@@ -39,6 +41,7 @@
     FAILED = "failed"
     BROKEN = "broken"
     STALLED = "stalled"
+    OVERTAKEN = "overtaken"
     TIMED_OUT = "timed_out"
 
 
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -1,9 +1,9 @@
 """Receive the answer of an endpoint, and abort answers that are invalid or exceed a limit.
 
 A faulty endpoint may send an endless head, body or stream, at a high rate or one byte at a time.
-All reads are bounded in time and in bytes, and only progress of the answer extends the stall
-deadline. The load pattern is many such endpoints at the same time, so all buffered answers of a
-host share one memory limit, and the handling of their bytes a budget of processor time.
+All reads are bounded in time and in bytes. The load pattern is many such endpoints at the same
+time, so all buffered answers of a host share one memory limit, and the handling of their bytes a
+budget of processor time.
 """
 
 import time
@@ -45,6 +45,11 @@
 MAX_FAILURE_BYTES = 65_536
 FAILURE_BODY_SECONDS = 0.5
 SERVER_ERROR_STATUSES = range(500, 600)
+# Causes for which an answer is not received further, for the log.
+ENDINGS = {
+    Forwarded.CALLER_GONE: "the caller closed the connection",
+    Forwarded.OVERTAKEN: "another attempt brought the next event",
+}
 
 
 class InvalidAnswerError(Exception):
@@ -119,7 +124,7 @@
 async def _receive_more(reader: AnswerReader) -> bool:
     """Receive more bytes and return whether any arrived before the deadline."""
     await wait_for_budget(reader.meter)
-    limit = reader.failure_deadline or reader.attempt.get_stall_deadline()
+    limit = reader.failure_deadline or reader.attempt.deadline
     with anyio.move_on_after(limit - time.monotonic()):
         try:
             data = await reader.stream.receive(READ_BYTES)
@@ -133,13 +138,12 @@
         return True
     if reader.failure_deadline:
         raise InvalidAnswerError("the body of a failure did not arrive in time")
-    # The deadline may have been postponed, because no other endpoint can continue the answer.
     return not _has_stalled(reader)
 
 
 def _has_stalled(reader: AnswerReader) -> bool:
-    """Return whether the stall deadline has passed, and store it in the result."""
-    if reader.attempt.get_stall_deadline() > time.monotonic():
+    """Return whether the deadline has passed, and store it in the result."""
+    if reader.attempt.deadline > time.monotonic():
         return False
     reader.result.outcome = AttemptOutcome.STALLED
     reader.result.detail = "the answer made no progress in time"
@@ -182,8 +186,8 @@
     meter.is_buffered = False
     before = time.thread_time()
     forwarded = await send_event_bytes(head, data)
-    if forwarded is Forwarded.CALLER_GONE:
-        reader.result.detail = "the caller closed the connection"
+    if forwarded in ENDINGS:
+        reader.result.detail = ENDINGS[forwarded]
         return True
     has_progress = forwarded is Forwarded.EVENTS
     if has_progress:
@@ -192,7 +196,7 @@
 
 
 async def _finish_piece(reader: AnswerReader, has_progress: bool) -> bool:
-    """Count a piece of the answer, and return whether the answer stalled while others had turns."""
+    """Count a piece of the answer, and return whether its deadline passed during other turns."""
     return await finish_piece(reader.meter, has_progress) and _has_stalled(reader)
 
 
--- /dev/null
+++ b/marjorambridge/gateway/attempts.py
@@ -0,0 +1,334 @@
+"""Run one attempt of a request, forward its events, and record its result."""
+
+import time
+
+import anyio
+from loguru import logger
+
+from marjorambridge.forwarding.attempts import AttemptOutcome, judge_misdirected, record_outcome
+from marjorambridge.forwarding.budgets import record_send
+from marjorambridge.forwarding.health import (
+    clear_replaced,
+    mark_replaced,
+    record_failure,
+    record_rejection,
+    record_success,
+)
+from marjorambridge.forwarding.loads import (
+    add_prefill,
+    add_request,
+    count_kv_tokens,
+    finish_prefill,
+    remove_request,
+)
+from marjorambridge.forwarding.state import Endpoint
+from marjorambridge.gateway import callers
+from marjorambridge.gateway.answers import (
+    MAX_ANSWER_BYTES,
+    InvalidAnswerError,
+    is_event_stream,
+)
+from marjorambridge.gateway.cancellations import start_cancellation
+from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
+from marjorambridge.gateway.crash_reports import format_cause
+from marjorambridge.gateway.crashes import (
+    format_parts,
+    record_first_answer,
+    record_possible_crash,
+)
+from marjorambridge.gateway.events import StreamCursor, extract_events
+from marjorambridge.gateway.hints import apply_answer_hints
+from marjorambridge.gateway.messages import (
+    SUCCESS_STATUSES,
+    AnswerHead,
+    Attempt,
+    AttemptOptions,
+    AttemptResult,
+    Forwarded,
+)
+from marjorambridge.gateway.state import create_attempt_id
+from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets
+from marjorambridge.manifests.models import Execution
+
+CHUNKED = (b"Transfer-Encoding", b"chunked")
+# Outcomes that count as a failure of the endpoint, which is then avoided for a while. A silent one
+# is recorded when another attempt starts beside it.
+FAILURE_OUTCOMES = frozenset(
+    {AttemptOutcome.NOT_SENT, AttemptOutcome.FAILED, AttemptOutcome.BROKEN}
+)
+
+
+async def run_attempt(context: RequestContext, running: RunningAttempt) -> AttemptResult:
+    """Run one attempt and account for its load at the endpoints."""
+    gateway, request, profile = context.gateway, context.request, context.profile
+    endpoint = running.endpoint
+    now = running.started_at = time.monotonic()
+    running.cursor.last_event = context.last_event
+    workspace = context.admission.workspace
+    context.helper_count = len(running.helpers)
+    options = AttemptOptions(
+        endpoint=endpoint.name,
+        remaining_seconds=context.deadline - now,
+        address=endpoint.address,
+        born=endpoint.born,
+        attempt=create_attempt_id(gateway),
+        kv_tokens=profile.kv_tokens,
+        workspace=workspace.name if workspace else "",
+        last_event=context.last_event if has_events(context) else None,
+        helpers=list_helpers(running.tickets, [helper.address for helper in running.helpers]),
+    )
+    message = gateway.dialect.encode_attempt(request, options)
+    attempt = Attempt(
+        address=endpoint.address,
+        method=request.method,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
+        request_id=request.request_id,
+        allocation=running.allocation,
+        handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
+        work=gateway.work,
+    )
+    if context.admission.route.execution is Execution.STREAM:
+        attempt.send_event_bytes = lambda head, data: _send_events(context, running, head, data)
+    record_send(endpoint, now)
+    _add_load(context, running, now)
+    running.kv_tokens = count_kv_tokens(endpoint)
+    result = AttemptResult(AttemptOutcome.TIMED_OUT)
+    try:
+        with anyio.move_on_after(context.deadline - now):
+            result = await _run_with_tickets(context, running, attempt)
+    finally:
+        _finish_prefill(context, running, time.monotonic())
+        remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+        gateway.share_load(endpoint)
+        start_cancellation(gateway, request, endpoint, options.attempt, result.outcome)
+        await release(running.tickets)
+    _check_stream(context, running.cursor, result)
+    if result.outcome is AttemptOutcome.MISDIRECTED:
+        result.outcome = judge_misdirected(context.progress, request.is_conditional)
+    return result
+
+
+def _check_stream(context: RequestContext, cursor: StreamCursor, result: AttemptResult) -> None:
+    """Change the outcome of a complete answer that can't be the rest of the caller's stream."""
+    is_stream = context.admission.route.execution is Execution.STREAM
+    head = result.head
+    if not is_stream or head is None or result.outcome is not AttemptOutcome.COMPLETE:
+        return
+    has_end_event, status = context.gateway.dialect.has_end_event, head.status
+    if not is_event_stream(head):
+        if has_events(context) or (has_end_event and status in SUCCESS_STATUSES):
+            result.outcome = AttemptOutcome.FAILED
+            result.detail = f"status {status} instead of the rest of the stream"
+    elif cursor.buffer:
+        result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended inside an event"
+    elif has_end_event and not cursor.has_ended:
+        result.outcome = AttemptOutcome.BROKEN
+        result.detail = "the stream ended without its end event"
+    elif cursor.last_event is None and not has_events(context):
+        result.outcome, result.detail = AttemptOutcome.BROKEN, "the stream ended without an event"
+
+
+async def _run_with_tickets(
+    context: RequestContext, running: RunningAttempt, attempt: Attempt
+) -> AttemptResult:
+    """Run an attempt and renew its tickets, if there are any, until it ends."""
+    tickets = running.tickets
+    if not tickets.held:
+        return await context.gateway.run_attempt(attempt, context.gateway.dialect)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(renew_tickets, tickets)
+        result = await context.gateway.run_attempt(attempt, context.gateway.dialect)
+        tasks.cancel_scope.cancel()
+    return result
+
+
+def _add_load(context: RequestContext, running: RunningAttempt, now: float) -> None:
+    endpoint, profile = running.endpoint, context.profile
+    add_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+    if profile.prefill_seconds > 0:
+        running.prefilling = [endpoint, *running.helpers]
+        for engine in running.prefilling:
+            add_prefill(engine.load, profile.prefill_seconds / len(running.prefilling), now)
+            context.gateway.share_load(engine)
+    else:
+        context.gateway.share_load(endpoint)
+
+
+def _finish_prefill(context: RequestContext, running: RunningAttempt, now: float) -> None:
+    for engine in running.prefilling:
+        finish_prefill(engine.load, now)
+        context.gateway.share_load(engine)
+    running.prefilling = []
+
+
+async def _send_events(
+    context: RequestContext, running: RunningAttempt, head: AnswerHead, data: bytes
+) -> Forwarded:
+    """Send the complete events to the caller, unless another attempt was faster."""
+    if running.scope.cancel_called:
+        return Forwarded.OVERTAKEN
+    read, before, cursor = context.gateway.dialect.read_event, context.last_event, running.cursor
+    if read is None:
+        events = extract_events(cursor, data)
+    else:
+        events = extract_events(cursor, data, lambda event: read(context.request, event))
+    if not events:
+        return Forwarded.NO_EVENT
+    cancel_others(context, running)
+    context.last_event = cursor.last_event
+    now = time.monotonic()
+    if context.last_event_at:
+        context.longest_gap = max(context.longest_gap, now - context.last_event_at)
+    if not running.has_begun:
+        record_first_answer(context.gateway, context.causes, now)
+    running.has_begun = True
+    context.last_event_at = now
+    _finish_prefill(context, running, now)
+    context.first_event_at = context.first_event_at or now
+    if context.request.collects_events:
+        _collect_events(context, events, before)
+    elif not await _forward_events(context, head, events):
+        return Forwarded.CALLER_GONE
+    if cursor.error is not None:
+        raise cursor.error
+    return Forwarded.EVENTS
+
+
+def cancel_others(context: RequestContext, running: RunningAttempt) -> None:
+    """Cancel the attempts that run beside one that decides the answer."""
+    for other in context.running:
+        if other is not running:
+            other.scope.cancel()
+
+
+def _collect_events(context: RequestContext, events: bytes, before: int | None) -> None:
+    """Keep events for an answer that is sent as a whole; `before` is the event before them."""
+    allocation = context.allocation
+    if allocation.size + len(events) > MAX_ANSWER_BYTES or not allocation.allocate(len(events)):
+        # Another attempt sends them again.
+        context.last_event = before
+        raise InvalidAnswerError("the answer is too long for the memory of this host")
+    context.collected.append(events)
+
+
+async def _forward_events(context: RequestContext, head: AnswerHead, events: bytes) -> bool:
+    exchange = context.exchange
+    try:
+        if exchange.has_head:
+            await callers.send_part(exchange, events)
+        else:
+            context.progress.answer_started = True
+            await callers.start_answer(exchange, head.status, [*head.headers, CHUNKED], events)
+    except callers.STREAM_ERRORS:
+        exchange.caller_gone = True
+        return False
+    return True
+
+
+def record_stall(context: RequestContext, running: RunningAttempt) -> None:
+    """Record that an attempt is silent, so that other requests avoid its endpoint for a while."""
+    endpoint, now = running.endpoint, time.monotonic()
+    running.has_stalled = True
+    avoided = record_failure(endpoint, running.started_at, now)
+    context.gateway.share_load(endpoint)
+    logger.bind(
+        request=context.request.request_id,
+        endpoint=endpoint.name,
+        begun=running.has_begun,
+        seconds=round(now - max(running.started_at, context.last_event_at), 4),
+        avoided_seconds=round(avoided, 3),
+    ).info("another attempt starts beside a silent one")
+
+
+def record_attempt(context: RequestContext, running: RunningAttempt, result: AttemptResult) -> None:
+    """Record the result of an attempt for this request and for the placement of others."""
+    now = time.monotonic()
+    outcome, endpoint = result.outcome, running.endpoint
+    record_outcome(context.progress, outcome)
+    context.attempt_outcomes.append(f"{endpoint.name}:{outcome.value}")
+    helper = find_helper_at_fault(running.helpers, result.head)
+    if helper is not None:
+        _record_helper_failure(context, running, helper, outcome)
+        return
+    context.excluded.add(endpoint.name)
+    if outcome is AttemptOutcome.COMPLETE:
+        record_success(endpoint, running.started_at)
+        head = result.head
+        if not running.has_begun and head is not None and head.status in SUCCESS_STATUSES:
+            record_first_answer(context.gateway, context.causes, now)
+        return
+    if outcome is AttemptOutcome.BROKEN and not running.has_begun:
+        record_possible_crash(
+            context.gateway, context.request, context.causes, endpoint, running.started_at, now
+        )
+    avoided = 0.0
+    if outcome is AttemptOutcome.MISDIRECTED:
+        _mark_replaced(context, endpoint, now)
+    elif outcome is AttemptOutcome.DECLINED:
+        _use_replaced_again(context)
+    elif outcome in FAILURE_OUTCOMES:
+        avoided = record_failure(endpoint, running.started_at, now)
+        context.gateway.share_load(endpoint)
+    elif outcome is AttemptOutcome.NOT_RUN:
+        avoided = record_rejection(endpoint, now)
+        context.gateway.share_load(endpoint)
+    logger.bind(
+        request=context.request.request_id,
+        endpoint=endpoint.name,
+        address=endpoint.address,
+        reason=outcome.value,
+        detail=result.detail,
+        begun=running.has_begun,
+        parts=format_parts(context.request.prompt_parts),
+        cause=format_cause(context.causes[0]),
+        kv_tokens=running.kv_tokens,
+        cold=now < endpoint.cold_until,
+        seconds=round(now - running.started_at, 4),
+        avoided_seconds=round(avoided, 3),
+    ).info("an attempt did not complete")
+
+
+def _mark_replaced(context: RequestContext, endpoint: Endpoint, now: float) -> None:
+    context.replaced = endpoint
+    mark_replaced(endpoint, now)
+
+
+def _use_replaced_again(context: RequestContext) -> None:
+    """Use the endpoint of an earlier answer again, because the request was the cause of it."""
+    if context.replaced is not None:
+        clear_replaced(context.replaced)
+        context.replaced = None
+
+
+def find_helper_at_fault(helpers: list[Endpoint], head: AnswerHead | None) -> Endpoint | None:
+    """Return the helper that an answer names as the cause of a rejection, or None."""
+    if head is None or not head.endpoint_at_fault:
+        return None
+    for helper in helpers:
+        if head.endpoint_at_fault in (helper.name, helper.address):
+            return helper
+    return None
+
+
+def _record_helper_failure(
+    context: RequestContext, running: RunningAttempt, helper: Endpoint, outcome: AttemptOutcome
+) -> None:
+    """Record the failure of a helper that prevented the endpoint from running the request."""
+    context.excluded.add(helper.name)
+    avoided, now = 0.0, time.monotonic()
+    if outcome is AttemptOutcome.MISDIRECTED:
+        _mark_replaced(context, helper, now)
+    elif outcome is AttemptOutcome.DECLINED:
+        _use_replaced_again(context)
+    else:
+        avoided = record_failure(helper, running.started_at, now)
+        context.gateway.share_load(helper)
+    logger.bind(
+        request=context.request.request_id,
+        endpoint=helper.name,
+        address=helper.address,
+        reason=outcome.value,
+        avoided_seconds=round(avoided, 3),
+    ).info("a helper engine prevented the prefill of a prompt")
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -2,6 +2,7 @@
 
 import math
 
+import anyio
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.admission import Admission
@@ -20,6 +21,47 @@
 ANSWER_MARGIN_SECONDS = 0.02
 
 
+class RunningAttempt(Struct, eq=False):
+    """Store the state of one attempt; a stream may have two of them at the same time.
+
+    Attributes
+    ----------
+    tickets : TicketSet
+        Memory of engines that is reserved for the attempt.
+    allocation : MemoryAllocation
+        Memory of this host for an answer that is buffered.
+    helpers : list of Endpoint
+        Helper engines.
+    cursor : StreamCursor
+        Position in the event stream of the attempt.
+    started_at : float
+        Monotonic time in seconds.
+    kv_tokens : int
+        Memory in tokens that the requests of all hosts needed at the endpoint when the attempt
+        began.
+    has_begun : bool
+        Whether the first event has arrived.
+    has_stalled : bool
+        Whether it was silent for so long that another attempt was started beside it.
+    prefilling : list of Endpoint
+        Endpoints that prefill the prompt; empty after the first event.
+    scope : anyio.CancelScope
+        Cancels the attempt.
+    """
+
+    endpoint: Endpoint
+    tickets: TicketSet
+    allocation: MemoryAllocation
+    helpers: list[Endpoint] = field(default_factory=list)
+    cursor: StreamCursor = field(default_factory=StreamCursor)
+    started_at: float = 0.0
+    kv_tokens: int = 0
+    has_begun: bool = False
+    has_stalled: bool = False
+    prefilling: list[Endpoint] = field(default_factory=list)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+
 class RequestContext(Struct):
     """Store the state of a request that is being handled.
 
@@ -27,31 +69,26 @@
     ----------
     deadline : float
         Monotonic time in seconds by which the answer must be complete.
-    tickets : TicketSet
-        Memory of engines that is reserved for the next attempt.
     allocation : MemoryAllocation
-        Memory of this host that the answer uses.
+        Memory of this host for collected events.
     causes : tuple of int
         What may crash engines, the whole request first; see `marjorambridge.forwarding.causes`.
-    attempt_kv_tokens : int
-        Memory in tokens that the requests of all hosts needed at the endpoint when the last attempt
-        began.
+    last_event : int or None
+        Number of the last event that was accepted for the caller.
+    attempts : list of RunningAttempt
+        All attempts; what they hold is released when the request ends, if not before.
+    running : list of RunningAttempt
+        Attempts that have not ended.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 before the first event.
     longest_gap : float
         Longest time in seconds between two events.
-    stall_check_at : float
-        Monotonic time in seconds until which a silent stream is kept without another check.
     collected : list of bytes
         Events of a request that gets them as one answer.
     helper_count : int
         Number of helper engines of the last attempt.
-    helpers : list of Endpoint
-        Helper engines of the next attempt.
     replaced : Endpoint or None
         Endpoint at whose address another one seems to have answered this request.
-    prefilling : list of Endpoint
-        Endpoints that prefill the prompt; empty after the first event of an attempt.
     """
 
     gateway: Gateway
@@ -60,21 +97,17 @@
     admission: Admission
     profile: RequestProfile
     deadline: float
-    tickets: TicketSet
     allocation: MemoryAllocation
     causes: tuple[int, ...]
+    last_event: int | None = None
     progress: RequestProgress = field(default_factory=RequestProgress)
-    cursor: StreamCursor = field(default_factory=StreamCursor)
-    attempt_started_at: float = 0.0
-    attempt_kv_tokens: int = 0
+    attempts: list[RunningAttempt] = field(default_factory=list)
+    running: list[RunningAttempt] = field(default_factory=list)
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
-    stall_check_at: float = 0.0
     collected: list[bytes] = field(default_factory=list)
     helper_count: int = 0
-    prefilling: list[Endpoint] = field(default_factory=list)
-    helpers: list[Endpoint] = field(default_factory=list)
     replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
@@ -102,22 +135,31 @@
         profile.kv_tokens = estimate_kv_tokens(engine, prompt.prompt_tokens, answer)
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
-    tickets = TicketSet(gateway, request.request_id)
     allocation = MemoryAllocation(gateway.memory)
     workspace = admission.workspace.name if admission.workspace else ""
     causes = find_causes(request, workspace)
-    context = RequestContext(
-        gateway, exchange, request, admission, profile, deadline, tickets, allocation, causes
+    return RequestContext(
+        gateway,
+        exchange,
+        request,
+        admission,
+        profile,
+        deadline,
+        allocation,
+        causes,
+        request.last_event,
     )
-    context.cursor.last_event = request.last_event
-    return context
+
+
+def create_attempt(context: RequestContext, endpoint: Endpoint) -> RunningAttempt:
+    """Return the state of an attempt that has not started."""
+    gateway = context.gateway
+    tickets = TicketSet(gateway, context.request.request_id)
+    attempt = RunningAttempt(endpoint, tickets, MemoryAllocation(gateway.memory))
+    context.attempts.append(attempt)
+    return attempt
 
 
 def has_events(context: RequestContext) -> bool:
     """Return whether events of a stream were accepted, so that another attempt continues it."""
     return context.exchange.has_head or bool(context.collected)
-
-
-def count_collected_bytes(context: RequestContext) -> int:
-    """Return the size of the collected events."""
-    return sum(map(len, context.collected))
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -1,5 +1,6 @@
 """Model requests and answers independently of the header names of a platform."""
 
+import math
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 
@@ -244,6 +245,7 @@
     NO_EVENT = auto()
     EVENTS = auto()
     CALLER_GONE = auto()
+    OVERTAKEN = auto()
 
 
 class Attempt(Struct):
@@ -253,9 +255,6 @@
     ----------
     address : str
         ``ip:port`` of the endpoint.
-    get_stall_deadline : callable
-        Returns the monotonic time in seconds at which the attempt counts as stalled, unless the
-        answer makes progress before or the time is postponed.
     allocation : MemoryAllocation
         Memory for a buffered answer; whoever runs the attempt releases it.
     handle_head : callable
@@ -265,6 +264,8 @@
     send_event_bytes : callable or None
         Takes the head and a piece of an event stream, and sends the events that are complete with
         it to the caller; None if answers are buffered.
+    deadline : float
+        Monotonic time in seconds at which an answer that is not complete counts as stalled.
     """
 
     address: str
@@ -273,11 +274,11 @@
     headers: Headers
     body: bytes
     request_id: str
-    get_stall_deadline: Callable[[], float]
     allocation: MemoryAllocation
     handle_head: Callable[[AnswerHead], None]
     work: WorkBudget = field(default_factory=WorkBudget)
     send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[Forwarded]] | None = None
+    deadline: float = math.inf
 
 
 class AttemptResult(Struct):
--- a/marjorambridge/gateway/orders.py
+++ b/marjorambridge/gateway/orders.py
@@ -25,10 +25,10 @@
         headers=gateway.dialect.encode_order_headers(endpoint.name),
         body=body,
         request_id="",
-        get_stall_deadline=lambda: deadline,
         allocation=MemoryAllocation(gateway.memory),
         handle_head=handle_head,
         work=gateway.work,
+        deadline=deadline,
     )
     try:
         return await gateway.run_attempt(attempt, gateway.dialect)
--- /dev/null
+++ b/marjorambridge/gateway/selection.py
@@ -0,0 +1,100 @@
+"""Select the endpoints of an attempt, and reserve their memory for a long prompt."""
+
+import time
+
+import anyio
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.attempts import AttemptOutcome, may_try_again
+from marjorambridge.forwarding.budgets import consume_retry
+from marjorambridge.forwarding.placement import choose_endpoint, is_usable, list_usable
+from marjorambridge.forwarding.request_limits import may_send_limited
+from marjorambridge.forwarding.reservations import needs_reservations, plan_memory_shares
+from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
+from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, create_attempt
+from marjorambridge.gateway.crashes import is_blocked
+from marjorambridge.gateway.tickets import release, reserve
+
+
+async def select_attempt(context: RequestContext) -> RunningAttempt | None:
+    """Return an attempt at the endpoint that fits best, or None if none can take the request."""
+    forwarding, profile = context.gateway.forwarding, context.profile
+    now = time.monotonic()
+    excluded = list_excluded(context)
+    may_split = context.gateway.dialect.helpers is not None
+    if not may_split or not is_long_prompt(forwarding, profile):
+        endpoint = choose_endpoint(forwarding, profile, excluded, now)
+        return create_attempt(context, endpoint) if endpoint is not None else None
+    # Engines become free within a short time, and a later retry of the caller rarely finds more
+    # free engines.
+    wait_deadline = now + defaults.LONG_PROMPT_WAIT_SECONDS
+    while True:
+        attempt = await _select_for_long_prompt(context, excluded)
+        now = time.monotonic()
+        if attempt is not None or now >= wait_deadline:
+            return attempt
+        if not list_usable(forwarding, profile.service, excluded, now):
+            return None
+        await anyio.sleep(defaults.LONG_PROMPT_CHECK_INTERVAL_SECONDS)
+
+
+def list_excluded(context: RequestContext) -> frozenset[str]:
+    """Return the endpoints that had the request, or have it at present."""
+    running = {attempt.endpoint.name for attempt in context.running}
+    return frozenset(context.excluded | running)
+
+
+async def _select_for_long_prompt(
+    context: RequestContext, excluded: frozenset[str]
+) -> RunningAttempt | None:
+    forwarding, profile, now = context.gateway.forwarding, context.profile, time.monotonic()
+    profile.remaining_seconds = max(0.0, context.deadline - now)
+    engines = choose_prefill_engines(forwarding, profile, excluded, now)
+    if not engines:
+        return None
+    attempt = create_attempt(context, engines[0])
+    attempt.helpers = engines[1:]
+    if needs_reservations(forwarding, profile):
+        shares = plan_memory_shares(forwarding, profile, engines)
+        if not shares or not await reserve(attempt.tickets, shares):
+            return None
+        now = time.monotonic()
+        if not may_send_limited(forwarding, engines[0], now) or not all(
+            is_usable(forwarding, engine, excluded, now) for engine in engines
+        ):
+            # An engine became unusable while the memory was being reserved.
+            await release(attempt.tickets)
+            return None
+    return attempt
+
+
+async def select_next_attempt(
+    context: RequestContext, outcome: AttemptOutcome
+) -> RunningAttempt | None:
+    """Return another attempt, or None if it is not allowed or not possible."""
+    if not may_follow(context, outcome):
+        return None
+    attempt = await select_attempt(context)
+    if attempt is None:
+        return None
+    if outcome is not AttemptOutcome.NOT_SENT and not await consume_retry_for(context, attempt):
+        return None
+    return attempt
+
+
+async def consume_retry_for(context: RequestContext, attempt: RunningAttempt) -> bool:
+    """Return whether the share of this host allows the repetition; if not, free its memory."""
+    if consume_retry(context.gateway.forwarding, context.admission.service, time.monotonic()):
+        return True
+    context.attempt_outcomes.append("no_retry_budget")
+    await release(attempt.tickets)
+    return False
+
+
+def may_follow(context: RequestContext, outcome: AttemptOutcome) -> bool:
+    """Return whether the request, its route and its deadline allow another attempt."""
+    if not may_try_again(context.admission.route, context.progress, outcome):
+        return False
+    if context.deadline - time.monotonic() < defaults.MIN_ATTEMPT_SECONDS:
+        return False
+    return not is_blocked(context.gateway, context.request, context.causes, may_test=False)
--- a/marjorambridge/gateway/stalls.py
+++ b/marjorambridge/gateway/stalls.py
@@ -1,7 +1,10 @@
-"""Decide when an answer that makes no progress is given up for another endpoint."""
+"""Decide when another attempt is started beside one that makes no progress.
+
+A silent endpoint may go on, while a stream that was cut can't. So an attempt is not given up before
+another one has brought the next event.
+"""
 
 import math
-import time
 
 from msgspec.structs import replace
 
@@ -11,39 +14,44 @@
 from marjorambridge.forwarding.placement import choose_endpoint
 from marjorambridge.gateway.contexts import RequestContext
 from marjorambridge.gateway.crashes import is_blocked
+from marjorambridge.gateway.selection import list_excluded
 from marjorambridge.manifests.models import Execution
 
 
-def get_stall_deadline(context: RequestContext, endpoint: str) -> float:
-    """Return the monotonic time in seconds at which the stream of an endpoint counts as stalled.
+def may_stall(context: RequestContext) -> bool:
+    """Return whether another attempt may be started beside a silent one.
 
-    Only complete events count as progress. Requests that may not run again have no stall deadline,
-    because no other attempt could follow. A stream that the caller has begun to receive is only
-    given up if another endpoint can continue it: a silent endpoint may go on, while a stream that
-    was cut can't.
+    Requests that may not run again have no stall deadline.
     """
     route = context.admission.route
-    if route.execution is not Execution.STREAM or not route.resumable:
+    return route.execution is Execution.STREAM and route.resumable and route.max_endpoints > 1
+
+
+def get_stall_deadline(context: RequestContext) -> float:
+    """Return the monotonic time in seconds at which the only running attempt counts as silent.
+
+    Only complete events count as progress. The time is infinite while another attempt runs beside
+    it.
+    """
+    if len(context.running) != 1:
         return math.inf
-    if context.last_event_at < context.attempt_started_at:
-        allowed = context.profile.prefill_seconds + defaults.FIRST_EVENT_TIMEOUT_SECONDS
-        deadline = context.attempt_started_at + allowed
-    else:
-        allowed = route.gap_objective_seconds * defaults.EVENT_TIMEOUT_OBJECTIVES
-        deadline = context.last_event_at + max(defaults.EVENT_TIMEOUT_SECONDS, allowed)
-    now = time.monotonic()
-    if now < deadline or not context.exchange.has_head:
-        return deadline
-    # The check is too costly for each piece of an endless event.
-    if now >= context.stall_check_at:
-        if _can_continue_elsewhere(context, endpoint, now):
-            return deadline
-        context.stall_check_at = now + defaults.STALL_CHECK_INTERVAL_SECONDS
-    return context.stall_check_at
-
-
-def _can_continue_elsewhere(context: RequestContext, endpoint: str, now: float) -> bool:
-    """Return whether another attempt is allowed and possible after this one."""
+    attempt = context.running[0]
+    if attempt.has_begun:
+        return context.last_event_at + get_event_timeout(context)
+    allowed = context.profile.prefill_seconds + defaults.FIRST_EVENT_TIMEOUT_SECONDS
+    return attempt.started_at + allowed
+
+
+def get_event_timeout(context: RequestContext) -> float:
+    """Return the seconds after an event at which a stream without another one counts as silent."""
+    objective_seconds = context.admission.route.gap_objective_seconds
+    return max(
+        defaults.EVENT_TIMEOUT_SECONDS, objective_seconds * defaults.EVENT_TIMEOUT_OBJECTIVES
+    )
+
+
+def can_start_beside(context: RequestContext, now: float) -> bool:
+    """Return whether another attempt is allowed and possible beside the silent one."""
     gateway, admission = context.gateway, context.admission
     progress = replace(context.progress)
     record_outcome(progress, AttemptOutcome.STALLED)
@@ -55,5 +63,5 @@
         return False
     if is_blocked(gateway, context.request, context.causes, may_test=False):
         return False
-    excluded = frozenset(context.excluded | {endpoint})
+    excluded = list_excluded(context)
     return choose_endpoint(gateway.forwarding, context.profile, excluded, now) is not None
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -252,12 +252,7 @@
         STATUS_OK, request_id=attempt.request_id, is_signed=True, is_event_stream=True
     )
     while True:
-        with anyio.move_on_after(attempt.get_stall_deadline() - time.monotonic()) as scope:
-            number, is_last = await events.get()
-        if scope.cancelled_caught:
-            if attempt.get_stall_deadline() > time.monotonic():
-                continue
-            return AttemptResult(AttemptOutcome.STALLED, head)
+        number, is_last = await events.get()
         if number < 0 and run.failed_helper:
             return _make_refusal(run)
         if number < 0:
