Pass requests on to another host while this one reaches no endpoint

Cause: a host took what it sees for what is. All endpoints counted as failed, and there was no other way for its callers.

Now failures of two endpoints without a connection opened in between lead to trial connections; if none succeeds, requests go to another host, once and signed, with the time, the endpoints and the position that are left. An answer says whether an endpoint may have run the request, so that at most once and "not run" hold. What such a host sees of endpoints is not reported, is no evidence against requests, and ends with the partition.

Ruled out: reporting not ready, which helps only after two checks and where less than half of a zone is cut off.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -262,6 +262,15 @@
 # number of other hosts whose reports make a host without own failures avoid an endpoint.
 REPORTED_ENDPOINTS_RATIO = 0.5
 MIN_FAILURE_REPORTERS = 2
+# Endpoints that fail without a successful connection between them, after which trial connections
+# show whether this host reaches any endpoint; endpoints of one trial, and time between two trials.
+SUSPICIOUS_FAILED_ENDPOINTS = 2
+CONTACT_TRIAL_ENDPOINTS = 4
+CONTACT_TRIAL_INTERVAL_SECONDS = 0.5
+# Requests that a host handles at the same time for hosts that reach no endpoint, and hosts that are
+# asked one after the other for one request.
+MAX_RELAYED_REQUESTS = 128
+MAX_RELAY_HOSTS = 4
 # Cost of a running request, in seconds of outstanding prefill, when endpoints are compared; a
 # decoding request slows each step of the others by about this much of their time.
 RUNNING_REQUEST_COST_SECONDS = 0.02
--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -142,3 +142,15 @@
     """Return the peer addresses of the seeds; the peer port is the same on all hosts."""
     ips = dict.fromkeys(seed.rpartition(":")[0] for seed in settings.seeds)
     return tuple(f"{ip}:{settings.peer_ports[0]}" for ip in ips)
+
+
+def has_relay_port(settings: NodeSettings) -> bool:
+    """Return whether there is a second peer port, for requests that hosts pass on."""
+    first, last = settings.peer_ports
+    return last > first
+
+
+def list_near_zones(settings: NodeSettings) -> frozenset[str]:
+    """Return the zones of the region of this host."""
+    region = settings.zones[settings.zone]
+    return frozenset(zone for zone, name in settings.zones.items() if name == region)
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 from msgspec import Struct
+from msgspec.structs import replace
 
 from marjorambridge.conf import nodes
 from marjorambridge.conf.memory import divide_memory
@@ -19,6 +20,7 @@
 from marjorambridge.daemon import fleets, signals
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
 from marjorambridge.forwarding.fleet import apply_endpoints, apply_manifest, apply_zones
+from marjorambridge.forwarding.relays import get_relay_address
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
 from marjorambridge.gateway import callers
@@ -26,7 +28,8 @@
 from marjorambridge.gateway.callers import Exchange, Server
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
-from marjorambridge.gateway.requests import handle_request
+from marjorambridge.gateway.relays import RELAY_HEADER_BYTES, encode_refusal
+from marjorambridge.gateway.requests import handle_relayed_request, handle_request
 from marjorambridge.gateway.sharing import (
     LoadSharing,
     close_sharing,
@@ -81,6 +84,7 @@
     scope: anyio.CancelScope
     body_memory: BodyMemory
     server: Server | None = None
+    relays: Server | None = None
     readiness: Server | None = None
     stopping: bool = False
 
@@ -127,6 +131,7 @@
             cold_overrun=bounds.cold_overrun,
             cold_allowance=bounds.cold_allowance,
             min_request_crashes=bounds.min_request_crashes,
+            near_zones=nodes.list_near_zones(settings),
         ),
         incarnation,
         started_at=time.monotonic(),
@@ -150,6 +155,7 @@
         memory=AnswerMemory(shares.answers, shares.started_answers),
         record_metric=lambda effect: metrics.record(host_metrics, effect),
         share_load=lambda endpoint: mark_load_changed(sharing, endpoint),
+        relay_key=key if nodes.has_relay_port(settings) else b"",
         share_crashes=lambda crashes, answered: queue_crashes(
             sharing, crashes, answered, time.monotonic()
         ),
@@ -185,15 +191,21 @@
         encode_error=host.adapter.dialect.encode_error,
         memory=host.body_memory,
     )
+    host.relays = Server(
+        lambda exchange: handle_relayed_request(host.gateway, exchange),
+        lambda: _get_relay_limits(host),
+        encode_error=lambda outcome: encode_refusal(host.adapter.dialect, outcome),
+        memory=host.body_memory,
+    )
     host.readiness = Server(
         lambda exchange: host.adapter.handle_readiness(host, exchange),
         CallerLimits,
         memory=host.body_memory,
     )
-    for server, address in (
-        (host.readiness, host.settings.readiness),
-        (host.server, host.settings.callers),
-    ):
+    servers = [(host.readiness, host.settings.readiness), (host.server, host.settings.callers)]
+    if host.gateway.relay_key:
+        servers.append((host.relays, get_relay_address(nodes.get_peer_address(host.settings))))
+    for server, address in servers:
         ip, _, port = address.rpartition(":")
         await callers.start_server(server, tasks, ip, int(port))
     post(host.runtime, events.Started(time.monotonic()))
@@ -213,6 +225,11 @@
     return table.manifest.limits if table is not None else CallerLimits()
 
 
+def _get_relay_limits(host: GatewayHost) -> CallerLimits:
+    limits = _get_limits(host)
+    return replace(limits, header_bytes=limits.header_bytes + RELAY_HEADER_BYTES)
+
+
 def is_ready(host: GatewayHost) -> bool:
     """Return whether the host accepts new connections.
 
@@ -283,15 +300,20 @@
         return
     started_at = time.monotonic()
     host.stopping = True
-    host.server.closing = True
+    servers = [server for server in (host.server, host.relays) if server is not None]
+    for server in servers:
+        server.closing = True
     ends_at = started_at + host.settings.bounds.shutdown_grace_seconds - GRACE_MARGIN_SECONDS
     host.gateway.accepts_until = started_at + UNREADY_GRACE_SECONDS
     host.gateway.ends_at = ends_at - FINAL_ANSWER_SECONDS
     await anyio.sleep(UNREADY_GRACE_SECONDS)
-    callers.stop_listening(host.server)
-    callers.close_idle_connections(host.server)
-    while host.server.active and time.monotonic() < ends_at:
+    for server in servers:
+        callers.stop_listening(server)
+        callers.close_idle_connections(server)
+    while any(server.active for server in servers) and time.monotonic() < ends_at:
         await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-        callers.close_idle_connections(host.server)
-    logger.bind(cut=host.server.active).info("the gateway has stopped")
+        for server in servers:
+            callers.close_idle_connections(server)
+    cut = sum(server.active for server in servers)
+    logger.bind(cut=cut).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -136,11 +136,20 @@
     """Return the endpoints whose failures this host reports to the other hosts.
 
     If more than half of a service's endpoints fail, the network of this host is the likelier cause,
-    and nothing is reported for the service.
+    and nothing is reported for the service. The same holds for failures since which this host has
+    reached no other endpoint.
     """
     reportable = []
     for endpoints in state.by_service.values():
         avoided = [endpoint for endpoint in endpoints.values() if now < endpoint.avoid_until]
         if len(avoided) <= defaults.REPORTED_ENDPOINTS_RATIO * len(endpoints):
             reportable += avoided
-    return reportable
+    return [endpoint for endpoint in reportable if endpoint.name not in state.contact.failed]
+
+
+def clear_failures_since(state: ForwardingState, since: float) -> None:
+    """Forget the failures after a moment, because they were those of this host's links."""
+    for endpoint in state.endpoints.values():
+        if endpoint.failed_at >= since:
+            endpoint.failures = 0
+            endpoint.avoid_until = 0.0
--- a/marjorambridge/forwarding/settings.py
+++ b/marjorambridge/forwarding/settings.py
@@ -23,6 +23,8 @@
         `cold_allowance` requests per second.
     min_request_crashes : int
         Engines that a request crashes before it is refused by all hosts; the same at all hosts.
+    near_zones : frozenset of str
+        Zones of the region of this host; empty if there is only one region.
     """
 
     host: str
@@ -33,3 +35,4 @@
     cold_overrun: float = 1.0
     cold_allowance: float = 0.0
     min_request_crashes: int = defaults.MIN_REQUEST_CRASHES
+    near_zones: frozenset[str] = frozenset()
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.contact import Contact
 from marjorambridge.forwarding.crashes import CrashHistory
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.thresholds import Thresholds
@@ -101,6 +102,8 @@
         Loads of the other hosts, by host.
     reports : dict of str to FailureReport
         Failure reports of other hosts, by host.
+    is_peer : bool
+        Whether it is another host, which forwards what it receives to an endpoint.
     """
 
     name: str
@@ -127,6 +130,7 @@
     load: Load = field(default_factory=Load)
     other_loads: dict[str, Load] = field(default_factory=dict)
     reports: dict[str, FailureReport] = field(default_factory=dict)
+    is_peer: bool = False
 
 
 class RetryWindow(Struct):
@@ -170,6 +174,10 @@
         Hosts for which `selected_senders` was computed.
     crashes : CrashHistory
         Requests and parts of prompts that may crash engines.
+    contact : Contact
+        Whether this host reaches endpoints.
+    peers : dict of str to Endpoint
+        Other hosts as receivers of requests that this host passes on, by name.
     """
 
     settings: ForwardingSettings
@@ -189,6 +197,8 @@
     selected_senders: dict[tuple[str, int], bool] = field(default_factory=dict)
     selected_senders_hosts: dict[str, str] = field(default_factory=dict)
     crashes: CrashHistory = field(default_factory=CrashHistory)
+    contact: Contact = field(default_factory=Contact)
+    peers: dict[str, Endpoint] = field(default_factory=dict)
 
 
 def create_state(
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from marjorambridge.forwarding.attempts import AttemptOutcome, judge_misdirected, record_outcome
 from marjorambridge.forwarding.budgets import record_send
+from marjorambridge.forwarding.contact import is_in_doubt
 from marjorambridge.forwarding.health import (
     clear_replaced,
     mark_replaced,
@@ -29,7 +30,13 @@
     is_event_stream,
 )
 from marjorambridge.gateway.cancellations import start_cancellation
-from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
+from marjorambridge.gateway.contact import note_connected, note_failed
+from marjorambridge.gateway.contexts import (
+    RequestContext,
+    RunningAttempt,
+    find_resumption,
+    has_events,
+)
 from marjorambridge.gateway.crash_reports import format_cause
 from marjorambridge.gateway.crashes import (
     format_parts,
@@ -46,6 +53,7 @@
     AttemptResult,
     Forwarded,
 )
+from marjorambridge.gateway.relays import build_relay_attempt, run_relay
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets
 from marjorambridge.manifests.models import Execution
@@ -64,31 +72,12 @@
     endpoint = running.endpoint
     now = running.started_at = time.monotonic()
     running.cursor.last_event = context.last_event
-    workspace = context.admission.workspace
     context.helper_count = len(running.helpers)
-    options = AttemptOptions(
-        endpoint=endpoint.name,
-        remaining_seconds=context.deadline - now,
-        address=endpoint.address,
-        born=endpoint.born,
-        attempt=create_attempt_id(gateway),
-        kv_tokens=profile.kv_tokens,
-        workspace=workspace.name if workspace else "",
-        last_event=context.last_event if has_events(context) else None,
-        helpers=list_helpers(running.tickets, [helper.address for helper in running.helpers]),
-    )
-    message = gateway.dialect.encode_attempt(request, options)
-    attempt = Attempt(
-        address=endpoint.address,
-        method=request.method,
-        target=message.target,
-        headers=message.headers,
-        body=message.body,
-        request_id=request.request_id,
-        allocation=running.allocation,
-        handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
-        work=gateway.work,
-    )
+    identifier = create_attempt_id(gateway)
+    if endpoint.is_peer:
+        attempt = build_relay_attempt(context, running, now)
+    else:
+        attempt = _build_attempt(context, running, identifier)
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, running, head, data)
     record_send(endpoint, now)
@@ -102,7 +91,8 @@
         _finish_prefill(context, running, time.monotonic())
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         gateway.share_load(endpoint)
-        start_cancellation(gateway, request, endpoint, options.attempt, result.outcome)
+        if not endpoint.is_peer:
+            start_cancellation(gateway, request, endpoint, identifier, result.outcome)
         await release(running.tickets)
     _check_stream(context, running.cursor, result)
     if result.outcome is AttemptOutcome.MISDIRECTED:
@@ -110,6 +100,36 @@
     return result
 
 
+def _build_attempt(context: RequestContext, running: RunningAttempt, identifier: str) -> Attempt:
+    """Return the attempt that sends a request to an endpoint."""
+    gateway, request, endpoint = context.gateway, context.request, running.endpoint
+    workspace = context.admission.workspace
+    options = AttemptOptions(
+        endpoint=endpoint.name,
+        remaining_seconds=context.deadline - running.started_at,
+        address=endpoint.address,
+        born=endpoint.born,
+        attempt=identifier,
+        kv_tokens=context.profile.kv_tokens,
+        workspace=workspace.name if workspace else "",
+        last_event=find_resumption(context),
+        helpers=list_helpers(running.tickets, [helper.address for helper in running.helpers]),
+    )
+    message = gateway.dialect.encode_attempt(request, options)
+    return Attempt(
+        address=endpoint.address,
+        method=request.method,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
+        request_id=request.request_id,
+        allocation=running.allocation,
+        handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
+        work=gateway.work,
+        handle_connected=lambda: note_connected(gateway),
+    )
+
+
 def _check_stream(context: RequestContext, cursor: StreamCursor, result: AttemptResult) -> None:
     """Change the outcome of a complete answer that can't be the rest of the caller's stream."""
     is_stream = context.admission.route.execution is Execution.STREAM
@@ -135,6 +155,8 @@
 ) -> AttemptResult:
     """Run an attempt and renew its tickets, if there are any, until it ends."""
     tickets = running.tickets
+    if running.endpoint.is_peer:
+        return await run_relay(context.gateway, attempt)
     if not tickets.held:
         return await context.gateway.run_attempt(attempt, context.gateway.dialect)
     async with anyio.create_task_group() as tasks:
@@ -231,8 +253,7 @@
     """Record that an attempt is silent, so that other requests avoid its endpoint for a while."""
     endpoint, now = running.endpoint, time.monotonic()
     running.has_stalled = True
-    avoided = record_failure(endpoint, running.started_at, now)
-    context.gateway.share_load(endpoint)
+    avoided = _record_failure(context, running, AttemptOutcome.STALLED, now)
     logger.bind(
         request=context.request.request_id,
         endpoint=endpoint.name,
@@ -259,7 +280,9 @@
         if not running.has_begun and head is not None and head.status in SUCCESS_STATUSES:
             record_first_answer(context.gateway, context.causes, now)
         return
-    if outcome is AttemptOutcome.BROKEN and not running.has_begun:
+    is_crash = outcome is AttemptOutcome.BROKEN and not running.has_begun
+    contact = context.gateway.forwarding.contact
+    if is_crash and not endpoint.is_peer and not is_in_doubt(contact, endpoint.name):
         record_possible_crash(
             context.gateway, context.request, context.causes, endpoint, running.started_at, now
         )
@@ -269,9 +292,8 @@
     elif outcome is AttemptOutcome.DECLINED:
         _use_replaced_again(context)
     elif outcome in FAILURE_OUTCOMES:
-        avoided = record_failure(endpoint, running.started_at, now)
-        context.gateway.share_load(endpoint)
-    elif outcome is AttemptOutcome.NOT_RUN:
+        avoided = _record_failure(context, running, outcome, now)
+    elif outcome is AttemptOutcome.NOT_RUN and not endpoint.is_peer:
         avoided = record_rejection(endpoint, now)
         context.gateway.share_load(endpoint)
     logger.bind(
@@ -290,6 +312,19 @@
     ).info("an attempt did not complete")
 
 
+def _record_failure(
+    context: RequestContext, running: RunningAttempt, outcome: AttemptOutcome, now: float
+) -> float:
+    """Avoid the endpoint of a failed attempt, and return for how many seconds."""
+    gateway, endpoint = context.gateway, running.endpoint
+    avoided = record_failure(endpoint, running.started_at, now)
+    if not endpoint.is_peer:
+        if outcome is not AttemptOutcome.FAILED:
+            note_failed(gateway, endpoint, now)
+        gateway.share_load(endpoint)
+    return avoided
+
+
 def _mark_replaced(context: RequestContext, endpoint: Endpoint, now: float) -> None:
     context.replaced = endpoint
     mark_replaced(endpoint, now)
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -15,6 +15,7 @@
 
 from marjorambridge.core.numbers import parse_count
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
+from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.messages import Headers
@@ -128,6 +129,8 @@
         Whether the caller closed the connection.
     must_reset : bool
         Whether the connection is to be reset, because the answer is incomplete.
+    relay : Relay or None
+        What another host said of the request that it passed on; None for requests of callers.
     """
 
     server: Server
@@ -144,6 +147,7 @@
     is_complete: bool = False
     caller_gone: bool = False
     must_reset: bool = False
+    relay: Relay | None = None
 
 
 async def start_server(server: Server, tasks: TaskGroup, ip: str, port: int) -> None:
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -163,3 +163,10 @@
 def has_events(context: RequestContext) -> bool:
     """Return whether events of a stream were accepted, so that another attempt continues it."""
     return context.exchange.has_head or bool(context.collected)
+
+
+def find_resumption(context: RequestContext) -> int | None:
+    """Return the event after which another attempt goes on; None to leave it to the request."""
+    relay = context.exchange.relay
+    is_resumed = has_events(context) or (relay is not None and relay.last_event is not None)
+    return context.last_event if is_resumed else None
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -27,6 +27,7 @@
             stream = await anyio.connect_tcp(ip, int(port))
     except (TimeoutError, OSError) as error:
         return AttemptResult(AttemptOutcome.NOT_SENT, detail=repr(error))
+    attempt.handle_connected()
     result = AttemptResult(AttemptOutcome.BROKEN)
     try:
         set_options(stream)
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -15,6 +15,22 @@
 # them alone.
 SMALL_ANSWER_BYTES = 65_536
 SMALL_ANSWER_RATIO = 0.25
+# Headers that apply to one connection only, or that the HTTP parser writes itself.
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -266,6 +282,8 @@
         it to the caller; None if answers are buffered.
     deadline : float
         Monotonic time in seconds at which an answer that is not complete counts as stalled.
+    handle_connected : callable
+        Called when a connection to the endpoint was opened.
     """
 
     address: str
@@ -279,6 +297,7 @@
     work: WorkBudget = field(default_factory=WorkBudget)
     send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[Forwarded]] | None = None
     deadline: float = math.inf
+    handle_connected: Callable[[], None] = lambda: None
 
 
 class AttemptResult(Struct):
@@ -381,6 +400,9 @@
     is_cancelled : callable
         Takes the name and the incarnation of an endpoint and the body of its answer to the order;
         returns whether it confirms that the attempt has ended.
+    may_relay : bool
+        Whether answers to callers can be read like those of endpoints, so that a request can be
+        passed on to another host.
     """
 
     decode_request: Callable[[bytes, bytes, Headers, bytes], CallerRequest]
@@ -398,3 +420,4 @@
     encode_cut: Callable[[CallerRequest, Unsuccessful], bytes] = encode_no_cut
     encode_cancel: Callable[[CallerRequest, str], tuple[bytes, bytes] | None] = encode_no_cancel
     is_cancelled: Callable[[str, int, bytes], bool] = confirm_nothing
+    may_relay: bool = False
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -24,6 +24,7 @@
 from marjorambridge.gateway.crashes import find_block, format_parts
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import AttemptResult, CallerRequest
+from marjorambridge.gateway.relays import describe_outcome
 from marjorambridge.gateway.state import Gateway
 
 
@@ -68,9 +69,15 @@
 
 
 async def _answer_outcome(
-    gateway: Gateway, exchange: Exchange, outcome: Unsuccessful, status: int = 0
+    gateway: Gateway,
+    exchange: Exchange,
+    outcome: Unsuccessful,
+    status: int = 0,
+    endpoints_tried: int = 0,
 ) -> None:
     headers, body = gateway.dialect.encode_error(outcome)
+    if exchange.relay is not None:
+        headers = [*headers, describe_outcome(outcome, endpoints_tried)]
     await callers.send_answer(exchange, status or HTTP_STATUSES[outcome.reason], headers, body)
 
 
@@ -106,7 +113,12 @@
         seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
     text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
     kind = Reason.NO_ENDPOINT if block is None else Reason.BLOCKED
-    await _answer_outcome(context.gateway, context.exchange, NotRun(kind, text, seconds))
+    await _answer_outcome(
+        context.gateway,
+        context.exchange,
+        NotRun(kind, text, seconds),
+        endpoints_tried=context.progress.endpoints_tried,
+    )
     return f"refused_{reason}"
 
 
@@ -164,4 +176,5 @@
         helpers=context.helper_count,
         seconds=round(now - arrived, 4),
         version=table.manifest.version if table else 0,
+        passed_on_by=context.exchange.relay.host if context.exchange.relay else "",
     ).info("a request ended")
--- /dev/null
+++ b/marjorambridge/gateway/relays.py
@@ -0,0 +1,170 @@
+"""Pass requests on to another host, and take those that other hosts pass on.
+
+The request goes on as the caller sent it, with one more header: the deadline, the endpoints that it
+may still use, the position in its stream, and a MAC. The other host admits it like a request of its
+own caller and answers in the same way, so that identity, limits and the order of streams hold. It
+never passes a request on again. A header of its answer says whether an endpoint may have run it.
+"""
+
+import hashlib
+import hmac
+
+from loguru import logger
+from msgspec import DecodeError, json
+from msgspec.structs import replace
+
+from marjorambridge.conf import defaults
+from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
+from marjorambridge.forwarding.attempts import AttemptOutcome
+from marjorambridge.forwarding.contact import is_lost
+from marjorambridge.forwarding.relays import Relay
+from marjorambridge.gateway.callers import Exchange, send_answer
+from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
+from marjorambridge.gateway.messages import (
+    HOP_BY_HOP_HEADERS,
+    AnswerHead,
+    Attempt,
+    AttemptResult,
+    Dialect,
+    Headers,
+)
+from marjorambridge.gateway.state import Gateway
+
+RELAY_HEADER = b"marjorambridge-relay"
+MAC_HEADER = b"marjorambridge-relay-mac"
+OUTCOME_HEADER = b"marjorambridge-relay-outcome"
+# Bytes that the headers of a relay add to those of a caller, at most.
+RELAY_HEADER_BYTES = 1_024
+NOT_SENT, NOT_RUN, FAILED = b"not_sent", b"not_run", b"failed"
+MAC_BYTES = 16
+BAD_REQUEST, UNAVAILABLE = 400, 503
+
+
+def may_relay(context: RequestContext) -> bool:
+    """Return whether a request may be passed on to another host."""
+    gateway, exchange = context.gateway, context.exchange
+    if not gateway.relay_key or exchange.relay is not None or not gateway.dialect.may_relay:
+        return False
+    return not (context.request.collects_events and has_events(context))
+
+
+def build_relay_attempt(context: RequestContext, running: RunningAttempt, now: float) -> Attempt:
+    """Return the attempt that passes a request on to another host."""
+    gateway, exchange = context.gateway, context.exchange
+    endpoints = context.admission.route.max_endpoints - context.progress.endpoints_tried
+    relay = Relay(
+        gateway.forwarding.settings.host,
+        context.deadline - now,
+        endpoints,
+        context.last_event if has_events(context) else None,
+    )
+    value = json.encode(relay)
+    mac = _compute_mac(gateway.relay_key, exchange, value)
+    return Attempt(
+        address=running.endpoint.address,
+        method=exchange.method,
+        target=exchange.target,
+        headers=[*_select_headers(exchange.headers), (RELAY_HEADER, value), (MAC_HEADER, mac)],
+        body=exchange.body,
+        request_id=context.request.request_id,
+        allocation=running.allocation,
+        handle_head=_ignore_head,
+        work=gateway.work,
+    )
+
+
+def _ignore_head(head: AnswerHead) -> None:
+    """Apply no hints, because they are those of an endpoint that this host does not know."""
+
+
+def _select_headers(headers: Headers) -> Headers:
+    named = b",".join(value for name, value in headers if name.lower() == b"connection")
+    dropped = {name.strip().lower() for name in named.split(b",")}
+    dropped |= HOP_BY_HOP_HEADERS | {RELAY_HEADER, MAC_HEADER}
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def _compute_mac(key: bytes, exchange: Exchange, value: bytes) -> bytes:
+    digest = hashlib.blake2b(key=key, digest_size=MAC_BYTES)
+    for part in (exchange.method, exchange.target, value, exchange.body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.hexdigest().encode()
+
+
+async def run_relay(gateway: Gateway, attempt: Attempt) -> AttemptResult:
+    """Pass a request on, and return the result as if this host had sent it to an endpoint."""
+    outcomes: list[bytes] = []
+
+    def decode_answer(status: int, headers: Headers) -> AnswerHead:
+        return _decode_answer(gateway.dialect, status, headers, outcomes)
+
+    dialect = replace(gateway.dialect, decode_answer=decode_answer)
+    result = await gateway.run_attempt(attempt, dialect)
+    if result.outcome is AttemptOutcome.NOT_RUN and NOT_SENT in outcomes:
+        result.outcome = AttemptOutcome.NOT_SENT
+    return result
+
+
+def _decode_answer(
+    dialect: Dialect, status: int, headers: Headers, outcomes: list[bytes]
+) -> AnswerHead:
+    """Decode the head of another host's answer, and append what it says of the request."""
+    own = [value for name, value in headers if name.lower() == OUTCOME_HEADER]
+    head = dialect.decode_answer(
+        status, [item for item in headers if item[0].lower() != OUTCOME_HEADER]
+    )
+    outcomes += own
+    head.misdirected = head.leaving = False
+    head.endpoint_at_fault = ""
+    head.not_run = bool(own) and own[0] in (NOT_SENT, NOT_RUN)
+    return head
+
+
+# The host that takes the request.
+
+
+async def take_request(gateway: Gateway, exchange: Exchange) -> bool:
+    """Read what another host says of a request; if it is refused, answer that and return False."""
+    relay = _read_relay(gateway.relay_key, exchange)
+    if relay is None:
+        logger.warning("refused a request at the address for other hosts, which have to sign it")
+        await send_answer(exchange, BAD_REQUEST, [], b"send requests to the address for callers")
+        return False
+    exchange.relay = relay
+    exchange.headers = _select_headers(exchange.headers)
+    is_full = gateway.relayed >= defaults.MAX_RELAYED_REQUESTS
+    if not is_full and not is_lost(gateway.forwarding.contact):
+        return True
+    reason = "takes no more requests of other hosts" if is_full else "reaches no endpoint"
+    outcome = NotRun(
+        Reason.NO_ENDPOINT, f"this host {reason}", defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
+    )
+    headers, body = encode_refusal(gateway.dialect, outcome)
+    await send_answer(exchange, UNAVAILABLE, headers, body)
+    return False
+
+
+def _read_relay(key: bytes, exchange: Exchange) -> Relay | None:
+    values = {name.lower(): value for name, value in exchange.headers}
+    value, mac = values.get(RELAY_HEADER, b""), values.get(MAC_HEADER, b"")
+    if not hmac.compare_digest(mac, _compute_mac(key, exchange, value)):
+        return None
+    try:
+        return json.decode(value, type=Relay)
+    except DecodeError as error:
+        logger.bind(error=str(error)).warning("a request of another host can't be read")
+        return None
+
+
+def encode_refusal(dialect: Dialect, outcome: Unsuccessful) -> tuple[Headers, bytes]:
+    """Return headers and body of the refusal of a request that no endpoint has received."""
+    headers, body = dialect.encode_error(outcome)
+    return [*headers, (OUTCOME_HEADER, NOT_SENT)], body
+
+
+def describe_outcome(outcome: Unsuccessful, endpoints_tried: int) -> tuple[bytes, bytes]:
+    """Return the header that tells another host what an answer of this host says of its request."""
+    if not isinstance(outcome, NotRun):
+        return OUTCOME_HEADER, FAILED
+    return OUTCOME_HEADER, NOT_RUN if endpoints_tried else NOT_SENT
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -6,11 +6,13 @@
 import time
 
 import anyio
+from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.admission import Admission, Refusal, admit_request
 from marjorambridge.forwarding.attempts import NextStep, decide_next_step
 from marjorambridge.forwarding.budgets import record_request
+from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext, create_context
 from marjorambridge.gateway.crashes import is_blocked
@@ -25,6 +27,7 @@
     refuse_admission,
 )
 from marjorambridge.gateway.races import run_race
+from marjorambridge.gateway.relays import take_request
 from marjorambridge.gateway.selection import select_attempt, select_next_attempt
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import release
@@ -43,8 +46,11 @@
     if isinstance(admitted, Refusal):
         await refuse_admission(gateway, exchange, request, admitted)
         return
+    if exchange.relay is not None:
+        _apply_relay(request, admitted, exchange.relay)
+    else:
+        record_request(gateway.forwarding, admitted.service, time.monotonic())
     context = create_context(gateway, exchange, request, admitted)
-    record_request(gateway.forwarding, admitted.service, time.monotonic())
     outcome = "caller_gone"
     try:
         outcome = await _run_attempts(context)
@@ -56,6 +62,27 @@
         log_outcome(context, outcome)
 
 
+async def handle_relayed_request(gateway: Gateway, exchange: Exchange) -> None:
+    """Handle a request that another host passed on, and answer that host."""
+    if not await take_request(gateway, exchange):
+        return
+    gateway.relayed += 1
+    try:
+        await handle_request(gateway, exchange)
+    finally:
+        gateway.relayed -= 1
+
+
+def _apply_relay(request: CallerRequest, admitted: Admission, relay: Relay) -> None:
+    """Apply what is left of the time and the endpoints of a request, and its position."""
+    waits = request.wait_seconds
+    request.wait_seconds = relay.seconds if waits is None else min(waits, relay.seconds)
+    if relay.last_event is not None:
+        request.last_event = relay.last_event
+    route = admitted.route
+    admitted.route = replace(route, max_endpoints=min(route.max_endpoints, relay.endpoints))
+
+
 async def _admit(
     gateway: Gateway, exchange: Exchange, request: CallerRequest
 ) -> Admission | Refusal:
--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -7,20 +7,30 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.attempts import AttemptOutcome, may_try_again
 from marjorambridge.forwarding.budgets import consume_retry
+from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.placement import choose_endpoint, is_usable, list_usable
+from marjorambridge.forwarding.relays import choose_peer
 from marjorambridge.forwarding.request_limits import may_send_limited
 from marjorambridge.forwarding.reservations import needs_reservations, plan_memory_shares
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
+from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, create_attempt
 from marjorambridge.gateway.crashes import is_blocked
+from marjorambridge.gateway.relays import may_relay
 from marjorambridge.gateway.tickets import release, reserve
 
 
 async def select_attempt(context: RequestContext) -> RunningAttempt | None:
-    """Return an attempt at the endpoint that fits best, or None if none can take the request."""
+    """Return an attempt at the endpoint that fits best, or None if none can take the request.
+
+    While this host reaches no endpoint, the attempt passes the request on to another host.
+    """
     forwarding, profile = context.gateway.forwarding, context.profile
     now = time.monotonic()
     excluded = list_excluded(context)
+    if is_lost(forwarding.contact) and may_relay(context) and len(forwarding.hosts) > 1:
+        peer = select_peer(context, now)
+        return create_attempt(context, peer) if peer is not None else None
     may_split = context.gateway.dialect.helpers is not None
     if not may_split or not is_long_prompt(forwarding, profile):
         endpoint = choose_endpoint(forwarding, profile, excluded, now)
@@ -38,6 +48,14 @@
         await anyio.sleep(defaults.LONG_PROMPT_CHECK_INTERVAL_SECONDS)
 
 
+def select_peer(context: RequestContext, now: float) -> Endpoint | None:
+    """Return the host that gets the request next, or None if enough hosts had it."""
+    forwarding, excluded = context.gateway.forwarding, list_excluded(context)
+    if len(excluded & forwarding.peers.keys()) >= defaults.MAX_RELAY_HOSTS:
+        return None
+    return choose_peer(forwarding, excluded, now)
+
+
 def list_excluded(context: RequestContext) -> frozenset[str]:
     """Return the endpoints that had the request, or have it at present."""
     running = {attempt.endpoint.name for attempt in context.running}
--- a/marjorambridge/gateway/stalls.py
+++ b/marjorambridge/gateway/stalls.py
@@ -11,10 +11,12 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.attempts import AttemptOutcome, may_try_again, record_outcome
 from marjorambridge.forwarding.budgets import has_retry
+from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.placement import choose_endpoint
 from marjorambridge.gateway.contexts import RequestContext
 from marjorambridge.gateway.crashes import is_blocked
-from marjorambridge.gateway.selection import list_excluded
+from marjorambridge.gateway.relays import may_relay
+from marjorambridge.gateway.selection import list_excluded, select_peer
 from marjorambridge.manifests.models import Execution
 
 
@@ -63,5 +65,7 @@
         return False
     if is_blocked(gateway, context.request, context.causes, may_test=False):
         return False
+    if is_lost(gateway.forwarding.contact) and may_relay(context):
+        return select_peer(context, now) is not None
     excluded = list_excluded(context)
     return choose_endpoint(gateway.forwarding, context.profile, excluded, now) is not None
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -46,6 +46,12 @@
         Prefix of all tickets of this process.
     ticket_count : int
         Number of tickets created.
+    relay_key : bytes
+        Key of the MACs of requests that hosts pass on to one another; empty to pass none on.
+    relayed : int
+        Number of requests in progress that other hosts passed on.
+    is_trying : bool
+        Whether trial connections to endpoints are being made.
     attempt_prefix : str
         Prefix of the identifiers of all attempts of this process.
     attempt_count : int
@@ -70,6 +76,9 @@
     tasks: TaskGroup | None = None
     accepts_until: float = math.inf
     ends_at: float = math.inf
+    relay_key: bytes = b""
+    relayed: int = 0
+    is_trying: bool = False
     ticket_prefix: str = ""
     ticket_count: int = 0
     attempt_prefix: str = ""
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -7,6 +7,7 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
+    HOP_BY_HOP_HEADERS,
     AnswerHead,
     AttemptMessage,
     AttemptOptions,
@@ -52,22 +53,6 @@
 PART_MASK = 2**63 - 1
 # More than the engines of any service hold together; callers send greater numbers for "no limit".
 MAX_TOKENS = 2**31 - 1
-# Headers that apply to one connection only, or that the HTTP parser writes itself.
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
 # Headers that only the gateway may set, or that must not reach an endpoint.
 SYSTEM_HEADERS = frozenset({KEY, DEADLINE, WORKSPACE, EXPECTED_ENDPOINT, HELPERS, PRIORITY})
 # A header named by ``Connection`` is dropped, unless the answer depends on it.
@@ -259,4 +244,5 @@
         encode_order_headers,
         HelperDialect(encode_helper, encode_reservation, encode_release),
         not_run_statuses=NOT_RUN_STATUSES,
+        may_relay=True,
     )
