Close a connection without a reset when its answer is complete

Around the SIGTERM of a gateway, callers saw an answer with status 200 end with a reset, although its engine had ended the answer.

An answer counts as complete once the kernel has all of it. When the last request was complete, the process ended in the same turn of the event loop, and every connection that was still open was reset with SO_LINGER 0, which discards what the caller has not received yet. This concerned each answer that began before the signal, because only later ones carry `Connection: close`. The slower the link, the more was lost.

Now a connection is reset only while a request on it is incomplete; the others are closed, and the kernel goes on sending.

`anyio` sets the high-water mark of the transport to 0, so that `send` returns only when the kernel has everything; bytes that the transport holds are therefore ruled out.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -188,16 +188,15 @@
         set_options(stream)
         while await _serve_request(server, stream, connection):
             connection.start_next_cycle()
-        await stream.aclose()
     except STREAM_ERRORS:
         await reset(stream)
     except Exception:
         # An error on one connection must not stop the server.
         logger.exception("serving a connection failed")
         await reset(stream)
-    except BaseException:
-        await reset(stream)
-        raise
+    finally:
+        # When the server is closed, the caller may still receive the answer to its last request.
+        await anyio.aclose_forcefully(stream)
 
 
 async def _serve_request(server: Server, stream: SocketStream, connection: h11.Connection) -> bool:
@@ -215,6 +214,10 @@
         if not await _read_request(exchange):
             return False
         await _run_handler(exchange)
+    except BaseException:
+        if not exchange.is_complete:
+            await reset(stream)
+        raise
     finally:
         server.active -= 1
         bodies.release(exchange.reservation)
