Read requests that have arrived before their connection is closed

When a gateway stopped, callers saw requests end with a reset 0.2 to 2 s after they were sent: 10 of 1,000 on gateways with 20 to 40% of a core.

The same cause acted in three places. A connection was closed at a moment that said nothing about whether a request had been sent on it:

- Closing the listener resets all connections in its queue, and cancelling a call of accept drops the connection that it has taken.
- When idle connections were closed, the tasks that waited were cancelled, although bytes were in the socket or already read by the event loop.
The process could end in the same turn.
- The idle timeout did the same in ordinary operation, when bytes arrived between the look of the event loop and the timer.

Now a server that stops listening takes all connections from the queue and closes the listener in the same turn. An idle connection is read once more through the event loop and, in the turn in which it is closed, directly from the socket. The process ends when all connections are closed or the grace time is over; before, it only counted requests that had begun. Requests that are read this late are served, or refused as not run, with `Connection: close`.

A request that is sent after the last look meets a closed socket.

Evidence: on the loopback interface, 30 connections that wait to be accepted, 30 kept connections with a request in the socket, and a request that arrives with the idle timer. Each of these tests got no answer before this change.

Ruled out by trials: accepting for up to 0.5 s more (10 to 52 requests a run were cut after 0.3 to 0.6 s, because the queue filled again), and a last look through the event loop alone (0 to 33 a run, because a turn of a starved process takes 0.3 s). Ruled out for the idle timeout: bytes that the event loop sees in the turn of the timer, because it handles readable sockets before timers.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -45,7 +45,6 @@
 # half of a zone is removed, it uses all hosts again, so that new connections arrive until the host
 # stops listening; a request that arrives later might not end within the grace time.
 UNREADY_GRACE_SECONDS = 2.8
-DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # Answers that are not complete this long before the end of the grace time are aborted.
 GRACE_MARGIN_SECONDS = 0.4
 # Requests that arrived during the grace time get a final answer this long before that.
@@ -288,10 +287,6 @@
     host.gateway.accepts_until = started_at + UNREADY_GRACE_SECONDS
     host.gateway.ends_at = ends_at - FINAL_ANSWER_SECONDS
     await anyio.sleep(UNREADY_GRACE_SECONDS)
-    callers.stop_listening(host.server)
-    callers.close_idle_connections(host.server)
-    while host.server.active and time.monotonic() < ends_at:
-        await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-        callers.close_idle_connections(host.server)
+    await callers.drain_server(host.server, ends_at)
     logger.bind(cut=host.server.active).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -4,12 +4,14 @@
 monitored, and the handler is cancelled as soon as the caller disconnects.
 """
 
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
 import anyio
 import h11
-from anyio.abc import SocketStream, TaskGroup, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
+from anyio.lowlevel import checkpoint
 from loguru import logger
 from msgspec import Struct, field
 
@@ -28,7 +30,7 @@
     wait_for_budget,
 )
 from marjorambridge.manifests.models import CallerLimits
-from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer
+from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer, receive_nowait
 
 # Pipelined requests are buffered up to this size; beyond it the connection is not read.
 MAX_PIPELINED_BYTES = 262_144
@@ -36,6 +38,10 @@
 MIN_BODY_BYTES_PER_SECOND = 10_000
 # Memory for the bodies of a server for which none was set.
 DEFAULT_BODY_MEMORY_BYTES = 16_777_216
+# After the idle timeout, and when a server stops, a connection is read for this time in seconds
+# before it is closed.
+LAST_RECEIVE_SECONDS = 0.1
+DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # After a refusal, the rest of the request is read for this time in seconds. Closing the connection
 # with unread data would reset it, and the caller could lose the refusal.
 LINGER_SECONDS = 1.0
@@ -92,6 +98,10 @@
         Scopes of the connections that are idle between two requests.
     active : int
         Number of requests that are being read or handled.
+    connections : int
+        Number of accepted connections that are not closed.
+    listening : bool
+        Whether connections are accepted.
     scope, listen_scope : anyio.CancelScope
         Scopes of the whole server, and of the accepting of connections.
     """
@@ -107,6 +117,8 @@
     discard_at: float = 0.0
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
+    connections: int = 0
+    listening: bool = False
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     listen_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -152,30 +164,88 @@
 
 
 async def _run_server(server: Server, ip: str, port: int, *, task_status: TaskStatus) -> None:
-    listener = await anyio.create_tcp_listener(local_host=ip, local_port=port, backlog=1024)
-    limit_receive_buffer(listener)
+    listeners = await anyio.create_tcp_listener(local_host=ip, local_port=port, backlog=1024)
+    limit_receive_buffer(listeners)
+    # An IP address has one listener.
+    listener = listeners.listeners[0].extra(SocketAttribute.raw_socket)
     with server.scope:
         async with anyio.create_task_group() as connections:
+            server.listening = True
             task_status.started()
-            async with listener:
-                with server.listen_scope:
-                    await listener.serve(
-                        lambda stream: _serve_connection(server, stream), connections
-                    )
+            async with listeners:
+                await _accept_connections(server, listener, connections)
+            server.listening = False
             logger.bind(address=f"{ip}:{port}").info("stopped accepting connections")
 
 
+async def _accept_connections(
+    server: Server, listener: socket.socket, connections: TaskGroup
+) -> None:
+    """Accept connections until the server stops listening, and then those that wait already."""
+    with server.listen_scope:
+        while True:
+            await anyio.wait_readable(listener)
+            while _accept_connection(server, listener, connections):
+                await checkpoint()
+    # Closing the listener resets the connections that were not accepted.
+    try:
+        while _accept_connection(server, listener, connections):
+            pass
+    except OSError as error:
+        logger.bind(error=repr(error)).error("the last connections can't be accepted")
+    listener.close()
+
+
+def _accept_connection(server: Server, listener: socket.socket, connections: TaskGroup) -> bool:
+    """Start to serve the next connection in the queue; return False if it is empty."""
+    try:
+        raw, _ = listener.accept()
+    except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+        return False
+    raw.setblocking(False)
+    server.connections += 1
+    connections.start_soon(_serve_socket, server, raw)
+    return True
+
+
+async def _serve_socket(server: Server, raw: socket.socket) -> None:
+    try:
+        stream = await SocketStream.from_socket(raw)
+    except (OSError, ValueError) as error:
+        logger.bind(error=repr(error)).debug("a connection ended before it was served")
+        raw.close()
+    else:
+        await _serve_connection(server, stream)
+    finally:
+        server.connections -= 1
+
+
 def stop_listening(server: Server) -> None:
     """Stop accepting connections; open ones stay open."""
     server.listen_scope.cancel()
 
 
 def close_idle_connections(server: Server) -> None:
-    """Close the connections that are idle between two requests."""
+    """Close the connections that are idle between two requests, unless one has arrived."""
     for scope in list(server.waiting):
         scope.cancel()
 
 
+async def drain_server(server: Server, ends_at: float) -> None:
+    """Stop listening, and close each connection when its request is complete.
+
+    Parameters
+    ----------
+    ends_at : float
+        Monotonic time in seconds at which the call returns in any case.
+    """
+    stop_listening(server)
+    close_idle_connections(server)
+    while (server.listening or server.connections) and time.monotonic() < ends_at:
+        await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        close_idle_connections(server)
+
+
 def close_server(server: Server) -> None:
     """Stop listening and close all connections."""
     server.scope.cancel()
@@ -234,14 +304,25 @@
     with anyio.move_on_after(server.get_limits().idle_timeout_seconds) as scope:
         server.waiting.add(scope)
         try:
-            data = await stream.receive(READ_BYTES)
-        except STREAM_ERRORS:
-            return False
+            return await _receive_first_bytes(stream, connection)
         finally:
             server.waiting.discard(scope)
+    # A request may have arrived that the event loop had not read yet.
+    with anyio.move_on_after(LAST_RECEIVE_SECONDS):
+        return await _receive_first_bytes(stream, connection)
+    data = receive_nowait(stream)
+    if data:
         connection.receive_data(data)
-        return True
-    return False
+    return bool(data)
+
+
+async def _receive_first_bytes(stream: SocketStream, connection: h11.Connection) -> bool:
+    try:
+        data = await stream.receive(READ_BYTES)
+    except STREAM_ERRORS:
+        return False
+    connection.receive_data(data)
+    return True
 
 
 async def _read_request(exchange: Exchange) -> bool:
--- a/marjorambridge/transport/reading.py
+++ b/marjorambridge/transport/reading.py
@@ -30,5 +30,24 @@
     _set_receive_buffer(stream.extra(SocketAttribute.raw_socket))
 
 
+def receive_nowait(stream: ByteStream) -> bytes:
+    """Return what has arrived in the socket of a connection, or nothing.
+
+    The event loop may not have looked at the socket for the whole length of its last turn.
+    """
+    raw = stream.extra(SocketAttribute.raw_socket)
+    if raw.fileno() < 0:
+        # The connection is already closed.
+        return b""
+    alias = socket.socket(raw.family, raw.type, raw.proto, fileno=raw.fileno())
+    try:
+        return alias.recv(READ_BYTES)
+    except OSError:
+        # Nothing has arrived, or the peer has reset the connection.
+        return b""
+    finally:
+        alias.detach()
+
+
 def _set_receive_buffer(raw: socket.socket) -> None:
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
--- a/tests/gateway/test_closing.py
+++ b/tests/gateway/test_closing.py
@@ -1,12 +1,14 @@
 """Test how connections of callers end."""
 
+import asyncio
 import socket
+import time
 
 import anyio
 from anyio.abc import SocketStream
 from msgspec.structs import replace
 
-from marjorambridge.gateway.callers import close_idle_connections, close_server
+from marjorambridge.gateway.callers import close_idle_connections, close_server, drain_server
 from marjorambridge.manifests.models import CallerLimits, Execution
 from marjorambridge.transport.reading import limit_reading_ahead
 
@@ -64,3 +66,83 @@
                 assert (get_status(data), len(read_body(data))) == (200, len(body))
 
     anyio.run(scenario)
+
+
+def connect(port: int, data: bytes = b"") -> socket.socket:
+    """Connect, and send some data, before the event loop runs again."""
+    raw = socket.create_connection(("127.0.0.1", port))
+    raw.sendall(data)
+    raw.setblocking(False)
+    return raw
+
+
+def test_connections_that_wait_to_be_accepted_are_served_when_the_server_stops():
+    """Guard against a reset of requests that were sent before the listener was closed."""
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(b"ok")) as harness:
+            harness.server.closing = True
+            connections = [connect(harness.port, make_request()) for _ in range(30)]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(drain_server, harness.server, time.monotonic() + 5)
+                for raw in connections:
+                    async with await SocketStream.from_socket(raw) as stream:
+                        assert get_status(await read_answer(stream)) == 200
+
+    anyio.run(scenario)
+
+
+def test_a_request_that_was_not_read_yet_is_served_when_idle_connections_are_closed():
+    """Guard against requests on a kept connection that are dropped when a server stops."""
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(b"ok")) as harness:
+            connections = [connect(harness.port, make_request()) for _ in range(30)]
+            streams = [await SocketStream.from_socket(raw) for raw in connections]
+            for stream in streams:
+                assert get_status(await read_answer(stream)) == 200
+            harness.server.closing = True
+            for raw in connections:
+                raw.sendall(make_request())
+            await drain_server(harness.server, time.monotonic() + 5)
+            close_server(harness.server)
+            for stream in streams:
+                assert get_status(await read_answer(stream)) == 200
+                await stream.aclose()
+
+    anyio.run(scenario)
+
+
+def test_a_request_that_arrives_as_the_idle_time_ends_is_served():
+    """Guard against a request that the event loop has not read when its connection is closed."""
+    limits = CallerLimits(idle_timeout_seconds=0.3)
+
+    async def scenario():
+        async with run_gateway(replace(MANIFEST, limits=limits), answer_whole(b"ok")) as harness:
+            raw = connect(harness.port)
+            async with await SocketStream.from_socket(raw) as stream:
+                await anyio.sleep(0.1)
+                (scope,) = harness.server.waiting
+                loop = asyncio.get_running_loop()
+                loop.call_at(scope.deadline - 0.001, raw.sendall, make_request())
+                # Both timers are due when the event loop has looked for data.
+                time.sleep(0.3)
+                assert get_status(await read_answer(stream)) == 200
+
+    anyio.run(scenario)
+
+
+def test_idle_connections_do_not_delay_the_end_of_a_server():
+    """Guard against a process that waits for callers that send nothing."""
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(b"ok")) as harness:
+            streams = [await anyio.connect_tcp("127.0.0.1", harness.port) for _ in range(20)]
+            started_at = time.monotonic()
+            await drain_server(harness.server, started_at + 5)
+            assert harness.server.connections == 0
+            assert time.monotonic() - started_at < 1
+            for stream in streams:
+                await stream.aclose()
+
+    anyio.run(scenario)
--- a/tests/transport/test_reading.py
+++ b/tests/transport/test_reading.py
@@ -1,8 +1,11 @@
 """Test that a connection is not read before a task receives."""
 
+import socket
+
 import anyio
+from anyio.abc import SocketStream
 
-from marjorambridge.transport.reading import limit_reading_ahead
+from marjorambridge.transport.reading import limit_reading_ahead, receive_nowait
 
 
 def test_what_is_not_received_stays_in_the_socket():
@@ -36,3 +39,22 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
+
+
+def test_what_arrived_in_the_same_turn_is_received_without_waiting():
+    """Guard against a connection that is closed with bytes that the event loop has not seen."""
+
+    async def scenario():
+        ours, theirs = socket.socketpair()
+        async with await SocketStream.from_socket(ours) as stream:
+            limit_reading_ahead(stream)
+            assert receive_nowait(stream) == b""
+            theirs.sendall(b"request")
+            assert receive_nowait(stream) == b"request"
+            theirs.sendall(b"next")
+            assert await stream.receive() == b"next"
+            theirs.close()
+            assert receive_nowait(stream) == b""
+        assert receive_nowait(stream) == b""
+
+    anyio.run(scenario)
