Read what a caller sends after the last answer on its connection

A caller that had sent more than its request, a pipelined one or bytes that crossed the answer, could lose an answer with `Connection: close`: it saw a reset.

The connection was closed as soon as the answer was in the kernel. The kernel answers bytes that are not read, or that arrive later, with a reset, and then discards what it has not sent. Only refusals were safe from this: after them, the sending side was closed, and the rest of the request read.

That is now done after the last answer on each connection, in the same place. It ends when the caller closes its side, after 1 s, or at the end of the process. At most 512 connections are in this state, their parsers are freed before, and the discarded bytes share the same rate as those of refused requests.

A connection that is closed while it is idle is not read on, so that a request that crosses the end is not read without an answer.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -42,10 +42,13 @@
 # before it is closed.
 LAST_RECEIVE_SECONDS = 0.1
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
-# After a refusal, the rest of the request is read for this time in seconds. Closing the connection
-# with unread data would reset it, and the caller could lose the refusal.
+# After the last answer on a connection, what the caller still sends is read for this time in
+# seconds. Closing the connection with unread data would reset it, and the caller could lose the
+# answer.
 LINGER_SECONDS = 1.0
-# Rate of all requests that are discarded together, so that they leave time for others.
+# With more connections than this in that state, further ones are closed at once.
+MAX_LINGERING = 512
+# Rate of all bytes that are discarded together, so that they leave time for others.
 DISCARDED_BYTES_PER_SECOND = 16_000_000
 BODY_TOO_LONG, HEAD_TOO_LONG, REQUEST_TIMEOUT = 413, 431, 408
 SERVER_ERROR, NO_MEMORY = 500, 503
@@ -93,7 +96,9 @@
     closing : bool
         Whether answers carry ``Connection: close``.
     discard_at : float
-        Monotonic time in seconds at which the next bytes of refused requests may be discarded.
+        Monotonic time in seconds at which the next bytes of callers may be discarded.
+    lingering : int
+        Number of connections on which the last answer was sent, and which are not closed.
     waiting : set of anyio.CancelScope
         Scopes of the connections that are idle between two requests.
     active : int
@@ -115,6 +120,7 @@
     get_body_limit: Callable[[bytes, bytes], int] | None = None
     closing: bool = False
     discard_at: float = 0.0
+    lingering: int = 0
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     active: int = 0
     connections: int = 0
@@ -252,12 +258,10 @@
 
 
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
-    limits = server.get_limits()
-    connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
     try:
         set_options(stream)
-        while await _serve_request(server, stream, connection):
-            connection.start_next_cycle()
+        if await _serve_requests(server, stream):
+            await _linger(server, stream)
     except STREAM_ERRORS:
         await reset(stream)
     except Exception:
@@ -269,6 +273,38 @@
         await anyio.aclose_forcefully(stream)
 
 
+async def _serve_requests(server: Server, stream: SocketStream) -> bool:
+    """Serve the requests on a connection; return whether it ended after a complete answer."""
+    limits = server.get_limits()
+    connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+    while await _serve_request(server, stream, connection):
+        connection.start_next_cycle()
+    return connection.our_state is h11.MUST_CLOSE
+
+
+async def _linger(server: Server, stream: SocketStream) -> None:
+    """End the answers, and discard what the caller sends until it ends the connection, too."""
+    if server.lingering >= MAX_LINGERING:
+        return
+    server.lingering += 1
+    try:
+        await stream.send_eof()
+        with anyio.move_on_after(LINGER_SECONDS):
+            while True:
+                data = await stream.receive(READ_BYTES)
+                await anyio.sleep(_delay_discard(server, len(data), time.monotonic()))
+    except STREAM_ERRORS:
+        return
+    finally:
+        server.lingering -= 1
+
+
+def _delay_discard(server: Server, size: int, now: float) -> float:
+    """Return the seconds to wait after some bytes of callers were discarded."""
+    server.discard_at = max(server.discard_at, now) + size / DISCARDED_BYTES_PER_SECOND
+    return server.discard_at - now
+
+
 async def _serve_request(server: Server, stream: SocketStream, connection: h11.Connection) -> bool:
     """Serve the next request and return whether the connection can be reused."""
     if not connection.trailing_data[0] and not await _wait_for_request(server, stream, connection):
@@ -536,16 +572,5 @@
     bodies.release(exchange.reservation)
     try:
         await send_answer(exchange, status, [*headers, (b"Connection", b"close")], body)
-        await exchange.stream.send_eof()
-        with anyio.move_on_after(LINGER_SECONDS):
-            while True:
-                data = await exchange.stream.receive(READ_BYTES)
-                await anyio.sleep(_delay_discard(exchange.server, len(data), time.monotonic()))
     except (*STREAM_ERRORS, h11.LocalProtocolError):
         return
-
-
-def _delay_discard(server: Server, size: int, now: float) -> float:
-    """Return the seconds to wait after some bytes of refused requests were discarded."""
-    server.discard_at = max(server.discard_at, now) + size / DISCARDED_BYTES_PER_SECOND
-    return server.discard_at - now
--- a/tests/gateway/test_closing.py
+++ b/tests/gateway/test_closing.py
@@ -5,9 +5,11 @@
 import time
 
 import anyio
+import pytest
 from anyio.abc import SocketStream
 from msgspec.structs import replace
 
+from marjorambridge.gateway import callers
 from marjorambridge.gateway.callers import close_idle_connections, close_server, drain_server
 from marjorambridge.manifests.models import CallerLimits, Execution
 from marjorambridge.transport.reading import limit_reading_ahead
@@ -146,3 +148,54 @@
                 await stream.aclose()
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize("sends_late", [False, True], ids=["pipelined", "crossing"])
+def test_an_answer_is_whole_although_the_caller_has_sent_more(sends_late):
+    """Guard against a reset of an answer, because bytes of the caller were not read."""
+    body = b"x" * 60_000
+    more = b"\r\n" * 200_000
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(body)) as harness:
+            harness.server.closing = True
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream, anyio.create_task_group() as tasks:
+                request = make_request()
+                if sends_late:
+                    await stream.send(request)
+                    await wait_until_answered(harness)
+                    await anyio.sleep(0.05)
+                    tasks.start_soon(stream.send, more)
+                else:
+                    tasks.start_soon(stream.send, request + more)
+                    await wait_until_answered(harness)
+                await anyio.sleep(0.2)
+                data = await read_answer(stream)
+                assert (get_status(data), len(read_body(data))) == (200, len(body))
+                tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_callers_that_keep_a_connection_open_after_its_end_are_bounded(monkeypatch):
+    """Guard against connections that stay open, because callers do not close theirs."""
+    monkeypatch.setattr(callers, "MAX_LINGERING", 3)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(b"ok")) as harness:
+            harness.server.closing = True
+            raws = [connect(harness.port, make_request()) for _ in range(6)]
+            streams = [await SocketStream.from_socket(raw) for raw in raws]
+            for stream in streams:
+                assert get_status(await read_answer(stream)) == 200
+            with anyio.fail_after(callers.LINGER_SECONDS / 2):
+                while harness.server.connections > 3:
+                    await anyio.sleep(0.01)
+            with anyio.fail_after(callers.LINGER_SECONDS + 1):
+                while harness.server.connections:
+                    await anyio.sleep(0.05)
+            for stream in streams:
+                await stream.aclose()
+
+    anyio.run(scenario)
