Let a caller pause for longer than 1.5 s before its connection is reset

A caller that stopped reading for 2 s during a long answer saw a reset, with the rest of the answer unsent.

TCP_USER_TIMEOUT was 1.5 s on the connections of callers and endpoints. The kernel applies it not only to data that a peer does not acknowledge, but also to a receive window that stays closed, although the peer acknowledges each probe. It also decides when keep-alive probes have failed, whatever their count, so that one lost probe was enough.

For callers it is now 4 s. What detects a caller that disappears stays the same: keep-alive probes after 1 s of silence while nothing is sent, and missing acknowledgements otherwise, both after about 4 s instead of 1.5 to 2 s, and after three lost probes instead of one.

A limit for each call of send was ruled out, because the kernel reports a large send buffer as writable only when a third of it is free, so that a slow caller would look like one that does not read.

Connections to endpoints keep 1.5 s: a request that may not be repeated waits for that detection, and a change there was not measured.

Evidence: a caller that paused for 3 s received 127,483 of 8,000,000 bytes before this change. How long it takes to detect a caller that disappears was not measured; the loopback interface loses no packets.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -20,7 +20,12 @@
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.messages import Headers
-from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
+from marjorambridge.gateway.streams import (
+    CALLER_TIMEOUT_MILLISECONDS,
+    STREAM_ERRORS,
+    reset,
+    set_options,
+)
 from marjorambridge.gateway.work import (
     PROGRESS_PIECE_BYTES,
     WorkBudget,
@@ -259,7 +264,7 @@
 
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
     try:
-        set_options(stream)
+        set_options(stream, CALLER_TIMEOUT_MILLISECONDS)
         if await _serve_requests(server, stream):
             await _linger(server, stream)
     except STREAM_ERRORS:
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -12,7 +12,12 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.gateway.answers import MAX_HEAD_BYTES, AnswerReader, receive_answer
 from marjorambridge.gateway.messages import Attempt, AttemptResult, Dialect
-from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
+from marjorambridge.gateway.streams import (
+    ENDPOINT_TIMEOUT_MILLISECONDS,
+    STREAM_ERRORS,
+    reset,
+    set_options,
+)
 from marjorambridge.gateway.work import WorkMeter
 
 # Bodies are sent in slices, so that an endpoint that doesn't read them causes no further copy.
@@ -29,7 +34,7 @@
         return AttemptResult(AttemptOutcome.NOT_SENT, detail=repr(error))
     result = AttemptResult(AttemptOutcome.BROKEN)
     try:
-        set_options(stream)
+        set_options(stream, ENDPOINT_TIMEOUT_MILLISECONDS)
         async with anyio.create_task_group() as tasks:
             connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
             tasks.start_soon(_send_request, stream, connection, attempt)
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -9,11 +9,14 @@
 from marjorambridge.transport.reading import limit_reading_ahead
 
 # A peer that disappears without a reset is detected by these keepalive probes, with times in
-# seconds; data that is sent to it and not acknowledged counts as lost after about the same time.
+# seconds. Where a timeout for unacknowledged data is set, it decides when they have failed.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MILLISECONDS = 1_500
+# Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
+# is connected and does not read, too, which a caller may do for a while.
+CALLER_TIMEOUT_MILLISECONDS = 4_000
+ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
 LINGER = struct.Struct("ii")
 
 STREAM_ERRORS = (
@@ -24,8 +27,14 @@
 )
 
 
-def set_options(stream: SocketStream) -> None:
-    """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead."""
+def set_options(stream: SocketStream, timeout_milliseconds: int) -> None:
+    """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead.
+
+    Parameters
+    ----------
+    timeout_milliseconds : int
+        Time after which data that was not acknowledged counts as lost.
+    """
     limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -33,7 +42,7 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
 
 
 async def reset(stream: SocketStream) -> None:
