Don't count a caller's delay as an engine's silence

Callers that read slowly got streams that were cut: a status 200 and then a reset. The time of silence began with the last event, also while that event was still being sent to the caller. After 1.4 s a second attempt started; its first event was written while the first attempt was still writing ("Another task is already writing to this resource"), and the answer was reset.

Now the silence begins when the event has been sent, and is infinite while it is being sent. So no other attempt starts while one has an event for the caller, and the endpoint is not avoided for the caller's delay.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Run one attempt of a request, forward its events, and record its result."""
 
+import math
 import time
 
 import anyio
@@ -62,7 +63,7 @@
     """Run one attempt and account for its load at the endpoints."""
     gateway, request, profile = context.gateway, context.request, context.profile
     endpoint = running.endpoint
-    now = running.started_at = time.monotonic()
+    now = running.started_at = running.waits_since = time.monotonic()
     running.cursor.last_event = context.last_event
     workspace = context.admission.workspace
     context.helper_count = len(running.helpers)
@@ -184,6 +185,7 @@
     if not running.has_begun:
         record_first_answer(context.gateway, context.causes, now)
     running.has_begun = True
+    running.waits_since = math.inf
     context.last_event_at = now
     _finish_prefill(context, running, now)
     context.first_event_at = context.first_event_at or now
@@ -191,6 +193,7 @@
         _collect_events(context, events, before)
     elif not await _forward_events(context, head, events):
         return Forwarded.CALLER_GONE
+    running.waits_since = time.monotonic()
     if cursor.error is not None:
         raise cursor.error
     return Forwarded.EVENTS
@@ -237,7 +240,7 @@
         request=context.request.request_id,
         endpoint=endpoint.name,
         begun=running.has_begun,
-        seconds=round(now - max(running.started_at, context.last_event_at), 4),
+        seconds=round(now - running.waits_since, 4),
         avoided_seconds=round(avoided, 3),
     ).info("another attempt starts beside a silent one")
 
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -36,6 +36,9 @@
         Position in the event stream of the attempt.
     started_at : float
         Monotonic time in seconds.
+    waits_since : float
+        Monotonic time in seconds since which the next event is awaited; infinite before the start,
+        and while events are being sent to the caller.
     kv_tokens : int
         Memory in tokens that the requests of all hosts needed at the endpoint when the attempt
         began.
@@ -55,6 +58,7 @@
     helpers: list[Endpoint] = field(default_factory=list)
     cursor: StreamCursor = field(default_factory=StreamCursor)
     started_at: float = 0.0
+    waits_since: float = math.inf
     kv_tokens: int = 0
     has_begun: bool = False
     has_stalled: bool = False
--- a/marjorambridge/gateway/stalls.py
+++ b/marjorambridge/gateway/stalls.py
@@ -31,15 +31,15 @@
     """Return the monotonic time in seconds at which the only running attempt counts as silent.
 
     Only complete events count as progress. The time is infinite while another attempt runs beside
-    it.
+    it, and while the caller delays an event.
     """
     if len(context.running) != 1:
         return math.inf
     attempt = context.running[0]
     if attempt.has_begun:
-        return context.last_event_at + get_event_timeout(context)
+        return attempt.waits_since + get_event_timeout(context)
     allowed = context.profile.prefill_seconds + defaults.FIRST_EVENT_TIMEOUT_SECONDS
-    return attempt.started_at + allowed
+    return attempt.waits_since + allowed
 
 
 def get_event_timeout(context: RequestContext) -> float:
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -15,13 +15,15 @@
     call,
     get_status,
     make_chunk,
+    make_head,
     make_manifest,
     make_request,
+    read_answer,
     refuse,
     run_gateway,
     stream_events,
 )
-from .wires import find_header, over_both_dialects
+from .wires import find_header, over_both_dialects, read_body
 
 RESUMABLE = make_manifest(Execution.STREAM, 2, True)
 EVENT_STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -171,3 +173,28 @@
             assert_no_load(harness)
 
     anyio.run(scenario)
+
+
+def test_a_caller_that_reads_slowly_is_no_silent_engine():
+    """Guard against a second attempt, and a lost event, while the caller delays an event."""
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * 60_000) for n in range(1, 201)]
+
+    async def send_long_events(endpoint, stream, head):
+        after = endpoint.wire.find_resumption(endpoint.requests[-1]) or 0
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await stream.send(make_head(head, b"200 OK", SIGNED + EVENT_STREAM[:-2]))
+            for event in events[after:]:
+                await stream.send(make_chunk(event))
+            await stream.send(b"0\r\n\r\n")
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, send_long_events, send_long_events) as harness:
+            stream = await anyio.connect_tcp("127.0.0.1", harness.port)
+            async with stream:
+                await stream.send(make_request())
+                await anyio.sleep(PAUSE_SECONDS)
+                data = await read_answer(stream)
+            assert read_body(data) == b"".join(events)
+            assert count_attempts(harness.endpoints[1]) == 0
+
+    anyio.run(scenario)
