Free the memory of a broken answer before the next attempt

Callers of a request that may be repeated got 502 when the first engine broke off a long answer and the second one would have answered. Each attempt has had an account of its own for the memory of its answer since two attempts may run at the same time, and those accounts were closed at the end of the request only. So the second answer had to fit beside the first one, which nobody needs any more.

Now all accounts are closed before another attempt begins.

--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -50,8 +50,8 @@
         outcome = await _run_attempts(context)
     finally:
         context.allocation.release()
+        _release_answers(context)
         for attempt in context.attempts:
-            attempt.allocation.release()
             await release(attempt.tickets)
         log_outcome(context, outcome)
 
@@ -100,5 +100,12 @@
             return await refuse(context, result.outcome.value)
         if step is NextStep.FAIL:
             return await fail(context, result.outcome)
+        _release_answers(context)
         attempt = next_attempt
     return await refuse(context, "no_endpoint")
+
+
+def _release_answers(context: RequestContext) -> None:
+    """Free the memory of all answers, of which none is needed any more."""
+    for attempt in context.attempts:
+        attempt.allocation.release()
--- a/tests/gateway/test_hostile.py
+++ b/tests/gateway/test_hostile.py
@@ -15,6 +15,7 @@
 from .helpers import (
     BROKEN_PIPE,
     SIGNED,
+    answer,
     answer_whole,
     call,
     get_status,
@@ -201,8 +202,8 @@
     short = MemoryAllocation(memory)
     assert short.allocate(50_000)
     assert not short.allocate(50_000)
-    for answer in (*long_ones, short):
-        answer.release()
+    for allocation in (*long_ones, short):
+        allocation.release()
     assert memory.free_bytes == 20_000_000
 
 
@@ -224,6 +225,26 @@
     anyio.run(scenario)
 
 
+@over_both_dialects
+def test_memory_of_a_broken_answer_is_free_for_the_next_attempt(wire):
+    """Guard against a second attempt that fails for the memory that the first one filled."""
+    body = b"x" * 12_000_000
+
+    async def break_off(endpoint, stream, head):
+        whole = SIGNED + b"Content-Length: %d\r\n" % len(body)
+        await answer(b"200 OK", whole, body[:-1])(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, break_off, answer_whole(body), wire=wire) as harness:
+            harness.gateway.memory = AnswerMemory(20_000_000, 5_000_000)
+            data = await call(harness, make_request(b"GET", b"", wire=wire))
+            assert get_status(data) == 200
+            assert data.endswith(body)
+            assert harness.gateway.memory.free_bytes == 20_000_000
+
+    anyio.run(scenario)
+
+
 def test_body_that_arrives_a_byte_at_a_time_is_refused():
     """Guard against callers that keep a connection open without limit by sending single bytes."""
     limits = CallerLimits(body_bytes=100_000, idle_timeout_seconds=0.6)
