Repeat the release of memory whose order was cancelled

Memory of an engine stayed reserved for the lease of 3.6 s, though its request had ended. A reservation or a renewal that is in flight when the request ends (the caller leaves, or the answer is complete) is cancelled, and may still be executed by the engine after the release. Only orders without an answer counted as such, so the release was sent once. The fault is older than second attempts beside silent ones, which make it more frequent: the slower attempt is cancelled at any moment.

Evidence: the new test fails on the commit before with one release. What a real engine does with a late order was not measured; the documentation of the platform says that it may be executed seconds later.

Now a cancelled order counts as unanswered, and its release is repeated.

--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -29,7 +29,7 @@
     refused : set of str
         Tickets that were not granted.
     has_unanswered_order : bool
-        Whether an order was not answered, so that it may still be executed.
+        Whether an order was cancelled or not answered, so that it may still be executed.
     """
 
     gateway: Gateway
@@ -65,7 +65,11 @@
     order = _get_helper_dialect(tickets).encode_reservation(
         ticket, share.tokens, defaults.TICKET_LEASE_SECONDS
     )
-    result = await _send_order(tickets.gateway, tickets.request_id, share, order)
+    try:
+        result = await _send_order(tickets.gateway, tickets.request_id, share, order)
+    except anyio.get_cancelled_exc_class():
+        tickets.has_unanswered_order = True
+        raise
     if result.head is None:
         tickets.has_unanswered_order |= result.outcome is not AttemptOutcome.NOT_SENT
     accepted = result.head is not None and result.head.status == ACCEPTED
--- a/tests/gateway/test_tickets.py
+++ b/tests/gateway/test_tickets.py
@@ -88,6 +88,30 @@
     anyio.run(scenario)
 
 
+def test_an_order_that_is_cancelled_is_released_repeatedly(monkeypatch):
+    """Guard against memory that is reserved late, for a request that has ended meanwhile."""
+    monkeypatch.setattr(defaults, "TICKET_RELEASE_INTERVAL_SECONDS", 0.05)
+    monkeypatch.setattr(defaults, "LATE_ORDER_WINDOW_SECONDS", 0.2)
+
+    async def answer_releases(endpoint, stream, head):
+        if b'"reserve"' in endpoint.requests[-1]:
+            await anyio.sleep(30)
+        await GRANT(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_releases) as harness:
+            tickets = TicketSet(harness.gateway, "id-1")
+            with anyio.move_on_after(0.1):
+                await reserve(tickets, make_shares(harness))
+            await release(tickets)
+            await anyio.sleep(0.5)
+            (orders,) = [[order["op"] for order in orders] for orders in list_orders(harness)]
+            assert orders[0] == "reserve" and orders.count("release") >= 3
+            assert count_kv_tokens(harness) == 0
+
+    anyio.run(scenario)
+
+
 def test_leases_are_renewed_while_the_request_runs(monkeypatch):
     """Guard against a request that is aborted because its lease expired."""
     monkeypatch.setattr(defaults, "TICKET_RENEWAL_SECONDS", 0.05)
