Don't hold an answer for memory that nobody needs any more

The end of a stream of a long prompt came late: the engine that had been silent had ended its answer, while this host still reserved memory for an attempt beside it, or waited until its engines had answered the release of the memory. Each order takes up to 0.4 s, and a selection repeats them for 0.4 s.

Now the attempt that goes on or ends the answer cancels the selection, whose memory is released in the background, as is that of an attempt that is complete or was overtaken. After a failure the release is still awaited, because the next attempt may need the memory.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -48,7 +48,7 @@
     Forwarded,
 )
 from marjorambridge.gateway.state import create_attempt_id
-from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets
+from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.manifests.models import Execution
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
@@ -104,7 +104,10 @@
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         gateway.share_load(endpoint)
         start_cancellation(gateway, request, endpoint, options.attempt, result.outcome)
-        await release(running.tickets)
+        if result.outcome is AttemptOutcome.COMPLETE or running.scope.cancel_called:
+            start_release(running.tickets)
+        else:
+            await release(running.tickets)
     _check_stream(context, running.cursor, result)
     if result.outcome is AttemptOutcome.MISDIRECTED:
         result.outcome = judge_misdirected(context.progress, request.is_conditional)
@@ -200,7 +203,8 @@
 
 
 def cancel_others(context: RequestContext, running: RunningAttempt) -> None:
-    """Cancel the attempts that run beside one that decides the answer."""
+    """Cancel what runs beside an attempt that goes on or decides the answer."""
+    context.selection.cancel()
     for other in context.running:
         if other is not running:
             other.scope.cancel()
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -83,6 +83,8 @@
         All attempts; what they hold is released when the request ends, if not before.
     running : list of RunningAttempt
         Attempts that have not ended.
+    selection : anyio.CancelScope
+        Cancels the selection of another attempt beside a silent one.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 before the first event.
     longest_gap : float
@@ -107,6 +109,7 @@
     progress: RequestProgress = field(default_factory=RequestProgress)
     attempts: list[RunningAttempt] = field(default_factory=list)
     running: list[RunningAttempt] = field(default_factory=list)
+    selection: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -110,7 +110,9 @@
     if not can_start_beside(context, time.monotonic()):
         await _wait_for_end(race)
         return
-    attempt = await select_attempt(context)
+    attempt = None
+    with anyio.CancelScope() as context.selection:
+        attempt = await select_attempt(context)
     if attempt is None:
         await _wait_for_end(race)
         return
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -41,9 +41,13 @@
 
 async def reserve(tickets: TicketSet, shares: list[MemoryShare]) -> bool:
     """Reserve all shares or none, and return whether they are reserved."""
-    async with anyio.create_task_group() as tasks:
-        for share in shares:
-            tasks.start_soon(_reserve_share, tickets, share)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for share in shares:
+                tasks.start_soon(_reserve_share, tickets, share)
+    except anyio.get_cancelled_exc_class():
+        start_release(tickets)
+        raise
     if not tickets.refused:
         return True
     await release(tickets)
@@ -126,6 +130,12 @@
         start_background(tickets.gateway, lambda: _repeat_release(tickets, held))
 
 
+def start_release(tickets: TicketSet) -> None:
+    """Release all tickets in the background, so that an answer need not wait for it."""
+    if tickets.held:
+        start_background(tickets.gateway, lambda: release(tickets))
+
+
 async def _release_ticket(tickets: TicketSet, ticket: str, share: MemoryShare) -> None:
     order = _get_helper_dialect(tickets).encode_release(ticket)
     result = await _send_order(tickets.gateway, tickets.request_id, share, order)
