Wait between two checks of a silent attempt in every case

A gateway used all of its processor time on one silent stream, if another attempt ended at the very moment of a check. The event that tells of an end was replaced only by the wait that it woke; if that wait ended by its time, each later one returned at once, until the silent attempt went on.

How often the two coincide in service was not measured.

Now every wait replaces an event that is set, however it ended.

--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -59,9 +59,7 @@
         while context.running:
             # The first event may bring the deadline forward.
             remaining = get_stall_deadline(context) - time.monotonic()
-            with anyio.move_on_after(min(remaining, get_event_timeout(context))):
-                await race.ended.wait()
-                race.ended = anyio.Event()
+            await _wait_for_end(race, min(remaining, get_event_timeout(context)))
             if get_stall_deadline(context) <= time.monotonic():
                 await _start_beside(race)
     return race.result
@@ -126,7 +124,9 @@
     _start(race, attempt)
 
 
-async def _wait_for_end(race: Race) -> None:
+async def _wait_for_end(race: Race, seconds: float = defaults.STALL_CHECK_INTERVAL_SECONDS) -> None:
     """Wait until an attempt ends, or until the next check of a silent one."""
-    with anyio.move_on_after(defaults.STALL_CHECK_INTERVAL_SECONDS):
+    with anyio.move_on_after(seconds):
         await race.ended.wait()
+    if race.ended.is_set():
+        race.ended = anyio.Event()
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -1,11 +1,14 @@
 """Test streams whose endpoint is silent for some time and then goes on."""
 
 import contextlib
+import math
 
 import anyio
 import pytest
 
 from marjorambridge.conf import defaults
+from marjorambridge.gateway import races
+from marjorambridge.gateway.races import Race
 from marjorambridge.gateway.streams import reset
 from marjorambridge.manifests.models import Execution
 
@@ -198,3 +201,27 @@
             assert count_attempts(harness.endpoints[1]) == 0
 
     anyio.run(scenario)
+
+
+def test_a_check_beside_an_ended_attempt_does_not_repeat_at_once(monkeypatch):
+    """Guard against a loop without a pause, if an attempt ends at the moment of a check."""
+    checks = []
+    monkeypatch.setattr(races, "can_start_beside", lambda context, now: checks.append(now))
+
+    def get_past(context):
+        return 0.0 if context.running else math.inf
+
+    def make_race(context, tasks):
+        race = Race(context, tasks)
+        race.ended.set()
+        return race
+
+    monkeypatch.setattr(races, "Race", make_race)
+    monkeypatch.setattr(races, "get_stall_deadline", get_past)
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, pause_after(0, MARGIN_SECONDS)) as harness:
+            assert get_status(await call(harness, make_request())) == 200
+            assert 1 <= len(checks) <= 2 + MARGIN_SECONDS / defaults.STALL_CHECK_INTERVAL_SECONDS
+
+    anyio.run(scenario)
