Start no attempt beside one that is being cancelled

A third engine was asked for a stream that was complete. An attempt that was overtaken stays in the list of running ones until its connection and its memory are released; when the other one ended, it was alone in the list and counted as silent, so another attempt could start beside it.

Evidence: the new test, in which the end of an attempt takes 0.3 s on a route with three attempts, fails on the commit before: both other engines get the request. That such an end takes so long in service was not seen; it needs an engine that doesn't answer orders.

Now only attempts that are not being cancelled count.

--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -23,6 +23,7 @@
 from marjorambridge.gateway.selection import consume_retry_for, select_attempt
 from marjorambridge.gateway.stalls import (
     can_start_beside,
+    find_only_attempt,
     get_event_timeout,
     get_stall_deadline,
     may_stall,
@@ -104,8 +105,8 @@
 async def _start_beside(race: Race) -> None:
     """Start another attempt beside the silent one, or wait before the next check."""
     context = race.context
-    silent = context.running[0]
-    if not can_start_beside(context, time.monotonic()):
+    silent = find_only_attempt(context)
+    if silent is None or not can_start_beside(context, time.monotonic()):
         await _wait_for_end(race)
         return
     attempt = None
@@ -114,7 +115,7 @@
     if attempt is None:
         await _wait_for_end(race)
         return
-    if not context.running or get_stall_deadline(context) > time.monotonic():
+    if get_stall_deadline(context) > time.monotonic():
         # The silent attempt ended or went on while memory was being reserved.
         await release(attempt.tickets)
         return
--- a/marjorambridge/gateway/stalls.py
+++ b/marjorambridge/gateway/stalls.py
@@ -12,7 +12,7 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome, may_try_again, record_outcome
 from marjorambridge.forwarding.budgets import has_retry
 from marjorambridge.forwarding.placement import choose_endpoint
-from marjorambridge.gateway.contexts import RequestContext
+from marjorambridge.gateway.contexts import RequestContext, RunningAttempt
 from marjorambridge.gateway.crashes import is_blocked
 from marjorambridge.gateway.selection import list_excluded
 from marjorambridge.manifests.models import Execution
@@ -28,20 +28,26 @@
 
 
 def get_stall_deadline(context: RequestContext) -> float:
-    """Return the monotonic time in seconds at which the only running attempt counts as silent.
+    """Return the monotonic time in seconds at which the only attempt counts as silent.
 
     Only complete events count as progress. The time is infinite while another attempt runs beside
-    it, and while the caller delays an event.
+    it, while the caller delays an event, and when the answer is decided.
     """
-    if len(context.running) != 1:
+    attempt = find_only_attempt(context)
+    if attempt is None:
         return math.inf
-    attempt = context.running[0]
     if attempt.has_begun:
         return attempt.waits_since + get_event_timeout(context)
     allowed = context.profile.prefill_seconds + defaults.FIRST_EVENT_TIMEOUT_SECONDS
     return attempt.waits_since + allowed
 
 
+def find_only_attempt(context: RequestContext) -> RunningAttempt | None:
+    """Return the attempt that runs alone, apart from those that are being cancelled, or None."""
+    attempts = [attempt for attempt in context.running if not attempt.scope.cancel_called]
+    return attempts[0] if len(attempts) == 1 else None
+
+
 def get_event_timeout(context: RequestContext) -> float:
     """Return the seconds after an event at which a stream without another one counts as silent."""
     objective_seconds = context.admission.route.gap_objective_seconds
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -26,7 +26,7 @@
     run_gateway,
     stream_events,
 )
-from .wires import find_header, over_both_dialects, read_body
+from .wires import PLATFORM, find_header, over_both_dialects, read_body
 
 RESUMABLE = make_manifest(Execution.STREAM, 2, True)
 EVENT_STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -225,3 +225,32 @@
             assert 1 <= len(checks) <= 2 + MARGIN_SECONDS / defaults.STALL_CHECK_INTERVAL_SECONDS
 
     anyio.run(scenario)
+
+
+def test_no_attempt_starts_beside_one_that_is_being_cancelled(monkeypatch):
+    """Guard against another attempt for an answer that is complete."""
+    monkeypatch.setattr(defaults, "FIRST_EVENT_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(defaults, "EVENT_TIMEOUT_OBJECTIVES", 0.4)
+    monkeypatch.setattr(defaults, "EVENT_TIMEOUT_SECONDS", 0.1)
+    manifest = make_manifest(Execution.STREAM, 3, True)
+
+    async def scenario():
+        scripts = pause_after(0, 0.5), pause_after(0, 30.0), pause_after(0, 30.0)
+        async with run_gateway(manifest, *scripts) as harness:
+            run_attempt = harness.gateway.run_attempt
+
+            async def end_slowly(attempt, dialect):
+                try:
+                    return await run_attempt(attempt, dialect)
+                finally:
+                    with anyio.CancelScope(shield=True):
+                        await anyio.sleep(0.3 * (not attempt.address.endswith(first)))
+
+            first = str(harness.endpoints[0].port)
+            harness.gateway.run_attempt = end_slowly
+            data = await call(harness, make_request())
+            await anyio.sleep(0.5)
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert count_attempts(harness.endpoints[1]) + count_attempts(harness.endpoints[2]) == 1
+
+    anyio.run(scenario)
