Repeat a renewal of memory that failed before its lease ends

Engines cut off a request whose reserved memory expires. A lease lasts 3.6 s and was renewed every 1.8 s, one ticket after the other, so one renewal that was lost (0.4 s without an answer) let the lease end: the next order came 4 s after the last one that arrived, and later if orders of several engines were lost.

Evidence: the new test loses one renewal.

Now all tickets of a request are renewed at the same time, and a renewal that fails is repeated after 0.3 s until the lease ends, and then every 1.8 s as before.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -354,10 +354,11 @@
 # fill it; the rest covers answers that are longer than expected.
 SINGLE_ENGINE_MEMORY_RATIO = 0.98
 RESERVABLE_MEMORY_RATIO = 0.9
-# Lease of a ticket, shorter than the time after which unused memory counts as lost, and the time
-# after which it is renewed.
+# Lease of a ticket, shorter than the time after which unused memory counts as lost, the time after
+# which it is renewed, and the pause after a renewal that failed.
 TICKET_LEASE_SECONDS = 3.6
 TICKET_RENEWAL_SECONDS = 1.8
+TICKET_RETRY_SECONDS = 0.3
 # An order without an answer may be executed within this time. Tickets that it could create again
 # are released at the given interval until then.
 LATE_ORDER_WINDOW_SECONDS = 12.5
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -1,6 +1,7 @@
 """Reserve, renew and release memory of engines for one request."""
 
 import math
+import time
 
 import anyio
 from anyio.abc import TaskGroup
@@ -109,10 +110,18 @@
 
 async def renew_tickets(tickets: TicketSet) -> None:
     """Renew the leases until cancelled; engines abort a request whose lease expires."""
+    async with anyio.create_task_group() as tasks:
+        for ticket, share in tickets.held.items():
+            tasks.start_soon(_renew_ticket, tickets, ticket, share)
+
+
+async def _renew_ticket(tickets: TicketSet, ticket: str, share: MemoryShare) -> None:
+    """Renew a lease; after an order that was lost or refused, try again until the lease ends."""
     while True:
+        ends_at = time.monotonic() + defaults.TICKET_LEASE_SECONDS
         await anyio.sleep(defaults.TICKET_RENEWAL_SECONDS)
-        for ticket, share in list(tickets.held.items()):
-            await _order_reservation(tickets, ticket, share)
+        while not await _order_reservation(tickets, ticket, share) and time.monotonic() < ends_at:
+            await anyio.sleep(defaults.TICKET_RETRY_SECONDS)
 
 
 async def release(tickets: TicketSet) -> None:
--- a/tests/gateway/test_tickets.py
+++ b/tests/gateway/test_tickets.py
@@ -130,3 +130,31 @@
             assert orders[-1]["op"] == "release"
 
     anyio.run(scenario)
+
+
+def test_a_renewal_that_is_lost_is_repeated_before_the_lease_ends(monkeypatch):
+    """Guard against a request that is aborted because one order was lost."""
+    monkeypatch.setattr(defaults, "TICKET_LEASE_SECONDS", 0.8)
+    monkeypatch.setattr(defaults, "TICKET_RENEWAL_SECONDS", 0.4)
+    monkeypatch.setattr(defaults, "TICKET_RETRY_SECONDS", 0.06)
+    monkeypatch.setattr(defaults, "ORDER_TIMEOUT_SECONDS", 0.1)
+    granted, lost = [], []
+
+    async def lose_second_order(endpoint, stream, head):
+        if len(endpoint.requests) == 2:
+            lost.append(anyio.current_time())
+            await anyio.sleep(30)
+        granted.append(anyio.current_time())
+        await GRANT(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, lose_second_order) as harness:
+            tickets = TicketSet(harness.gateway, "id-1")
+            assert await reserve(tickets, make_shares(harness))
+            with anyio.move_on_after(1.5):
+                await renew_tickets(tickets)
+            pauses = [after - before for before, after in zip(granted, granted[1:], strict=False)]
+            assert lost and len(granted) > 2
+            assert max(pauses) < defaults.TICKET_LEASE_SECONDS
+
+    anyio.run(scenario)
