Ask rarely for the memory of an attempt beside a silent one

One silent stream of a long prompt caused up to 95 orders for memory in a second: while engines refused it, a selection (five rounds of orders to six engines and their releases) began again every 0.25 s, for as long as the stream was silent. Orders cost the engines work.

Now another selection begins only after the time of silence has passed once more.

--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -113,7 +113,8 @@
     with anyio.CancelScope() as context.selection:
         attempt = await select_attempt(context)
     if attempt is None:
-        await _wait_for_end(race)
+        # A selection may order memory of many engines.
+        await _wait_for_end(race, get_event_timeout(context))
         return
     if get_stall_deadline(context) > time.monotonic():
         # The silent attempt ended or went on while memory was being reserved.
--- a/tests/gateway/test_silent_long_prompts.py
+++ b/tests/gateway/test_silent_long_prompts.py
@@ -107,3 +107,31 @@
                 assert (load.requests, load.kv_tokens, load.reads) == (0, 0, 0)
 
     anyio.run(scenario)
+
+
+def test_memory_for_another_attempt_is_asked_for_rarely():
+    """Guard against orders without end, while no engine has memory for another attempt."""
+    rounds, granted = [], set()
+
+    async def refuse_further_memory(endpoint, stream, head):
+        order = json.loads(endpoint.requests[-1].partition(b"\r\n\r\n")[2])
+        if not rounds or anyio.current_time() - rounds[0] < 0.5:
+            granted.add(order["id"])
+        if order["op"] == "release" or order["id"] in granted:
+            await GRANT(endpoint, stream, head)
+        else:
+            await answer(b"409 Conflict", b"Content-Length: 0\r\n", b"")(endpoint, stream, head)
+        rounds.append(anyio.current_time())
+
+    pause_seconds = defaults.EVENT_TIMEOUT_SECONDS + 1.2
+    engine = make_engine(pause_seconds, refuse_further_memory, [])
+
+    async def scenario():
+        async with run_gateway(ENGINES, *[engine] * 16) as harness:
+            data = await call(harness, make_request(extra=LONG_PROMPT))
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            silent_since = rounds[0] + defaults.EVENT_TIMEOUT_SECONDS
+            last_round = silent_since + defaults.LONG_PROMPT_WAIT_SECONDS + 0.2
+            assert not [at for at in rounds if last_round < at < rounds[0] + pause_seconds - 0.1]
+
+    anyio.run(scenario)
