--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Run one attempt of a request, forward its events, and record its result."""
 
+import math
 import time
 
 import anyio
@@ -55,7 +56,7 @@
 )
 from marjorambridge.gateway.relays import build_relay_attempt, run_relay
 from marjorambridge.gateway.state import create_attempt_id
-from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets
+from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.manifests.models import Execution
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
@@ -70,7 +71,7 @@
     """Run one attempt and account for its load at the endpoints."""
     gateway, request, profile = context.gateway, context.request, context.profile
     endpoint = running.endpoint
-    now = running.started_at = time.monotonic()
+    now = running.started_at = running.waits_since = time.monotonic()
     running.cursor.last_event = context.last_event
     context.helper_count = len(running.helpers)
     identifier = create_attempt_id(gateway)
@@ -93,7 +94,10 @@
         gateway.share_load(endpoint)
         if not endpoint.is_peer:
             start_cancellation(gateway, request, endpoint, identifier, result.outcome)
-        await release(running.tickets)
+        if result.outcome is AttemptOutcome.COMPLETE or running.scope.cancel_called:
+            start_release(running.tickets)
+        else:
+            await release(running.tickets)
     _check_stream(context, running.cursor, result)
     if result.outcome is AttemptOutcome.MISDIRECTED:
         result.outcome = judge_misdirected(context.progress, request.is_conditional)
@@ -206,6 +210,7 @@
     if not running.has_begun:
         record_first_answer(context.gateway, context.causes, now)
     running.has_begun = True
+    running.waits_since = math.inf
     context.last_event_at = now
     _finish_prefill(context, running, now)
     context.first_event_at = context.first_event_at or now
@@ -213,13 +218,15 @@
         _collect_events(context, events, before)
     elif not await _forward_events(context, head, events):
         return Forwarded.CALLER_GONE
+    running.waits_since = time.monotonic()
     if cursor.error is not None:
         raise cursor.error
     return Forwarded.EVENTS
 
 
 def cancel_others(context: RequestContext, running: RunningAttempt) -> None:
-    """Cancel the attempts that run beside one that decides the answer."""
+    """Cancel what runs beside an attempt that goes on or decides the answer."""
+    context.selection.cancel()
     for other in context.running:
         if other is not running:
             other.scope.cancel()
@@ -258,7 +265,7 @@
         request=context.request.request_id,
         endpoint=endpoint.name,
         begun=running.has_begun,
-        seconds=round(now - max(running.started_at, context.last_event_at), 4),
+        seconds=round(now - running.waits_since, 4),
         avoided_seconds=round(avoided, 3),
     ).info("another attempt starts beside a silent one")
 
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -36,6 +36,9 @@
         Position in the event stream of the attempt.
     started_at : float
         Monotonic time in seconds.
+    waits_since : float
+        Monotonic time in seconds since which the next event is awaited; infinite before the start,
+        and while events are being sent to the caller.
     kv_tokens : int
         Memory in tokens that the requests of all hosts needed at the endpoint when the attempt
         began.
@@ -55,6 +58,7 @@
     helpers: list[Endpoint] = field(default_factory=list)
     cursor: StreamCursor = field(default_factory=StreamCursor)
     started_at: float = 0.0
+    waits_since: float = math.inf
     kv_tokens: int = 0
     has_begun: bool = False
     has_stalled: bool = False
@@ -79,6 +83,8 @@
         All attempts; what they hold is released when the request ends, if not before.
     running : list of RunningAttempt
         Attempts that have not ended.
+    selection : anyio.CancelScope
+        Cancels the selection of another attempt beside a silent one.
     first_event_at, last_event_at : float
         Monotonic times in seconds; 0 before the first event.
     longest_gap : float
@@ -103,6 +109,7 @@
     progress: RequestProgress = field(default_factory=RequestProgress)
     attempts: list[RunningAttempt] = field(default_factory=list)
     running: list[RunningAttempt] = field(default_factory=list)
+    selection: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -23,6 +23,7 @@
 from marjorambridge.gateway.selection import consume_retry_for, select_attempt
 from marjorambridge.gateway.stalls import (
     can_start_beside,
+    find_only_attempt,
     get_event_timeout,
     get_stall_deadline,
     may_stall,
@@ -59,9 +60,7 @@
         while context.running:
             # The first event may bring the deadline forward.
             remaining = get_stall_deadline(context) - time.monotonic()
-            with anyio.move_on_after(min(remaining, get_event_timeout(context))):
-                await race.ended.wait()
-                race.ended = anyio.Event()
+            await _wait_for_end(race, min(remaining, get_event_timeout(context)))
             if get_stall_deadline(context) <= time.monotonic():
                 await _start_beside(race)
     return race.result
@@ -106,15 +105,18 @@
 async def _start_beside(race: Race) -> None:
     """Start another attempt beside the silent one, or wait before the next check."""
     context = race.context
-    silent = context.running[0]
-    if not can_start_beside(context, time.monotonic()):
+    silent = find_only_attempt(context)
+    if silent is None or not can_start_beside(context, time.monotonic()):
         await _wait_for_end(race)
         return
-    attempt = await select_attempt(context)
+    attempt = None
+    with anyio.CancelScope() as context.selection:
+        attempt = await select_attempt(context)
     if attempt is None:
-        await _wait_for_end(race)
+        # A selection may order memory of many engines.
+        await _wait_for_end(race, get_event_timeout(context))
         return
-    if not context.running or get_stall_deadline(context) > time.monotonic():
+    if get_stall_deadline(context) > time.monotonic():
         # The silent attempt ended or went on while memory was being reserved.
         await release(attempt.tickets)
         return
@@ -124,7 +126,9 @@
     _start(race, attempt)
 
 
-async def _wait_for_end(race: Race) -> None:
+async def _wait_for_end(race: Race, seconds: float = defaults.STALL_CHECK_INTERVAL_SECONDS) -> None:
     """Wait until an attempt ends, or until the next check of a silent one."""
-    with anyio.move_on_after(defaults.STALL_CHECK_INTERVAL_SECONDS):
+    with anyio.move_on_after(seconds):
         await race.ended.wait()
+    if race.ended.is_set():
+        race.ended = anyio.Event()
--- a/marjorambridge/gateway/tickets.py
+++ b/marjorambridge/gateway/tickets.py
@@ -1,6 +1,7 @@
 """Reserve, renew and release memory of engines for one request."""
 
 import math
+import time
 
 import anyio
 from anyio.abc import TaskGroup
@@ -29,7 +30,7 @@
     refused : set of str
         Tickets that were not granted.
     has_unanswered_order : bool
-        Whether an order was not answered, so that it may still be executed.
+        Whether an order was cancelled or not answered, so that it may still be executed.
     """
 
     gateway: Gateway
@@ -41,9 +42,13 @@
 
 async def reserve(tickets: TicketSet, shares: list[MemoryShare]) -> bool:
     """Reserve all shares or none, and return whether they are reserved."""
-    async with anyio.create_task_group() as tasks:
-        for share in shares:
-            tasks.start_soon(_reserve_share, tickets, share)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for share in shares:
+                tasks.start_soon(_reserve_share, tickets, share)
+    except anyio.get_cancelled_exc_class():
+        start_release(tickets)
+        raise
     if not tickets.refused:
         return True
     await release(tickets)
@@ -65,7 +70,11 @@
     order = _get_helper_dialect(tickets).encode_reservation(
         ticket, share.tokens, defaults.TICKET_LEASE_SECONDS
     )
-    result = await _send_order(tickets.gateway, tickets.request_id, share, order)
+    try:
+        result = await _send_order(tickets.gateway, tickets.request_id, share, order)
+    except anyio.get_cancelled_exc_class():
+        tickets.has_unanswered_order = True
+        raise
     if result.head is None:
         tickets.has_unanswered_order |= result.outcome is not AttemptOutcome.NOT_SENT
     accepted = result.head is not None and result.head.status == ACCEPTED
@@ -101,10 +110,18 @@
 
 async def renew_tickets(tickets: TicketSet) -> None:
     """Renew the leases until cancelled; engines abort a request whose lease expires."""
+    async with anyio.create_task_group() as tasks:
+        for ticket, share in tickets.held.items():
+            tasks.start_soon(_renew_ticket, tickets, ticket, share)
+
+
+async def _renew_ticket(tickets: TicketSet, ticket: str, share: MemoryShare) -> None:
+    """Renew a lease; after an order that was lost or refused, try again until the lease ends."""
     while True:
+        ends_at = time.monotonic() + defaults.TICKET_LEASE_SECONDS
         await anyio.sleep(defaults.TICKET_RENEWAL_SECONDS)
-        for ticket, share in list(tickets.held.items()):
-            await _order_reservation(tickets, ticket, share)
+        while not await _order_reservation(tickets, ticket, share) and time.monotonic() < ends_at:
+            await anyio.sleep(defaults.TICKET_RETRY_SECONDS)
 
 
 async def release(tickets: TicketSet) -> None:
@@ -122,6 +139,12 @@
         start_background(tickets.gateway, lambda: _repeat_release(tickets, held))
 
 
+def start_release(tickets: TicketSet) -> None:
+    """Release all tickets in the background, so that an answer need not wait for it."""
+    if tickets.held:
+        start_background(tickets.gateway, lambda: release(tickets))
+
+
 async def _release_ticket(tickets: TicketSet, ticket: str, share: MemoryShare) -> None:
     order = _get_helper_dialect(tickets).encode_release(ticket)
     result = await _send_order(tickets.gateway, tickets.request_id, share, order)
--- a/tests/gateway/test_silent_streams.py
+++ b/tests/gateway/test_silent_streams.py
@@ -1,11 +1,14 @@
 """Test streams whose endpoint is silent for some time and then goes on."""
 
 import contextlib
+import math
 
 import anyio
 import pytest
 
 from marjorambridge.conf import defaults
+from marjorambridge.gateway import races
+from marjorambridge.gateway.races import Race
 from marjorambridge.gateway.streams import reset
 from marjorambridge.manifests.models import Execution
 
@@ -15,13 +18,15 @@
     call,
     get_status,
     make_chunk,
+    make_head,
     make_manifest,
     make_request,
+    read_answer,
     refuse,
     run_gateway,
     stream_events,
 )
-from .wires import find_header, over_both_dialects
+from .wires import PLATFORM, find_header, over_both_dialects, read_body
 
 RESUMABLE = make_manifest(Execution.STREAM, 2, True)
 EVENT_STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -171,3 +176,81 @@
             assert_no_load(harness)
 
     anyio.run(scenario)
+
+
+def test_a_caller_that_reads_slowly_is_no_silent_engine():
+    """Guard against a second attempt, and a lost event, while the caller delays an event."""
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * 60_000) for n in range(1, 201)]
+
+    async def send_long_events(endpoint, stream, head):
+        after = endpoint.wire.find_resumption(endpoint.requests[-1]) or 0
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await stream.send(make_head(head, b"200 OK", SIGNED + EVENT_STREAM[:-2]))
+            for event in events[after:]:
+                await stream.send(make_chunk(event))
+            await stream.send(b"0\r\n\r\n")
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, send_long_events, send_long_events) as harness:
+            stream = await anyio.connect_tcp("127.0.0.1", harness.port)
+            async with stream:
+                await stream.send(make_request())
+                await anyio.sleep(PAUSE_SECONDS)
+                data = await read_answer(stream)
+            assert read_body(data) == b"".join(events)
+            assert count_attempts(harness.endpoints[1]) == 0
+
+    anyio.run(scenario)
+
+
+def test_a_check_beside_an_ended_attempt_does_not_repeat_at_once(monkeypatch):
+    """Guard against a loop without a pause, if an attempt ends at the moment of a check."""
+    checks = []
+    monkeypatch.setattr(races, "can_start_beside", lambda context, now: checks.append(now))
+
+    def get_past(context):
+        return 0.0 if context.running else math.inf
+
+    def make_race(context, tasks):
+        race = Race(context, tasks)
+        race.ended.set()
+        return race
+
+    monkeypatch.setattr(races, "Race", make_race)
+    monkeypatch.setattr(races, "get_stall_deadline", get_past)
+
+    async def scenario():
+        async with run_gateway(RESUMABLE, pause_after(0, MARGIN_SECONDS)) as harness:
+            assert get_status(await call(harness, make_request())) == 200
+            assert 1 <= len(checks) <= 2 + MARGIN_SECONDS / defaults.STALL_CHECK_INTERVAL_SECONDS
+
+    anyio.run(scenario)
+
+
+def test_no_attempt_starts_beside_one_that_is_being_cancelled(monkeypatch):
+    """Guard against another attempt for an answer that is complete."""
+    monkeypatch.setattr(defaults, "FIRST_EVENT_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(defaults, "EVENT_TIMEOUT_OBJECTIVES", 0.4)
+    monkeypatch.setattr(defaults, "EVENT_TIMEOUT_SECONDS", 0.1)
+    manifest = make_manifest(Execution.STREAM, 3, True)
+
+    async def scenario():
+        scripts = pause_after(0, 0.5), pause_after(0, 30.0), pause_after(0, 30.0)
+        async with run_gateway(manifest, *scripts) as harness:
+            run_attempt = harness.gateway.run_attempt
+
+            async def end_slowly(attempt, dialect):
+                try:
+                    return await run_attempt(attempt, dialect)
+                finally:
+                    with anyio.CancelScope(shield=True):
+                        await anyio.sleep(0.3 * (not attempt.address.endswith(first)))
+
+            first = str(harness.endpoints[0].port)
+            harness.gateway.run_attempt = end_slowly
+            data = await call(harness, make_request())
+            await anyio.sleep(0.5)
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert count_attempts(harness.endpoints[1]) + count_attempts(harness.endpoints[2]) == 1
+
+    anyio.run(scenario)
--- a/tests/gateway/test_tickets.py
+++ b/tests/gateway/test_tickets.py
@@ -88,6 +88,30 @@
     anyio.run(scenario)
 
 
+def test_an_order_that_is_cancelled_is_released_repeatedly(monkeypatch):
+    """Guard against memory that is reserved late, for a request that has ended meanwhile."""
+    monkeypatch.setattr(defaults, "TICKET_RELEASE_INTERVAL_SECONDS", 0.05)
+    monkeypatch.setattr(defaults, "LATE_ORDER_WINDOW_SECONDS", 0.2)
+
+    async def answer_releases(endpoint, stream, head):
+        if b'"reserve"' in endpoint.requests[-1]:
+            await anyio.sleep(30)
+        await GRANT(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_releases) as harness:
+            tickets = TicketSet(harness.gateway, "id-1")
+            with anyio.move_on_after(0.1):
+                await reserve(tickets, make_shares(harness))
+            await release(tickets)
+            await anyio.sleep(0.5)
+            (orders,) = [[order["op"] for order in orders] for orders in list_orders(harness)]
+            assert orders[0] == "reserve" and orders.count("release") >= 3
+            assert count_kv_tokens(harness) == 0
+
+    anyio.run(scenario)
+
+
 def test_leases_are_renewed_while_the_request_runs(monkeypatch):
     """Guard against a request that is aborted because its lease expired."""
     monkeypatch.setattr(defaults, "TICKET_RENEWAL_SECONDS", 0.05)
@@ -106,3 +130,31 @@
             assert orders[-1]["op"] == "release"
 
     anyio.run(scenario)
+
+
+def test_a_renewal_that_is_lost_is_repeated_before_the_lease_ends(monkeypatch):
+    """Guard against a request that is aborted because one order was lost."""
+    monkeypatch.setattr(defaults, "TICKET_LEASE_SECONDS", 0.8)
+    monkeypatch.setattr(defaults, "TICKET_RENEWAL_SECONDS", 0.4)
+    monkeypatch.setattr(defaults, "TICKET_RETRY_SECONDS", 0.06)
+    monkeypatch.setattr(defaults, "ORDER_TIMEOUT_SECONDS", 0.1)
+    granted, lost = [], []
+
+    async def lose_second_order(endpoint, stream, head):
+        if len(endpoint.requests) == 2:
+            lost.append(anyio.current_time())
+            await anyio.sleep(30)
+        granted.append(anyio.current_time())
+        await GRANT(endpoint, stream, head)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, lose_second_order) as harness:
+            tickets = TicketSet(harness.gateway, "id-1")
+            assert await reserve(tickets, make_shares(harness))
+            with anyio.move_on_after(1.5):
+                await renew_tickets(tickets)
+            pauses = [after - before for before, after in zip(granted, granted[1:], strict=False)]
+            assert lost and len(granted) > 2
+            assert max(pauses) < defaults.TICKET_LEASE_SECONDS
+
+    anyio.run(scenario)
