Write answers to slow callers until the time to drain has passed

On the product's own path, callers that read slowly saw an answer cut around a planned stop, and a request whose body was still arriving got an invalid answer 500, although it had not run.

The class of fault: a connection ends before what follows is certain. A host counts as drained when its reducer has no request left, but the last answers may not be written by then.

Now a drained host goes on writing until the time to drain has passed, or for 2 s if that is later. A forced shutdown ends that time at once, also while answers are being written. Connections that are reset are counted in the log.

Ruled out: the reducer. It has sent the whole answer by then; the bytes were in the buffers of the connection.

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -32,7 +32,12 @@
     start_driver,
 )
 from marjorambridge.http.registry import RequestRegistry, deliver_effect
-from marjorambridge.http.servers import close_server, start_server
+from marjorambridge.http.servers import (
+    HttpServer,
+    abort_connections,
+    close_server,
+    start_server,
+)
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.membership.events import CommandAnswered
@@ -62,8 +67,9 @@
 from marjorambridge.transport import network
 
 WALL_CLOCK_INTERVAL_SECONDS = 1.0
-# Time to write the last answers to the callers after the reducer has reported that it is drained.
+# Least time to write the last answers after the reducer has reported that it is drained.
 FLUSH_TIMEOUT_SECONDS = 2.0
+FLUSH_CHECK_INTERVAL_SECONDS = 0.1
 DEFAULT_BYTES_PER_TOKEN = 3.0
 
 
@@ -261,7 +267,12 @@
 
 async def close(host: Host) -> None:
     """Flush the last answers to callers and close all drivers."""
-    for server in host.servers:
+    caller_server, *other_servers = host.servers
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_abort_late_answers, host, caller_server)
+        await close_server(caller_server, drain_seconds=None)
+        tasks.cancel_scope.cancel()
+    for server in other_servers:
         await close_server(server, FLUSH_TIMEOUT_SECONDS)
     if host.endpoints is not None:
         await close_driver(host.endpoints)
@@ -270,3 +281,18 @@
         await worker.close(host.storage)
     if host.traces is not None:
         spans.close(host.traces)
+
+
+async def _abort_late_answers(host: Host, server: HttpServer) -> None:
+    """Reset the connections that are still open when the drain has ended.
+
+    Until then, slow callers may read their answers, or send the rest of their requests.
+    """
+    shutdown = host.runtime.node.parts["requests"].state.shutdown
+    earliest = time.monotonic() + FLUSH_TIMEOUT_SECONDS
+    while time.monotonic() < max(earliest, shutdown.drain_ends_at):
+        await anyio.sleep(FLUSH_CHECK_INTERVAL_SECONDS)
+    connections = abort_connections(server)
+    logger.bind(connections=connections).warning(
+        "connections of callers were reset, because the time to drain had passed"
+    )
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -129,13 +129,27 @@
     return HttpServer(f"{bound[0]}:{bound[1]}", server, task)
 
 
-async def close_server(http_server: HttpServer, drain_seconds: float = 0.0) -> None:
-    """Stop accepting requests, wait up to `drain_seconds` for answers in progress, and stop."""
+async def close_server(http_server: HttpServer, drain_seconds: float | None = 0.0) -> None:
+    """Stop accepting requests, wait for answers in progress, and stop.
+
+    Parameters
+    ----------
+    drain_seconds : float or None
+        Longest time to wait; None waits until the last connection is closed.
+    """
     http_server.server.config.timeout_graceful_shutdown = drain_seconds  # type: ignore[assignment]
     http_server.server.should_exit = True
     await http_server.task
 
 
+def abort_connections(http_server: HttpServer) -> int:
+    """Reset all connections, and return how many there were."""
+    protocols = list(http_server.server.server_state.connections)
+    for protocol in protocols:
+        protocol.transport.abort()
+    return len(protocols)
+
+
 def abort_connection(scope: dict[str, Any]) -> None:
     """Reset the connection of a request, without flushing what the caller has not read."""
     transport = scope.get("state", {}).get("transport")
--- a/marjorambridge/requests/shutdown.py
+++ b/marjorambridge/requests/shutdown.py
@@ -34,7 +34,10 @@
 
 def end_all_requests(state: RequestsState, now: float) -> list[Effect]:
     """End all requests at once and admit no more."""
-    state.shutdown.refuse_from = min(state.shutdown.refuse_from, now)
+    shutdown = state.shutdown
+    assert shutdown is not None
+    shutdown.refuse_from = min(shutdown.refuse_from, now)
+    shutdown.drain_ends_at = min(shutdown.drain_ends_at, now)
     effects: list[Effect] = []
     message = "the host shut down before the answer was complete; send the request again"
     for request in list(state.requests.values()):
