Read what a caller still sends after its answer, before closing

On the product's own path, callers with a long body saw a reset in place of a refusal that says "not run", for instance if the host held too many bodies.

The class of fault: a connection ends before what follows is certain. A connection with unread bytes is reset when it is closed, and the reset overtakes the answer at the caller.

Now a connection first ends its own direction, and reads and drops what the caller still sends: until the caller closes, or for 1 s after the last byte was written, and 32 MiB at most. This covers each close by the server, also that of kept connections when it stops, at which a request may cross.

The new test fails without the change: a caller that sends a body of 8 MB got a broken pipe and no answer. A body of 100 bytes passed before, since the caller had written it by then.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -15,6 +15,63 @@
 MAX_HEADER_BYTES = 32 * 1024
 IDLE_TIMEOUT_SECONDS = 75.0
 BACKLOG_CONNECTIONS = 1024
+# After the last answer, what the caller still sends is read for this time and up to this size.
+LINGER_SECONDS = 1.0
+MAX_DISCARDED_BYTES = 32 * 1024 * 1024
+
+
+class _LingeringTransport:
+    """A transport that ends its own direction first when it is closed.
+
+    Closing a connection with unread data resets it, and the caller could lose the answer before.
+    """
+
+    __slots__ = ("_discarded_bytes", "_timer", "_transport", "is_lingering")
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._timer: asyncio.TimerHandle | None = None
+        self._discarded_bytes = 0
+        self.is_lingering = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        return self.is_lingering or self._transport.is_closing()
+
+    def close(self) -> None:
+        if self.is_closing():
+            return
+        self.is_lingering = True
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.close()
+            return
+        self._transport.resume_reading()
+        self._start_timer()
+
+    def discard(self, size: int) -> None:
+        """Count bytes that arrived after the close."""
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._transport.close()
+
+    def cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _start_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(LINGER_SECONDS, self._close_if_written)
+
+    def _close_if_written(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._start_timer()
+        else:
+            self._transport.close()
 
 
 class _HttpProtocol(H11Protocol):
@@ -25,13 +82,21 @@
     """
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        super().connection_made(transport)
+        self._lingering = _LingeringTransport(transport)
+        super().connection_made(self._lingering)  # type: ignore[arg-type]
         self.app_state = {**self.app_state, "transport": transport}
         self._last_checked_cycle: Any = None
         self._idle_timer = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
 
+    def data_received(self, data: bytes) -> None:
+        if self._lingering.is_lingering:
+            self._lingering.discard(len(data))
+        else:
+            super().data_received(data)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._idle_timer.cancel()
+        self._lingering.cancel_timer()
         super().connection_lost(exc)
 
     def _check_idle(self) -> None:
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -221,3 +221,26 @@
         await closing
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("body_bytes", [100, 8_000_000])
+def test_a_refusal_is_read_although_the_body_was_not(body_bytes):
+    """Guard against a refusal that is lost, because the rest of the request resets it."""
+
+    async def run():
+        async with serve_callers(settings=CallerSettings(max_buffered_bytes=0)) as caller:
+            reader, writer = await asyncio.open_connection(*caller.address.split(":"))
+            head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {body_bytes}"
+            writer.write(head.encode() + b"\r\n\r\n")
+            # The server answers before the body arrives.
+            await asyncio.sleep(0.1)
+            writer.write(b"x" * body_bytes)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            async with asyncio.timeout(15.0):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b'"not_run"' in answer
+            writer.close()
+
+    asyncio.run(run())
