Tell callers of a host that shuts down to close their connections

On the product's own path, a request that was sent on a kept connection just when a host ended got no answer, also from callers that had had an answer since the signal.

The class of fault: a connection ends before what follows is certain. A host that shuts down answered as on any other connection, so that its callers kept it and used it until the host closed it.

Now each answer whose head is sent after the signal has Connection: close and is the last one on its connection, so that the next request opens another one, to another host. A stream whose head was sent before the signal ends as before, and the answer after it is the last one.

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -234,6 +234,7 @@
             compute_prefix,
             find_bytes_per_token,
             choose_trace=choose_trace,
+            is_shutting_down=lambda: host.shutting_down,
         ),
         host.settings.addresses.admin: admin.build_application(build_callbacks(host)),
     }
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -43,6 +43,7 @@
 from marjorambridge.requests.events import CallerGone, RequestArrived
 
 ANNOUNCE_PATH = "/v1/announce"
+CLOSE_HEADER = (b"connection", b"close")
 
 HashPrefixes = Callable[[bytes, float], tuple[tuple[bytes, ...], tuple[int, ...]]]
 
@@ -144,6 +145,7 @@
     clock: Callable[[], float] = time.monotonic,
     new_identifier: Callable[[], str] = create_request_identifier,
     choose_trace: Callable[[str, str], str] = lambda header, identifier: "",
+    is_shutting_down: Callable[[], bool] = lambda: False,
 ) -> Application:
     """Build the ASGI application for callers.
 
@@ -160,6 +162,9 @@
     choose_trace : callable
         Returns the trace for the ``traceparent`` header and the identifier of a request; empty
         for a request that is not traced.
+    is_shutting_down : callable
+        Returns whether each answer is the last one on its connection, so that no caller sends a
+        request on a connection that is about to be closed.
     """
     limits = settings or CallerSettings()
 
@@ -247,7 +252,13 @@
             )
 
     async def serve(scope: Any, receive: Any, send: Any) -> None:
+        async def send_last(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start" and is_shutting_down():
+                headers = [item for item in message["headers"] if item[0] != CLOSE_HEADER[0]]
+                message = {**message, "headers": [*headers, CLOSE_HEADER]}
+            await send(message)
+
         if scope["type"] == "http":
-            await answer_request_error(send, route(scope, receive, send))
+            await answer_request_error(send_last, route(scope, receive, send_last))
 
     return serve
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -14,7 +14,7 @@
 from marjorambridge.limits.events import EndpointAnnounced
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import CallerGone, RequestArrived
-from tests.http.helpers import request, serve_callers, wait_for
+from tests.http.helpers import CallerServer, request, serve, serve_callers, wait_for
 from tests.http.test_bodies import ANNOUNCEMENT
 
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "ભાવ?"}]}
@@ -244,3 +244,29 @@
             writer.close()
 
     asyncio.run(run())
+
+
+def test_a_host_that_shuts_down_keeps_no_connection_open():
+    """Guard against a request that crosses the end of a kept connection and gets no answer."""
+
+    async def run():
+        registry, draining = RequestRegistry(), False
+        caller = CallerServer(registry)
+        application = callers.build_application(
+            registry, caller.post, is_shutting_down=lambda: draining
+        )
+        async with serve(application) as caller.address:
+            answer_with(caller, Done())
+            for path in ("/services/app/x", "/v1/chat/completions", "/v1/unknown"):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    url, body = f"http://{caller.address}{path}", json.dumps(CHAT).encode()
+                    draining = False
+                    kept = await pool.request("POST", url, content=body)
+                    draining = True
+                    last = await pool.request("POST", url, content=body)
+                    is_refused = kept.status >= 400
+                    assert ((b"connection", b"close") in kept.headers) == is_refused
+                    assert last.headers.count((b"connection", b"close")) == 1
+                    assert not any(entry.is_idle() for entry in pool.connections)
+
+    asyncio.run(run())
--- a/tests/system/test_shutdown.py
+++ b/tests/system/test_shutdown.py
@@ -1,5 +1,6 @@
 """Test that a graceful shutdown truncates no answer, and a forced one ends each with an error."""
 
+import http.client
 import itertools
 import signal
 
@@ -51,3 +52,26 @@
     cut = [result for _, result in load.results if not result.complete]
     assert cut
     assert all('"shutting_down"' in result.error for result in cut)
+
+
+def test_a_host_that_shuts_down_tells_callers_to_close_their_connections(fleet):
+    """Guard against a request that crosses the end of a kept connection and gets no answer."""
+    host = fleet.hosts["host-1"]
+    with fleets.run_load() as load:
+        fleets.set_fault(fleet, "service-0", delay_seconds=2.0)
+        booking = load.pool.submit(fleets.book, fleet, "host-1", "kept")
+        local.wait_until(
+            lambda: fleets.read_inventory(fleet, "service-0")["running"], "the booking runs"
+        )
+        connection = http.client.HTTPConnection(host.caller_address, timeout=10.0)
+        connection.request("GET", "/v1/unknown")
+        connection.getresponse().read()
+        local.send_signal(host.process, signal.SIGTERM)
+        local.wait_until(lambda: not local.is_ready(host), "the host drains")
+        connection.request("GET", f"/services/{fleets.PLAIN_SERVICE}/slots")
+        answer = connection.getresponse()
+        answer.read()
+        assert answer.getheader("Connection") == "close"
+        assert booking.result().status == 201
+        connection.close()
+    assert host.process.wait(local.STOP_SECONDS) == 0
