Do not count a connection as idle while its caller reads an answer

On the product's own path, callers that read a long answer slowly saw it cut. The whole body of an answer that is no stream is written at once, and is complete for the server as soon as it is in the buffers of the connection. From then on the connection counted as idle, and was reset with what was left 75 to 150 s later.

The class of fault: a connection ends before what follows is certain.

Now a connection is idle only if its caller acknowledged nothing since the last check, and the bytes in the kernel count too: its send buffer takes megabytes, so that the one of the process can stay the same for long although the caller reads. A caller that reads nothing is still cut after the same time.

The new test fails without the change: with an idle limit of 0.3 s, a caller that read steadily got 3.8 of 7 MB. It also failed (3.8 MB) when only the buffer of the process was counted. The other case guards the limit.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -18,6 +21,7 @@
 # After the last answer, what the caller still sends is read for this time and up to this size.
 LINGER_SECONDS = 1.0
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
+QUEUE_SIZE = struct.Struct("i")
 
 
 class _LingeringTransport:
@@ -74,6 +78,17 @@
             self._transport.close()
 
 
+def _count_unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the peer has not acknowledged, in this process and in the kernel."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return 0
+    (queued_bytes,) = QUEUE_SIZE.unpack(
+        fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    )
+    return transport.get_write_buffer_size() + int(queued_bytes)
+
+
 class _HttpProtocol(H11Protocol):
     """Closes idle connections, and gives applications the transport for `abort_connection`.
 
@@ -86,6 +101,7 @@
         super().connection_made(self._lingering)  # type: ignore[arg-type]
         self.app_state = {**self.app_state, "transport": transport}
         self._last_checked_cycle: Any = None
+        self._last_unsent_bytes = 0
         self._idle_timer = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
 
     def data_received(self, data: bytes) -> None:
@@ -101,6 +117,10 @@
 
     def _check_idle(self) -> None:
         busy = self.cycle is not None and not self.cycle.response_complete
+        # The last write of an answer does not wait until the caller has read it.
+        unsent_bytes = _count_unsent_bytes(self.transport)
+        busy = busy or 0 < unsent_bytes < self._last_unsent_bytes
+        self._last_unsent_bytes = unsent_bytes
         if not busy and self._last_checked_cycle is self.cycle:
             self.transport.abort()
             return
@@ -163,8 +183,8 @@
     port : int
         0 lets the operating system choose a free port.
     idle_timeout_seconds : float
-        Time after which a connection without a request in progress is closed; a header that
-        arrives in part after an answer may take twice as long.
+        Time after which a connection without a request in progress is closed, unless its caller
+        still reads an answer; a header that arrives in part after an answer may take twice as long.
 
     Raises
     ------
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -1,8 +1,10 @@
 """Guard callers against answers that are lost, or that are cut but look complete."""
 
 import asyncio
+import contextlib
 import hashlib
 import json
+import socket
 
 import httpcore
 import pytest
@@ -270,3 +272,33 @@
                     assert not any(entry.is_idle() for entry in pool.connections)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_the_idle_limit_does_not_cut_an_answer_that_is_being_read(reads):
+    """Guard against an answer that is cut because its last write did not wait for the caller."""
+    size = 7_000_000
+
+    async def run():
+        async with serve_callers(idle_timeout_seconds=0.3) as caller:
+            answer_with(caller, Done(), [b"x" * size])
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+            connection.setblocking(False)
+            host, port = caller.address.split(":")
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(connection, (host, int(port)))
+            body = json.dumps(CHAT).encode()
+            head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+            await loop.sock_sendall(connection, head.encode() + b"\r\n\r\n" + body)
+            if not reads:
+                await asyncio.sleep(1.5)
+            data = bytearray()
+            with contextlib.suppress(ConnectionError):
+                while part := await loop.sock_recv(connection, 1 << 17):
+                    data += part
+                    await asyncio.sleep(0.03 if reads else 0.0)
+            connection.close()
+            assert (data.count(b"x") >= size) == reads
+
+    asyncio.run(run())
