Do not cut an answer because one write takes a slow caller long

On the product's own path, callers that read steadily, but slowly, saw an answer cut: a write that waited for 30 s ended the connection, although the caller went on reading.

The class of fault: a connection ends before what follows is certain. A write returns only once the buffer of the process is almost empty, which is refilled by the kernel in steps of megabytes, so that the time that one write takes does not show whether the caller reads.

Now a write is given up only once the caller has acknowledged nothing between two checks, half of the 30 s apart; a caller that reads nothing is disconnected as before.

The new test fails without the change: with a limit of 0.3 s, the answer of 7 MB to a caller that reads steadily ended without its last part. The other case guards the limit.

The test of the idle limit shares the slow caller.

--- a/marjorambridge/http/answers.py
+++ b/marjorambridge/http/answers.py
@@ -1,8 +1,9 @@
 """Write the effects of a request to its caller as they are produced."""
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from msgspec import Struct, field
@@ -153,6 +154,30 @@
             await send_json(send, status, body, headers)
 
 
+@contextlib.asynccontextmanager
+async def _limit_write(stored: StoredRequest, seconds: float) -> AsyncIterator[None]:
+    """Raise `TimeoutError` once the caller has read nothing for `seconds`."""
+    loop = asyncio.get_running_loop()
+    last_unsent_bytes = -1
+    timer: asyncio.TimerHandle
+
+    def check() -> None:
+        nonlocal last_unsent_bytes, timer
+        unsent_bytes = stored.count_unsent_bytes()
+        if unsent_bytes == last_unsent_bytes:
+            limit.reschedule(loop.time())
+            return
+        last_unsent_bytes = unsent_bytes
+        timer = loop.call_later(seconds / 2, check)
+
+    timer = loop.call_later(seconds / 2, check)
+    try:
+        async with asyncio.timeout(None) as limit:
+            yield
+    finally:
+        timer.cancel()
+
+
 async def write_answer(
     registry: RequestRegistry,
     stored: StoredRequest,
@@ -165,7 +190,8 @@
     -------
     bool
         Whether the answer, or the error that ends it, was written; False if the caller's
-        connection was closed before or a write took longer than `send_timeout_seconds`.
+        connection was closed before or a write waited for `send_timeout_seconds` while the caller
+        read nothing.
 
     Raises
     ------
@@ -183,7 +209,7 @@
             continue
         effect = stored.pending.popleft()
         try:
-            async with asyncio.timeout(settings.send_timeout_seconds):
+            async with _limit_write(stored, settings.send_timeout_seconds):
                 if not stored.is_engine:
                     await _write_plain_effect(stored, answer, effect, send)
                 elif stored.stream:
--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -37,7 +37,7 @@
     add_request,
     mark_disconnected,
 )
-from marjorambridge.http.servers import Application, abort_connection
+from marjorambridge.http.servers import Application, abort_connection, count_unsent_bytes
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.limits.events import EndpointAnnounced
 from marjorambridge.requests.events import CallerGone, RequestArrived
@@ -210,6 +210,7 @@
         )
         arrived.trace = choose_trace(headers.get("traceparent", ""), arrived.request)
         stored.abort = lambda: abort_connection(scope)
+        stored.count_unsent_bytes = lambda: count_unsent_bytes(scope)
         add_request(registry, stored)
         disconnect_task = asyncio.create_task(_watch_disconnect(receive, stored))
         finished = False
--- a/marjorambridge/http/registry.py
+++ b/marjorambridge/http/registry.py
@@ -42,6 +42,8 @@
         Whether the caller was disconnected because its buffer was full.
     abort : callable
         Resets the caller's connection; a write that waits for the caller then returns.
+    count_unsent_bytes : callable
+        Returns the written bytes that the caller has not acknowledged.
     """
 
     request: str
@@ -60,6 +62,7 @@
     disconnected: bool = False
     overflowed: bool = False
     abort: Callable[[], None] = lambda: None
+    count_unsent_bytes: Callable[[], int] = lambda: 0
 
     def __post_init__(self) -> None:
         self.writable.set()
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -235,6 +235,12 @@
     return len(protocols)
 
 
+def count_unsent_bytes(scope: dict[str, Any]) -> int:
+    """Return the bytes that the caller of a request has not acknowledged."""
+    transport = scope.get("state", {}).get("transport")
+    return 0 if transport is None else _count_unsent_bytes(transport)
+
+
 def abort_connection(scope: dict[str, Any]) -> None:
     """Reset the connection of a request, without flushing what the caller has not read."""
     transport = scope.get("state", {}).get("transport")
--- a/marjorambridge/http/settings.py
+++ b/marjorambridge/http/settings.py
@@ -22,7 +22,7 @@
     body_idle_timeout_seconds, body_timeout_seconds : float
         Longest pause between two parts of a body, and longest time for a whole body.
     send_timeout_seconds : float
-        Longest time that one write to a caller may wait for the caller to read.
+        Longest time that a write may wait for a caller that reads nothing.
     """
 
     max_header_bytes: int = MAX_HEADER_BYTES
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -274,31 +274,53 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("reads", [True, False])
-def test_the_idle_limit_does_not_cut_an_answer_that_is_being_read(reads):
+async def read_slowly(address, path, content, pause_seconds):
+    """Send a request, wait, and return what a caller gets that reads in small parts."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+    connection.setblocking(False)
+    host, port = address.split(":")
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (host, int(port)))
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(content)}\r\n"
+    await loop.sock_sendall(connection, head.encode() + b"Connection: close\r\n\r\n" + content)
+    await asyncio.sleep(pause_seconds)
+    started = loop.time()
+    data = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while part := await loop.sock_recv(connection, 1 << 17):
+            data += part
+            is_slow = not pause_seconds and loop.time() < started + 1.5
+            await asyncio.sleep(0.03 if is_slow else 0.0)
+    connection.close()
+    return bytes(data)
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 1.5])
+def test_the_idle_limit_does_not_cut_an_answer_that_is_being_read(pause_seconds):
     """Guard against an answer that is cut because its last write did not wait for the caller."""
     size = 7_000_000
 
     async def run():
         async with serve_callers(idle_timeout_seconds=0.3) as caller:
             answer_with(caller, Done(), [b"x" * size])
-            connection = socket.socket()
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
-            connection.setblocking(False)
-            host, port = caller.address.split(":")
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(connection, (host, int(port)))
-            body = json.dumps(CHAT).encode()
-            head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
-            await loop.sock_sendall(connection, head.encode() + b"\r\n\r\n" + body)
-            if not reads:
-                await asyncio.sleep(1.5)
-            data = bytearray()
-            with contextlib.suppress(ConnectionError):
-                while part := await loop.sock_recv(connection, 1 << 17):
-                    data += part
-                    await asyncio.sleep(0.03 if reads else 0.0)
-            connection.close()
-            assert (data.count(b"x") >= size) == reads
+            content = json.dumps(CHAT).encode()
+            path = "/v1/chat/completions"
+            data = await read_slowly(caller.address, path, content, pause_seconds)
+            assert (data.count(b"x") >= size) == (not pause_seconds)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 1.5])
+def test_the_limit_of_a_write_does_not_cut_an_answer_that_is_being_read(pause_seconds):
+    """Guard against an answer that is cut because one write takes a slow caller long."""
+    size = 7_000_000
+
+    async def run():
+        async with serve_callers(settings=CallerSettings(send_timeout_seconds=0.3)) as caller:
+            answer_with(caller, Done(), [b"x" * size])
+            data = await read_slowly(caller.address, "/services/app/x", b"", pause_seconds)
+            assert data.endswith(b"\r\n0\r\n\r\n") == (not pause_seconds)
 
     asyncio.run(run())
