Use a key of its own in a test of shutdowns

The test of the connections that a host closes booked with the key "kept", as a test of bookings does. With the fleet that both share, the booking was answered from its record and never ran, and the test failed after 30 s (streams, bookings and shutdowns in one run). What it checks is unchanged; it passes after the test of bookings.

--- a/tests/system/test_shutdown.py
+++ b/tests/system/test_shutdown.py
@@ -59,7 +59,7 @@
     host = fleet.hosts["host-1"]
     with fleets.run_load() as load:
         fleets.set_fault(fleet, "service-0", delay_seconds=2.0)
-        booking = load.pool.submit(fleets.book, fleet, "host-1", "kept")
+        booking = load.pool.submit(fleets.book, fleet, "host-1", "last-answer")
         local.wait_until(
             lambda: fleets.read_inventory(fleet, "service-0")["running"], "the booking runs"
         )
