--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -1,8 +1,10 @@
 """Guard callers against answers that are lost, or that are cut but look complete."""
 
 import asyncio
+import contextlib
 import hashlib
 import json
+import socket
 
 import httpcore
 import pytest
@@ -14,7 +16,7 @@
 from marjorambridge.limits.events import EndpointAnnounced
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 from marjorambridge.requests.events import CallerGone, RequestArrived
-from tests.http.helpers import request, serve_callers, wait_for
+from tests.http.helpers import CallerServer, request, serve, serve_callers, wait_for
 from tests.http.test_bodies import ANNOUNCEMENT
 
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "ભાવ?"}]}
@@ -221,3 +223,104 @@
         await closing
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("body_bytes", [100, 8_000_000])
+def test_a_refusal_is_read_although_the_body_was_not(body_bytes):
+    """Guard against a refusal that is lost, because the rest of the request resets it."""
+
+    async def run():
+        async with serve_callers(settings=CallerSettings(max_buffered_bytes=0)) as caller:
+            reader, writer = await asyncio.open_connection(*caller.address.split(":"))
+            head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {body_bytes}"
+            writer.write(head.encode() + b"\r\n\r\n")
+            # The server answers before the body arrives.
+            await asyncio.sleep(0.1)
+            writer.write(b"x" * body_bytes)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            async with asyncio.timeout(15.0):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b'"not_run"' in answer
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_host_that_shuts_down_keeps_no_connection_open():
+    """Guard against a request that crosses the end of a kept connection and gets no answer."""
+
+    async def run():
+        registry, draining = RequestRegistry(), False
+        caller = CallerServer(registry)
+        application = callers.build_application(
+            registry, caller.post, is_shutting_down=lambda: draining
+        )
+        async with serve(application) as caller.address:
+            answer_with(caller, Done())
+            for path in ("/services/app/x", "/v1/chat/completions", "/v1/unknown"):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    url, body = f"http://{caller.address}{path}", json.dumps(CHAT).encode()
+                    draining = False
+                    kept = await pool.request("POST", url, content=body)
+                    draining = True
+                    last = await pool.request("POST", url, content=body)
+                    is_refused = kept.status >= 400
+                    assert ((b"connection", b"close") in kept.headers) == is_refused
+                    assert last.headers.count((b"connection", b"close")) == 1
+                    assert not any(entry.is_idle() for entry in pool.connections)
+
+    asyncio.run(run())
+
+
+async def read_slowly(address, path, content, pause_seconds):
+    """Send a request, wait, and return what a caller gets that reads in small parts."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+    connection.setblocking(False)
+    host, port = address.split(":")
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (host, int(port)))
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(content)}\r\n"
+    await loop.sock_sendall(connection, head.encode() + b"Connection: close\r\n\r\n" + content)
+    await asyncio.sleep(pause_seconds)
+    started = loop.time()
+    data = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while part := await loop.sock_recv(connection, 1 << 17):
+            data += part
+            is_slow = not pause_seconds and loop.time() < started + 1.5
+            await asyncio.sleep(0.03 if is_slow else 0.0)
+    connection.close()
+    return bytes(data)
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 1.5])
+def test_the_idle_limit_does_not_cut_an_answer_that_is_being_read(pause_seconds):
+    """Guard against an answer that is cut because its last write did not wait for the caller."""
+    size = 7_000_000
+
+    async def run():
+        async with serve_callers(idle_timeout_seconds=0.3) as caller:
+            answer_with(caller, Done(), [b"x" * size])
+            content = json.dumps(CHAT).encode()
+            path = "/v1/chat/completions"
+            data = await read_slowly(caller.address, path, content, pause_seconds)
+            assert (data.count(b"x") >= size) == (not pause_seconds)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 1.5])
+def test_the_limit_of_a_write_does_not_cut_an_answer_that_is_being_read(pause_seconds):
+    """Guard against an answer that is cut because one write takes a slow caller long."""
+    size = 7_000_000
+
+    async def run():
+        async with serve_callers(settings=CallerSettings(send_timeout_seconds=0.3)) as caller:
+            answer_with(caller, Done(), [b"x" * size])
+            data = await read_slowly(caller.address, "/services/app/x", b"", pause_seconds)
+            assert data.endswith(b"\r\n0\r\n\r\n") == (not pause_seconds)
+
+    asyncio.run(run())
