Revert "Do not revoke the permit of a call that its service still runs"

A call then goes on without a permit, which widens the known gap of guarantee I3: a plain service may get more calls than its limit. A test of bookings (a host that is suspended, tests/system/test_bookings.py) failed once with the change, for a reason that was not found.

--- a/marjorambridge/limits/cancellation.py
+++ b/marjorambridge/limits/cancellation.py
@@ -5,7 +5,7 @@
 from marjorambridge.limits.effects import CancelHostOnEndpoint, CancelOnEndpoint
 from marjorambridge.limits.events import EndpointCancelled
 from marjorambridge.limits.ledger import Permit, Reservation, free_part, get_account
-from marjorambridge.limits.messages import EndpointGrant, PermitRevoked
+from marjorambridge.limits.messages import PermitRevoked
 from marjorambridge.limits.settings import LimitsSettings
 from marjorambridge.limits.shard import Shard, refresh_endpoint, schedule_check
 from marjorambridge.limits.state import LimitsState
@@ -47,7 +47,7 @@
         free_permit_part(shard, permit, name, settings, now)
 
 
-def is_on_plain_service(part: Reservation | EndpointGrant) -> bool:
+def is_on_plain_service(part: Reservation) -> bool:
     """Return whether a part is on a plain service.
 
     Plain services have no KV memory and cannot cancel a call, so they never confirm a cancel. Their
@@ -69,11 +69,7 @@
 def expire_permit(
     shard: Shard, identity: AttemptId, settings: LimitsSettings, now: float, expire_from: float
 ) -> list[Effect]:
-    """Cancel a permit that was not renewed in time, or schedule the next check of its expiry.
-
-    A call on a plain service goes on until its answer, whether or not it has a permit, so its
-    holder is not told to give it up. The next renewal registers it again.
-    """
+    """Cancel a permit that was not renewed in time, or schedule the next check of its expiry."""
     permit = shard.ledger.permits.get(identity)
     if permit is None or permit.cancelling:
         return []
@@ -81,10 +77,7 @@
     if due > now:
         schedule_check(shard, due, "expire", identity)
         return []
-    is_plain = all(is_on_plain_service(part) for part in permit.parts.values())
     effects = start_cancel(shard, permit, settings, now)
-    if is_plain:
-        return effects
     return [*effects, SendMessage(identity.host, PermitRevoked(identity, shard.name))]
 
 
--- a/marjorambridge/limits/permits.py
+++ b/marjorambridge/limits/permits.py
@@ -14,7 +14,6 @@
 from marjorambridge.limits.cancellation import (
     free_permit_part,
     free_plain_parts,
-    is_on_plain_service,
     start_cancel,
 )
 from marjorambridge.limits.estimates import estimate_duration, record_attempt
@@ -415,11 +414,8 @@
         and shard.endpoints[grant.endpoint].announcement.incarnation > grant.incarnation
         for grant in running.endpoints
     )
-    is_plain = all(is_on_plain_service(grant) for grant in running.endpoints)
-    has_ended = identity in shard.ledger.ended and not is_plain
-    if permit is not None or has_ended or outdated:
+    if permit is not None or identity in shard.ledger.ended or outdated:
         return [SendMessage(identity.host, PermitRevoked(identity, shard.name))]
-    shard.ledger.ended.pop(identity, None)
     register_running(state, shard, running, 0.0, now)
     return []
 
