Count arrivals before the end of a Retry-After by their times

The test failed once on a busy machine. It allowed two requests at an engine that rejects for 0.6 s, and counted all of ten requests, also those after that time. The bound is the same; it counts what the engine's time forbids.

--- a/tests/gateway/test_hints.py
+++ b/tests/gateway/test_hints.py
@@ -104,12 +104,19 @@
 def test_endpoint_gets_no_requests_until_its_retry_after_expires():
     """Guard against requests to an engine before the time of its ``Retry-After`` header."""
 
+    arrivals = []
+
+    async def reject_at(endpoint, stream, head):
+        arrivals.append(time.monotonic())
+        await reject(b"Retry-After: 0.6\r\n")(endpoint, stream, head)
+
     async def scenario():
-        first = reject(b"Retry-After: 0.6\r\n")
-        async with run_gateway(IDEMPOTENT, first, answer_whole(b"ok")) as harness:
+        async with run_gateway(IDEMPOTENT, reject_at, answer_whole(b"ok")) as harness:
             answers = await send_many(harness, 10)
             assert [get_status(data) for data in answers] == [200] * 10
-            assert len(harness.endpoints[0].requests) <= MAX_REJECTED_ARRIVALS
+            # On a busy machine, the requests may take longer than the time of the header.
+            early = [at for at in arrivals if at < arrivals[0] + 0.6]
+            assert len(early) <= MAX_REJECTED_ARRIVALS
             await anyio.sleep(0.7)
             endpoint = harness.gateway.forwarding.endpoints["e0"]
             assert endpoint.rejects_until < time.monotonic()
