Count the endpoints of a request over all hosts that get it

Requests that a host without contact passed on could reach more endpoints than their route allows: three instead of two, with two other hosts.

Cause: each host counted for itself. The host that passed a request on counted a relay as one endpoint, whatever the other host did with it, and handed on the endpoints that a silent attempt beside it still held.

Now the answer of the other host says how many endpoints received the request; without its word, for example when it dies, all that it was allowed count. What a running attempt may use is not handed on a second time. A header of an engine's answer can't pass for the word of a host.

The new tests failed before (failure, refusal and reset at the endpoints, and a silent stream): three or more endpoints got the request instead of two.

Price: a stream whose other host dies is not continued by a third host if the first relay was given all endpoints of the route, and a silent relay gets no second one beside it; the other host starts second attempts itself.

--- a/marjorambridge/forwarding/attempts.py
+++ b/marjorambridge/forwarding/attempts.py
@@ -103,14 +103,16 @@
     return AttemptOutcome.MISDIRECTED
 
 
-def record_outcome(progress: RequestProgress, outcome: AttemptOutcome) -> None:
-    """Update the progress of a request after an attempt."""
+def record_outcome(
+    progress: RequestProgress, outcome: AttemptOutcome, endpoints_tried: int = 1
+) -> None:
+    """Update the progress of a request after an attempt, which may be that of another host."""
     if outcome is AttemptOutcome.NOT_SENT:
         return
     if outcome is AttemptOutcome.MISDIRECTED:
         progress.is_misdirected = True
     else:
-        progress.endpoints_tried += 1
+        progress.endpoints_tried += endpoints_tried
     if outcome not in NOT_EXECUTED:
         progress.may_have_run = True
 
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -156,7 +156,7 @@
     """Run an attempt and renew its tickets, if there are any, until it ends."""
     tickets = running.tickets
     if running.endpoint.is_peer:
-        return await run_relay(context.gateway, attempt)
+        return await run_relay(context.gateway, attempt, running.max_endpoints)
     if not tickets.held:
         return await context.gateway.run_attempt(attempt, context.gateway.dialect)
     async with anyio.create_task_group() as tasks:
@@ -267,7 +267,7 @@
     """Record the result of an attempt for this request and for the placement of others."""
     now = time.monotonic()
     outcome, endpoint = result.outcome, running.endpoint
-    record_outcome(context.progress, outcome)
+    record_outcome(context.progress, outcome, result.endpoints_tried)
     context.attempt_outcomes.append(f"{endpoint.name}:{outcome.value}")
     helper = find_helper_at_fault(running.helpers, result.head)
     if helper is not None:
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -45,6 +45,9 @@
         Whether it was silent for so long that another attempt was started beside it.
     prefilling : list of Endpoint
         Endpoints that prefill the prompt; empty after the first event.
+    max_endpoints : int
+        Endpoints that may receive the request by this attempt; several ones only if another host
+        forwards it.
     scope : anyio.CancelScope
         Cancels the attempt.
     """
@@ -59,6 +62,7 @@
     has_begun: bool = False
     has_stalled: bool = False
     prefilling: list[Endpoint] = field(default_factory=list)
+    max_endpoints: int = 1
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -311,12 +311,15 @@
         Body of a buffered answer.
     detail : str
         Cause of a failure, for the log.
+    endpoints_tried : int
+        Endpoints that received the request, at most; only another host sends it to several ones.
     """
 
     outcome: AttemptOutcome
     head: AnswerHead | None = None
     body: bytes = b""
     detail: str = ""
+    endpoints_tried: int = 1
 
 
 def keep_head(head: AnswerHead, body: bytes) -> None:
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -24,7 +24,7 @@
 from marjorambridge.gateway.crashes import find_block, format_parts
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import AttemptResult, CallerRequest
-from marjorambridge.gateway.relays import describe_outcome
+from marjorambridge.gateway.relays import describe_outcome, mark_answer
 from marjorambridge.gateway.state import Gateway
 
 
@@ -99,6 +99,8 @@
     headers, body = head.headers, result.body
     if context.request.collects_events and is_event_stream(head):
         headers, body = dialect.encode_collected(context.request, b"".join(context.collected))
+    if exchange.relay is not None:
+        headers = mark_answer(headers, context.progress.endpoints_tried)
     await callers.send_answer(exchange, head.status, headers, body)
     return "served" if is_complete else "endpoint_failed"
 
@@ -139,7 +141,8 @@
         return await refuse(context, "no_time")
     reason = Reason.DEADLINE if is_late else Reason.ENDPOINT_ERROR
     failure = _describe_failure(context, reason, outcome)
-    await _answer_outcome(context.gateway, exchange, failure)
+    tried = context.progress.endpoints_tried
+    await _answer_outcome(context.gateway, exchange, failure, endpoints_tried=tried)
     return f"failed_{outcome.value}"
 
 
--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -95,7 +95,8 @@
         cancel_others(context, attempt)
     elif attempt.scope.cancel_called or result is None:
         outcome = AttemptOutcome.STALLED if attempt.has_stalled else AttemptOutcome.OVERTAKEN
-        record_attempt(context, attempt, AttemptResult(outcome, detail=OVERTAKEN_DETAIL))
+        tried = attempt.max_endpoints
+        record_attempt(context, attempt, AttemptResult(outcome, None, b"", OVERTAKEN_DETAIL, tried))
     else:
         record_attempt(context, attempt, result)
         race.result = result
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
+from marjorambridge.core.numbers import parse_count
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
@@ -35,7 +36,7 @@
 OUTCOME_HEADER = b"marjorambridge-relay-outcome"
 # Bytes that the headers of a relay add to those of a caller, at most.
 RELAY_HEADER_BYTES = 1_024
-NOT_SENT, NOT_RUN, FAILED = b"not_sent", b"not_run", b"failed"
+NOT_SENT, NOT_RUN, FAILED, ANSWERED = b"not_sent", b"not_run", b"failed", b"answered"
 MAC_BYTES = 16
 BAD_REQUEST, UNAVAILABLE = 400, 503
 
@@ -51,11 +52,13 @@
 def build_relay_attempt(context: RequestContext, running: RunningAttempt, now: float) -> Attempt:
     """Return the attempt that passes a request on to another host."""
     gateway, exchange = context.gateway, context.exchange
-    endpoints = context.admission.route.max_endpoints - context.progress.endpoints_tried
+    others = sum(other.max_endpoints for other in context.running if other is not running)
+    tried = context.progress.endpoints_tried + others
+    running.max_endpoints = context.admission.route.max_endpoints - tried
     relay = Relay(
         gateway.forwarding.settings.host,
         context.deadline - now,
-        endpoints,
+        running.max_endpoints,
         context.last_event if has_events(context) else None,
     )
     value = json.encode(relay)
@@ -92,8 +95,11 @@
     return digest.hexdigest().encode()
 
 
-async def run_relay(gateway: Gateway, attempt: Attempt) -> AttemptResult:
-    """Pass a request on, and return the result as if this host had sent it to an endpoint."""
+async def run_relay(gateway: Gateway, attempt: Attempt, max_endpoints: int) -> AttemptResult:
+    """Pass a request on, and return the result as if this host had sent it to endpoints.
+
+    Without the word of the other host, all endpoints that it could use count as tried.
+    """
     outcomes: list[bytes] = []
 
     def decode_answer(status: int, headers: Headers) -> AnswerHead:
@@ -101,8 +107,10 @@
 
     dialect = replace(gateway.dialect, decode_answer=decode_answer)
     result = await gateway.run_attempt(attempt, dialect)
-    if result.outcome is AttemptOutcome.NOT_RUN and NOT_SENT in outcomes:
+    outcome, tried = _split_outcome(outcomes)
+    if result.outcome is AttemptOutcome.NOT_RUN and outcome == NOT_SENT:
         result.outcome = AttemptOutcome.NOT_SENT
+    result.endpoints_tried = max_endpoints if tried is None else tried
     return result
 
 
@@ -117,10 +125,16 @@
     outcomes += own
     head.misdirected = head.leaving = False
     head.endpoint_at_fault = ""
-    head.not_run = bool(own) and own[0] in (NOT_SENT, NOT_RUN)
+    head.not_run = not head.is_signed and _split_outcome(own)[0] in (NOT_SENT, NOT_RUN)
     return head
 
 
+def _split_outcome(values: list[bytes]) -> tuple[bytes, int | None]:
+    """Return what another host says of a request, and how many endpoints received it."""
+    outcome, _, tried = (values[0] if values else b"").partition(b";")
+    return outcome, parse_count(tried)
+
+
 # The host that takes the request.
 
 
@@ -165,6 +179,13 @@
 
 def describe_outcome(outcome: Unsuccessful, endpoints_tried: int) -> tuple[bytes, bytes]:
     """Return the header that tells another host what an answer of this host says of its request."""
-    if not isinstance(outcome, NotRun):
-        return OUTCOME_HEADER, FAILED
-    return OUTCOME_HEADER, NOT_RUN if endpoints_tried else NOT_SENT
+    name = FAILED
+    if isinstance(outcome, NotRun):
+        name = NOT_RUN if endpoints_tried else NOT_SENT
+    return OUTCOME_HEADER, b"%b;%d" % (name, endpoints_tried)
+
+
+def mark_answer(headers: Headers, endpoints_tried: int) -> Headers:
+    """Return the headers of an endpoint's answer with what another host has to know of it."""
+    own = [(name, value) for name, value in headers if name.lower() != OUTCOME_HEADER]
+    return [*own, (OUTCOME_HEADER, b"%b;%d" % (ANSWERED, endpoints_tried))]
--- a/marjorambridge/gateway/stalls.py
+++ b/marjorambridge/gateway/stalls.py
@@ -56,7 +56,8 @@
     """Return whether another attempt is allowed and possible beside the silent one."""
     gateway, admission = context.gateway, context.admission
     progress = replace(context.progress)
-    record_outcome(progress, AttemptOutcome.STALLED)
+    silent = sum(attempt.max_endpoints for attempt in context.running)
+    record_outcome(progress, AttemptOutcome.STALLED, silent)
     if not may_try_again(admission.route, progress, AttemptOutcome.STALLED):
         return False
     if context.deadline - now < defaults.MIN_ATTEMPT_SECONDS:
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -25,8 +25,10 @@
 from marjorambridge.platform.dialect import create_dialect
 
 from .helpers import (
+    SIGNED,
     FakeEndpoint,
     GatewayHarness,
+    answer,
     answer_whole,
     call,
     find_port,
@@ -238,6 +240,47 @@
     anyio.run(scenario)
 
 
+def make_failures():
+    """Return a script for each end of an attempt after which a request may be repeated."""
+    failure = answer(b"500 Internal Server Error", SIGNED + b"Content-Length: 0\r\n", b"")
+    return failure, refuse, reset_at_once
+
+
+async def reset_at_once(endpoint, stream, head):
+    await reset(stream)
+
+
+@pytest.mark.parametrize("script", make_failures(), ids=["failure", "refusal", "reset"])
+def test_hosts_together_use_no_more_endpoints_than_the_route_allows(script):
+    """Guard against a fresh count of endpoints at each host that gets the request."""
+
+    async def scenario():
+        cut = (True, False, False)
+        async with run_fleet(IDEMPOTENT, script, script, script, cut=cut) as (host, *_):
+            await lose_contact(host)
+            data = await call(host, make_request())
+            assert get_status(data) in (500, 502, 503)
+            assert len(list_runs(host)) == 2
+
+    anyio.run(scenario)
+
+
+def test_a_host_that_is_passed_a_silent_stream_uses_only_what_is_left():
+    """Guard against more endpoints than allowed beside a stream that is silent at one."""
+
+    async def scenario():
+        scripts = stream_events(1, 3, "silent"), *[stream_events(4, 6, "reset")] * 3
+        async with run_fleet(RESUMABLE, *scripts, cut=(False, False, False)) as (host, *others):
+            for other in others:
+                other.gateway.forwarding.endpoints["e0"].address = UNREACHABLE
+            host.endpoints[0].script = lose_after(host, scripts[0])
+            with anyio.move_on_after(3.0):
+                await call(host, make_request())
+            assert len(list_runs(host)) == 2
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
