Pass the Connection header of a caller on to the other host

Callers of a host without contact got 500 or 503 if their Connection header named Host, X-Request-Id, X-Key or another header that admission needs. On the direct way such requests are served.

Cause: a relay dropped the headers that the caller names as those of its own connection before the other host had read them. Which of them count anyway is known only to the dialect, which reads the request at the other host.

Now a relay carries all headers and the caller's Connection header under another name, and the other host decodes the request as the caller sent it, so that headers of a hop still don't reach engines. The new test failed before: LocalProtocolError (500) for Host, 503 for X-Key.

--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -34,6 +34,9 @@
 RELAY_HEADER = b"marjorambridge-relay"
 MAC_HEADER = b"marjorambridge-relay-mac"
 OUTCOME_HEADER = b"marjorambridge-relay-outcome"
+# The caller's ``Connection`` header, since that of the relay is another one.
+CONNECTION_HEADER = b"marjorambridge-relay-connection"
+OWN_HEADERS = frozenset({RELAY_HEADER, MAC_HEADER, CONNECTION_HEADER})
 # Bytes that the headers of a relay add to those of a caller, at most.
 RELAY_HEADER_BYTES = 1_024
 NOT_SENT, NOT_RUN, FAILED, ANSWERED = b"not_sent", b"not_run", b"failed", b"answered"
@@ -67,7 +70,7 @@
         address=running.endpoint.address,
         method=exchange.method,
         target=exchange.target,
-        headers=[*_select_headers(exchange.headers), (RELAY_HEADER, value), (MAC_HEADER, mac)],
+        headers=[*_encode_headers(exchange.headers), (RELAY_HEADER, value), (MAC_HEADER, mac)],
         body=exchange.body,
         request_id=context.request.request_id,
         allocation=running.allocation,
@@ -80,11 +83,20 @@
     """Apply no hints, because they are those of an endpoint that this host does not know."""
 
 
-def _select_headers(headers: Headers) -> Headers:
-    named = b",".join(value for name, value in headers if name.lower() == b"connection")
-    dropped = {name.strip().lower() for name in named.split(b",")}
-    dropped |= HOP_BY_HOP_HEADERS | {RELAY_HEADER, MAC_HEADER}
-    return [(name, value) for name, value in headers if name.lower() not in dropped]
+def _encode_headers(headers: Headers) -> Headers:
+    """Return the headers of a caller for the connection to another host."""
+    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    named = [value for name, value in headers if name.lower() == b"connection"]
+    return [*kept, (CONNECTION_HEADER, b", ".join(named))] if named else kept
+
+
+def _decode_headers(headers: Headers) -> Headers:
+    """Return the headers as the caller sent them, for the dialect to select from."""
+    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    named = [value for name, value in headers if name.lower() == CONNECTION_HEADER]
+    return [*kept, *((b"connection", value) for value in named)]
 
 
 def _compute_mac(key: bytes, exchange: Exchange, value: bytes) -> bytes:
@@ -146,7 +158,7 @@
         await send_answer(exchange, BAD_REQUEST, [], b"send requests to the address for callers")
         return False
     exchange.relay = relay
-    exchange.headers = _select_headers(exchange.headers)
+    exchange.headers = _decode_headers(exchange.headers)
     is_full = gateway.relayed >= defaults.MAX_RELAYED_REQUESTS
     if not is_full and not is_lost(gateway.forwarding.contact):
         return True
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -240,6 +240,22 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize("named", [b"Host, X-Request-Id", b"X-Key, X-Deadline-Ms", b"X-Own"])
+def test_headers_that_a_caller_names_as_those_of_its_connection(named):
+    """Guard against a relay without the host, identifier or key, and one with headers of a hop."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD) as (host, _):
+            await lose_contact(host)
+            extra = b"X-Own: 1\r\nConnection: " + named + b"\r\n"
+            data = await call(host, make_request(extra=extra))
+            assert (get_status(data), read_body(data)) == (200, b"good")
+            (run,) = list_runs(host)
+            assert (find_header(run, b"x-own") == b"") is (named == b"X-Own")
+
+    anyio.run(scenario)
+
+
 def make_failures():
     """Return a script for each end of an attempt after which a request may be repeated."""
     failure = answer(b"500 Internal Server Error", SIGNED + b"Content-Length: 0\r\n", b"")
