Give a caller no answer that is neither a host's nor an engine's

Callers of a host without contact got a 400 where the other host had another key, and a 404 where another program listened at the port for relays.

Cause: an answer without the header of a host and without a signature counted as that of an engine, and was delivered. A host that refused the MAC of a request did not say that it had not received it.

Now the refusal says so, and another host is asked; an unsigned answer without the header counts as a broken connection, after which the request may have run. Engines' unsigned failures still pass: the host that got them adds the header.

--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -19,6 +19,7 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.relays import Relay
+from marjorambridge.gateway.answers import InvalidAnswerError
 from marjorambridge.gateway.callers import Exchange, send_answer
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
 from marjorambridge.gateway.messages import (
@@ -134,6 +135,8 @@
     head = dialect.decode_answer(
         status, [item for item in headers if item[0].lower() != OUTCOME_HEADER]
     )
+    if not own and not head.is_signed:
+        raise InvalidAnswerError("the answer is none of another host")
     outcomes += own
     head.misdirected = head.leaving = False
     head.endpoint_at_fault = ""
@@ -155,7 +158,9 @@
     relay = _read_relay(gateway.relay_key, exchange)
     if relay is None:
         logger.warning("refused a request at the address for other hosts, which have to sign it")
-        await send_answer(exchange, BAD_REQUEST, [], b"send requests to the address for callers")
+        outcome = NotRun(Reason.BAD_REQUEST, "send requests to the address for callers")
+        headers, body = encode_refusal(gateway.dialect, outcome)
+        await send_answer(exchange, BAD_REQUEST, headers, body)
         return False
     exchange.relay = relay
     exchange.headers = _decode_headers(exchange.headers)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -256,6 +256,34 @@
     anyio.run(scenario)
 
 
+def test_a_host_with_another_key_has_not_got_the_request():
+    """Guard against a 400 for a proper request while hosts disagree on the key."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD) as (host, other):
+            await lose_contact(host)
+            other.gateway.relay_key = b"key of another fleet"
+            assert get_status(await call(host, make_request())) == 503
+            assert not list_runs(host)
+
+    anyio.run(scenario)
+
+
+def test_an_answer_that_is_none_of_a_host_is_not_given_to_a_caller():
+    """Guard against a 404 of whatever else listens at the port of an older host."""
+
+    async def scenario():
+        stranger = answer(b"404 Not Found", b"Content-Length: 0\r\n", b"")
+        async with run_fleet(ONCE, GOOD, stranger) as (host, _):
+            await lose_contact(host)
+            own = host.gateway.forwarding.settings.host
+            stranger_host = f"127.0.0.1:{host.endpoints[1].port - 1}"
+            host.gateway.forwarding.hosts = {own: "z1", stranger_host: "z1"}
+            assert get_status(await call(host, make_request())) == 502
+
+    anyio.run(scenario)
+
+
 def make_failures():
     """Return a script for each end of an attempt after which a request may be repeated."""
     failure = answer(b"500 Internal Server Error", SIGNED + b"Content-Length: 0\r\n", b"")
