Count connections of requests that were opened during a trial

A host could pass its requests on although it reached endpoints: where the endpoints of a trial were silent, for example those of a zone without power, a connection that a request opened meanwhile had no effect on the result.

Cause: the trial decided from its own connections alone, 0.4 s after the failures that had led to it. A success in that time had already removed these failures, so the loss began at once and lasted until the next trial.

Now any connection that is opened after the trial was planned ends it. The new test failed before: the failures were not confirmed, and the host counted as without contact.

--- a/marjorambridge/forwarding/contact.py
+++ b/marjorambridge/forwarding/contact.py
@@ -29,12 +29,15 @@
         Monotonic time in seconds at which the next trial connections are due at the earliest.
     tried : int
         Number of endpoints that were tried, for the order of the next trials.
+    has_connected : bool
+        Whether a connection was opened since the last trial connections were planned.
     """
 
     failed: dict[str, float] = field(default_factory=dict)
     lost_at: float = math.inf
     next_trial_at: float = -math.inf
     tried: int = 0
+    has_connected: bool = False
 
 
 def is_lost(contact: Contact) -> bool:
@@ -51,6 +54,7 @@
     """Record that a connection was opened; return the endpoints whose failures are confirmed."""
     confirmed = list(contact.failed)
     contact.failed.clear()
+    contact.has_connected = True
     contact.lost_at = math.inf
     return confirmed
 
@@ -85,6 +89,7 @@
     ['a2', 'b1', 'a3', 'a1']
     """
     contact.next_trial_at = now + defaults.CONTACT_TRIAL_INTERVAL_SECONDS
+    contact.has_connected = False
     queues = []
     for names in services.values():
         first = contact.tried % len(names) if names else 0
@@ -98,8 +103,11 @@
 
 
 def record_trial(contact: Contact, reached: bool, now: float) -> list[str]:
-    """Record the result of trial connections; return the endpoints whose failures are confirmed."""
-    if reached:
+    """Record the result of trial connections; return the endpoints whose failures are confirmed.
+
+    A connection that a request opened meanwhile counts like one of the trial.
+    """
+    if reached or contact.has_connected:
         return record_connected(contact)
     if not is_lost(contact):
         contact.lost_at = min(contact.failed.values(), default=now)
--- a/marjorambridge/gateway/contact.py
+++ b/marjorambridge/gateway/contact.py
@@ -74,7 +74,7 @@
     contact, now = gateway.forwarding.contact, time.monotonic()
     lost_at = contact.lost_at
     confirmed = record_trial(contact, reached, now)
-    if reached:
+    if not is_lost(contact):
         _apply_contact(gateway, confirmed, lost_at)
     elif lost_at > now:
         gateway.record_metric(Measure("contact_losses_total"))
--- a/tests/forwarding/test_contact.py
+++ b/tests/forwarding/test_contact.py
@@ -53,6 +53,21 @@
     assert not is_lost(contact) and not contact.failed
 
 
+def test_a_connection_during_a_trial_shows_contact():
+    """Guard against a host that passes requests on, because four of its endpoints are silent."""
+    contact = Contact()
+    record_failed(contact, "a", 1.0)
+    record_failed(contact, "b", 2.0)
+    plan_trial(contact, {"svc": ["a", "b", "c"]}, 2.0)
+    assert record_connected(contact) == ["a", "b"]
+    record_failed(contact, "a", 2.2)
+    assert record_trial(contact, False, 2.4) == ["a"]
+    assert not is_lost(contact)
+    plan_trial(contact, {"svc": ["a", "b", "c"]}, 3.0)
+    record_trial(contact, False, 3.4)
+    assert is_lost(contact)
+
+
 def test_trials_ask_all_services_and_all_endpoints_in_turn():
     """Guard against a host that asks only endpoints that ended during its partition."""
     generator = random.Random(1)
