Answer "not run" when the time ran out before a connection opened

Cause: the end of the time counted as an attempt whose request may have run, also while the connection was still being opened.

Now such an attempt counts only if its connection was opened; nothing is sent before. The answer is 503 with a time to come back. The endpoint is not avoided for it, because the caller may have set a short deadline. The new test, with a listener whose queue is full, failed before with 504.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -78,6 +78,7 @@
         attempt = build_relay_attempt(context, running, now)
     else:
         attempt = _build_attempt(context, running, identifier)
+    attempt.handle_connected = lambda: _note_connected(context, running)
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, running, head, data)
     record_send(endpoint, now)
@@ -100,6 +101,12 @@
     return result
 
 
+def _note_connected(context: RequestContext, running: RunningAttempt) -> None:
+    running.is_connected = True
+    if not running.endpoint.is_peer:
+        note_connected(context.gateway)
+
+
 def _build_attempt(context: RequestContext, running: RunningAttempt, identifier: str) -> Attempt:
     """Return the attempt that sends a request to an endpoint."""
     gateway, request, endpoint = context.gateway, context.request, running.endpoint
@@ -126,7 +133,6 @@
         allocation=running.allocation,
         handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
         work=gateway.work,
-        handle_connected=lambda: note_connected(gateway),
     )
 
 
@@ -267,7 +273,8 @@
     """Record the result of an attempt for this request and for the placement of others."""
     now = time.monotonic()
     outcome, endpoint = result.outcome, running.endpoint
-    record_outcome(context.progress, outcome, result.endpoints_tried)
+    if outcome is not AttemptOutcome.TIMED_OUT or running.is_connected:
+        record_outcome(context.progress, outcome, result.endpoints_tried)
     context.attempt_outcomes.append(f"{endpoint.name}:{outcome.value}")
     helper = find_helper_at_fault(running.helpers, result.head)
     if helper is not None:
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -39,6 +39,8 @@
     kv_tokens : int
         Memory in tokens that the requests of all hosts needed at the endpoint when the attempt
         began.
+    is_connected : bool
+        Whether a connection was opened, so that the endpoint may have received the request.
     has_begun : bool
         Whether the first event has arrived.
     has_stalled : bool
@@ -59,6 +61,7 @@
     cursor: StreamCursor = field(default_factory=StreamCursor)
     started_at: float = 0.0
     kv_tokens: int = 0
+    is_connected: bool = False
     has_begun: bool = False
     has_stalled: bool = False
     prefilling: list[Endpoint] = field(default_factory=list)
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -217,6 +217,7 @@
     await anyio.sleep(3 * latency)
     if not engine.is_alive:
         return AttemptResult(AttemptOutcome.NOT_SENT, detail="the engine is down")
+    attempt.handle_connected()
     if attempt.target in (RESERVE_TARGET, RELEASE_TARGET):
         return await _change_reservation(engine, attempt, latency)
     headers = dict(attempt.headers)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -284,6 +284,28 @@
     anyio.run(scenario)
 
 
+def test_a_request_that_waited_for_a_connection_until_its_deadline_has_not_run():
+    """Guard against a 504 for what no endpoint can have received, which callers don't repeat."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD, cut=(False,)) as (host,):
+            with socket.socket() as silent:
+                # Connections to a listener whose queue is full hang.
+                silent.bind(("127.0.0.1", 0))
+                silent.listen(0)
+                address = f"127.0.0.1:{silent.getsockname()[1]}"
+                host.gateway.forwarding.endpoints["e0"].address = address
+                async with contextlib.AsyncExitStack() as stack:
+                    with anyio.move_on_after(0.2):
+                        while True:
+                            stream = await anyio.connect_tcp(*silent.getsockname())
+                            await stack.enter_async_context(stream)
+                    request = make_request().replace(b"3000", b"200")
+                    assert get_status(await call(host, request)) == 503
+
+    anyio.run(scenario)
+
+
 def make_failures():
     """Return a script for each end of an attempt after which a request may be repeated."""
     failure = answer(b"500 Internal Server Error", SIGNED + b"Content-Length: 0\r\n", b"")
