Hand requests back when the host that took them loses contact, too

Where links hang, a host that was cut off at the same moment took requests of others before it knew, and tried all of its endpoints, 0.4 s each.

Cause: whether the host reaches endpoints was asked only on the arrival of such a request, and a host without contact that may not pass a request on went on with its own endpoints.

Now it ends with "not sent" as soon as contact is lost. The new test failed before: six endpoints that hang took over 1.8 s.

--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -23,11 +23,14 @@
 async def select_attempt(context: RequestContext) -> RunningAttempt | None:
     """Return an attempt at the endpoint that fits best, or None if none can take the request.
 
-    While this host reaches no endpoint, the attempt passes the request on to another host.
+    While this host reaches no endpoint, the attempt passes the request on to another host; what
+    another host has passed on goes back to it.
     """
     forwarding, profile = context.gateway.forwarding, context.profile
     now = time.monotonic()
     excluded = list_excluded(context)
+    if is_lost(forwarding.contact) and context.exchange.relay is not None:
+        return None
     if is_lost(forwarding.contact) and may_relay(context) and len(forwarding.hosts) > 1:
         peer = select_peer(context, now)
         return create_attempt(context, peer) if peer is not None else None
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -288,20 +288,43 @@
     """Guard against a 504 for what no endpoint can have received, which callers don't repeat."""
 
     async def scenario():
-        async with run_fleet(ONCE, GOOD, cut=(False,)) as (host,):
-            with socket.socket() as silent:
-                # Connections to a listener whose queue is full hang.
-                silent.bind(("127.0.0.1", 0))
-                silent.listen(0)
-                address = f"127.0.0.1:{silent.getsockname()[1]}"
-                host.gateway.forwarding.endpoints["e0"].address = address
-                async with contextlib.AsyncExitStack() as stack:
-                    with anyio.move_on_after(0.2):
-                        while True:
-                            stream = await anyio.connect_tcp(*silent.getsockname())
-                            await stack.enter_async_context(stream)
-                    request = make_request().replace(b"3000", b"200")
-                    assert get_status(await call(host, request)) == 503
+        fleet = run_fleet(ONCE, GOOD, cut=(False,))
+        async with fleet as (host,), hold_silent_address() as address:
+            host.gateway.forwarding.endpoints["e0"].address = address
+            request = make_request().replace(b"3000", b"200")
+            assert get_status(await call(host, request)) == 503
+
+    anyio.run(scenario)
+
+
+@asynccontextmanager
+async def hold_silent_address():
+    """Hold an address to which connections hang, because the queue of its listener is full."""
+    async with contextlib.AsyncExitStack() as stack:
+        silent = stack.enter_context(socket.socket())
+        silent.bind(("127.0.0.1", 0))
+        silent.listen(0)
+        with anyio.move_on_after(0.2):
+            while True:
+                stream = await anyio.connect_tcp(*silent.getsockname())
+                await stack.enter_async_context(stream)
+        yield f"127.0.0.1:{silent.getsockname()[1]}"
+
+
+def test_a_host_that_loses_contact_hands_back_what_it_was_passed():
+    """Guard against relays that wait for all endpoints at a host that is cut off as well."""
+
+    async def scenario():
+        async with run_fleet(ONCE, *[GOOD] * 6, cut=(True, False, False)) as (host, near, far):
+            await lose_contact(host)
+            host.gateway.forwarding.hosts[far.gateway.forwarding.settings.host] = "z2"
+            async with hold_silent_address() as address:
+                for endpoint in near.gateway.forwarding.endpoints.values():
+                    endpoint.address = address
+                with anyio.fail_after(1.8):
+                    data = await call(host, make_request())
+            assert (get_status(data), read_body(data)) == (200, b"good")
+            assert len(list_runs(host)) == 1
 
     anyio.run(scenario)
 
