--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -106,7 +106,9 @@
     await start_server(server, tasks, "127.0.0.1", port)
     ip, _, relay_port = get_relay_address(gateway.forwarding.settings.host).rpartition(":")
     await start_server(relays, tasks, ip, int(relay_port))
-    return GatewayHarness(gateway, server, port, endpoints)
+    host = GatewayHarness(gateway, server, port, endpoints)
+    host.relays = relays
+    return host
 
 
 async def lose_contact(host):
@@ -370,6 +372,35 @@
     anyio.run(scenario)
 
 
+def test_a_stream_goes_on_when_the_host_that_relays_it_dies():
+    """Guard against a cut, a gap or repeated events where a third host could go on."""
+
+    async def scenario():
+        script = stream_events(1, 3, "silent")
+        async with run_fleet(RESUMABLE, script, cut=(True, False, False)) as (host, *others):
+            await lose_contact(host)
+            host.endpoints[0].requests.clear()
+
+            async def die(endpoint, stream, head):
+                endpoint.script = stream_events(4, 6, "complete")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(script, endpoint, stream, head)
+                    await anyio.sleep(0.1)
+                    for other in others:
+                        if other.gateway.relayed:
+                            close_server(other.relays)
+                    tasks.cancel_scope.cancel()
+
+            host.endpoints[0].script = die
+            data = await call(host, make_request())
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert PLATFORM.is_whole(data)
+            runs = list_runs(host)
+            assert [find_header(run, b"last-event-id") for run in runs] == [b"", b"3"]
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
