Name a time to come back that fits a host without contact

Callers refused by a host without contact were told to come back after up to 5 s, though its trials are repeated twice a second and other hosts may name a shorter time.

Cause: the estimate read how long this host avoids its endpoints, which are failures of its own links, and what another host named was dropped.

Now the time of the last host that refused the request is passed on, within the usual bounds; without one it is a second, with jitter.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -53,7 +53,7 @@
     AttemptResult,
     Forwarded,
 )
-from marjorambridge.gateway.relays import build_relay_attempt, run_relay
+from marjorambridge.gateway.relays import build_relay_attempt, read_retry_after, run_relay
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets
 from marjorambridge.manifests.models import Execution
@@ -281,6 +281,8 @@
         _record_helper_failure(context, running, helper, outcome)
         return
     context.excluded.add(endpoint.name)
+    if endpoint.is_peer and result.head is not None:
+        context.retry_after_seconds = read_retry_after(result.head)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, running.started_at)
         head = result.head
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -94,6 +94,8 @@
         Events of a request that gets them as one answer.
     helper_count : int
         Number of helper engines of the last attempt.
+    retry_after_seconds : float or None
+        Time to come back that the last host named that refused the request; None if none did.
     replaced : Endpoint or None
         Endpoint at whose address another one seems to have answered this request.
     """
@@ -115,6 +117,7 @@
     longest_gap: float = 0.0
     collected: list[bytes] = field(default_factory=list)
     helper_count: int = 0
+    retry_after_seconds: float | None = None
     replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -16,7 +16,8 @@
 )
 from marjorambridge.forwarding.admission import Refusal
 from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
-from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
+from marjorambridge.forwarding.contact import is_lost
+from marjorambridge.forwarding.retry_after import draw_jitter, estimate_retry_after_seconds
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
@@ -111,8 +112,7 @@
     if block is not None:
         reason, seconds = block
     else:
-        forwarding = context.gateway.forwarding
-        seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
+        seconds = _estimate_retry_after(context)
     text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
     kind = Reason.NO_ENDPOINT if block is None else Reason.BLOCKED
     await _answer_outcome(
@@ -124,6 +124,19 @@
     return f"refused_{reason}"
 
 
+def _estimate_retry_after(context: RequestContext) -> float:
+    """Return the seconds after which a request may come back.
+
+    A host that reaches no endpoint doesn't know their state; another one may have named a time.
+    """
+    forwarding = context.gateway.forwarding
+    if not is_lost(forwarding.contact):
+        return estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
+    if context.retry_after_seconds is not None:
+        return context.retry_after_seconds
+    return defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS * draw_jitter(forwarding)
+
+
 async def fail(context: RequestContext, outcome: AttemptOutcome) -> str:
     """Answer that the request failed, or end the answer as incomplete if it has started."""
     exchange, dialect = context.exchange, context.gateway.dialect
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -14,7 +14,7 @@
 from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
-from marjorambridge.core.numbers import parse_count
+from marjorambridge.core.numbers import clamp, parse_count, parse_decimal
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
@@ -159,6 +159,14 @@
     return head
 
 
+def read_retry_after(head: AnswerHead) -> float | None:
+    """Return the seconds after which another host lets a request come back, or None."""
+    seconds = parse_decimal(head.retry_after)
+    if seconds is None:
+        return None
+    return clamp(seconds, defaults.MIN_RETRY_AFTER_SECONDS, defaults.MAX_RETRY_AFTER_SECONDS)
+
+
 def _split_outcome(values: list[bytes]) -> tuple[bytes, int | None]:
     """Return what another host says of a request, and how many endpoints received it."""
     outcome, _, tried = (values[0] if values else b"").partition(b";")
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -401,6 +401,25 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize("cut", [(True, False), (True, True)], ids=["refused", "none"])
+def test_the_time_to_come_back_is_not_that_of_endpoints_out_of_reach(cut):
+    """Guard against callers that stay away for as long as a partition made endpoints fail."""
+
+    async def scenario():
+        async with run_fleet(ONCE, refuse, cut=cut) as (host, _):
+            await lose_contact(host)
+            host.gateway.forwarding.endpoints["e0"].avoid_until = anyio.current_time() + 8.0
+            data = await call(host, make_request())
+            assert get_status(data) == 503
+            seconds = float(find_header(data.partition(b"\r\n\r\n")[0], b"retry-after"))
+            limit = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS * (
+                1 + defaults.RETRY_AFTER_JITTER_RATIO
+            )
+            assert 0 < seconds <= limit
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
