Take no request of a host that has a newer manifest

A request that was passed on could be handled by an older manifest than that of the host the caller had asked, for example run by a service to which its route no longer leads, after that host had shown the new one.

Cause: the host that takes a request admits it by its own manifest, which may arrive later.

Now a relay names the version, and a host with an older one refuses, so that another host is asked. A newer one takes the request, as its own callers'. Hosts that don't send a version are served as before. The new test failed before: 200 by the older manifest.

--- a/marjorambridge/forwarding/relays.py
+++ b/marjorambridge/forwarding/relays.py
@@ -18,12 +18,15 @@
         Further endpoints that may get the request.
     last_event : int or None
         Number of the last event that the caller has; None to leave it to the request.
+    version : int
+        Version of the manifest of the host that the caller asked.
     """
 
     host: str
     seconds: float
     endpoints: int
     last_event: int | None = None
+    version: int = 0
 
 
 def get_relay_address(host: str) -> str:
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -63,6 +63,7 @@
         context.deadline - now,
         running.max_endpoints,
         context.last_event if has_events(context) else None,
+        _get_version(gateway),
     )
     value = json.encode(relay)
     mac = _compute_mac(gateway.relay_key, exchange, value)
@@ -187,10 +188,9 @@
         return False
     exchange.relay = relay
     exchange.headers = _decode_headers(exchange.headers)
-    is_full = gateway.relayed >= defaults.MAX_RELAYED_REQUESTS
-    if not is_full and not is_lost(gateway.forwarding.contact):
+    reason = _find_objection(gateway, relay)
+    if not reason:
         return True
-    reason = "takes no more requests of other hosts" if is_full else "reaches no endpoint"
     outcome = NotRun(
         Reason.NO_ENDPOINT, f"this host {reason}", defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
     )
@@ -199,6 +199,22 @@
     return False
 
 
+def _find_objection(gateway: Gateway, relay: Relay) -> str:
+    """Return why this host doesn't take a request; empty if it does."""
+    if gateway.relayed >= defaults.MAX_RELAYED_REQUESTS:
+        return "takes no more requests of other hosts"
+    if is_lost(gateway.forwarding.contact):
+        return "reaches no endpoint"
+    if _get_version(gateway) < relay.version:
+        return "has an older manifest"
+    return ""
+
+
+def _get_version(gateway: Gateway) -> int:
+    table = gateway.forwarding.table
+    return table.manifest.version if table is not None else 0
+
+
 def _read_relay(key: bytes, exchange: Exchange) -> Relay | None:
     values = {name.lower(): value for name, value in exchange.headers}
     value, mac = values.get(RELAY_HEADER, b""), values.get(MAC_HEADER, b"")
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -420,6 +420,27 @@
     anyio.run(scenario)
 
 
+def test_a_host_with_an_older_manifest_takes_no_requests_of_newer_ones():
+    """Guard against a request that is handled by a manifest older than that of the asked host."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD, cut=(True, False, False)) as (host, old, new):
+            await lose_contact(host)
+            host.endpoints[0].requests.clear()
+            for known in (host, new):
+                apply_manifest(known.gateway.forwarding, replace(ONCE, version=2))
+            new.gateway.relay_key = b""
+            assert get_status(await call(host, make_request())) == 503
+            assert not list_runs(host)
+            new.gateway.relay_key = KEY
+            assert get_status(await call(host, make_request())) == 200
+            apply_manifest(old.gateway.forwarding, replace(ONCE, version=3))
+            new.gateway.relay_key = b""
+            assert get_status(await call(host, make_request())) == 200
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
