Keep the trial connections of simulated hosts inside the simulation

Cause: trials opened connections themselves, while attempts go through a function of the gateway that a simulation replaces.

Now trials go through such a function as well. The new test failed before: connections to 10.1.0.0:8000 and others were opened.

--- a/marjorambridge/gateway/contact.py
+++ b/marjorambridge/gateway/contact.py
@@ -5,7 +5,6 @@
 import anyio
 from loguru import logger
 
-from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.contact import (
     is_lost,
@@ -18,7 +17,6 @@
 from marjorambridge.forwarding.health import clear_failures_since
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.state import Gateway, start_background
-from marjorambridge.gateway.streams import reset
 
 
 def note_failed(gateway: Gateway, endpoint: Endpoint, now: float) -> None:
@@ -91,15 +89,12 @@
         endpoint = gateway.forwarding.endpoints.get(name)
         if endpoint is None:
             return
-        ip, _, port = endpoint.address.rpartition(":")
         try:
-            with anyio.fail_after(defaults.CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(ip, int(port))
+            await gateway.open_trial(endpoint.address)
         except (TimeoutError, OSError) as error:
             logger.bind(endpoint=name, error=repr(error)).debug("a trial connection failed")
             return
         reached.append(name)
-        await reset(stream)
         tasks.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tasks:
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -42,6 +42,20 @@
     return result
 
 
+async def open_trial(address: str) -> None:
+    """Open a connection to an endpoint and close it.
+
+    Raises
+    ------
+    TimeoutError, OSError
+        If the connection can't be opened.
+    """
+    ip, _, port = address.rpartition(":")
+    with anyio.fail_after(defaults.CONNECT_TIMEOUT_SECONDS):
+        stream = await anyio.connect_tcp(ip, int(port))
+    await reset(stream)
+
+
 async def _send_request(stream: SocketStream, connection: h11.Connection, attempt: Attempt) -> None:
     headers = [*attempt.headers, (b"Connection", b"close")]
     if attempt.body or attempt.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -12,7 +12,7 @@
 from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.crashes import Crash
 from marjorambridge.forwarding.state import Endpoint, ForwardingState
-from marjorambridge.gateway.endpoints import run_attempt
+from marjorambridge.gateway.endpoints import open_trial, run_attempt
 from marjorambridge.gateway.messages import AnswerMemory, Attempt, AttemptResult, Dialect
 from marjorambridge.gateway.work import WorkBudget
 
@@ -31,6 +31,8 @@
         both to the other hosts.
     run_attempt : callable
         Sends a request to an endpoint and returns the result.
+    open_trial : callable
+        Opens a connection to the address of an endpoint; raises an error if it can't be opened.
     updated : anyio.Event
         Set when an update from a replica was applied, and then replaced.
     memory : AnswerMemory
@@ -66,6 +68,7 @@
         default=lambda crashes, answered: None
     )
     run_attempt: Callable[[Attempt, Dialect], Awaitable[AttemptResult]] = run_attempt
+    open_trial: Callable[[str], Awaitable[None]] = open_trial
     updated: anyio.Event = field(default_factory=anyio.Event)
     memory: AnswerMemory = field(
         default_factory=lambda: AnswerMemory(
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -145,6 +145,7 @@
         record_metric=_ignore_metric,
         share_load=lambda endpoint: mark_load_changed(host.sharing, endpoint),
         run_attempt=lambda attempt, dialect: run_attempt(fleet, host, attempt),
+        open_trial=lambda address: open_trial(fleet, host, address),
     )
     with anyio.CancelScope() as host.scope:
         async with anyio.create_task_group() as host.tasks:
@@ -209,6 +210,14 @@
 # Engines.
 
 
+async def open_trial(fleet: Fleet, host: Host, address: str) -> None:
+    """Open a connection to a simulated engine; raise OSError if it is down."""
+    engine = fleet.engines[address]
+    await anyio.sleep(2 * compute_latency(fleet, host.zone, engine.zone))
+    if not engine.is_alive:
+        raise ConnectionRefusedError(address)
+
+
 async def run_attempt(fleet: Fleet, host: Host, attempt: Attempt) -> AttemptResult:
     """Send a request, or a memory order, to a simulated engine."""
     engine = fleet.engines[attempt.address]
--- a/tests/simulation/test_play.py
+++ b/tests/simulation/test_play.py
@@ -3,6 +3,7 @@
 import time
 from pathlib import Path
 
+import anyio
 import pytest
 from msgspec.structs import replace
 
@@ -53,6 +54,20 @@
     assert not count_outcome(score, "failed")
 
 
+def test_failed_engines_lead_to_no_connections_outside_the_simulation(small_scenario, monkeypatch):
+    """Guard against results, and the machine's network, that depend on one another."""
+    opened = []
+
+    async def open_connection(*address):
+        opened.append(address)
+        raise OSError
+
+    monkeypatch.setattr(anyio, "connect_tcp", open_connection)
+    crash = ScenarioEvent(EventKind.CRASH, 2.0, 3.0, count=8)
+    play(replace(small_scenario, events=(crash,)), 1)
+    assert not opened
+
+
 def test_a_large_fleet_is_played_in_seconds():
     """Guard against a model that is too slow to compare variants on many seeds."""
     scenario = replace(read_scenario("mixed-large"), seconds=4.0)
