Leave second attempts of a relayed stream to the host that relays it

With it, streams were cut where the preferred endpoint fell silent: the caller got events 1 to 3 of 6.

Cause: the third host doesn't know at which endpoint the second one waits, and chose the same silent one; the second host, allowed one endpoint, started no attempt at another.

The new test, in which the preferred endpoint is silent, failed before and passes now. Silent endpoints are far more frequent than hosts that die during a partition.

The stream of a host that dies is cut again. A fix has to tell the asked host which endpoints had the request while the stream runs.

--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -18,7 +18,7 @@
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
-from marjorambridge.forwarding.relays import Relay, choose_peer
+from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway.answers import InvalidAnswerError
 from marjorambridge.gateway.callers import Exchange, send_answer
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
@@ -31,7 +31,6 @@
     Headers,
 )
 from marjorambridge.gateway.state import Gateway
-from marjorambridge.manifests.models import Execution
 
 RELAY_HEADER = b"marjorambridge-relay"
 MAC_HEADER = b"marjorambridge-relay-mac"
@@ -57,7 +56,9 @@
 def build_relay_attempt(context: RequestContext, running: RunningAttempt, now: float) -> Attempt:
     """Return the attempt that passes a request on to another host."""
     gateway, exchange = context.gateway, context.exchange
-    running.max_endpoints = _count_endpoints(context, running, now)
+    others = sum(other.max_endpoints for other in context.running if other is not running)
+    tried = context.progress.endpoints_tried + others
+    running.max_endpoints = context.admission.route.max_endpoints - tried
     relay = Relay(
         gateway.forwarding.settings.host,
         context.deadline - now,
@@ -80,22 +81,6 @@
     )
 
 
-def _count_endpoints(context: RequestContext, running: RunningAttempt, now: float) -> int:
-    """Return to how many endpoints the other host may send a request.
-
-    For a stream that can be resumed it is one if there is a third host, which goes on if the other
-    one dies or is silent.
-    """
-    route, forwarding = context.admission.route, context.gateway.forwarding
-    had = {attempt.endpoint.name for attempt in context.running} | {running.endpoint.name}
-    others = sum(other.max_endpoints for other in context.running if other is not running)
-    left = route.max_endpoints - context.progress.endpoints_tried - others
-    may_resume = route.execution is Execution.STREAM and route.resumable
-    if may_resume and choose_peer(forwarding, frozenset(context.excluded | had), now) is not None:
-        return 1
-    return left
-
-
 def _ignore_head(head: AnswerHead) -> None:
     """Apply no hints, because they are those of an endpoint that this host does not know."""
 
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -441,6 +441,23 @@
     anyio.run(scenario)
 
 
+def test_a_relayed_stream_goes_on_at_another_endpoint_than_the_silent_one():
+    """Guard against second attempts at the same endpoint, since another host chooses it, too."""
+
+    async def scenario():
+        whole = stream_events(1, 6, "complete")
+        async with run_fleet(RESUMABLE, whole, whole, cut=(True, False, False)) as (host, *_):
+            await lose_contact(host)
+            host.endpoints[0].script = stream_events(1, 3, "silent")
+            data = await call(host, make_request())
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert PLATFORM.is_whole(data)
+            runs = list_runs(host)
+            assert [find_header(run, b"last-event-id") for run in runs] == [b"", b"3"]
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
