--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -54,7 +54,7 @@
     AttemptResult,
     Forwarded,
 )
-from marjorambridge.gateway.relays import build_relay_attempt, run_relay
+from marjorambridge.gateway.relays import build_relay_attempt, read_retry_after, run_relay
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.manifests.models import Execution
@@ -79,6 +79,7 @@
         attempt = build_relay_attempt(context, running, now)
     else:
         attempt = _build_attempt(context, running, identifier)
+    attempt.handle_connected = lambda: _note_connected(context, running)
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, running, head, data)
     record_send(endpoint, now)
@@ -104,6 +105,12 @@
     return result
 
 
+def _note_connected(context: RequestContext, running: RunningAttempt) -> None:
+    running.is_connected = True
+    if not running.endpoint.is_peer:
+        note_connected(context.gateway)
+
+
 def _build_attempt(context: RequestContext, running: RunningAttempt, identifier: str) -> Attempt:
     """Return the attempt that sends a request to an endpoint."""
     gateway, request, endpoint = context.gateway, context.request, running.endpoint
@@ -130,7 +137,6 @@
         allocation=running.allocation,
         handle_head=lambda head: apply_answer_hints(gateway, endpoint, request.request_id, head),
         work=gateway.work,
-        handle_connected=lambda: note_connected(gateway),
     )
 
 
@@ -160,7 +166,7 @@
     """Run an attempt and renew its tickets, if there are any, until it ends."""
     tickets = running.tickets
     if running.endpoint.is_peer:
-        return await run_relay(context.gateway, attempt)
+        return await run_relay(context.gateway, attempt, running.max_endpoints)
     if not tickets.held:
         return await context.gateway.run_attempt(attempt, context.gateway.dialect)
     async with anyio.create_task_group() as tasks:
@@ -274,13 +280,16 @@
     """Record the result of an attempt for this request and for the placement of others."""
     now = time.monotonic()
     outcome, endpoint = result.outcome, running.endpoint
-    record_outcome(context.progress, outcome)
+    if outcome is not AttemptOutcome.TIMED_OUT or running.is_connected:
+        record_outcome(context.progress, outcome, result.endpoints_tried)
     context.attempt_outcomes.append(f"{endpoint.name}:{outcome.value}")
     helper = find_helper_at_fault(running.helpers, result.head)
     if helper is not None:
         _record_helper_failure(context, running, helper, outcome)
         return
     context.excluded.add(endpoint.name)
+    if endpoint.is_peer and result.head is not None:
+        context.retry_after_seconds = read_retry_after(result.head)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, running.started_at)
         head = result.head
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -42,12 +42,17 @@
     kv_tokens : int
         Memory in tokens that the requests of all hosts needed at the endpoint when the attempt
         began.
+    is_connected : bool
+        Whether a connection was opened, so that the endpoint may have received the request.
     has_begun : bool
         Whether the first event has arrived.
     has_stalled : bool
         Whether it was silent for so long that another attempt was started beside it.
     prefilling : list of Endpoint
         Endpoints that prefill the prompt; empty after the first event.
+    max_endpoints : int
+        Endpoints that may receive the request by this attempt; several ones only if another host
+        forwards it.
     scope : anyio.CancelScope
         Cancels the attempt.
     """
@@ -60,9 +65,11 @@
     started_at: float = 0.0
     waits_since: float = math.inf
     kv_tokens: int = 0
+    is_connected: bool = False
     has_begun: bool = False
     has_stalled: bool = False
     prefilling: list[Endpoint] = field(default_factory=list)
+    max_endpoints: int = 1
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
@@ -93,6 +100,8 @@
         Events of a request that gets them as one answer.
     helper_count : int
         Number of helper engines of the last attempt.
+    retry_after_seconds : float or None
+        Time to come back that the last host named that refused the request; None if none did.
     replaced : Endpoint or None
         Endpoint at whose address another one seems to have answered this request.
     """
@@ -115,6 +124,7 @@
     longest_gap: float = 0.0
     collected: list[bytes] = field(default_factory=list)
     helper_count: int = 0
+    retry_after_seconds: float | None = None
     replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -16,7 +16,8 @@
 )
 from marjorambridge.forwarding.admission import Refusal
 from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
-from marjorambridge.forwarding.retry_after import estimate_retry_after_seconds
+from marjorambridge.forwarding.contact import is_lost
+from marjorambridge.forwarding.retry_after import draw_jitter, estimate_retry_after_seconds
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
@@ -24,7 +25,7 @@
 from marjorambridge.gateway.crashes import find_block, format_parts
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import AttemptResult, CallerRequest
-from marjorambridge.gateway.relays import describe_outcome
+from marjorambridge.gateway.relays import describe_outcome, mark_answer
 from marjorambridge.gateway.state import Gateway
 
 
@@ -99,6 +100,8 @@
     headers, body = head.headers, result.body
     if context.request.collects_events and is_event_stream(head):
         headers, body = dialect.encode_collected(context.request, b"".join(context.collected))
+    if exchange.relay is not None:
+        headers = mark_answer(headers, context.progress.endpoints_tried)
     await callers.send_answer(exchange, head.status, headers, body)
     return "served" if is_complete else "endpoint_failed"
 
@@ -109,8 +112,7 @@
     if block is not None:
         reason, seconds = block
     else:
-        forwarding = context.gateway.forwarding
-        seconds = estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
+        seconds = _estimate_retry_after(context)
     text = f"the request has not run ({reason}); come back in {seconds:.2f} s"
     kind = Reason.NO_ENDPOINT if block is None else Reason.BLOCKED
     await _answer_outcome(
@@ -122,6 +124,19 @@
     return f"refused_{reason}"
 
 
+def _estimate_retry_after(context: RequestContext) -> float:
+    """Return the seconds after which a request may come back.
+
+    A host that reaches no endpoint doesn't know their state; another one may have named a time.
+    """
+    forwarding = context.gateway.forwarding
+    if not is_lost(forwarding.contact):
+        return estimate_retry_after_seconds(forwarding, context.profile, time.monotonic())
+    if context.retry_after_seconds is not None:
+        return context.retry_after_seconds
+    return defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS * draw_jitter(forwarding)
+
+
 async def fail(context: RequestContext, outcome: AttemptOutcome) -> str:
     """Answer that the request failed, or end the answer as incomplete if it has started."""
     exchange, dialect = context.exchange, context.gateway.dialect
@@ -139,7 +154,8 @@
         return await refuse(context, "no_time")
     reason = Reason.DEADLINE if is_late else Reason.ENDPOINT_ERROR
     failure = _describe_failure(context, reason, outcome)
-    await _answer_outcome(context.gateway, exchange, failure)
+    tried = context.progress.endpoints_tried
+    await _answer_outcome(context.gateway, exchange, failure, endpoints_tried=tried)
     return f"failed_{outcome.value}"
 
 
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -14,10 +14,12 @@
 from msgspec.structs import replace
 
 from marjorambridge.conf import defaults
+from marjorambridge.core.numbers import clamp, parse_count, parse_decimal
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.relays import Relay
+from marjorambridge.gateway.answers import InvalidAnswerError
 from marjorambridge.gateway.callers import Exchange, send_answer
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
 from marjorambridge.gateway.messages import (
@@ -33,9 +35,12 @@
 RELAY_HEADER = b"marjorambridge-relay"
 MAC_HEADER = b"marjorambridge-relay-mac"
 OUTCOME_HEADER = b"marjorambridge-relay-outcome"
+# The caller's ``Connection`` header, since that of the relay is another one.
+CONNECTION_HEADER = b"marjorambridge-relay-connection"
+OWN_HEADERS = frozenset({RELAY_HEADER, MAC_HEADER, CONNECTION_HEADER})
 # Bytes that the headers of a relay add to those of a caller, at most.
 RELAY_HEADER_BYTES = 1_024
-NOT_SENT, NOT_RUN, FAILED = b"not_sent", b"not_run", b"failed"
+NOT_SENT, NOT_RUN, FAILED, ANSWERED = b"not_sent", b"not_run", b"failed", b"answered"
 MAC_BYTES = 16
 BAD_REQUEST, UNAVAILABLE = 400, 503
 
@@ -51,12 +56,15 @@
 def build_relay_attempt(context: RequestContext, running: RunningAttempt, now: float) -> Attempt:
     """Return the attempt that passes a request on to another host."""
     gateway, exchange = context.gateway, context.exchange
-    endpoints = context.admission.route.max_endpoints - context.progress.endpoints_tried
+    others = sum(other.max_endpoints for other in context.running if other is not running)
+    tried = context.progress.endpoints_tried + others
+    running.max_endpoints = context.admission.route.max_endpoints - tried
     relay = Relay(
         gateway.forwarding.settings.host,
         context.deadline - now,
-        endpoints,
+        running.max_endpoints,
         context.last_event if has_events(context) else None,
+        _get_version(gateway),
     )
     value = json.encode(relay)
     mac = _compute_mac(gateway.relay_key, exchange, value)
@@ -64,7 +72,7 @@
         address=running.endpoint.address,
         method=exchange.method,
         target=exchange.target,
-        headers=[*_select_headers(exchange.headers), (RELAY_HEADER, value), (MAC_HEADER, mac)],
+        headers=[*_encode_headers(exchange.headers), (RELAY_HEADER, value), (MAC_HEADER, mac)],
         body=exchange.body,
         request_id=context.request.request_id,
         allocation=running.allocation,
@@ -77,11 +85,20 @@
     """Apply no hints, because they are those of an endpoint that this host does not know."""
 
 
-def _select_headers(headers: Headers) -> Headers:
-    named = b",".join(value for name, value in headers if name.lower() == b"connection")
-    dropped = {name.strip().lower() for name in named.split(b",")}
-    dropped |= HOP_BY_HOP_HEADERS | {RELAY_HEADER, MAC_HEADER}
-    return [(name, value) for name, value in headers if name.lower() not in dropped]
+def _encode_headers(headers: Headers) -> Headers:
+    """Return the headers of a caller for the connection to another host."""
+    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    named = [value for name, value in headers if name.lower() == b"connection"]
+    return [*kept, (CONNECTION_HEADER, b", ".join(named))] if named else kept
+
+
+def _decode_headers(headers: Headers) -> Headers:
+    """Return the headers as the caller sent them, for the dialect to select from."""
+    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    named = [value for name, value in headers if name.lower() == CONNECTION_HEADER]
+    return [*kept, *((b"connection", value) for value in named)]
 
 
 def _compute_mac(key: bytes, exchange: Exchange, value: bytes) -> bytes:
@@ -92,8 +109,11 @@
     return digest.hexdigest().encode()
 
 
-async def run_relay(gateway: Gateway, attempt: Attempt) -> AttemptResult:
-    """Pass a request on, and return the result as if this host had sent it to an endpoint."""
+async def run_relay(gateway: Gateway, attempt: Attempt, max_endpoints: int) -> AttemptResult:
+    """Pass a request on, and return the result as if this host had sent it to endpoints.
+
+    Without the word of the other host, all endpoints that it could use count as tried.
+    """
     outcomes: list[bytes] = []
 
     def decode_answer(status: int, headers: Headers) -> AnswerHead:
@@ -101,8 +121,10 @@
 
     dialect = replace(gateway.dialect, decode_answer=decode_answer)
     result = await gateway.run_attempt(attempt, dialect)
-    if result.outcome is AttemptOutcome.NOT_RUN and NOT_SENT in outcomes:
+    outcome, tried = _split_outcome(outcomes)
+    if result.outcome is AttemptOutcome.NOT_RUN and outcome == NOT_SENT:
         result.outcome = AttemptOutcome.NOT_SENT
+    result.endpoints_tried = max_endpoints if tried is None else tried
     return result
 
 
@@ -114,13 +136,29 @@
     head = dialect.decode_answer(
         status, [item for item in headers if item[0].lower() != OUTCOME_HEADER]
     )
+    if not own and not head.is_signed:
+        raise InvalidAnswerError("the answer is none of another host")
     outcomes += own
     head.misdirected = head.leaving = False
     head.endpoint_at_fault = ""
-    head.not_run = bool(own) and own[0] in (NOT_SENT, NOT_RUN)
+    head.not_run = not head.is_signed and _split_outcome(own)[0] in (NOT_SENT, NOT_RUN)
     return head
 
 
+def read_retry_after(head: AnswerHead) -> float | None:
+    """Return the seconds after which another host lets a request come back, or None."""
+    seconds = parse_decimal(head.retry_after)
+    if seconds is None:
+        return None
+    return clamp(seconds, defaults.MIN_RETRY_AFTER_SECONDS, defaults.MAX_RETRY_AFTER_SECONDS)
+
+
+def _split_outcome(values: list[bytes]) -> tuple[bytes, int | None]:
+    """Return what another host says of a request, and how many endpoints received it."""
+    outcome, _, tried = (values[0] if values else b"").partition(b";")
+    return outcome, parse_count(tried)
+
+
 # The host that takes the request.
 
 
@@ -129,14 +167,15 @@
     relay = _read_relay(gateway.relay_key, exchange)
     if relay is None:
         logger.warning("refused a request at the address for other hosts, which have to sign it")
-        await send_answer(exchange, BAD_REQUEST, [], b"send requests to the address for callers")
+        outcome = NotRun(Reason.BAD_REQUEST, "send requests to the address for callers")
+        headers, body = encode_refusal(gateway.dialect, outcome)
+        await send_answer(exchange, BAD_REQUEST, headers, body)
         return False
     exchange.relay = relay
-    exchange.headers = _select_headers(exchange.headers)
-    is_full = gateway.relayed >= defaults.MAX_RELAYED_REQUESTS
-    if not is_full and not is_lost(gateway.forwarding.contact):
+    exchange.headers = _decode_headers(exchange.headers)
+    reason = _find_objection(gateway, relay)
+    if not reason:
         return True
-    reason = "takes no more requests of other hosts" if is_full else "reaches no endpoint"
     outcome = NotRun(
         Reason.NO_ENDPOINT, f"this host {reason}", defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS
     )
@@ -145,6 +184,22 @@
     return False
 
 
+def _find_objection(gateway: Gateway, relay: Relay) -> str:
+    """Return why this host doesn't take a request; empty if it does."""
+    if gateway.relayed >= defaults.MAX_RELAYED_REQUESTS:
+        return "takes no more requests of other hosts"
+    if is_lost(gateway.forwarding.contact):
+        return "reaches no endpoint"
+    if _get_version(gateway) < relay.version:
+        return "has an older manifest"
+    return ""
+
+
+def _get_version(gateway: Gateway) -> int:
+    table = gateway.forwarding.table
+    return table.manifest.version if table is not None else 0
+
+
 def _read_relay(key: bytes, exchange: Exchange) -> Relay | None:
     values = {name.lower(): value for name, value in exchange.headers}
     value, mac = values.get(RELAY_HEADER, b""), values.get(MAC_HEADER, b"")
@@ -165,6 +220,13 @@
 
 def describe_outcome(outcome: Unsuccessful, endpoints_tried: int) -> tuple[bytes, bytes]:
     """Return the header that tells another host what an answer of this host says of its request."""
-    if not isinstance(outcome, NotRun):
-        return OUTCOME_HEADER, FAILED
-    return OUTCOME_HEADER, NOT_RUN if endpoints_tried else NOT_SENT
+    name = FAILED
+    if isinstance(outcome, NotRun):
+        name = NOT_RUN if endpoints_tried else NOT_SENT
+    return OUTCOME_HEADER, b"%b;%d" % (name, endpoints_tried)
+
+
+def mark_answer(headers: Headers, endpoints_tried: int) -> Headers:
+    """Return the headers of an endpoint's answer with what another host has to know of it."""
+    own = [(name, value) for name, value in headers if name.lower() != OUTCOME_HEADER]
+    return [*own, (OUTCOME_HEADER, b"%b;%d" % (ANSWERED, endpoints_tried))]
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -25,8 +25,10 @@
 from marjorambridge.platform.dialect import create_dialect
 
 from .helpers import (
+    SIGNED,
     FakeEndpoint,
     GatewayHarness,
+    answer,
     answer_whole,
     call,
     find_port,
@@ -104,7 +106,9 @@
     await start_server(server, tasks, "127.0.0.1", port)
     ip, _, relay_port = get_relay_address(gateway.forwarding.settings.host).rpartition(":")
     await start_server(relays, tasks, ip, int(relay_port))
-    return GatewayHarness(gateway, server, port, endpoints)
+    host = GatewayHarness(gateway, server, port, endpoints)
+    host.relays = relays
+    return host
 
 
 async def lose_contact(host):
@@ -238,6 +242,222 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize("named", [b"Host, X-Request-Id", b"X-Key, X-Deadline-Ms", b"X-Own"])
+def test_headers_that_a_caller_names_as_those_of_its_connection(named):
+    """Guard against a relay without the host, identifier or key, and one with headers of a hop."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD) as (host, _):
+            await lose_contact(host)
+            extra = b"X-Own: 1\r\nConnection: " + named + b"\r\n"
+            data = await call(host, make_request(extra=extra))
+            assert (get_status(data), read_body(data)) == (200, b"good")
+            (run,) = list_runs(host)
+            assert (find_header(run, b"x-own") == b"") is (named == b"X-Own")
+
+    anyio.run(scenario)
+
+
+def test_a_host_with_another_key_has_not_got_the_request():
+    """Guard against a 400 for a proper request while hosts disagree on the key."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD) as (host, other):
+            await lose_contact(host)
+            other.gateway.relay_key = b"key of another fleet"
+            assert get_status(await call(host, make_request())) == 503
+            assert not list_runs(host)
+
+    anyio.run(scenario)
+
+
+def test_an_answer_that_is_none_of_a_host_is_not_given_to_a_caller():
+    """Guard against a 404 of whatever else listens at the port of an older host."""
+
+    async def scenario():
+        stranger = answer(b"404 Not Found", b"Content-Length: 0\r\n", b"")
+        async with run_fleet(ONCE, GOOD, stranger) as (host, _):
+            await lose_contact(host)
+            own = host.gateway.forwarding.settings.host
+            stranger_host = f"127.0.0.1:{host.endpoints[1].port - 1}"
+            host.gateway.forwarding.hosts = {own: "z1", stranger_host: "z1"}
+            assert get_status(await call(host, make_request())) == 502
+
+    anyio.run(scenario)
+
+
+def test_a_request_that_waited_for_a_connection_until_its_deadline_has_not_run():
+    """Guard against a 504 for what no endpoint can have received, which callers don't repeat."""
+
+    async def scenario():
+        fleet = run_fleet(ONCE, GOOD, cut=(False,))
+        async with fleet as (host,), hold_silent_address() as address:
+            host.gateway.forwarding.endpoints["e0"].address = address
+            request = make_request().replace(b"3000", b"200")
+            assert get_status(await call(host, request)) == 503
+
+    anyio.run(scenario)
+
+
+@asynccontextmanager
+async def hold_silent_address():
+    """Hold an address to which connections hang, because the queue of its listener is full."""
+    async with contextlib.AsyncExitStack() as stack:
+        silent = stack.enter_context(socket.socket())
+        silent.bind(("127.0.0.1", 0))
+        silent.listen(0)
+        with anyio.move_on_after(0.2):
+            while True:
+                stream = await anyio.connect_tcp(*silent.getsockname())
+                await stack.enter_async_context(stream)
+        yield f"127.0.0.1:{silent.getsockname()[1]}"
+
+
+def test_a_host_that_loses_contact_hands_back_what_it_was_passed():
+    """Guard against relays that wait for all endpoints at a host that is cut off as well."""
+
+    async def scenario():
+        async with run_fleet(ONCE, *[GOOD] * 6, cut=(True, False, False)) as (host, near, far):
+            await lose_contact(host)
+            host.gateway.forwarding.hosts[far.gateway.forwarding.settings.host] = "z2"
+            async with hold_silent_address() as address:
+                for endpoint in near.gateway.forwarding.endpoints.values():
+                    endpoint.address = address
+                with anyio.fail_after(1.8):
+                    data = await call(host, make_request())
+            assert (get_status(data), read_body(data)) == (200, b"good")
+            assert len(list_runs(host)) == 1
+
+    anyio.run(scenario)
+
+
+def make_failures():
+    """Return a script for each end of an attempt after which a request may be repeated."""
+    failure = answer(b"500 Internal Server Error", SIGNED + b"Content-Length: 0\r\n", b"")
+    return failure, refuse, reset_at_once
+
+
+async def reset_at_once(endpoint, stream, head):
+    await reset(stream)
+
+
+@pytest.mark.parametrize("script", make_failures(), ids=["failure", "refusal", "reset"])
+def test_hosts_together_use_no_more_endpoints_than_the_route_allows(script):
+    """Guard against a fresh count of endpoints at each host that gets the request."""
+
+    async def scenario():
+        cut = (True, False, False)
+        async with run_fleet(IDEMPOTENT, script, script, script, cut=cut) as (host, *_):
+            await lose_contact(host)
+            data = await call(host, make_request())
+            assert get_status(data) in (500, 502, 503)
+            assert len(list_runs(host)) == 2
+
+    anyio.run(scenario)
+
+
+def test_a_host_that_is_passed_a_silent_stream_uses_only_what_is_left():
+    """Guard against more endpoints than allowed beside a stream that is silent at one."""
+
+    async def scenario():
+        scripts = stream_events(1, 3, "silent"), *[stream_events(4, 6, "reset")] * 3
+        async with run_fleet(RESUMABLE, *scripts, cut=(False, False, False)) as (host, *others):
+            for other in others:
+                other.gateway.forwarding.endpoints["e0"].address = UNREACHABLE
+            host.endpoints[0].script = lose_after(host, scripts[0])
+            with anyio.move_on_after(3.0):
+                await call(host, make_request())
+            assert len(list_runs(host)) == 2
+
+    anyio.run(scenario)
+
+
+def test_a_stream_goes_on_when_the_host_that_relays_it_dies():
+    """Guard against a cut, a gap or repeated events where a third host could go on."""
+
+    async def scenario():
+        script = stream_events(1, 3, "silent")
+        async with run_fleet(RESUMABLE, script, cut=(True, False, False)) as (host, *others):
+            await lose_contact(host)
+            host.endpoints[0].requests.clear()
+
+            async def die(endpoint, stream, head):
+                endpoint.script = stream_events(4, 6, "complete")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(script, endpoint, stream, head)
+                    await anyio.sleep(0.1)
+                    for other in others:
+                        if other.gateway.relayed:
+                            close_server(other.relays)
+                    tasks.cancel_scope.cancel()
+
+            host.endpoints[0].script = die
+            data = await call(host, make_request())
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert PLATFORM.is_whole(data)
+            runs = list_runs(host)
+            assert [find_header(run, b"last-event-id") for run in runs] == [b"", b"3"]
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize("cut", [(True, False), (True, True)], ids=["refused", "none"])
+def test_the_time_to_come_back_is_not_that_of_endpoints_out_of_reach(cut):
+    """Guard against callers that stay away for as long as a partition made endpoints fail."""
+
+    async def scenario():
+        async with run_fleet(ONCE, refuse, cut=cut) as (host, _):
+            await lose_contact(host)
+            host.gateway.forwarding.endpoints["e0"].avoid_until = anyio.current_time() + 8.0
+            data = await call(host, make_request())
+            assert get_status(data) == 503
+            seconds = float(find_header(data.partition(b"\r\n\r\n")[0], b"retry-after"))
+            limit = defaults.NO_ENDPOINT_RETRY_AFTER_SECONDS * (
+                1 + defaults.RETRY_AFTER_JITTER_RATIO
+            )
+            assert 0 < seconds <= limit
+
+    anyio.run(scenario)
+
+
+def test_a_host_with_an_older_manifest_takes_no_requests_of_newer_ones():
+    """Guard against a request that is handled by a manifest older than that of the asked host."""
+
+    async def scenario():
+        async with run_fleet(ONCE, GOOD, cut=(True, False, False)) as (host, old, new):
+            await lose_contact(host)
+            host.endpoints[0].requests.clear()
+            for known in (host, new):
+                apply_manifest(known.gateway.forwarding, replace(ONCE, version=2))
+            new.gateway.relay_key = b""
+            assert get_status(await call(host, make_request())) == 503
+            assert not list_runs(host)
+            new.gateway.relay_key = KEY
+            assert get_status(await call(host, make_request())) == 200
+            apply_manifest(old.gateway.forwarding, replace(ONCE, version=3))
+            new.gateway.relay_key = b""
+            assert get_status(await call(host, make_request())) == 200
+
+    anyio.run(scenario)
+
+
+def test_a_relayed_stream_goes_on_at_another_endpoint_than_the_silent_one():
+    """Guard against second attempts at the same endpoint, since another host chooses it, too."""
+
+    async def scenario():
+        whole = stream_events(1, 6, "complete")
+        async with run_fleet(RESUMABLE, whole, whole, cut=(True, False, False)) as (host, *_):
+            await lose_contact(host)
+            host.endpoints[0].script = stream_events(1, 3, "silent")
+            data = await call(host, make_request())
+            assert PLATFORM.list_items(data) == [1, 2, 3, 4, 5, 6]
+            assert PLATFORM.is_whole(data)
+            runs = list_runs(host)
+            assert [find_header(run, b"last-event-id") for run in runs] == [b"", b"3"]
+
+    anyio.run(scenario)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_other_host():
     """Guard against endpoints that work on for a caller that has left."""
 
