Drop evidence of crashes at engines that still run

Callers who sent the same request each time got only 503 after all 20 engines of a service had reset each connection for 6 or 30 s: for all of the 20 s that were watched, 390 of 390 requests. With three engines it depends on the moments at which they fail.

A connection that ends without an answer looks like a crash, also if the engine goes on running. Three such engines blocked an ordinary request for an hour, with a first test after 60 s, and nothing contradicted the evidence, because the request was refused before it reached one again.

An engine that accepts another connection as the same incarnation, 0.1 s or more after the supposed crash, and still reports, has not crashed. So any later answer, error or reset of it drops the evidence, and a block without enough evidence ends at all hosts, by the message that tells of an answer.

Not chosen: a condition that the service served others meanwhile. A service may get nothing but the request that crashes its engines, and the tests of that hold unchanged.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -33,6 +33,7 @@
 from marjorambridge.gateway.crash_reports import format_cause
 from marjorambridge.gateway.crashes import (
     format_parts,
+    record_accepted,
     record_first_answer,
     record_possible_crash,
 )
@@ -56,6 +57,10 @@
 FAILURE_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_SENT, AttemptOutcome.FAILED, AttemptOutcome.BROKEN}
 )
+# Outcomes that show that the endpoint accepted the connection, and that it is the expected one.
+ACCEPTED_OUTCOMES = frozenset(
+    {AttemptOutcome.COMPLETE, AttemptOutcome.FAILED, AttemptOutcome.BROKEN, AttemptOutcome.NOT_RUN}
+)
 
 
 async def run_attempt(context: RequestContext, running: RunningAttempt) -> AttemptResult:
@@ -253,6 +258,8 @@
         _record_helper_failure(context, running, helper, outcome)
         return
     context.excluded.add(endpoint.name)
+    if outcome in ACCEPTED_OUTCOMES:
+        record_accepted(context.gateway, endpoint, running.started_at, now)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, running.started_at)
         head = result.head
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -98,7 +98,7 @@
 
 async def refuse(context: RequestContext, reason: str) -> str:
     """Answer that the request has not run and when to retry."""
-    block = find_block(context.gateway, context.causes)
+    block = find_block(context.gateway, context.causes, context.admission.service)
     if block is not None:
         reason, seconds = block
     else:
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -22,6 +22,7 @@
     "effect": "class of an effect",
     "ended": "requests that ended during a shutdown without being aborted",
     "endpoint": "name of an endpoint",
+    "endpoints": "names of endpoints, joined by commas",
     "epoch": "log index of the view that assigned a shard",
     "error": "text of an error of this program, its settings or the operating system",
     "first_seconds": "time from the arrival of a request to the first part of its answer",
