--- a/marjorambridge/gateway/contact.py
+++ b/marjorambridge/gateway/contact.py
@@ -76,7 +76,7 @@
         _apply_contact(gateway, confirmed, lost_at)
     elif lost_at > now:
         gateway.record_metric(Measure("contact_losses_total"))
-        logger.bind(endpoints=len(contact.failed)).warning(
+        logger.bind(failed_endpoints=len(contact.failed)).warning(
             "this host reaches no endpoint; requests are passed on to other hosts"
         )
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -313,6 +313,9 @@
         Cause of a failure, for the log.
     endpoints_tried : int
         Endpoints that received the request, at most; only another host sends it to several ones.
+    has_ended : bool
+        Whether the connection ended or was reset while an answer was expected, after no bytes or
+        valid ones.
     """
 
     outcome: AttemptOutcome
@@ -320,6 +323,7 @@
     body: bytes = b""
     detail: str = ""
     endpoints_tried: int = 1
+    has_ended: bool = False
 
 
 def keep_head(head: AnswerHead, body: bytes) -> None:
--- a/tests/gateway/test_hints.py
+++ b/tests/gateway/test_hints.py
@@ -103,7 +103,6 @@
 
 def test_endpoint_gets_no_requests_until_its_retry_after_expires():
     """Guard against requests to an engine before the time of its ``Retry-After`` header."""
-
     arrivals = []
 
     async def reject_at(endpoint, stream, head):
