Log which requests the end of a gateway cuts

What operators saw: after a planned stop some callers had a reset, and the log of the gateway had only their number ("the gateway has stopped", cut), so that nobody could tell a late engine from a caller that took nothing, or from a request that was still being read.

Cause: the server counted the requests in progress and did not keep them.

Change: the server keeps the set of exchanges in progress, and before the gateway ends it writes a warning for each of up to 50, the oldest first, with the identifier, the state, the time since the arrival and since the last part of the answer, the bytes in the transport and those in the kernel that are not acknowledged (-1 where the call isn't available); the others are counted. The limit of 50 stays within the burst that the log takes (400 lines).

The states, a caller that reads nothing, a closed connection, a system without the call and the limit are tested on connections of a gateway in the test's process.

If the log's rate is used up at the end, the lines are dropped like others.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -24,6 +24,7 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.cuts import log_cut_requests
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.gateway.requests import handle_request
@@ -293,5 +294,6 @@
     while host.server.active and time.monotonic() < ends_at:
         await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         callers.close_idle_connections(host.server)
-    logger.bind(cut=host.server.active).info("the gateway has stopped")
+    cut = log_cut_requests([host.server], time.monotonic())
+    logger.bind(cut=cut).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -90,8 +90,8 @@
         Monotonic time in seconds at which the next bytes of refused requests may be discarded.
     waiting : set of anyio.CancelScope
         Scopes of the connections that are idle between two requests.
-    active : int
-        Number of requests that are being read or handled.
+    exchanges : set of Exchange
+        Requests that are being read or handled.
     scope, listen_scope : anyio.CancelScope
         Scopes of the whole server, and of the accepting of connections.
     """
@@ -106,12 +106,17 @@
     closing: bool = False
     discard_at: float = 0.0
     waiting: set[anyio.CancelScope] = field(default_factory=set)
-    active: int = 0
+    exchanges: "set[Exchange]" = field(default_factory=set)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     listen_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    @property
+    def active(self) -> int:
+        """Return the number of requests that are being read or handled."""
+        return len(self.exchanges)
 
-class Exchange(Struct):
+
+class Exchange(Struct, eq=False):
     """Store one request and the state of its answer.
 
     Attributes
@@ -122,6 +127,10 @@
         Memory for the body.
     meter : WorkMeter
         Processor time for the bytes of the request.
+    request_id : str
+        Identifier that the caller chose; empty until the request is decoded.
+    written_at : float
+        Monotonic time in seconds of the last part of the answer; 0 before the first one.
     has_head, is_complete : bool
         Whether the head of the answer, and whether all of it, was written.
     caller_gone : bool
@@ -140,6 +149,8 @@
     target: bytes = b""
     headers: Headers = field(default_factory=list)
     body: bytes = b""
+    request_id: str = ""
+    written_at: float = 0.0
     has_head: bool = False
     is_complete: bool = False
     caller_gone: bool = False
@@ -210,13 +221,13 @@
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
     exchange = Exchange(server, stream, connection, arrived_at, reservation, meter)
     start_turn(meter)
-    server.active += 1
+    server.exchanges.add(exchange)
     try:
         if not await _read_request(exchange):
             return False
         await _run_handler(exchange)
     finally:
-        server.active -= 1
+        server.exchanges.discard(exchange)
         bodies.release(exchange.reservation)
     if exchange.must_reset or exchange.caller_gone or not exchange.is_complete:
         await reset(stream)
@@ -424,7 +435,7 @@
         headers = [*headers, (b"Connection", b"close")]
     head = h11.Response(status_code=status, headers=headers)
     written = exchange.connection.send(head)
-    exchange.has_head = True
+    exchange.has_head, exchange.written_at = True, time.monotonic()
     if data and exchange.method != b"HEAD":
         written += exchange.connection.send(h11.Data(data=data))
     await exchange.stream.send(written)
@@ -433,6 +444,7 @@
 async def send_part(exchange: Exchange, data: bytes) -> None:
     """Write a further part of the body."""
     if data:
+        exchange.written_at = time.monotonic()
         await exchange.stream.send(exchange.connection.send(h11.Data(data=data)))
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -39,6 +39,7 @@
     except BadRequestError as error:
         await answer_invalid(gateway, exchange, error)
         return
+    exchange.request_id = request.request_id
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
         await refuse_admission(gateway, exchange, request, admitted)
