Let a repeated SIGTERM leave the grace time as it is

Cause: the handler of a gateway took any signal during a stop as an order to end, and cancelled all connections. A replica did the same: operators and engines lost the answers to their calls in progress, and the transfer of leadership was skipped. Supervisors and platforms repeat SIGTERM, and a script that signals a process group and then the process does so too.

Change: the first SIGTERM or SIGINT begins the stop, a later SIGTERM is logged and changes nothing, and a later SIGINT still ends the process at once, for an operator at a terminal; what that cuts is logged like at the end of the grace time, now for replicas too.

Evidence: tests on real processes with 12 callers on kept connections until the process is gone.

Ruled out: SIGHUP reads the settings again and ends nothing. The count of the signals can't be used, because signals that arrive together are merged by the system.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -201,6 +201,7 @@
     tasks.start_soon(
         signals.watch_signals,
         lambda: tasks.start_soon(_shut_down, host),
+        lambda: _end(host),
         lambda: _reload(host, path),
     )
     await start_metrics_server(
@@ -279,9 +280,6 @@
 
 async def _shut_down(host: GatewayHost) -> None:
     """Report not ready, complete the requests in progress and end the process."""
-    if host.stopping:
-        host.scope.cancel()
-        return
     started_at = time.monotonic()
     host.stopping = True
     host.server.closing = True
@@ -294,6 +292,11 @@
     while host.server.active and time.monotonic() < ends_at:
         await anyio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         callers.close_idle_connections(host.server)
+    _end(host)
+
+
+def _end(host: GatewayHost) -> None:
+    """End the process, which cuts the requests in progress."""
     cut = log_cut_requests([host.server], time.monotonic())
     logger.bind(cut=cut).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -38,6 +38,7 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.cuts import log_cut_requests
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.node.replica import ReplicaNodeSettings, compose_replica
@@ -139,6 +140,7 @@
         tasks.start_soon(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
+            lambda: _end(process),
             lambda: signals.read_changed_settings(path),
         )
         while not process.stopping:
@@ -402,11 +404,17 @@
 async def _shut_down(process: ReplicaProcess) -> None:
     """Transfer leadership, complete the answers in progress and end the process."""
     host = process.host
-    if not process.stopping and host is not None:
-        process.stopping = True
+    process.stopping = True
+    if host is not None:
         host.server.closing = True
         post(host.runtime, events.ShutdownRequested(time.monotonic(), False))
         await anyio.sleep(SHUTDOWN_DELAY_SECONDS)
-    process.stopping = True
-    logger.info("the replica has stopped")
+    _end(process)
+
+
+def _end(process: ReplicaProcess) -> None:
+    """End the process, which cuts the calls in progress."""
+    server = process.host.server if process.host is not None else None
+    servers = [server] if server is not None else []
+    logger.bind(cut=log_cut_requests(servers, time.monotonic())).info("the replica has stopped")
     process.scope.cancel()
--- a/marjorambridge/daemon/signals.py
+++ b/marjorambridge/daemon/signals.py
@@ -14,20 +14,31 @@
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
 
 
-async def watch_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
-    """Call `stop` for each SIGTERM and SIGINT, and `reload` for each SIGHUP.
+async def watch_signals(
+    stop: Callable[[], object], end: Callable[[], object], reload: Callable[[], object]
+) -> None:
+    """Call `stop` for the first SIGTERM or SIGINT, and `reload` for each SIGHUP.
 
-    Must run as long as the process: an unhandled SIGHUP would end it.
+    Supervisors may repeat SIGTERM, so that only a later SIGINT, of an operator at a terminal, calls
+    `end`, which ends the process at once. Must run as long as the process: an unhandled SIGHUP
+    would end it.
     """
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    is_stopping = False
     try:
         with anyio.open_signal_receiver(*numbers) as signals:
             async for number in signals:
                 logger.bind(kind=signal.Signals(number).name).info("received a signal")
                 if number == signal.SIGHUP:
                     reload()
-                else:
+                elif not is_stopping:
+                    is_stopping = True
                     stop()
+                elif number == signal.SIGINT:
+                    logger.warning("ending at once, because of a SIGINT during the stop")
+                    end()
+                else:
+                    logger.info("the stop goes on as before, because a SIGTERM doesn't shorten it")
     finally:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -7,11 +7,14 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import httpcore
+import pytest
 
 from tests.soak.endpoints import Endpoint, serve_endpoint
 from tests.soak.processes import make_processes
 from tests.soak.run import (
     Soak,
+    check_answer,
     find_base_port,
     make_configuration,
     send_reports,
@@ -23,6 +26,12 @@
 # Time in which a process ends after its grace time.
 END_SECONDS = 2.0
 SHORT_GRACE_SECONDS = 4.0
+CALLERS = 12
+NO_ANSWER = (httpcore.NetworkError, httpcore.ProtocolError)
+# A gateway accepts requests for 2.8 s after the first signal, a replica for 1 s. Some time before
+# that, each request gets its whole answer.
+ANSWERED_SECONDS = {"gateway": 2.3, "replica": 0.7}
+PATHS = {"gateway": "/stream/a", "replica": "/api/Config.Read"}
 
 
 @asynccontextmanager
@@ -92,3 +101,110 @@
             assert stopped["cut"] == 1
 
     anyio.run(scenario)
+
+
+async def call_until_gone(soak, process, name, results):
+    """Send requests on a kept connection, or on new ones, until the process is gone.
+
+    `results` gets for each request when it was sent and whether the answer was whole, cut after its
+    head, or missing.
+    """
+    address = process.settings["callers" if process.role == "gateway" else "control"]
+    method = "POST" if process.role == "gateway" else "GET"
+    path = PATHS[process.role]
+    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+        number = 0
+        while process.child.poll() is None:
+            number += 1
+            identifier = f"{name}-{number}"
+            headers = {"Host": "soak.example", "X-Request-Id": identifier}
+            sent_at, outcome = time.monotonic(), "missing"
+            try:
+                url = f"http://{address}{path}"
+                async with pool.stream(method, url, headers=list(headers.items())) as answer:
+                    outcome = "cut"
+                    content = await answer.aread()
+            except NO_ANSWER:
+                await anyio.sleep(0.02)
+            else:
+                outcome = str(answer.status)
+                if process.role == "gateway":
+                    parts = answer.status, dict(answer.headers), content
+                    check_answer(soak, identifier, "/stream/", b"", parts)
+            results.append((sent_at, outcome))
+
+
+def stop_under_load(folder, role, series):
+    """Send signals to a process under load until it has ended.
+
+    Returns the seconds until its end, the requests that got no whole answer although they were sent
+    early enough, and when those were sent that it got during the stop.
+
+    Parameters
+    ----------
+    series : list of (float, signal.Signals)
+        Signals, each with the delay in seconds after the one before.
+    """
+    results = []
+
+    async def scenario():
+        async with run_fleet(folder) as soak:
+            process = soak.processes[role == "gateway"]
+            async with anyio.create_task_group() as tasks:
+                for number in range(CALLERS):
+                    tasks.start_soon(call_until_gone, soak, process, f"c{number}", results)
+                await anyio.sleep(0.5)
+                begun_at = time.monotonic()
+                for delay, number in series:
+                    await anyio.sleep(delay)
+                    process.send_signal(number)
+                with anyio.fail_after(8.0 + END_SECONDS):
+                    while process.child.poll() is None:
+                        await anyio.sleep(0.02)
+                seconds = time.monotonic() - begun_at
+            assert not soak.faults
+            return begun_at, seconds, process.child.returncode, read_signals(process)
+
+    begun_at, seconds, code, received = anyio.run(scenario)
+    assert code == 0
+    assert received == [number.name for _, number in series]
+    late_at = begun_at + ANSWERED_SECONDS[role]
+    failed = [item for item in results if item[0] < late_at and item[1] != "200"]
+    failed += [item for item in results if item[1] == "cut"]
+    during = [sent_at for sent_at, _ in results if begun_at <= sent_at < late_at]
+    return seconds, failed, during
+
+
+def read_signals(process):
+    """Return the names of the signals that a process has logged."""
+    return [line["kind"] for line in read_lines(process, "received a signal")]
+
+
+SERIES = [
+    [(0.0, signal.SIGTERM), (1.0, signal.SIGTERM)],
+    [(0.0, signal.SIGTERM), (0.05, signal.SIGHUP), (0.05, signal.SIGTERM)],
+    [(0.0, signal.SIGINT), (0.3, signal.SIGTERM), (0.1, signal.SIGTERM)],
+]
+
+
+@pytest.mark.parametrize("series", SERIES, ids=["later", "quick", "SIGINT first"])
+def test_a_repeated_signal_cuts_no_request_of_a_gateway(series, tmp_path):
+    """Guard against a second SIGTERM, which supervisors send, that ends all requests (issue 50)."""
+    seconds, failed, during = stop_under_load(tmp_path, "gateway", series)
+    assert failed == []
+    assert len(during) >= CALLERS and seconds > ANSWERED_SECONDS["gateway"]
+
+
+def test_a_repeated_signal_cuts_no_call_of_a_replica(tmp_path):
+    """Guard against a second SIGTERM that ends the calls of operators without an answer."""
+    series = [(0.0, signal.SIGTERM), (0.1, signal.SIGHUP), (0.1, signal.SIGTERM)]
+    seconds, failed, during = stop_under_load(tmp_path, "replica", series)
+    assert failed == []
+    assert len(during) >= CALLERS and seconds > ANSWERED_SECONDS["replica"]
+
+
+def test_a_second_sigint_ends_a_gateway_at_once(tmp_path):
+    """Guard against an operator at a terminal who can't end a process that waits for requests."""
+    series = [(0.0, signal.SIGTERM), (0.5, signal.SIGINT)]
+    seconds, failed, _ = stop_under_load(tmp_path, "gateway", series)
+    assert seconds < ANSWERED_SECONDS["gateway"] and failed
