Handle signals from before a process listens until its end

What callers would see: a reset of the requests in progress, without a line in the log. A gateway listened for callers, and the load balancer could connect, before it handled SIGTERM; and each process stopped handling it before it had closed its connections and its storage. In both times a SIGTERM killed the process with the exit code -15 in place of 0. A replica that got it when it listened, but was not yet entered as running, cut its calls at once.

Cause: the handlers were a task of the last step of the start, and were removed when the process's scope was cancelled, which restores the default of the system.

Change: the handlers are installed before anything is started; a stop before a gateway listens ends it at once, a later one is a normal stop. After the handlers, SIGTERM is ignored like SIGHUP, since a supervisor may repeat it; SIGKILL ends a process that hangs. A replica is known to the handler from before it listens.

Evidence: a real process that sends itself SIGTERM after a step.

Ruled out: a signal while the interpreter imports its modules still ends the process; it serves nothing by then.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -169,6 +169,12 @@
 
 
 async def _start(host: GatewayHost, path: Path, tasks: TaskGroup) -> None:
+    await tasks.start(
+        signals.watch_signals,
+        lambda: tasks.start_soon(_shut_down, host),
+        lambda: _end(host),
+        lambda: _reload(host, path),
+    )
     handlers = host.runtime.handlers
     configure_tickets(host.gateway, tasks, host.runtime.node.incarnation)
     handlers[effects.SendMessage] = lambda effect: network.send(
@@ -198,12 +204,6 @@
         ip, _, port = address.rpartition(":")
         await callers.start_server(server, tasks, ip, int(port))
     post(host.runtime, events.Started(time.monotonic()))
-    tasks.start_soon(
-        signals.watch_signals,
-        lambda: tasks.start_soon(_shut_down, host),
-        lambda: _end(host),
-        lambda: _reload(host, path),
-    )
     await start_metrics_server(
         host.metrics, host.body_memory, tasks, host.settings.ip, host.settings.metrics_port
     )
@@ -280,6 +280,9 @@
 
 async def _shut_down(host: GatewayHost) -> None:
     """Report not ready, complete the requests in progress and end the process."""
+    if host.server is None:
+        _end(host)
+        return
     started_at = time.monotonic()
     host.stopping = True
     host.server.closing = True
@@ -297,6 +300,7 @@
 
 def _end(host: GatewayHost) -> None:
     """End the process, which cuts the requests in progress."""
-    cut = log_cut_requests([host.server], time.monotonic())
+    servers = [host.server] if host.server is not None else []
+    cut = log_cut_requests(servers, time.monotonic())
     logger.bind(cut=cut).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -91,7 +91,7 @@
     Attributes
     ----------
     host : ReplicaHost or None
-        The running components; None while none run.
+        The components that run or start; None while there are none.
     stopping : bool
         Whether a signal has requested the end of the process.
     scope : anyio.CancelScope
@@ -137,7 +137,7 @@
 async def _run_until_stopped(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
     async with anyio.create_task_group() as tasks:
         process = ReplicaProcess(settings, adapter, tasks.cancel_scope)
-        tasks.start_soon(
+        await tasks.start(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
             lambda: _end(process),
@@ -160,8 +160,8 @@
     async with anyio.create_task_group() as tasks:
         host, recovery = _create_host(settings, store, recovered, tasks.cancel_scope)
         try:
-            await _start(host, recovery, process.adapter, tasks)
             process.host = host
+            await _start(host, recovery, process.adapter, tasks)
             logger.bind(
                 incarnation=host.incarnation,
                 address=nodes.get_peer_address(settings),
@@ -405,7 +405,7 @@
     """Transfer leadership, complete the answers in progress and end the process."""
     host = process.host
     process.stopping = True
-    if host is not None:
+    if host is not None and host.server is not None:
         host.server.closing = True
         post(host.runtime, events.ShutdownRequested(time.monotonic(), False))
         await anyio.sleep(SHUTDOWN_DELAY_SECONDS)
--- a/marjorambridge/daemon/signals.py
+++ b/marjorambridge/daemon/signals.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 import anyio
+from anyio import TASK_STATUS_IGNORED
+from anyio.abc import TaskStatus
 from loguru import logger
 
 from marjorambridge.conf.exceptions import SettingsError
@@ -15,18 +17,23 @@
 
 
 async def watch_signals(
-    stop: Callable[[], object], end: Callable[[], object], reload: Callable[[], object]
+    stop: Callable[[], object],
+    end: Callable[[], object],
+    reload: Callable[[], object],
+    *,
+    task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
 ) -> None:
     """Call `stop` for the first SIGTERM or SIGINT, and `reload` for each SIGHUP.
 
     Supervisors may repeat SIGTERM, so that only a later SIGINT, of an operator at a terminal, calls
-    `end`, which ends the process at once. Must run as long as the process: an unhandled SIGHUP
-    would end it.
+    `end`, which ends the process at once. Must run as long as the process, from before it serves
+    anything: an unhandled signal would end it. Afterwards SIGTERM and SIGHUP are ignored.
     """
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     is_stopping = False
     try:
         with anyio.open_signal_receiver(*numbers) as signals:
+            task_status.started()
             async for number in signals:
                 logger.bind(kind=signal.Signals(number).name).info("received a signal")
                 if number == signal.SIGHUP:
@@ -40,7 +47,8 @@
                 else:
                     logger.info("the stop goes on as before, because a SIGTERM doesn't shorten it")
     finally:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
 
 
 async def watch_settings(path: Path, reload: Callable[[], None]) -> None:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -117,7 +117,7 @@
 
 
 def find_free_ports():
-    """Return an unused port of loopback; the two ports after it are assumed to be unused."""
+    """Return an unused port of loopback; the four ports after it are assumed to be unused."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
@@ -148,3 +148,63 @@
         [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True
     )
     assert result.stdout.strip() == "[]"
+
+
+# Runs a role that gets SIGTERM whenever one of the named functions returns.
+SIGNALLED = """
+import os, signal, sys
+from marjorambridge.daemon import {role}
+from marjorambridge.gateway import callers
+from marjorambridge.platform.__main__ import run
+from marjorambridge.transport import network
+
+def send_signal_after(module, name):
+    function = getattr(module, name)
+    async def run_and_send(*arguments):
+        await function(*arguments)
+        os.kill(os.getpid(), signal.SIGTERM)
+    setattr(module, name, run_and_send)
+
+for module, name in {functions}:
+    send_signal_after(module, name)
+sys.exit(run(["{role}"]))
+"""
+
+
+@pytest.mark.parametrize("role", ["gateway", "replica"])
+@pytest.mark.parametrize(
+    "functions",
+    ["[(network, 'start')]", "[(callers, 'start_server')]", "[(network, name) for name in NAMES]"],
+    ids=["before it listens", "when it listens", "at its start and end"],
+)
+def test_a_stop_signal_during_the_start_or_the_end_does_not_kill_a_process(
+    role, functions, tmp_path
+):
+    """Guard against requests cut by a signal that arrives before or after its handler runs."""
+    functions = functions.replace("NAMES", "('start', 'close')")
+    base = find_free_ports()
+    settings = {
+        "host": "h1",
+        "ip": "127.0.0.1",
+        "zone": "z0",
+        "zones": {"z0": "r"},
+        "seeds": [f"127.0.0.1:{base + 2}"],
+        "peer_ports": [base, base + 1],
+        "bootstrap": True,
+    }
+    if role == "replica":
+        settings |= {"control": f"127.0.0.1:{base + 2}", "data_folder": str(tmp_path / "data")}
+    else:
+        settings |= {"callers": f"127.0.0.1:{base + 3}", "readiness": f"127.0.0.1:{base + 4}"}
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(settings))
+    process = subprocess.run(
+        [sys.executable, "-c", SIGNALLED.format(role=role, functions=functions)],
+        cwd=ROOT,
+        env=os.environ | {SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        timeout=START_SECONDS,
+    )
+    assert process.returncode == 0
+    messages = [json.loads(line)["message"] for line in process.stdout.splitlines()]
+    assert f"the {role} has stopped" in messages and messages[-1] == "the process ends"
