Let a repeated SIGTERM cut nothing on a host of marjorambridged

What callers would see: all requests of a host ended with a typed error when its supervisor sent SIGTERM twice, or a reset without one when it sent SIGHUP during the stop, SIGTERM while the host began to listen, or a third signal while it closed.

Cause: the second signal of any kind forced the shutdown; SIGHUP had no handler; the handlers were installed after the servers listened.

Change: the same handling of signals as in the gateway, with the same function. Only a SIGINT after the first signal forces the shutdown, with the typed error and exit code 3 as before. SIGTERM is what supervisors send and may repeat, also through a wrapper and the process group, and they have SIGKILL for a host that must end; an operator at a terminal has SIGINT. A signal during the start is kept until the host has started, and then begins a normal stop. SIGHUP is logged and ignored.

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -251,9 +251,8 @@
         post(runtime, WallClockRead(time.monotonic(), time.time()))
 
 
-def request_shutdown(host: Host) -> None:
-    """Begin a graceful shutdown; a second call aborts the requests in progress."""
-    forced = host.shutting_down
+def request_shutdown(host: Host, forced: bool) -> None:
+    """Begin a graceful shutdown, or abort the requests in progress if it is forced."""
     host.shutting_down = True
     logger.bind(forced=forced).info("shutdown was requested")
     post(host.runtime, events.ShutdownRequested(time.monotonic(), forced))
--- a/marjorambridge/daemon/main.py
+++ b/marjorambridge/daemon/main.py
@@ -1,6 +1,5 @@
 """Run a host from the command line."""
 
-import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -14,6 +13,7 @@
 from marjorambridge.conf.settings import HostSettings
 from marjorambridge.core.exceptions import MarjorambridgeError
 from marjorambridge.daemon import host as hosts
+from marjorambridge.daemon import signals
 from marjorambridge.telemetry import logs
 
 EXIT_SETTINGS = 2
@@ -45,14 +45,19 @@
 
 
 async def _run_host(settings: HostSettings) -> int:
+    stop_requested, end_requested = anyio.Event(), anyio.Event()
     async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            signals.watch_signals, stop_requested.set, end_requested.set, _keep_settings
+        )
         try:
             host = await hosts.start(settings, tasks)
         except (MarjorambridgeError, OSError) as error:
             logger.bind(error=str(error)).error("the host can't start")
             tasks.cancel_scope.cancel()
             return EXIT_START_FAILED
-        tasks.start_soon(_watch_signals, host)
+        tasks.start_soon(_shut_down_after, host, stop_requested, False)
+        tasks.start_soon(_shut_down_after, host, end_requested, True)
         await host.drained.wait()
         await hosts.close(host)
         tasks.cancel_scope.cancel()
@@ -60,10 +65,14 @@
     return EXIT_REQUESTS_CUT if host.cut else 0
 
 
-async def _watch_signals(host: hosts.Host) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            hosts.request_shutdown(host)
+async def _shut_down_after(host: hosts.Host, requested: anyio.Event, forced: bool) -> None:
+    """Wait for a signal, which may have come before the host was started, and shut down."""
+    await requested.wait()
+    hosts.request_shutdown(host, forced)
+
+
+def _keep_settings() -> None:
+    logger.info("the settings are read at the start; restart the host to change them")
 
 
 def run() -> None:
