Repeat the stop signal in the soak and check what it cuts

Change: a process that is told to stop gets SIGTERM again after 0.1 to 3 s, and half of them a SIGHUP before it, from a generator of its own, so that the choices of other faults do not draw on it. A gateway that was told to stop must answer each request that is no stream and was sent up to 2.3 s later, as it accepts them for 2.8 s. Streams are left out, since their endpoints' faults may end them without a whole answer; requests of times with other faults of the gateway are too.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -19,7 +19,8 @@
     """One program of the fleet.
 
     `recover_at` is the time at which it is resumed or restarted, or 0; `last_fault_at` and
-    `fault_times` include recoveries.
+    `fault_times` include recoveries. Since its start, it answered at `answered_at` for the first
+    time, and was told to stop at `told_at`; both are 0 before.
     """
 
     name: str
@@ -33,6 +34,8 @@
     fault_times: list[float] = field(default_factory=list)
     stopped: bool = False
     has_invalid_settings: bool = False
+    answered_at: float = 0.0
+    told_at: float = 0.0
 
     @property
     def settings_path(self) -> Path:
@@ -54,6 +57,7 @@
         path = self.settings_path
         path.write_text(json.dumps(self.settings))
         self.has_invalid_settings = False
+        self.answered_at = self.told_at = 0.0
         log = self.folder / f"log-{len(self.logs)}" if keep_log else Path(os.devnull)
         self.logs.append(log)
         environment = {"PATH": os.environ["PATH"], "MARJORAMBRIDGE_NODE_FILE": str(path)}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,8 @@
 DRAIN_SECONDS = 5.0
 CATCH_UP_SECONDS = 4.0
 START_SECONDS = 2.0
+# A gateway that was told to stop accepts requests for 2.8 s; those sent by then are answered.
+ACCEPT_SECONDS = 2.3
 # Ports that the processes and endpoints use, on several loopback addresses.
 PORTS = 12
 # Invalid content that an operator may write by mistake; a running process tolerates it.
@@ -132,6 +134,10 @@
         elapsed = time.monotonic() - started_at
         if exceeds_timeout(gateway, started_at, elapsed):
             soak.record_fault(f"{identifier} took {elapsed:.2f} s at {gateway.name}")
+        if answer is not None:
+            gateway.answered_at = gateway.answered_at or time.monotonic()
+        elif path != "/stream/" and must_answer(gateway, started_at):
+            soak.record_fault(f"{identifier} got no answer during the stop of {gateway.name}")
         check_answer(soak, identifier, path, body, answer)
         await anyio.sleep(soak.random.uniform(0.0, 0.05))
 
@@ -142,6 +148,19 @@
     return had_no_fault and elapsed > TIMEOUT_SECONDS + MAX_LATENESS_SECONDS
 
 
+def must_answer(gateway: Process, started_at: float) -> bool:
+    """Return whether a gateway that was told to stop has to answer a request all the same.
+
+    The request was sent in time, and after the end of earlier faults. A stream may end without its
+    whole answer because of its endpoint.
+    """
+    if not gateway.told_at or not gateway.answered_at:
+        return False
+    earlier = [at for at in gateway.fault_times if at < gateway.told_at]
+    begin = max(gateway.answered_at, *earlier, 0.0)
+    return begin < started_at < gateway.told_at + ACCEPT_SECONDS
+
+
 def check_answer(soak: Soak, identifier: str, path: str, body: bytes, answer) -> None:
     if answer is None:
         soak.outcomes["no answer"] += 1
@@ -293,9 +312,35 @@
         process.stopped = True
     else:
         process.send_signal(signal.SIGTERM)
+        process.told_at = now
         process.recover_at = now + 9.0
 
 
+async def repeat_signals(soak: Soak) -> None:
+    """Send SIGTERM again to each process that was told to stop, and SIGHUP before it to some."""
+    # A separate generator keeps the other faults of a seed as they are.
+    generator = random.Random(f"signals-{soak.seed}")
+    told: dict[str, float] = {}
+    pending: list[tuple[float, signal.Signals, Process]] = []
+    while True:
+        await anyio.sleep(0.02)
+        now = time.monotonic()
+        for process in soak.processes:
+            if process.told_at and told.get(process.name) != process.told_at:
+                told[process.name] = process.told_at
+                delay = generator.uniform(0.1, 3.0)
+                pending.append((now + delay, signal.SIGTERM, process))
+                if generator.random() < 0.5:
+                    at = now + generator.uniform(0.0, delay)
+                    pending.append((at, signal.SIGHUP, process))
+        for item in [item for item in pending if item[0] <= now]:
+            pending.remove(item)
+            _, number, process = item
+            if process.told_at:
+                process.send_signal(number)
+                soak.log_event(f"{number.name} again to {process.name}")
+
+
 def recover_process(soak: Soak, process: Process) -> None:
     process.recover_at = 0.0
     process.last_fault_at = time.monotonic()
@@ -371,6 +416,7 @@
                     work.start_soon(run_caller, soak)
                 work.start_soon(inject_faults, soak)
                 work.start_soon(change_settings, soak)
+                work.start_soon(repeat_signals, soak)
                 work.start_soon(inject_hints, soak)
                 work.start_soon(send_crashing_prompts, soak, send_request)
                 work.start_soon(repeat_deadly_request, soak, send_request)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,8 @@
     exceeds_timeout,
     find_base_port,
     is_free_port,
+    must_answer,
+    repeat_signals,
     run_soak,
 )
 
@@ -207,6 +209,38 @@
     assert not exceeds_timeout(gateway, 6.0, 3.5)
 
 
+def test_a_request_without_an_answer_during_a_stop_is_detected(tmp_path):
+    """Guard against a check that misses requests that a repeated signal cuts (issue 50)."""
+    gateway = Process("gateway-1", "gateway", tmp_path, {})
+    gateway.fault_times += [5.0, 10.0]
+    assert not must_answer(gateway, 8.0)
+    gateway.answered_at, gateway.told_at = 6.0, 10.0
+    assert must_answer(gateway, 8.0) and must_answer(gateway, 12.0)
+    assert not must_answer(gateway, 5.5) and not must_answer(gateway, 12.5)
+    gateway.fault_times.insert(1, 9.0)
+    assert not must_answer(gateway, 8.0)
+
+
+def test_a_process_that_is_told_to_stop_gets_sigterm_again(tmp_path):
+    """Guard against a soak that sends one SIGTERM and so misses what the next one ends."""
+
+    class Told(Process):
+        def send_signal(self, number):
+            sent.append(number)
+
+    async def scenario():
+        soak.processes = [Told(f"gateway-{n}", "gateway", tmp_path, {}) for n in range(9)]
+        for process in soak.processes[1:]:
+            process.told_at = time.monotonic()
+        with anyio.move_on_after(3.5):
+            await repeat_signals(soak)
+
+    sent: list[int] = []
+    soak = make_soak(tmp_path)
+    anyio.run(scenario)
+    assert sent.count(signal.SIGTERM) == 8 and 0 < sent.count(signal.SIGHUP) < 8
+
+
 def test_an_execution_in_a_drained_zone_is_detected(tmp_path):
     """Guard against a check that misses requests to a drained zone."""
 
