--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -26,6 +26,7 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.cuts import log_cut_requests
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.gateway.relays import RELAY_HEADER_BYTES, encode_refusal
@@ -173,6 +174,12 @@
 
 
 async def _start(host: GatewayHost, path: Path, tasks: TaskGroup) -> None:
+    await tasks.start(
+        signals.watch_signals,
+        lambda: tasks.start_soon(_shut_down, host),
+        lambda: _end(host),
+        lambda: _reload(host, path),
+    )
     handlers = host.runtime.handlers
     configure_tickets(host.gateway, tasks, host.runtime.node.incarnation)
     handlers[effects.SendMessage] = lambda effect: network.send(
@@ -208,11 +215,6 @@
         ip, _, port = address.rpartition(":")
         await callers.start_server(server, tasks, ip, int(port))
     post(host.runtime, events.Started(time.monotonic()))
-    tasks.start_soon(
-        signals.watch_signals,
-        lambda: tasks.start_soon(_shut_down, host),
-        lambda: _reload(host, path),
-    )
     await start_metrics_server(
         host.metrics, host.body_memory, tasks, host.settings.ip, host.settings.metrics_port
     )
@@ -294,12 +296,12 @@
 
 async def _shut_down(host: GatewayHost) -> None:
     """Report not ready, complete the requests in progress and end the process."""
-    if host.stopping:
-        host.scope.cancel()
+    if host.server is None:
+        _end(host)
         return
     started_at = time.monotonic()
     host.stopping = True
-    servers = [server for server in (host.server, host.relays) if server is not None]
+    servers = _list_servers(host)
     for server in servers:
         server.closing = True
     ends_at = started_at + host.settings.bounds.shutdown_grace_seconds - GRACE_MARGIN_SECONDS
@@ -309,6 +311,16 @@
     async with anyio.create_task_group() as draining:
         for server in servers:
             draining.start_soon(callers.drain_server, server, ends_at)
-    cut = sum(server.active for server in servers)
+    _end(host)
+
+
+def _list_servers(host: GatewayHost) -> list[Server]:
+    """Return the servers of requests that have been started."""
+    return [server for server in (host.server, host.relays) if server is not None]
+
+
+def _end(host: GatewayHost) -> None:
+    """End the process, which cuts the requests in progress."""
+    cut = log_cut_requests(_list_servers(host), time.monotonic())
     logger.bind(cut=cut).info("the gateway has stopped")
     host.scope.cancel()
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -38,6 +38,7 @@
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.bodies import BodyMemory
 from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.cuts import log_cut_requests
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.node.replica import ReplicaNodeSettings, compose_replica
@@ -90,7 +91,7 @@
     Attributes
     ----------
     host : ReplicaHost or None
-        The running components; None while none run.
+        The components that run or start; None while there are none.
     stopping : bool
         Whether a signal has requested the end of the process.
     scope : anyio.CancelScope
@@ -136,9 +137,10 @@
 async def _run_until_stopped(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
     async with anyio.create_task_group() as tasks:
         process = ReplicaProcess(settings, adapter, tasks.cancel_scope)
-        tasks.start_soon(
+        await tasks.start(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
+            lambda: _end(process),
             lambda: signals.read_changed_settings(path),
         )
         while not process.stopping:
@@ -158,8 +160,8 @@
     async with anyio.create_task_group() as tasks:
         host, recovery = _create_host(settings, store, recovered, tasks.cancel_scope)
         try:
-            await _start(host, recovery, process.adapter, tasks)
             process.host = host
+            await _start(host, recovery, process.adapter, tasks)
             logger.bind(
                 incarnation=host.incarnation,
                 address=nodes.get_peer_address(settings),
@@ -402,11 +404,17 @@
 async def _shut_down(process: ReplicaProcess) -> None:
     """Transfer leadership, complete the answers in progress and end the process."""
     host = process.host
-    if not process.stopping and host is not None:
-        process.stopping = True
+    process.stopping = True
+    if host is not None and host.server is not None:
         host.server.closing = True
         post(host.runtime, events.ShutdownRequested(time.monotonic(), False))
         await anyio.sleep(SHUTDOWN_DELAY_SECONDS)
-    process.stopping = True
-    logger.info("the replica has stopped")
+    _end(process)
+
+
+def _end(process: ReplicaProcess) -> None:
+    """End the process, which cuts the calls in progress."""
+    server = process.host.server if process.host is not None else None
+    servers = [server] if server is not None else []
+    logger.bind(cut=log_cut_requests(servers, time.monotonic())).info("the replica has stopped")
     process.scope.cancel()
--- a/marjorambridge/daemon/signals.py
+++ b/marjorambridge/daemon/signals.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 import anyio
+from anyio import TASK_STATUS_IGNORED
+from anyio.abc import TaskStatus
 from loguru import logger
 
 from marjorambridge.conf.exceptions import SettingsError
@@ -14,22 +16,39 @@
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
 
 
-async def watch_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
-    """Call `stop` for each SIGTERM and SIGINT, and `reload` for each SIGHUP.
+async def watch_signals(
+    stop: Callable[[], object],
+    end: Callable[[], object],
+    reload: Callable[[], object],
+    *,
+    task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+) -> None:
+    """Call `stop` for the first SIGTERM or SIGINT, and `reload` for each SIGHUP.
 
-    Must run as long as the process: an unhandled SIGHUP would end it.
+    Supervisors may repeat SIGTERM, so that only a later SIGINT, of an operator at a terminal, calls
+    `end`, which ends the process at once. Must run as long as the process, from before it serves
+    anything: an unhandled signal would end it. Afterwards SIGTERM and SIGHUP are ignored.
     """
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    is_stopping = False
     try:
         with anyio.open_signal_receiver(*numbers) as signals:
+            task_status.started()
             async for number in signals:
                 logger.bind(kind=signal.Signals(number).name).info("received a signal")
                 if number == signal.SIGHUP:
                     reload()
-                else:
+                elif not is_stopping:
+                    is_stopping = True
                     stop()
+                elif number == signal.SIGINT:
+                    logger.warning("ending at once, because of a SIGINT during the stop")
+                    end()
+                else:
+                    logger.info("the stop goes on as before, because a SIGTERM doesn't shorten it")
     finally:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
 
 
 async def watch_settings(path: Path, reload: Callable[[], None]) -> None:
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -107,8 +107,8 @@
         Number of connections on which the last answer was sent, and which are not closed.
     waiting : set of anyio.CancelScope
         Scopes of the connections that are idle between two requests.
-    active : int
-        Number of requests that are being read or handled.
+    exchanges : set of Exchange
+        Requests that are being read or handled.
     connections : int
         Number of accepted connections that are not closed.
     listening : bool
@@ -128,14 +128,19 @@
     discard_at: float = 0.0
     lingering: int = 0
     waiting: set[anyio.CancelScope] = field(default_factory=set)
-    active: int = 0
+    exchanges: "set[Exchange]" = field(default_factory=set)
     connections: int = 0
     listening: bool = False
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     listen_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    @property
+    def active(self) -> int:
+        """Return the number of requests that are being read or handled."""
+        return len(self.exchanges)
 
-class Exchange(Struct):
+
+class Exchange(Struct, eq=False):
     """Store one request and the state of its answer.
 
     Attributes
@@ -146,6 +151,10 @@
         Memory for the body.
     meter : WorkMeter
         Processor time for the bytes of the request.
+    request_id : str
+        Identifier that the caller chose; empty until the request is decoded.
+    written_at : float
+        Monotonic time in seconds of the last part of the answer; 0 before the first one.
     has_head, is_complete : bool
         Whether the head of the answer, and whether all of it, was written.
     caller_gone : bool
@@ -166,6 +175,8 @@
     target: bytes = b""
     headers: Headers = field(default_factory=list)
     body: bytes = b""
+    request_id: str = ""
+    written_at: float = 0.0
     has_head: bool = False
     is_complete: bool = False
     caller_gone: bool = False
@@ -324,7 +335,7 @@
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
     exchange = Exchange(server, stream, connection, arrived_at, reservation, meter)
     start_turn(meter)
-    server.active += 1
+    server.exchanges.add(exchange)
     try:
         if not await _read_request(exchange):
             return False
@@ -334,7 +345,7 @@
             await reset(stream)
         raise
     finally:
-        server.active -= 1
+        server.exchanges.discard(exchange)
         bodies.release(exchange.reservation)
     if exchange.must_reset or exchange.caller_gone or not exchange.is_complete:
         await reset(stream)
@@ -553,7 +564,7 @@
         headers = [*headers, (b"Connection", b"close")]
     head = h11.Response(status_code=status, headers=headers)
     written = exchange.connection.send(head)
-    exchange.has_head = True
+    exchange.has_head, exchange.written_at = True, time.monotonic()
     if data and exchange.method != b"HEAD":
         written += exchange.connection.send(h11.Data(data=data))
     await exchange.stream.send(written)
@@ -562,6 +573,7 @@
 async def send_part(exchange: Exchange, data: bytes) -> None:
     """Write a further part of the body."""
     if data:
+        exchange.written_at = time.monotonic()
         await exchange.stream.send(exchange.connection.send(h11.Data(data=data)))
 
 
