Wait in a test of reading until the reading is bounded

The test failed once on a busy machine. It looked at what was sent from 0.2 s after the start, whether or not the accepted connection had been bounded by then. It now looks from 0.2 s after the bound; what it demands is the same.

--- a/tests/transport/test_reading.py
+++ b/tests/transport/test_reading.py
@@ -11,13 +11,15 @@
 def test_what_is_not_received_stays_in_the_socket():
     """Guard against a connection of which everything is kept, because data came before a task."""
     sent = []
+    limited = anyio.Event()
 
     async def serve(stream):
         # Data arrives before the first call of `receive`, which then doesn't wait for it.
         await anyio.sleep(0.05)
         limit_reading_ahead(stream)
         await stream.receive(10)
-        await anyio.sleep(0.5)
+        limited.set()
+        await anyio.sleep_forever()
 
     async def flood(port):
         async with await anyio.connect_tcp("127.0.0.1", port) as stream:
@@ -32,6 +34,7 @@
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, serve)
             tasks.start_soon(flood, port)
+            await limited.wait()
             await anyio.sleep(0.2)
             before = sum(sent)
             await anyio.sleep(0.3)
