--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -16,6 +16,7 @@
     "changed": "number of endpoints that an update from a replica added or changed",
     "claim": "identity of a claim",
     "cold": "whether an endpoint was cold",
+    "connections": "number of connections of callers",
     "crashes": "engines that crashed under a request, or under requests with a part of prompts",
     "cut": "requests that a shutdown aborted",
     "detail": "text of an error, or an endpoint's answer to an order",
