Revert "Drop evidence of crashes at engines that still run"

An engine may start again at once under its name. Until its report has reached the hosts, it accepts connections, and the change took it for one that had not crashed. So a service whose engines reset connections and go on running may still block a request that is repeated meanwhile; that bytes that are no answer are no evidence stays.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -390,9 +390,6 @@
 ANSWERED_REQUEST_CRASH_FACTOR = 2
 # Crashes with less time between them may be one event, such as a loss of power.
 DISTINCT_CRASH_SECONDS = 0.1
-# Time after which a refused request is sent again to an engine that seemed to crash under it, if
-# the engine still reports. One that crashed accepts no connection.
-SURVIVAL_CHECK_SECONDS = 1.0
 # Age at which a crash no longer counts, time for which it is repeated to other hosts, and number of
 # crashes that are repeated at once.
 CRASH_EXPIRY_SECONDS = 120.0
--- a/marjorambridge/forwarding/crashes.py
+++ b/marjorambridge/forwarding/crashes.py
@@ -58,15 +58,11 @@
         are not.
     last_test : int
         Number of the last test in which this host sent a request to an engine nevertheless.
-    checked_at : float
-        Monotonic time in seconds at which this host last sent one to an engine that seemed to
-        crash under it, see `marjorambridge.forwarding.survivals`.
     """
 
     crashes: dict[int, Crash] = field(default_factory=dict)
     blocked_at: float = math.inf
     last_test: int = 0
-    checked_at: float = -math.inf
 
 
 class CrashHistory(Struct):
@@ -80,8 +76,6 @@
         By cause; the oldest are dropped when there are too many.
     answered_at : dict of int to float
         Monotonic time in seconds of the last answer to a request with a cause, the oldest first.
-    crashed_at : dict of int to float
-        Monotonic time in seconds of the last crash of an incarnation, the oldest entry first.
     new_blocks : list of int
         Causes that were blocked and not yet logged.
     """
@@ -89,7 +83,6 @@
     min_request_crashes: int = defaults.MIN_REQUEST_CRASHES
     suspects: dict[int, Suspect] = field(default_factory=dict)
     answered_at: dict[int, float] = field(default_factory=dict)
-    crashed_at: dict[int, float] = field(default_factory=dict)
     new_blocks: list[int] = field(default_factory=list)
 
 
@@ -122,14 +115,13 @@
         if answered_at is not None and answered_at >= began_at:
             continue
         is_common = answered_at is not None
-        crash = Crash(cause, hash_text(incarnation), request, now, began_at, is_common)
+        crash = Crash(cause, _hash_text(incarnation), request, now, began_at, is_common)
         if store_crash(history, crash, now):
             crashes.append(crash)
     return crashes
 
 
-def hash_text(text: str) -> int:
-    """Return a hash of a name that fits a message between hosts."""
+def _hash_text(text: str) -> int:
     return xxhash.xxh3_64_intdigest(text.encode()) & HASH_MASK
 
 
@@ -147,20 +139,12 @@
     if crash.endpoint in suspect.crashes:
         return False
     suspect.crashes[crash.endpoint] = crash
-    _store_crash_time(history, crash)
     if math.isinf(suspect.blocked_at) and has_enough_evidence(history, crash.cause):
         suspect.blocked_at = now
         history.new_blocks.append(crash.cause)
     return True
 
 
-def _store_crash_time(history: CrashHistory, crash: Crash) -> None:
-    at = max(crash.at, history.crashed_at.pop(crash.endpoint, -math.inf))
-    history.crashed_at[crash.endpoint] = at
-    if len(history.crashed_at) > defaults.MAX_SUSPECTS:
-        del history.crashed_at[next(iter(history.crashed_at))]
-
-
 def _get_suspect(history: CrashHistory, cause: int) -> Suspect:
     """Return a cause that is or becomes a suspect, in the place of the oldest one if necessary."""
     suspects = history.suspects
@@ -311,7 +295,7 @@
     test = count_tests(cause, suspect.blocked_at, now)
     if test <= suspect.last_test:
         return False
-    if host != max(hosts or [host], key=lambda name: hash_text(f"{name}/{cause}")):
+    if host != max(hosts or [host], key=lambda name: _hash_text(f"{name}/{cause}")):
         return False
     suspect.last_test = test
     return True
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -41,7 +41,6 @@
 from marjorambridge.gateway.crash_reports import format_cause
 from marjorambridge.gateway.crashes import (
     format_parts,
-    record_accepted,
     record_first_answer,
     record_possible_crash,
 )
@@ -66,10 +65,6 @@
 FAILURE_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_SENT, AttemptOutcome.FAILED, AttemptOutcome.BROKEN}
 )
-# Outcomes that show that the endpoint accepted the connection, and that it is the expected one.
-ACCEPTED_OUTCOMES = frozenset(
-    {AttemptOutcome.COMPLETE, AttemptOutcome.FAILED, AttemptOutcome.BROKEN, AttemptOutcome.NOT_RUN}
-)
 
 
 async def run_attempt(context: RequestContext, running: RunningAttempt) -> AttemptResult:
@@ -295,8 +290,6 @@
     context.excluded.add(endpoint.name)
     if endpoint.is_peer and result.head is not None:
         context.retry_after_seconds = read_retry_after(result.head)
-    if outcome in ACCEPTED_OUTCOMES and not endpoint.is_peer:
-        record_accepted(context.gateway, endpoint, running.started_at, now)
     if outcome is AttemptOutcome.COMPLETE:
         record_success(endpoint, running.started_at)
         head = result.head
--- a/marjorambridge/gateway/crashes.py
+++ b/marjorambridge/gateway/crashes.py
@@ -4,7 +4,6 @@
 
 from loguru import logger
 
-from marjorambridge.conf import defaults
 from marjorambridge.forwarding.causes import (
     hash_prompt,
     identify_request,
@@ -20,13 +19,6 @@
     start_test,
 )
 from marjorambridge.forwarding.state import Endpoint
-from marjorambridge.forwarding.survivals import (
-    get_next_check,
-    list_unconfirmed,
-    name_incarnation,
-    record_survival,
-    start_check,
-)
 from marjorambridge.gateway.crash_reports import (
     format_cause,
     log_cleared_cause,
@@ -77,41 +69,14 @@
     return False
 
 
-def start_survival_check(
-    gateway: Gateway, request: CallerRequest, causes: tuple[int, ...], service: str
-) -> frozenset[str]:
-    """Return the endpoints to which a blocked request is sent, because they may not have crashed.
-
-    Parts of prompts aren't checked, because other requests with them show the same.
-    """
-    history, now = gateway.forwarding.crashes, time.monotonic()
-    cause = find_blocked_cause(history, causes, now)
-    if cause is None or not is_whole_request(cause):
-        return frozenset()
-    endpoints = gateway.forwarding.by_service.get(service, {}).values()
-    names = frozenset(
-        endpoint.name for endpoint in start_check(history.suspects[cause], endpoints, now)
-    )
-    if names:
-        logger.bind(
-            request=request.request_id, cause=format_cause(cause), endpoints=",".join(sorted(names))
-        ).info("a blocked request checks whether engines that seemed to crash under it still run")
-    return names
-
-
-def find_block(gateway: Gateway, causes: tuple[int, ...], service: str) -> tuple[str, float] | None:
+def find_block(gateway: Gateway, causes: tuple[int, ...]) -> tuple[str, float] | None:
     """Return why a request is blocked and in how many seconds it may come again, or None."""
     history, now = gateway.forwarding.crashes, time.monotonic()
     cause = find_blocked_cause(history, causes, now)
     if cause is None:
         return None
-    if not is_whole_request(cause):
-        return "blocked_part", estimate_block_seconds(history, cause, now)
-    suspect, endpoints = history.suspects[cause], gateway.forwarding.by_service.get(service, {})
-    if list_unconfirmed(suspect, endpoints.values()):
-        seconds = max(defaults.MIN_RETRY_AFTER_SECONDS, get_next_check(suspect) - now)
-        return "blocked_request", seconds
-    return "blocked_request", estimate_block_seconds(history, cause, now)
+    reason = "blocked_request" if is_whole_request(cause) else "blocked_part"
+    return reason, estimate_block_seconds(history, cause, now)
 
 
 def record_first_answer(gateway: Gateway, causes: tuple[int, ...], now: float) -> None:
@@ -123,15 +88,6 @@
         gateway.share_crashes([], answered)
 
 
-def record_accepted(gateway: Gateway, endpoint: Endpoint, began_at: float, now: float) -> None:
-    """Record that an engine accepted a connection, so that it had not crashed before."""
-    innocent = record_survival(gateway.forwarding.crashes, endpoint, began_at, now)
-    for cause in innocent:
-        log_cleared_cause(cause)
-    if innocent:
-        gateway.share_crashes([], innocent)
-
-
 def record_possible_crash(
     gateway: Gateway,
     request: CallerRequest,
@@ -149,7 +105,7 @@
     """
     history = gateway.forwarding.crashes
     prompt = hash_prompt(causes[0], request.prompt_parts)
-    incarnation = name_incarnation(endpoint)
+    incarnation = f"{endpoint.name}/{endpoint.born}"
     crashes = record_crash(history, causes, prompt, incarnation, began_at, now)
     if crashes:
         gateway.share_crashes(crashes, [])
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -108,7 +108,7 @@
 
 async def refuse(context: RequestContext, reason: str) -> str:
     """Answer that the request has not run and when to retry."""
-    block = find_block(context.gateway, context.causes, context.admission.service)
+    block = find_block(context.gateway, context.causes)
     if block is not None:
         reason, seconds = block
     else:
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -28,11 +28,7 @@
 )
 from marjorambridge.gateway.races import run_race
 from marjorambridge.gateway.relays import take_request
-from marjorambridge.gateway.selection import (
-    exclude_all_but_suspected,
-    select_attempt,
-    select_next_attempt,
-)
+from marjorambridge.gateway.selection import select_attempt, select_next_attempt
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import release
 
@@ -115,8 +111,7 @@
 
 async def _run_attempts(context: RequestContext) -> str:
     """Run attempts until one is final, write the answer and return the outcome's name."""
-    is_refused = is_blocked(context.gateway, context.request, context.causes, may_test=True)
-    if is_refused and not exclude_all_but_suspected(context):
+    if is_blocked(context.gateway, context.request, context.causes, may_test=True):
         return await refuse(context, "blocked")
     attempt = await select_attempt(context)
     while attempt is not None:
--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -15,7 +15,7 @@
 from marjorambridge.forwarding.splitting import choose_prefill_engines, is_long_prompt
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, create_attempt
-from marjorambridge.gateway.crashes import is_blocked, start_survival_check
+from marjorambridge.gateway.crashes import is_blocked
 from marjorambridge.gateway.relays import may_relay
 from marjorambridge.gateway.tickets import release, reserve
 
@@ -65,14 +65,6 @@
     return frozenset(context.excluded | running)
 
 
-def exclude_all_but_suspected(context: RequestContext) -> bool:
-    """Limit a blocked request to endpoints that may not have crashed; return whether any is."""
-    gateway, service = context.gateway, context.admission.service
-    allowed = start_survival_check(gateway, context.request, context.causes, service)
-    context.excluded |= gateway.forwarding.by_service.get(service, {}).keys() - allowed
-    return bool(allowed)
-
-
 async def _select_for_long_prompt(
     context: RequestContext, excluded: frozenset[str]
 ) -> RunningAttempt | None:
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -23,7 +23,6 @@
     "effect": "class of an effect",
     "ended": "requests that ended during a shutdown without being aborted",
     "endpoint": "name of an endpoint",
-    "endpoints": "names of endpoints, joined by commas",
     "failed_endpoints": "number of endpoints that failed since the last connection that was opened",
     "epoch": "log index of the view that assigned a shard",
     "error": "text of an error of this program, its settings or the operating system",
