Log connections that fail with an answer on its way, and answers that a process leaves

At the end of the process, a line names each answer that is complete for the program and that its caller does not have yet.

The counts of bytes move to gateway/streams.py, where both modules can use them.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -20,6 +20,12 @@
 from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
+from marjorambridge.gateway.delivery import (
+    CHECK_INTERVAL_SECONDS,
+    Delivery,
+    check_delivery,
+    log_failure,
+)
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
     CALLER_TIMEOUT_MILLISECONDS,
@@ -111,6 +117,8 @@
         Requests that are being read or handled.
     connections : int
         Number of accepted connections that are not closed.
+    deliveries : set of Delivery
+        How far the answers on each of these connections have been delivered.
     listening : bool
         Whether connections are accepted.
     scope, listen_scope : anyio.CancelScope
@@ -130,6 +138,7 @@
     waiting: set[anyio.CancelScope] = field(default_factory=set)
     exchanges: "set[Exchange]" = field(default_factory=set)
     connections: int = 0
+    deliveries: set[Delivery] = field(default_factory=set)
     listening: bool = False
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     listen_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -145,6 +154,8 @@
 
     Attributes
     ----------
+    delivery : Delivery
+        How far the answers on the connection have been delivered.
     arrived_at : float
         Monotonic time in seconds at which the first byte of the request was read.
     reservation : BodyReservation
@@ -166,7 +177,7 @@
     """
 
     server: Server
-    stream: SocketStream
+    delivery: Delivery
     connection: h11.Connection
     arrived_at: float
     reservation: BodyReservation
@@ -183,6 +194,11 @@
     must_reset: bool = False
     relay: Relay | None = None
 
+    @property
+    def stream(self) -> SocketStream:
+        """Return the connection of the caller."""
+        return self.delivery.stream
+
 
 async def start_server(server: Server, tasks: TaskGroup, ip: str, port: int) -> None:
     """Listen, and serve connections until `close_server` is called."""
@@ -198,6 +214,7 @@
         async with anyio.create_task_group() as connections:
             server.listening = True
             task_status.started()
+            connections.start_soon(_watch_deliveries, server)
             async with listeners:
                 await _accept_connections(server, listener, connections)
             server.listening = False
@@ -277,27 +294,48 @@
     server.scope.cancel()
 
 
+async def _watch_deliveries(server: Server) -> None:
+    """Check regularly how far the answers on all connections have been delivered."""
+    while True:
+        await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        for delivery in list(server.deliveries):
+            try:
+                check_delivery(delivery, time.monotonic())
+            except OSError as error:
+                logger.bind(error=repr(error)).debug("a connection ended while it was checked")
+
+
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
+    delivery = Delivery(stream)
+    server.deliveries.add(delivery)
     try:
         set_options(stream, CALLER_TIMEOUT_MILLISECONDS)
-        if await _serve_requests(server, stream):
+        if await _serve_requests(server, delivery):
             await _linger(server, stream)
-    except STREAM_ERRORS:
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
         await reset(stream)
     except Exception:
         # An error on one connection must not stop the server.
         logger.exception("serving a connection failed")
         await reset(stream)
     finally:
+        server.deliveries.discard(delivery)
         # When the server is closed, the caller may still receive the answer to its last request.
         await anyio.aclose_forcefully(stream)
 
 
-async def _serve_requests(server: Server, stream: SocketStream) -> bool:
+def _note_failure(delivery: Delivery, error: BaseException) -> None:
+    """Log an error of a connection on which an answer was on its way."""
+    if delivery.undelivered_bytes and not isinstance(error, anyio.EndOfStream):
+        log_failure(delivery, error, time.monotonic())
+
+
+async def _serve_requests(server: Server, delivery: Delivery) -> bool:
     """Serve the requests on a connection; return whether it ended after a complete answer."""
     limits = server.get_limits()
     connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-    while await _serve_request(server, stream, connection):
+    while await _serve_request(server, delivery, connection):
         connection.start_next_cycle()
     return connection.our_state is h11.MUST_CLOSE
 
@@ -325,15 +363,19 @@
     return server.discard_at - now
 
 
-async def _serve_request(server: Server, stream: SocketStream, connection: h11.Connection) -> bool:
+async def _serve_request(server: Server, delivery: Delivery, connection: h11.Connection) -> bool:
     """Serve the next request and return whether the connection can be reused."""
-    if not connection.trailing_data[0] and not await _wait_for_request(server, stream, connection):
+    stream = delivery.stream
+    if not connection.trailing_data[0] and not await _wait_for_request(
+        server, delivery, connection
+    ):
         return False
     arrived_at = time.monotonic()
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
-    exchange = Exchange(server, stream, connection, arrived_at, reservation, meter)
+    delivery.arrived_at, delivery.request_id, delivery.ends_at = arrived_at, "", 0.0
+    exchange = Exchange(server, delivery, connection, arrived_at, reservation, meter)
     start_turn(meter)
     server.exchanges.add(exchange)
     try:
@@ -353,29 +395,28 @@
     return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
 
-async def _wait_for_request(
-    server: Server, stream: SocketStream, connection: h11.Connection
-) -> bool:
+async def _wait_for_request(server: Server, delivery: Delivery, connection: h11.Connection) -> bool:
     """Wait for the first bytes of a request; return False if the connection must be closed."""
     with anyio.move_on_after(server.get_limits().idle_timeout_seconds) as scope:
         server.waiting.add(scope)
         try:
-            return await _receive_first_bytes(stream, connection)
+            return await _receive_first_bytes(delivery, connection)
         finally:
             server.waiting.discard(scope)
     # A request may have arrived that the event loop had not read yet.
     with anyio.move_on_after(LAST_RECEIVE_SECONDS):
-        return await _receive_first_bytes(stream, connection)
-    data = receive_nowait(stream)
+        return await _receive_first_bytes(delivery, connection)
+    data = receive_nowait(delivery.stream)
     if data:
         connection.receive_data(data)
     return bool(data)
 
 
-async def _receive_first_bytes(stream: SocketStream, connection: h11.Connection) -> bool:
+async def _receive_first_bytes(delivery: Delivery, connection: h11.Connection) -> bool:
     try:
-        data = await stream.receive(READ_BYTES)
-    except STREAM_ERRORS:
+        data = await delivery.stream.receive(READ_BYTES)
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
         return False
     connection.receive_data(data)
     return True
@@ -536,7 +577,8 @@
     while pipelined < MAX_PIPELINED_BYTES:
         try:
             data = await exchange.stream.receive(READ_BYTES)
-        except STREAM_ERRORS:
+        except STREAM_ERRORS as error:
+            _note_failure(exchange.delivery, error)
             exchange.caller_gone = True
             scope.cancel()
             return
--- a/marjorambridge/gateway/cuts.py
+++ b/marjorambridge/gateway/cuts.py
@@ -1,25 +1,21 @@
-"""Log the requests that the end of the process cuts."""
+"""Log the requests that the end of the process cuts, and the answers that it leaves."""
 
-import fcntl
-import struct
-import termios
 from collections.abc import Iterable
 
 import h11
-from anyio.abc import SocketAttribute, SocketStream
 from loguru import logger
 
 from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.delivery import Delivery, count_undelivered_bytes
+from marjorambridge.gateway.streams import count_unacknowledged_bytes, count_unsent_bytes
 
 # Requests that are logged one by one; the others are counted.
 MAX_CUT_LINES = 50
-# Number of bytes if the kernel can't tell it.
-UNKNOWN_BYTES = -1
-COUNT = struct.Struct("i")
 
 
 def log_cut_requests(servers: Iterable[Server], now: float) -> int:
     """Log the requests in progress, which end with the process, and return their number."""
+    servers = list(servers)
     exchanges = [exchange for server in servers for exchange in server.exchanges]
     exchanges.sort(key=lambda exchange: exchange.arrived_at)
     for exchange in exchanges[:MAX_CUT_LINES]:
@@ -28,9 +24,30 @@
         logger.bind(cut=len(exchanges) - MAX_CUT_LINES).warning(
             "further requests are cut, because the process ends"
         )
+    cut = {exchange.delivery for exchange in exchanges}
+    _log_undelivered(
+        [delivery for server in servers for delivery in server.deliveries if delivery not in cut],
+        now,
+    )
     return len(exchanges)
 
 
+def _log_undelivered(deliveries: list[Delivery], now: float) -> None:
+    """Log the complete answers that only the kernel can deliver after the end of the process."""
+    sizes = {delivery: count_undelivered_bytes(delivery.stream) for delivery in deliveries}
+    undelivered = [delivery for delivery, size in sizes.items() if size]
+    for delivery in undelivered[:MAX_CUT_LINES]:
+        logger.bind(
+            request=delivery.request_id,
+            seconds=round(now - delivery.arrived_at, 3),
+            unacknowledged_bytes=sizes[delivery],
+        ).warning("an answer is not delivered when the process ends")
+    if len(undelivered) > MAX_CUT_LINES:
+        logger.bind(requests=len(undelivered) - MAX_CUT_LINES).warning(
+            "further answers are not delivered when the process ends"
+        )
+
+
 def log_cut_request(exchange: Exchange, now: float) -> None:
     """Log what a request that is cut was doing, and what its caller did not get."""
     logger.bind(
@@ -54,20 +71,3 @@
     if exchange.connection.their_state is h11.SEND_BODY:
         return "reading the body"
     return "waiting for an answer"
-
-
-def count_unsent_bytes(stream: SocketStream) -> int:
-    """Return the bytes that wait in the process until the kernel takes them."""
-    transport = getattr(stream, "_transport", None)
-    return transport.get_write_buffer_size() if transport is not None else UNKNOWN_BYTES
-
-
-def count_unacknowledged_bytes(stream: SocketStream) -> int:
-    """Return the bytes in the kernel that the peer has not acknowledged."""
-    try:
-        raw = stream.extra(SocketAttribute.raw_socket)
-        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
-    except (OSError, ValueError):
-        # The connection is closed, or the system has no such call.
-        return UNKNOWN_BYTES
-    return COUNT.unpack(answer)[0]
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -42,7 +42,7 @@
     except BadRequestError as error:
         await answer_invalid(gateway, exchange, error)
         return
-    exchange.request_id = request.request_id
+    exchange.request_id = exchange.delivery.request_id = request.request_id
     admitted = await _admit(gateway, exchange, request)
     if isinstance(admitted, Refusal):
         await refuse_admission(gateway, exchange, request, admitted)
@@ -52,6 +52,7 @@
     else:
         record_request(gateway.forwarding, admitted.service, time.monotonic())
     context = create_context(gateway, exchange, request, admitted)
+    exchange.delivery.ends_at = context.deadline
     outcome = "caller_gone"
     try:
         outcome = await _run_attempts(context)
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -1,7 +1,9 @@
 """Set options of TCP connections and reset them."""
 
+import fcntl
 import socket
 import struct
+import termios
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -18,6 +20,9 @@
 CALLER_TIMEOUT_MILLISECONDS = 4_000
 ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
 LINGER = struct.Struct("ii")
+# Number of bytes if the kernel can't tell it.
+UNKNOWN_BYTES = -1
+COUNT = struct.Struct("i")
 
 STREAM_ERRORS = (
     OSError,
@@ -54,3 +59,20 @@
         # The connection is already closed.
         return
     await anyio.aclose_forcefully(stream)
+
+
+def count_unsent_bytes(stream: SocketStream) -> int:
+    """Return the bytes that wait in the process until the kernel takes them."""
+    transport = getattr(stream, "_transport", None)
+    return transport.get_write_buffer_size() if transport is not None else UNKNOWN_BYTES
+
+
+def count_unacknowledged_bytes(stream: SocketStream) -> int:
+    """Return the bytes in the kernel that the peer has not acknowledged."""
+    try:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+    except (OSError, ValueError):
+        # The connection is closed, or the system has no such call.
+        return UNKNOWN_BYTES
+    return COUNT.unpack(answer)[0]
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -23,6 +23,7 @@
 from marjorambridge.forwarding.state import create_state
 from marjorambridge.gateway.bodies import BodyReservation
 from marjorambridge.gateway.callers import SERVER_ERROR, Exchange, Server
+from marjorambridge.gateway.delivery import Delivery
 from marjorambridge.gateway.messages import (
     AnswerHead,
     Attempt,
@@ -389,7 +390,7 @@
             server = Server(handle_request, CallerLimits)
             exchange = Exchange(
                 server,
-                NullStream(),
+                Delivery(NullStream()),
                 answer,
                 time.monotonic(),
                 BodyReservation(server.memory),
--- a/marjorambridge/transport/progress.py
+++ b/marjorambridge/transport/progress.py
@@ -12,9 +12,9 @@
 from loguru import logger
 from msgspec import Struct
 
-# The first part of ``struct tcp_info`` in ``linux/tcp.h``, up to the time of the last
-# acknowledgement; the kernel only appends fields.
-TCP_INFO = struct.Struct("=2xBB52xI")
+# The first part of ``struct tcp_info`` in ``linux/tcp.h``: retransmissions, probes, the time since
+# the last acknowledgement, and the acknowledged bytes; the kernel only appends fields.
+TCP_INFO = struct.Struct("=2xBB52xI60xQ")
 MILLISECONDS_PER_SECOND = 1_000
 # Probes or retransmissions in a row without an acknowledgement, after which a peer may count as
 # unreachable. A single one may have been lost on its way.
@@ -31,10 +31,13 @@
         Retransmissions, or probes of a closed window, since the last acknowledgement.
     silent_seconds : float
         Time since the last acknowledgement.
+    acknowledged_bytes : int
+        Bytes that the peer has acknowledged since the connection was opened.
     """
 
     unanswered: int
     silent_seconds: float
+    acknowledged_bytes: int = 0
 
 
 def read_progress(raw: socket.socket) -> PeerProgress | None:
@@ -54,8 +57,9 @@
         return None
     if len(data) < TCP_INFO.size:
         return None
-    retransmits, probes, silent_milliseconds = TCP_INFO.unpack(data)
-    return PeerProgress(retransmits + probes, silent_milliseconds / MILLISECONDS_PER_SECOND)
+    retransmits, probes, silent_milliseconds, acknowledged = TCP_INFO.unpack(data)
+    silent_seconds = silent_milliseconds / MILLISECONDS_PER_SECOND
+    return PeerProgress(retransmits + probes, silent_seconds, acknowledged)
 
 
 def is_unreachable(progress: PeerProgress, timeout_seconds: float) -> bool:
--- a/tests/gateway/test_cuts.py
+++ b/tests/gateway/test_cuts.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketAttribute
 from loguru import logger
 
-from marjorambridge.gateway import cuts
+from marjorambridge.gateway import cuts, streams
 from marjorambridge.manifests.models import Execution
 
 from .helpers import SIGNED, make_chunk, make_manifest, make_request, run_gateway
@@ -128,14 +128,14 @@
             return -1
 
     stream = SimpleNamespace(extra=lambda attribute: Closed())
-    assert cuts.count_unacknowledged_bytes(stream) == cuts.UNKNOWN_BYTES
-    assert cuts.count_unsent_bytes(stream) == cuts.UNKNOWN_BYTES
+    assert streams.count_unacknowledged_bytes(stream) == streams.UNKNOWN_BYTES
+    assert streams.count_unsent_bytes(stream) == streams.UNKNOWN_BYTES
 
     def refuse_call(*arguments):
         raise OSError("not supported")
 
-    monkeypatch.setattr(cuts.fcntl, "ioctl", refuse_call)
-    assert cuts.count_unacknowledged_bytes(stream) == cuts.UNKNOWN_BYTES
+    monkeypatch.setattr(streams.fcntl, "ioctl", refuse_call)
+    assert streams.count_unacknowledged_bytes(stream) == streams.UNKNOWN_BYTES
 
 
 def test_the_lines_about_cut_requests_are_bounded_and_the_rest_is_counted(monkeypatch):
@@ -147,9 +147,13 @@
     monkeypatch.setattr(cuts, "log_cut_request", log)
     count = cuts.MAX_CUT_LINES + 7
     exchanges = [
-        SimpleNamespace(arrived_at=float(count - n), request_id=str(n)) for n in range(count)
+        SimpleNamespace(arrived_at=float(count - n), request_id=str(n), delivery=n)
+        for n in range(count)
+    ]
+    servers = [
+        SimpleNamespace(exchanges=exchanges[:9], deliveries=()),
+        SimpleNamespace(exchanges=exchanges[9:], deliveries=()),
     ]
-    servers = [SimpleNamespace(exchanges=exchanges[:9]), SimpleNamespace(exchanges=exchanges[9:])]
     with record_lines() as lines:
         assert cuts.log_cut_requests(servers, 0.0) == count
     assert len(lines) == cuts.MAX_CUT_LINES + 1
