Serve callers that read slowly until the time of their request is over

What callers saw: streams and answers with status 200 whose connection was reset although bytes moved all the time, before and after a planned stop alike; the engine had ended its run.

Cause: TCP_USER_TIMEOUT (4 s on callers' connections) stood in for 'the caller has disappeared'. Linux counts it from the first window probe for as long as the receive window is smaller than the next segment, although smaller pieces are sent and acknowledged meanwhile. Each caller that needs longer than the bound to read was cut, however steadily it read.

Change: callers' connections have no such timeout. Twice a second, each connection with bytes that are not acknowledged is checked: a caller that left two probes or retransmissions unanswered and acknowledged nothing for 4 s is unreachable; one that reads slowly, or not at all for a while, is served until the time of its request is over, and after that as long as it reads within the idle time. A line names each connection that is reset so. Keepalive still ends connections on which nothing is sent. The fix works because the kernel reports unanswered probes and the last acknowledgement apart from the size of the window.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -24,11 +24,12 @@
     CHECK_INTERVAL_SECONDS,
     Delivery,
     check_delivery,
+    find_fault,
     log_failure,
+    log_reset,
 )
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
-    CALLER_TIMEOUT_MILLISECONDS,
     STREAM_ERRORS,
     reset,
     set_options,
@@ -295,21 +296,28 @@
 
 
 async def _watch_deliveries(server: Server) -> None:
-    """Check regularly how far the answers on all connections have been delivered."""
+    """Check regularly how far answers have been delivered, and reset those that can't be."""
     while True:
         await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        idle_seconds = server.get_limits().idle_timeout_seconds
         for delivery in list(server.deliveries):
+            now = time.monotonic()
             try:
-                check_delivery(delivery, time.monotonic())
+                progress = check_delivery(delivery, now)
             except OSError as error:
                 logger.bind(error=repr(error)).debug("a connection ended while it was checked")
+                continue
+            reason = find_fault(delivery, progress, idle_seconds, now)
+            if reason:
+                log_reset(delivery, reason, progress, now)
+                await reset(delivery.stream)
 
 
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
     delivery = Delivery(stream)
     server.deliveries.add(delivery)
     try:
-        set_options(stream, CALLER_TIMEOUT_MILLISECONDS)
+        set_options(stream, timeout_milliseconds=None)
         if await _serve_requests(server, delivery):
             await _linger(server, stream)
     except STREAM_ERRORS as error:
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -10,14 +10,14 @@
 
 from marjorambridge.transport.reading import limit_reading_ahead
 
-# A peer that disappears without a reset is detected by these keepalive probes, with times in
-# seconds. Where a timeout for unacknowledged data is set, it decides when they have failed.
+# A peer that disappears without a reset, while nothing is sent to it, is detected by these
+# keepalive probes, with times in seconds. Where a timeout for unacknowledged data is set, it
+# decides when they have failed.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 # Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
-# is connected and does not read, too, which a caller may do for a while.
-CALLER_TIMEOUT_MILLISECONDS = 4_000
+# reads slowly, too; see `marjorambridge.transport.progress`.
 ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
 LINGER = struct.Struct("ii")
 # Number of bytes if the kernel can't tell it.
@@ -32,13 +32,13 @@
 )
 
 
-def set_options(stream: SocketStream, timeout_milliseconds: int) -> None:
+def set_options(stream: SocketStream, timeout_milliseconds: int | None) -> None:
     """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead.
 
     Parameters
     ----------
-    timeout_milliseconds : int
-        Time after which data that was not acknowledged counts as lost.
+    timeout_milliseconds : int or None
+        Time after which data that was not acknowledged counts as lost; None for no such time.
     """
     limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
@@ -47,7 +47,8 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
+    if timeout_milliseconds is not None:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
 
 
 async def reset(stream: SocketStream) -> None:
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -4,13 +4,15 @@
 from contextlib import contextmanager
 
 import anyio
+import pytest
 from anyio.abc import SocketStream
 from loguru import logger
 from msgspec.structs import replace
 
-from marjorambridge.gateway import cuts
+from marjorambridge.gateway import cuts, delivery
 from marjorambridge.gateway.streams import reset
 from marjorambridge.manifests.models import CallerLimits, Execution
+from marjorambridge.transport.progress import PeerProgress
 
 from .helpers import answer_whole, get_status, is_complete, make_manifest, make_request, run_gateway
 from .test_closing import connect_with_small_buffer, wait_until_answered
@@ -103,3 +105,68 @@
         anyio.run(scenario)
     (fields,) = select_fields(lines, "an answer is not delivered when the process ends")
     assert fields["request"] == "id-1" and 0 < fields["unacknowledged_bytes"] <= len(BODY) + 1_000
+
+
+def test_a_caller_that_is_unreachable_is_reset_and_its_request_ends(monkeypatch):
+    """Guard against an endpoint that works for a caller that has disappeared."""
+    silent = PeerProgress(unanswered=3, silent_seconds=delivery.CALLER_SILENCE_SECONDS)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(b"x" * 8_000_000)) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                await stream.send(make_request())
+                await anyio.sleep(1.0)
+                assert harness.server.active
+                monkeypatch.setattr(delivery, "read_progress", lambda raw: silent)
+                with anyio.fail_after(2):
+                    while harness.server.connections:
+                        await anyio.sleep(0.02)
+
+    with record_lines("WARNING") as lines:
+        anyio.run(scenario)
+    (fields,) = select_fields(lines, "a connection is reset, because an answer can't be delivered")
+    assert (fields["request"], fields["reason"]) == ("id-1", delivery.UNREACHABLE)
+
+
+def test_a_caller_that_reads_nothing_is_served_until_its_time_is_over():
+    """Guard against memory that is held for ever for a caller that stays connected."""
+    timeout = 3.0
+    manifest = replace(
+        make_manifest(Execution.IDEMPOTENT, attempts=2, resumable=False, timeout=timeout),
+        limits=CallerLimits(4096, 100_000, idle_timeout_seconds=1.5),
+    )
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(b"x" * 8_000_000)) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                started_at = time.monotonic()
+                await stream.send(make_request())
+                await anyio.sleep(0.5)
+                with anyio.fail_after(timeout + 2):
+                    while harness.server.active:
+                        await anyio.sleep(0.02)
+                assert time.monotonic() - started_at >= timeout - 0.1
+
+    with record_lines("WARNING") as lines:
+        anyio.run(scenario)
+    (fields,) = select_fields(lines, "a connection is reset, because an answer can't be delivered")
+    assert (fields["request"], fields["reason"]) == ("id-1", delivery.STALLED)
+
+
+@pytest.mark.parametrize(
+    ("progress", "now", "fault"),
+    [
+        (PeerProgress(0, 60.0), 9.9, ""),
+        (PeerProgress(1, 4.0), 9.9, ""),
+        (PeerProgress(2, 4.0), 9.9, delivery.UNREACHABLE),
+        (PeerProgress(0, 0.1), 10.0, delivery.STALLED),
+        (None, 99.0, ""),
+    ],
+    ids=["closed window", "one lost probe", "no answer", "time is over", "unknown"],
+)
+def test_a_fault_of_a_delivery_is_found_by_what_the_kernel_knows(progress, now, fault):
+    """Guard against a closed window or a lost probe that counts as a caller that is gone."""
+    state = delivery.Delivery(None, ends_at=10.0, undelivered_bytes=100, progressed_at=5.0)
+    assert delivery.find_fault(state, progress, 5.0, now) == fault
