Count a connection as busy until its caller has received the answer

What callers saw: with a slow link, a request on a kept connection got no answer, because the idle time of the connection had begun when the kernel took the answer before it, and ended while the caller still read it; and a gateway that stopped was gone after 1 s of lingering, or at once for kept connections, while links still had bytes to deliver.

Cause: an answer counted as delivered once the kernel had taken it. Change: the idle time and the time of lingering begin when the caller has acknowledged all bytes, and a server that stops closes no connection before, up to the end of its grace time.

Evidence: the three cases failed before (no second answer; drain_server returned after 0.1 s and 1 s, with up to 40,000 bytes on their way) and pass now. Ruled out: that unread bytes of the caller keep the process, since lingering still ends 1 s after the last acknowledgement.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -24,6 +24,7 @@
     CHECK_INTERVAL_SECONDS,
     Delivery,
     check_delivery,
+    count_undelivered_bytes,
     find_fault,
     log_failure,
     log_reset,
@@ -55,9 +56,9 @@
 # before it is closed.
 LAST_RECEIVE_SECONDS = 0.1
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
-# After the last answer on a connection, what the caller still sends is read for this time in
-# seconds. Closing the connection with unread data would reset it, and the caller could lose the
-# answer.
+# After the caller has received the last answer on a connection, what it still sends is read for
+# this time in seconds. Closing the connection with unread data would reset it, and the caller could
+# lose the answer.
 LINGER_SECONDS = 1.0
 # With more connections than this in that state, further ones are closed at once.
 MAX_LINGERING = 512
@@ -112,8 +113,8 @@
         Monotonic time in seconds at which the next bytes of callers may be discarded.
     lingering : int
         Number of connections on which the last answer was sent, and which are not closed.
-    waiting : set of anyio.CancelScope
-        Scopes of the connections that are idle between two requests.
+    waiting : dict from anyio.CancelScope to Delivery
+        Scopes of the connections that wait for a request, with the answers before it.
     exchanges : set of Exchange
         Requests that are being read or handled.
     connections : int
@@ -136,7 +137,7 @@
     closing: bool = False
     discard_at: float = 0.0
     lingering: int = 0
-    waiting: set[anyio.CancelScope] = field(default_factory=set)
+    waiting: dict[anyio.CancelScope, Delivery] = field(default_factory=dict)
     exchanges: "set[Exchange]" = field(default_factory=set)
     connections: int = 0
     deliveries: set[Delivery] = field(default_factory=set)
@@ -270,9 +271,13 @@
 
 
 def close_idle_connections(server: Server) -> None:
-    """Close the connections that are idle between two requests, unless one has arrived."""
-    for scope in list(server.waiting):
-        scope.cancel()
+    """Close the connections that are idle between two requests, unless one has arrived.
+
+    A connection is not idle while its caller still receives an answer.
+    """
+    for scope, delivery in list(server.waiting.items()):
+        if not count_undelivered_bytes(delivery.stream):
+            scope.cancel()
 
 
 async def drain_server(server: Server, ends_at: float) -> None:
@@ -319,7 +324,7 @@
     try:
         set_options(stream, timeout_milliseconds=None)
         if await _serve_requests(server, delivery):
-            await _linger(server, stream)
+            await _linger(server, delivery)
     except STREAM_ERRORS as error:
         _note_failure(delivery, error)
         await reset(stream)
@@ -348,23 +353,34 @@
     return connection.our_state is h11.MUST_CLOSE
 
 
-async def _linger(server: Server, stream: SocketStream) -> None:
-    """End the answers, and discard what the caller sends until it ends the connection, too."""
+async def _linger(server: Server, delivery: Delivery) -> None:
+    """End the answers, and discard what the caller sends until it ends the connection, too.
+
+    That takes as long as the caller receives the answers.
+    """
     if server.lingering >= MAX_LINGERING:
         return
     server.lingering += 1
     try:
-        await stream.send_eof()
-        with anyio.move_on_after(LINGER_SECONDS):
-            while True:
-                data = await stream.receive(READ_BYTES)
-                await anyio.sleep(_delay_discard(server, len(data), time.monotonic()))
+        await delivery.stream.send_eof()
+        ended_at = time.monotonic()
+        while (
+            seconds := _find_idle_end(delivery, ended_at, LINGER_SECONDS) - time.monotonic()
+        ) > 0:
+            with anyio.move_on_after(seconds):
+                await _discard_input(server, delivery.stream)
     except STREAM_ERRORS:
         return
     finally:
         server.lingering -= 1
 
 
+async def _discard_input(server: Server, stream: SocketStream) -> None:
+    while True:
+        data = await stream.receive(READ_BYTES)
+        await anyio.sleep(_delay_discard(server, len(data), time.monotonic()))
+
+
 def _delay_discard(server: Server, size: int, now: float) -> float:
     """Return the seconds to wait after some bytes of callers were discarded."""
     server.discard_at = max(server.discard_at, now) + size / DISCARDED_BYTES_PER_SECOND
@@ -405,12 +421,21 @@
 
 async def _wait_for_request(server: Server, delivery: Delivery, connection: h11.Connection) -> bool:
     """Wait for the first bytes of a request; return False if the connection must be closed."""
-    with anyio.move_on_after(server.get_limits().idle_timeout_seconds) as scope:
-        server.waiting.add(scope)
-        try:
-            return await _receive_first_bytes(delivery, connection)
-        finally:
-            server.waiting.discard(scope)
+    waits_since = time.monotonic()
+    while True:
+        idle_seconds = server.get_limits().idle_timeout_seconds
+        seconds = _find_idle_end(delivery, waits_since, idle_seconds) - time.monotonic()
+        if seconds <= 0:
+            break
+        with anyio.move_on_after(seconds) as scope:
+            server.waiting[scope] = delivery
+            try:
+                return await _receive_first_bytes(delivery, connection)
+            finally:
+                del server.waiting[scope]
+        if anyio.current_time() < scope.deadline:
+            # The server is stopping.
+            break
     # A request may have arrived that the event loop had not read yet.
     with anyio.move_on_after(LAST_RECEIVE_SECONDS):
         return await _receive_first_bytes(delivery, connection)
@@ -420,6 +445,16 @@
     return bool(data)
 
 
+def _find_idle_end(delivery: Delivery, waits_since: float, idle_seconds: float) -> float:
+    """Return the monotonic time in seconds until which a connection may be idle.
+
+    It is not idle while its caller receives an answer.
+    """
+    if count_undelivered_bytes(delivery.stream):
+        delivery.busy_at = time.monotonic()
+    return max(waits_since, delivery.busy_at) + idle_seconds
+
+
 async def _receive_first_bytes(delivery: Delivery, connection: h11.Connection) -> bool:
     try:
         data = await delivery.stream.receive(READ_BYTES)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -10,21 +10,23 @@
 from msgspec.structs import replace
 
 from marjorambridge.gateway import cuts, delivery
+from marjorambridge.gateway.callers import drain_server
 from marjorambridge.gateway.streams import reset
 from marjorambridge.manifests.models import CallerLimits, Execution
 from marjorambridge.transport.progress import PeerProgress
 
 from .helpers import answer_whole, get_status, is_complete, make_manifest, make_request, run_gateway
-from .test_closing import connect_with_small_buffer, wait_until_answered
+from .test_closing import SMALL_BUFFER_BYTES, connect_with_small_buffer, wait_until_answered
 from .wires import read_body
 
 MANIFEST = replace(
     make_manifest(Execution.IDEMPOTENT, attempts=2, resumable=False, timeout=20.0),
-    limits=CallerLimits(header_bytes=4096, body_bytes=100_000, idle_timeout_seconds=2.0),
+    limits=CallerLimits(header_bytes=4096, body_bytes=100_000, idle_timeout_seconds=1.5),
 )
-BODY = b"x" * 101_000
+BODY, SHORT_BODY = b"x" * 101_000, b"x" * 40_000
 RATE_BYTES_PER_SECOND, PIECE_SECONDS = 16_000, 0.1
 PIECE_BYTES = int(RATE_BYTES_PER_SECOND * PIECE_SECONDS)
+BUFFERED_SECONDS = 4 * SMALL_BUFFER_BYTES / RATE_BYTES_PER_SECOND
 
 
 async def read_slowly(stream: SocketStream) -> bytes:
@@ -170,3 +172,47 @@
     """Guard against a closed window or a lost probe that counts as a caller that is gone."""
     state = delivery.Delivery(None, ends_at=10.0, undelivered_bytes=100, progressed_at=5.0)
     assert delivery.find_fault(state, progress, 5.0, now) == fault
+
+
+def test_the_idle_time_of_a_connection_begins_when_its_caller_has_the_answer():
+    """Guard against a connection that is closed as its caller sends the next request in time."""
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(SHORT_BODY)) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                for _ in range(2):
+                    await stream.send(make_request())
+                    data = await read_slowly(stream)
+                    assert (get_status(data), len(read_body(data))) == (200, len(SHORT_BODY))
+                    # The system of the caller has acknowledged the end a little earlier.
+                    await anyio.sleep(MANIFEST.limits.idle_timeout_seconds - BUFFERED_SECONDS)
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize("is_kept", [False, True], ids=["last answer", "kept connection"])
+def test_a_server_that_stops_waits_until_slow_callers_have_their_answers(is_kept):
+    """Guard against a process that ends while callers still receive answers that are complete."""
+    received = []
+
+    async def read(stream):
+        received.append(await read_slowly(stream))
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(SHORT_BODY)) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream, anyio.create_task_group() as tasks:
+                harness.server.closing = not is_kept
+                await stream.send(make_request())
+                await wait_until_answered(harness)
+                harness.server.closing = True
+                tasks.start_soon(read, stream)
+                await drain_server(harness.server, time.monotonic() + 20)
+                assert harness.server.connections == 0
+                # What the system of the caller has acknowledged, it reads within this time.
+                await anyio.sleep(BUFFERED_SECONDS)
+                (data,) = received
+                assert (get_status(data), len(read_body(data))) == (200, len(SHORT_BODY))
+
+    anyio.run(scenario)
