Bound what the kernel holds of answers, and end those that make no progress after their time

A caller that reads slowly is served for longer now, so that more answers are in the kernel, where the buffer of each connection grew to several megabytes.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -11,7 +11,7 @@
 from msgspec.structs import replace
 
 from marjorambridge.conf import nodes
-from marjorambridge.conf.memory import divide_memory
+from marjorambridge.conf.memory import MemoryShares, divide_memory
 from marjorambridge.conf.nodes import NodeSettings
 from marjorambridge.control import subscriber
 from marjorambridge.control.events import FeedLost, FeedRegained, FleetUpdated
@@ -82,6 +82,7 @@
     sharing: LoadSharing
     metrics: metrics.Metrics
     scope: anyio.CancelScope
+    memory: MemoryShares
     body_memory: BodyMemory
     server: Server | None = None
     relays: Server | None = None
@@ -169,6 +170,7 @@
         sharing,
         host_metrics,
         scope,
+        shares,
         BodyMemory(shares.bodies),
     )
 
@@ -196,12 +198,14 @@
         lambda: _get_limits(host),
         encode_error=host.adapter.dialect.encode_error,
         memory=host.body_memory,
+        delivery_bytes=host.memory.deliveries // 2,
     )
     host.relays = Server(
         lambda exchange: handle_relayed_request(host.gateway, exchange),
         lambda: _get_relay_limits(host),
         encode_error=lambda outcome: encode_refusal(host.adapter.dialect, outcome),
         memory=host.body_memory,
+        delivery_bytes=host.memory.deliveries // 2,
     )
     host.readiness = Server(
         lambda exchange: host.adapter.handle_readiness(host, exchange),
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -22,16 +22,19 @@
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.delivery import (
     CHECK_INTERVAL_SECONDS,
+    MEMORY,
     Delivery,
     check_delivery,
     count_undelivered_bytes,
     find_fault,
     log_failure,
     log_reset,
+    select_excess,
 )
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
     STREAM_ERRORS,
+    limit_unsent_bytes,
     reset,
     set_options,
 )
@@ -50,8 +53,9 @@
 MAX_PIPELINED_BYTES = 262_144
 # Lowest average rate at which the body of a request may arrive, after the idle timeout.
 MIN_BODY_BYTES_PER_SECOND = 10_000
-# Memory for the bodies of a server for which none was set.
+# Memory of a server for bodies, and for answers in the kernel, if none was set.
 DEFAULT_BODY_MEMORY_BYTES = 16_777_216
+DEFAULT_DELIVERY_BYTES = 16_777_216
 # After the idle timeout, and when a server stops, a connection is read for this time in seconds
 # before it is closed.
 LAST_RECEIVE_SECONDS = 0.1
@@ -107,6 +111,8 @@
     get_body_limit : callable or None
         Takes method and target of a request, and returns the size of the longest body; None if the
         limits for callers name it.
+    delivery_bytes : int
+        Most bytes of answers that the kernel holds for all connections.
     closing : bool
         Whether answers carry ``Connection: close``.
     discard_at : float
@@ -134,6 +140,7 @@
     work: WorkBudget = field(default_factory=WorkBudget)
     memory: BodyMemory = field(default_factory=lambda: BodyMemory(DEFAULT_BODY_MEMORY_BYTES))
     get_body_limit: Callable[[bytes, bytes], int] | None = None
+    delivery_bytes: int = DEFAULT_DELIVERY_BYTES
     closing: bool = False
     discard_at: float = 0.0
     lingering: int = 0
@@ -304,7 +311,6 @@
     """Check regularly how far answers have been delivered, and reset those that can't be."""
     while True:
         await anyio.sleep(CHECK_INTERVAL_SECONDS)
-        idle_seconds = server.get_limits().idle_timeout_seconds
         for delivery in list(server.deliveries):
             now = time.monotonic()
             try:
@@ -312,10 +318,14 @@
             except OSError as error:
                 logger.bind(error=repr(error)).debug("a connection ended while it was checked")
                 continue
-            reason = find_fault(delivery, progress, idle_seconds, now)
+            reason = find_fault(delivery, progress, now)
             if reason:
                 log_reset(delivery, reason, progress, now)
                 await reset(delivery.stream)
+        now = time.monotonic()
+        for delivery in select_excess(server.deliveries, server.delivery_bytes, now):
+            log_reset(delivery, MEMORY, None, now)
+            await reset(delivery.stream)
 
 
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
@@ -323,6 +333,7 @@
     server.deliveries.add(delivery)
     try:
         set_options(stream, timeout_milliseconds=None)
+        limit_unsent_bytes(stream)
         if await _serve_requests(server, delivery):
             await _linger(server, delivery)
     except STREAM_ERRORS as error:
@@ -398,7 +409,8 @@
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
-    delivery.arrived_at, delivery.request_id, delivery.ends_at = arrived_at, "", 0.0
+    delivery.arrived_at, delivery.request_id = arrived_at, ""
+    delivery.ends_at = arrived_at + server.get_limits().idle_timeout_seconds
     exchange = Exchange(server, delivery, connection, arrived_at, reservation, meter)
     start_turn(meter)
     server.exchanges.add(exchange)
--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -16,6 +16,9 @@
 
 # A caller that has answered nothing for this time is unreachable.
 CALLER_SILENCE_SECONDS = 4.0
+# When the time of a request is over, its caller may still receive the answer, unless it has read
+# nothing for this time.
+STALL_SECONDS = 4.0
 CHECK_INTERVAL_SECONDS = 0.5
 UNREACHABLE, STALLED, MEMORY = "unreachable", "stalled", "memory"
 
@@ -30,9 +33,11 @@
     arrived_at : float
         Monotonic time in seconds at which the last request arrived.
     ends_at : float
-        Monotonic time in seconds at which the time of the last request is over; 0 if it has none.
+        Monotonic time in seconds at which the time of the last request is over.
     undelivered_bytes : int
         Bytes that the caller had not acknowledged at the last check.
+    kernel_bytes : int
+        The part of them that the kernel holds.
     acknowledged_bytes : int
         Bytes that the caller had acknowledged at the last check, of all answers together.
     progressed_at : float
@@ -47,6 +52,7 @@
     arrived_at: float = 0.0
     ends_at: float = 0.0
     undelivered_bytes: int = 0
+    kernel_bytes: int = 0
     acknowledged_bytes: int = -1
     progressed_at: float = -math.inf
     busy_at: float = -math.inf
@@ -67,7 +73,8 @@
     OSError
         If the connection is closed.
     """
-    delivery.undelivered_bytes = count_undelivered_bytes(delivery.stream)
+    delivery.kernel_bytes = max(0, count_unacknowledged_bytes(delivery.stream))
+    delivery.undelivered_bytes = delivery.kernel_bytes + max(0, count_unsent_bytes(delivery.stream))
     if not delivery.undelivered_bytes:
         delivery.progressed_at = now
         return None
@@ -79,9 +86,7 @@
     return progress
 
 
-def find_fault(
-    delivery: Delivery, progress: PeerProgress | None, idle_seconds: float, now: float
-) -> str:
+def find_fault(delivery: Delivery, progress: PeerProgress | None, now: float) -> str:
     """Return why an answer can't be delivered; empty if it can.
 
     A caller that reads slowly, or not at all for a while, is served until the time of its request
@@ -91,19 +96,19 @@
         return ""
     if is_unreachable(progress, CALLER_SILENCE_SECONDS):
         return UNREACHABLE
-    if now >= delivery.ends_at and now - delivery.progressed_at >= idle_seconds:
+    if now >= delivery.ends_at and now - delivery.progressed_at >= STALL_SECONDS:
         return STALLED
     return ""
 
 
 def select_excess(deliveries: Iterable[Delivery], limit_bytes: int, now: float) -> list[Delivery]:
-    """Return the deliveries to end, so that the others stay within the memory for them.
+    """Return the deliveries to end, so that the kernel holds no more than a limit for the others.
 
     Those whose time is over end first, and among them those that have made no progress for the
     longest time.
     """
-    waiting = [delivery for delivery in deliveries if delivery.undelivered_bytes]
-    excess = sum(delivery.undelivered_bytes for delivery in waiting) - limit_bytes
+    waiting = [delivery for delivery in deliveries if delivery.kernel_bytes]
+    excess = sum(delivery.kernel_bytes for delivery in waiting) - limit_bytes
     if excess <= 0:
         return []
     waiting.sort(key=lambda delivery: (now < delivery.ends_at, delivery.progressed_at))
@@ -111,7 +116,7 @@
     for delivery in waiting:
         if excess <= 0:
             break
-        excess -= delivery.undelivered_bytes
+        excess -= delivery.kernel_bytes
         selected.append(delivery)
     return selected
 
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -19,6 +19,9 @@
 # Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
 # reads slowly, too; see `marjorambridge.transport.progress`.
 ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
+# What the kernel keeps of the data that it has not sent yet. Without this bound, its buffer of a
+# connection grows up to several megabytes, as long as the peer reads slowly.
+MAX_UNSENT_BYTES = 65_536
 LINGER = struct.Struct("ii")
 # Number of bytes if the kernel can't tell it.
 UNKNOWN_BYTES = -1
@@ -51,6 +54,12 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
 
 
+def limit_unsent_bytes(stream: SocketStream) -> None:
+    """Bound what the kernel keeps of the data that it has not sent yet."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+
+
 async def reset(stream: SocketStream) -> None:
     """Close a connection with a TCP reset, which the peer can't mistake for the end of data."""
     try:
