--- a/tests/gateway/test_own_dialect.py
+++ b/tests/gateway/test_own_dialect.py
@@ -154,7 +154,7 @@
     """Guard against an answer that ends regularly without its end marker, or as another kind."""
     stream_head = b"Content-Type: text/event-stream\r\nConnection: close\r\n"
     failure = b'data: {"error":{"message":"out of memory"}}\n\n'
-    whole = b'{"choices":[{"text":"bad"}]}'
+    whole = b'{"choices":[{"text":"unfinished"}]}'
     first = {
         "no end": answer(b"200 OK", stream_head, make_own_event(1)),
         "failure": answer(b"200 OK", stream_head, make_own_event(1) + failure),
@@ -164,7 +164,7 @@
     async def scenario():
         async with run_gateway(STREAM, first, stream(1, 3, "complete"), wire=OWN) as harness:
             data = await call(harness, make_completion())
-            assert OWN.list_items(data) == [1, 2, 3] and b"bad" not in data
+            assert OWN.list_items(data) == [1, 2, 3] and b"unfinished" not in data
 
     run(scenario)
 
