--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -20,10 +20,21 @@
 from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
+from marjorambridge.gateway.delivery import (
+    CHECK_INTERVAL_SECONDS,
+    MEMORY,
+    Delivery,
+    check_delivery,
+    count_undelivered_bytes,
+    find_fault,
+    log_failure,
+    log_reset,
+    select_excess,
+)
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
-    CALLER_TIMEOUT_MILLISECONDS,
     STREAM_ERRORS,
+    limit_unsent_bytes,
     reset,
     set_options,
 )
@@ -42,15 +53,16 @@
 MAX_PIPELINED_BYTES = 262_144
 # Lowest average rate at which the body of a request may arrive, after the idle timeout.
 MIN_BODY_BYTES_PER_SECOND = 10_000
-# Memory for the bodies of a server for which none was set.
+# Memory of a server for bodies, and for answers in the kernel, if none was set.
 DEFAULT_BODY_MEMORY_BYTES = 16_777_216
+DEFAULT_DELIVERY_BYTES = 16_777_216
 # After the idle timeout, and when a server stops, a connection is read for this time in seconds
 # before it is closed.
 LAST_RECEIVE_SECONDS = 0.1
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
-# After the last answer on a connection, what the caller still sends is read for this time in
-# seconds. Closing the connection with unread data would reset it, and the caller could lose the
-# answer.
+# After the caller has received the last answer on a connection, what it still sends is read for
+# this time in seconds. Closing the connection with unread data would reset it, and the caller could
+# lose the answer.
 LINGER_SECONDS = 1.0
 # With more connections than this in that state, further ones are closed at once.
 MAX_LINGERING = 512
@@ -99,18 +111,22 @@
     get_body_limit : callable or None
         Takes method and target of a request, and returns the size of the longest body; None if the
         limits for callers name it.
+    delivery_bytes : int
+        Most bytes of answers that the kernel holds for all connections.
     closing : bool
         Whether answers carry ``Connection: close``.
     discard_at : float
         Monotonic time in seconds at which the next bytes of callers may be discarded.
     lingering : int
         Number of connections on which the last answer was sent, and which are not closed.
-    waiting : set of anyio.CancelScope
-        Scopes of the connections that are idle between two requests.
+    waiting : dict from anyio.CancelScope to Delivery
+        Scopes of the connections that wait for a request, with the answers before it.
     exchanges : set of Exchange
         Requests that are being read or handled.
     connections : int
         Number of accepted connections that are not closed.
+    deliveries : set of Delivery
+        How far the answers on each of these connections have been delivered.
     listening : bool
         Whether connections are accepted.
     scope, listen_scope : anyio.CancelScope
@@ -124,12 +140,14 @@
     work: WorkBudget = field(default_factory=WorkBudget)
     memory: BodyMemory = field(default_factory=lambda: BodyMemory(DEFAULT_BODY_MEMORY_BYTES))
     get_body_limit: Callable[[bytes, bytes], int] | None = None
+    delivery_bytes: int = DEFAULT_DELIVERY_BYTES
     closing: bool = False
     discard_at: float = 0.0
     lingering: int = 0
-    waiting: set[anyio.CancelScope] = field(default_factory=set)
+    waiting: dict[anyio.CancelScope, Delivery] = field(default_factory=dict)
     exchanges: "set[Exchange]" = field(default_factory=set)
     connections: int = 0
+    deliveries: set[Delivery] = field(default_factory=set)
     listening: bool = False
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     listen_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -145,6 +163,8 @@
 
     Attributes
     ----------
+    delivery : Delivery
+        How far the answers on the connection have been delivered.
     arrived_at : float
         Monotonic time in seconds at which the first byte of the request was read.
     reservation : BodyReservation
@@ -166,7 +186,7 @@
     """
 
     server: Server
-    stream: SocketStream
+    delivery: Delivery
     connection: h11.Connection
     arrived_at: float
     reservation: BodyReservation
@@ -183,6 +203,11 @@
     must_reset: bool = False
     relay: Relay | None = None
 
+    @property
+    def stream(self) -> SocketStream:
+        """Return the connection of the caller."""
+        return self.delivery.stream
+
 
 async def start_server(server: Server, tasks: TaskGroup, ip: str, port: int) -> None:
     """Listen, and serve connections until `close_server` is called."""
@@ -198,6 +223,7 @@
         async with anyio.create_task_group() as connections:
             server.listening = True
             task_status.started()
+            connections.start_soon(_watch_deliveries, server)
             async with listeners:
                 await _accept_connections(server, listener, connections)
             server.listening = False
@@ -252,9 +278,13 @@
 
 
 def close_idle_connections(server: Server) -> None:
-    """Close the connections that are idle between two requests, unless one has arrived."""
-    for scope in list(server.waiting):
-        scope.cancel()
+    """Close the connections that are idle between two requests, unless one has arrived.
+
+    A connection is not idle while its caller still receives an answer.
+    """
+    for scope, delivery in list(server.waiting.items()):
+        if not count_undelivered_bytes(delivery.stream):
+            scope.cancel()
 
 
 async def drain_server(server: Server, ends_at: float) -> None:
@@ -277,63 +307,111 @@
     server.scope.cancel()
 
 
+async def _watch_deliveries(server: Server) -> None:
+    """Check regularly how far answers have been delivered, and reset those that can't be."""
+    while True:
+        await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        for delivery in list(server.deliveries):
+            now = time.monotonic()
+            try:
+                progress = check_delivery(delivery, now)
+            except OSError as error:
+                logger.bind(error=repr(error)).debug("a connection ended while it was checked")
+                continue
+            reason = find_fault(delivery, progress, now)
+            if reason:
+                log_reset(delivery, reason, progress, now)
+                await reset(delivery.stream)
+        now = time.monotonic()
+        for delivery in select_excess(server.deliveries, server.delivery_bytes, now):
+            log_reset(delivery, MEMORY, None, now)
+            await reset(delivery.stream)
+
+
 async def _serve_connection(server: Server, stream: SocketStream) -> None:
+    delivery = Delivery(stream)
+    server.deliveries.add(delivery)
     try:
-        set_options(stream, CALLER_TIMEOUT_MILLISECONDS)
-        if await _serve_requests(server, stream):
-            await _linger(server, stream)
-    except STREAM_ERRORS:
+        set_options(stream, timeout_milliseconds=None)
+        limit_unsent_bytes(stream)
+        if await _serve_requests(server, delivery):
+            await _linger(server, delivery)
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
         await reset(stream)
     except Exception:
         # An error on one connection must not stop the server.
         logger.exception("serving a connection failed")
         await reset(stream)
     finally:
+        server.deliveries.discard(delivery)
         # When the server is closed, the caller may still receive the answer to its last request.
         await anyio.aclose_forcefully(stream)
 
 
-async def _serve_requests(server: Server, stream: SocketStream) -> bool:
+def _note_failure(delivery: Delivery, error: BaseException) -> None:
+    """Log an error of a connection on which an answer was on its way."""
+    if delivery.undelivered_bytes and not isinstance(error, anyio.EndOfStream):
+        log_failure(delivery, error, time.monotonic())
+
+
+async def _serve_requests(server: Server, delivery: Delivery) -> bool:
     """Serve the requests on a connection; return whether it ended after a complete answer."""
     limits = server.get_limits()
     connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-    while await _serve_request(server, stream, connection):
+    while await _serve_request(server, delivery, connection):
         connection.start_next_cycle()
     return connection.our_state is h11.MUST_CLOSE
 
 
-async def _linger(server: Server, stream: SocketStream) -> None:
-    """End the answers, and discard what the caller sends until it ends the connection, too."""
+async def _linger(server: Server, delivery: Delivery) -> None:
+    """End the answers, and discard what the caller sends until it ends the connection, too.
+
+    That takes as long as the caller receives the answers.
+    """
     if server.lingering >= MAX_LINGERING:
         return
     server.lingering += 1
     try:
-        await stream.send_eof()
-        with anyio.move_on_after(LINGER_SECONDS):
-            while True:
-                data = await stream.receive(READ_BYTES)
-                await anyio.sleep(_delay_discard(server, len(data), time.monotonic()))
+        await delivery.stream.send_eof()
+        ended_at = time.monotonic()
+        while (
+            seconds := _find_idle_end(delivery, ended_at, LINGER_SECONDS) - time.monotonic()
+        ) > 0:
+            with anyio.move_on_after(seconds):
+                await _discard_input(server, delivery.stream)
     except STREAM_ERRORS:
         return
     finally:
         server.lingering -= 1
 
 
+async def _discard_input(server: Server, stream: SocketStream) -> None:
+    while True:
+        data = await stream.receive(READ_BYTES)
+        await anyio.sleep(_delay_discard(server, len(data), time.monotonic()))
+
+
 def _delay_discard(server: Server, size: int, now: float) -> float:
     """Return the seconds to wait after some bytes of callers were discarded."""
     server.discard_at = max(server.discard_at, now) + size / DISCARDED_BYTES_PER_SECOND
     return server.discard_at - now
 
 
-async def _serve_request(server: Server, stream: SocketStream, connection: h11.Connection) -> bool:
+async def _serve_request(server: Server, delivery: Delivery, connection: h11.Connection) -> bool:
     """Serve the next request and return whether the connection can be reused."""
-    if not connection.trailing_data[0] and not await _wait_for_request(server, stream, connection):
+    stream = delivery.stream
+    if not connection.trailing_data[0] and not await _wait_for_request(
+        server, delivery, connection
+    ):
         return False
     arrived_at = time.monotonic()
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
-    exchange = Exchange(server, stream, connection, arrived_at, reservation, meter)
+    delivery.arrived_at, delivery.request_id = arrived_at, ""
+    delivery.ends_at = arrived_at + server.get_limits().idle_timeout_seconds
+    exchange = Exchange(server, delivery, connection, arrived_at, reservation, meter)
     start_turn(meter)
     server.exchanges.add(exchange)
     try:
@@ -353,29 +431,47 @@
     return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
 
-async def _wait_for_request(
-    server: Server, stream: SocketStream, connection: h11.Connection
-) -> bool:
+async def _wait_for_request(server: Server, delivery: Delivery, connection: h11.Connection) -> bool:
     """Wait for the first bytes of a request; return False if the connection must be closed."""
-    with anyio.move_on_after(server.get_limits().idle_timeout_seconds) as scope:
-        server.waiting.add(scope)
-        try:
-            return await _receive_first_bytes(stream, connection)
-        finally:
-            server.waiting.discard(scope)
+    waits_since = time.monotonic()
+    while True:
+        idle_seconds = server.get_limits().idle_timeout_seconds
+        seconds = _find_idle_end(delivery, waits_since, idle_seconds) - time.monotonic()
+        if seconds <= 0:
+            break
+        with anyio.move_on_after(seconds) as scope:
+            server.waiting[scope] = delivery
+            try:
+                return await _receive_first_bytes(delivery, connection)
+            finally:
+                del server.waiting[scope]
+        if anyio.current_time() < scope.deadline:
+            # The server is stopping.
+            break
     # A request may have arrived that the event loop had not read yet.
     with anyio.move_on_after(LAST_RECEIVE_SECONDS):
-        return await _receive_first_bytes(stream, connection)
-    data = receive_nowait(stream)
+        return await _receive_first_bytes(delivery, connection)
+    data = receive_nowait(delivery.stream)
     if data:
         connection.receive_data(data)
     return bool(data)
 
 
-async def _receive_first_bytes(stream: SocketStream, connection: h11.Connection) -> bool:
+def _find_idle_end(delivery: Delivery, waits_since: float, idle_seconds: float) -> float:
+    """Return the monotonic time in seconds until which a connection may be idle.
+
+    It is not idle while its caller receives an answer.
+    """
+    if count_undelivered_bytes(delivery.stream):
+        delivery.busy_at = time.monotonic()
+    return max(waits_since, delivery.busy_at) + idle_seconds
+
+
+async def _receive_first_bytes(delivery: Delivery, connection: h11.Connection) -> bool:
     try:
-        data = await stream.receive(READ_BYTES)
-    except STREAM_ERRORS:
+        data = await delivery.stream.receive(READ_BYTES)
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
         return False
     connection.receive_data(data)
     return True
@@ -536,7 +632,8 @@
     while pipelined < MAX_PIPELINED_BYTES:
         try:
             data = await exchange.stream.receive(READ_BYTES)
-        except STREAM_ERRORS:
+        except STREAM_ERRORS as error:
+            _note_failure(exchange.delivery, error)
             exchange.caller_gone = True
             scope.cancel()
             return
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -1,23 +1,31 @@
 """Set options of TCP connections and reset them."""
 
+import fcntl
 import socket
 import struct
+import termios
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
 from marjorambridge.transport.reading import limit_reading_ahead
 
-# A peer that disappears without a reset is detected by these keepalive probes, with times in
-# seconds. Where a timeout for unacknowledged data is set, it decides when they have failed.
+# A peer that disappears without a reset, while nothing is sent to it, is detected by these
+# keepalive probes, with times in seconds. Where a timeout for unacknowledged data is set, it
+# decides when they have failed.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 # Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
-# is connected and does not read, too, which a caller may do for a while.
-CALLER_TIMEOUT_MILLISECONDS = 4_000
+# reads slowly, too; see `marjorambridge.transport.progress`.
 ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
+# What the kernel keeps of the data that it has not sent yet. Without this bound, its buffer of a
+# connection grows up to several megabytes, as long as the peer reads slowly.
+MAX_UNSENT_BYTES = 65_536
 LINGER = struct.Struct("ii")
+# Number of bytes if the kernel can't tell it.
+UNKNOWN_BYTES = -1
+COUNT = struct.Struct("i")
 
 STREAM_ERRORS = (
     OSError,
@@ -27,13 +35,13 @@
 )
 
 
-def set_options(stream: SocketStream, timeout_milliseconds: int) -> None:
+def set_options(stream: SocketStream, timeout_milliseconds: int | None) -> None:
     """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead.
 
     Parameters
     ----------
-    timeout_milliseconds : int
-        Time after which data that was not acknowledged counts as lost.
+    timeout_milliseconds : int or None
+        Time after which data that was not acknowledged counts as lost; None for no such time.
     """
     limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
@@ -42,7 +50,14 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
+    if timeout_milliseconds is not None:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
+
+
+def limit_unsent_bytes(stream: SocketStream) -> None:
+    """Bound what the kernel keeps of the data that it has not sent yet."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
 
 
 async def reset(stream: SocketStream) -> None:
@@ -54,3 +69,20 @@
         # The connection is already closed.
         return
     await anyio.aclose_forcefully(stream)
+
+
+def count_unsent_bytes(stream: SocketStream) -> int:
+    """Return the bytes that wait in the process until the kernel takes them."""
+    transport = getattr(stream, "_transport", None)
+    return transport.get_write_buffer_size() if transport is not None else UNKNOWN_BYTES
+
+
+def count_unacknowledged_bytes(stream: SocketStream) -> int:
+    """Return the bytes in the kernel that the peer has not acknowledged."""
+    try:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+    except (OSError, ValueError):
+        # The connection is closed, or the system has no such call.
+        return UNKNOWN_BYTES
+    return COUNT.unpack(answer)[0]
