Keep a replica until the answers to its calls are delivered, within its grace time

What operators and endpoints would see: a replica ended 1 s after the signal, also with calls in progress and with answers that were still on their way. The delay was meant for the transfer of leadership only.

After it, the replica stops listening and ends when its connections are done, at the latest 0.4 s before the end of the grace time, as gateways do.

--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -63,8 +63,10 @@
 STALL_BACKLOG_SECONDS = 1.0
 # Delay before the components restart after a disk failure.
 STORAGE_RETRY_DELAY_SECONDS = 0.5
-# Time for the transfer of leadership and for the answers in progress at a shutdown.
+# Time for the transfer of leadership at a shutdown, in which calls are still accepted.
 SHUTDOWN_DELAY_SECONDS = 1.0
+# Calls that are not complete this long before the end of the grace time are aborted.
+GRACE_MARGIN_SECONDS = 0.4
 # Greatest sizes of a configuration and of all other calls, which have some hundred bytes.
 MAX_MANIFEST_BODY_BYTES = 16_777_216
 MAX_CALL_BODY_BYTES = 65_536
@@ -403,12 +405,15 @@
 
 async def _shut_down(process: ReplicaProcess) -> None:
     """Transfer leadership, complete the answers in progress and end the process."""
-    host = process.host
+    host, started_at = process.host, time.monotonic()
     process.stopping = True
     if host is not None and host.server is not None:
         host.server.closing = True
-        post(host.runtime, events.ShutdownRequested(time.monotonic(), False))
+        post(host.runtime, events.ShutdownRequested(started_at, False))
         await anyio.sleep(SHUTDOWN_DELAY_SECONDS)
+        grace_seconds = host.settings.bounds.shutdown_grace_seconds
+        ends_at = started_at + grace_seconds - GRACE_MARGIN_SECONDS
+        await callers.drain_server(host.server, ends_at)
     _end(process)
 
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -1,5 +1,6 @@
 """Test with real processes what callers and the log see when a process is told to stop."""
 
+import contextlib
 import json
 import random
 import signal
@@ -10,6 +11,7 @@
 import httpcore
 import pytest
 
+from tests.gateway.test_closing import connect_with_small_buffer
 from tests.soak.endpoints import Endpoint, serve_endpoint
 from tests.soak.processes import make_processes
 from tests.soak.run import (
@@ -27,6 +29,10 @@
 END_SECONDS = 2.0
 SHORT_GRACE_SECONDS = 4.0
 CALLERS = 12
+# A slow operator reads this much of a configuration at 16 KB/s, which takes longer than a replica
+# needs for the transfer of leadership.
+ADDED_ROUTES, CONFIGURATION_BYTES = 300, 48_000
+PIECE_BYTES, PIECE_SECONDS = 1_600, 0.1
 NO_ANSWER = (httpcore.NetworkError, httpcore.ProtocolError)
 # A gateway accepts requests for 2.8 s after the first signal, a replica for 1 s. Some time before
 # that, each request gets its whole answer.
@@ -60,12 +66,12 @@
                 process.kill()
 
 
-async def replace_configuration(soak, replica):
+async def replace_configuration(soak, replica, body=None):
     """Send a configuration until the replica acknowledges it."""
     with anyio.fail_after(START_SECONDS):
         while True:
             control = replica.settings["control"]
-            body = make_configuration(1)
+            body = body or make_configuration(1)
             answer = await send_request(soak, control, "POST", "/api/Config.Replace", body)
             if answer is not None and answer[0] == 200:
                 return
@@ -103,6 +109,54 @@
     anyio.run(scenario)
 
 
+def test_a_replica_stays_until_a_slow_operator_has_the_configuration(tmp_path):
+    """Guard against a replica that ends while its last answers are still on their way."""
+    request = b"GET /api/Config.Read HTTP/1.1\r\nHost: soak.example\r\n\r\n"
+
+    async def scenario():
+        async with run_fleet(tmp_path) as soak:
+            replica = soak.processes[0]
+            await replace_configuration(soak, replica, make_large_configuration(2))
+            _, _, port = replica.settings["control"].rpartition(":")
+            stream = await connect_with_small_buffer(int(port), ip="127.0.1.1")
+            async with stream:
+                await stream.send(request)
+                await stream.receive(1)
+                replica.send_signal(signal.SIGTERM)
+                data = b""
+                while len(data) < CONFIGURATION_BYTES:
+                    data += await stream.receive(PIECE_BYTES)
+                    await anyio.sleep(PIECE_SECONDS)
+                assert replica.child.poll() is None
+                data += await read_to_end(stream)
+            assert data.endswith(b"}")
+            with anyio.fail_after(END_SECONDS + 1.0):
+                while replica.child.poll() is None:
+                    await anyio.sleep(0.02)
+            assert not read_lines(replica, "an answer is not delivered when the process ends")
+
+    anyio.run(scenario)
+
+
+async def read_to_end(stream):
+    """Return the bytes until the end of a connection."""
+    data = b""
+    with contextlib.suppress(anyio.EndOfStream):
+        while True:
+            data += await stream.receive()
+    return data
+
+
+def make_large_configuration(version):
+    """Return a configuration whose text exceeds what the buffers of a slow reader hold."""
+    document = json.loads(make_configuration(version))
+    route = document["routes"][0]
+    document["routes"] += [
+        route | {"name": f"x{n}", "path_prefix": f"/x{n}/"} for n in range(ADDED_ROUTES)
+    ]
+    return json.dumps(document).encode()
+
+
 async def call_until_gone(soak, process, name, results):
     """Send requests on a kept connection, or on new ones, until the process is gone.
 
--- a/tests/gateway/test_closing.py
+++ b/tests/gateway/test_closing.py
@@ -32,11 +32,13 @@
 SMALL_BUFFER_BYTES = 4096
 
 
-async def connect_with_small_buffer(port: int, size: int = SMALL_BUFFER_BYTES) -> SocketStream:
+async def connect_with_small_buffer(
+    port: int, size: int = SMALL_BUFFER_BYTES, ip: str = "127.0.0.1"
+) -> SocketStream:
     """Connect as a caller that reads only when it receives, and whose window is small."""
     raw = socket.socket()
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-    raw.connect(("127.0.0.1", port))
+    raw.connect((ip, port))
     raw.setblocking(False)
     stream = await SocketStream.from_socket(raw)
     limit_reading_ahead(stream)
