--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -58,7 +58,8 @@
     "seconds": "duration in seconds",
     "service": "service of the configuration",
     "shard": "`service/zone/bucket`",
-    "silent_seconds": "time since the last part of an answer, or since the request arrived",
+    "silent_seconds": "time since the last part of an answer, or since the request arrived; for a "
+    "connection that is reset, time since the last acknowledgement of the caller",
     "stage": "step of the repair of a replica",
     "status": "status of the answer to an order",
     "state": "what a request was doing when it was cut",
