--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -117,7 +117,7 @@
     return make_record(decode_message(kind, parts["body"]))
 
 
-def _make_hello(host: str, nonce: int) -> Hello:
+def make_hello(host: str, nonce: int) -> Hello:
     """Return a handshake with all fields."""
     return Hello(
         version=frames.PROTOCOL_VERSION,
@@ -133,7 +133,7 @@
 
 def _write_connection() -> dict[str, Parts]:
     dialer, acceptor = (
-        frames.encode_hello(_make_hello(host, nonce)) for host, nonce in (("a", 1), ("b", 2))
+        frames.encode_hello(make_hello(host, nonce)) for host, nonce in (("a", 1), ("b", 2))
     )
     session = frames.derive_session(FLEET_KEY, dialer, acceptor)
     kind, body = encode_message(fill(load_messages("control").FeedPoll))
@@ -219,7 +219,7 @@
         raise UnknownSampleError("relays") from error
 
 
-def _make_exchange(headers: list[tuple[bytes, bytes]]) -> SimpleNamespace:
+def make_exchange(headers: list[tuple[bytes, bytes]]) -> SimpleNamespace:
     return SimpleNamespace(
         method=b"POST",
         target=b"/v1/route",
@@ -244,7 +244,7 @@
     )
     context = SimpleNamespace(
         gateway=SimpleNamespace(relay_key=FLEET_KEY, forwarding=forwarding, work=None),
-        exchange=_make_exchange([(b"accept", b"text/event-stream"), (b"connection", b"close, te")]),
+        exchange=make_exchange([(b"accept", b"text/event-stream"), (b"connection", b"close, te")]),
         running=[],
         collected=[],
         progress=SimpleNamespace(endpoints_tried=1),
@@ -261,7 +261,7 @@
         "relay request": {
             "method": attempt.method,
             "target": attempt.target,
-            "headers": _encode_headers(attempt.headers),
+            "headers": encode_headers(attempt.headers),
             "body": attempt.body,
         }
     }
@@ -274,9 +274,9 @@
     }
     dialect = _create_dialect()
     headers, body = relays.encode_refusal(dialect, refused)
-    samples["relay answer refusal"] = {"headers": _encode_headers(headers), "body": body}
+    samples["relay answer refusal"] = {"headers": encode_headers(headers), "body": body}
     for name, header in answers.items():
-        samples[f"relay answer {name}"] = {"headers": _encode_headers([header]), "body": b""}
+        samples[f"relay answer {name}"] = {"headers": encode_headers([header]), "body": b""}
     return samples
 
 
@@ -284,18 +284,18 @@
     return importlib.import_module("marjorambridge.platform.dialect").create_dialect()
 
 
-def _encode_headers(headers: list[tuple[bytes, bytes]]) -> bytes:
+def encode_headers(headers: list[tuple[bytes, bytes]]) -> bytes:
     return b"".join(b"%b: %b\r\n" % header for header in headers)
 
 
-def _decode_headers(data: bytes) -> list[tuple[bytes, bytes]]:
+def decode_headers(data: bytes) -> list[tuple[bytes, bytes]]:
     return [tuple(line.split(b": ", 1)) for line in data.splitlines()]
 
 
 def _read_relay(name: str, parts: Parts) -> typing.Any:
     relays, _, contact = _import_relays()
     if name == "relay request":
-        exchange = _make_exchange(_decode_headers(parts["headers"]))
+        exchange = make_exchange(decode_headers(parts["headers"]))
         exchange.method, exchange.target = parts["method"], parts["target"]
         exchange.body = parts["body"]
         forwarding = SimpleNamespace(contact=contact.Contact(), table=_make_table(3))
@@ -303,7 +303,7 @@
         if not anyio.run(relays.take_request, gateway, exchange):
             raise ValueError("the request was refused")
         return {"relay": make_record(exchange.relay), "headers": _show_headers(exchange.headers)}
-    headers = _decode_headers(parts["headers"])
+    headers = decode_headers(parts["headers"])
     status = 200 if name == "relay answer answered" else 503
     result_kind = importlib.import_module("marjorambridge.gateway.messages").AttemptResult
     outcomes = importlib.import_module("marjorambridge.forwarding.attempts").AttemptOutcome
