Serve nothing from a replica that can't apply the control log

Trials in virtual time with five replicas, of which one, or all, can't read a command that drains a zone, found three faults:

- It had counted the entry as applied, so that its state passed for as recent as that of the others: two gateways that had the zone drained got [(), ('z1',), ()] when it led and when all replicas had gone back to the older build.
The index now advances after the entry is read.
- After three seconds it sent manifest and endpoints to hosts that started, from a state that lacks an acknowledged command.
It sends none now; hosts that run keep what they have.
- Its own read barrier and registrations were sent again for ever: 402 entries in 60 s from one such replica.
It proposes neither any more.

--- a/marjorambridge/control/feed.py
+++ b/marjorambridge/control/feed.py
@@ -76,7 +76,11 @@
     After a start or a loss of contact, this replica or another one is current within a short time.
     Hosts search for a current replica meanwhile, and each would otherwise get a whole table from
     every replica that it polls.
+
+    A replica that can't apply the log sends neither, since its state lacks acknowledged commands.
     """
+    if state.halted:
+        return False
     if is_current(state, now):
         return True
     is_withhold_expired = now - state.unconfirmed_since >= defaults.FEED_WITHHOLD_SECONDS
--- a/marjorambridge/control/proposals.py
+++ b/marjorambridge/control/proposals.py
@@ -58,7 +58,7 @@
         state.pending.pop(state.barrier, None)
         state.barrier = ""
         return []
-    if state.confirmed or state.barrier:
+    if state.confirmed or state.barrier or state.halted:
         return []
     state.barrier = create_command_id(state)
     return submit_command(state, ReadBarrier(state.barrier), now)
--- a/marjorambridge/control/registry.py
+++ b/marjorambridge/control/registry.py
@@ -85,8 +85,11 @@
 
 
 def register_endpoints(state: ControlReplicaState, now: float) -> list[Effect]:
-    """Register new endpoints in the log, one command at a time."""
-    if state.registration_id in state.pending:
+    """Register new endpoints in the log, one command at a time.
+
+    A replica that can't apply the log does not know which ones are registered, and registers none.
+    """
+    if state.halted or state.registration_id in state.pending:
         return []
     new = [
         record
--- a/marjorambridge/control/replica.py
+++ b/marjorambridge/control/replica.py
@@ -192,6 +192,10 @@
 def _halt(state: ControlReplicaState, reason: str) -> list[Effect]:
     state.halted = reason
     state.confirmed = False
+    # They would be sent again for ever, because this replica never sees them applied.
+    state.pending.pop(state.barrier, None)
+    state.pending.pop(state.registration_id, None)
+    state.barrier = ""
     return [WriteLog("error", "the replica can't apply the control log", {"reason": reason})]
 
 
--- a/marjorambridge/control/state_machine.py
+++ b/marjorambridge/control/state_machine.py
@@ -67,14 +67,14 @@
     Raises
     ------
     ControlDecodeError
-        If the payload is not a command.
+        If the payload is not a command; the state is unchanged.
     """
     if index <= state.index:
         return None
+    command = decode_command(payload) if payload else None
     state.index = index
-    if not payload:
+    if command is None:
         return None
-    command = decode_command(payload)
     if command.command_id in state.recent:
         return command
     state.recent[command.command_id] = None
