Name records that another build wrote in an error of their own

It is now an UnreadableDataError, which is a StorageError: the replica logs it and does not start, and the text says to start the build that wrote the file, not to move the folder away.

Damage is still told apart by the checksum.

--- a/marjorambridge/storage/exceptions.py
+++ b/marjorambridge/storage/exceptions.py
@@ -15,6 +15,10 @@
     """Data that was synced cannot be read back."""
 
 
+class UnreadableDataError(StorageError):
+    """Data is whole, but this build does not know its format."""
+
+
 class DiskFullError(StorageError):
     """The disk has no room for a write; nothing was reported as synced, and it can be repeated."""
 
--- a/marjorambridge/storage/files.py
+++ b/marjorambridge/storage/files.py
@@ -2,10 +2,16 @@
 
 import os
 from pathlib import Path
+from typing import TypeVar
 
-from marjorambridge.storage.exceptions import make_damage_error
+import msgspec
+
+from marjorambridge.core.decoding import DECODE_ERRORS
+from marjorambridge.storage.exceptions import UnreadableDataError, make_damage_error
 from marjorambridge.storage.frames import decode_frames, encode_frame
 
+T = TypeVar("T")
+
 
 def sync_descriptor(descriptor: int) -> None:
     """Make what was written to a file or a directory durable.
@@ -69,3 +75,20 @@
     if len(payloads) != 1 or end != len(data):
         raise make_damage_error(path, "the file is damaged")
     return payloads[0]
+
+
+def decode_record(path: Path, payload: bytes, kind: type[T]) -> T:
+    """Return the record in the payload of a frame.
+
+    Raises
+    ------
+    UnreadableDataError
+        If it is none of this build; the checksum has shown that the payload is whole.
+    """
+    try:
+        return msgspec.msgpack.decode(payload, type=kind)
+    except DECODE_ERRORS as error:
+        raise UnreadableDataError(
+            f"{path}: {error}. The file is whole, but of another build; start the build that wrote "
+            "it, or a later one"
+        ) from error
--- a/marjorambridge/storage/groups.py
+++ b/marjorambridge/storage/groups.py
@@ -8,7 +8,7 @@
 from marjorambridge.replication.effects import SaveEntries, SaveSnapshot, SaveVote
 from marjorambridge.replication.models import LogEntry, RecoveredGroup, ReplicaId, Snapshot
 from marjorambridge.storage.exceptions import make_damage_error
-from marjorambridge.storage.files import read_file, replace_file
+from marjorambridge.storage.files import decode_record, read_file, replace_file
 from marjorambridge.storage.segments import (
     SegmentFiles,
     append_entries,
@@ -41,15 +41,17 @@
     ------
     DamagedDataError
         If synced data cannot be read back.
+    UnreadableDataError
+        If another build wrote it in a format that this one does not know.
     """
     recovered = RecoveredGroup()
     vote = read_file(folder / "vote")
     if vote is not None:
-        stored = msgspec.msgpack.decode(vote, type=StoredVote)
+        stored = decode_record(folder / "vote", vote, StoredVote)
         recovered.term, recovered.voted_for = stored.term, stored.voted_for
     snapshot = read_file(folder / "snapshot")
     if snapshot is not None:
-        recovered.snapshot = msgspec.msgpack.decode(snapshot, type=Snapshot)
+        recovered.snapshot = decode_record(folder / "snapshot", snapshot, Snapshot)
     segments, written = open_segments(folder, max_segment_bytes)
     try:
         recovered.entries = select_entries(written, recovered.snapshot)
--- a/marjorambridge/storage/segments.py
+++ b/marjorambridge/storage/segments.py
@@ -13,13 +13,17 @@
 
 from marjorambridge.replication.models import LogEntry
 from marjorambridge.storage.exceptions import make_damage_error
-from marjorambridge.storage.files import sync_descriptor, sync_directory, write_bytes
+from marjorambridge.storage.files import (
+    decode_record,
+    sync_descriptor,
+    sync_directory,
+    write_bytes,
+)
 from marjorambridge.storage.frames import decode_frames, encode_frame, has_frame_after
 
 SEGMENT_PATTERN = "segment-*.log"
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[LogEntry])
 
 
 class Segment(Struct):
@@ -64,6 +68,8 @@
     ------
     DamagedDataError
         If a frame that was synced cannot be read.
+    UnreadableDataError
+        If another build wrote it in a format that this one does not know.
     """
     files = SegmentFiles(folder, max_bytes)
     written: list[LogEntry] = []
@@ -78,7 +84,7 @@
             os.truncate(path, end)
         segment = Segment(number, path, end)
         for payload in payloads:
-            entries = _decoder.decode(payload)
+            entries = decode_record(path, payload, list[LogEntry])
             segment.last_index = max(segment.last_index, entries[-1].index)
             written.extend(entries)
         files.segments.append(segment)
--- a/marjorambridge/storage/stores.py
+++ b/marjorambridge/storage/stores.py
@@ -33,6 +33,7 @@
     make_damage_error,
 )
 from marjorambridge.storage.files import (
+    decode_record,
     make_directory,
     read_file,
     replace_file,
@@ -100,6 +101,8 @@
         If another process uses the folder.
     DamagedDataError
         If synced data cannot be read back.
+    UnreadableDataError
+        If another build wrote it in a format that this one does not know.
     StorageError
         If the folder cannot be used.
     """
@@ -156,7 +159,7 @@
         sync_directory(folder.parent)
     recovered = RecoveredReplica(disk.decode())
     if cluster is not None:
-        stored = msgspec.msgpack.decode(cluster, type=StoredCluster)
+        stored = decode_record(folder / "cluster", cluster, StoredCluster)
         recovered.cluster, recovered.founders = stored.cluster, stored.founders
     for path in group_folders:
         number = int(path.name.removeprefix("group-"))
