Tell messages of an unknown kind apart from damaged ones

A message that only a later build knows has an error of its own, with a bounded part of its kind. A frame without a kind no longer raises an AttributeError, which no handler of a connection expects.

What they found: each unknown message ends its connection, so that eight messages with two unknown ones need three connections (an interruption of at least 50 ms each time).

--- a/marjorambridge/wire/codec.py
+++ b/marjorambridge/wire/codec.py
@@ -14,6 +14,7 @@
 
 from marjorambridge.wire.exceptions import (
     MessageEncodeError,
+    UnknownMessageError,
     UnregisteredMessageError,
     WireError,
 )
@@ -23,6 +24,8 @@
     string_length_limit=1 << 20, container_length_limit=1 << 16, fallback=False
 )
 
+# Characters of an unknown kind that an error shows.
+MAX_SHOWN_KIND = 64
 
 # Message class and generated structure by kind, and kind by message class, of loaded packages.
 STRUCTURES_BY_KIND: dict[str, tuple[type, type]] = {}
@@ -112,17 +115,22 @@
         raise MessageEncodeError(f"{kind} can't be encoded: {error}") from error
 
 
-def decode_message(kind: str, body: bytes) -> Any:
-    """Decode and validate a message.
+def decode_message(kind: str | None, body: bytes) -> Any:
+    """Decode and validate a message; a frame that lacks a kind has None.
 
     Raises
     ------
+    UnknownMessageError
+        If the kind is unknown.
     WireError
-        If the kind is unknown, or the body is malformed or has a field of a wrong type.
+        If the body is malformed or has a field of a wrong type.
     """
+    kind = kind or ""
     entry = _find_structure(kind)
     if entry is None:
-        raise WireError(f"unknown message kind {kind!r}; the peer may run a newer version")
+        raise UnknownMessageError(
+            f"unknown message kind {kind[:MAX_SHOWN_KIND]!r}; the peer may run a newer version"
+        )
     message, structure = entry
     decoded = decode_structure(body, structure)
     try:
--- a/marjorambridge/wire/exceptions.py
+++ b/marjorambridge/wire/exceptions.py
@@ -7,6 +7,10 @@
     """A frame or a message is malformed; the sender runs another version or is not a peer."""
 
 
+class UnknownMessageError(WireError):
+    """The message is of a kind that only a later build knows."""
+
+
 class MessageEncodeError(WireError):
     """A field of a message does not fit its type; bound it where it comes in."""
 
