--- a/scripts/check_compatibility.py
+++ b/scripts/check_compatibility.py
@@ -36,8 +36,8 @@
 
 
 def export_package(commit: str, folder: Path) -> None:
-    """Write the package of a commit into a folder."""
-    command = ["git", "archive", "--format=tar", commit, "marjorambridge"]
+    """Write the package and the templates of the settings of a commit into a folder."""
+    command = ["git", "archive", "--format=tar", commit, "marjorambridge", "deploy"]
     archive = subprocess.run(command, cwd=ROOT, check=True, capture_output=True).stdout
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
         tar.extractall(folder, filter="data")
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -8,6 +8,7 @@
 
 import importlib
 import json
+import re
 import sys
 import tempfile
 import typing
@@ -19,7 +20,7 @@
 
 from marjorambridge.claims import commands as claim_commands
 from marjorambridge.claims import state_machine as claim_machine
-from marjorambridge.conf.nodes import NodeSettings
+from marjorambridge.conf.nodes import NodeSettings, load_node_settings
 from marjorambridge.configuration import codec as configuration_codec
 from marjorambridge.configuration import commands as configuration_commands
 from marjorambridge.configuration import state_machine as configuration_machine
@@ -510,6 +511,50 @@
     return {"recovered": value, "memberships": make_record(memberships)}
 
 
+# Settings files.
+
+# Values for the templates of deploy/, by the name of their placeholder.
+TEMPLATE_VALUES: dict[str, typing.Any] = {
+    "node_name": "core-1",
+    "ip": "10.1.0.4",
+    "zone": "north",
+    "zones": {"north": "west", "south": "west"},
+    "seeds": ["10.1.0.5:9000"],
+    "internal_ports": [7340, 7349],
+    "listen.frontend": "10.1.0.4:8080",
+    "listen.readiness": "10.1.0.4:8081",
+    "listen.control_plane": "10.1.0.4:9000",
+    "bootstrap": True,
+    "data_dir": "/data",
+    "limits.memory_mb": 512,
+    "heartbeat_ms": 250,
+    "bounds.grace_s": 8.5,
+    "bounds.retry_ratio": 0.5,
+    "bounds.retry_window_s": 10.5,
+    "bounds.retry_allowance": 3.5,
+    "bounds.cold_overrun": 1.5,
+    "bounds.cold_allowance": 2.5,
+}
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
+
+
+def _write_settings() -> dict[str, Parts]:
+    folder = Path(importlib.import_module("marjorambridge").__file__).parents[1] / "deploy"
+    samples = {}
+    for role in ("gateway", "replica"):
+        template = (folder / f"{role}.json").read_text(encoding="utf-8")
+        text = PLACEHOLDER.sub(lambda match: json.dumps(TEMPLATE_VALUES[match[1]]), template)
+        samples[f"settings {role}"] = {"file": text.encode()}
+    return samples
+
+
+def _read_settings(name: str, parts: Parts) -> typing.Any:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        path.write_bytes(parts["file"])
+        return make_record(load_node_settings(path))
+
+
 Writer = typing.Callable[[], dict[str, Parts]]
 Reader = typing.Callable[[str, Parts], typing.Any]
 # Writer of samples and reader of each, by the start of their names.
@@ -528,6 +573,7 @@
     "order command": (_write_orders, _read_order),
     "order snapshot": (_write_order_snapshot, _read_order_snapshot),
     "data folder": (_write_data_folder, _read_data_folder),
+    "settings": (_write_settings, _read_settings),
 }
 
 
--- a/tests/compatibility/test_unknown_fields.py
+++ b/tests/compatibility/test_unknown_fields.py
@@ -230,3 +230,14 @@
     if isinstance(value, list | tuple):
         return [extend_all(item) for item in value]
     return value
+
+
+@pytest.mark.parametrize("name", ["settings gateway", "settings replica"])
+def test_unknown_settings_of_a_process_are_ignored(name):
+    """A build would not start with the template of a later one."""
+    encoded = samples.write_samples()[name]["bytes"]
+    values = json.loads(bytes.fromhex(encoded["file"]))
+    later = values | {"later": {"a": 1}, "bounds": values["bounds"] | {"later": 1.5}}
+    read = samples.read_sample(name, {"file": json.dumps(later).encode().hex()})
+    assert read == samples.read_sample(name, encoded)
+    assert read["host"] == "core-1"
