Report a configuration that is stored in another form instead of ending

A gateway that got a stored configuration in a compression which it does not know raised zlib.error, which nothing between the feed and the event loop catches: the process would end, and again after each start. It is now an InvalidManifestError, which the gateway logs before it goes on with the configuration in force.

--- a/marjorambridge/platform/documents.py
+++ b/marjorambridge/platform/documents.py
@@ -243,9 +243,13 @@
     Raises
     ------
     InvalidManifestError
-        If the document is invalid.
+        If the document is invalid, or stored in a form that this build does not know.
     """
-    return decode_document(expand_document(stored))
+    try:
+        data = expand_document(stored)
+    except zlib.error as error:
+        raise InvalidManifestError(f"unreadable stored configuration: {error}") from error
+    return decode_document(data)
 
 
 def encode_error(text: str) -> bytes:
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -16,6 +16,7 @@
 from types import SimpleNamespace
 
 import anyio
+import msgspec
 from msgspec import inspect
 
 from marjorambridge.claims import commands as claim_commands
@@ -31,6 +32,7 @@
 from marjorambridge.daemon import fleets
 from marjorambridge.gateway import datagrams
 from marjorambridge.orders import state_machine as order_machine
+from marjorambridge.platform import documents
 from marjorambridge.replication import effects, models
 from marjorambridge.storage import files, stores
 from marjorambridge.transport import acknowledgements, frames
@@ -511,6 +513,20 @@
     return {"recovered": value, "memberships": make_record(memberships)}
 
 
+# Configurations, which the control log stores as operators sent them, and hosts read.
+
+
+def _write_document() -> dict[str, Parts]:
+    document = fill(documents.ConfigurationDocument)
+    document.routes[0].type = "idempotent"
+    return {"document": {"json": msgspec.json.encode(document)}}
+
+
+def _read_document(name: str, parts: Parts) -> typing.Any:
+    stored = documents.compress_document(parts["json"])
+    return make_record(documents.decode_stored_document(stored))
+
+
 # Settings files.
 
 # Values for the templates of deploy/, by the name of their placeholder.
@@ -573,6 +589,7 @@
     "order command": (_write_orders, _read_order),
     "order snapshot": (_write_order_snapshot, _read_order_snapshot),
     "data folder": (_write_data_folder, _read_data_folder),
+    "document": (_write_document, _read_document),
     "settings": (_write_settings, _read_settings),
 }
 
