--- a/marjorambridge/claims/replica.py
+++ b/marjorambridge/claims/replica.py
@@ -18,6 +18,7 @@
     parse_key_date,
 )
 from marjorambridge.claims.events import WallClockRead
+from marjorambridge.claims.exceptions import ClaimEntryError, ClaimSnapshotError
 from marjorambridge.claims.messages import (
     ClaimAnswer,
     ClaimComplete,
@@ -44,6 +45,7 @@
     RecordSpan,
     SendMessage,
     SetTimer,
+    WriteLog,
 )
 from marjorambridge.core.events import Event, MessageReceived, Started, TimerFired, ViewApplied
 from marjorambridge.core.identity import AttemptId, TimerKey
@@ -131,7 +133,7 @@
         return []
     digest = compute_key_digest(message.workspace, message.key)
     group = state.groups.get(compute_group(digest, state.settings.groups))
-    if group is None or not group.is_leader or state.clock is None:
+    if group is None or not group.is_leader or state.clock is None or group.halted:
         leader = group.leader if group is not None and not group.is_leader else ""
         return [_refuse(event.sender, (operation, message.claim), leader)]
     key = (operation, message.claim)
@@ -156,12 +158,15 @@
 def receive_entry(state: ReplicaState, event: EntryCommitted) -> list[Effect]:
     """Apply a committed entry and answer the senders of its commands."""
     group = state.groups.get(event.group)
-    if group is None or event.index <= group.index:
+    if group is None or group.halted or event.index <= group.index:
         return []
-    group.index = event.index
     effects: list[Effect] = []
-    # Entries of the log itself, such as the first one of a term, have no payload.
-    results = apply_entry(group.machine, event.payload) if event.payload else []
+    try:
+        # Entries of the log itself, such as the first one of a term, have no payload.
+        results = apply_entry(group.machine, event.payload) if event.payload else []
+    except ClaimEntryError as error:
+        return _halt(group, f"entry {event.index}: {error}")
+    group.index = event.index
     for result in results:
         waiter = group.waiting.pop((result.operation, result.claim), None)
         if waiter is not None:
@@ -220,12 +225,7 @@
     group.term = event.term
     effects: list[Effect] = []
     if lost:
-        leader = event.leader if event.leader != state.host else ""
-        effects += [_refuse(waiter.sender, key, leader) for key, waiter in group.waiting.items()]
-        group.waiting.clear()
-        group.pending.clear()
-        group.pending_bytes = 0
-        group.proposals.clear()
+        effects += _refuse_waiting(group, event.leader if event.leader != state.host else "")
     if event.is_leader:
         effects += propose_maintenance(state, group, event.now)
     return effects
@@ -234,16 +234,21 @@
 def receive_snapshot(state: ReplicaState, event: SnapshotInstalled) -> list[Effect]:
     """Replace the state of a group by a snapshot."""
     group = state.groups.get(event.group)
-    if group is not None and event.index > group.index:
+    if group is None or event.index <= group.index:
+        return []
+    try:
         group.machine = restore_snapshot(event.data)
-        group.index = event.index
+    except ClaimSnapshotError as error:
+        return _halt(group, f"snapshot {event.index}: {error}")
+    group.index = event.index
+    group.halted = ""
     return []
 
 
 def receive_snapshot_request(state: ReplicaState, event: SnapshotRequested) -> list[Effect]:
-    """Publish a snapshot of a group."""
+    """Publish a snapshot of a group; none while it can't apply entries."""
     group = state.groups.get(event.group)
-    if group is None:
+    if group is None or group.halted:
         return []
     data = take_snapshot(group.machine)
     return [Publish(SnapshotTaken(event.now, group.group, group.index, data))]
@@ -272,7 +277,7 @@
 
 def propose_maintenance(state: ReplicaState, group: GroupState, now: float) -> list[Effect]:
     """Propose marks for claimants that left or returned, a changed policy, or a due sweep."""
-    if not group.is_leader or state.clock is None:
+    if not group.is_leader or state.clock is None or group.halted:
         return []
     machine = group.machine
     wall = _compute_wall_time(state, group, now)
@@ -362,6 +367,25 @@
     return ClaimAnswer(result.claim, result.status, answer, operation=result.operation)
 
 
+def _halt(group: GroupState, reason: str) -> list[Effect]:
+    """Stop to apply entries, and refuse what waits; the outcome of its commands is unknown."""
+    group.halted = reason
+    fields = {"group": group.group, "reason": reason, "applied": group.index}
+    line = WriteLog("error", "this replica can't apply any further entry of a claims group", fields)
+    return [line, *_refuse_waiting(group, "")]
+
+
+def _refuse_waiting(group: GroupState, leader: str) -> list[Effect]:
+    effects: list[Effect] = [
+        _refuse(waiter.sender, key, leader) for key, waiter in group.waiting.items()
+    ]
+    group.waiting.clear()
+    group.pending.clear()
+    group.pending_bytes = 0
+    group.proposals.clear()
+    return effects
+
+
 def _refuse(sender: str, key: WaitKey, leader: str) -> SendMessage:
     operation, claim = key
     answer = ClaimAnswer(claim, ClaimStatus.UNAVAILABLE, None, leader, operation)
--- a/marjorambridge/claims/state.py
+++ b/marjorambridge/claims/state.py
@@ -73,6 +73,8 @@
         Time of each proposal that is neither committed nor refused, and the keys in it.
     waiting : dict
         Hosts that wait for results, by operation and claim.
+    halted : str
+        Why this replica can't apply further entries of the group; empty if it can.
     """
 
     group: int
@@ -87,6 +89,7 @@
     proposals: dict[str, tuple[float, tuple[WaitKey, ...]]] = field(default_factory=dict)
     serial: int = 0
     waiting: dict[WaitKey, Waiter] = field(default_factory=dict)
+    halted: str = ""
 
 
 class ReplicaState(Struct):
--- a/marjorambridge/daemon/state_dump.py
+++ b/marjorambridge/daemon/state_dump.py
@@ -94,6 +94,7 @@
     halted = [membership.host.halted]
     if replica is not None:
         halted += [replica.halted, logs.halted]
+        halted += [group.halted for group in parts["claims"].state.replica.groups.values()]
     return HostReport(
         host=host.settings.host,
         incarnation=host.incarnation,
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -5,7 +5,7 @@
 
 FIELDS: dict[str, str] = {
     "address": "`ip:port` of an endpoint or of this host",
-    "applied": "index of the last applied entry of log group 0",
+    "applied": "index of the last applied entry of log group 0, or of the group in the line",
     "attempt": "identifier of an attempt, `host:incarnation:number`",
     "attempts": "attempts of a request, each with its endpoint and outcome, or their number",
     "avoided_seconds": "time for which other endpoints are preferred to one that failed",
