Refuse a start on a membership that this build can't read

Memberships in the log are decoded after the store is open, so that one of a later build ended the process with a traceback. The store checks them and raises UnreadableDataError, as for other records; no file changes.

--- a/marjorambridge/storage/exceptions.py
+++ b/marjorambridge/storage/exceptions.py
@@ -29,3 +29,11 @@
         f"{path}: {problem}. Check the disk, move the whole data folder away and start again; the "
         "replica then joins with a new disk id and is repaired from its peers"
     )
+
+
+def make_unreadable_error(path: object, error: Exception) -> UnreadableDataError:
+    """Return the error for a whole file that the decoder of this build refused."""
+    return UnreadableDataError(
+        f"{path}: {error}. The file is whole, but of another build; start the build that wrote it, "
+        "or a later one"
+    )
--- a/marjorambridge/storage/files.py
+++ b/marjorambridge/storage/files.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from marjorambridge.core.decoding import DECODE_ERRORS
-from marjorambridge.storage.exceptions import UnreadableDataError, make_damage_error
+from marjorambridge.storage.exceptions import make_damage_error, make_unreadable_error
 from marjorambridge.storage.frames import decode_frames, encode_frame
 
 T = TypeVar("T")
@@ -88,7 +88,4 @@
     try:
         return msgspec.msgpack.decode(payload, type=kind)
     except DECODE_ERRORS as error:
-        raise UnreadableDataError(
-            f"{path}: {error}. The file is whole, but of another build; start the build that wrote "
-            "it, or a later one"
-        ) from error
+        raise make_unreadable_error(path, error) from error
--- a/marjorambridge/storage/segments.py
+++ b/marjorambridge/storage/segments.py
@@ -11,8 +11,9 @@
 import msgspec
 from msgspec import Struct, field
 
-from marjorambridge.replication.models import LogEntry
-from marjorambridge.storage.exceptions import make_damage_error
+from marjorambridge.core.decoding import DECODE_ERRORS
+from marjorambridge.replication.models import EntryKind, LogEntry, decode_membership
+from marjorambridge.storage.exceptions import make_damage_error, make_unreadable_error
 from marjorambridge.storage.files import (
     decode_record,
     sync_descriptor,
@@ -85,6 +86,7 @@
         segment = Segment(number, path, end)
         for payload in payloads:
             entries = decode_record(path, payload, list[LogEntry])
+            check_memberships(path, entries)
             segment.last_index = max(segment.last_index, entries[-1].index)
             written.extend(entries)
         files.segments.append(segment)
@@ -96,6 +98,22 @@
     return files, written
 
 
+def check_memberships(path: Path, entries: list[LogEntry]) -> None:
+    """Check that this build can read the memberships among entries.
+
+    Raises
+    ------
+    UnreadableDataError
+        If another build wrote one in a format that this one does not know.
+    """
+    for entry in entries:
+        if entry.kind is EntryKind.MEMBERSHIP:
+            try:
+                decode_membership(entry.payload)
+            except DECODE_ERRORS as error:
+                raise make_unreadable_error(path, error) from error
+
+
 def _mark_synced(segment: Segment) -> None:
     segment.synced_size, segment.synced_last_index = segment.size, segment.last_index
 
--- a/tests/compatibility/test_unreadable_files.py
+++ b/tests/compatibility/test_unreadable_files.py
@@ -36,11 +36,17 @@
     return {path: path.read_bytes() for path in folder.rglob("*") if path.is_file()}
 
 
-@pytest.mark.parametrize("name", LATER_RECORDS)
-def test_a_record_of_a_later_build_is_a_clear_error_and_stays(tmp_path, name):
+LATER_ENTRY = {"index": 9, "term": 2, "kind": "membership"}
+LATER_ENTRY["payload"] = msgspec.json.encode(MEMBERSHIP)
+
+
+@pytest.mark.parametrize(
+    ("name", "record"), [*LATER_RECORDS.items(), (SEGMENT, [LATER_ENTRY])], ids=repr
+)
+def test_a_record_of_a_later_build_is_a_clear_error_and_stays(tmp_path, name, record):
     """The process would end with a traceback, or an operator be told to remove whole data."""
     write_folder(tmp_path)
-    payload = msgspec.msgpack.encode(LATER_RECORDS[name])
+    payload = msgspec.msgpack.encode(record)
     if name == SEGMENT:
         with (tmp_path / name).open("ab") as file:
             file.write(encode_frame(payload))
