Keep the memory for answers on their way to callers apart from that for other hosts

Half of it was for requests that other hosts passed on, which arrive on fast links. Callers have a tenth of the memory of a host now: 200 callers with 100 KB each on a host of 200 MB.

--- a/marjorambridge/conf/memory.py
+++ b/marjorambridge/conf/memory.py
@@ -12,12 +12,13 @@
 BYTES_PER_MEGABYTE = 1_000_000
 # Parts of the memory for bodies of callers, for buffered answers, and of the latter for answers
 # that have begun; without it, many answers at the same time could exhaust the memory, and none
-# could be completed. Another part is for what the kernel holds of answers that callers have not
-# received. The rest is for the program, connections and work in progress.
+# could be completed. Other parts are for what the kernel holds of answers that callers, and other
+# hosts, have not received. The rest is for the program, connections and work in progress.
 BODY_RATIO = 0.2
 ANSWER_RATIO = 0.16
 STARTED_ANSWER_RATIO = 1 / 3
 DELIVERY_RATIO = 0.1
+RELAY_DELIVERY_RATIO = 0.05
 
 
 class MemoryShares(Struct):
@@ -29,14 +30,15 @@
         Bodies of callers.
     answers, started_answers : int
         Buffered answers, and the part of it for those that have begun.
-    deliveries : int
-        Answers in the kernel that callers have not received.
+    deliveries, relay_deliveries : int
+        Answers in the kernel that callers, and other hosts, have not received.
     """
 
     bodies: int
     answers: int
     started_answers: int
     deliveries: int
+    relay_deliveries: int
 
 
 def divide_memory(megabytes: int | None) -> MemoryShares:
@@ -44,13 +46,21 @@
 
     Examples
     --------
-    >>> divide_memory(300)
-    MemoryShares(bodies=60000000, answers=48000000, started_answers=16000000, deliveries=30000000)
+    >>> shares = divide_memory(300)
+    >>> shares.bodies, shares.answers, shares.started_answers
+    (60000000, 48000000, 16000000)
+    >>> shares.deliveries, shares.relay_deliveries
+    (30000000, 15000000)
     """
     size = min(find_limits()) if megabytes is None else megabytes * BYTES_PER_MEGABYTE
     answers = int(size * ANSWER_RATIO)
-    started = int(answers * STARTED_ANSWER_RATIO)
-    return MemoryShares(int(size * BODY_RATIO), answers, started, int(size * DELIVERY_RATIO))
+    return MemoryShares(
+        bodies=int(size * BODY_RATIO),
+        answers=answers,
+        started_answers=int(answers * STARTED_ANSWER_RATIO),
+        deliveries=int(size * DELIVERY_RATIO),
+        relay_deliveries=int(size * RELAY_DELIVERY_RATIO),
+    )
 
 
 def find_limits() -> list[int]:
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -198,14 +198,14 @@
         lambda: _get_limits(host),
         encode_error=host.adapter.dialect.encode_error,
         memory=host.body_memory,
-        delivery_bytes=host.memory.deliveries // 2,
+        delivery_bytes=host.memory.deliveries,
     )
     host.relays = Server(
         lambda exchange: handle_relayed_request(host.gateway, exchange),
         lambda: _get_relay_limits(host),
         encode_error=lambda outcome: encode_refusal(host.adapter.dialect, outcome),
         memory=host.body_memory,
-        delivery_bytes=host.memory.deliveries // 2,
+        delivery_bytes=host.memory.relay_deliveries,
     )
     host.readiness = Server(
         lambda exchange: host.adapter.handle_readiness(host, exchange),
