Let a third host go on with what a relay that died has not used up

Callers of a host without contact got events 1 to 3 of 6, or a 502 for what may be repeated, when the host that relayed their request died, although a third host could go on.

Cause: the host that passed the request on knew of the endpoints only from the end of the answer. Without it, all endpoints of the route counted as used, and none was left.

Now the host that takes a request reports the number of endpoints before each of them gets it: in an interim answer, or in a comment within a stream. The host that passed it on records the number and confirms it by a line after the request; every endpoint but the first waits for that, 0.4 s at most.

Why that is enough: let r be the highest number recorded. Endpoint n > 1 gets the request only after n was recorded, so that at most r have it if r > 0; the relay reports n only when it has used n - 1, so that r is at most one too many. If r = 0, the first report may be lost or the relay an older one, and all count, as before; so the first endpoint waits for nothing. This holds after the asking host gave up, too, because it confirms nothing more. A property test plays random orders of reports, confirmations, starts, deaths and hosts that are given up and live on, with hosts that report and hosts that don't; it fails without the confirmation, and if a host without reports counts as one endpoint.

Events and reports are written under one lock, since a stream may go on while a report is sent; a test that delays the report fails without it.

--- a/marjorambridge/forwarding/relays.py
+++ b/marjorambridge/forwarding/relays.py
@@ -20,6 +20,8 @@
         Number of the last event that the caller has; None to leave it to the request.
     version : int
         Version of the manifest of the host that the caller asked.
+    reports : bool
+        Whether the host that the caller asked reads reports of endpoints and confirms them.
     """
 
     host: str
@@ -27,6 +29,33 @@
     endpoints: int
     last_event: int | None = None
     version: int = 0
+    reports: bool = False
+
+
+def needs_confirmation(number: int) -> bool:
+    """Return whether a report must be confirmed before the endpoint with its number is used.
+
+    The first one need not, because without a report all endpoints count as used.
+    """
+    return number > 1
+
+
+def count_used(reported: int, allowed: int) -> int:
+    """Return how many endpoints may have received a request from a host that does not say.
+
+    Parameters
+    ----------
+    reported : int
+        Highest number that the host reported; 0 if it reported none, as older hosts do.
+    allowed : int
+        Endpoints that the host was allowed to use.
+
+    Examples
+    --------
+    >>> count_used(0, 3), count_used(1, 3), count_used(2, 3)
+    (3, 1, 2)
+    """
+    return min(reported, allowed) if reported else allowed
 
 
 def get_relay_address(host: str) -> str:
--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -119,6 +119,8 @@
     if event is h11.NEED_DATA:
         return not await _receive_more(reader)
     if isinstance(event, h11.InformationalResponse):
+        if reader.attempt.handle_interim(list(event.headers.raw_items())):
+            return False
         reader.interim_answers += 1
         if reader.interim_answers > MAX_INTERIM_ANSWERS:
             raise InvalidAnswerError("there are too many interim answers")
@@ -141,6 +143,8 @@
     limit = reader.failure_deadline or reader.attempt.deadline
     with anyio.move_on_after(limit - time.monotonic()):
         try:
+            if reader.attempt.replies:
+                await _send_replies(reader)
             data = await reader.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             data, reader.has_ended = b"", True
@@ -156,6 +160,16 @@
     return not _has_stalled(reader)
 
 
+async def _send_replies(reader: AnswerReader) -> None:
+    """Send what another host is to get after the request."""
+    data = b"".join(reader.attempt.replies)
+    reader.attempt.replies.clear()
+    try:
+        await reader.stream.send(data)
+    except anyio.BusyResourceError as error:
+        raise InvalidAnswerError("the other host reports before it has the request") from error
+
+
 def _has_stalled(reader: AnswerReader) -> bool:
     """Return whether the deadline has passed, and store it in the result."""
     if reader.attempt.deadline > time.monotonic():
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -166,7 +166,7 @@
     """Run an attempt and renew its tickets, if there are any, until it ends."""
     tickets = running.tickets
     if running.endpoint.is_peer:
-        return await run_relay(context.gateway, attempt, running.max_endpoints)
+        return await run_relay(context.gateway, attempt, running)
     if not tickets.held:
         return await context.gateway.run_attempt(attempt, context.gateway.dialect)
     async with anyio.create_task_group() as tasks:
@@ -249,6 +249,13 @@
 
 
 async def _forward_events(context: RequestContext, head: AnswerHead, events: bytes) -> bool:
+    if context.reports is None:
+        return await _write_events(context, head, events)
+    async with context.reports.lock:
+        return await _write_events(context, head, events)
+
+
+async def _write_events(context: RequestContext, head: AnswerHead, events: bytes) -> bool:
     exchange = context.exchange
     try:
         if exchange.has_head:
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -58,6 +58,7 @@
 DISCARDED_BYTES_PER_SECOND = 16_000_000
 BODY_TOO_LONG, HEAD_TOO_LONG, REQUEST_TIMEOUT = 413, 431, 408
 SERVER_ERROR, NO_MEMORY = 500, 503
+PROCESSING = 102
 # Colon, space and line end of a header.
 HEADER_OVERHEAD_BYTES = 4
 
@@ -556,6 +557,12 @@
     await end_answer(exchange)
 
 
+async def send_interim(exchange: Exchange, headers: Headers) -> None:
+    """Write an interim answer, several of which may precede the head of the answer."""
+    head = h11.InformationalResponse(status_code=PROCESSING, headers=headers)
+    await exchange.stream.send(exchange.connection.send(head))
+
+
 async def start_answer(
     exchange: Exchange, status: int, headers: Headers, data: bytes = b""
 ) -> None:
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -53,6 +53,8 @@
     max_endpoints : int
         Endpoints that may receive the request by this attempt; several ones only if another host
         forwards it.
+    endpoints_reported : int
+        Endpoints that another host reported for this attempt; 0 without a report.
     scope : anyio.CancelScope
         Cancels the attempt.
     """
@@ -70,9 +72,25 @@
     has_stalled: bool = False
     prefilling: list[Endpoint] = field(default_factory=list)
     max_endpoints: int = 1
+    endpoints_reported: int = 0
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
+class StartReports(Struct):
+    """Store what this host reported of a request that another host passed on.
+
+    Attributes
+    ----------
+    sent : int
+        Number of endpoints that was reported last.
+    lock : anyio.Lock
+        Held while the answer is written, which events and reports are part of.
+    """
+
+    sent: int = 0
+    lock: anyio.Lock = field(default_factory=anyio.Lock)
+
+
 class RequestContext(Struct):
     """Store the state of a request that is being handled.
 
@@ -104,6 +122,8 @@
         Time to come back that the last host named that refused the request; None if none did.
     replaced : Endpoint or None
         Endpoint at whose address another one seems to have answered this request.
+    reports : StartReports or None
+        Reports to the host that passed the request on; None if it reads none.
     """
 
     gateway: Gateway
@@ -128,6 +148,7 @@
     replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
+    reports: StartReports | None = None
 
 
 def create_context(
@@ -155,6 +176,7 @@
     allocation = MemoryAllocation(gateway.memory)
     workspace = admission.workspace.name if admission.workspace else ""
     causes = find_causes(request, workspace)
+    relay = exchange.relay
     return RequestContext(
         gateway,
         exchange,
@@ -165,6 +187,7 @@
         allocation,
         causes,
         request.last_event,
+        reports=StartReports() if relay is not None and relay.reports else None,
     )
 
 
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -40,6 +40,8 @@
         Whether the event arrived with which a stream ends.
     error : Exception or None
         Error of the event that follows those returned last.
+    handle_comment : callable or None
+        Called with each block of comments.
     """
 
     last_event: int | None = None
@@ -49,6 +51,7 @@
     comment_bytes: int = 0
     has_ended: bool = False
     error: Exception | None = None
+    handle_comment: Callable[[bytes], None] | None = None
 
 
 def reset_attempt(cursor: StreamCursor) -> None:
@@ -112,6 +115,8 @@
 ) -> None:
     while not cursor.has_ended and (event := _take_event(cursor)):
         if is_comment(event):
+            if cursor.handle_comment is not None:
+                cursor.handle_comment(event)
             _count_comment(cursor, event)
             continue
         read = read_event(event)
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -284,6 +284,11 @@
         Monotonic time in seconds at which an answer that is not complete counts as stalled.
     handle_connected : callable
         Called when a connection to the endpoint was opened.
+    handle_interim : callable
+        Takes the headers of an interim answer, and returns whether it is a new report of another
+        host.
+    replies : list of bytes
+        What is sent next on the connection, after the request; only other hosts get any.
     """
 
     address: str
@@ -298,6 +303,8 @@
     send_event_bytes: Callable[[AnswerHead, bytes], Awaitable[Forwarded]] | None = None
     deadline: float = math.inf
     handle_connected: Callable[[], None] = lambda: None
+    handle_interim: Callable[[Headers], bool] = lambda headers: False
+    replies: list[bytes] = field(default_factory=list)
 
 
 class AttemptResult(Struct):
--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -12,6 +12,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.attempts import AttemptOutcome
+from marjorambridge.forwarding.relays import count_used
 from marjorambridge.gateway.attempts import (
     cancel_others,
     record_attempt,
@@ -20,6 +21,7 @@
 )
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt
 from marjorambridge.gateway.messages import AttemptResult
+from marjorambridge.gateway.relay_reports import report_start
 from marjorambridge.gateway.selection import consume_retry_for, select_attempt
 from marjorambridge.gateway.stalls import (
     can_start_beside,
@@ -94,7 +96,7 @@
         cancel_others(context, attempt)
     elif attempt.scope.cancel_called or result is None:
         outcome = AttemptOutcome.STALLED if attempt.has_stalled else AttemptOutcome.OVERTAKEN
-        tried = attempt.max_endpoints
+        tried = count_used(attempt.endpoints_reported, attempt.max_endpoints)
         record_attempt(context, attempt, AttemptResult(outcome, None, b"", OVERTAKEN_DETAIL, tried))
     else:
         record_attempt(context, attempt, result)
@@ -110,9 +112,7 @@
     if silent is None or not can_start_beside(context, time.monotonic()):
         await _wait_for_end(race)
         return
-    attempt = None
-    with anyio.CancelScope() as context.selection:
-        attempt = await select_attempt(context)
+    attempt = await _select_beside(context)
     if attempt is None:
         # A selection may order memory of many engines.
         await _wait_for_end(race, get_event_timeout(context))
@@ -127,6 +127,18 @@
     _start(race, attempt)
 
 
+async def _select_beside(context: RequestContext) -> RunningAttempt | None:
+    """Return an attempt that may start, or None if there is none or the silent one goes on."""
+    attempt, may_start = None, False
+    with anyio.CancelScope() as context.selection:
+        attempt = await select_attempt(context)
+        may_start = attempt is not None and await report_start(context)
+    if attempt is None or may_start:
+        return attempt
+    await release(attempt.tickets)
+    return None
+
+
 async def _wait_for_end(race: Race, seconds: float = defaults.STALL_CHECK_INTERVAL_SECONDS) -> None:
     """Wait until an attempt ends, or until the next check of a silent one."""
     with anyio.move_on_after(seconds):
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -18,7 +18,7 @@
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.forwarding.contact import is_lost
-from marjorambridge.forwarding.relays import Relay
+from marjorambridge.forwarding.relays import Relay, count_used
 from marjorambridge.gateway.answers import InvalidAnswerError
 from marjorambridge.gateway.callers import Exchange, send_answer
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
@@ -30,6 +30,7 @@
     Dialect,
     Headers,
 )
+from marjorambridge.gateway.relay_reports import expect_reports
 from marjorambridge.gateway.state import Gateway
 
 RELAY_HEADER = b"marjorambridge-relay"
@@ -65,10 +66,11 @@
         running.max_endpoints,
         context.last_event if has_events(context) else None,
         _get_version(gateway),
+        reports=True,
     )
     value = json.encode(relay)
     mac = _compute_mac(gateway.relay_key, exchange, value)
-    return Attempt(
+    attempt = Attempt(
         address=running.endpoint.address,
         method=exchange.method,
         target=exchange.target,
@@ -79,6 +81,8 @@
         handle_head=_ignore_head,
         work=gateway.work,
     )
+    expect_reports(running, attempt)
+    return attempt
 
 
 def _ignore_head(head: AnswerHead) -> None:
@@ -109,10 +113,11 @@
     return digest.hexdigest().encode()
 
 
-async def run_relay(gateway: Gateway, attempt: Attempt, max_endpoints: int) -> AttemptResult:
+async def run_relay(gateway: Gateway, attempt: Attempt, running: RunningAttempt) -> AttemptResult:
     """Pass a request on, and return the result as if this host had sent it to endpoints.
 
-    Without the word of the other host, all endpoints that it could use count as tried.
+    If the other host does not say in the end how many endpoints received it, those that it reported
+    count as tried, and without a report all that it could use.
     """
     outcomes: list[bytes] = []
 
@@ -124,7 +129,9 @@
     outcome, tried = _split_outcome(outcomes)
     if result.outcome is AttemptOutcome.NOT_RUN and outcome == NOT_SENT:
         result.outcome = AttemptOutcome.NOT_SENT
-    result.endpoints_tried = max_endpoints if tried is None else tried
+    if tried is None:
+        tried = count_used(running.endpoints_reported, running.max_endpoints)
+    result.endpoints_tried = tried
     return result
 
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -27,6 +27,7 @@
     refuse_admission,
 )
 from marjorambridge.gateway.races import run_race
+from marjorambridge.gateway.relay_reports import report_start
 from marjorambridge.gateway.relays import take_request
 from marjorambridge.gateway.selection import select_attempt, select_next_attempt
 from marjorambridge.gateway.state import Gateway
@@ -114,6 +115,8 @@
     if is_blocked(context.gateway, context.request, context.causes, may_test=True):
         return await refuse(context, "blocked")
     attempt = await select_attempt(context)
+    if attempt is not None and not await report_start(context):
+        return "caller_gone"
     while attempt is not None:
         result = await run_race(context, attempt)
         if context.exchange.caller_gone:
--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -16,6 +16,7 @@
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, create_attempt
 from marjorambridge.gateway.crashes import is_blocked
+from marjorambridge.gateway.relay_reports import report_start
 from marjorambridge.gateway.relays import may_relay
 from marjorambridge.gateway.tickets import release, reserve
 
@@ -100,6 +101,9 @@
         return None
     if outcome is not AttemptOutcome.NOT_SENT and not await consume_retry_for(context, attempt):
         return None
+    if not await report_start(context):
+        await release(attempt.tickets)
+        return None
     return attempt
 
 
