Send no datagram for requests that are passed on

A host without contact to endpoints sent other hosts an empty datagram for each start and end of a request that it passed on: to those of its zone, and to one of each other zone. Callers saw nothing of it.

Cause: the load at the other host was marked as changed like that of an endpoint. The message names known endpoints only, and was sent without any.

Evidence: the new test failed before with one datagram without loads.

Ruled out: a condition at each caller of share_load, which the next caller would miss. An empty message as a whole can't be left out, since it is the sign of life in large fleets.

Now marking such a load does nothing; the host that takes the request reports the load at its endpoint.

--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -155,7 +155,12 @@
 
 
 def mark_load_changed(sharing: LoadSharing, endpoint: Endpoint) -> None:
-    """Mark the load at an endpoint to be reported to the other hosts."""
+    """Mark the load at an endpoint to be reported to the other hosts.
+
+    Requests that are passed on to another host are in the loads that it reports itself.
+    """
+    if endpoint.is_peer:
+        return
     sharing.changed[endpoint.name] = None
     sharing.wakeup.set()
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -27,10 +27,12 @@
     count_requests,
     drop_old_loads,
 )
+from marjorambridge.forwarding.relays import choose_peer
 from marjorambridge.forwarding.state import Load
 from marjorambridge.gateway import sharing as sharing_module
 from marjorambridge.gateway.datagrams import build_load_share, encode_datagram
 from marjorambridge.gateway.sharing import (
+    COALESCE_SECONDS,
     REPEAT_SECONDS,
     REPORTER_TIMEOUT_SECONDS,
     TOTALS_PER_SECOND,
@@ -45,6 +47,7 @@
     queue_loads,
     queue_totals,
     start_sharing,
+    start_sharing_tasks,
 )
 from tests.forwarding.helpers import make_state
 
@@ -105,6 +108,37 @@
     assert count_requests(seen) == 0
 
 
+def test_a_request_that_is_passed_on_causes_no_datagram():
+    """Guard against empty datagrams to all hosts for each request of a host without contact."""
+
+    class Recorder:
+        def __init__(self):
+            self.sent = []
+
+        async def sendto(self, datagram, ip, port):
+            self.sent.append(datagram)
+
+    async def scenario():
+        sharing, _ = make_pair()
+        names = ["127.0.0.1:7340", "127.0.0.1:7342"]
+        sharing.own_host = names[0]
+        sharing.forwarding.settings = replace(sharing.forwarding.settings, host=names[0])
+        sharing.forwarding.hosts = dict.fromkeys(names, "z1")
+        sharing.socket = Recorder()
+        peer = choose_peer(sharing.forwarding, frozenset(), 0.0)
+        async with anyio.create_task_group() as tasks:
+            start_sharing_tasks(sharing, tasks)
+            mark_load_changed(sharing, peer)
+            await anyio.sleep(10 * COALESCE_SECONDS)
+            assert not sharing.socket.sent
+            mark_load_changed(sharing, sharing.forwarding.endpoints["e0"])
+            await anyio.sleep(10 * COALESCE_SECONDS)
+            assert len(sharing.socket.sent) == 1
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
 def test_foreign_and_damaged_datagrams_are_discarded():
     """Guard against loads of another fleet, or of a damaged datagram."""
     sender, receiver = make_pair()
