--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -237,6 +237,49 @@
     return SimpleNamespace(manifest=SimpleNamespace(version=version))
 
 
+class RunningRelay(int):
+    """An attempt that another host runs, in the forms of all builds.
+
+    Builds up to 35ef388 take the number of endpoints that the host may use.
+    """
+
+    def __init__(self, max_endpoints: int) -> None:
+        self.max_endpoints, self.endpoints_reported = max_endpoints, 0
+        self.endpoint = SimpleNamespace(address="10.1.0.5:7341")
+        self.allocation, self.cursor = None, SimpleNamespace()
+
+
+def _import_reports() -> typing.Any:
+    """Return the module of reports of passed-on requests, which builds up to 35ef388 lack."""
+    try:
+        return importlib.import_module("marjorambridge.gateway.relay_reports")
+    except ModuleNotFoundError as error:
+        raise UnknownSampleError("relay reports") from error
+
+
+def _write_reports() -> dict[str, Parts]:
+    try:
+        reports = _import_reports()
+    except UnknownSampleError:
+        return {}
+    return {
+        "relay report interim": {"headers": encode_headers([(reports.REPORT_HEADER, b"2")])},
+        "relay report comment": {"event": reports.COMMENT_START + b"2\n\n"},
+    }
+
+
+def _read_report(name: str, parts: Parts) -> typing.Any:
+    reports = _import_reports()
+    running, attempt = RunningRelay(4), SimpleNamespace(replies=[])
+    reports.expect_reports(running, attempt)
+    if name == "relay report interim":
+        attempt.handle_interim(decode_headers(parts["headers"]))
+    else:
+        running.cursor.handle_comment(parts["event"])
+    confirmed = reports.read_confirmed(b"".join(attempt.replies))
+    return {"reported": running.endpoints_reported, "confirmed": confirmed}
+
+
 def _write_relays() -> dict[str, Parts]:
     try:
         relays, _, _ = _import_relays()
@@ -256,10 +299,7 @@
         last_event=6,
         request=SimpleNamespace(request_id="request-1"),
     )
-    running = SimpleNamespace(
-        max_endpoints=0, endpoint=SimpleNamespace(address="10.1.0.5:7341"), allocation=None
-    )
-    attempt = relays.build_relay_attempt(context, running, 10.0)
+    attempt = relays.build_relay_attempt(context, RunningRelay(0), 10.0)
     samples = {
         "relay request": {
             "method": attempt.method,
@@ -317,7 +357,7 @@
         return result_kind(outcome, head)
 
     gateway = SimpleNamespace(dialect=_create_dialect(), run_attempt=run_attempt)
-    result = anyio.run(relays.run_relay, gateway, None, 4)
+    result = anyio.run(relays.run_relay, gateway, None, RunningRelay(4))
     return {"outcome": result.outcome.name, "endpoints_tried": result.endpoints_tried}
 
 
@@ -579,6 +619,7 @@
     "connection": (_write_connection, _read_connection),
     "fleet": (_write_fleet, _read_fleet),
     "datagram": (_write_datagrams, _read_datagram),
+    "relay report": (_write_reports, _read_report),
     "relay": (_write_relays, _read_relay),
     "command": (_write_commands, _read_command),
     "control snapshot": (_write_control_snapshot, _read_control_snapshot),
