Keep attempts at endpoints that read a long body slowly

Callers saw a failure (an unknown outcome, which most requests may not repeat) when an endpoint, or a host that a request is passed on to, read a long body steadily but slowly: the attempt ended as broken 1.5 s after it began.

Cause: TCP_USER_TIMEOUT (1.5 s) stood in for "the endpoint has vanished". While the receive window is smaller than the head of the send queue, the kernel counts the time since its first window probe, although smaller pieces are sent and acknowledged meanwhile.

Ruled out: a bound of the program (the detail was the reset of the kernel, and removing the option alone mends it).

Now a receive that has waited for 1.5 s asks the kernel whether the endpoint has acknowledged nothing for 1.5 s, though two retransmissions or probes asked it to. The end is the same as that of a broken connection. The check is part of the wait, so that it ends with the attempt and never interrupts what is sent to a caller. If the kernel can't tell, only keepalive and the deadline end an attempt.

A difference to note: an endpoint whose system answers, while its program reads nothing of a body that exceeds its buffers, is no longer given up after 1.5 s. It is treated as one that was sent a short body: a resumable stream gets a second attempt, other requests wait until their deadline.

--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -6,12 +6,13 @@
 budget of processor time.
 """
 
+import math
 import time
 
 import anyio
 import anyio.lowlevel
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.attempts import AttemptOutcome
@@ -24,7 +25,7 @@
     Dialect,
     Forwarded,
 )
-from marjorambridge.gateway.streams import STREAM_ERRORS
+from marjorambridge.gateway.streams import ENDPOINT_TIMEOUT_SECONDS, STREAM_ERRORS
 from marjorambridge.gateway.work import (
     PROGRESS_PIECE_BYTES,
     IdleWorkError,
@@ -34,6 +35,7 @@
     start_turn,
     wait_for_budget,
 )
+from marjorambridge.transport.progress import is_unreachable, read_progress
 from marjorambridge.transport.reading import READ_BYTES
 
 MAX_HEAD_BYTES = 65_536
@@ -45,6 +47,8 @@
 # time for an attempt at another endpoint.
 MAX_FAILURE_BYTES = 65_536
 FAILURE_BODY_SECONDS = 0.5
+# Time between two checks whether an endpoint that has acknowledged nothing is unreachable.
+CHECK_INTERVAL_SECONDS = 0.25
 SERVER_ERROR_STATUSES = range(500, 600)
 # Causes for which an answer is not received further, for the log.
 ENDINGS = {
@@ -139,23 +143,62 @@
     """Receive more bytes and return whether any arrived before the deadline."""
     await wait_for_budget(reader.meter)
     limit = reader.failure_deadline or reader.attempt.deadline
-    with anyio.move_on_after(limit - time.monotonic()):
-        try:
-            data = await reader.stream.receive(READ_BYTES)
-        except anyio.EndOfStream:
-            data, reader.has_ended = b"", True
-        except STREAM_ERRORS as error:
-            reader.has_ended = True
-            raise InvalidAnswerError(repr(error)) from error
-        finally:
-            start_turn(reader.meter)
-        reader.connection.receive_data(data)
-        return True
+    check_at = time.monotonic() + ENDPOINT_TIMEOUT_SECONDS
+    while True:
+        with anyio.move_on_after(min(limit, check_at) - time.monotonic()):
+            reader.connection.receive_data(await _receive(reader))
+            return True
+        if limit <= time.monotonic():
+            break
+        check_at = time.monotonic() + _check_endpoint(reader)
     if reader.failure_deadline:
         raise InvalidAnswerError("the body of a failure did not arrive in time")
     return not _has_stalled(reader)
 
 
+async def _receive(reader: AnswerReader) -> bytes:
+    """Return what arrives next; nothing at the end of the connection.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If the connection broke.
+    """
+    try:
+        return await reader.stream.receive(READ_BYTES)
+    except anyio.EndOfStream:
+        reader.has_ended = True
+        return b""
+    except STREAM_ERRORS as error:
+        reader.has_ended = True
+        raise InvalidAnswerError(repr(error)) from error
+    finally:
+        start_turn(reader.meter)
+
+
+def _check_endpoint(reader: AnswerReader) -> float:
+    """Return the seconds until the next check; infinite if the kernel can't tell.
+
+    Raises
+    ------
+    InvalidAnswerError
+        If the endpoint is unreachable, which ends the attempt like a broken connection.
+    """
+    try:
+        progress = read_progress(reader.stream.extra(SocketAttribute.raw_socket))
+    except OSError as error:
+        reader.has_ended = True
+        raise InvalidAnswerError(repr(error)) from error
+    if progress is None:
+        return math.inf
+    if is_unreachable(progress, ENDPOINT_TIMEOUT_SECONDS):
+        reader.has_ended = True
+        raise InvalidAnswerError(
+            f"the endpoint has acknowledged nothing for {progress.silent_seconds} s"
+        )
+    return max(CHECK_INTERVAL_SECONDS, ENDPOINT_TIMEOUT_SECONDS - progress.silent_seconds)
+
+
 def _has_stalled(reader: AnswerReader) -> bool:
     """Return whether the deadline has passed, and store it in the result."""
     if reader.attempt.deadline > time.monotonic():
--- a/marjorambridge/gateway/endpoints.py
+++ b/marjorambridge/gateway/endpoints.py
@@ -12,12 +12,7 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.gateway.answers import MAX_HEAD_BYTES, AnswerReader, receive_answer
 from marjorambridge.gateway.messages import Attempt, AttemptResult, Dialect
-from marjorambridge.gateway.streams import (
-    ENDPOINT_TIMEOUT_MILLISECONDS,
-    STREAM_ERRORS,
-    reset,
-    set_options,
-)
+from marjorambridge.gateway.streams import STREAM_ERRORS, reset, set_options
 from marjorambridge.gateway.work import WorkMeter
 
 # Bodies are sent in slices, so that an endpoint that doesn't read them causes no further copy.
@@ -35,7 +30,7 @@
     attempt.handle_connected()
     result = AttemptResult(AttemptOutcome.BROKEN)
     try:
-        set_options(stream, ENDPOINT_TIMEOUT_MILLISECONDS)
+        set_options(stream, None)
         async with anyio.create_task_group() as tasks:
             connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
             tasks.start_soon(_send_request, stream, connection, attempt)
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -16,7 +16,8 @@
 # Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
 # is connected and does not read, too, which a caller may do for a while.
 CALLER_TIMEOUT_MILLISECONDS = 4_000
-ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
+# An endpoint that acknowledges nothing for this long, although it was asked to, is unreachable.
+ENDPOINT_TIMEOUT_SECONDS = 1.5
 LINGER = struct.Struct("ii")
 
 STREAM_ERRORS = (
@@ -27,13 +28,14 @@
 )
 
 
-def set_options(stream: SocketStream, timeout_milliseconds: int) -> None:
+def set_options(stream: SocketStream, timeout_milliseconds: int | None) -> None:
     """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead.
 
     Parameters
     ----------
-    timeout_milliseconds : int
-        Time after which data that was not acknowledged counts as lost.
+    timeout_milliseconds : int or None
+        Time after which data that was not acknowledged counts as lost; None if only the system's
+        limits for retransmissions apply.
     """
     limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
@@ -42,7 +44,8 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
+    if timeout_milliseconds is not None:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
 
 
 async def reset(stream: SocketStream) -> None:
