Keep connections to peers that read a batch slowly

Hosts and replicas lost messages to a peer behind a slow link: the connection was given up while the peer read steadily, the rest was sent again on the next one, given up as well, and dropped after 2 s.

Four bounds stood in for "the peer is gone": - the acknowledgement of a whole batch within 1.0 s. Frames of it that were acknowledged did not count; - 2 s for one send of a whole batch; - TCP_USER_TIMEOUT (2 s), which Linux also applies to a peer that reads while its window is smaller than the head of the send queue; - 3 s without a message, at which a connection to a peer of an older version, which acknowledges no frames, counted as idle while its bytes were on their way. It showed when the first three were mended.

Ruled out: the link itself, which passes the same batch on when the bounds are gone.

Now progress counts, not the end of a batch: each acknowledged frame, and each byte of the oldest batch that the system of the peer has acknowledged (TCP_INFO). Bytes of later batches do not, so that a connection on which frames reach no program is still closed after 1 s (the tests of silent connections are unchanged). Bytes on their way of which none arrives for 2 s end it for peers of all versions. If the kernel can't tell, frames that are acknowledged count, and one send may take 2 s without one, as before. Nothing changed on the wire.

A peer that drops all segments is replaced after 2.2 s within a batch (2.4 s before, of an older version) and 2.4 s with regular messages (2.8 s before); peers that acknowledge frames after 1.4 s, from the last frame on.

The acceptor keeps TCP_USER_TIMEOUT: it sends only acknowledgements of 8 bytes, which never fill a window. A connection that was given up gets it, too, because the kernel would keep its unsent bytes for minutes (tested).

--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -25,6 +25,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.core.events import Event, MessageReceived
 from marjorambridge.core.exceptions import MarjorambridgeError
+from marjorambridge.core.numbers import clamp
 from marjorambridge.transport import frames
 from marjorambridge.transport.acknowledgements import (
     ACKNOWLEDGEMENT_INTERVAL_SECONDS,
@@ -35,21 +36,26 @@
     compute_timeout,
     count_received,
     end_received,
+    is_under_way,
     list_unacknowledged,
     read_acknowledgements,
     record_batch,
+    record_delivery,
     send_acknowledgements,
 )
 from marjorambridge.transport.exceptions import FrameError, HandshakeError
+from marjorambridge.transport.progress import count_acknowledged_bytes, read_progress
 from marjorambridge.transport.turn_queue import TurnQueue, acquire_turn, grant_turns
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import MessageEncodeError, WireError
 from marjorambridge.wire.gen.frame.ttypes import Hello
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
-# A send without progress for this long indicates a network partition without resets; the connection
-# is closed so that a new one can be opened when the network has recovered.
+# Bytes on their way of which none arrives for this long indicate a network partition without
+# resets; the connection is closed so that a new one can be opened when the network has recovered.
 SEND_TIMEOUT_SECONDS = 2.0
+# Time between two looks at what the system of a peer has received, while bytes are on their way.
+DELIVERY_INTERVAL_SECONDS = 0.25
 MESSAGE_LIFETIME_SECONDS = 2.0
 # A connection without a message for this long is closed. It may have become silent without a reset,
 # and the next message would be lost. Regular messages are sent at least every 1.3 s.
@@ -183,7 +189,16 @@
 def _set_options(stream: ByteStream) -> None:
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SEND_TIMEOUT_SECONDS * 1000))
+
+
+def _bound_retransmissions(stream: ByteStream) -> None:
+    """Let the kernel drop what stays unacknowledged, also if a slow peer still reads."""
+    timeout_milliseconds = int(SEND_TIMEOUT_SECONDS * 1000)
+    raw = stream.extra(SocketAttribute.raw_socket)
+    try:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
+    except OSError as error:
+        logger.bind(error=repr(error)).debug("connection to a peer was lost")
 
 
 def _make_hello(network: Network) -> bytes:
@@ -223,6 +238,9 @@
 
 async def _receive_messages(network: Network, stream: ByteStream) -> None:
     _set_options(stream)
+    # The acknowledgements, which are all that is sent here, never fill the window of a peer, so
+    # that the kernel ends only connections to one that has vanished.
+    _bound_retransmissions(stream)
     reader = BufferedByteReceiveStream(stream)
     with anyio.fail_after(HANDSHAKE_TIMEOUT_SECONDS):
         dialer = await _read_frame(reader)
@@ -322,18 +340,69 @@
         if hello.host != host:
             raise HandshakeError(f"{address} is {hello.host!r}, not {host!r}; check the settings")
         session = frames.derive_session(network.fleet_key, dialer, acceptor)
-        sent = SentFrames(is_acknowledged=bool(hello.acknowledges))
+        sent = SentFrames(
+            is_acknowledged=bool(hello.acknowledges),
+            # The peer has answered the handshake, so that its bytes are acknowledged.
+            handshake_bytes=count_acknowledged_bytes(stream.extra(SocketAttribute.raw_socket)),
+        )
         is_numbered = bool(hello.recognizes_repeats)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(read_acknowledgements, reader, sent, tasks.cancel_scope)
+                tasks.start_soon(_watch_delivery, stream, sent, host, tasks.cancel_scope)
                 await _send_batches(network, host, stream, session, peer, sent, is_numbered)
                 tasks.cancel_scope.cancel()
         finally:
+            # The kernel keeps bytes of a connection that was given up until they are acknowledged.
+            _bound_retransmissions(stream)
             if is_numbered:
                 _queue_again(peer, sent, host)
 
 
+async def _watch_delivery(
+    stream: ByteStream, sent: SentFrames, host: str, scope: anyio.CancelScope
+) -> None:
+    """Record what the system of the peer has received; cancel `scope` if nothing arrives."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    late_since = math.nan
+    while True:
+        await sent.has_bytes.wait()
+        remaining = sent.delivered_at + SEND_TIMEOUT_SECONDS - time.monotonic()
+        pause_seconds = clamp(
+            remaining, ACKNOWLEDGEMENT_INTERVAL_SECONDS, DELIVERY_INTERVAL_SECONDS
+        )
+        await anyio.sleep(pause_seconds)
+        try:
+            _record_delivery(raw, sent)
+        except OSError as error:
+            logger.bind(peer=host, error=repr(error)).debug("connection to a peer was lost")
+            scope.cancel()
+            return
+        if not is_under_way(sent):
+            sent.has_bytes = anyio.Event()
+        elif time.monotonic() >= sent.delivered_at + SEND_TIMEOUT_SECONDS:
+            if sent.delivered_at == late_since:
+                logger.bind(peer=host).info("connection to a peer timed out")
+                scope.cancel()
+                return
+            # This process may have been too busy to send, so that nothing could arrive.
+            late_since = sent.delivered_at
+
+
+def _record_delivery(raw: socket.socket, sent: SentFrames) -> None:
+    """Record what the kernel knows of the bytes that were sent.
+
+    Raises
+    ------
+    OSError
+        If the connection is closed.
+    """
+    now = time.monotonic()
+    count, progress = count_acknowledged_bytes(raw), read_progress(raw)
+    if sent.handshake_bytes is not None and count is not None and progress is not None:
+        record_delivery(sent, count - sent.handshake_bytes, now - progress.silent_seconds)
+
+
 def _queue_again(peer: Peer, sent: SentFrames, host: str) -> None:
     """Queue the messages that may not have arrived, before all others."""
     messages = list_unacknowledged(sent)
@@ -363,15 +432,16 @@
         if not messages:
             continue
         batch = SentBatch(session.sequence, time.monotonic(), messages)
-        record_batch(sent, batch)
+        record_batch(sent, batch, len(data))
         try:
-            with anyio.fail_after(SEND_TIMEOUT_SECONDS):
-                await stream.send(data)
-        except (TimeoutError, *CONNECTION_ERRORS) as error:
+            await stream.send(data)
+        except CONNECTION_ERRORS as error:
             logger.bind(error=repr(error)).debug("failed to send to a peer")
             return
         network.sent_bytes += len(data)
         batch.sent_at = time.monotonic()
+        if sent.handshake_bytes is None:
+            record_delivery(sent, sent.sent_bytes, batch.sent_at)
         idle_at = batch.sent_at + IDLE_TIMEOUT_SECONDS
 
 
@@ -379,6 +449,8 @@
     """Wait for messages; return whether there are any and the connection may be used."""
     while True:
         now = time.monotonic()
+        if is_under_way(sent):
+            idle_at = max(idle_at, now + DELIVERY_INTERVAL_SECONDS)
         # Acknowledgements that arrive meanwhile do not end the wait.
         ends_at = [at for at in (idle_at, compute_timeout(sent)) if at is not None and at > now]
         with anyio.move_on_after(min(ends_at, default=now) - now):
@@ -391,7 +463,7 @@
                 return False
         if peer.wakeup.is_set():
             return True
-        if time.monotonic() >= idle_at and not sent.batches:
+        if time.monotonic() >= idle_at and not sent.batches and not is_under_way(sent):
             return False
 
 
