--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -333,7 +333,7 @@
     delivery = Delivery(stream)
     server.deliveries.add(delivery)
     try:
-        set_options(stream, timeout_milliseconds=None)
+        set_options(stream)
         limit_unsent_bytes(stream)
         if await _serve_requests(server, delivery):
             await _linger(server, delivery)
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -11,14 +11,13 @@
 from marjorambridge.transport.reading import limit_reading_ahead
 
 # A peer that disappears without a reset, while nothing is sent to it, is detected by these
-# keepalive probes, with times in seconds. Where a timeout for unacknowledged data is set, it
-# decides when they have failed.
+# keepalive probes, with times in seconds. `marjorambridge.transport.progress` tells what is known
+# of one that data is sent to; a timeout of the kernel would end connections to slow peers, too.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-# Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
-# reads slowly, too; see `marjorambridge.transport.progress`.
-ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
+# An endpoint that acknowledges nothing for this long, although it was asked to, is unreachable.
+ENDPOINT_TIMEOUT_SECONDS = 1.5
 # What the kernel keeps of the data that it has not sent yet. Without this bound, its buffer of a
 # connection grows up to several megabytes, as long as the peer reads slowly.
 MAX_UNSENT_BYTES = 65_536
@@ -35,14 +34,8 @@
 )
 
 
-def set_options(stream: SocketStream, timeout_milliseconds: int | None) -> None:
-    """Disable Nagle's algorithm, detect unreachable peers, and bound what is read ahead.
-
-    Parameters
-    ----------
-    timeout_milliseconds : int or None
-        Time after which data that was not acknowledged counts as lost; None for no such time.
-    """
+def set_options(stream: SocketStream) -> None:
+    """Disable Nagle's algorithm, probe idle peers, and bound what is read ahead."""
     limit_reading_ahead(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -50,8 +43,6 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    if timeout_milliseconds is not None:
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_milliseconds)
 
 
 def limit_unsent_bytes(stream: SocketStream) -> None:
