Keep a connection between hosts when a message of an unknown kind arrives

Each message of a kind that only a later build knows ended its connection, so that a new message that a later build sends regularly would interrupt all others during an upgrade.

--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -47,7 +47,7 @@
 from marjorambridge.transport.progress import read_progress
 from marjorambridge.transport.turn_queue import TurnQueue, acquire_turn, grant_turns
 from marjorambridge.wire.codec import decode_message, encode_message
-from marjorambridge.wire.exceptions import MessageEncodeError, WireError
+from marjorambridge.wire.exceptions import MessageEncodeError, UnknownMessageError, WireError
 from marjorambridge.wire.gen.frame.ttypes import Hello
 
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
@@ -57,6 +57,8 @@
 # Time between two looks at what the system of a peer has received, while bytes are on their way.
 DELIVERY_INTERVAL_SECONDS = 0.25
 MESSAGE_LIFETIME_SECONDS = 2.0
+# Unknown kinds of messages that are logged for a connection.
+MAX_LOGGED_KINDS = 16
 # A connection without a message for this long is closed. It may have become silent without a reset,
 # and the next message would be lost. Regular messages are sent at least every 1.3 s.
 IDLE_TIMEOUT_SECONDS = 3.0
@@ -264,6 +266,7 @@
     reader: BufferedByteReceiveStream,
     received: ReceivedFrames,
 ) -> None:
+    logged: set[str] = set()
     while True:
         data = await _read_frame(reader)
         count_received(received)
@@ -274,7 +277,15 @@
         network.handshake_addresses[hello.host] = hello.address
         if _is_repeated(network, hello, frame.number):
             continue
-        message = decode_message(frame.kind, frame.body)
+        try:
+            message = decode_message(frame.kind, frame.body)
+        except UnknownMessageError as error:
+            # The frame is authentic, and the connection serves the messages that are known.
+            text = str(error)
+            if text not in logged and len(logged) < MAX_LOGGED_KINDS:
+                logged.add(text)
+                logger.bind(peer=hello.host, error=text).warning("dropped unknown messages")
+            continue
         network.post(MessageReceived(time.monotonic(), hello.host, hello.incarnation, message))
 
 
