Count the linger time from when the caller has received its answer

Callers saw a reset in the middle of their last answer on a connection if they sent something more than 1 s after it was complete for the program, such as the next request, or the rest of a body that was refused. A caller that ended its own direction while it read lost the connection as well, so that the end of the process no longer knew of the bytes that were under way.

Cause: the linger time ended 1 s after the buffer of the process was empty. The kernel takes 2.8 MB of an answer at once (loopback, receive buffer of 4 KB), and resets a connection that is closed when more bytes arrive for it.

Evidence: a caller with a receive buffer of 4 KB reads 41,000 bytes at 16 KB/s and sends a request after 2 s.

Ruled out: a longer linger time, since any bound that starts at the last write is one on the rate of the link.

A check every 0.5 s, one task for a server, counts what is not acknowledged in the process and in the kernel. The linger time starts when that is 0. Before, the connection ends if nothing moves for the idle timeout, or after the longest time of a request in sum; both write a log line, and the reset frees the memory of the kernel. A connection whose caller has ended its direction has no reader in the event loop; the check asks the socket for a reset of it.

--- a/marjorambridge/http/callers.py
+++ b/marjorambridge/http/callers.py
@@ -209,6 +209,7 @@
             clock,
         )
         arrived.trace = choose_trace(headers.get("traceparent", ""), arrived.request)
+        scope.setdefault("state", {})["request"] = stored.request
         stored.abort = lambda: abort_connection(scope)
         stored.count_unsent_bytes = lambda: count_unsent_bytes(scope)
         add_request(registry, stored)
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import functools
 import socket
 import struct
 import termios
@@ -10,18 +11,28 @@
 from typing import Any
 
 import uvicorn
+from loguru import logger
 from msgspec import Struct
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from marjorambridge.conf import defaults
+from marjorambridge.http import deliveries
+from marjorambridge.http.deliveries import Delivery
+
 Application = Callable[[dict[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]]
 
 MAX_HEADER_BYTES = 32 * 1024
 IDLE_TIMEOUT_SECONDS = 75.0
 BACKLOG_CONNECTIONS = 1024
-# After the last answer, what the caller still sends is read for this time and up to this size.
+# When the caller has received the last answer, what it still sends is read for this time and up to
+# this size.
 LINGER_SECONDS = 1.0
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
+# Longest time for the delivery of an answer that is complete for the program.
+DELIVERY_TIMEOUT_SECONDS = defaults.MAX_TIMEOUT_SECONDS
+CHECK_INTERVAL_SECONDS = 0.5
 QUEUE_SIZE = struct.Struct("i")
+RESET = struct.Struct("ii")
 
 
 class _LingeringTransport:
@@ -30,11 +41,11 @@
     Closing a connection with unread data resets it, and the caller could lose the answer before.
     """
 
-    __slots__ = ("_discarded_bytes", "_timer", "_transport", "is_lingering")
+    __slots__ = ("_discarded_bytes", "_note_close", "_transport", "is_lingering")
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(self, transport: asyncio.Transport, note_close: Callable[[], None]) -> None:
         self._transport = transport
-        self._timer: asyncio.TimerHandle | None = None
+        self._note_close = note_close
         self._discarded_bytes = 0
         self.is_lingering = False
 
@@ -48,6 +59,7 @@
         if self.is_closing():
             return
         self.is_lingering = True
+        self._note_close()
         try:
             self._transport.write_eof()
         except OSError:
@@ -55,7 +67,6 @@
             self._transport.close()
             return
         self._transport.resume_reading()
-        self._start_timer()
 
     def discard(self, size: int) -> None:
         """Count bytes that arrived after the close."""
@@ -63,20 +74,6 @@
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
             self._transport.close()
 
-    def cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def _start_timer(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(LINGER_SECONDS, self._close_if_written)
-
-    def _close_if_written(self) -> None:
-        if self._transport.get_write_buffer_size():
-            self._start_timer()
-        else:
-            self._transport.close()
-
 
 def _count_unsent_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that the peer has not acknowledged, in this process and in the kernel."""
@@ -89,6 +86,20 @@
     return transport.get_write_buffer_size() + int(queued_bytes)
 
 
+def _has_failed(transport: asyncio.Transport) -> bool:
+    """Return whether the caller has reset a connection that is not read any more."""
+    raw = transport.get_extra_info("socket")
+    return raw.fileno() >= 0 and raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+def _reset_transport(transport: asyncio.Transport) -> None:
+    """Reset a connection, and drop what the kernel holds of its answer."""
+    raw = transport.get_extra_info("socket")
+    if raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET.pack(1, 0))
+    transport.abort()
+
+
 class _HttpProtocol(H11Protocol):
     """Closes idle connections, and gives applications the transport for `abort_connection`.
 
@@ -96,8 +107,15 @@
     or an incomplete header, would keep its connection open forever.
     """
 
+    def __init__(self, delivery_timeout_seconds: float, **options: Any) -> None:
+        super().__init__(**options)
+        self._delivery_timeout_seconds = delivery_timeout_seconds
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        self._lingering = _LingeringTransport(transport)
+        self._plain_transport = transport
+        self._has_ended = False
+        self._delivery = Delivery(self.loop.time(), self.loop.time())
+        self._lingering = _LingeringTransport(transport, self._restart_delivery)
         super().connection_made(self._lingering)  # type: ignore[arg-type]
         self.app_state = {**self.app_state, "transport": transport}
         self._last_checked_cycle: Any = None
@@ -110,11 +128,65 @@
         else:
             super().data_received(data)
 
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        is_busy = self.cycle is not None and not self.cycle.response_complete
+        if is_busy or not _count_unsent_bytes(self._plain_transport):
+            return None
+        # The caller sends nothing more, and still reads its answer.
+        self._has_ended = True
+        self._lingering.close()
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._idle_timer.cancel()
-        self._lingering.cancel_timer()
         super().connection_lost(exc)
 
+    def on_response_complete(self) -> None:
+        self._restart_delivery()
+        super().on_response_complete()
+
+    def _restart_delivery(self) -> None:
+        deliveries.restart(self._delivery, self.loop.time())
+
+    def check(self, now: float) -> None:
+        """End the connection once its caller has received the last answer, or is given up."""
+        if not self._lingering.is_lingering:
+            return
+        transport = self._plain_transport
+        deliveries.count(self._delivery, _count_unsent_bytes(transport), now)
+        if self._has_ended and _has_failed(transport):
+            transport.abort()
+        elif deliveries.is_given_up(
+            self._delivery, self.timeout_keep_alive, self._delivery_timeout_seconds, now
+        ):
+            self.log_end("not_read")
+            _reset_transport(transport)
+        elif not self._delivery.unsent_bytes and (
+            self._has_ended or now - self._delivery.moved_at >= LINGER_SECONDS
+        ):
+            transport.close()
+
+    def log_end(self, reason: str) -> None:
+        """Log that the connection ends before the caller has received its answer."""
+        buffered_bytes = self._plain_transport.get_write_buffer_size()
+        logger.bind(
+            reason=reason,
+            request=self.scope["state"].get("request", "") if self.scope else "",
+            state=self._name_state(),
+            seconds=round(self.loop.time() - self._delivery.moved_at, 3),
+            unsent_bytes=buffered_bytes,
+            unacknowledged_bytes=_count_unsent_bytes(self._plain_transport) - buffered_bytes,
+        ).warning("a connection is reset before its caller has received the answer")
+
+    def _name_state(self) -> str:
+        # uvicorn has no cycle before the first request.
+        cycle: Any = self.cycle
+        if cycle is None:
+            return "reading the head"
+        if cycle.response_complete:
+            return "written"
+        return "streaming" if cycle.response_started else "waiting for an answer"
+
     def _check_idle(self) -> None:
         busy = self.cycle is not None and not self.cycle.response_complete
         # The last write of an answer does not wait until the caller has read it.
@@ -148,15 +220,19 @@
     address: str
     server: uvicorn.Server
     task: asyncio.Task[None]
+    checks: asyncio.Task[None]
 
 
 def create_config(
-    application: Application, idle_timeout_seconds: float, max_header_bytes: int
+    application: Application,
+    idle_timeout_seconds: float,
+    max_header_bytes: int,
+    delivery_timeout_seconds: float = DELIVERY_TIMEOUT_SECONDS,
 ) -> uvicorn.Config:
     """Return the configuration of a server, which writes no access log."""
     return uvicorn.Config(
         application,
-        http=_HttpProtocol,
+        http=functools.partial(_HttpProtocol, delivery_timeout_seconds),  # type: ignore[arg-type]
         ws="none",
         proxy_headers=False,
         lifespan="off",
@@ -175,6 +251,7 @@
     port: int,
     idle_timeout_seconds: float = IDLE_TIMEOUT_SECONDS,
     max_header_bytes: int = MAX_HEADER_BYTES,
+    delivery_timeout_seconds: float = DELIVERY_TIMEOUT_SECONDS,
 ) -> HttpServer:
     """Listen on `host` and `port` and serve `application` until `close_server`.
 
@@ -185,6 +262,9 @@
     idle_timeout_seconds : float
         Time after which a connection without a request in progress is closed, unless its caller
         still reads an answer; a header that arrives in part after an answer may take twice as long.
+        It also bounds the pauses of a caller in its last answer.
+    delivery_timeout_seconds : float
+        Longest time for the delivery of the last answer on a connection, from its last write.
 
     Raises
     ------
@@ -203,7 +283,9 @@
     except OSError:
         listener.close()
         raise
-    config = create_config(application, idle_timeout_seconds, max_header_bytes)
+    config = create_config(
+        application, idle_timeout_seconds, max_header_bytes, delivery_timeout_seconds
+    )
     server = _EmbeddedServer(config)
     task = asyncio.create_task(server.serve(sockets=[listener]), name="http-server")
     while not server.started and not task.done():
@@ -211,7 +293,16 @@
     if task.done():
         await task
     bound = listener.getsockname()
-    return HttpServer(f"{bound[0]}:{bound[1]}", server, task)
+    checks = asyncio.create_task(_check_connections(server), name="http-checks")
+    return HttpServer(f"{bound[0]}:{bound[1]}", server, task, checks)
+
+
+async def _check_connections(server: uvicorn.Server) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        for protocol in list(server.server_state.connections):
+            protocol.check(loop.time())  # type: ignore[union-attr]
 
 
 async def close_server(http_server: HttpServer, drain_seconds: float | None = 0.0) -> None:
@@ -224,7 +315,12 @@
     """
     http_server.server.config.timeout_graceful_shutdown = drain_seconds  # type: ignore[assignment]
     http_server.server.should_exit = True
-    await http_server.task
+    try:
+        await http_server.task
+    finally:
+        http_server.checks.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await http_server.checks
 
 
 def abort_connections(http_server: HttpServer) -> int:
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -47,7 +47,7 @@
     "phase": "step of a claim",
     "prompt_tokens": "length of a prompt in tokens",
     "previous": "replica that the host polled before; empty for none",
-    "reason": "reason of an outcome or of a halt",
+    "reason": "reason of an outcome, of a halt or of the end of a connection",
     "removed": "number of endpoints that an update from a replica removed",
     "replica": "host that keeps a replica",
     "replicas_answering": "replicas that answered the last poll",
--- a/tests/http/helpers.py
+++ b/tests/http/helpers.py
@@ -31,9 +31,16 @@
 
 @contextlib.asynccontextmanager
 async def serve(application, **options):
+    async with serve_open(application, **options) as server:
+        yield server.address
+
+
+@contextlib.asynccontextmanager
+async def serve_open(application, **options):
+    """Serve like `serve`, and yield the server."""
     server = await servers.start_server(application, "127.0.0.1", 0, **options)
     try:
-        yield server.address
+        yield server
     finally:
         await servers.close_server(server)
 
@@ -84,6 +91,7 @@
     events: list = field(default_factory=list)
     on_event: object = None
     address: str = ""
+    connections: object = frozenset()
 
     def post(self, event):
         self.events.append(event)
@@ -98,7 +106,9 @@
 async def serve_callers(on_event=None, settings=None, registry=None, **options):
     caller = CallerServer(registry or RequestRegistry(), on_event=on_event)
     application = callers.build_application(caller.registry, caller.post, settings)
-    async with serve(application, **options) as caller.address:
+    async with serve_open(application, **options) as server:
+        caller.address = server.address
+        caller.connections = server.server.server_state.connections
         yield caller
 
 
--- /dev/null
+++ b/tests/http/test_slow_callers.py
@@ -0,0 +1,126 @@
+"""Guard callers that read steadily and slowly, or whose link stands still, against cut answers."""
+
+import asyncio
+import contextlib
+import ctypes
+import socket
+import struct
+
+from marjorambridge.core.outcomes import Done
+from marjorambridge.http import servers
+from marjorambridge.http.registry import deliver_effect
+from marjorambridge.requests.effects import FinishRequest, ForwardChunk
+from marjorambridge.requests.events import RequestArrived
+from tests.http.helpers import serve_callers, wait_for
+
+RECEIVE_BUFFER_BYTES = 4_096
+READ_BYTES = 1_024
+BYTES_PER_SECOND = 16_000
+ANSWER_BYTES = 41_000
+# Options of Linux that the socket module has no names for, and a filter that accepts no packet.
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+DROP_ALL = struct.pack("=HBBI", 0x06, 0, 0, 0)
+
+
+class Caller:
+    """A caller with a small receive buffer on a link with a fixed rate, which may vanish."""
+
+    def __init__(self):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.socket.setblocking(False)
+
+    async def connect(self, address):
+        host, port = address.split(":")
+        await asyncio.get_running_loop().sock_connect(self.socket, (host, int(port)))
+
+    async def send(self, *headers):
+        lines = (b"GET /services/app/x HTTP/1.1", b"Host: x", *headers, b"", b"")
+        await asyncio.get_running_loop().sock_sendall(self.socket, b"\r\n".join(lines))
+
+    async def read_answer(self, rate=BYTES_PER_SECOND):
+        """Return an answer whose parts have chunked framing, or what there is of it."""
+        loop, data = asyncio.get_running_loop(), b""
+        started = loop.time()
+        with contextlib.suppress(ConnectionError):
+            while not data.endswith(b"\r\n0\r\n\r\n"):
+                part = await loop.sock_recv(self.socket, READ_BYTES)
+                if not part:
+                    break
+                data += part
+                await asyncio.sleep(started + len(data) / rate - loop.time())
+        return data
+
+    def drop_packets(self):
+        """Let this end of the connection receive nothing, so that it acknowledges nothing."""
+        instruction = ctypes.create_string_buffer(DROP_ALL)
+        program = struct.pack("HP", 1, ctypes.addressof(instruction))
+        self.socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+    def receive_packets(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
+@contextlib.asynccontextmanager
+async def connect(address):
+    caller = Caller()
+    try:
+        await caller.connect(address)
+        yield caller
+    finally:
+        caller.socket.close()
+
+
+def deliver(registry, request, size, is_last=True):
+    deliver_effect(registry, ForwardChunk(request, 0, size, b"x" * size))
+    if is_last:
+        deliver_effect(registry, FinishRequest(request, Done()))
+
+
+@contextlib.asynccontextmanager
+async def serve_answers(size, **options):
+    """Answer each request at once with `size` bytes."""
+
+    def answer(event):
+        if isinstance(event, RequestArrived):
+            deliver(server.registry, event.request, size)
+
+    async with serve_callers(answer, **options) as server:
+        yield server
+
+
+def is_whole(data, size=ANSWER_BYTES):
+    return data.endswith(b"\r\n0\r\n\r\n") and data.count(b"x") == size
+
+
+def test_a_caller_that_sends_while_it_reads_its_last_answer_gets_all_of_it():
+    """Guard against a linger time that ends while the kernel still has a part of the answer."""
+
+    async def run():
+        async with serve_answers(ANSWER_BYTES) as server, connect(server.address) as caller:
+            await caller.send(b"Connection: close")
+            reading = asyncio.create_task(caller.read_answer())
+            await asyncio.sleep(2 * servers.LINGER_SECONDS)
+            with contextlib.suppress(ConnectionError):
+                await caller.send()
+            data = await reading
+            assert is_whole(data), f"{len(data)} bytes of {ANSWER_BYTES}"
+
+    asyncio.run(run())
+
+
+def test_a_caller_that_ends_its_direction_while_it_reads_gets_all_of_its_answer():
+    """Guard against a connection that counts as closed while the kernel has a part of an answer."""
+
+    async def run():
+        async with serve_answers(ANSWER_BYTES) as server, connect(server.address) as caller:
+            await caller.send(b"Connection: close")
+            await asyncio.sleep(0.5)
+            caller.socket.shutdown(socket.SHUT_WR)
+            reading = asyncio.create_task(caller.read_answer())
+            await asyncio.sleep(1.0)
+            assert len(server.connections) == 1
+            assert is_whole(await reading)
+            await wait_for(lambda: not server.connections)
+
+    asyncio.run(run())
