Begin the idle limit when the caller has received its answer

Callers that read slowly saw a kept connection close a moment after their answer had arrived, and lost the request that they sent next on it.

Cause: two timers. That of uvicorn started with the last write of an answer, and then ended the connection. Ours compared the bytes that were not acknowledged once for each idle timeout, and counted the first comparison of an answer as idle.

Evidence: idle timeout of 1.5 s, receive buffer of 4 KB, two answers of 41,000 bytes at 16 KB/s, the second request 1.05 s after the first answer has arrived.

Ruled out: shorter intervals of our timer alone, since that of uvicorn would still close first.

The check that counts the bytes for the linger time now does so for kept connections, too. The idle limit starts with the check that finds nothing unsent, and once more with the first byte of a request, as before. A connection without unsent bytes costs no system call. An idle connection ends its own direction first, as that of uvicorn did.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -114,44 +114,56 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         self._plain_transport = transport
         self._has_ended = False
+        self._has_begun = False
         self._delivery = Delivery(self.loop.time(), self.loop.time())
+        self._restart_delivery()
         self._lingering = _LingeringTransport(transport, self._restart_delivery)
         super().connection_made(self._lingering)  # type: ignore[arg-type]
         self.app_state = {**self.app_state, "transport": transport}
-        self._last_checked_cycle: Any = None
-        self._last_unsent_bytes = 0
-        self._idle_timer = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
 
     def data_received(self, data: bytes) -> None:
         if self._lingering.is_lingering:
             self._lingering.discard(len(data))
-        else:
-            super().data_received(data)
+            return
+        if not self._has_begun:
+            self._has_begun = True
+            self._waits_since = self.loop.time()
+        super().data_received(data)
 
     def eof_received(self) -> bool | None:  # type: ignore[override]
-        is_busy = self.cycle is not None and not self.cycle.response_complete
-        if is_busy or not _count_unsent_bytes(self._plain_transport):
+        if self._is_busy() or not _count_unsent_bytes(self._plain_transport):
             return None
         # The caller sends nothing more, and still reads its answer.
         self._has_ended = True
         self._lingering.close()
         return True
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._idle_timer.cancel()
-        super().connection_lost(exc)
-
     def on_response_complete(self) -> None:
+        self._has_begun = False
         self._restart_delivery()
         super().on_response_complete()
+        # The timer of uvicorn starts when the last answer is written; see `check`.
+        self._unset_keepalive_if_required()
+
+    def _is_busy(self) -> bool:
+        is_closing = self._lingering.is_lingering
+        return self.cycle is not None and not self.cycle.response_complete and not is_closing
 
     def _restart_delivery(self) -> None:
-        deliveries.restart(self._delivery, self.loop.time())
+        self._waits_since = self.loop.time()
+        self._is_delivered = False
+        deliveries.restart(self._delivery, self._waits_since)
 
     def check(self, now: float) -> None:
-        """End the connection once its caller has received the last answer, or is given up."""
-        if not self._lingering.is_lingering:
+        """End the connection if it is idle, if it lingered, or if its caller is given up."""
+        if self._is_busy():
             return
+        if not self._is_delivered:
+            self._check_delivery(now)
+        elif now - self._waits_since >= self.timeout_keep_alive:
+            self.transport.close()
+
+    def _check_delivery(self, now: float) -> None:
         transport = self._plain_transport
         deliveries.count(self._delivery, _count_unsent_bytes(transport), now)
         if self._has_ended and _has_failed(transport):
@@ -161,9 +173,12 @@
         ):
             self.log_end("not_read")
             _reset_transport(transport)
-        elif not self._delivery.unsent_bytes and (
-            self._has_ended or now - self._delivery.moved_at >= LINGER_SECONDS
-        ):
+        elif self._delivery.unsent_bytes:
+            return
+        elif not self._lingering.is_lingering:
+            self._is_delivered = True
+            self._waits_since = max(self._waits_since, self._delivery.moved_at)
+        elif self._has_ended or now - self._delivery.moved_at >= LINGER_SECONDS:
             transport.close()
 
     def log_end(self, reason: str) -> None:
@@ -187,18 +202,6 @@
             return "written"
         return "streaming" if cycle.response_started else "waiting for an answer"
 
-    def _check_idle(self) -> None:
-        busy = self.cycle is not None and not self.cycle.response_complete
-        # The last write of an answer does not wait until the caller has read it.
-        unsent_bytes = _count_unsent_bytes(self.transport)
-        busy = busy or 0 < unsent_bytes < self._last_unsent_bytes
-        self._last_unsent_bytes = unsent_bytes
-        if not busy and self._last_checked_cycle is self.cycle:
-            self.transport.abort()
-            return
-        self._last_checked_cycle = None if busy else self.cycle
-        self._idle_timer = self.loop.call_later(self.timeout_keep_alive, self._check_idle)
-
 
 class _EmbeddedServer(uvicorn.Server):
     """A server that leaves signal handling to the embedding process."""
@@ -260,11 +263,11 @@
     port : int
         0 lets the operating system choose a free port.
     idle_timeout_seconds : float
-        Time after which a connection without a request in progress is closed, unless its caller
-        still reads an answer; a header that arrives in part after an answer may take twice as long.
-        It also bounds the pauses of a caller in its last answer.
+        Time after which a connection without a request in progress is closed. It begins when the
+        caller has received the answer before, and once more with the first byte of a request. It
+        also bounds the pauses of a caller that reads the rest of an answer.
     delivery_timeout_seconds : float
-        Longest time for the delivery of the last answer on a connection, from its last write.
+        Longest time for the delivery of an answer, from its last write.
 
     Raises
     ------
--- a/tests/http/test_slow_callers.py
+++ b/tests/http/test_slow_callers.py
@@ -11,7 +11,7 @@
 from marjorambridge.http.registry import deliver_effect
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk
 from marjorambridge.requests.events import RequestArrived
-from tests.http.helpers import serve_callers, wait_for
+from tests.http.helpers import serve_callers, serve_open, wait_for
 
 RECEIVE_BUFFER_BYTES = 4_096
 READ_BYTES = 1_024
@@ -93,6 +93,23 @@
     return data.endswith(b"\r\n0\r\n\r\n") and data.count(b"x") == size
 
 
+def test_the_connection_of_an_answer_that_breaks_off_is_closed():
+    """Guard against a connection that is kept since its answer never gets complete."""
+
+    async def break_off(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        raise RuntimeError("the application failed")
+
+    async def run():
+        async with serve_open(break_off) as server, connect(server.address) as caller:
+            await caller.send()
+            connections = server.server.server_state.connections
+            await wait_for(lambda: connections)
+            await wait_for(lambda: not connections)
+
+    asyncio.run(run())
+
+
 def test_a_caller_that_sends_while_it_reads_its_last_answer_gets_all_of_it():
     """Guard against a linger time that ends while the kernel still has a part of the answer."""
 
@@ -124,3 +141,21 @@
             await wait_for(lambda: not server.connections)
 
     asyncio.run(run())
+
+
+def test_the_idle_limit_begins_when_the_caller_has_its_answer():
+    """Guard against a connection that is closed a moment after its answer has arrived."""
+    idle_seconds = 1.5
+
+    async def run():
+        options = {"idle_timeout_seconds": idle_seconds}
+        serving = serve_answers(ANSWER_BYTES, **options)
+        async with serving as server, connect(server.address) as caller:
+            for _ in range(2):
+                await caller.send()
+                data = await caller.read_answer()
+                assert is_whole(data), f"{len(data)} bytes of {ANSWER_BYTES}"
+                await asyncio.sleep(0.7 * idle_seconds)
+            await wait_for(lambda: not server.connections)
+
+    asyncio.run(run())
