Notice within seconds that a caller has vanished

Operators saw requests go on for callers that were gone without a word: uvicorn sets neither keep-alive nor a timeout, so that only the retransmissions of the kernel end (tcp_retries2, 15 here), and the limit of a write counts only when the buffer of the process is full.

So silence counts from when the check first sees that the kernel asks in vain.

The check that exists asks the kernel for TCP_INFO of each connection with a request in progress or with unsent bytes, twice a second. Where the kernel doesn't tell, nothing changes. The reset frees the memory that the kernel holds for the answer. A caller that vanishes while nothing is written to it is still noticed only with the next write.

--- a/marjorambridge/http/deliveries.py
+++ b/marjorambridge/http/deliveries.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from marjorambridge.transport.progress import PeerProgress, is_unreachable
+
 
 class Delivery(Struct):
     """What was seen of the delivery of an answer that the program has written.
@@ -13,11 +15,15 @@
         which bytes of it were last seen to arrive.
     unsent_bytes : int
         Bytes that the caller had not acknowledged when they were last counted.
+    unanswered_since : float or None
+        Monotonic time in seconds at which the system of the caller was first seen not to answer;
+        None while it answers.
     """
 
     began_at: float
     moved_at: float
     unsent_bytes: int = 0
+    unanswered_since: float | None = None
 
 
 def restart(delivery: Delivery, now: float) -> None:
@@ -45,3 +51,30 @@
     """
     is_paused = now - delivery.moved_at >= pause_seconds
     return delivery.unsent_bytes > 0 and (is_paused or now - delivery.began_at >= timeout_seconds)
+
+
+def note_progress(delivery: Delivery, progress: PeerProgress, now: float) -> None:
+    """Take what the kernel knows of the system of the caller."""
+    if not progress.unanswered:
+        delivery.unanswered_since = None
+    elif delivery.unanswered_since is None:
+        delivery.unanswered_since = now
+
+
+def has_vanished(
+    delivery: Delivery, progress: PeerProgress, timeout_seconds: float, now: float
+) -> bool:
+    """Return whether the system of a caller has not answered for a time.
+
+    The time since its last acknowledgement alone is not enough: it also passes while an engine
+    writes nothing.
+
+    Examples
+    --------
+    >>> delivery, progress = Delivery(0.0, 0.0, unanswered_since=30.0), PeerProgress(2, 30.7)
+    >>> has_vanished(delivery, progress, 4.0, 30.7), has_vanished(delivery, progress, 4.0, 34.0)
+    (False, True)
+    """
+    since = delivery.unanswered_since
+    is_long = since is not None and now - since >= timeout_seconds
+    return is_long and is_unreachable(progress, timeout_seconds)
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -18,6 +18,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.http import deliveries
 from marjorambridge.http.deliveries import Delivery
+from marjorambridge.transport.progress import read_progress
 
 Application = Callable[[dict[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]]
 
@@ -30,6 +31,8 @@
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 # Longest time for the delivery of an answer that is complete for the program.
 DELIVERY_TIMEOUT_SECONDS = defaults.MAX_TIMEOUT_SECONDS
+# A caller whose system has answered nothing for this time, although it was asked to, has vanished.
+UNREACHABLE_SECONDS = 4.0
 CHECK_INTERVAL_SECONDS = 0.5
 QUEUE_SIZE = struct.Struct("i")
 RESET = struct.Struct("ii")
@@ -157,12 +160,26 @@
     def check(self, now: float) -> None:
         """End the connection if it is idle, if it lingered, or if its caller is given up."""
         if self._is_busy():
-            return
-        if not self._is_delivered:
-            self._check_delivery(now)
+            self._check_presence(now)
+        elif not self._is_delivered:
+            if self._check_presence(now):
+                self._check_delivery(now)
         elif now - self._waits_since >= self.timeout_keep_alive:
             self.transport.close()
 
+    def _check_presence(self, now: float) -> bool:
+        """Reset the connection, and return False, if its caller has vanished."""
+        raw = self._plain_transport.get_extra_info("socket")
+        progress = read_progress(raw) if raw.fileno() >= 0 else None
+        if progress is None:
+            return True
+        deliveries.note_progress(self._delivery, progress, now)
+        if not deliveries.has_vanished(self._delivery, progress, UNREACHABLE_SECONDS, now):
+            return True
+        self.log_end("unreachable")
+        _reset_transport(self._plain_transport)
+        return False
+
     def _check_delivery(self, now: float) -> None:
         transport = self._plain_transport
         deliveries.count(self._delivery, _count_unsent_bytes(transport), now)
--- a/tests/http/test_slow_callers.py
+++ b/tests/http/test_slow_callers.py
@@ -5,13 +5,16 @@
 import ctypes
 import socket
 import struct
+import time
+
+import pytest
 
 from marjorambridge.core.outcomes import Done
 from marjorambridge.http import servers
 from marjorambridge.http.registry import deliver_effect
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk
-from marjorambridge.requests.events import RequestArrived
-from tests.http.helpers import serve_callers, serve_open, wait_for
+from marjorambridge.requests.events import CallerGone, RequestArrived
+from tests.http.helpers import WAIT_SECONDS, serve_callers, serve_open, wait_for
 
 RECEIVE_BUFFER_BYTES = 4_096
 READ_BYTES = 1_024
@@ -44,7 +47,8 @@
         started = loop.time()
         with contextlib.suppress(ConnectionError):
             while not data.endswith(b"\r\n0\r\n\r\n"):
-                part = await loop.sock_recv(self.socket, READ_BYTES)
+                async with asyncio.timeout(WAIT_SECONDS):
+                    part = await loop.sock_recv(self.socket, READ_BYTES)
                 if not part:
                     break
                 data += part
@@ -159,3 +163,57 @@
             await wait_for(lambda: not server.connections)
 
     asyncio.run(run())
+
+
+def test_a_caller_that_vanishes_while_an_answer_is_written_is_noticed_soon():
+    """Guard against a request that goes on for a caller that acknowledges nothing."""
+
+    async def run():
+        async with serve_callers() as server, connect(server.address) as caller:
+            await caller.send()
+            (arrived,) = await wait_for(lambda: server.select(RequestArrived))
+            caller.drop_packets()
+            deliver(server.registry, arrived.request, 100, is_last=False)
+            started = time.monotonic()
+            await wait_for(lambda: server.select(CallerGone))
+            seconds = time.monotonic() - started
+            assert seconds < 2 * servers.UNREACHABLE_SECONDS
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("has_vanished", [True, False])
+def test_a_caller_that_reads_nothing_is_told_from_one_that_has_vanished(
+    has_vanished,
+):
+    """Guard against a connection of a vanished caller that stays, or a present one that is cut."""
+
+    async def run():
+        async with serve_answers(ANSWER_BYTES) as server, connect(server.address) as caller:
+            await caller.send()
+            await wait_for(lambda: server.select(RequestArrived))
+            if has_vanished:
+                caller.drop_packets()
+            await asyncio.sleep(2 * servers.UNREACHABLE_SECONDS)
+            assert bool(server.connections) == (not has_vanished)
+            if not has_vanished:
+                assert is_whole(await caller.read_answer(rate=1e9))
+
+    asyncio.run(run())
+
+
+def test_a_link_that_stands_still_for_a_moment_after_a_pause_of_the_engine_cuts_nothing():
+    """Guard against silence that is counted from a time at which nothing was sent."""
+
+    async def run():
+        async with serve_callers() as server, connect(server.address) as caller:
+            await caller.send()
+            (arrived,) = await wait_for(lambda: server.select(RequestArrived))
+            await asyncio.sleep(1.2 * servers.UNREACHABLE_SECONDS)
+            caller.drop_packets()
+            deliver(server.registry, arrived.request, 100)
+            await asyncio.sleep(0.4 * servers.UNREACHABLE_SECONDS)
+            caller.receive_packets()
+            assert is_whole(await caller.read_answer(), 100)
+
+    asyncio.run(run())
