Log the answers that callers have not received when the process ends

Callers with a slow link could lose the end of an answer when a host stopped: the process ended about 1 s after its last request was complete, and left what was missing to the kernel, which may end with it, such as in a container. Nothing in the log named such answers.

Cause: a connection counted as closed when the buffer of the process was empty.

Evidence, on: a caller with a receive buffer of 4 KB reads while the host closes 0.1 or 1.5 s after its request.

Ruled out: a fixed time to flush, which is again a bound on the rate of the link.

At the end of the drain, each connection with a request in progress or unacknowledged bytes gets a line with request, state and bytes, 50 at most, and a count of the others. The longest time for a delivery is that of a request (requests.max_timeout_seconds).

--- a/marjorambridge/daemon/host.py
+++ b/marjorambridge/daemon/host.py
@@ -240,7 +240,13 @@
     }
     for address, application in applications.items():
         ip, _, port = address.rpartition(":")
-        host.servers.append(await start_server(application, ip.strip("[]"), int(port)))
+        server = await start_server(
+            application,
+            ip.strip("[]"),
+            int(port),
+            delivery_timeout_seconds=host.settings.requests.max_timeout_seconds,
+        )
+        host.servers.append(server)
 
 
 async def _measure_loop_delay(runtime: Runtime) -> None:
@@ -266,7 +272,7 @@
 
 
 async def close(host: Host) -> None:
-    """Flush the last answers to callers and close all drivers."""
+    """Wait until callers have received the last answers, and close all drivers."""
     caller_server, *other_servers = host.servers
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_abort_late_answers, host, caller_server)
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -34,6 +34,8 @@
 # A caller whose system has answered nothing for this time, although it was asked to, has vanished.
 UNREACHABLE_SECONDS = 4.0
 CHECK_INTERVAL_SECONDS = 0.5
+# Answers cut by the end of the process that are logged one by one; the others are counted.
+MAX_CUT_LINES = 50
 QUEUE_SIZE = struct.Struct("i")
 RESET = struct.Struct("ii")
 
@@ -198,6 +200,10 @@
         elif self._has_ended or now - self._delivery.moved_at >= LINGER_SECONDS:
             transport.close()
 
+    def is_cut_by_end(self) -> bool:
+        """Return whether the caller waits for an answer, or has not received all of it."""
+        return self._is_busy() or _count_unsent_bytes(self._plain_transport) > 0
+
     def log_end(self, reason: str) -> None:
         """Log that the connection ends before the caller has received its answer."""
         buffered_bytes = self._plain_transport.get_write_buffer_size()
@@ -344,8 +350,15 @@
 
 
 def abort_connections(http_server: HttpServer) -> int:
-    """Reset all connections, and return how many there were."""
-    protocols = list(http_server.server.server_state.connections)
+    """Reset all connections, log the answers that this cuts, and return how many there were."""
+    protocols: list[Any] = list(http_server.server.server_state.connections)
+    cut = [protocol for protocol in protocols if protocol.is_cut_by_end()]
+    for protocol in cut[:MAX_CUT_LINES]:
+        protocol.log_end("process_ends")
+    if len(cut) > MAX_CUT_LINES:
+        logger.bind(cut=len(cut) - MAX_CUT_LINES).warning(
+            "further connections are reset before their callers have received the answer"
+        )
     for protocol in protocols:
         protocol.transport.abort()
     return len(protocols)
--- a/tests/daemon/test_closing.py
+++ b/tests/daemon/test_closing.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
+from loguru import logger
 
 from marjorambridge.core.events import ShutdownRequested
 from marjorambridge.core.outcomes import Done
@@ -22,15 +23,17 @@
 ANSWER_BYTES = 7_000_000
 RECEIVE_BUFFER_BYTES = 4_096
 END = b"0\r\n\r\n"
+# Most that the system of a caller with this receive buffer, and its stream, hold unread.
+UNREAD_BYTES = 4 * RECEIVE_BUFFER_BYTES
 
 
-async def start_host(harness):
+async def start_host(harness, answer_bytes=ANSWER_BYTES):
     """Return a host that serves callers and has drained, but has nothing else."""
     registry = RequestRegistry()
 
     def answer(event):
         if isinstance(event, RequestArrived):
-            chunk = ForwardChunk(event.request, 0, ANSWER_BYTES, b"x" * ANSWER_BYTES)
+            chunk = ForwardChunk(event.request, 0, answer_bytes, b"x" * answer_bytes)
             deliver_effect(registry, chunk)
             deliver_effect(registry, FinishRequest(event.request, Done()))
 
@@ -124,3 +127,62 @@
     data, seconds = asyncio.run(close_with_slow_caller(harness, 5 * FLUSH_SECONDS))
     assert not data.endswith(END)
     assert seconds < 10 * FLUSH_SECONDS
+
+
+async def read_at_rate(reader, data, bytes_per_second):
+    """Read up to the end of the connection into `data`, at a fixed rate."""
+    started = time.monotonic()
+    try:
+        while part := await reader.read(512):
+            data += part
+            await asyncio.sleep(started + len(data) / bytes_per_second - time.monotonic())
+    except ConnectionError:
+        pass
+
+
+@pytest.mark.parametrize("seconds_before", [0.1, 1.5])
+@pytest.mark.parametrize(("size", "rate"), [(41_000, 12_000), (101_000, 16_000)])
+def test_the_process_ends_when_callers_have_received_their_answers(size, rate, seconds_before):
+    """Guard against an end of the process while the kernel still has a part of an answer."""
+
+    async def scenario():
+        host = await start_host(build_harness(drain_seconds=60.0), size)
+        reader, writer = await connect(host.servers[0].address)
+        writer.write(b"GET /services/app/x HTTP/1.1\r\nHost: x\r\n\r\n")
+        data = bytearray()
+        reading = asyncio.create_task(read_at_rate(reader, data, rate))
+        await asyncio.sleep(seconds_before)
+        await hosts.close(host)
+        unread_bytes = size - data.count(b"x")
+        await reading
+        writer.close()
+        return bytes(data), unread_bytes
+
+    data, unread_bytes = asyncio.run(scenario())
+    assert data.endswith(END) and data.count(b"x") == size
+    assert unread_bytes <= UNREAD_BYTES
+
+
+def test_answers_that_are_not_delivered_at_the_end_of_the_drain_are_logged():
+    """Guard against an answer that its caller lost, and that no line of the log names."""
+    lines = []
+
+    async def scenario():
+        host = await start_host(build_harness(drain_seconds=0.0), 41_000)
+        reader, writer = await connect(host.servers[0].address)
+        idle = await asyncio.open_connection(*host.servers[0].address.split(":"))
+        writer.write(b"GET /services/app/x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readline()
+        await hosts.close(host)
+        for each in (writer, idle[1]):
+            each.close()
+
+    sink = logger.add(lambda line: lines.append(line.record), level="WARNING")
+    try:
+        asyncio.run(scenario())
+    finally:
+        logger.remove(sink)
+    (cut,) = [line["extra"] for line in lines if "unacknowledged_bytes" in line["extra"]]
+    assert (cut["state"], cut["reason"]) == ("written", "process_ends")
+    assert len(cut["request"]) == 32
+    assert 0 < cut["unacknowledged_bytes"] + cut["unsent_bytes"] <= 42_000
