Give a caller that reads nothing the whole limit of a write

A caller that paused for half of send_timeout_seconds (15 of 30 s) while it read a long answer could see its connection reset.

Cause: the bytes that were not acknowledged were compared twice within the limit, and the write ended if they were the same at both times, so that half of the limit without progress was enough.

Evidence: limit of 1.2 s, 5 MB, a caller that reads for 0.5 s, pauses for 0.8 s and reads the rest. Before this change it did not get the whole answer, and now it does. With a pause of 1.6 s it is cut, before and now.

Ruled out: that one write counts as a whole. A caller that reads steadily was not cut before either; the existing test of it holds.

The time since bytes last moved is compared with the limit now, eight times within it.

--- a/marjorambridge/http/answers.py
+++ b/marjorambridge/http/answers.py
@@ -25,6 +25,10 @@
 from marjorambridge.http.settings import CallerSettings
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk, ForwardHeaders
 
+# How often the progress of a caller is looked at within the limit of a write, which may be exceeded
+# by two intervals.
+CHECKS_PER_LIMIT = 8
+
 
 class _AnswerProgress(Struct):
     """Progress of the answer to one caller."""
@@ -158,19 +162,20 @@
 async def _limit_write(stored: StoredRequest, seconds: float) -> AsyncIterator[None]:
     """Raise `TimeoutError` once the caller has read nothing for `seconds`."""
     loop = asyncio.get_running_loop()
-    last_unsent_bytes = -1
+    last_unsent_bytes, moved_at = -1, loop.time()
     timer: asyncio.TimerHandle
 
     def check() -> None:
-        nonlocal last_unsent_bytes, timer
+        nonlocal last_unsent_bytes, moved_at, timer
         unsent_bytes = stored.count_unsent_bytes()
-        if unsent_bytes == last_unsent_bytes:
+        if unsent_bytes != last_unsent_bytes:
+            last_unsent_bytes, moved_at = unsent_bytes, loop.time()
+        elif loop.time() - moved_at >= seconds:
             limit.reschedule(loop.time())
             return
-        last_unsent_bytes = unsent_bytes
-        timer = loop.call_later(seconds / 2, check)
+        timer = loop.call_later(seconds / CHECKS_PER_LIMIT, check)
 
-    timer = loop.call_later(seconds / 2, check)
+    timer = loop.call_later(seconds / CHECKS_PER_LIMIT, check)
     try:
         async with asyncio.timeout(None) as limit:
             yield
--- a/marjorambridge/http/settings.py
+++ b/marjorambridge/http/settings.py
@@ -22,7 +22,8 @@
     body_idle_timeout_seconds, body_timeout_seconds : float
         Longest pause between two parts of a body, and longest time for a whole body.
     send_timeout_seconds : float
-        Longest time that a write may wait for a caller that reads nothing.
+        Longest time that a write may wait while a caller reads nothing; a caller that reads slowly
+        may take longer for it.
     """
 
     max_header_bytes: int = MAX_HEADER_BYTES
--- a/tests/http/test_slow_callers.py
+++ b/tests/http/test_slow_callers.py
@@ -12,6 +12,7 @@
 from marjorambridge.core.outcomes import Done
 from marjorambridge.http import servers
 from marjorambridge.http.registry import deliver_effect
+from marjorambridge.http.settings import CallerSettings
 from marjorambridge.requests.effects import FinishRequest, ForwardChunk
 from marjorambridge.requests.events import CallerGone, RequestArrived
 from tests.http.helpers import WAIT_SECONDS, serve_callers, serve_open, wait_for
@@ -217,3 +218,31 @@
             assert is_whole(await caller.read_answer(), 100)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("pause_seconds", [0.8, 1.6])
+def test_a_write_may_wait_for_a_caller_for_the_whole_of_its_limit(pause_seconds):
+    """Guard against a caller that is cut for a pause that is shorter than the limit."""
+    size = 5_000_000
+
+    async def run():
+        settings = CallerSettings(send_timeout_seconds=1.2)
+        async with serve_callers(settings=settings) as server, connect(server.address) as caller:
+            await caller.send()
+            (arrived,) = await wait_for(lambda: server.select(RequestArrived))
+            deliver(server.registry, arrived.request, size)
+            loop, data = asyncio.get_running_loop(), b""
+            started = loop.time()
+            # The caller reads, pauses, and reads the rest.
+            with contextlib.suppress(ConnectionError):
+                while loop.time() < started + 0.5:
+                    data += await loop.sock_recv(caller.socket, READ_BYTES)
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(pause_seconds)
+                while part := await loop.sock_recv(caller.socket, 1 << 16):
+                    data += part
+                    if data.endswith(b"\r\n0\r\n\r\n"):
+                        break
+            assert is_whole(data, size) == (pause_seconds < 1.2)
+
+    asyncio.run(run())
