Bound what the kernel holds for a caller that reads slowly

Each caller that reads nothing, or slowly, cost a host up to 2.8 MB in the kernel for a long answer on loopback: the kernel takes what it may without sending it, up to tcp_wmem (4 MB).

Evidence: a caller with a receive buffer of 4 KB reads nothing of 5 MB. The kernel held 2,803,712 bytes before, and at most 262,144 now (the bound of the test, twice the option).

Ruled out: SO_SNDBUF, which would also bound what is in flight to callers with a long round trip.

TCP_NOTSENT_LOWAT counts only what is not sent yet. The rest stays in the buffer of the process, which stops reading from the engine when it is full. Where the system has no such option, nothing changes but a debug line.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -31,6 +31,8 @@
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 # Longest time for the delivery of an answer that is complete for the program.
 DELIVERY_TIMEOUT_SECONDS = defaults.MAX_TIMEOUT_SECONDS
+# The kernel takes more of an answer only while it holds less than this that it has not sent.
+MAX_UNSENT_BYTES = 131_072
 # A caller whose system has answered nothing for this time, although it was asked to, has vanished.
 UNREACHABLE_SECONDS = 4.0
 CHECK_INTERVAL_SECONDS = 0.5
@@ -91,6 +93,16 @@
     return transport.get_write_buffer_size() + int(queued_bytes)
 
 
+def _limit_unsent_bytes(transport: asyncio.Transport) -> None:
+    """Bound what the kernel holds for a caller that reads slowly."""
+    raw = transport.get_extra_info("socket")
+    try:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+    except (AttributeError, OSError) as error:
+        # The system has no such option, or the caller has closed the connection.
+        logger.bind(error=repr(error)).debug("what the kernel holds of answers is not bounded")
+
+
 def _has_failed(transport: asyncio.Transport) -> bool:
     """Return whether the caller has reset a connection that is not read any more."""
     raw = transport.get_extra_info("socket")
@@ -118,6 +130,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         self._plain_transport = transport
+        _limit_unsent_bytes(transport)
         self._has_ended = False
         self._has_begun = False
         self._delivery = Delivery(self.loop.time(), self.loop.time())
--- a/tests/http/test_slow_callers.py
+++ b/tests/http/test_slow_callers.py
@@ -246,3 +246,20 @@
             assert is_whole(data, size) == (pause_seconds < 1.2)
 
     asyncio.run(run())
+
+
+def test_the_kernel_holds_little_for_a_caller_that_reads_nothing():
+    """Guard against megabytes of the kernel for each slow caller."""
+
+    async def run():
+        async with serve_answers(5_000_000) as server, connect(server.address) as caller:
+            await caller.send()
+            await wait_for(lambda: server.select(RequestArrived))
+            await asyncio.sleep(0.5)
+            (protocol,) = server.connections
+            unsent_bytes = servers.count_unsent_bytes({"state": protocol.app_state})
+            held_bytes = unsent_bytes - protocol.transport.get_write_buffer_size()
+            assert 0 < held_bytes <= 2 * servers.MAX_UNSENT_BYTES
+            assert is_whole(await caller.read_answer(rate=1e9), 5_000_000)
+
+    asyncio.run(run())
