Check the other connections when one can't be checked

An error of the operating system on one connection would have ended the check of all, so that none was closed as idle any more, and nothing in the log said so. The error is logged, and the next check tries again.

--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -341,7 +341,10 @@
     while True:
         await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         for protocol in list(server.server_state.connections):
-            protocol.check(loop.time())  # type: ignore[union-attr]
+            try:
+                protocol.check(loop.time())  # type: ignore[union-attr]
+            except OSError as error:
+                logger.bind(error=repr(error)).warning("a connection can't be checked")
 
 
 async def close_server(http_server: HttpServer, drain_seconds: float | None = 0.0) -> None:
--- a/tests/http/test_slow_callers.py
+++ b/tests/http/test_slow_callers.py
@@ -263,3 +263,24 @@
             assert is_whole(await caller.read_answer(rate=1e9), 5_000_000)
 
     asyncio.run(run())
+
+
+def test_a_connection_that_cannot_be_checked_does_not_end_the_checks_of_others(monkeypatch):
+    """Guard against connections that are never closed, because the check of one failed."""
+    idle_seconds, failed = 0.5, []
+
+    def fail_once(raw):
+        if not failed:
+            failed.append(raw)
+            raise OSError("the kernel has no answer")
+
+    async def run():
+        monkeypatch.setattr(servers, "read_progress", fail_once)
+        serving = serve_answers(100, idle_timeout_seconds=idle_seconds)
+        async with serving as server, connect(server.address) as caller:
+            await caller.send()
+            assert is_whole(await caller.read_answer(), 100)
+            await wait_for(lambda: not server.connections)
+            assert failed
+
+    asyncio.run(run())
