Count an idle connection as lost after 4 s again, as docs/topics/limits.md says

A caller that waited for its answer, idled or sent a body lost its connection 3 s after the last packet that its system had answered, though its link came back before 4 s were over: it saw ETIMEDOUT, and its request ended.

Evidence: tests/gateway/test_vanished_callers.py drops what arrives at the socket of a caller with a socket filter. Callers that vanish with a closed window, while they receive, send a body, wait or idle are noticed after 3.0 to 4.1 s.

--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -15,7 +15,7 @@
 # decides when they have failed.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_PROBES = 3
 # Data that is not acknowledged for this time counts as lost. The kernel applies it to a peer that
 # reads slowly, too; see `marjorambridge.transport.progress`.
 ENDPOINT_TIMEOUT_MILLISECONDS = 1_500
