Log a connection that fails while its caller still receives the last answer on it

When a host stops, each answer is the last one on its connection. A caller that lost the rest of such an answer left no line in the log, although OPERATIONS.md promises one.

Cause: the errors of connections that wait for their last answer were passed over.

Evidence: the new case of the test fails without the change.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -391,8 +391,8 @@
         ) > 0:
             with anyio.move_on_after(seconds):
                 await _discard_input(server, delivery.stream)
-    except STREAM_ERRORS:
-        return
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
     finally:
         server.lingering -= 1
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -74,11 +74,15 @@
     return [line["extra"] for line in lines if line["message"] == message]
 
 
-def test_a_connection_that_fails_before_its_answer_is_delivered_is_logged():
+@pytest.mark.parametrize(
+    ("body", "is_last"), [(BODY, False), (SHORT_BODY, True)], ids=["kept", "last answer"]
+)
+def test_a_connection_that_fails_before_its_answer_is_delivered_is_logged(body, is_last):
     """Guard against answers that are lost without a line that names the error of the system."""
 
     async def scenario():
-        async with run_gateway(MANIFEST, answer_whole(BODY)) as harness:
+        async with run_gateway(MANIFEST, answer_whole(body)) as harness:
+            harness.server.closing = is_last
             stream = await connect_with_small_buffer(harness.port)
             await stream.send(make_request())
             await anyio.sleep(1.2)
