Wait until the last answer is delivered, however many connections end

Beyond 512 connections that end, a slow caller lost the rest of a complete answer if it had sent more than its request (status 200, 3,988 of 40,000 bytes). The process counted the answer as delivered, ended without it, and logged nothing of it.

Cause: connections that still receive count in the limit of 512, and further ones were closed at once. The limit now applies when the last answer is delivered.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -120,7 +120,7 @@
     discard_at : float
         Monotonic time in seconds at which the next bytes of callers may be discarded.
     lingering : int
-        Number of connections on which the last answer was sent, and which are not closed.
+        Number of connections on which the last answer was delivered, and which are not closed.
     waiting : dict from anyio.CancelScope to Delivery
         Scopes of the connections that wait for a request, with the answers before it.
     exchanges : set of Exchange
@@ -377,24 +377,26 @@
 async def _linger(server: Server, delivery: Delivery) -> None:
     """End the answers, and discard what the caller sends until it ends the connection, too.
 
-    That takes as long as the caller receives the answers.
+    That takes as long as the caller receives the answers, and some time after that.
     """
-    if server.lingering >= MAX_LINGERING:
-        return
-    server.lingering += 1
+    seconds = DRAIN_CHECK_INTERVAL_SECONDS
     try:
         await delivery.stream.send_eof()
         delivery.is_settled = False
-        ended_at = time.monotonic()
-        while (
-            seconds := _find_idle_end(delivery, ended_at, LINGER_SECONDS) - time.monotonic()
-        ) > 0:
+        while count_undelivered_bytes(delivery.stream):
             with anyio.move_on_after(seconds):
                 await _discard_input(server, delivery.stream)
+            seconds = min(2 * seconds, CHECK_INTERVAL_SECONDS)
+        if server.lingering >= MAX_LINGERING:
+            return
+        server.lingering += 1
+        try:
+            with anyio.move_on_after(LINGER_SECONDS):
+                await _discard_input(server, delivery.stream)
+        finally:
+            server.lingering -= 1
     except STREAM_ERRORS as error:
         _note_failure(delivery, error)
-    finally:
-        server.lingering -= 1
 
 
 async def _discard_input(server: Server, stream: SocketStream) -> None:
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -284,3 +284,25 @@
                 assert state.request_id == "id-1" and state.is_settled
 
     anyio.run(scenario)
+
+
+def test_many_connections_that_end_cut_no_slow_caller(monkeypatch):
+    """Guard against a process that counts a last answer as delivered, because many others end."""
+    monkeypatch.setattr(callers, "MAX_LINGERING", 0)
+
+    async def scenario():
+        async with run_gateway(MANIFEST, answer_whole(SHORT_BODY)) as harness:
+            harness.server.closing = True
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                await stream.send(make_request())
+                await wait_until_answered(harness)
+                # A reset for unread data would cost the caller its answer.
+                await stream.send(b"more")
+                data = await read_slowly(stream)
+                assert (get_status(data), len(read_body(data))) == (200, len(SHORT_BODY))
+                with anyio.fail_after(callers.LINGER_SECONDS / 2):
+                    while harness.server.connections:
+                        await anyio.sleep(0.02)
+
+    anyio.run(scenario)
