Keep the time of an answer that is not delivered when the next request arrives

A slow caller that sends its next request before it has the answer to the one before could be reset as stalled up to the timeout of its route too early: when the next request was refused or had less time, the time of the earlier one counted as over.

Cause: each request replaced the time. Now the later one of both counts, and an earlier request only while its answer is not delivered.

Evidence: the test of a further request fails without the change, with an end 19.5 s too early.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -30,6 +30,7 @@
     log_failure,
     log_reset,
     select_excess,
+    start_request,
 )
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
@@ -422,8 +423,7 @@
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
-    delivery.arrived_at, delivery.request_id = arrived_at, ""
-    delivery.ends_at = arrived_at + server.get_limits().idle_timeout_seconds
+    start_request(delivery, arrived_at, server.get_limits().idle_timeout_seconds)
     exchange = Exchange(server, delivery, connection, arrived_at, reservation, meter)
     start_turn(meter)
     server.exchanges.add(exchange)
--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -33,7 +33,10 @@
     arrived_at : float
         Monotonic time in seconds at which the last request arrived.
     ends_at : float
-        Monotonic time in seconds at which the time of the last request is over.
+        Monotonic time in seconds at which the time of the last request is over, and that of earlier
+        ones whose answers were not delivered before it.
+    earlier_ends_at : float
+        The part of this for earlier requests; 0 if their answers were delivered.
     undelivered_bytes : int
         Bytes that the caller had not acknowledged at the last check.
     kernel_bytes : int
@@ -53,6 +56,7 @@
     request_id: str = ""
     arrived_at: float = 0.0
     ends_at: float = 0.0
+    earlier_ends_at: float = 0.0
     undelivered_bytes: int = 0
     kernel_bytes: int = 0
     acknowledged_bytes: int = -1
@@ -66,6 +70,19 @@
     return max(0, count_unsent_bytes(stream)) + max(0, count_unacknowledged_bytes(stream))
 
 
+def start_request(delivery: Delivery, now: float, seconds: float) -> None:
+    """Record that a request arrived, which may take some seconds until its own time is known."""
+    is_delivered = not count_undelivered_bytes(delivery.stream)
+    delivery.earlier_ends_at = 0.0 if is_delivered else delivery.ends_at
+    delivery.arrived_at, delivery.request_id = now, ""
+    set_end(delivery, now + seconds)
+
+
+def set_end(delivery: Delivery, ends_at: float) -> None:
+    """Set the monotonic time in seconds at which the time of the last request is over."""
+    delivery.ends_at = max(delivery.earlier_ends_at, ends_at)
+
+
 def check_delivery(delivery: Delivery, now: float) -> PeerProgress | None:
     """Update what is known, and return the state of the caller.
 
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -16,6 +16,7 @@
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext, create_context
 from marjorambridge.gateway.crashes import is_blocked
+from marjorambridge.gateway.delivery import set_end
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import CallerRequest
 from marjorambridge.gateway.outcomes import (
@@ -52,7 +53,7 @@
     else:
         record_request(gateway.forwarding, admitted.service, time.monotonic())
     context = create_context(gateway, exchange, request, admitted)
-    exchange.delivery.ends_at = context.deadline
+    set_end(exchange.delivery, context.deadline)
     outcome = "caller_gone"
     try:
         outcome = await _run_attempts(context)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -306,3 +306,45 @@
                         await anyio.sleep(0.02)
 
     anyio.run(scenario)
+
+
+def test_a_further_request_does_not_shorten_the_time_of_an_answer():
+    """Guard against a caller that is reset early, because it has sent its next request early."""
+    limits = CallerLimits(4096, 100_000, idle_timeout_seconds=0.5)
+    manifest = replace(MANIFEST, limits=limits)
+    request = make_request().replace(b"X-Deadline-Ms: 3000", b"X-Deadline-Ms: 20000")
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(SHORT_BODY)) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                await stream.send(request)
+                await wait_until_answered(harness)
+                (state,) = harness.server.deliveries
+                ends_at = state.ends_at
+                # It is refused, because nobody knows its key.
+                await stream.send(make_request(key=b"key-0"))
+                await anyio.sleep(0.3)
+                assert state.ends_at >= ends_at
+                assert delivery.count_undelivered_bytes(state.stream)
+
+    anyio.run(scenario)
+
+
+def test_the_time_of_a_request_is_its_own_when_earlier_answers_are_delivered():
+    """Guard against a caller that reads nothing and is served for the time of another request."""
+    limits = CallerLimits(4096, 100_000, idle_timeout_seconds=15.0)
+    manifest = replace(MANIFEST, limits=limits)
+    first = make_request().replace(b"X-Deadline-Ms: 3000", b"X-Deadline-Ms: 20000")
+
+    async def scenario():
+        async with run_gateway(manifest, answer_whole(b"x")) as harness:
+            stream = await connect_with_small_buffer(harness.port)
+            async with stream:
+                for request in (first, make_request()):
+                    await stream.send(request)
+                    assert is_complete(await stream.receive())
+                (state,) = harness.server.deliveries
+                assert state.ends_at <= time.monotonic() + 3.0
+
+    anyio.run(scenario)
