Begin the time without progress with the request

A caller of a short request on a connection that had been idle for a while could be reset as stalled within half a second.

Cause: since idle connections are not checked, the last progress may be old when a request arrives.

Evidence: the test fails without the change.

--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -45,7 +45,7 @@
         Bytes that the caller had acknowledged at the last check, of all answers together.
     progressed_at : float
         Monotonic time in seconds of the last check that found more bytes acknowledged, or none
-        left to acknowledge.
+        left to acknowledge, or of a request that arrived in that state.
     busy_at : float
         Monotonic time in seconds of the last check that found undelivered bytes.
     is_settled : bool
@@ -74,6 +74,8 @@
     """Record that a request arrived, which may take some seconds until its own time is known."""
     is_delivered = not count_undelivered_bytes(delivery.stream)
     delivery.earlier_ends_at = 0.0 if is_delivered else delivery.ends_at
+    if is_delivered:
+        delivery.progressed_at = now
     delivery.arrived_at, delivery.request_id = now, ""
     set_end(delivery, now + seconds)
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -2,6 +2,7 @@
 
 import time
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -348,3 +349,19 @@
                 assert state.ends_at <= time.monotonic() + 3.0
 
     anyio.run(scenario)
+
+
+def test_the_time_without_progress_begins_with_the_request(monkeypatch):
+    """Guard against an idle time that counts as the silence of a caller of a short request."""
+    sizes = iter([0, 100, 100])
+    monkeypatch.setattr(delivery, "count_undelivered_bytes", lambda stream: next(sizes))
+    monkeypatch.setattr(delivery, "count_unacknowledged_bytes", lambda stream: next(sizes))
+    monkeypatch.setattr(delivery, "count_unsent_bytes", lambda stream: 0)
+    monkeypatch.setattr(delivery, "read_progress", lambda raw: PeerProgress(0, 0.1, 70))
+    stream = SimpleNamespace(extra=lambda attribute: None)
+    state = delivery.Delivery(stream, acknowledged_bytes=70, progressed_at=10.0)
+    delivery.start_request(state, 60.0, 0.3)
+    assert delivery.find_fault(state, delivery.check_delivery(state, 60.5), 60.5) == ""
+    assert (
+        delivery.find_fault(state, delivery.check_delivery(state, 64.0), 64.0) == delivery.STALLED
+    )
