Judge the progress of callers on kernels that don't report it, too

Where the kernel has no TCP_INFO, a caller that reads nothing held its connection, its endpoint and its memory without end. Where TCP_INFO lacks the acknowledged bytes, a caller that read steadily was reset 4 s after the time of its request.

Cause: progress was only taken from the acknowledged bytes of TCP_INFO. Fewer undelivered bytes are progress, too. An unknown state counts as stalled only after the time of the request is over, so the row of the test that expected no fault at 99 s is replaced by one on either side of that time.

Evidence: three cases of the tests fail without the change.

--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -95,6 +95,7 @@
     OSError
         If the connection is closed.
     """
+    before = delivery.undelivered_bytes
     delivery.kernel_bytes = max(0, count_unacknowledged_bytes(delivery.stream))
     delivery.undelivered_bytes = delivery.kernel_bytes + max(0, count_unsent_bytes(delivery.stream))
     delivery.is_settled = not delivery.undelivered_bytes
@@ -103,6 +104,9 @@
         return None
     delivery.busy_at = now
     progress = read_progress(delivery.stream.extra(SocketAttribute.raw_socket))
+    if delivery.undelivered_bytes < before:
+        # Some kernels don't report acknowledged bytes.
+        delivery.progressed_at = now
     if progress is not None and progress.acknowledged_bytes > delivery.acknowledged_bytes:
         delivery.acknowledged_bytes = progress.acknowledged_bytes
         delivery.progressed_at = now
@@ -115,10 +119,10 @@
     A caller that reads slowly, or not at all for a while, is served until the time of its request
     is over, and after that as long as it reads.
     """
-    if progress is None:
-        return ""
-    if is_unreachable(progress, CALLER_SILENCE_SECONDS):
+    if progress is not None and is_unreachable(progress, CALLER_SILENCE_SECONDS):
         return UNREACHABLE
+    if not delivery.undelivered_bytes:
+        return ""
     if now >= delivery.ends_at and now - delivery.progressed_at >= STALL_SECONDS:
         return STALLED
     return ""
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -174,9 +174,17 @@
         (PeerProgress(1, 4.0), 9.9, ""),
         (PeerProgress(2, 4.0), 9.9, delivery.UNREACHABLE),
         (PeerProgress(0, 0.1), 10.0, delivery.STALLED),
-        (None, 99.0, ""),
+        (None, 8.9, ""),
+        (None, 10.0, delivery.STALLED),
+    ],
+    ids=[
+        "closed window",
+        "one lost probe",
+        "no answer",
+        "time is over",
+        "unknown",
+        "unknown, time is over",
     ],
-    ids=["closed window", "one lost probe", "no answer", "time is over", "unknown"],
 )
 def test_a_fault_of_a_delivery_is_found_by_what_the_kernel_knows(progress, now, fault):
     """Guard against a closed window or a lost probe that counts as a caller that is gone."""
@@ -351,6 +359,24 @@
     anyio.run(scenario)
 
 
+@pytest.mark.parametrize("progress", [None, PeerProgress(0, 0.0)], ids=["no answer", "zeros"])
+def test_progress_is_found_where_the_kernel_tells_little(monkeypatch, progress):
+    """Guard against kernels on which steady callers are reset, or silent ones are served for ever.
+
+    Some answer the call without all numbers, and others not at all.
+    """
+    sizes = iter([100, 90, 90, 90])
+    monkeypatch.setattr(delivery, "count_unacknowledged_bytes", lambda stream: next(sizes))
+    monkeypatch.setattr(delivery, "count_unsent_bytes", lambda stream: 0)
+    monkeypatch.setattr(delivery, "read_progress", lambda raw: progress)
+    stream = SimpleNamespace(extra=lambda attribute: None)
+    state = delivery.Delivery(stream, ends_at=1.0, progressed_at=1.0)
+    faults = []
+    for now in (2.0, 8.0, 11.0, 12.0):
+        faults.append(delivery.find_fault(state, delivery.check_delivery(state, now), now))
+    assert faults == ["", "", "", delivery.STALLED]
+
+
 def test_the_time_without_progress_begins_with_the_request(monkeypatch):
     """Guard against an idle time that counts as the silence of a caller of a short request."""
     sizes = iter([0, 100, 100])
