--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -30,6 +30,7 @@
     log_failure,
     log_reset,
     select_excess,
+    start_request,
 )
 from marjorambridge.gateway.messages import Headers
 from marjorambridge.gateway.streams import (
@@ -60,6 +61,8 @@
 # before it is closed.
 LAST_RECEIVE_SECONDS = 0.1
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
+# Connections that are checked in one turn of the event loop.
+CHECKS_PER_TURN = 50
 # After the caller has received the last answer on a connection, what it still sends is read for
 # this time in seconds. Closing the connection with unread data would reset it, and the caller could
 # lose the answer.
@@ -119,7 +122,7 @@
     discard_at : float
         Monotonic time in seconds at which the next bytes of callers may be discarded.
     lingering : int
-        Number of connections on which the last answer was sent, and which are not closed.
+        Number of connections on which the last answer was delivered, and which are not closed.
     waiting : dict from anyio.CancelScope to Delivery
         Scopes of the connections that wait for a request, with the answers before it.
     exchanges : set of Exchange
@@ -312,7 +315,15 @@
     """Check regularly how far answers have been delivered, and reset those that can't be."""
     while True:
         await anyio.sleep(CHECK_INTERVAL_SECONDS)
-        for delivery in list(server.deliveries):
+        served = {exchange.delivery for exchange in server.exchanges}
+        checked = [
+            delivery
+            for delivery in server.deliveries
+            if delivery in served or not delivery.is_settled
+        ]
+        for number, delivery in enumerate(checked, 1):
+            if number % CHECKS_PER_TURN == 0:
+                await checkpoint()
             now = time.monotonic()
             try:
                 progress = check_delivery(delivery, now)
@@ -368,23 +379,26 @@
 async def _linger(server: Server, delivery: Delivery) -> None:
     """End the answers, and discard what the caller sends until it ends the connection, too.
 
-    That takes as long as the caller receives the answers.
+    That takes as long as the caller receives the answers, and some time after that.
     """
-    if server.lingering >= MAX_LINGERING:
-        return
-    server.lingering += 1
+    seconds = DRAIN_CHECK_INTERVAL_SECONDS
     try:
         await delivery.stream.send_eof()
-        ended_at = time.monotonic()
-        while (
-            seconds := _find_idle_end(delivery, ended_at, LINGER_SECONDS) - time.monotonic()
-        ) > 0:
+        delivery.is_settled = False
+        while count_undelivered_bytes(delivery.stream):
             with anyio.move_on_after(seconds):
                 await _discard_input(server, delivery.stream)
-    except STREAM_ERRORS:
-        return
-    finally:
-        server.lingering -= 1
+            seconds = min(2 * seconds, CHECK_INTERVAL_SECONDS)
+        if server.lingering >= MAX_LINGERING:
+            return
+        server.lingering += 1
+        try:
+            with anyio.move_on_after(LINGER_SECONDS):
+                await _discard_input(server, delivery.stream)
+        finally:
+            server.lingering -= 1
+    except STREAM_ERRORS as error:
+        _note_failure(delivery, error)
 
 
 async def _discard_input(server: Server, stream: SocketStream) -> None:
@@ -410,8 +424,7 @@
     if server.wait_for_turn is not None:
         await server.wait_for_turn()
     reservation, meter = BodyReservation(server.memory), WorkMeter(server.work)
-    delivery.arrived_at, delivery.request_id = arrived_at, ""
-    delivery.ends_at = arrived_at + server.get_limits().idle_timeout_seconds
+    start_request(delivery, arrived_at, server.get_limits().idle_timeout_seconds)
     exchange = Exchange(server, delivery, connection, arrived_at, reservation, meter)
     start_turn(meter)
     server.exchanges.add(exchange)
@@ -425,6 +438,7 @@
         raise
     finally:
         server.exchanges.discard(exchange)
+        delivery.is_settled = False
         bodies.release(exchange.reservation)
     if exchange.must_reset or exchange.caller_gone or not exchange.is_complete:
         await reset(stream)
--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -33,7 +33,10 @@
     arrived_at : float
         Monotonic time in seconds at which the last request arrived.
     ends_at : float
-        Monotonic time in seconds at which the time of the last request is over.
+        Monotonic time in seconds at which the time of the last request is over, and that of earlier
+        ones whose answers were not delivered before it.
+    earlier_ends_at : float
+        The part of this for earlier requests; 0 if their answers were delivered.
     undelivered_bytes : int
         Bytes that the caller had not acknowledged at the last check.
     kernel_bytes : int
@@ -42,20 +45,24 @@
         Bytes that the caller had acknowledged at the last check, of all answers together.
     progressed_at : float
         Monotonic time in seconds of the last check that found more bytes acknowledged, or none
-        left to acknowledge.
+        left to acknowledge, or of a request that arrived in that state.
     busy_at : float
         Monotonic time in seconds of the last check that found undelivered bytes.
+    is_settled : bool
+        Whether the last check found nothing to deliver, and no request was served after it.
     """
 
     stream: SocketStream
     request_id: str = ""
     arrived_at: float = 0.0
     ends_at: float = 0.0
+    earlier_ends_at: float = 0.0
     undelivered_bytes: int = 0
     kernel_bytes: int = 0
     acknowledged_bytes: int = -1
     progressed_at: float = -math.inf
     busy_at: float = -math.inf
+    is_settled: bool = True
 
 
 def count_undelivered_bytes(stream: SocketStream) -> int:
@@ -63,6 +70,21 @@
     return max(0, count_unsent_bytes(stream)) + max(0, count_unacknowledged_bytes(stream))
 
 
+def start_request(delivery: Delivery, now: float, seconds: float) -> None:
+    """Record that a request arrived, which may take some seconds until its own time is known."""
+    is_delivered = not count_undelivered_bytes(delivery.stream)
+    delivery.earlier_ends_at = 0.0 if is_delivered else delivery.ends_at
+    if is_delivered:
+        delivery.progressed_at = now
+    delivery.arrived_at, delivery.request_id = now, ""
+    set_end(delivery, now + seconds)
+
+
+def set_end(delivery: Delivery, ends_at: float) -> None:
+    """Set the monotonic time in seconds at which the time of the last request is over."""
+    delivery.ends_at = max(delivery.earlier_ends_at, ends_at)
+
+
 def check_delivery(delivery: Delivery, now: float) -> PeerProgress | None:
     """Update what is known, and return the state of the caller.
 
@@ -73,13 +95,18 @@
     OSError
         If the connection is closed.
     """
+    before = delivery.undelivered_bytes
     delivery.kernel_bytes = max(0, count_unacknowledged_bytes(delivery.stream))
     delivery.undelivered_bytes = delivery.kernel_bytes + max(0, count_unsent_bytes(delivery.stream))
-    if not delivery.undelivered_bytes:
+    delivery.is_settled = not delivery.undelivered_bytes
+    if delivery.is_settled:
         delivery.progressed_at = now
         return None
     delivery.busy_at = now
     progress = read_progress(delivery.stream.extra(SocketAttribute.raw_socket))
+    if delivery.undelivered_bytes < before:
+        # Some kernels don't report acknowledged bytes.
+        delivery.progressed_at = now
     if progress is not None and progress.acknowledged_bytes > delivery.acknowledged_bytes:
         delivery.acknowledged_bytes = progress.acknowledged_bytes
         delivery.progressed_at = now
@@ -92,10 +119,10 @@
     A caller that reads slowly, or not at all for a while, is served until the time of its request
     is over, and after that as long as it reads.
     """
-    if progress is None:
-        return ""
-    if is_unreachable(progress, CALLER_SILENCE_SECONDS):
+    if progress is not None and is_unreachable(progress, CALLER_SILENCE_SECONDS):
         return UNREACHABLE
+    if not delivery.undelivered_bytes:
+        return ""
     if now >= delivery.ends_at and now - delivery.progressed_at >= STALL_SECONDS:
         return STALLED
     return ""
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -15,7 +15,7 @@
 # of one that data is sent to; a timeout of the kernel would end connections to slow peers, too.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_PROBES = 3
 # An endpoint that acknowledges nothing for this long, although it was asked to, is unreachable.
 ENDPOINT_TIMEOUT_SECONDS = 1.5
 # What the kernel keeps of the data that it has not sent yet. Without this bound, its buffer of a
