Log a connection that the host resets once

A reset of a caller that is unreachable, stalled or in the way of others had a second line, which names a failure of the connection with ClosedResourceError and reads like an error of the system.

Evidence: the test of an unreachable caller fails without the change.

--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -361,8 +361,13 @@
 
 
 def _note_failure(delivery: Delivery, error: BaseException) -> None:
-    """Log an error of a connection on which an answer was on its way."""
-    if delivery.undelivered_bytes and not isinstance(error, anyio.EndOfStream):
+    """Log an error of a connection on which an answer was on its way.
+
+    An end by the caller is no error, and a reset by the host has its own line.
+    """
+    if isinstance(error, anyio.EndOfStream | anyio.ClosedResourceError):
+        return
+    if delivery.undelivered_bytes:
         log_failure(delivery, error, time.monotonic())
 
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -135,10 +135,11 @@
                     while harness.server.connections:
                         await anyio.sleep(0.02)
 
-    with record_lines("WARNING") as lines:
+    with record_lines() as lines:
         anyio.run(scenario)
     (fields,) = select_fields(lines, "a connection is reset, because an answer can't be delivered")
     assert (fields["request"], fields["reason"]) == ("id-1", delivery.UNREACHABLE)
+    assert not select_fields(lines, "a connection failed before its caller had received an answer")
 
 
 def test_a_caller_that_reads_nothing_is_served_until_its_time_is_over():
