Let callers of the soak read slowly, and check that their answers are not cut

An answer that began and is cut is a fault, unless the gateway had another fault meanwhile, the time of the request was used up, or a stopping gateway's grace time was; a stop counts as it does for other callers.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -13,6 +13,7 @@
 
 from .crashes import DEADLY_BODY, Crash, crash, has_crashing_part
 from .hints import Hint
+from .slow import SLOW_PATH, make_slow_answer
 
 CONNECTION_ERRORS = (
     OSError,
@@ -169,7 +170,8 @@
     if sample < 0.45:
         await stream.send(f"HTTP/1.1 500 Bad\r\n{signed_headers}Content-Length: 0\r\n\r\n".encode())
         return
-    answer = identifier.encode() + b"|" + body
+    is_slow = f" {SLOW_PATH}".encode() in head.split(b"\r\n")[0]
+    answer = make_slow_answer(identifier) if is_slow else identifier.encode() + b"|" + body
     response = (
         f"HTTP/1.1 200 OK\r\n{signed_headers}Content-Length: {len(answer)}\r\n\r\n".encode()
         + answer
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
 from .endpoints import EVENTS_PER_STREAM, Endpoint, EndpointLog, serve_endpoint
 from .hints import check_hints, end_incarnation, inject_hints
 from .processes import Process, make_processes
+from .slow import SLOW_PATH, SLOW_TIMEOUT_SECONDS, call_slowly
 
 NOT_RUN = {408, 421, 429, 503}
 TIMEOUT_SECONDS = 2.0
@@ -42,6 +43,7 @@
 INVALID_SETTINGS = ("", "{", "[1]", '{"seeds": 7}', "\x00\xff")
 MODES = ("delay", "reset", "silent", "cut-in", "cut-out")
 PATHS = {"/once/": "mutating", "/any/": "idempotent", "/stream/": "streaming"}
+SLOW_CALLERS = 4
 
 
 @dataclass
@@ -82,13 +84,15 @@
 
 
 def make_configuration(version: int) -> bytes:
+    kinds = [(path, kind, TIMEOUT_SECONDS) for path, kind in PATHS.items()]
+    kinds.append((SLOW_PATH, "idempotent", SLOW_TIMEOUT_SECONDS))
     routes = [
         {
             "name": f"r{path}",
             "hostname": "soak.example",
             "path_prefix": path,
             "type": kind,
-            "timeout_ms": TIMEOUT_SECONDS * 1000,
+            "timeout_ms": seconds * 1000,
             "slo_ms": 300,
             "priority": 1,
             "backend": "svc",
@@ -96,7 +100,7 @@
             "public": True,
             "resumable": True,
         }
-        for path, kind in PATHS.items()
+        for path, kind, seconds in kinds
     ]
     document = {"version": version, "routes": routes, "services": [{"name": "svc"}]}
     return json.dumps(document).encode()
@@ -414,6 +418,8 @@
             async with anyio.create_task_group() as work:
                 for _ in range(2 * gateways):
                     work.start_soon(run_caller, soak)
+                for _ in range(SLOW_CALLERS):
+                    work.start_soon(call_slowly, soak, must_answer)
                 work.start_soon(inject_faults, soak)
                 work.start_soon(change_settings, soak)
                 work.start_soon(repeat_signals, soak)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,7 @@
     repeat_signals,
     run_soak,
 )
+from .slow import SLOW_TIMEOUT_SECONDS, SlowAnswer, check_slow_answer, make_slow_answer
 
 # Seeds that have failed, with the cause:
 # 107: a simulated endpoint sent the rest of one answer within the length of another (a fault of the
@@ -221,6 +222,44 @@
     assert not must_answer(gateway, 8.0)
 
 
+def find_slow_faults(tmp_path, gateway, sent_at, ended_at, body=b"w"):
+    soak = make_soak(tmp_path)
+    answer = SlowAnswer("w", sent_at, 200, bytearray(body), ended_at=ended_at)
+    answer.is_whole = len(body) > 1
+    check_slow_answer(soak, gateway, answer, must_answer)
+    return soak.faults
+
+
+def make_gateway(tmp_path, *fault_times, answered_at=1.0, told_at=0.0):
+    settings = {"bounds": {"shutdown_grace_seconds": 8.0}}
+    gateway = Process("gateway-1", "gateway", tmp_path, settings)
+    gateway.fault_times += fault_times
+    gateway.answered_at, gateway.told_at = answered_at, told_at
+    return gateway
+
+
+def test_a_cut_answer_of_a_slow_caller_is_detected(tmp_path):
+    """Guard against a check that misses answers cut while their bytes move (issue 53)."""
+    gateway = make_gateway(tmp_path)
+    assert find_slow_faults(tmp_path, gateway, 5.0, 9.8)
+    assert not find_slow_faults(tmp_path, gateway, 5.0, 5.0 + SLOW_TIMEOUT_SECONDS)
+    assert find_slow_faults(tmp_path, gateway, 5.0, 9.8, b"wrong")
+    assert not find_slow_faults(tmp_path, gateway, 5.0, 9.8, make_slow_answer("w"))
+    # A gateway that was killed meanwhile.
+    assert not find_slow_faults(tmp_path, make_gateway(tmp_path, 6.0), 5.0, 6.1)
+    assert find_slow_faults(tmp_path, make_gateway(tmp_path, 4.0), 5.0, 6.1)
+
+
+def test_a_slow_answer_that_a_stop_cuts_is_detected(tmp_path):
+    """Guard against a check that takes each cut after a signal for one of the grace time."""
+    gateway = make_gateway(tmp_path, 10.0, told_at=10.0)
+    assert find_slow_faults(tmp_path, gateway, 9.0, 9.9)
+    assert find_slow_faults(tmp_path, gateway, 9.0, 13.0)
+    assert find_slow_faults(tmp_path, gateway, 12.0, 17.0)
+    assert not find_slow_faults(tmp_path, gateway, 12.0, 18.0)
+    assert not find_slow_faults(tmp_path, gateway, 12.5, 14.0)
+
+
 def test_a_process_that_is_told_to_stop_gets_sigterm_again(tmp_path):
     """Guard against a soak that sends one SIGTERM and so misses what the next one ends."""
 
