--- a/tests/soak/slow.py
+++ b/tests/soak/slow.py
@@ -111,11 +111,15 @@
             soak.record_fault(f"{answer.identifier} got {bytes(answer.body[:80])!r}")
         return
     soak.outcomes["slow, cut" if answer.status else "slow, no answer"] += 1
-    if answer.status and must_deliver(gateway, answer, must_answer):
-        soak.record_fault(
-            f"{answer.identifier} of {gateway.name} was cut after {len(answer.body)} bytes and "
-            f"{answer.ended_at - answer.sent_at:.2f} s"
-        )
+    if not answer.status:
+        return
+    text = (
+        f"{answer.identifier} of {gateway.name} was cut after {len(answer.body)} bytes and "
+        f"{answer.ended_at - answer.sent_at:.2f} s"
+    )
+    soak.log_event(text)
+    if must_deliver(gateway, answer, must_answer):
+        soak.record_fault(text)
 
 
 def must_deliver(gateway: Process, answer: SlowAnswer, must_answer) -> bool:
