Let slow callers hold less of the memory for answers, and streams end before them

Sixteen callers that read answers of 2 MB at 16 KB/s held the memory for buffered answers after the time of their requests, and others got 502 for theirs, as long as they read. And a stream of 150 KB was cut at its deadline after 83,455 bytes, with its endpoint held for 5 s, since the kernel took only 64 KiB of it at a time.

The kernel takes 256 KiB of an answer, within the same sum for all.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -199,6 +199,7 @@
         encode_error=host.adapter.dialect.encode_error,
         memory=host.body_memory,
         delivery_bytes=host.memory.deliveries,
+        late_bytes=host.memory.started_answers,
     )
     host.relays = Server(
         lambda exchange: handle_relayed_request(host.gateway, exchange),
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -30,6 +30,7 @@
     log_failure,
     log_reset,
     select_excess,
+    select_late,
     start_request,
 )
 from marjorambridge.gateway.messages import Headers
@@ -117,6 +118,8 @@
         limits for callers name it.
     delivery_bytes : int
         Most bytes of answers that the kernel holds for all connections.
+    late_bytes : int
+        Most bytes of answers that this process holds for requests whose time is over.
     closing : bool
         Whether answers carry ``Connection: close``.
     discard_at : float
@@ -145,6 +148,7 @@
     memory: BodyMemory = field(default_factory=lambda: BodyMemory(DEFAULT_BODY_MEMORY_BYTES))
     get_body_limit: Callable[[bytes, bytes], int] | None = None
     delivery_bytes: int = DEFAULT_DELIVERY_BYTES
+    late_bytes: int = DEFAULT_DELIVERY_BYTES
     closing: bool = False
     discard_at: float = 0.0
     lingering: int = 0
@@ -335,7 +339,9 @@
                 log_reset(delivery, reason, progress, now)
                 await reset(delivery.stream)
         now = time.monotonic()
-        for delivery in select_excess(server.deliveries, server.delivery_bytes, now):
+        excess = select_excess(server.deliveries, server.delivery_bytes, now)
+        late = select_late(server.deliveries, server.late_bytes, now)
+        for delivery in {*excess, *late}:
             log_reset(delivery, MEMORY, None, now)
             await reset(delivery.stream)
 
--- a/marjorambridge/gateway/delivery.py
+++ b/marjorambridge/gateway/delivery.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from anyio.abc import SocketAttribute, SocketStream
 from loguru import logger
@@ -134,16 +134,34 @@
     Those whose time is over end first, and among them those that have made no progress for the
     longest time.
     """
-    waiting = [delivery for delivery in deliveries if delivery.kernel_bytes]
-    excess = sum(delivery.kernel_bytes for delivery in waiting) - limit_bytes
-    if excess <= 0:
-        return []
-    waiting.sort(key=lambda delivery: (now < delivery.ends_at, delivery.progressed_at))
-    selected = []
-    for delivery in waiting:
+    return _select(deliveries, lambda delivery: delivery.kernel_bytes, limit_bytes, now)
+
+
+def select_late(deliveries: Iterable[Delivery], limit_bytes: int, now: float) -> list[Delivery]:
+    """Return the deliveries to end, whose time is over and which hold memory of this process.
+
+    Those that have made no progress for the longest time end first, until the process holds no more
+    than a limit for such answers.
+    """
+    late = (delivery for delivery in deliveries if now >= delivery.ends_at)
+    return _select(
+        late, lambda delivery: delivery.undelivered_bytes - delivery.kernel_bytes, limit_bytes, now
+    )
+
+
+def _select(
+    deliveries: Iterable[Delivery],
+    count: Callable[[Delivery], int],
+    limit_bytes: int,
+    now: float,
+) -> list[Delivery]:
+    sizes = {delivery: size for delivery in deliveries if (size := count(delivery)) > 0}
+    excess = sum(sizes.values()) - limit_bytes
+    selected: list[Delivery] = []
+    for delivery in sorted(sizes, key=lambda item: (now < item.ends_at, item.progressed_at)):
         if excess <= 0:
             break
-        excess -= delivery.kernel_bytes
+        excess -= sizes[delivery]
         selected.append(delivery)
     return selected
 
--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -20,7 +20,7 @@
 ENDPOINT_TIMEOUT_SECONDS = 1.5
 # What the kernel keeps of the data that it has not sent yet. Without this bound, its buffer of a
 # connection grows up to several megabytes, as long as the peer reads slowly.
-MAX_UNSENT_BYTES = 65_536
+MAX_UNSENT_BYTES = 262_144
 LINGER = struct.Struct("ii")
 # Number of bytes if the kernel can't tell it.
 UNKNOWN_BYTES = -1
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -274,6 +274,18 @@
     assert delivery.select_excess(deliveries, 10, 10.0) == [late, stalled]
 
 
+def test_only_callers_whose_time_is_over_give_up_memory_for_answers():
+    """Guard against slow callers that hold the memory for the answers of all others."""
+    first, second, timely = (
+        delivery.Delivery(None, "", 0.0, ends_at, 0.0, 60, 10, progressed_at=progressed_at)
+        for ends_at, progressed_at in ((5.0, 2.0), (5.0, 9.0), (20.0, 1.0))
+    )
+    deliveries = [timely, second, first]
+    assert delivery.select_late(deliveries, 100, 10.0) == []
+    assert delivery.select_late(deliveries, 99, 10.0) == [first]
+    assert delivery.select_late(deliveries, 0, 10.0) == [first, second]
+
+
 def test_connections_without_a_request_or_an_answer_are_not_checked_again(monkeypatch):
     """Guard against idle connections that use up the processor of a host, all in one turn."""
     checks = []
