Soak: replace a former build by the present one, or go back, beside the other faults

--former COMMIT takes the package from the history. The order, the pauses, a halt midway and the way back follow from the seed; the faults, signals and changes of a seed stay as they are. A process that runs longer than its grace time and 1 s after SIGTERM counts as a fault.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -20,7 +20,8 @@
 
     `recover_at` is the time at which it is resumed or restarted, or 0; `last_fault_at` and
     `fault_times` include recoveries. Since its start, it answered at `answered_at` for the first
-    time, and was told to stop at `told_at`; both are 0 before.
+    time, and was told to stop at `told_at`; both are 0 before. `package` is the folder with the
+    package that it runs from its next start on.
     """
 
     name: str
@@ -36,6 +37,7 @@
     has_invalid_settings: bool = False
     answered_at: float = 0.0
     told_at: float = 0.0
+    package: Path = ROOT
 
     @property
     def settings_path(self) -> Path:
@@ -61,11 +63,11 @@
         log = self.folder / f"log-{len(self.logs)}" if keep_log else Path(os.devnull)
         self.logs.append(log)
         environment = {"PATH": os.environ["PATH"], "MARJORAMBRIDGE_NODE_FILE": str(path)}
-        environment["PYTHONPATH"] = str(ROOT)
+        environment["PYTHONPATH"] = str(self.package)
         with log.open("wb") as output:
             self.child = subprocess.Popen(
                 [sys.executable, "-m", "marjorambridge.platform", self.role],
-                cwd=ROOT,
+                cwd=self.package,
                 env=environment,
                 stdout=output,
                 stderr=subprocess.STDOUT,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import math
 import random
 import signal
 import socket
@@ -25,6 +26,7 @@
 from .endpoints import EVENTS_PER_STREAM, Endpoint, EndpointLog, serve_endpoint
 from .hints import check_hints, end_incarnation, inject_hints
 from .processes import Process, make_processes
+from .upgrades import Upgrade, make_upgrade, replace_builds
 
 NOT_RUN = {408, 421, 429, 503}
 TIMEOUT_SECONDS = 2.0
@@ -34,6 +36,8 @@
 DRAIN_SECONDS = 5.0
 CATCH_UP_SECONDS = 4.0
 START_SECONDS = 2.0
+# A process that was told to stop ends within its grace time and this one.
+GRACE_SECONDS, END_SECONDS = 8.0, 1.0
 # A gateway that was told to stop accepts requests for 2.8 s; those sent by then are answered.
 ACCEPT_SECONDS = 2.3
 # Ports that the processes and endpoints use, on several loopback addresses.
@@ -356,6 +360,29 @@
     soak.log_event(f"start {process.name}")
 
 
+async def replace_process(soak: Soak, process: Process, package: Path) -> None:
+    """Stop a process while no other one of its role has a fault, and start it with a package."""
+    now = time.monotonic()
+    while any(p.recover_at for p in soak.processes if p.role == process.role) or (
+        process.role == "replica" and now < soak.replicas_recovered_at
+    ):
+        await anyio.sleep(0.02)
+        now = time.monotonic()
+    soak.log_event(f"replace {process.name}")
+    process.told_at = process.last_fault_at = now
+    process.fault_times.append(now)
+    # Other faults leave the process alone until it is started again.
+    process.recover_at = math.inf
+    process.send_signal(signal.SIGTERM)
+    while process.is_running():
+        if time.monotonic() > now + GRACE_SECONDS + END_SECONDS:
+            soak.record_fault(f"{process.name} runs {time.monotonic() - now:.1f} s after SIGTERM")
+            break
+        await anyio.sleep(0.02)
+    process.package = package
+    recover_process(soak, process)
+
+
 async def check_final_state(soak: Soak) -> None:
     """End all faults, and check that acknowledged changes persist and requests are served."""
     for endpoint in soak.endpoints:
@@ -391,8 +418,15 @@
             soak.record_fault(f"{identifier} ran, though it was refused as not run")
 
 
-async def run_soak(seed: int, seconds: float, folder: Path, replicas: int, gateways: int) -> Soak:
-    """Run one seed and return its state."""
+async def run_soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    replicas: int,
+    gateways: int,
+    upgrade: Upgrade | None = None,
+) -> Soak:
+    """Run one seed, with as much of an upgrade as fits into the time, and return its state."""
     generator = random.Random(seed)
     base = find_base_port()
     soak = Soak(seed, folder, base, generator, make_processes(folder, base, replicas, gateways))
@@ -407,6 +441,8 @@
                 soak.endpoints.append(endpoint)
                 tasks.start_soon(serve_endpoint, endpoint)
             for process in soak.processes:
+                if upgrade is not None:
+                    process.package = upgrade.former
                 process.start()
             tasks.start_soon(send_reports, soak)
             tasks.start_soon(run_operator, soak)
@@ -420,6 +456,8 @@
                 work.start_soon(inject_hints, soak)
                 work.start_soon(send_crashing_prompts, soak, send_request)
                 work.start_soon(repeat_deadly_request, soak, send_request)
+                if upgrade is not None:
+                    work.start_soon(replace_builds, soak, upgrade, replace_process)
                 await anyio.sleep(seconds)
                 work.cancel_scope.cancel()
             await check_final_state(soak)
@@ -473,15 +511,22 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--replicas", type=int, default=3)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--former", help="commit whose build the present one replaces")
+    parser.add_argument("--back", action="store_true", help="replace the present build by it")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else random.SystemRandom().randrange(10**6)
     failed_seeds = 0
     for seed in range(first, first + options.count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        upgrade = None
+        if options.former is not None:
+            upgrade = make_upgrade(options.former, folder / "former", options.back)
         soak = anyio.run(
-            run_soak, seed, options.seconds, folder, options.replicas, options.gateways
+            run_soak, seed, options.seconds, folder, options.replicas, options.gateways, upgrade
         )
         print(f"seed {seed}: {len(soak.faults)} faults, {dict(soak.outcomes)}, logs in {folder}")
+        if upgrade is not None:
+            print(f"  replaced, in this order: {', '.join(upgrade.replaced)}")
         for line in soak.faults:
             print(f"  {line}")
         if soak.faults:
