--- a/tests/soak/test_upgrades.py
+++ b/tests/soak/test_upgrades.py
@@ -30,8 +30,8 @@
     assert list((tmp_path / "former").rglob("*.pyc"))
 
 
-def test_some_upgrades_are_reversed_after_their_halt(tmp_path):
-    """Guard against a soak that never goes back to the former build, or always does."""
+def test_some_upgrades_are_reversed_after_their_halt_or_end_with_it(tmp_path):
+    """Guard against a soak that never goes back, or never checks a fleet of both builds."""
     upgrade, outcomes = Upgrade(tmp_path / "former", tmp_path / "target"), []
     for seed in range(30):
         processes = [Process(f"gateway-{n}", "gateway", tmp_path, {}) for n in range(6)]
@@ -41,8 +41,8 @@
             assert step.process.package != step.package
             step.process.package = step.package
         outcomes.append({process.package for process in processes})
-    assert {upgrade.target} in outcomes and {upgrade.former} in outcomes
-    assert all(len(packages) == 1 for packages in outcomes)
+    for packages in ({upgrade.target}, {upgrade.former}, {upgrade.former, upgrade.target}):
+        assert packages in outcomes
 
 
 def test_a_process_that_outlives_its_grace_time_is_detected(tmp_path, monkeypatch):
--- a/tests/soak/upgrades.py
+++ b/tests/soak/upgrades.py
@@ -37,18 +37,25 @@
 
 
 def plan_steps(seed: int, upgrade: Upgrade, processes: list[Process]) -> list[Step]:
-    """Return steps that replace all processes; some seeds go back after a halt midway."""
+    """Return steps that replace all processes; some seeds go back after a halt, or end with it.
+
+    An upgrade that ends with its halt leaves both builds side by side for the final checks.
+    """
     # A separate generator keeps the other faults of a seed as they are.
     generator = random.Random(f"upgrade-{seed}")
     order = generator.sample(processes, len(processes))
     halt_after = generator.randrange(1, len(order))
     longest_pause = generator.choice((0.0, 1.0, 3.0))
     changes = [(process, upgrade.target) for process in order]
-    if generator.random() < 0.3:
-        changes[halt_after:] = [(process, upgrade.former) for process in order[:halt_after][::-1]]
+    sample = generator.random()
+    if sample < 0.6:
+        del changes[halt_after:]
+    if sample < 0.3:
+        changes += [(process, upgrade.former) for process in order[:halt_after][::-1]]
     steps = [Step(*change, generator.uniform(0.0, longest_pause)) for change in changes]
     steps[0].pause_seconds += generator.uniform(0.5, 2.0)
-    steps[halt_after].pause_seconds += generator.uniform(1.0, 3.0)
+    for step in steps[halt_after : halt_after + 1]:
+        step.pause_seconds += generator.uniform(1.0, 3.0)
     return steps
 
 
