Count the bytes that a peer has not acknowledged in one place

Gateways and the servers of marjorambridged each asked the kernel for them. The call stands in transport/progress.py now, beside the other one that tells what the kernel knows of a peer. Behaviour is the same; the test of a system without the call replaces it there, with the same assertions.

--- a/marjorambridge/gateway/streams.py
+++ b/marjorambridge/gateway/streams.py
@@ -1,13 +1,12 @@
 """Set options of TCP connections and reset them."""
 
-import fcntl
 import socket
 import struct
-import termios
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from marjorambridge.transport.progress import count_queued_bytes
 from marjorambridge.transport.reading import limit_reading_ahead
 
 # A peer that disappears without a reset, while nothing is sent to it, is detected by these
@@ -24,7 +23,6 @@
 LINGER = struct.Struct("ii")
 # Number of bytes if the kernel can't tell it.
 UNKNOWN_BYTES = -1
-COUNT = struct.Struct("i")
 
 STREAM_ERRORS = (
     OSError,
@@ -71,9 +69,7 @@
 def count_unacknowledged_bytes(stream: SocketStream) -> int:
     """Return the bytes in the kernel that the peer has not acknowledged."""
     try:
-        raw = stream.extra(SocketAttribute.raw_socket)
-        answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+        return count_queued_bytes(stream.extra(SocketAttribute.raw_socket))
     except (OSError, ValueError):
         # The connection is closed, or the system has no such call.
         return UNKNOWN_BYTES
-    return COUNT.unpack(answer)[0]
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import contextlib
-import fcntl
 import functools
 import socket
 import struct
-import termios
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -18,7 +16,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.http import deliveries
 from marjorambridge.http.deliveries import Delivery
-from marjorambridge.transport.progress import read_progress
+from marjorambridge.transport.progress import count_queued_bytes, read_progress
 
 Application = Callable[[dict[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]]
 
@@ -38,7 +36,6 @@
 CHECK_INTERVAL_SECONDS = 0.5
 # Answers cut by the end of the process that are logged one by one; the others are counted.
 MAX_CUT_LINES = 50
-QUEUE_SIZE = struct.Struct("i")
 RESET = struct.Struct("ii")
 
 
@@ -84,13 +81,10 @@
 
 def _count_unsent_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that the peer has not acknowledged, in this process and in the kernel."""
-    descriptor = transport.get_extra_info("socket").fileno()
-    if descriptor < 0:
+    raw = transport.get_extra_info("socket")
+    if raw.fileno() < 0:
         return 0
-    (queued_bytes,) = QUEUE_SIZE.unpack(
-        fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
-    )
-    return transport.get_write_buffer_size() + int(queued_bytes)
+    return transport.get_write_buffer_size() + count_queued_bytes(raw)
 
 
 def _limit_unsent_bytes(transport: asyncio.Transport) -> None:
--- a/marjorambridge/transport/progress.py
+++ b/marjorambridge/transport/progress.py
@@ -6,8 +6,10 @@
 """
 
 import errno
+import fcntl
 import socket
 import struct
+import termios
 
 from loguru import logger
 from msgspec import Struct
@@ -15,6 +17,7 @@
 # The first part of ``struct tcp_info`` in ``linux/tcp.h``: retransmissions, probes, the time since
 # the last acknowledgement, and the acknowledged bytes; the kernel only appends fields.
 TCP_INFO = struct.Struct("=2xBB52xI60xQ")
+QUEUE_SIZE = struct.Struct("i")
 MILLISECONDS_PER_SECOND = 1_000
 # Probes or retransmissions in a row without an acknowledgement, after which a peer may count as
 # unreachable. A single one may have been lost on its way.
@@ -62,6 +65,19 @@
     return PeerProgress(retransmits + probes, silent_seconds, acknowledged)
 
 
+def count_queued_bytes(raw: socket.socket) -> int:
+    """Return the bytes in the kernel that the peer has not acknowledged.
+
+    Raises
+    ------
+    OSError, ValueError
+        If the system has no such call, or the connection is closed.
+    """
+    answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    (size,) = QUEUE_SIZE.unpack(answer)
+    return int(size)
+
+
 def is_unreachable(progress: PeerProgress, timeout_seconds: float) -> bool:
     """Return whether a peer has acknowledged nothing for a time, although it was asked to.
 
--- a/tests/gateway/test_cuts.py
+++ b/tests/gateway/test_cuts.py
@@ -12,6 +12,7 @@
 
 from marjorambridge.gateway import cuts, streams
 from marjorambridge.manifests.models import Execution
+from marjorambridge.transport import progress
 
 from .helpers import SIGNED, make_chunk, make_manifest, make_request, run_gateway
 from .wires import PLATFORM, find_header
@@ -134,7 +135,7 @@
     def refuse_call(*arguments):
         raise OSError("not supported")
 
-    monkeypatch.setattr(streams.fcntl, "ioctl", refuse_call)
+    monkeypatch.setattr(progress.fcntl, "ioctl", refuse_call)
     assert streams.count_unacknowledged_bytes(stream) == streams.UNKNOWN_BYTES
 
 
