Add the setting and the message fields of planned services

Two deployments run at a load where waiting, order and shares decide. Requests of planned services carry their urgency to the endpoint. New optional fields of the load messages have defaults; nothing depends on them yet.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -407,3 +407,8 @@
 # Causes of crashes that a host remembers: suspects, and those that were answered.
 MAX_SUSPECTS = 2_000
 MAX_ANSWERED_CAUSES = 20_000
+
+# Scheduling of planned services (marjorambridge.scheduling).
+# Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
+URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
+MAX_URGENCY = 9
--- a/marjorambridge/conf/nodes.py
+++ b/marjorambridge/conf/nodes.py
@@ -1,6 +1,7 @@
 """Settings file of a gateway or a replica."""
 
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 from msgspec import Struct, field
@@ -64,6 +65,8 @@
         Folder for the state of a replica.
     memory_megabytes : int or None
         Memory that this process may use; None for the limits of the machine and of the process.
+    scheduling : str
+        Which services a gateway plans; see `marjorambridge.scheduling.activation`.
     """
 
     host: str
@@ -81,6 +84,7 @@
     memory_megabytes: int | None = None
     metrics_port: int = 0
     log_level: str = "INFO"
+    scheduling: Literal["auto", "on", "off"] = "auto"
 
 
 def load_node_settings(path: Path) -> NodeSettings:
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -42,6 +42,7 @@
 from marjorambridge.gateway.tickets import configure_tickets
 from marjorambridge.manifests.models import CallerLimits, Manifest
 from marjorambridge.node.gateway import GatewayNodeSettings, compose_gateway
+from marjorambridge.scheduling.activation import SchedulingMode
 from marjorambridge.telemetry import logs, metrics
 from marjorambridge.transport import network
 
@@ -133,6 +134,7 @@
             cold_allowance=bounds.cold_allowance,
             min_request_crashes=bounds.min_request_crashes,
             near_zones=nodes.list_near_zones(settings),
+            scheduling=SchedulingMode(settings.scheduling),
         ),
         incarnation,
         started_at=time.monotonic(),
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -8,6 +8,7 @@
 from marjorambridge.forwarding.thresholds import derive_thresholds
 from marjorambridge.manifests.matching import build_route_table
 from marjorambridge.manifests.models import Manifest
+from marjorambridge.scheduling.activation import list_planned_services
 
 # Keys of endpoints have 31 bits, which take five bytes in a datagram.
 KEY_MASK = 2**31 - 1
@@ -22,6 +23,7 @@
         name: derive_thresholds(manifest, definition)
         for name, definition in state.table.services.items()
     }
+    state.planned = list_planned_services(manifest, state.settings.scheduling)
     return True
 
 
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -18,6 +18,11 @@
         The fields of `marjorambridge.forwarding.state.Load`; ``read`` means prefill.
     pause_milliseconds : int
         Longest pause that all the requests tolerate; 0 if it is not limited.
+    helps : int
+        Prefill shards that the endpoint computes for requests at other endpoints.
+    write_milliseconds : int
+        Time in which the requests write what is left of their answers, or in which a plain service
+        does what is left of their work.
     """
 
     endpoint: int
@@ -26,6 +31,8 @@
     read_milliseconds: int
     kv_tokens: int
     pause_milliseconds: int
+    helps: int = 0
+    write_milliseconds: int = 0
 
 
 class EndpointFailure(Struct):
@@ -45,6 +52,10 @@
         Requests per second that the endpoint takes from all hosts; negative for no limit.
     limit_age_milliseconds : int
         Time since the endpoint stated the limit, or that it has none; negative if it is unknown.
+    declined_milliseconds : int
+        Time for which the endpoint should not be asked to help with prompts.
+    slowdown_percent : int
+        Measured time of its work as a percentage of the expected time; 100 if it is unknown.
     """
 
     endpoint: int
@@ -54,6 +65,26 @@
     leaving: bool = False
     request_limit: float = -1.0
     limit_age_milliseconds: int = -1
+    declined_milliseconds: int = 0
+    slowdown_percent: int = 100
+
+
+class WorkspaceUse(Struct):
+    """What the requests of a workspace use of all endpoints.
+
+    Attributes
+    ----------
+    workspace : int
+        Hash of the name with 31 bits.
+    milliseconds : int
+        Time for which its running requests occupy endpoints.
+    waiting : int
+        Requests that wait for room on their hosts.
+    """
+
+    workspace: int
+    milliseconds: int
+    waiting: int = 0
 
 
 class LoadShare(Struct):
@@ -69,6 +100,7 @@
     for_zone: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] = ()
 
 
 class LoadTotals(Struct):
@@ -83,6 +115,7 @@
     host: str
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] = ()
 
 
 class ZoneTotals(Struct):
@@ -100,6 +133,7 @@
     is_first: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] = ()
 
 
 class CrashEntry(Struct):
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -47,6 +47,12 @@
         Time until the deadline of the request.
     kv_tokens : int
         Memory in tokens that the request needs at its end.
+    is_planned : bool
+        Whether its service is planned.
+    urgency : int
+        Rank in the order of requests that wait; 0 is first.
+    workspace : str
+        Workspace of the caller; empty if it has none.
     """
 
     service: str
@@ -55,6 +61,9 @@
     objective_seconds: float = math.inf
     pause_seconds: float = math.inf
     remaining_seconds: float = math.inf
+    is_planned: bool = False
+    urgency: int = 0
+    workspace: str = ""
 
 
 def choose_endpoint(
--- a/marjorambridge/forwarding/settings.py
+++ b/marjorambridge/forwarding/settings.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from marjorambridge.conf import defaults
+from marjorambridge.scheduling.activation import SchedulingMode
 
 
 class ForwardingSettings(Struct, frozen=True):
@@ -25,6 +26,8 @@
         Engines that a request crashes before it is refused by all hosts; the same at all hosts.
     near_zones : frozenset of str
         Zones of the region of this host; empty if there is only one region.
+    scheduling : SchedulingMode
+        Which services are planned.
     """
 
     host: str
@@ -36,3 +39,4 @@
     cold_allowance: float = 0.0
     min_request_crashes: int = defaults.MIN_REQUEST_CRASHES
     near_zones: frozenset[str] = frozenset()
+    scheduling: SchedulingMode = SchedulingMode.AUTO
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -155,6 +155,8 @@
         None until the first manifest is received.
     thresholds : dict of str to Thresholds
         Bounds of prefills at the engines of each service of the table.
+    planned : frozenset of str
+        Services with planned placement.
     drained : frozenset of str
         Zones that get no new requests.
     restored : dict of str to int
@@ -187,6 +189,7 @@
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
     by_key: dict[int, Endpoint] = field(default_factory=dict)
+    planned: frozenset[str] = frozenset()
     drained: frozenset[str] = frozenset()
     restored: dict[str, int] = field(default_factory=dict)
     hosts: dict[str, str] = field(default_factory=dict)
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -125,6 +125,7 @@
         workspace=workspace.name if workspace else "",
         last_event=find_resumption(context),
         helpers=list_helpers(running.tickets, [helper.address for helper in running.helpers]),
+        urgency=context.profile.urgency if context.profile.is_planned else None,
     )
     message = gateway.dialect.encode_attempt(request, options)
     return Attempt(
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -16,6 +16,7 @@
 from marjorambridge.gateway.messages import CallerRequest, MemoryAllocation
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet
+from marjorambridge.scheduling.urgency import compute_urgency
 
 # Part of the deadline that is left for the transfer of the answer to the caller.
 ANSWER_MARGIN_SECONDS = 0.02
@@ -164,6 +165,9 @@
         admission.service,
         objective_seconds=route.objective_seconds or math.inf,
         pause_seconds=route.gap_objective_seconds or math.inf,
+        is_planned=admission.service in gateway.forwarding.planned,
+        urgency=compute_urgency(route, admission.workspace),
+        workspace=admission.workspace.name if admission.workspace else "",
     )
     engine = definition.engine if definition is not None else None
     if engine is not None and request.prompt is not None:
@@ -174,8 +178,7 @@
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
     allocation = MemoryAllocation(gateway.memory)
-    workspace = admission.workspace.name if admission.workspace else ""
-    causes = find_causes(request, workspace)
+    causes = find_causes(request, profile.workspace)
     relay = exchange.relay
     return RequestContext(
         gateway,
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -119,6 +119,8 @@
         Number of the event after which the stream is resumed; None to keep the caller's header.
     helpers : tuple of str
         Addresses of the helper engines, each of which computes a prefill shard of the prompt.
+    urgency : int or None
+        Rank in the order in which the endpoint admits requests, 0 is first; None to name none.
     """
 
     endpoint: str
@@ -130,6 +132,7 @@
     workspace: str = ""
     last_event: int | None = None
     helpers: tuple[str, ...] = ()
+    urgency: int | None = None
 
 
 class AttemptMessage(Struct):
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -169,6 +169,8 @@
     if options.workspace:
         # Header values hold any bytes above 127; a value can't begin or end with a space.
         added.append((b"X-Tenant", options.workspace.strip().encode()))
+    if options.urgency is not None:
+        added.append((b"X-Request-Priority", str(options.urgency).encode()))
     if options.helpers:
         added.append((b"X-Helpers", ",".join(options.helpers).encode()))
     return AttemptMessage(request.target, [*headers, *added], request.body)
--- /dev/null
+++ b/marjorambridge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load for planned services: waiting, order, room, costs and shares."""
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -26,6 +26,8 @@
      - read_milliseconds
      - kv_tokens
      - pause_milliseconds
+     - helps
+     - write_milliseconds
 
     """
 
@@ -36,16 +38,20 @@
         'read_milliseconds',
         'kv_tokens',
         'pause_milliseconds',
+        'helps',
+        'write_milliseconds',
     )
 
 
-    def __init__(self, endpoint=None, requests=None, reads=None, read_milliseconds=None, kv_tokens=None, pause_milliseconds=None,):
+    def __init__(self, endpoint=None, requests=None, reads=None, read_milliseconds=None, kv_tokens=None, pause_milliseconds=None, helps=0, write_milliseconds=0,):
         self.endpoint = endpoint
         self.requests = requests
         self.reads = reads
         self.read_milliseconds = read_milliseconds
         self.kv_tokens = kv_tokens
         self.pause_milliseconds = pause_milliseconds
+        self.helps = helps
+        self.write_milliseconds = write_milliseconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -86,6 +92,16 @@
                     self.pause_milliseconds = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.helps = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.write_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -120,6 +136,14 @@
             oprot.writeFieldBegin('pause_milliseconds', TType.I64, 6)
             oprot.writeI64(self.pause_milliseconds)
             oprot.writeFieldEnd()
+        if self.helps is not None:
+            oprot.writeFieldBegin('helps', TType.I64, 7)
+            oprot.writeI64(self.helps)
+            oprot.writeFieldEnd()
+        if self.write_milliseconds is not None:
+            oprot.writeFieldBegin('write_milliseconds', TType.I64, 8)
+            oprot.writeI64(self.write_milliseconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -155,6 +179,8 @@
      - leaving
      - request_limit
      - limit_age_milliseconds
+     - declined_milliseconds
+     - slowdown_percent
 
     """
 
@@ -166,10 +192,12 @@
         'leaving',
         'request_limit',
         'limit_age_milliseconds',
+        'declined_milliseconds',
+        'slowdown_percent',
     )
 
 
-    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False, request_limit=-1.0000000000000000, limit_age_milliseconds=-1,):
+    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False, request_limit=-1.0000000000000000, limit_age_milliseconds=-1, declined_milliseconds=0, slowdown_percent=100,):
         self.endpoint = endpoint
         self.failures = failures
         self.avoided_milliseconds = avoided_milliseconds
@@ -177,6 +205,8 @@
         self.leaving = leaving
         self.request_limit = request_limit
         self.limit_age_milliseconds = limit_age_milliseconds
+        self.declined_milliseconds = declined_milliseconds
+        self.slowdown_percent = slowdown_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -222,6 +252,16 @@
                     self.limit_age_milliseconds = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.declined_milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.slowdown_percent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -260,6 +300,106 @@
             oprot.writeFieldBegin('limit_age_milliseconds', TType.I64, 7)
             oprot.writeI64(self.limit_age_milliseconds)
             oprot.writeFieldEnd()
+        if self.declined_milliseconds is not None:
+            oprot.writeFieldBegin('declined_milliseconds', TType.I64, 8)
+            oprot.writeI64(self.declined_milliseconds)
+            oprot.writeFieldEnd()
+        if self.slowdown_percent is not None:
+            oprot.writeFieldBegin('slowdown_percent', TType.I64, 9)
+            oprot.writeI64(self.slowdown_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkspaceUse(object):
+    """
+    Attributes:
+     - workspace
+     - milliseconds
+     - waiting
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'milliseconds',
+        'waiting',
+    )
+
+
+    def __init__(self, workspace=None, milliseconds=None, waiting=0,):
+        self.workspace = workspace
+        self.milliseconds = milliseconds
+        self.waiting = waiting
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.workspace = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.milliseconds = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.waiting = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkspaceUse')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I64, 1)
+            oprot.writeI64(self.workspace)
+            oprot.writeFieldEnd()
+        if self.milliseconds is not None:
+            oprot.writeFieldBegin('milliseconds', TType.I64, 2)
+            oprot.writeI64(self.milliseconds)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I64, 3)
+            oprot.writeI64(self.waiting)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -292,6 +432,7 @@
      - for_zone
      - loads
      - failures
+     - workspaces
 
     """
 
@@ -300,10 +441,12 @@
         'for_zone',
         'loads',
         'failures',
+        'workspaces',
     )
 
 
     def __init__(self, host=None, for_zone=None, loads=None, failures=[
+    ], workspaces=[
     ],):
         self.host = host
         self.for_zone = for_zone
@@ -312,6 +455,10 @@
             failures = [
             ]
         self.failures = failures
+        if workspaces is self.thrift_spec[5][4]:
+            workspaces = [
+            ]
+        self.workspaces = workspaces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -354,6 +501,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.workspaces = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = WorkspaceUse()
+                        _elem17.read(iprot)
+                        self.workspaces.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -375,15 +533,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter12 in self.loads:
-                iter12.write(oprot)
+            for iter18 in self.loads:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter13 in self.failures:
-                iter13.write(oprot)
+            for iter19 in self.failures:
+                iter19.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.workspaces is not None:
+            oprot.writeFieldBegin('workspaces', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.workspaces))
+            for iter20 in self.workspaces:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -417,6 +582,7 @@
      - host
      - loads
      - failures
+     - workspaces
 
     """
 
@@ -424,10 +590,12 @@
         'host',
         'loads',
         'failures',
+        'workspaces',
     )
 
 
     def __init__(self, host=None, loads=None, failures=[
+    ], workspaces=[
     ],):
         self.host = host
         self.loads = loads
@@ -435,6 +603,10 @@
             failures = [
             ]
         self.failures = failures
+        if workspaces is self.thrift_spec[4][4]:
+            workspaces = [
+            ]
+        self.workspaces = workspaces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -453,22 +625,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EndpointLoad()
-                        _elem19.read(iprot)
-                        self.loads.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = EndpointLoad()
+                        _elem26.read(iprot)
+                        self.loads.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.failures = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = EndpointFailure()
-                        _elem25.read(iprot)
-                        self.failures.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = EndpointFailure()
+                        _elem32.read(iprot)
+                        self.failures.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.workspaces = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = WorkspaceUse()
+                        _elem38.read(iprot)
+                        self.workspaces.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -489,15 +672,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter26 in self.loads:
-                iter26.write(oprot)
+            for iter39 in self.loads:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter27 in self.failures:
-                iter27.write(oprot)
+            for iter40 in self.failures:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.workspaces is not None:
+            oprot.writeFieldBegin('workspaces', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.workspaces))
+            for iter41 in self.workspaces:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -532,6 +722,7 @@
      - is_first
      - loads
      - failures
+     - workspaces
 
     """
 
@@ -540,10 +731,12 @@
         'is_first',
         'loads',
         'failures',
+        'workspaces',
     )
 
 
     def __init__(self, zone=None, is_first=None, loads=None, failures=[
+    ], workspaces=[
     ],):
         self.zone = zone
         self.is_first = is_first
@@ -552,6 +745,10 @@
             failures = [
             ]
         self.failures = failures
+        if workspaces is self.thrift_spec[5][4]:
+            workspaces = [
+            ]
+        self.workspaces = workspaces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -575,22 +772,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = EndpointLoad()
-                        _elem33.read(iprot)
-                        self.loads.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EndpointLoad()
+                        _elem47.read(iprot)
+                        self.loads.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.failures = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = EndpointFailure()
-                        _elem39.read(iprot)
-                        self.failures.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = EndpointFailure()
+                        _elem53.read(iprot)
+                        self.failures.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.workspaces = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = WorkspaceUse()
+                        _elem59.read(iprot)
+                        self.workspaces.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -615,15 +823,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter40 in self.loads:
-                iter40.write(oprot)
+            for iter60 in self.loads:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures is not None:
             oprot.writeFieldBegin('failures', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.failures))
-            for iter41 in self.failures:
-                iter41.write(oprot)
+            for iter61 in self.failures:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.workspaces is not None:
+            oprot.writeFieldBegin('workspaces', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.workspaces))
+            for iter62 in self.workspaces:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -920,33 +1135,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = CrashEntry()
-                        _elem47.read(iprot)
-                        self.crashes.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = CrashEntry()
+                        _elem68.read(iprot)
+                        self.crashes.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blocked = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = CauseEntry()
-                        _elem53.read(iprot)
-                        self.blocked.append(_elem53)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = CauseEntry()
+                        _elem74.read(iprot)
+                        self.blocked.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.answered = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = CauseEntry()
-                        _elem59.read(iprot)
-                        self.answered.append(_elem59)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = CauseEntry()
+                        _elem80.read(iprot)
+                        self.answered.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -971,22 +1186,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter60 in self.crashes:
-                iter60.write(oprot)
+            for iter81 in self.crashes:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blocked is not None:
             oprot.writeFieldBegin('blocked', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blocked))
-            for iter61 in self.blocked:
-                iter61.write(oprot)
+            for iter82 in self.blocked:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.answered))
-            for iter62 in self.answered:
-                iter62.write(oprot)
+            for iter83 in self.answered:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1021,6 +1236,8 @@
     (4, TType.I64, 'read_milliseconds', None, None, ),  # 4
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
     (6, TType.I64, 'pause_milliseconds', None, None, ),  # 6
+    (7, TType.I64, 'helps', None, 0, ),  # 7
+    (8, TType.I64, 'write_milliseconds', None, 0, ),  # 8
 )
 all_structs.append(EndpointFailure)
 EndpointFailure.thrift_spec = (
@@ -1032,6 +1249,15 @@
     (5, TType.BOOL, 'leaving', None, False, ),  # 5
     (6, TType.DOUBLE, 'request_limit', None, -1.0000000000000000, ),  # 6
     (7, TType.I64, 'limit_age_milliseconds', None, -1, ),  # 7
+    (8, TType.I64, 'declined_milliseconds', None, 0, ),  # 8
+    (9, TType.I64, 'slowdown_percent', None, 100, ),  # 9
+)
+all_structs.append(WorkspaceUse)
+WorkspaceUse.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'workspace', None, None, ),  # 1
+    (2, TType.I64, 'milliseconds', None, None, ),  # 2
+    (3, TType.I64, 'waiting', None, 0, ),  # 3
 )
 all_structs.append(LoadShare)
 LoadShare.thrift_spec = (
@@ -1041,6 +1267,8 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
+    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
+    ], ),  # 5
 )
 all_structs.append(LoadTotals)
 LoadTotals.thrift_spec = (
@@ -1049,6 +1277,8 @@
     (2, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 2
     (3, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 3
+    (4, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
+    ], ),  # 4
 )
 all_structs.append(ZoneTotals)
 ZoneTotals.thrift_spec = (
@@ -1058,6 +1288,8 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
+    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
+    ], ),  # 5
 )
 all_structs.append(CrashEntry)
 CrashEntry.thrift_spec = (
