--- a/marjorambridge/scheduling/urgency.py
+++ b/marjorambridge/scheduling/urgency.py
@@ -23,7 +23,8 @@
     ...     return Route("r", "h", "/", Execution.STREAM, 10.0, objective, (), priority=priority)
     >>> [compute_urgency(build(0, objective), None) for objective in (0.3, 1.5, 8.0)]
     [0, 1, 2]
-    >>> compute_urgency(build(0, 0.3), WorkspaceKeys("w", (), 1)), compute_urgency(build(7, 8), None)
+    >>> workspace = WorkspaceKeys("w", (), 1)
+    >>> compute_urgency(build(0, 0.3), workspace), compute_urgency(build(7, 8), None)
     (3, 9)
     """
     priority = route.priority
