Plan long prompts by their slack, and let what finds no room wait

Change: plans take the fewest engines with which a prompt is on time, and keep the pauses of answers with one engine pass to spare. Requests of planned services wait on their host until their latest start, in the order of urgency, share and due time.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,3 +412,19 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
+# Parts of its objective in which a long prompt is to be prefilled: the one that leaves room for an
+# engine that fails, and the latest one.
+EARLY_PREFILL_RATIO = 0.5
+LATEST_PREFILL_RATIO = 0.85
+# Longest prefill shard of a long prompt as a part of its objective, if there are enough engines.
+SHARD_OBJECTIVE_RATIO = 0.125
+# Requests that wait for room on one host, those that are checked in one round, and the longest time
+# between two rounds.
+MAX_WAITING_REQUESTS = 256
+MAX_CHECKED_REQUESTS = 8
+WAITING_CHECK_SECONDS = 0.05
+# Silence after which callers give up a stream: the longest of a time, a multiple of the objective
+# for the first event, and a multiple of the objective for the pause.
+CALLER_PATIENCE_SECONDS = 2.0
+CALLER_PATIENCE_OBJECTIVES = 4.0
+CALLER_PATIENCE_PAUSES = 8.0
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -47,6 +47,8 @@
         Time until the deadline of the request.
     kv_tokens : int
         Memory in tokens that the request needs at its end.
+    waited_seconds : float
+        Time since the request arrived, for planned services.
     is_planned : bool
         Whether its service is planned.
     urgency : int
@@ -61,6 +63,7 @@
     objective_seconds: float = math.inf
     pause_seconds: float = math.inf
     remaining_seconds: float = math.inf
+    waited_seconds: float = 0.0
     is_planned: bool = False
     urgency: int = 0
     workspace: str = ""
--- a/marjorambridge/forwarding/splitting.py
+++ b/marjorambridge/forwarding/splitting.py
@@ -75,41 +75,41 @@
     waits = [_compute_wait(endpoint, now) for endpoint in candidates]
     waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
     if len(state.hosts) > defaults.LARGE_FLEET_HOSTS or is_starting(state, now):
-        _shuffle_idle_engines(state, waits)
+        shuffle_idle_engines(state, waits)
     max_shard_seconds = thresholds.tolerated_prefill_seconds
     chosen = (
-        _choose_fewest(
+        choose_fewest(
             waits,
             profile,
             defaults.LONG_PREFILL_OBJECTIVE_RATIO * profile.objective_seconds,
             max_shard_seconds,
         )
-        or _choose_fewest(
+        or choose_fewest(
             waits,
             profile,
             defaults.LATE_PREFILL_OBJECTIVE_RATIO * profile.objective_seconds,
             max_shard_seconds,
         )
-        or _choose_tolerated(eligible, profile, max_shard_seconds, now)
-        or _choose_fewest(
+        or choose_tolerated(eligible, profile, max_shard_seconds, now)
+        or choose_fewest(
             waits,
             profile,
             _compute_late_limit(waits, profile, len(eligible)),
             max_shard_seconds=math.inf,
         )
     )
-    return _sort_by_capacity(definition, chosen, profile)
+    return sort_by_capacity(definition, chosen, profile)
 
 
 class EngineWait(Struct):
-    """The outstanding prefill of an engine and the pause limit of its answers, in seconds."""
+    """The outstanding prefill of an engine, and the longest one that its answers tolerate."""
 
     endpoint: Endpoint
     seconds: float
-    pause_limit: float
+    tolerated_seconds: float
 
 
-def _shuffle_idle_engines(state: ForwardingState, waits: list[EngineWait]) -> None:
+def shuffle_idle_engines(state: ForwardingState, waits: list[EngineWait]) -> None:
     """Shuffle the first idle engines, so that hosts with the same loads choose different ones.
 
     The engines after them get no long prompts and are left to the short requests that follow.
@@ -127,7 +127,8 @@
     """
     limit = defaults.LATE_PROMPT_REMAINING_RATIO * profile.remaining_seconds
     idle = sum(
-        wait.seconds <= MAX_IDLE_PREFILL_SECONDS and math.isinf(wait.pause_limit) for wait in waits
+        wait.seconds <= MAX_IDLE_PREFILL_SECONDS and math.isinf(wait.tolerated_seconds)
+        for wait in waits
     )
     if idle >= defaults.LATE_PROMPT_IDLE_ENGINE_RATIO * engines:
         return limit
@@ -140,7 +141,7 @@
     )
 
 
-def _choose_fewest(
+def choose_fewest(
     waits: list[EngineWait], profile: RequestProfile, limit: float, max_shard_seconds: float
 ) -> list[Endpoint]:
     """Return the fewest engines that prefill a prompt within `limit` seconds; none if they can't.
@@ -152,9 +153,9 @@
     best: list[Endpoint] = []
     for count in range(1, min(len(waits), defaults.MAX_HELPERS + 1) + 1):
         shard_seconds = profile.prefill_seconds / count
-        fitting = [wait for wait in waits if wait.seconds + shard_seconds <= wait.pause_limit][
-            :count
-        ]
+        fitting = [
+            wait for wait in waits if wait.seconds + shard_seconds <= wait.tolerated_seconds
+        ][:count]
         if len(fitting) < count or fitting[-1].seconds + shard_seconds > limit:
             continue
         best = [wait.endpoint for wait in fitting]
@@ -163,7 +164,7 @@
     return best
 
 
-def _choose_tolerated(
+def choose_tolerated(
     engines: list[Endpoint], profile: RequestProfile, max_shard_seconds: float, now: float
 ) -> list[Endpoint]:
     """Return engines that can prefill shards so short that running answers stay on time."""
@@ -179,7 +180,7 @@
     return idle
 
 
-def _sort_by_capacity(
+def sort_by_capacity(
     definition: ServiceDefinition, chosen: list[Endpoint], profile: RequestProfile
 ) -> list[Endpoint]:
     """Put an engine with a free slot, and if possible with enough memory, first for the request."""
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -57,6 +57,7 @@
 from marjorambridge.gateway.relays import build_relay_attempt, read_retry_after, run_relay
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
+from marjorambridge.gateway.waiting import start_round
 from marjorambridge.manifests.models import Execution
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
@@ -93,6 +94,7 @@
         _finish_prefill(context, running, time.monotonic())
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         gateway.share_load(endpoint)
+        start_round(gateway, time.monotonic())
         if not endpoint.is_peer:
             start_cancellation(gateway, request, endpoint, identifier, result.outcome)
         if result.outcome is AttemptOutcome.COMPLETE or running.scope.cancel_called:
--- a/marjorambridge/gateway/races.py
+++ b/marjorambridge/gateway/races.py
@@ -131,7 +131,7 @@
     """Return an attempt that may start, or None if there is none or the silent one goes on."""
     attempt, may_start = None, False
     with anyio.CancelScope() as context.selection:
-        attempt = await select_attempt(context)
+        attempt = await select_attempt(context, may_wait=False)
         may_start = attempt is not None and await report_start(context)
     if attempt is None or may_start:
         return attempt
--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -19,13 +19,19 @@
 from marjorambridge.gateway.relay_reports import report_start
 from marjorambridge.gateway.relays import may_relay
 from marjorambridge.gateway.tickets import release, reserve
+from marjorambridge.gateway.waiting import find_room
 
 
-async def select_attempt(context: RequestContext) -> RunningAttempt | None:
+async def select_attempt(context: RequestContext, may_wait: bool = True) -> RunningAttempt | None:
     """Return an attempt at the endpoint that fits best, or None if none can take the request.
 
     While this host reaches no endpoint, the attempt passes the request on to another host; what
     another host has passed on goes back to it.
+
+    Parameters
+    ----------
+    may_wait : bool
+        Whether a request of a planned service waits for room.
     """
     forwarding, profile = context.gateway.forwarding, context.profile
     now = time.monotonic()
@@ -35,6 +41,8 @@
     if is_lost(forwarding.contact) and may_relay(context) and len(forwarding.hosts) > 1:
         peer = select_peer(context, now)
         return create_attempt(context, peer) if peer is not None else None
+    if profile.is_planned:
+        return await _select_planned(context, excluded, may_wait)
     may_split = context.gateway.dialect.helpers is not None
     if not may_split or not is_long_prompt(forwarding, profile):
         endpoint = choose_endpoint(forwarding, profile, excluded, now)
@@ -74,6 +82,29 @@
     engines = choose_prefill_engines(forwarding, profile, excluded, now)
     if not engines:
         return None
+    return await _create_attempt(context, engines, excluded)
+
+
+async def _select_planned(
+    context: RequestContext, excluded: frozenset[str], may_wait: bool
+) -> RunningAttempt | None:
+    """Return an attempt once the request has room, or None if it can't be served in time."""
+    while True:
+        endpoints = await find_room(context, excluded, may_wait)
+        if not endpoints:
+            return None
+        attempt = await _create_attempt(context, endpoints, excluded)
+        if attempt is not None or not may_wait:
+            return attempt
+        # An engine had less memory than its load reports said.
+        await anyio.sleep(defaults.WAITING_CHECK_SECONDS)
+
+
+async def _create_attempt(
+    context: RequestContext, engines: list[Endpoint], excluded: frozenset[str]
+) -> RunningAttempt | None:
+    """Return an attempt at engines, or None if they lack the memory for it."""
+    forwarding, profile = context.gateway.forwarding, context.profile
     attempt = create_attempt(context, engines[0])
     attempt.helpers = engines[1:]
     if needs_reservations(forwarding, profile):
--- a/marjorambridge/gateway/state.py
+++ b/marjorambridge/gateway/state.py
@@ -15,6 +15,7 @@
 from marjorambridge.gateway.endpoints import open_trial, run_attempt
 from marjorambridge.gateway.messages import AnswerMemory, Attempt, AttemptResult, Dialect
 from marjorambridge.gateway.work import WorkBudget
+from marjorambridge.scheduling.waiting import WaitingQueue
 
 
 class Gateway(Struct):
@@ -54,6 +55,8 @@
         Number of requests in progress that other hosts passed on.
     is_trying : bool
         Whether trial connections to endpoints are being made.
+    waiting : WaitingQueue
+        Requests of planned services that wait for room.
     attempt_prefix : str
         Prefix of the identifiers of all attempts of this process.
     attempt_count : int
@@ -84,6 +87,7 @@
     is_trying: bool = False
     ticket_prefix: str = ""
     ticket_count: int = 0
+    waiting: WaitingQueue = field(default_factory=WaitingQueue)
     attempt_prefix: str = ""
     attempt_count: int = 0
 
--- /dev/null
+++ b/marjorambridge/gateway/waiting.py
@@ -0,0 +1,175 @@
+"""Let requests of planned services wait for room, and start them in their order."""
+
+import time
+
+import anyio
+from loguru import logger
+
+from marjorambridge.conf import defaults
+from marjorambridge.core.effects import Measure
+from marjorambridge.forwarding.costs import compute_pass_seconds
+from marjorambridge.forwarding.placement import choose_endpoint
+from marjorambridge.forwarding.splitting import is_long_prompt
+from marjorambridge.forwarding.state import Endpoint, find_definition
+from marjorambridge.gateway.contexts import RequestContext
+from marjorambridge.gateway.state import Gateway
+from marjorambridge.scheduling.plans import compute_least_seconds, plan_prefill
+from marjorambridge.scheduling.waiting import (
+    WaitingRequest,
+    compute_latest_start,
+    is_due,
+    join,
+    leave,
+    run_round,
+)
+
+
+async def find_room(
+    context: RequestContext, excluded: frozenset[str], may_wait: bool = True
+) -> list[Endpoint]:
+    """Return the endpoints of the next attempt, the one that gets the request first.
+
+    A request without room waits until it would not end in time any more.
+
+    Returns
+    -------
+    list of Endpoint
+        Empty if the request can't be served in time, or if too many requests wait.
+    """
+    gateway = context.gateway
+    is_long = gateway.dialect.helpers is not None and is_long_prompt(
+        gateway.forwarding, context.profile
+    )
+    latest_start = _compute_latest_start(context)
+    now = time.monotonic()
+    if now >= latest_start:
+        _log_refusal(context, latest_start, now)
+        return []
+    if not _precedes(gateway, context):
+        chosen = _choose(context, excluded, is_long)
+        if chosen or not may_wait:
+            return chosen
+    if not may_wait:
+        return []
+    return await _wait(context, excluded, is_long, latest_start)
+
+
+def _precedes(gateway: Gateway, context: RequestContext) -> bool:
+    """Return whether a waiting request of the same service comes before a new one."""
+    return any(
+        request.service == context.profile.service and request.urgency <= context.profile.urgency
+        for request in gateway.waiting.requests
+    )
+
+
+def _choose(context: RequestContext, excluded: frozenset[str], is_long: bool) -> list[Endpoint]:
+    """Return the endpoints that have room for the request now; empty if there are none."""
+    forwarding, profile, now = context.gateway.forwarding, context.profile, time.monotonic()
+    profile.remaining_seconds = max(0.0, context.deadline - now)
+    profile.waited_seconds = now - context.exchange.arrived_at
+    if is_long:
+        plan = plan_prefill(forwarding, profile, excluded, now)
+        return plan.engines if plan is not None else []
+    endpoint = choose_endpoint(forwarding, profile, excluded, now)
+    return [endpoint] if endpoint is not None else []
+
+
+async def _wait(
+    context: RequestContext, excluded: frozenset[str], is_long: bool, latest_start: float
+) -> list[Endpoint]:
+    gateway, profile = context.gateway, context.profile
+    queue, joined_at = gateway.waiting, time.monotonic()
+    chosen: list[Endpoint] = []
+    ready = anyio.Event()
+
+    def grant(endpoints: object) -> None:
+        assert isinstance(endpoints, list)
+        chosen.extend(endpoints)
+        ready.set()
+
+    objective_at = context.exchange.arrived_at + profile.objective_seconds
+    request = WaitingRequest(
+        profile.service,
+        profile.workspace,
+        profile.urgency,
+        objective_at - compute_least_seconds(profile),
+        latest_start,
+        joined_at,
+        find_room=lambda: _choose(context, excluded, is_long) or None,
+        grant=grant,
+        is_long=is_long,
+    )
+    if not join(queue, request):
+        logger.bind(request=context.request.request_id, waiting=len(queue.requests)).warning(
+            "a request was refused, because too many wait"
+        )
+        return []
+    _log(context, "a request waits for room", urgency=profile.urgency)
+    try:
+        while not ready.is_set():
+            now = time.monotonic()
+            if now >= latest_start:
+                break
+            if is_due(queue, now):
+                start_round(gateway, now)
+                continue
+            with anyio.move_on_after(min(defaults.WAITING_CHECK_SECONDS, latest_start - now)):
+                await ready.wait()
+    finally:
+        leave(queue, request)
+    waited = time.monotonic() - joined_at
+    gateway.record_metric(Measure("request_wait_seconds", waited, {}))
+    if chosen:
+        _log(context, "a request found room", seconds=round(waited, 4), engines=len(chosen))
+    else:
+        _log_refusal(context, latest_start, time.monotonic())
+    return chosen
+
+
+def start_round(gateway: Gateway, now: float) -> None:
+    """Grant room to waiting requests, if there are any."""
+    if gateway.waiting.requests:
+        run_round(gateway.waiting, lambda workspace: False, now)
+
+
+def _compute_latest_start(context: RequestContext) -> float:
+    """Return the monotonic time in seconds after which the request can't end in time.
+
+    A caller gives up a stream that is silent for long, so that a later start serves nobody.
+    """
+    profile, route = context.profile, context.admission.route
+    definition = find_definition(context.gateway.forwarding, profile.service)
+    answer_seconds = defaults.MIN_ATTEMPT_SECONDS
+    if definition is not None and definition.engine is not None:
+        prompt = context.request.prompt
+        tokens = prompt.expected_answer_tokens if prompt is not None else 0
+        passes = tokens / max(1, definition.engine.stride_steps)
+        answer_seconds = max(answer_seconds, passes * compute_pass_seconds(definition.engine))
+    least_seconds = compute_least_seconds(profile)
+    latest_start = compute_latest_start(context.deadline, least_seconds, answer_seconds)
+    if route.gap_objective_seconds > 0 and not context.first_event_at:
+        patience = max(
+            defaults.CALLER_PATIENCE_SECONDS,
+            defaults.CALLER_PATIENCE_OBJECTIVES * route.objective_seconds,
+            defaults.CALLER_PATIENCE_PAUSES * route.gap_objective_seconds,
+        )
+        latest_start = min(latest_start, context.exchange.arrived_at + patience - least_seconds)
+    return latest_start
+
+
+def _log_refusal(context: RequestContext, latest_start: float, now: float) -> None:
+    _log(
+        context,
+        "a request was refused, because it can't end in time",
+        needed_seconds=round(context.deadline - latest_start, 4),
+        remaining_seconds=round(context.deadline - now, 4),
+    )
+
+
+def _log(context: RequestContext, text: str, **values: object) -> None:
+    prompt = context.request.prompt
+    logger.bind(
+        request=context.request.request_id,
+        prompt_tokens=prompt.prompt_tokens if prompt is not None else 0,
+        **values,
+    ).info(text)
--- /dev/null
+++ b/marjorambridge/scheduling/plans.py
@@ -0,0 +1,154 @@
+"""Plan the prefill of a long prompt: how many engines it takes, which ones, and until when.
+
+The load pattern is a burst of prompts of very different lengths beside short ones. A prompt that is
+due in several seconds needs no sixteen engines: each further engine is one more whose answers may
+stall, and one more whose failure stops the prompt. So a prompt takes the fewest engines with which
+it is on time, and none whose answers would miss their pause objective.
+"""
+
+import math
+
+from msgspec import Struct
+
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.costs import compute_pass_seconds
+from marjorambridge.forwarding.loads import (
+    compute_pause_limit,
+    compute_remaining_prefill_seconds,
+    count_requests,
+)
+from marjorambridge.forwarding.placement import (
+    RequestProfile,
+    compute_avoid_reason,
+    list_usable,
+)
+from marjorambridge.forwarding.request_limits import is_limited, may_send_limited
+from marjorambridge.forwarding.splitting import (
+    MAX_IDLE_PREFILL_SECONDS,
+    PREFILL_ALLOWED,
+    EngineWait,
+    choose_fewest,
+    choose_tolerated,
+    shuffle_idle_engines,
+    sort_by_capacity,
+)
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition
+from marjorambridge.manifests.models import ServiceDefinition
+
+
+class PrefillPlan(Struct):
+    """The engines that prefill a prompt, the one that gets the request first.
+
+    Attributes
+    ----------
+    seconds : float
+        Expected time until the prefill ends.
+    is_on_time : bool
+        Whether the first event is expected within the objective of the request.
+    """
+
+    engines: list[Endpoint]
+    seconds: float
+    is_on_time: bool
+
+
+def plan_prefill(
+    state: ForwardingState, profile: RequestProfile, excluded: frozenset[str], now: float
+) -> PrefillPlan | None:
+    """Return the plan for a long prompt, or None if the engines have no room for it at present."""
+    definition = find_definition(state, profile.service)
+    if definition is None or definition.engine is None:
+        return None
+    waits = _list_waits(state, definition, profile, excluded, now)
+    tolerated = state.thresholds[profile.service].tolerated_prefill_seconds
+    shard_limit = max(tolerated, defaults.SHARD_OBJECTIVE_RATIO * profile.objective_seconds)
+    limits = [
+        ratio * profile.objective_seconds - profile.waited_seconds
+        for ratio in (defaults.EARLY_PREFILL_RATIO, defaults.LATEST_PREFILL_RATIO)
+    ]
+    chosen: list[Endpoint] = []
+    for limit in limits:
+        chosen = choose_fewest(waits, profile, limit, shard_limit)
+        if chosen:
+            break
+    if not chosen and limits[-1] > 0:
+        engines = [wait.endpoint for wait in waits]
+        chosen = choose_tolerated(engines, profile, min(tolerated, limits[-1]), now)
+    is_on_time = bool(chosen)
+    if not chosen:
+        chosen = _choose_late(waits, profile, shard_limit, limits[-1])
+    if not chosen:
+        return None
+    by_name = {wait.endpoint.name: wait.seconds for wait in waits}
+    seconds = max(by_name[engine.name] for engine in chosen)
+    seconds += profile.prefill_seconds / len(chosen)
+    return PrefillPlan(sort_by_capacity(definition, chosen, profile), seconds, is_on_time)
+
+
+def compute_least_seconds(profile: RequestProfile) -> float:
+    """Return the time in which as many idle engines as a request may use prefill a prompt."""
+    return profile.prefill_seconds / (defaults.MAX_HELPERS + 1)
+
+
+def _list_waits(
+    state: ForwardingState,
+    definition: ServiceDefinition,
+    profile: RequestProfile,
+    excluded: frozenset[str],
+    now: float,
+) -> list[EngineWait]:
+    """Return the engines that may take a prefill shard, those that start it first at the front."""
+    assert definition.engine is not None, "only engines prefill prompts"
+    one_pass = compute_pass_seconds(definition.engine)
+    eligible = [
+        endpoint
+        for endpoint in list_usable(state, profile.service, excluded, now)
+        if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
+        in PREFILL_ALLOWED
+        and may_send_limited(state, endpoint, now)
+    ]
+    # A prefill shard is no request, but work for an endpoint in need.
+    eligible = [endpoint for endpoint in eligible if not is_limited(endpoint)] or eligible
+    waits = [
+        EngineWait(
+            endpoint,
+            compute_remaining_prefill_seconds(endpoint, now),
+            _compute_tolerated_seconds(endpoint, one_pass),
+        )
+        for endpoint in eligible
+    ]
+    waits.sort(key=lambda item: (item.seconds, -item.endpoint.order))
+    shuffle_idle_engines(state, waits)
+    return waits
+
+
+def _compute_tolerated_seconds(endpoint: Endpoint, one_pass: float) -> float:
+    """Return the prefill beside which the answers of an engine meet their pause objective.
+
+    An event comes after the prefill and one pass, so that the pass is part of the pause.
+    """
+    pause_limit = compute_pause_limit(endpoint)
+    if math.isinf(pause_limit):
+        return math.inf
+    return max(0.0, defaults.TOLERATED_PREFILL_RATIO * (pause_limit - one_pass))
+
+
+def _choose_late(
+    waits: list[EngineWait], profile: RequestProfile, shard_limit: float, on_time_limit: float
+) -> list[Endpoint]:
+    """Return engines for a prompt that can't be on time any more, from the idle ones.
+
+    While most engines are busy, prompts that can be on time need them.
+    """
+    if on_time_limit > compute_least_seconds(profile):
+        # The engines are busy, but the prompt can still be on time when they become free.
+        return []
+    idle = [
+        wait
+        for wait in waits
+        if wait.seconds <= MAX_IDLE_PREFILL_SECONDS and math.isinf(wait.tolerated_seconds)
+    ]
+    if len(idle) < defaults.LATE_PROMPT_IDLE_ENGINE_RATIO * len(waits):
+        return []
+    limit = defaults.LATE_PROMPT_REMAINING_RATIO * profile.remaining_seconds
+    return choose_fewest(idle, profile, limit, shard_limit)
--- /dev/null
+++ b/marjorambridge/scheduling/waiting.py
@@ -0,0 +1,148 @@
+"""Queue the requests of a host that find no room, and decide which one is next.
+
+The load pattern is a burst of long prompts beside short ones: engines become free within a second,
+while callers of long prompts wait for many. Refusing them at once brings them back at a moment that
+nobody chose, and without an order a prompt that has seconds to spare takes the engines of one that
+has none.
+"""
+
+from collections.abc import Callable
+
+from msgspec import Struct, field
+
+from marjorambridge.conf import defaults
+
+
+class WaitingRequest(Struct, eq=False):
+    """A request that waits for room.
+
+    Attributes
+    ----------
+    urgency : int
+        Rank of the request; 0 is first.
+    on_time_until : float
+        Monotonic time in seconds of the latest start with which the request is on time.
+    latest_start : float
+        Monotonic time in seconds of the latest start with which it ends in time.
+    find_room : callable
+        Returns what the request needs to start, or None while there is no room for it.
+    grant : callable
+        Called once with what `find_room` returned.
+    is_long : bool
+        Whether it occupies several engines, so that a second decision needs the loads of the first.
+    """
+
+    service: str
+    workspace: str
+    urgency: int
+    on_time_until: float
+    latest_start: float
+    joined_at: float
+    find_room: Callable[[], object | None]
+    grant: Callable[[object], None]
+    is_long: bool = False
+
+
+class WaitingQueue(Struct):
+    """The waiting requests of a host.
+
+    Attributes
+    ----------
+    checked_at : float
+        Monotonic time in seconds of the last round.
+    """
+
+    requests: list[WaitingRequest] = field(default_factory=list)
+    checked_at: float = 0.0
+
+
+def join(queue: WaitingQueue, request: WaitingRequest) -> bool:
+    """Add a request, or return False if too many wait already."""
+    if len(queue.requests) >= defaults.MAX_WAITING_REQUESTS:
+        return False
+    queue.requests.append(request)
+    return True
+
+
+def leave(queue: WaitingQueue, request: WaitingRequest) -> None:
+    """Remove a request, if it still waits."""
+    if request in queue.requests:
+        queue.requests.remove(request)
+
+
+def sort_requests(
+    queue: WaitingQueue, is_over_share: Callable[[str], bool], now: float
+) -> list[WaitingRequest]:
+    """Return the waiting requests in the order in which they get room.
+
+    Requests that can still be on time come before the others of the same urgency, because the
+    others have lost most of their value to their callers; among both, the one that is due first.
+
+    Examples
+    --------
+    >>> def build(urgency, on_time_until, workspace=""):
+    ...     return WaitingRequest(
+    ...         "model", workspace, urgency, on_time_until, 9.0, 0.0, lambda: None, print
+    ...     )
+    >>> queue = WaitingQueue([build(1, 5.0), build(0, 0.5), build(0, 4.0), build(0, 2.0, "heavy")])
+    >>> ordered = sort_requests(queue, lambda workspace: workspace == "heavy", 1.0)
+    >>> [(request.urgency, request.on_time_until) for request in ordered]
+    [(0, 4.0), (0, 0.5), (0, 2.0), (1, 5.0)]
+    """
+    over = {
+        workspace: is_over_share(workspace)
+        for workspace in {request.workspace for request in queue.requests}
+    }
+    return sorted(
+        queue.requests,
+        key=lambda request: (
+            request.urgency,
+            over[request.workspace],
+            request.on_time_until < now,
+            request.on_time_until,
+        ),
+    )
+
+
+def run_round(
+    queue: WaitingQueue, is_over_share: Callable[[str], bool], now: float
+) -> list[WaitingRequest]:
+    """Grant room to the waiting requests in their order, and return those that got it.
+
+    At most one long prompt is granted in a round, because the loads of its engines count only once
+    it has started. The number of requests that are checked bounds the cost of a round.
+    """
+    queue.checked_at = now
+    granted: list[WaitingRequest] = []
+    full_services: set[tuple[str, bool]] = set()
+    for request in sort_requests(queue, is_over_share, now)[: defaults.MAX_CHECKED_REQUESTS]:
+        kind = (request.service, request.is_long)
+        if kind in full_services:
+            continue
+        room = request.find_room()
+        if room is not None:
+            granted.append(request)
+            request.grant(room)
+        if request.is_long if room is not None else not request.is_long:
+            full_services.add(kind)
+    for request in granted:
+        leave(queue, request)
+    return granted
+
+
+def is_due(queue: WaitingQueue, now: float) -> bool:
+    """Return whether the next round is due, if nothing else started one meanwhile."""
+    return now - queue.checked_at >= defaults.WAITING_CHECK_SECONDS
+
+
+def compute_latest_start(ends_at: float, least_seconds: float, answer_seconds: float) -> float:
+    """Return the latest start of a request that has to end at a monotonic time.
+
+    Parameters
+    ----------
+    least_seconds : float
+        Time from the start to the first event under the best conditions.
+    answer_seconds : float
+        Expected time from the first event to the end.
+    """
+    return ends_at - least_seconds - answer_seconds
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -89,6 +89,9 @@
     "forwarded_first_answer_seconds": _latency_histogram(
         "Time from the arrival of a request at a gateway to the first part of its answer."
     ),
+    "request_wait_seconds": _latency_histogram(
+        "Time for which a request of a planned service waited for room at endpoints."
+    ),
     "contact_losses_total": _counter("Times this host began to reach no endpoint."),
     "memory_orders_total": _counter("Orders that reserve or release memory of engines."),
     # Shard owners.
