Refuse by expected time only requests that wait

Cause: hints of callers are far off at times, so that 29 short requests were refused within 2 ms although engines were free. Change: a request with room starts, and an answer counts as no longer than usual.

--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -40,16 +40,14 @@
     is_long = gateway.dialect.helpers is not None and is_long_prompt(
         gateway.forwarding, context.profile
     )
-    latest_start = _compute_latest_start(context)
-    now = time.monotonic()
-    if now >= latest_start:
-        _log_refusal(context, latest_start, now)
-        return []
     if not _precedes(gateway, context):
         chosen = _choose(context, excluded, is_long)
         if chosen or not may_wait:
             return chosen
-    if not may_wait:
+    latest_start, now = _compute_latest_start(context), time.monotonic()
+    if now >= latest_start:
+        _log_refusal(context, latest_start, now)
+    if not may_wait or now >= latest_start:
         return []
     return await _wait(context, excluded, is_long, latest_start)
 
@@ -142,7 +140,9 @@
     answer_seconds = defaults.MIN_ATTEMPT_SECONDS
     if definition is not None and definition.engine is not None:
         prompt = context.request.prompt
-        tokens = prompt.expected_answer_tokens if prompt is not None else 0
+        # Hints are often far off, and a caller with a long answer takes a part of it late.
+        usual = definition.engine.usual_answer_tokens
+        tokens = min(prompt.expected_answer_tokens, usual) if prompt is not None else 0
         passes = tokens / max(1, definition.engine.stride_steps)
         answer_seconds = max(answer_seconds, passes * compute_pass_seconds(definition.engine))
     least_seconds = compute_least_seconds(profile)
