Learn which engines can help with a prompt before asking them

Of 87 long prompts, 21 were rejected after two declines by engines 20 to 70 ms apart: a host knew neither how many prompts an engine helps with nor which engines declined requests of other hosts. Hosts of planned services now exchange both in the optional fields of the load messages, and scheduling.rooms decides from them whether an engine can be asked. Loads of engines that only help are repeated once a second, because shards may last longer than the 3 s after which loads expire.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,3 +412,9 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
+# Time for which an engine that declined is not asked to help with prompts, and its upper bound. A
+# prefill shard of a prompt of 300,000 tokens over 10 engines takes 0.53 s. Memory at an engine is
+# released within 4 s after its request ended, so that an engine is not full for longer because of a
+# host that died.
+FIRST_DECLINE_SECONDS = 0.5
+MAX_DECLINE_SECONDS = 4.0
--- a/marjorambridge/forwarding/aggregation.py
+++ b/marjorambridge/forwarding/aggregation.py
@@ -86,6 +86,7 @@
             continue
         total.requests += load.requests
         total.kv_tokens += load.kv_tokens
+        total.helps += load.helps
         total.pause_limits += load.pause_limits
         if load.reads:
             total.reads += load.reads
@@ -100,6 +101,7 @@
     others.requests = max(0, total.requests - own.requests)
     others.kv_tokens = max(0, total.kv_tokens - own.kv_tokens)
     others.reads = max(0, total.reads - own.reads)
+    others.helps = max(0, total.helps - own.helps)
     if others.reads:
         remaining = max(0.0, own.prefill_seconds - (now - own.as_of)) if own.reads else 0.0
         others.prefill_seconds = max(0.0, total.prefill_seconds - remaining)
--- a/marjorambridge/forwarding/hints.py
+++ b/marjorambridge/forwarding/hints.py
@@ -76,7 +76,8 @@
 
 def save_hints(state: ForwardingState, endpoint: Endpoint, now: float) -> None:
     """Save the hints of an endpoint that is removed from the table."""
-    if not (endpoint.leaving or is_rejecting(endpoint, now) or is_limited(endpoint)):
+    has_hints = endpoint.leaving or is_rejecting(endpoint, now) or is_limited(endpoint)
+    if not has_hints and not endpoint.declines:
         return
     state.saved_hints[endpoint.name, endpoint.born] = endpoint
     while len(state.saved_hints) > defaults.MAX_SAVED_HINTS:
@@ -92,5 +93,6 @@
     endpoint.signalled_leaving |= before.signalled_leaving
     endpoint.rejects_until = max(endpoint.rejects_until, before.rejects_until)
     endpoint.avoid_until = max(endpoint.avoid_until, before.avoid_until)
+    endpoint.declines = before.declines
     if apply_request_limit(endpoint, before.request_limit, before.limit_seen_at):
         endpoint.limited_sends = before.limited_sends
--- a/marjorambridge/forwarding/loads.py
+++ b/marjorambridge/forwarding/loads.py
@@ -27,16 +27,24 @@
     load.kv_tokens += kv_tokens
 
 
-def add_prefill(load: Load, prefill_seconds: float, now: float) -> None:
-    """Add the prefill of a prompt or of a prefill shard."""
+def add_prefill(load: Load, prefill_seconds: float, now: float, is_help: bool = False) -> None:
+    """Add the prefill of a prompt or of a prefill shard.
+
+    Parameters
+    ----------
+    is_help : bool
+        Whether the request of the prompt is at another endpoint.
+    """
     _advance_prefills(load, now)
     load.reads += 1
+    load.helps += is_help
     load.prefill_seconds += prefill_seconds
 
 
-def finish_prefill(load: Load, now: float) -> None:
+def finish_prefill(load: Load, now: float, is_help: bool = False) -> None:
     """Remove a prefill that is complete, because the first event was received."""
     _advance_prefills(load, now)
+    load.helps = max(0, load.helps - is_help)
     load.reads = max(0, load.reads - 1)
     if load.reads == 0:
         load.prefill_seconds = 0.0
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -16,6 +16,8 @@
 
 # Key under which an endpoint stores the total of all other hosts.
 OTHER_HOSTS_TOTAL = "total"
+# Key under which an endpoint stores the decline of a request of this host.
+OWN_HOST = ""
 
 
 class Load(Struct):
@@ -35,6 +37,8 @@
         Longest pause in seconds between two events that each of the requests tolerates.
     as_of : float
         Monotonic time in seconds.
+    helps : int
+        Prompts of requests at other endpoints that the endpoint helps to prefill; part of `reads`.
     """
 
     requests: int = 0
@@ -43,6 +47,7 @@
     kv_tokens: int = 0
     pause_limits: list[float] = field(default_factory=list)
     as_of: float = 0.0
+    helps: int = 0
 
 
 class FailureReport(Struct):
@@ -66,6 +71,19 @@
     received_at: float = 0.0
 
 
+class Decline(Struct):
+    """The time after a decline in which an engine is not asked to help with prompts.
+
+    Attributes
+    ----------
+    since, until : float
+        Monotonic times in seconds.
+    """
+
+    since: float
+    until: float
+
+
 class Endpoint(Struct):
     """State that this host keeps about one incarnation of an endpoint.
 
@@ -102,6 +120,8 @@
         Loads of the other hosts, by host.
     reports : dict of str to FailureReport
         Failure reports of other hosts, by host.
+    declines : dict of str to Decline
+        Declines of requests of this host, under `OWN_HOST`, and those that other hosts reported.
     is_peer : bool
         Whether it is another host, which forwards what it receives to an endpoint.
     """
@@ -130,6 +150,7 @@
     load: Load = field(default_factory=Load)
     other_loads: dict[str, Load] = field(default_factory=dict)
     reports: dict[str, FailureReport] = field(default_factory=dict)
+    declines: dict[str, Decline] = field(default_factory=dict)
     is_peer: bool = False
 
 
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -44,6 +44,7 @@
     record_first_answer,
     record_possible_crash,
 )
+from marjorambridge.gateway.declines import note_decline
 from marjorambridge.gateway.events import StreamCursor, extract_events
 from marjorambridge.gateway.hints import apply_answer_hints
 from marjorambridge.gateway.messages import (
@@ -183,7 +184,8 @@
     if profile.prefill_seconds > 0:
         running.prefilling = [endpoint, *running.helpers]
         for engine in running.prefilling:
-            add_prefill(engine.load, profile.prefill_seconds / len(running.prefilling), now)
+            seconds = profile.prefill_seconds / len(running.prefilling)
+            add_prefill(engine.load, seconds, now, is_help=engine is not endpoint)
             context.gateway.share_load(engine)
     else:
         context.gateway.share_load(endpoint)
@@ -191,7 +193,7 @@
 
 def _finish_prefill(context: RequestContext, running: RunningAttempt, now: float) -> None:
     for engine in running.prefilling:
-        finish_prefill(engine.load, now)
+        finish_prefill(engine.load, now, is_help=engine is not running.endpoint)
         context.gateway.share_load(engine)
     running.prefilling = []
 
@@ -292,6 +294,8 @@
         record_outcome(context.progress, outcome, result.endpoints_tried)
     context.attempt_outcomes.append(f"{endpoint.name}:{outcome.value}")
     helper = find_helper_at_fault(running.helpers, result.head)
+    declined = endpoint if helper is None else helper
+    note_decline(context.gateway, declined, context.request.request_id, outcome, now)
     if helper is not None:
         _record_helper_failure(context, running, helper, outcome)
         return
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -23,6 +23,7 @@
     is_limited,
 )
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
+from marjorambridge.scheduling.rooms import get_own_declined_until
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
 
@@ -51,6 +52,7 @@
         encode_seconds(remaining),
         clamp_whole(load.kv_tokens, MAX_REPORTED),
         0 if math.isinf(pause_limit) else max(1, encode_seconds(pause_limit)),
+        helps=clamp_whole(load.helps, MAX_REPORTED),
     )
 
 
@@ -64,11 +66,14 @@
         clamp_whole(reported.kv_tokens, MAX_REPORTED),
         [pause_limit] if reported.requests else [],
         now,
+        clamp_whole(reported.helps, MAX_REPORTED),
     )
 
 
-def encode_failure(endpoint: Endpoint, report: FailureReport, now: float) -> EndpointFailure:
-    """Return the message entry for the failures and the hints of an endpoint."""
+def encode_failure(
+    endpoint: Endpoint, report: FailureReport, now: float, declined_until: float = -math.inf
+) -> EndpointFailure:
+    """Return the message entry for the failures, the hints and the declines of an endpoint."""
     entry = EndpointFailure(
         endpoint.key,
         clamp_whole(report.failures, MAX_REPORTED),
@@ -76,6 +81,8 @@
         clamp_whole(report.hosts, MAX_REPORTED),
         endpoint.signalled_leaving,
     )
+    if now < declined_until:
+        entry.declined_milliseconds = encode_seconds(declined_until - now)
     if has_recent_limit(endpoint, now):
         if is_limited(endpoint):
             entry.request_limit = endpoint.request_limit
@@ -118,14 +125,21 @@
     endpoints = [forwarding.endpoints[name] for name in names if name in forwarding.endpoints]
     loads = tuple(encode_load(endpoint, endpoint.load, now) for endpoint in endpoints)
     reportable = {endpoint.name for endpoint in list_reportable_endpoints(forwarding, now)}
-    failures = tuple(
-        encode_failure(endpoint, FailureReport(endpoint.failures, endpoint.avoid_until), now)
-        for endpoint in endpoints
-        if endpoint.name in reportable
-        or endpoint.signalled_leaving
-        or has_recent_limit(endpoint, now)
-    )
-    return LoadShare(own_host, for_zone, loads, failures)
+    failures = []
+    for endpoint in endpoints:
+        declined_until = get_own_declined_until(endpoint)
+        report = FailureReport(endpoint.failures, endpoint.avoid_until)
+        if not (
+            endpoint.name in reportable
+            or endpoint.signalled_leaving
+            or has_recent_limit(endpoint, now)
+        ):
+            if now >= declined_until:
+                continue
+            # A decline is an answer, and is reported also if failures may be those of this host.
+            report = FailureReport(0, now)
+        failures.append(encode_failure(endpoint, report, now, declined_until))
+    return LoadShare(own_host, for_zone, loads, tuple(failures))
 
 
 def encode_datagram(key: bytes, message: LoadMessage) -> bytes:
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -67,11 +67,18 @@
     decode_datagram,
     decode_failure,
     decode_load,
+    decode_seconds,
     encode_datagram,
     encode_failure,
     encode_load,
 )
 from marjorambridge.gateway.streams import STREAM_ERRORS
+from marjorambridge.scheduling.rooms import (
+    apply_reported_decline,
+    combine_declines,
+    drop_old_declines,
+    get_own_declined_until,
+)
 
 # Changes within this time in seconds are sent together.
 COALESCE_SECONDS = 0.01
@@ -338,6 +345,9 @@
 ) -> None:
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
+    if endpoint.service in sharing.forwarding.planned:
+        declined_seconds = decode_seconds(reported.declined_milliseconds)
+        apply_reported_decline(endpoint, name, declined_seconds, now)
     if apply_reported_limit(endpoint, reported, now):
         logger.bind(endpoint=endpoint.name, peer=name, request_limit=reported.request_limit).info(
             "another host reported the limit of an endpoint"
@@ -497,8 +507,10 @@
         loads.append(encode_load(endpoint, total, now))
         report = combine_reports(endpoint, now, ZONE_TOTAL_PREFIX if only_this_zone else "")
         has_hints = endpoint.signalled_leaving or has_recent_limit(endpoint, now)
-        if report is not None or has_hints:
-            failures.append(encode_failure(endpoint, report or FailureReport(0, now), now))
+        declined_until = combine_declines(endpoint, ZONE_TOTAL_PREFIX if only_this_zone else "")
+        if report is not None or has_hints or now < declined_until:
+            report = report or FailureReport(0, now)
+            failures.append(encode_failure(endpoint, report, now, declined_until))
     return tuple(loads), tuple(failures)
 
 
@@ -515,8 +527,12 @@
     for endpoint in list(sharing.forwarding.endpoints.values()):
         drop_old_loads(endpoint, now)
         drop_old_reports(endpoint, now)
+        drop_old_declines(endpoint, now)
         is_told = now < endpoint.avoid_until or has_recent_limit(endpoint, now)
-        if endpoint.load.requests or is_told:
+        is_told |= now < get_own_declined_until(endpoint)
+        # A prefill shard may last longer than the lifetime of a load that is not repeated.
+        has_helps = endpoint.load.helps > 0 and endpoint.service in sharing.forwarding.planned
+        if endpoint.load.requests or has_helps or is_told:
             mark_load_changed(sharing, endpoint)
     queue_repeated_crashes(sharing, now)
     if uses_aggregation(sharing.forwarding) and not sharing.changed:
