--- a/marjorambridge/forwarding/hints.py
+++ b/marjorambridge/forwarding/hints.py
@@ -93,6 +93,6 @@
     endpoint.signalled_leaving |= before.signalled_leaving
     endpoint.rejects_until = max(endpoint.rejects_until, before.rejects_until)
     endpoint.avoid_until = max(endpoint.avoid_until, before.avoid_until)
-    endpoint.declines = before.declines
+    endpoint.declines, endpoint.declined_until = before.declines, before.declined_until
     if apply_request_limit(endpoint, before.request_limit, before.limit_seen_at):
         endpoint.limited_sends = before.limited_sends
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -122,6 +122,8 @@
         Failure reports of other hosts, by host.
     declines : dict of str to Decline
         Declines of requests of this host, under `OWN_HOST`, and those that other hosts reported.
+    declined_until : float
+        Monotonic time in seconds until which it is not asked to help, derived from `declines`.
     is_peer : bool
         Whether it is another host, which forwards what it receives to an endpoint.
     """
@@ -151,6 +153,7 @@
     other_loads: dict[str, Load] = field(default_factory=dict)
     reports: dict[str, FailureReport] = field(default_factory=dict)
     declines: dict[str, Decline] = field(default_factory=dict)
+    declined_until: float = -math.inf
     is_peer: bool = False
 
 
--- a/marjorambridge/scheduling/rooms.py
+++ b/marjorambridge/scheduling/rooms.py
@@ -23,7 +23,7 @@
     """
     if count_helps(endpoint) >= endpoint.slots:
         return False
-    return not endpoint.declines or now >= compute_declined_until(endpoint)
+    return now >= endpoint.declined_until
 
 
 def count_helps(endpoint: Endpoint) -> int:
@@ -49,8 +49,8 @@
         if now < previous.until + previous_seconds:
             seconds = _double(previous_seconds)
     endpoint.declines[OWN_HOST] = Decline(now, now + seconds)
-    drop_old_declines(endpoint, now)
-    return compute_declined_until(endpoint) - now
+    _update_declined_until(endpoint)
+    return endpoint.declined_until - now
 
 
 def apply_reported_decline(endpoint: Endpoint, host: str, seconds: float, now: float) -> None:
@@ -74,18 +74,19 @@
         previous.until = max(previous.until, until)
     else:
         endpoint.declines[host] = Decline(now, until)
-    drop_old_declines(endpoint, now)
+    _update_declined_until(endpoint)
 
 
-def compute_declined_until(endpoint: Endpoint) -> float:
-    """Return the monotonic time in seconds until which an engine is not asked to help.
+def _update_declined_until(endpoint: Endpoint) -> None:
+    """Store until when an engine is not asked, which each decision reads for up to 200 engines.
 
-    It is negative infinity if the engine did not decline. The report under `OTHER_HOSTS_TOTAL`
-    doubles nothing, because it also covers the declines of this host.
+    The report under `OTHER_HOSTS_TOTAL` doubles nothing, because it also covers the declines of
+    this host.
     """
+    endpoint.declined_until = combine_declines(endpoint)
     total = endpoint.declines.get(OTHER_HOSTS_TOTAL)
-    until = combine_declines(endpoint)
-    return until if total is None else max(until, total.until)
+    if total is not None:
+        endpoint.declined_until = max(endpoint.declined_until, total.until)
 
 
 def combine_declines(endpoint: Endpoint, without_prefix: str = "") -> float:
@@ -93,6 +94,11 @@
 
     A decline that overlaps an earlier one of another host lasts twice as long. The reports of names
     with the given prefix are excluded.
+
+    Returns
+    -------
+    float
+        Monotonic time in seconds; negative infinity without a decline.
     """
     declines = [
         decline
