--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -34,6 +34,7 @@
 )
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition
 from marjorambridge.manifests.models import ServiceDefinition
+from marjorambridge.scheduling.rooms import can_help
 
 
 class PrefillPlan(Struct):
@@ -105,6 +106,7 @@
         for endpoint in list_usable(state, profile.service, excluded, now)
         if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
         in PREFILL_ALLOWED
+        and can_help(endpoint, now)
         and may_send_limited(state, endpoint, now)
     ]
     # A prefill shard is no request, but work for an endpoint in need.
