--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,7 +412,6 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
-<<<<<<< HEAD
 # Parts of its objective in which a long prompt is to be prefilled: the one that leaves room for an
 # engine that fails, and the latest one.
 EARLY_PREFILL_RATIO = 0.5
@@ -429,11 +428,9 @@
 CALLER_PATIENCE_SECONDS = 2.0
 CALLER_PATIENCE_OBJECTIVES = 4.0
 CALLER_PATIENCE_PAUSES = 8.0
-=======
 # Time for which an engine that declined is not asked to help with prompts, and its upper bound. A
 # prefill shard of a prompt of 300,000 tokens over 10 engines takes 0.53 s. Memory at an engine is
 # released within 4 s after its request ended, so that an engine is not full for longer because of a
 # host that died.
 FIRST_DECLINE_SECONDS = 0.5
 MAX_DECLINE_SECONDS = 4.0
->>>>>>> rooms
--- a/marjorambridge/forwarding/messages.py
+++ b/marjorambridge/forwarding/messages.py
@@ -1,7 +1,8 @@
 """Messages in which gateways exchange their loads.
 
 Endpoints are identified by keys and times are whole milliseconds, because the datagrams of a large
-fleet would otherwise fill the links of the hosts that relay them.
+fleet would otherwise fill the links of the hosts that relay them. For the same reason, fields that
+only planned services use are missing where they say nothing.
 """
 
 from msgspec import Struct
@@ -18,9 +19,9 @@
         The fields of `marjorambridge.forwarding.state.Load`; ``read`` means prefill.
     pause_milliseconds : int
         Longest pause that all the requests tolerate; 0 if it is not limited.
-    helps : int
+    helps : int or None
         Prefill shards that the endpoint computes for requests at other endpoints.
-    write_milliseconds : int
+    write_milliseconds : int or None
         Time in which the requests write what is left of their answers, or in which a plain service
         does what is left of their work.
     """
@@ -31,8 +32,8 @@
     read_milliseconds: int
     kv_tokens: int
     pause_milliseconds: int
-    helps: int = 0
-    write_milliseconds: int = 0
+    helps: int | None = None
+    write_milliseconds: int | None = None
 
 
 class EndpointFailure(Struct):
@@ -52,10 +53,10 @@
         Requests per second that the endpoint takes from all hosts; negative for no limit.
     limit_age_milliseconds : int
         Time since the endpoint stated the limit, or that it has none; negative if it is unknown.
-    declined_milliseconds : int
+    declined_milliseconds : int or None
         Time for which the endpoint should not be asked to help with prompts.
-    slowdown_percent : int
-        Measured time of its work as a percentage of the expected time; 100 if it is unknown.
+    slowdown_percent : int or None
+        Measured time of its work as a percentage of the expected time; None if it is unknown.
     """
 
     endpoint: int
@@ -65,8 +66,8 @@
     leaving: bool = False
     request_limit: float = -1.0
     limit_age_milliseconds: int = -1
-    declined_milliseconds: int = 0
-    slowdown_percent: int = 100
+    declined_milliseconds: int | None = None
+    slowdown_percent: int | None = None
 
 
 class WorkspaceUse(Struct):
@@ -100,7 +101,7 @@
     for_zone: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
-    workspaces: tuple[WorkspaceUse, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] | None = None
 
 
 class LoadTotals(Struct):
@@ -115,7 +116,7 @@
     host: str
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
-    workspaces: tuple[WorkspaceUse, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] | None = None
 
 
 class ZoneTotals(Struct):
@@ -133,7 +134,7 @@
     is_first: bool
     loads: tuple[EndpointLoad, ...]
     failures: tuple[EndpointFailure, ...] = ()
-    workspaces: tuple[WorkspaceUse, ...] = ()
+    workspaces: tuple[WorkspaceUse, ...] | None = None
 
 
 class CrashEntry(Struct):
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -52,7 +52,7 @@
         encode_seconds(remaining),
         clamp_whole(load.kv_tokens, MAX_REPORTED),
         0 if math.isinf(pause_limit) else max(1, encode_seconds(pause_limit)),
-        helps=clamp_whole(load.helps, MAX_REPORTED),
+        helps=clamp_whole(load.helps, MAX_REPORTED) or None,
     )
 
 
@@ -66,7 +66,7 @@
         clamp_whole(reported.kv_tokens, MAX_REPORTED),
         [pause_limit] if reported.requests else [],
         now,
-        clamp_whole(reported.helps, MAX_REPORTED),
+        clamp_whole(reported.helps or 0, MAX_REPORTED),
     )
 
 
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -346,7 +346,7 @@
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
     if endpoint.service in sharing.forwarding.planned:
-        declined_seconds = decode_seconds(reported.declined_milliseconds)
+        declined_seconds = decode_seconds(reported.declined_milliseconds or 0)
         apply_reported_decline(endpoint, name, declined_seconds, now)
     if apply_reported_limit(endpoint, reported, now):
         logger.bind(endpoint=endpoint.name, peer=name, request_limit=reported.request_limit).info(
--- a/marjorambridge/wire/gen/forwarding/ttypes.py
+++ b/marjorambridge/wire/gen/forwarding/ttypes.py
@@ -43,7 +43,7 @@
     )
 
 
-    def __init__(self, endpoint=None, requests=None, reads=None, read_milliseconds=None, kv_tokens=None, pause_milliseconds=None, helps=0, write_milliseconds=0,):
+    def __init__(self, endpoint=None, requests=None, reads=None, read_milliseconds=None, kv_tokens=None, pause_milliseconds=None, helps=None, write_milliseconds=None,):
         self.endpoint = endpoint
         self.requests = requests
         self.reads = reads
@@ -197,7 +197,7 @@
     )
 
 
-    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False, request_limit=-1.0000000000000000, limit_age_milliseconds=-1, declined_milliseconds=0, slowdown_percent=100,):
+    def __init__(self, endpoint=None, failures=None, avoided_milliseconds=None, hosts=None, leaving=False, request_limit=-1.0000000000000000, limit_age_milliseconds=-1, declined_milliseconds=None, slowdown_percent=None,):
         self.endpoint = endpoint
         self.failures = failures
         self.avoided_milliseconds = avoided_milliseconds
@@ -446,8 +446,7 @@
 
 
     def __init__(self, host=None, for_zone=None, loads=None, failures=[
-    ], workspaces=[
-    ],):
+    ], workspaces=None,):
         self.host = host
         self.for_zone = for_zone
         self.loads = loads
@@ -455,9 +454,6 @@
             failures = [
             ]
         self.failures = failures
-        if workspaces is self.thrift_spec[5][4]:
-            workspaces = [
-            ]
         self.workspaces = workspaces
 
     def read(self, iprot):
@@ -595,17 +591,13 @@
 
 
     def __init__(self, host=None, loads=None, failures=[
-    ], workspaces=[
-    ],):
+    ], workspaces=None,):
         self.host = host
         self.loads = loads
         if failures is self.thrift_spec[3][4]:
             failures = [
             ]
         self.failures = failures
-        if workspaces is self.thrift_spec[4][4]:
-            workspaces = [
-            ]
         self.workspaces = workspaces
 
     def read(self, iprot):
@@ -736,8 +728,7 @@
 
 
     def __init__(self, zone=None, is_first=None, loads=None, failures=[
-    ], workspaces=[
-    ],):
+    ], workspaces=None,):
         self.zone = zone
         self.is_first = is_first
         self.loads = loads
@@ -745,9 +736,6 @@
             failures = [
             ]
         self.failures = failures
-        if workspaces is self.thrift_spec[5][4]:
-            workspaces = [
-            ]
         self.workspaces = workspaces
 
     def read(self, iprot):
@@ -1236,8 +1224,8 @@
     (4, TType.I64, 'read_milliseconds', None, None, ),  # 4
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
     (6, TType.I64, 'pause_milliseconds', None, None, ),  # 6
-    (7, TType.I64, 'helps', None, 0, ),  # 7
-    (8, TType.I64, 'write_milliseconds', None, 0, ),  # 8
+    (7, TType.I64, 'helps', None, None, ),  # 7
+    (8, TType.I64, 'write_milliseconds', None, None, ),  # 8
 )
 all_structs.append(EndpointFailure)
 EndpointFailure.thrift_spec = (
@@ -1249,8 +1237,8 @@
     (5, TType.BOOL, 'leaving', None, False, ),  # 5
     (6, TType.DOUBLE, 'request_limit', None, -1.0000000000000000, ),  # 6
     (7, TType.I64, 'limit_age_milliseconds', None, -1, ),  # 7
-    (8, TType.I64, 'declined_milliseconds', None, 0, ),  # 8
-    (9, TType.I64, 'slowdown_percent', None, 100, ),  # 9
+    (8, TType.I64, 'declined_milliseconds', None, None, ),  # 8
+    (9, TType.I64, 'slowdown_percent', None, None, ),  # 9
 )
 all_structs.append(WorkspaceUse)
 WorkspaceUse.thrift_spec = (
@@ -1267,8 +1255,7 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
-    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
-    ], ),  # 5
+    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), None, ),  # 5
 )
 all_structs.append(LoadTotals)
 LoadTotals.thrift_spec = (
@@ -1277,8 +1264,7 @@
     (2, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 2
     (3, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 3
-    (4, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
-    ], ),  # 4
+    (4, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), None, ),  # 4
 )
 all_structs.append(ZoneTotals)
 ZoneTotals.thrift_spec = (
@@ -1288,8 +1274,7 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'failures', (TType.STRUCT, [EndpointFailure, None], False), [
     ], ),  # 4
-    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), [
-    ], ),  # 5
+    (5, TType.LIST, 'workspaces', (TType.STRUCT, [WorkspaceUse, None], False), None, ),  # 5
 )
 all_structs.append(CrashEntry)
 CrashEntry.thrift_spec = (
--- a/marjorambridge/wire/idl/forwarding.thrift
+++ b/marjorambridge/wire/idl/forwarding.thrift
@@ -8,8 +8,8 @@
   4: i64 read_milliseconds
   5: i64 kv_tokens
   6: i64 pause_milliseconds
-  7: i64 helps = 0
-  8: i64 write_milliseconds = 0
+  7: optional i64 helps
+  8: optional i64 write_milliseconds
 }
 
 struct EndpointFailure {
@@ -20,8 +20,8 @@
   5: bool leaving = false
   6: double request_limit = -1.0
   7: i64 limit_age_milliseconds = -1
-  8: i64 declined_milliseconds = 0
-  9: i64 slowdown_percent = 100
+  8: optional i64 declined_milliseconds
+  9: optional i64 slowdown_percent
 }
 
 struct WorkspaceUse {
@@ -35,14 +35,14 @@
   2: bool for_zone
   3: list<EndpointLoad> loads
   4: list<EndpointFailure> failures = []
-  5: list<WorkspaceUse> workspaces = []
+  5: optional list<WorkspaceUse> workspaces
 }
 
 struct LoadTotals {
   1: string host
   2: list<EndpointLoad> loads
   3: list<EndpointFailure> failures = []
-  4: list<WorkspaceUse> workspaces = []
+  4: optional list<WorkspaceUse> workspaces
 }
 
 struct ZoneTotals {
@@ -50,7 +50,7 @@
   2: bool is_first
   3: list<EndpointLoad> loads
   4: list<EndpointFailure> failures = []
-  5: list<WorkspaceUse> workspaces = []
+  5: optional list<WorkspaceUse> workspaces
 }
 
 struct CrashEntry {
