Take shards of a quarter of the objective, cold engines, and test plans and waiting

Cause: late prompts waited for half of all engines to be idle and were refused after 10 s; cold engines were left out although they bound requests and not work.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -417,7 +417,7 @@
 EARLY_PREFILL_RATIO = 0.5
 LATEST_PREFILL_RATIO = 0.85
 # Longest prefill shard of a long prompt as a part of its objective, if there are enough engines.
-SHARD_OBJECTIVE_RATIO = 0.125
+SHARD_OBJECTIVE_RATIO = 0.25
 # Requests that wait for room on one host, those that are checked in one round, and the longest time
 # between two rounds.
 MAX_WAITING_REQUESTS = 256
@@ -434,3 +434,5 @@
 # host that died.
 FIRST_DECLINE_SECONDS = 0.5
 MAX_DECLINE_SECONDS = 4.0
+# Share of the engines that must be idle for a prompt that can't be on time any more.
+PLANNED_LATE_IDLE_RATIO = 0.25
--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -18,14 +18,15 @@
     count_requests,
 )
 from marjorambridge.forwarding.placement import (
+    AvoidReason,
     RequestProfile,
+    can_start,
     compute_avoid_reason,
     list_usable,
 )
-from marjorambridge.forwarding.request_limits import is_limited, may_send_limited
+from marjorambridge.forwarding.request_limits import is_limited
 from marjorambridge.forwarding.splitting import (
     MAX_IDLE_PREFILL_SECONDS,
-    PREFILL_ALLOWED,
     EngineWait,
     choose_fewest,
     choose_tolerated,
@@ -36,6 +37,9 @@
 from marjorambridge.manifests.models import ServiceDefinition
 from marjorambridge.scheduling.rooms import can_help
 
+# An engine that is full can prefill a shard; a cold one takes few requests, but a long prompt is one.
+PLANNED_ALLOWED = frozenset({AvoidReason.NONE, AvoidReason.FULL, AvoidReason.COLD})
+
 
 class PrefillPlan(Struct):
     """The engines that prefill a prompt, the one that gets the request first.
@@ -105,9 +109,9 @@
         endpoint
         for endpoint in list_usable(state, profile.service, excluded, now)
         if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
-        in PREFILL_ALLOWED
+        in PLANNED_ALLOWED
         and can_help(endpoint, now)
-        and may_send_limited(state, endpoint, now)
+        and can_start(state, definition, endpoint, now)
     ]
     # A prefill shard is no request, but work for an endpoint in need.
     eligible = [endpoint for endpoint in eligible if not is_limited(endpoint)] or eligible
@@ -150,7 +154,7 @@
         for wait in waits
         if wait.seconds <= MAX_IDLE_PREFILL_SECONDS and math.isinf(wait.tolerated_seconds)
     ]
-    if len(idle) < defaults.LATE_PROMPT_IDLE_ENGINE_RATIO * len(waits):
+    if len(idle) < defaults.PLANNED_LATE_IDLE_RATIO * len(waits):
         return []
     limit = defaults.LATE_PROMPT_REMAINING_RATIO * profile.remaining_seconds
     return choose_fewest(idle, profile, limit, shard_limit)
