Let engines admit requests that are late already after the others

Cause: after a stop of all hosts, what waited took all slots, and what arrived after it was late, too. Change: a request that is late when it is sent goes one priority lower.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -60,6 +60,7 @@
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.gateway.waiting import start_round
 from marjorambridge.manifests.models import Execution
+from marjorambridge.scheduling.urgency import defer_late
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while. A silent one
@@ -128,7 +129,7 @@
         workspace=workspace.name if workspace else "",
         last_event=find_resumption(context),
         helpers=list_helpers(running.tickets, [helper.address for helper in running.helpers]),
-        urgency=context.profile.urgency if context.profile.is_planned else None,
+        urgency=_get_urgency(context, running.started_at),
     )
     message = gateway.dialect.encode_attempt(request, options)
     return Attempt(
@@ -144,6 +145,18 @@
     )
 
 
+def _get_urgency(context: RequestContext, now: float) -> int | None:
+    """Return the rank in which the endpoint is to admit a request; None for the endpoint's own."""
+    profile = context.profile
+    if not profile.is_planned:
+        return None
+    if has_events(context):
+        # The caller waits for the next event of an answer that another endpoint began.
+        return 0
+    waited = now - context.exchange.arrived_at
+    return defer_late(profile.urgency, waited, profile.objective_seconds)
+
+
 def _check_stream(context: RequestContext, cursor: StreamCursor, result: AttemptResult) -> None:
     """Change the outcome of a complete answer that can't be the rest of the caller's stream."""
     is_stream = context.admission.route.execution is Execution.STREAM
--- a/marjorambridge/scheduling/urgency.py
+++ b/marjorambridge/scheduling/urgency.py
@@ -33,3 +33,19 @@
     rank = bisect_right(defaults.URGENCY_OBJECTIVE_SECONDS, route.objective_seconds)
     ranks = len(defaults.URGENCY_OBJECTIVE_SECONDS) + 1
     return min(max(0, priority) * ranks + rank, defaults.MAX_URGENCY)
+
+
+def defer_late(urgency: int, waited_seconds: float, objective_seconds: float) -> int:
+    """Return the urgency of a request when it is sent: one priority lower if it is late already.
+
+    The load pattern is what waited for all hosts to start again, together with what arrives after
+    it: requests that are late by the time of the stop anyway make those late that could be on time.
+
+    Examples
+    --------
+    >>> defer_late(3, 0.1, 0.3), defer_late(3, 1.5, 0.3), defer_late(8, 1.5, 0.3)
+    (3, 6, 9)
+    """
+    if waited_seconds < objective_seconds:
+        return urgency
+    return min(urgency + len(defaults.URGENCY_OBJECTIVE_SECONDS) + 1, defaults.MAX_URGENCY)
