Learn slowdowns of endpoints, work of routes and lengths of answers

Costs came from the published profile only, so that a slow engine was noticed late and all plain requests counted the same. Adds bounded estimates that decay with a half-life of 10 s, as medians over hosts, endpoints or workspaces. tests/scheduling/test_estimates.py passes.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,3 +412,47 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
+# Learned costs. Time in which the weight of an observation halves, so that an engine that recovers
+# is used again, and the weights of the prior and of all observations together, in observations.
+ESTIMATE_HALF_LIFE_SECONDS = 10.0
+ESTIMATE_PRIOR_WEIGHT = 2.0
+MAX_ESTIMATE_WEIGHT = 32.0
+# Observations below which a slowdown, or the answer ratio of a workspace, is unknown, and below
+# which one endpoint or workspace has no vote in the estimate of a route.
+MIN_OBSERVATIONS = 5.0
+MIN_VOTE_OBSERVATIONS = 2.0
+# Bounds of the slowdown of an endpoint, and the value from which it counts; passes vary by a fifth
+# with the load of the hosts.
+MIN_SLOWDOWN = 0.5
+MAX_SLOWDOWN = 8.0
+SLOWDOWN_THRESHOLD = 1.3
+# Weight of an observation below the present slowdown. Passes are lengthened by prefills that this
+# host does not know of, but never shortened.
+FASTER_OBSERVATION_WEIGHT = 3.0
+# Age at which the slowdown that another host reported no longer counts.
+SLOWDOWN_REPORT_SECONDS = 10.0
+# Votes of this host's own observations, and of a total, which covers two hosts at least.
+OWN_SLOWDOWN_VOTES = 2
+TOTAL_SLOWDOWN_VOTES = 2
+# Shortest pass that is observed, because timers are late by some milliseconds, and the share of a
+# pass that sending the previous event to the caller may take; slow callers delay the next read.
+MIN_OBSERVED_PASS_SECONDS = 0.005
+MAX_FORWARDING_PASS_RATIO = 0.2
+# Work of a plain request before any was observed, and its bounds.
+PLAIN_WORK_SECONDS = 0.1
+MIN_PLAIN_WORK_SECONDS = 0.001
+MAX_PLAIN_WORK_SECONDS = 60.0
+# Bounds of the ratio of the length of an answer to the hint of the caller.
+MIN_ANSWER_RATIO = 0.25
+MAX_ANSWER_RATIO = 4.0
+# Share of its work that remains of a request that takes longer than expected.
+OVERDUE_WORK_RATIO = 0.5
+# Bounds of the learned round-trip time to a zone, and the age at which it is computed again.
+MIN_ZONE_DELAY_SECONDS = 0.0001
+MAX_ZONE_DELAY_SECONDS = 0.5
+ZONE_DELAY_REFRESH_SECONDS = 0.5
+# Routes with learned costs, and the endpoints or workspaces that have a vote in one of them.
+MAX_LEARNED_ROUTES = 1_000
+MAX_ESTIMATE_VOTES = 64
+# Interval in seconds at which slowdowns are recorded as metrics and compared with the threshold.
+SLOWDOWN_CHECK_SECONDS = 1.0
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -13,11 +13,27 @@
 from marjorambridge.forwarding.thresholds import Thresholds
 from marjorambridge.manifests.matching import RouteTable
 from marjorambridge.manifests.models import ServiceDefinition
+from marjorambridge.scheduling.estimates import CostModel, EndpointCosts
 
 # Key under which an endpoint stores the total of all other hosts.
 OTHER_HOSTS_TOTAL = "total"
 
 
+class Work(Struct, eq=False):
+    """The expected work of one running request.
+
+    Attributes
+    ----------
+    seconds : float
+        Time that it takes, or that an engine writes its answer.
+    started_at : float
+        Monotonic time in seconds; infinite before the first event of an engine.
+    """
+
+    seconds: float
+    started_at: float
+
+
 class Load(Struct):
     """The load of one host at one endpoint.
 
@@ -35,6 +51,10 @@
         Longest pause in seconds between two events that each of the requests tolerates.
     as_of : float
         Monotonic time in seconds.
+    write_seconds : float
+        Remaining work of another host's requests, as of `as_of`; see `Work`.
+    works : list of Work
+        Work of each request of this host at planned services.
     """
 
     requests: int = 0
@@ -43,6 +63,8 @@
     kv_tokens: int = 0
     pause_limits: list[float] = field(default_factory=list)
     as_of: float = 0.0
+    write_seconds: float = 0.0
+    works: list[Work] = field(default_factory=list)
 
 
 class FailureReport(Struct):
@@ -104,6 +126,8 @@
         Failure reports of other hosts, by host.
     is_peer : bool
         Whether it is another host, which forwards what it receives to an endpoint.
+    costs : EndpointCosts
+        What this host learned about its speed.
     """
 
     name: str
@@ -131,6 +155,7 @@
     other_loads: dict[str, Load] = field(default_factory=dict)
     reports: dict[str, FailureReport] = field(default_factory=dict)
     is_peer: bool = False
+    costs: EndpointCosts = field(default_factory=EndpointCosts)
 
 
 class RetryWindow(Struct):
@@ -180,6 +205,8 @@
         Whether this host reaches endpoints.
     peers : dict of str to Endpoint
         Other hosts as receivers of requests that this host passes on, by name.
+    costs : CostModel
+        What this host learned about the costs of requests of planned services.
     """
 
     settings: ForwardingSettings
@@ -202,6 +229,7 @@
     crashes: CrashHistory = field(default_factory=CrashHistory)
     contact: Contact = field(default_factory=Contact)
     peers: dict[str, Endpoint] = field(default_factory=dict)
+    costs: CostModel = field(default_factory=CostModel)
 
 
 def create_state(
