Choose endpoints of planned services by learned costs

A slow engine was packed with short requests until its answers were late, all plain requests counted the same, and another zone cost one request in a large fleet whatever its distance. Planned services now use outstanding work, the slowdown that hosts exchange, and the learned round-trip time; Retry-After follows the outstanding work. Other services are placed as before.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -29,6 +29,7 @@
 from marjorambridge.gateway.cuts import log_cut_requests
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
+from marjorambridge.gateway.observations import watch_slowdowns
 from marjorambridge.gateway.relays import RELAY_HEADER_BYTES, encode_refusal
 from marjorambridge.gateway.requests import handle_relayed_request, handle_request
 from marjorambridge.gateway.sharing import (
@@ -195,6 +196,7 @@
     await network.start(host.network, tasks, nodes.get_peer_address(host.settings))
     await start_sharing(host.sharing, tasks)
     tasks.start_soon(run_timers, host.runtime)
+    tasks.start_soon(watch_slowdowns, host.gateway)
     host.server = Server(
         lambda exchange: handle_request(host.gateway, exchange),
         lambda: _get_limits(host),
--- a/marjorambridge/forwarding/aggregation.py
+++ b/marjorambridge/forwarding/aggregation.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct, field
 
+from marjorambridge.forwarding.loads import compute_remaining_work
 from marjorambridge.forwarding.state import Endpoint, Load
 
 # Each host repeats its loads once a second, so that an aggregation has all of them after this time.
@@ -87,6 +88,7 @@
         total.requests += load.requests
         total.kv_tokens += load.kv_tokens
         total.pause_limits += load.pause_limits
+        total.write_seconds += compute_remaining_work(load, now)
         if load.reads:
             total.reads += load.reads
             total.prefill_seconds += max(0.0, load.prefill_seconds - (now - load.as_of))
@@ -100,6 +102,8 @@
     others.requests = max(0, total.requests - own.requests)
     others.kv_tokens = max(0, total.kv_tokens - own.kv_tokens)
     others.reads = max(0, total.reads - own.reads)
+    if others.requests:
+        others.write_seconds = max(0.0, total.write_seconds - compute_remaining_work(own, now))
     if others.reads:
         remaining = max(0.0, own.prefill_seconds - (now - own.as_of)) if own.reads else 0.0
         others.prefill_seconds = max(0.0, total.prefill_seconds - remaining)
--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -1,5 +1,7 @@
 """Estimates of prefill and decode times, from the published profile of an engine."""
 
+import math
+
 from marjorambridge.core.numbers import YEAR_SECONDS
 from marjorambridge.manifests.models import EngineProfile
 
@@ -63,3 +65,32 @@
     """
     step = profile.step_seconds + profile.slots * profile.sequence_seconds
     return step * profile.stride_steps
+
+
+def compute_loaded_pass_seconds(profile: EngineProfile, requests: int, context: int) -> float:
+    """Return the time of a pass with a number of requests and of tokens in their contexts.
+
+    Examples
+    --------
+    >>> profile = EngineProfile(8, step_seconds=0.001, context_seconds=1e-9, stride_steps=50)
+    >>> round(compute_loaded_pass_seconds(profile, 3, 200_000), 4)
+    0.06
+    """
+    step = profile.step_seconds + min(requests, profile.slots) * profile.sequence_seconds
+    return (step + context * profile.context_seconds) * profile.stride_steps
+
+
+def estimate_write_seconds(profile: EngineProfile, answer_tokens: int) -> float:
+    """Return the time in which a full engine writes an answer.
+
+    A length that no engine can hold says nothing, as for `estimate_kv_tokens`.
+
+    Examples
+    --------
+    >>> profile = EngineProfile(8, 90_000, step_seconds=0.001, stride_steps=50)
+    >>> round(estimate_write_seconds(profile, 120), 3), estimate_write_seconds(profile, 2**31)
+    (0.15, 0.0)
+    """
+    if 0 < profile.kv_tokens < answer_tokens:
+        answer_tokens = min(profile.usual_answer_tokens, profile.kv_tokens)
+    return math.ceil(answer_tokens / max(1, profile.stride_steps)) * compute_pass_seconds(profile)
--- a/marjorambridge/forwarding/loads.py
+++ b/marjorambridge/forwarding/loads.py
@@ -6,7 +6,8 @@
 
 import math
 
-from marjorambridge.forwarding.state import Endpoint, Load
+from marjorambridge.conf import defaults
+from marjorambridge.forwarding.state import Endpoint, Load, Work
 
 # Loads of a host that sent no report for this long are dropped; each host repeats its loads once a
 # second.
@@ -49,6 +50,45 @@
     load.kv_tokens = max(0, load.kv_tokens - kv_tokens)
 
 
+def add_work(load: Load, seconds: float, started_at: float) -> Work:
+    """Add the expected work of a request; an infinite `started_at` means that it has not begun."""
+    work = Work(seconds, started_at)
+    load.works.append(work)
+    return work
+
+
+def compute_remaining_work(load: Load, now: float) -> float:
+    """Return the seconds of work that the requests of a load still need.
+
+    A request that takes longer than expected keeps a share of its work: an endpoint that does not
+    get on would otherwise look idle.
+    """
+    ratio = defaults.OVERDUE_WORK_RATIO
+    total = max(
+        ratio * load.write_seconds,
+        load.write_seconds - load.requests * max(0.0, now - load.as_of),
+    )
+    for work in load.works:
+        elapsed = max(0.0, now - work.started_at)
+        total += max(ratio * work.seconds, work.seconds - elapsed)
+    return total
+
+
+def compute_outstanding_work(endpoint: Endpoint, unknown_seconds: float, now: float) -> float:
+    """Return the seconds of work that the requests of all hosts at an endpoint still need.
+
+    Parameters
+    ----------
+    unknown_seconds : float
+        Work of each request of a host of an earlier build, which reports none.
+    """
+    total = 0.0
+    for load in (endpoint.load, *endpoint.other_loads.values()):
+        remaining = compute_remaining_work(load, now)
+        total += remaining if remaining > 0 else load.requests * unknown_seconds
+    return total
+
+
 def compute_remaining_prefill_seconds(endpoint: Endpoint, now: float) -> float:
     """Return the seconds of outstanding prefill of all hosts at an endpoint."""
     total = 0.0
@@ -76,6 +116,9 @@
 
 def set_other_load(endpoint: Endpoint, host: str, load: Load) -> None:
     """Replace the load of another host at an endpoint."""
+    previous = endpoint.other_loads.get(host)
+    if load.reads or (previous is not None and previous.reads):
+        endpoint.costs.prefill_seen_at = load.as_of
     if load.requests or load.reads:
         endpoint.other_loads[host] = load
     else:
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -10,6 +10,7 @@
 from marjorambridge.forwarding.health import count_reporters, get_avoid_until, is_replaced
 from marjorambridge.forwarding.hints import is_rejecting
 from marjorambridge.forwarding.loads import (
+    compute_outstanding_work,
     compute_remaining_prefill_seconds,
     count_kv_tokens,
     count_requests,
@@ -17,6 +18,7 @@
 from marjorambridge.forwarding.request_limits import may_send_limited
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition, is_starting
 from marjorambridge.manifests.models import ServiceDefinition
+from marjorambridge.scheduling.estimates import get_slowdown, get_zone_delay
 
 # Endpoints are ordered by a hash of 64 bits.
 HASH_RANGE = 2**64
@@ -53,6 +55,9 @@
         Rank in the order of requests that wait; 0 is first.
     workspace : str
         Workspace of the caller; empty if it has none.
+    work_seconds : float
+        Expected time of a request of a planned plain service, or in which an engine writes the
+        answer.
     """
 
     service: str
@@ -64,6 +69,7 @@
     is_planned: bool = False
     urgency: int = 0
     workspace: str = ""
+    work_seconds: float = 0.0
 
 
 def choose_endpoint(
@@ -92,13 +98,14 @@
     is_large = len(state.hosts) > defaults.LARGE_FLEET_HOSTS or is_starting(state, now)
     if definition.engine is None or not is_large:
         return min(usable, key=lambda endpoint: sort_keys[endpoint.name])
-    return choose_active_engine(state, usable, sort_keys, now)
+    return choose_active_engine(state, usable, sort_keys, profile, now)
 
 
 def choose_active_engine(
     state: ForwardingState,
     usable: list[Endpoint],
     sort_keys: dict[str, tuple[float, ...]],
+    profile: RequestProfile,
     now: float,
 ) -> Endpoint:
     """Return the least loaded of a few engines sampled from the active ones.
@@ -126,21 +133,37 @@
     count += defaults.ACTIVE_ENGINE_EXTRA + math.ceil(
         defaults.ACTIVE_ENGINE_RATIO * len(candidates)
     )
-    other_zone = defaults.OTHER_ZONE_COST_REQUESTS
+    zone_ratio = 1.0
     if now - state.loads_received_at > defaults.LOAD_STALE_SECONDS or is_starting(state, now):
-        count, other_zone = len(candidates), 0.0
+        count, zone_ratio = len(candidates), 0.0
     active = candidates[:count]
     return min(
         state.generator.sample(active, min(len(active), defaults.ACTIVE_ENGINE_SAMPLE)),
         key=lambda endpoint: (
-            sort_keys[endpoint.name][2],
+            sort_keys[endpoint.name][2:4],
             count_requests(endpoint)
             + state.generator.random() * usable_slots
-            + (endpoint.zone != state.settings.zone) * other_zone,
+            + compute_zone_requests(state, endpoint, profile, now) * zone_ratio,
         ),
     )
 
 
+def compute_zone_requests(
+    state: ForwardingState, endpoint: Endpoint, profile: RequestProfile, now: float
+) -> float:
+    """Return the cost of the zone of an engine, in running requests.
+
+    For planned services it is the learned round-trip time, so that a surge in one zone uses the
+    idle engines of the others.
+    """
+    if endpoint.zone == state.settings.zone:
+        return 0.0
+    if not profile.is_planned:
+        return defaults.OTHER_ZONE_COST_REQUESTS
+    delay = get_zone_delay(state.costs, endpoint.zone, now)
+    return delay / defaults.RUNNING_REQUEST_COST_SECONDS
+
+
 def is_usable(
     state: ForwardingState, endpoint: Endpoint, excluded: frozenset[str], now: float
 ) -> bool:
@@ -192,18 +215,30 @@
     requests = count_requests(endpoint)
     avoid_reason = compute_avoid_reason(definition, endpoint, profile, requests, now)
     other_zone = 0.0 if endpoint.zone == state.settings.zone else defaults.OTHER_ZONE_COST_SECONDS
+    slowdown = 1.0
+    if profile.is_planned:
+        slowdown = get_slowdown(endpoint, now)
+        if other_zone:
+            other_zone = get_zone_delay(state.costs, endpoint.zone, now)
+    if definition.engine is None and profile.is_planned:
+        # Requests of a plain service differ in their work; endpoints with the same number of
+        # requests end them at very different times.
+        outstanding = compute_outstanding_work(endpoint, profile.work_seconds, now)
+        work = outstanding / max(1, endpoint.slots) + profile.work_seconds
+        return avoid_reason, slowdown * work + other_zone
     if definition.engine is None:
         return avoid_reason, requests * defaults.RUNNING_REQUEST_COST_SECONDS + other_zone
-    remaining_prefill = compute_remaining_prefill_seconds(endpoint, now)
+    remaining_prefill = slowdown * compute_remaining_prefill_seconds(endpoint, now)
     is_late = (
-        remaining_prefill + profile.prefill_seconds
+        remaining_prefill + slowdown * profile.prefill_seconds
         > defaults.SHORT_PREFILL_PAUSE_RATIO * profile.pause_seconds
     )
     # Short requests are packed on few engines, so that the others have no answers that a long
     # prompt would stall; an engine decodes a full batch almost as fast as a single answer. In a
     # burst, requests go to the next engine as soon as one has waiting prompts, because these delay
     # one another.
-    waiting_prompts = int(remaining_prefill / defaults.WAITING_PROMPT_PREFILL_SECONDS)
+    wait = remaining_prefill + other_zone if profile.is_planned else remaining_prefill
+    waiting_prompts = int(wait / defaults.WAITING_PROMPT_PREFILL_SECONDS)
     if is_long_prompt_engine(endpoint):
         waiting_prompts += defaults.LONG_PROMPT_ENGINE_PENALTY_PROMPTS
     free_slots = max(0, endpoint.slots - defaults.PACKING_FREE_SLOTS - requests)
@@ -211,6 +246,8 @@
         avoid_reason,
         is_late,
         waiting_prompts,
+        # Rounded, so that the engines of a slow series count as equal.
+        round(slowdown),
         other_zone,
         free_slots if free_slots else endpoint.slots,
         endpoint.order,
--- a/marjorambridge/forwarding/retry_after.py
+++ b/marjorambridge/forwarding/retry_after.py
@@ -9,6 +9,7 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.health import get_avoid_until
 from marjorambridge.forwarding.loads import (
+    compute_outstanding_work,
     compute_pause_limit,
     compute_remaining_prefill_seconds,
     count_requests,
@@ -16,7 +17,8 @@
 from marjorambridge.forwarding.placement import RequestProfile, can_start, is_usable
 from marjorambridge.forwarding.request_limits import compute_limit_wait
 from marjorambridge.forwarding.splitting import is_long_prompt
-from marjorambridge.forwarding.state import ForwardingState, find_definition
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, find_definition
+from marjorambridge.scheduling.estimates import get_slowdown
 
 
 def estimate_retry_after_seconds(
@@ -40,11 +42,13 @@
             if is_usable(state, endpoint, frozenset(), endpoint.rejects_until):
                 rejected.append(endpoint.rejects_until - now)
             continue
+        slowdown = get_slowdown(endpoint, now) if profile.is_planned else 1.0
         wait = max(
-            compute_remaining_prefill_seconds(endpoint, now), get_avoid_until(endpoint, now) - now
+            slowdown * compute_remaining_prefill_seconds(endpoint, now),
+            get_avoid_until(endpoint, now) - now,
         )
         if count_requests(endpoint) >= endpoint.slots:
-            wait += defaults.FULL_ENDPOINT_RETRY_AFTER_SECONDS
+            wait += estimate_slot_wait(endpoint, profile, slowdown, now)
         limit_wait = compute_limit_wait(state, endpoint, now)
         if limit_wait > 0:
             wait = max(wait, limit_wait)
@@ -64,6 +68,21 @@
     return min(expected, defaults.MAX_RETRY_AFTER_SECONDS)
 
 
+def estimate_slot_wait(
+    endpoint: Endpoint, profile: RequestProfile, slowdown: float, now: float
+) -> float:
+    """Return the seconds until a full endpoint has a free slot.
+
+    For planned services it follows from the outstanding work: one of as many requests as there are
+    slots ends within the mean remaining work divided by the slots.
+    """
+    requests, slots = count_requests(endpoint), max(1, endpoint.slots)
+    outstanding = compute_outstanding_work(endpoint, 0.0, now) if profile.is_planned else 0.0
+    if outstanding <= 0:
+        return defaults.FULL_ENDPOINT_RETRY_AFTER_SECONDS
+    return slowdown * outstanding / requests * (1 + requests - slots) / slots
+
+
 def draw_jitter(state: ForwardingState) -> float:
     """Return a random factor for the Retry-After of callers that are refused together."""
     return 1.0 + state.generator.random() * defaults.RETRY_AFTER_JITTER_RATIO
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -54,6 +54,13 @@
     AttemptResult,
     Forwarded,
 )
+from marjorambridge.gateway.observations import (
+    begin_observation,
+    end_observation,
+    observe_answer,
+    observe_connection,
+    observe_events,
+)
 from marjorambridge.gateway.relays import build_relay_attempt, read_retry_after, run_relay
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
@@ -85,13 +92,16 @@
     record_send(endpoint, now)
     _add_load(context, running, now)
     running.kv_tokens = count_kv_tokens(endpoint)
+    begin_observation(context, running, now)
     result = AttemptResult(AttemptOutcome.TIMED_OUT)
     try:
         with anyio.move_on_after(context.deadline - now):
             result = await _run_with_tickets(context, running, attempt)
     finally:
-        _finish_prefill(context, running, time.monotonic())
+        ended_at = time.monotonic()
+        _finish_prefill(context, running, ended_at)
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+        end_observation(running)
         gateway.share_load(endpoint)
         if not endpoint.is_peer:
             start_cancellation(gateway, request, endpoint, identifier, result.outcome)
@@ -100,6 +110,7 @@
         else:
             await release(running.tickets)
     _check_stream(context, running.cursor, result)
+    observe_answer(context, running, result, ended_at)
     if result.outcome is AttemptOutcome.MISDIRECTED:
         result.outcome = judge_misdirected(context.progress, request.is_conditional)
     return result
@@ -109,6 +120,7 @@
     running.is_connected = True
     if not running.endpoint.is_peer:
         note_connected(context.gateway)
+        observe_connection(context, running, time.monotonic())
 
 
 def _build_attempt(context: RequestContext, running: RunningAttempt, identifier: str) -> Attempt:
@@ -216,6 +228,7 @@
         context.longest_gap = max(context.longest_gap, now - context.last_event_at)
     if not running.has_begun:
         record_first_answer(context.gateway, context.causes, now)
+    observe_events(context, running, now)
     running.has_begun = True
     running.waits_since = math.inf
     context.last_event_at = now
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -7,21 +7,52 @@
 
 from marjorambridge.forwarding.admission import Admission
 from marjorambridge.forwarding.attempts import RequestProgress
-from marjorambridge.forwarding.costs import compute_prefill_seconds, estimate_kv_tokens
+from marjorambridge.forwarding.costs import (
+    compute_prefill_seconds,
+    estimate_kv_tokens,
+    estimate_write_seconds,
+)
 from marjorambridge.forwarding.placement import RequestProfile
-from marjorambridge.forwarding.state import Endpoint, find_definition
+from marjorambridge.forwarding.state import Endpoint, ForwardingState, Work, find_definition
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.crashes import find_causes
 from marjorambridge.gateway.events import StreamCursor
 from marjorambridge.gateway.messages import CallerRequest, MemoryAllocation
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet
+from marjorambridge.manifests.models import EngineProfile
+from marjorambridge.scheduling.estimates import (
+    RouteKey,
+    estimate_answer_tokens,
+    estimate_work_seconds,
+)
 from marjorambridge.scheduling.urgency import compute_urgency
 
 # Part of the deadline that is left for the transfer of the answer to the caller.
 ANSWER_MARGIN_SECONDS = 0.02
 
 
+class AttemptCosts(Struct):
+    """Store what is needed to observe the costs of an attempt at a planned service.
+
+    Attributes
+    ----------
+    work : Work or None
+        Its expected work, which is part of the load of the endpoint.
+    endpoint_requests : int
+        Requests of all hosts at the endpoint when the attempt began, this one included.
+    events : int
+        Events received before the last piece of the stream.
+    events_at : float
+        Monotonic time in seconds of the last events; 0 before the first one.
+    """
+
+    work: Work | None = None
+    endpoint_requests: int = 1
+    events: int = 0
+    events_at: float = 0.0
+
+
 class RunningAttempt(Struct, eq=False):
     """Store the state of one attempt; a stream may have two of them at the same time.
 
@@ -56,6 +87,8 @@
         forwards it.
     endpoints_reported : int
         Endpoints that another host reported for this attempt; 0 without a report.
+    costs : AttemptCosts
+        What the costs of the attempt are learned from.
     scope : anyio.CancelScope
         Cancels the attempt.
     """
@@ -74,6 +107,7 @@
     prefilling: list[Endpoint] = field(default_factory=list)
     max_endpoints: int = 1
     endpoints_reported: int = 0
+    costs: AttemptCosts = field(default_factory=AttemptCosts)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
@@ -175,6 +209,10 @@
         answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
         profile.prefill_seconds = compute_prefill_seconds(engine, prompt.prompt_tokens)
         profile.kv_tokens = estimate_kv_tokens(engine, prompt.prompt_tokens, answer)
+    if profile.is_planned:
+        profile.work_seconds = _estimate_work(
+            gateway.forwarding, get_route_key(admission), profile, engine, request, exchange
+        )
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
     allocation = MemoryAllocation(gateway.memory)
@@ -194,6 +232,40 @@
     )
 
 
+def get_route_key(admission: Admission) -> RouteKey:
+    """Return the key under which the costs of a request are learned."""
+    return RouteKey(admission.service, admission.route.name)
+
+
+def get_answer_hint(request: CallerRequest) -> int:
+    """Return the length of the answer in tokens that the caller names; 0 if it names none."""
+    prompt = request.prompt
+    if prompt is None:
+        return 0
+    return prompt.expected_answer_tokens or prompt.max_answer_tokens
+
+
+def _estimate_work(
+    forwarding: ForwardingState,
+    route: RouteKey,
+    profile: RequestProfile,
+    engine: EngineProfile | None,
+    request: CallerRequest,
+    exchange: Exchange,
+) -> float:
+    """Return the expected work of a request in seconds; for an engine, the writing of the answer.
+
+    A hint that no engine can hold is no estimate of the length, so that it isn't scaled.
+    """
+    now = exchange.arrived_at
+    if engine is None:
+        return estimate_work_seconds(forwarding.costs, route, now)
+    hint = get_answer_hint(request)
+    if engine.kv_tokens <= 0 or hint <= engine.kv_tokens:
+        hint = estimate_answer_tokens(forwarding.costs, route, profile.workspace, hint, now)
+    return estimate_write_seconds(engine, hint)
+
+
 def create_attempt(context: RequestContext, endpoint: Endpoint) -> RunningAttempt:
     """Return the state of an attempt that has not started."""
     gateway = context.gateway
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -9,6 +9,7 @@
 
 from marjorambridge.core.numbers import clamp_whole
 from marjorambridge.forwarding.health import list_reportable_endpoints
+from marjorambridge.forwarding.loads import compute_remaining_work
 from marjorambridge.forwarding.messages import (
     CrashReport,
     EndpointFailure,
@@ -22,7 +23,9 @@
     has_recent_limit,
     is_limited,
 )
+from marjorambridge.forwarding.slowdowns import list_reportable_slowdowns
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
+from marjorambridge.scheduling.estimates import encode_slowdown
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
 
@@ -51,6 +54,7 @@
         encode_seconds(remaining),
         clamp_whole(load.kv_tokens, MAX_REPORTED),
         0 if math.isinf(pause_limit) else max(1, encode_seconds(pause_limit)),
+        write_milliseconds=encode_seconds(compute_remaining_work(load, now)),
     )
 
 
@@ -64,17 +68,21 @@
         clamp_whole(reported.kv_tokens, MAX_REPORTED),
         [pause_limit] if reported.requests else [],
         now,
+        decode_seconds(reported.write_milliseconds),
     )
 
 
-def encode_failure(endpoint: Endpoint, report: FailureReport, now: float) -> EndpointFailure:
-    """Return the message entry for the failures and the hints of an endpoint."""
+def encode_failure(
+    endpoint: Endpoint, report: FailureReport, now: float, slowdown: float | None = None
+) -> EndpointFailure:
+    """Return the message entry for the failures, the hints and the slowdown of an endpoint."""
     entry = EndpointFailure(
         endpoint.key,
         clamp_whole(report.failures, MAX_REPORTED),
         encode_seconds(report.avoid_until - now),
         clamp_whole(report.hosts, MAX_REPORTED),
         endpoint.signalled_leaving,
+        slowdown_percent=encode_slowdown(slowdown),
     )
     if has_recent_limit(endpoint, now):
         if is_limited(endpoint):
@@ -118,13 +126,25 @@
     endpoints = [forwarding.endpoints[name] for name in names if name in forwarding.endpoints]
     loads = tuple(encode_load(endpoint, endpoint.load, now) for endpoint in endpoints)
     reportable = {endpoint.name for endpoint in list_reportable_endpoints(forwarding, now)}
+    slowdowns = list_reportable_slowdowns(forwarding, endpoints, now)
     failures = tuple(
-        encode_failure(endpoint, FailureReport(endpoint.failures, endpoint.avoid_until), now)
+        encode_failure(
+            endpoint,
+            FailureReport(endpoint.failures, endpoint.avoid_until),
+            now,
+            slowdowns.get(endpoint.name),
+        )
         for endpoint in endpoints
         if endpoint.name in reportable
         or endpoint.signalled_leaving
         or has_recent_limit(endpoint, now)
     )
+    reported = {failure.endpoint for failure in failures}
+    failures += tuple(
+        encode_failure(endpoint, FailureReport(0, now), now, slowdowns[endpoint.name])
+        for endpoint in endpoints
+        if endpoint.name in slowdowns and endpoint.key not in reported
+    )
     return LoadShare(own_host, for_zone, loads, failures)
 
 
--- a/marjorambridge/gateway/events.py
+++ b/marjorambridge/gateway/events.py
@@ -36,6 +36,8 @@
         Pieces since the last event.
     comment_bytes : int
         Bytes of comments, and of events without content, since the last event.
+    events : int
+        Events with content that were accepted, over all attempts.
     has_ended : bool
         Whether the event arrived with which a stream ends.
     error : Exception or None
@@ -49,6 +51,7 @@
     searched: int = 0
     pieces: int = 0
     comment_bytes: int = 0
+    events: int = 0
     has_ended: bool = False
     error: Exception | None = None
     handle_comment: Callable[[bytes], None] | None = None
@@ -131,6 +134,8 @@
             if last is not None and read.first != last + 1:
                 raise EventOrderError(f"event {read.first} follows event {last}")
             cursor.last_event = read.last
+        if read.first is not None or not read.is_end:
+            cursor.events += 1
         complete.append(read.data)
         if read.is_end:
             cursor.has_ended = True
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -49,6 +49,11 @@
     ZoneTotals,
 )
 from marjorambridge.forwarding.request_limits import has_recent_limit
+from marjorambridge.forwarding.slowdowns import (
+    apply_slowdown_report,
+    compute_total_slowdown,
+    is_slowdown_reported,
+)
 from marjorambridge.forwarding.state import (
     OTHER_HOSTS_TOTAL,
     Endpoint,
@@ -337,6 +342,7 @@
     sharing: LoadSharing, endpoint: Endpoint, name: str, reported: EndpointFailure, now: float
 ) -> None:
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
+    apply_slowdown_report(endpoint, name, reported.slowdown_percent, now)
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
     if apply_reported_limit(endpoint, reported, now):
         logger.bind(endpoint=endpoint.name, peer=name, request_limit=reported.request_limit).info(
@@ -497,8 +503,10 @@
         loads.append(encode_load(endpoint, total, now))
         report = combine_reports(endpoint, now, ZONE_TOTAL_PREFIX if only_this_zone else "")
         has_hints = endpoint.signalled_leaving or has_recent_limit(endpoint, now)
-        if report is not None or has_hints:
-            failures.append(encode_failure(endpoint, report or FailureReport(0, now), now))
+        slowdown = compute_total_slowdown(endpoint, now, only_this_zone)
+        if report is not None or has_hints or slowdown is not None:
+            report = report or FailureReport(0, now)
+            failures.append(encode_failure(endpoint, report, now, slowdown))
     return tuple(loads), tuple(failures)
 
 
@@ -516,6 +524,7 @@
         drop_old_loads(endpoint, now)
         drop_old_reports(endpoint, now)
         is_told = now < endpoint.avoid_until or has_recent_limit(endpoint, now)
+        is_told = is_told or is_slowdown_reported(sharing.forwarding, endpoint, now)
         if endpoint.load.requests or is_told:
             mark_load_changed(sharing, endpoint)
     queue_repeated_crashes(sharing, now)
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -58,6 +58,7 @@
     "seconds": "duration in seconds",
     "service": "service of the configuration",
     "shard": "`service/zone/bucket`",
+    "slowdown": "measured time of the work of an endpoint, divided by the expected time",
     "silent_seconds": "time since the last part of an answer, or since the request arrived; for a "
     "connection that is reset, time since the last acknowledgement of the caller",
     "stage": "step of the repair of a replica",
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -41,6 +41,10 @@
     return Series(Kind.COUNTER, text, labels)
 
 
+def _gauge(text: str, *labels: str) -> Series:
+    return Series(Kind.GAUGE, text, labels)
+
+
 def _sampled_gauge(text: str, *labels: str) -> Series:
     return Series(Kind.GAUGE, text, labels, sampled=True)
 
@@ -90,6 +94,10 @@
         "Time from the arrival of a request at a gateway to the first part of its answer."
     ),
     "contact_losses_total": _counter("Times this host began to reach no endpoint."),
+    "endpoint_slowdown": _gauge(
+        "Measured time divided by expected time of the slowest endpoint of a planned service.",
+        "service",
+    ),
     "memory_orders_total": _counter("Orders that reserve or release memory of engines."),
     # Shard owners.
     "permits_granted_total": _counter("Permits that this host granted.", "priority"),
