Leave cold engines out of the slowdowns, and forget slowdowns after 13 s

A cold engine counted as slow until 27 s after it was warm, because the weight of its observations was bounded by 32.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -414,9 +414,10 @@
 MAX_URGENCY = 9
 # Learned costs. Time in which the weight of an observation halves, so that an engine that recovers
 # is used again, and the weights of the prior and of all observations together, in observations.
+# With the bound of 12, a slowdown without new observations is unknown after 13 s.
 ESTIMATE_HALF_LIFE_SECONDS = 10.0
-ESTIMATE_PRIOR_WEIGHT = 2.0
-MAX_ESTIMATE_WEIGHT = 32.0
+ESTIMATE_PRIOR_WEIGHT = 1.0
+MAX_ESTIMATE_WEIGHT = 12.0
 # Observations below which a slowdown, or the answer ratio of a workspace, is unknown, and below
 # which one endpoint or workspace has no vote in the estimate of a route.
 MIN_OBSERVATIONS = 5.0
--- a/marjorambridge/gateway/observations.py
+++ b/marjorambridge/gateway/observations.py
@@ -73,7 +73,8 @@
     """Record the time of the passes of an engine between two pieces of a stream.
 
     Must be called before `waits_since` is changed for the new events. Passes beside a prefill, and
-    those after which the caller read slowly, say nothing about the engine.
+    those after which the caller read slowly, say nothing about the engine. Those of a cold engine
+    are longer until it is warm, which placement considers already.
     """
     if not _is_observed(context, running):
         return
@@ -83,7 +84,7 @@
     if costs.work is not None:
         costs.work.started_at = min(costs.work.started_at, now)
     engine = _find_engine(context)
-    if engine is None or previous_at <= 0 or passes <= 0:
+    if engine is None or previous_at <= 0 or passes <= 0 or now < endpoint.cold_until:
         return
     if _has_prefilled_since(endpoint, previous_at):
         return
@@ -126,6 +127,8 @@
     """Record the time of a plain request; one that shares a full endpoint waits for others."""
     costs, endpoint = context.gateway.forwarding.costs, running.endpoint
     route = get_route_key(context.admission)
+    if now < endpoint.cold_until:
+        return
     requests_by_slot = running.costs.endpoint_requests / max(1, endpoint.slots)
     seconds = (now - running.started_at) / max(1.0, requests_by_slot)
     record_work(costs, route, endpoint.name, seconds, now)
--- a/marjorambridge/scheduling/estimates.py
+++ b/marjorambridge/scheduling/estimates.py
@@ -162,7 +162,7 @@
     Examples
     --------
     >>> estimate = Estimate()
-    >>> read_estimate(estimate, 3.0, 0.0) == 3.0 and observe(estimate, 12.0, 0.0, count=2.0)
+    >>> read_estimate(estimate, 3.0, 0.0) == 3.0 and observe(estimate, 12.0, 0.0)
     True
     >>> round(read_estimate(estimate, 3.0, 0.0), 6), round(read_estimate(estimate, 3.0, 200.0), 3)
     (6.0, 3.0)
--- a/tests/scheduling/test_learned_placement.py
+++ b/tests/scheduling/test_learned_placement.py
@@ -181,7 +181,7 @@
     assert not build_load_share(state, "h1", list(state.endpoints), 1.0, True).failures
 
 
-def stream(state, endpoint, ratio, passes=1, forwarding=0.0, prefill=False):
+def stream(state, endpoint, ratio, passes=1, forwarding=0.0, prefill=False, cold=False):
     """Receive 20 pieces of a stream, and return the time of the last one."""
     context = SimpleNamespace(
         profile=make_planned_profile(), gateway=SimpleNamespace(forwarding=state)
@@ -189,6 +189,7 @@
     running = SimpleNamespace(
         endpoint=endpoint, costs=AttemptCosts(), cursor=StreamCursor(), waits_since=0.0
     )
+    endpoint.cold_until = 100.0 if cold else 0.0
     now, one_pass = 1.0, compute_loaded_pass_seconds(PROFILE, 0, 0)
     for _ in range(20):
         now += ratio * passes * one_pass
@@ -209,11 +210,12 @@
         ({"ratio": 1.0, "passes": 4}, False),
         ({"ratio": 4.0, "forwarding": 0.1}, False),
         ({"ratio": 4.0, "prefill": True}, False),
+        ({"ratio": 4.0, "cold": True}, False),
     ],
-    ids=["slow", "as published", "events that arrive together", "slow caller", "prefills"],
+    ids=["slow", "as published", "events that arrive together", "slow caller", "prefills", "cold"],
 )
 def test_only_passes_of_the_engine_itself_count(options, is_slow):
-    """Guard against slow callers and prefills of other hosts that count as a slow engine."""
+    """Guard against slow callers, prefills and cold engines that count as slow engines."""
     state = make_planned(engines=6)
     endpoint = state.endpoints["e0"]
     now = stream(state, endpoint, **options)
