--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -9,6 +9,7 @@
 
 from marjorambridge.core.numbers import clamp_whole
 from marjorambridge.forwarding.health import list_reportable_endpoints
+from marjorambridge.forwarding.loads import compute_remaining_work
 from marjorambridge.forwarding.messages import (
     CrashReport,
     EndpointFailure,
@@ -22,8 +23,10 @@
     has_recent_limit,
     is_limited,
 )
+from marjorambridge.forwarding.slowdowns import list_reportable_slowdowns
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
 from marjorambridge.scheduling.rooms import get_own_declined_until
+from marjorambridge.scheduling.estimates import encode_slowdown
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
 
@@ -53,6 +56,7 @@
         clamp_whole(load.kv_tokens, MAX_REPORTED),
         0 if math.isinf(pause_limit) else max(1, encode_seconds(pause_limit)),
         helps=clamp_whole(load.helps, MAX_REPORTED) or None,
+        write_milliseconds=encode_seconds(compute_remaining_work(load, now)) or None,
     )
 
 
@@ -67,19 +71,25 @@
         [pause_limit] if reported.requests else [],
         now,
         clamp_whole(reported.helps or 0, MAX_REPORTED),
+        decode_seconds(reported.write_milliseconds or 0),
     )
 
 
 def encode_failure(
-    endpoint: Endpoint, report: FailureReport, now: float, declined_until: float = -math.inf
+    endpoint: Endpoint,
+    report: FailureReport,
+    now: float,
+    declined_until: float = -math.inf,
+    slowdown: float | None = None,
 ) -> EndpointFailure:
-    """Return the message entry for the failures, the hints and the declines of an endpoint."""
+    """Return the message entry for failures, hints, declines and the slowdown of an endpoint."""
     entry = EndpointFailure(
         endpoint.key,
         clamp_whole(report.failures, MAX_REPORTED),
         encode_seconds(report.avoid_until - now),
         clamp_whole(report.hosts, MAX_REPORTED),
         endpoint.signalled_leaving,
+        slowdown_percent=encode_slowdown(slowdown),
     )
     if now < declined_until:
         entry.declined_milliseconds = encode_seconds(declined_until - now)
@@ -125,20 +135,21 @@
     endpoints = [forwarding.endpoints[name] for name in names if name in forwarding.endpoints]
     loads = tuple(encode_load(endpoint, endpoint.load, now) for endpoint in endpoints)
     reportable = {endpoint.name for endpoint in list_reportable_endpoints(forwarding, now)}
+    slowdowns = list_reportable_slowdowns(forwarding, endpoints, now)
     failures = []
     for endpoint in endpoints:
-        declined_until = get_own_declined_until(endpoint)
+        declined_until, slowdown = get_own_declined_until(endpoint), slowdowns.get(endpoint.name)
         report = FailureReport(endpoint.failures, endpoint.avoid_until)
         if not (
             endpoint.name in reportable
             or endpoint.signalled_leaving
             or has_recent_limit(endpoint, now)
         ):
-            if now >= declined_until:
+            if now >= declined_until and slowdown is None:
                 continue
-            # A decline is an answer, and is reported also if failures may be those of this host.
+            # Declines and slowdowns are reported also if failures may be those of this host.
             report = FailureReport(0, now)
-        failures.append(encode_failure(endpoint, report, now, declined_until))
+        failures.append(encode_failure(endpoint, report, now, declined_until, slowdown))
     return LoadShare(own_host, for_zone, loads, tuple(failures))
 
 
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -49,6 +49,11 @@
     ZoneTotals,
 )
 from marjorambridge.forwarding.request_limits import has_recent_limit
+from marjorambridge.forwarding.slowdowns import (
+    apply_slowdown_report,
+    compute_total_slowdown,
+    is_slowdown_reported,
+)
 from marjorambridge.forwarding.state import (
     OTHER_HOSTS_TOTAL,
     Endpoint,
@@ -344,6 +349,7 @@
     sharing: LoadSharing, endpoint: Endpoint, name: str, reported: EndpointFailure, now: float
 ) -> None:
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
+    apply_slowdown_report(endpoint, name, reported.slowdown_percent, now)
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
     if endpoint.service in sharing.forwarding.planned:
         declined_seconds = decode_seconds(reported.declined_milliseconds or 0)
@@ -508,9 +514,10 @@
         report = combine_reports(endpoint, now, ZONE_TOTAL_PREFIX if only_this_zone else "")
         has_hints = endpoint.signalled_leaving or has_recent_limit(endpoint, now)
         declined_until = combine_declines(endpoint, ZONE_TOTAL_PREFIX if only_this_zone else "")
-        if report is not None or has_hints or now < declined_until:
+        slowdown = compute_total_slowdown(endpoint, now, only_this_zone)
+        if report is not None or has_hints or now < declined_until or slowdown is not None:
             report = report or FailureReport(0, now)
-            failures.append(encode_failure(endpoint, report, now, declined_until))
+            failures.append(encode_failure(endpoint, report, now, declined_until, slowdown))
     return tuple(loads), tuple(failures)
 
 
@@ -530,6 +537,7 @@
         drop_old_declines(endpoint, now)
         is_told = now < endpoint.avoid_until or has_recent_limit(endpoint, now)
         is_told |= now < get_own_declined_until(endpoint)
+        is_told |= is_slowdown_reported(sharing.forwarding, endpoint, now)
         # A prefill shard may last longer than the lifetime of a load that is not repeated.
         has_helps = endpoint.load.helps > 0 and endpoint.service in sharing.forwarding.planned
         if endpoint.load.requests or has_helps or is_told:
