Share scarce capacity between workspaces

When capacity is short, a workspace that sends far more than the others takes the slots that become free. Hosts now exchange what each workspace of a planned service uses and how many of its requests wait, in the optional field of the load messages, once a second and when a workspace begins to wait.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,3 +412,13 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
+# Reports of what workspaces use on another host count for this time in seconds. They are repeated
+# once a second, so that two losses in a row don't matter.
+USE_LIFETIME_SECONDS = 3.0
+# A workspace may exceed its share by this engine time in seconds, because reports are rounded.
+USE_TOLERANCE_SECONDS = 0.02
+# Interval in seconds at which aggregating hosts send the totals of workspaces. Each change would
+# cost as many bytes as all loads; a second for taking back lent capacity allows three intervals.
+USE_TOTALS_SECONDS = 0.2
+# Engine time in seconds that counts for a request of a plain service, whose work isn't published.
+PLAIN_REQUEST_USE_SECONDS = 0.1
--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -151,6 +151,7 @@
         post=lambda event: post(runtime, event),
     )
     host_metrics = metrics.start()
+    sharing.record_metric = lambda effect: metrics.record(host_metrics, effect)
     shares = divide_memory(settings.memory_megabytes)
     gateway = Gateway(
         forwarding,
--- a/marjorambridge/forwarding/aggregation.py
+++ b/marjorambridge/forwarding/aggregation.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 
 from marjorambridge.forwarding.state import Endpoint, Load
+from marjorambridge.scheduling.usage import WorkspaceTotal, is_expired
 
 # Each host repeats its loads once a second, so that an aggregation has all of them after this time.
 AGGREGATION_WARMUP_SECONDS = 1.5
@@ -31,6 +32,10 @@
         Endpoints whose total must be sent to this zone, in order.
     changed_in_zone : dict of str to None
         Endpoints where the load of this zone's hosts must be sent to the other zones, in order.
+    uses : dict of int to dict of str to WorkspaceTotal
+        Uses by key of the workspace and by host, this one included, and by other zone.
+    changed_uses, changed_uses_in_zone : dict of int to None
+        Workspaces whose totals must be sent to this zone, and to the other zones, in order.
     started_at, last_report_at : float
         Monotonic times in seconds of the first report and of the last one.
     """
@@ -38,6 +43,9 @@
     loads: dict[str, dict[str, Load]] = field(default_factory=dict)
     changed: dict[str, None] = field(default_factory=dict)
     changed_in_zone: dict[str, None] = field(default_factory=dict)
+    uses: dict[int, dict[str, WorkspaceTotal]] = field(default_factory=dict)
+    changed_uses: dict[int, None] = field(default_factory=dict)
+    changed_uses_in_zone: dict[int, None] = field(default_factory=dict)
     started_at: float = math.inf
     last_report_at: float = -math.inf
 
@@ -47,6 +55,7 @@
     if now - aggregation.last_report_at > REPORT_TIMEOUT_SECONDS:
         aggregation.started_at = now
         aggregation.loads.clear()
+        aggregation.uses.clear()
     aggregation.last_report_at = now
 
 
@@ -116,3 +125,44 @@
         aggregation.changed[endpoint] = None
         if not loads:
             del aggregation.loads[endpoint]
+
+
+# Uses of workspaces.
+
+
+def store_use(aggregation: LoadAggregation, host: str, key: int, use: WorkspaceTotal) -> None:
+    """Store what a workspace uses on a host, or on the hosts of another zone."""
+    aggregation.changed_uses[key] = None
+    if not host.startswith(ZONE_TOTAL_PREFIX):
+        aggregation.changed_uses_in_zone[key] = None
+    if use.seconds > 0 or use.waiting > 0:
+        aggregation.uses.setdefault(key, {})[host] = use
+    else:
+        aggregation.uses.get(key, {}).pop(host, None)
+
+
+def compute_total_use(
+    aggregation: LoadAggregation,
+    key: int,
+    now: float,
+    without: str = "",
+    only_this_zone: bool = False,
+) -> WorkspaceTotal:
+    """Return the use of all hosts except `without`, or of those of this zone."""
+    total = WorkspaceTotal(as_of=now)
+    for host, use in aggregation.uses.get(key, {}).items():
+        if host == without or (only_this_zone and host.startswith(ZONE_TOTAL_PREFIX)):
+            continue
+        if not is_expired(use, now):
+            total.seconds += use.seconds
+            total.waiting += use.waiting
+    return total
+
+
+def drop_old_host_uses(aggregation: LoadAggregation, now: float) -> None:
+    """Drop the uses of hosts that no longer report, whose totals change by that."""
+    for key, uses in list(aggregation.uses.items()):
+        for host in [host for host, use in uses.items() if is_expired(use, now)]:
+            store_use(aggregation, host, key, WorkspaceTotal(as_of=now))
+        if not uses:
+            del aggregation.uses[key]
--- a/marjorambridge/forwarding/costs.py
+++ b/marjorambridge/forwarding/costs.py
@@ -63,3 +63,16 @@
     """
     step = profile.step_seconds + profile.slots * profile.sequence_seconds
     return step * profile.stride_steps
+
+
+def compute_answer_seconds(profile: EngineProfile, tokens: float) -> float:
+    """Return the time in which an engine with all slots in use writes an answer.
+
+    Examples
+    --------
+    >>> profile = EngineProfile(slots=8, step_seconds=0.001, stride_steps=50)
+    >>> compute_answer_seconds(profile, 1_600)
+    1.6
+    """
+    seconds = compute_pass_seconds(profile) * tokens / max(1, profile.stride_steps)
+    return min(seconds, MAX_PREFILL_SECONDS)
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -53,6 +53,8 @@
         Rank in the order of requests that wait; 0 is first.
     workspace : str
         Workspace of the caller; empty if it has none.
+    use_seconds : float
+        Engine time that the request is expected to need, with its prefill and its answer.
     """
 
     service: str
@@ -64,6 +66,7 @@
     is_planned: bool = False
     urgency: int = 0
     workspace: str = ""
+    use_seconds: float = defaults.PLAIN_REQUEST_USE_SECONDS
 
 
 def choose_endpoint(
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -13,6 +13,7 @@
 from marjorambridge.forwarding.thresholds import Thresholds
 from marjorambridge.manifests.matching import RouteTable
 from marjorambridge.manifests.models import ServiceDefinition
+from marjorambridge.scheduling.usage import Usage
 
 # Key under which an endpoint stores the total of all other hosts.
 OTHER_HOSTS_TOTAL = "total"
@@ -180,6 +181,8 @@
         Whether this host reaches endpoints.
     peers : dict of str to Endpoint
         Other hosts as receivers of requests that this host passes on, by name.
+    usage : Usage
+        What workspaces use of the planned services.
     """
 
     settings: ForwardingSettings
@@ -202,6 +205,7 @@
     crashes: CrashHistory = field(default_factory=CrashHistory)
     contact: Contact = field(default_factory=Contact)
     peers: dict[str, Endpoint] = field(default_factory=dict)
+    usage: Usage = field(default_factory=Usage)
 
 
 def create_state(
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -58,6 +58,8 @@
 from marjorambridge.gateway.state import create_attempt_id
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.manifests.models import Execution
+from marjorambridge.scheduling.shares import record_use
+from marjorambridge.scheduling.usage import remove_use
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while. A silent one
@@ -92,6 +94,8 @@
     finally:
         _finish_prefill(context, running, time.monotonic())
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+        if _is_counted(context, endpoint):
+            remove_use(gateway.forwarding.usage, profile.workspace, profile.use_seconds)
         gateway.share_load(endpoint)
         if not endpoint.is_peer:
             start_cancellation(gateway, request, endpoint, identifier, result.outcome)
@@ -180,6 +184,8 @@
 def _add_load(context: RequestContext, running: RunningAttempt, now: float) -> None:
     endpoint, profile = running.endpoint, context.profile
     add_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+    if _is_counted(context, endpoint):
+        record_use(context.gateway.forwarding, profile.workspace, profile.use_seconds, now)
     if profile.prefill_seconds > 0:
         running.prefilling = [endpoint, *running.helpers]
         for engine in running.prefilling:
@@ -189,6 +195,14 @@
         context.gateway.share_load(endpoint)
 
 
+def _is_counted(context: RequestContext, endpoint: Endpoint) -> bool:
+    """Return whether an attempt counts as use of its workspace on this host.
+
+    Requests that are passed on to another host count there.
+    """
+    return context.profile.is_planned and not endpoint.is_peer
+
+
 def _finish_prefill(context: RequestContext, running: RunningAttempt, now: float) -> None:
     for engine in running.prefilling:
         finish_prefill(engine.load, now)
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -7,7 +7,11 @@
 
 from marjorambridge.forwarding.admission import Admission
 from marjorambridge.forwarding.attempts import RequestProgress
-from marjorambridge.forwarding.costs import compute_prefill_seconds, estimate_kv_tokens
+from marjorambridge.forwarding.costs import (
+    compute_answer_seconds,
+    compute_prefill_seconds,
+    estimate_kv_tokens,
+)
 from marjorambridge.forwarding.placement import RequestProfile
 from marjorambridge.forwarding.state import Endpoint, find_definition
 from marjorambridge.gateway.callers import Exchange
@@ -175,6 +179,9 @@
         answer = prompt.expected_answer_tokens or prompt.max_answer_tokens
         profile.prefill_seconds = compute_prefill_seconds(engine, prompt.prompt_tokens)
         profile.kv_tokens = estimate_kv_tokens(engine, prompt.prompt_tokens, answer)
+        profile.use_seconds = profile.prefill_seconds + compute_answer_seconds(
+            engine, profile.kv_tokens - prompt.prompt_tokens
+        )
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
     allocation = MemoryAllocation(gateway.memory)
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -15,6 +15,7 @@
     EndpointLoad,
     LoadShare,
     LoadTotals,
+    WorkspaceUse,
     ZoneTotals,
 )
 from marjorambridge.forwarding.request_limits import (
@@ -23,6 +24,7 @@
     is_limited,
 )
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
+from marjorambridge.scheduling.usage import WorkspaceTotal
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
 
@@ -101,6 +103,25 @@
     )
 
 
+def encode_uses(uses: dict[int, WorkspaceTotal]) -> tuple[WorkspaceUse, ...]:
+    """Return the message entries for the uses of workspaces, by key."""
+    return tuple(
+        WorkspaceUse(
+            key,
+            # Times of loads are rounded up, which would add up over the hosts of a fleet.
+            clamp_whole(round(use.seconds * MILLISECONDS_PER_SECOND), MAX_REPORTED),
+            clamp_whole(use.waiting, MAX_REPORTED),
+        )
+        for key, use in uses.items()
+    )
+
+
+def decode_use(reported: WorkspaceUse, now: float) -> WorkspaceTotal:
+    """Return the use of a workspace that a message entry reports."""
+    waiting = clamp_whole(reported.waiting, MAX_REPORTED)
+    return WorkspaceTotal(decode_seconds(reported.milliseconds), waiting, now)
+
+
 def encode_seconds(seconds: float) -> int:
     """Return the whole milliseconds of a duration; 0 if it is negative."""
     return clamp_whole(seconds * MILLISECONDS_PER_SECOND, MAX_REPORTED)
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -13,6 +13,7 @@
 import math
 import time
 from collections import deque
+from collections.abc import Callable, Iterator
 
 import anyio
 import xxhash
@@ -21,15 +22,19 @@
 from msgspec import Struct, field
 
 from marjorambridge.conf import defaults
+from marjorambridge.core.effects import Measure
 from marjorambridge.forwarding.aggregation import (
     ZONE_TOTAL_PREFIX,
     LoadAggregation,
     compute_total,
+    compute_total_use,
     drop_old_host_loads,
+    drop_old_host_uses,
     is_complete,
     mark_changed,
     record_contact,
     store_load,
+    store_use,
     subtract_own_load,
 )
 from marjorambridge.forwarding.crashes import Crash
@@ -46,6 +51,7 @@
     EndpointLoad,
     LoadShare,
     LoadTotals,
+    WorkspaceUse,
     ZoneTotals,
 )
 from marjorambridge.forwarding.request_limits import has_recent_limit
@@ -67,11 +73,21 @@
     decode_datagram,
     decode_failure,
     decode_load,
+    decode_use,
     encode_datagram,
     encode_failure,
     encode_load,
+    encode_uses,
 )
 from marjorambridge.gateway.streams import STREAM_ERRORS
+from marjorambridge.scheduling.shares import list_over_share
+from marjorambridge.scheduling.usage import (
+    drop_old_uses,
+    mark_all_changed,
+    set_other_use,
+    subtract_reported_use,
+    take_reports,
+)
 
 # Changes within this time in seconds are sent together.
 COALESCE_SECONDS = 0.01
@@ -89,7 +105,7 @@
 REPORTER_TIMEOUT_SECONDS = 0.75
 REPORTER_HEARTBEAT_SECONDS = 0.3
 MAX_QUEUED_DATAGRAMS = 1_000
-# Loads in one datagram, so that it fits a packet of 1,500 bytes.
+# Loads and uses of workspaces in one datagram, so that it fits a packet of 1,500 bytes.
 MAX_LOADS_PER_DATAGRAM = 40
 # Hosts of this zone and of other ones that get repeated reports of crashes each second. A host that
 # has just started learns of them within three seconds.
@@ -114,8 +130,14 @@
         Loads that hosts of a large fleet reported to this one.
     totals_sent_at, zone_totals_sent_at : float
         Monotonic times in seconds when this host last sent totals to its zone and to other ones.
+    use_totals_sent_at : float
+        Monotonic time in seconds when this host last sent totals of workspaces.
     last_totals_at : dict of str to float
         Monotonic times in seconds of the last totals from hosts of this zone.
+    over_share : frozenset of int
+        Workspaces that used more than their shares at the last check, by key.
+    record_metric : callable
+        Records a gauge.
     """
 
     forwarding: ForwardingState
@@ -128,7 +150,10 @@
     aggregation: LoadAggregation = field(default_factory=LoadAggregation)
     totals_sent_at: float = -math.inf
     zone_totals_sent_at: float = -math.inf
+    use_totals_sent_at: float = -math.inf
     last_totals_at: dict[str, float] = field(default_factory=dict)
+    over_share: frozenset[int] = frozenset()
+    record_metric: Callable[[Measure], None] = field(default=lambda effect: None)
     wakeup: anyio.Event = field(default_factory=anyio.Event)
     socket: UDPSocket | None = None
 
@@ -143,6 +168,7 @@
 
 def start_sharing_tasks(sharing: LoadSharing, tasks: TaskGroup) -> None:
     """Start to send on a bound socket; `handle_datagram` must be called for received datagrams."""
+    sharing.forwarding.usage.notify_waiting = lambda: sharing.wakeup.set()
     tasks.start_soon(_send_datagrams, sharing)
     tasks.start_soon(_repeat_loads, sharing)
     tasks.start_soon(_queue_totals_periodically, sharing)
@@ -173,7 +199,7 @@
     while True:
         await sharing.wakeup.wait()
         sharing.wakeup = anyio.Event()
-        if sharing.changed:
+        if sharing.changed or has_use_reports(sharing.forwarding):
             await anyio.sleep(COALESCE_SECONDS)
             names, sharing.changed = list(sharing.changed), {}
             with LOGGED_ERRORS:
@@ -186,9 +212,11 @@
 def queue_loads(sharing: LoadSharing, names: list[str], now: float) -> None:
     """Queue the loads of this host at the named endpoints; without names, queue a heartbeat."""
     forwarding = sharing.forwarding
-    for first in range(0, max(1, len(names)), MAX_LOADS_PER_DATAGRAM):
-        part = names[first : first + MAX_LOADS_PER_DATAGRAM]
+    has_reports = has_use_reports(forwarding)
+    reports = encode_uses(take_reports(forwarding.usage, now)) if has_reports else ()
+    for part, uses in split_entries(names, reports):
         share = build_load_share(forwarding, sharing.own_host, part, now, for_zone=True)
+        share.workspaces = uses
         datagram = encode_datagram(sharing.key, share)
         if uses_aggregation(forwarding):
             for host in list_aggregators(forwarding, forwarding.settings.zone):
@@ -203,6 +231,30 @@
         _queue_for_zone(sharing, share)
 
 
+def has_use_reports(forwarding: ForwardingState) -> bool:
+    """Return whether uses of workspaces must be reported, which only planned services need."""
+    return bool(forwarding.planned and forwarding.usage.changed)
+
+
+def split_entries(
+    names: list[str], uses: tuple[WorkspaceUse, ...]
+) -> Iterator[tuple[list[str], tuple[WorkspaceUse, ...]]]:
+    """Yield the endpoints and uses for each datagram; an empty part if there are none.
+
+    Examples
+    --------
+    >>> use = WorkspaceUse(1, 0)
+    >>> [(len(names), len(uses)) for names, uses in split_entries(["e"] * 50, (use,) * 40)]
+    [(40, 0), (10, 30), (0, 10)]
+    >>> list(split_entries([], ()))
+    [([], ())]
+    """
+    for first in range(0, max(1, len(names) + len(uses)), MAX_LOADS_PER_DATAGRAM):
+        last = first + MAX_LOADS_PER_DATAGRAM
+        first_use, last_use = max(0, first - len(names)), max(0, last - len(names))
+        yield names[first:last], uses[first_use:last_use]
+
+
 def uses_aggregation(forwarding: ForwardingState) -> bool:
     """Return whether the fleet is so large that loads are aggregated in each zone."""
     return len(forwarding.hosts) > defaults.LARGE_FLEET_HOSTS
@@ -318,6 +370,8 @@
         endpoint = sharing.forwarding.by_key.get(reported.endpoint)
         if endpoint is not None:
             set_other_load(endpoint, message.host, decode_load(reported, now))
+    for use in message.workspaces:
+        set_other_use(sharing.forwarding.usage, message.host, use.workspace, decode_use(use, now))
     if message.for_zone:
         message.for_zone = False
         _queue_for_zone(sharing, message)
@@ -358,6 +412,7 @@
         if reported.endpoint in by_key:
             mark_changed(aggregation, share.host, by_key[reported.endpoint].name)
     _add_loads(sharing, share.host, share.loads, now)
+    _add_uses(sharing, share.host, share.workspaces, now)
 
 
 def apply_zone_totals(sharing: LoadSharing, totals: ZoneTotals, now: float) -> None:
@@ -370,6 +425,7 @@
             _apply_failure(sharing, endpoint, name, reported, now)
             mark_changed(sharing.aggregation, name, endpoint.name)
     _add_loads(sharing, name, totals.loads, now)
+    _add_uses(sharing, name, totals.workspaces, now)
     if totals.is_first:
         totals.is_first = False
         datagram = encode_datagram(sharing.key, totals)
@@ -394,6 +450,17 @@
             set_other_load(endpoint, OTHER_HOSTS_TOTAL, others)
 
 
+def _add_uses(sharing: LoadSharing, name: str, uses: tuple[WorkspaceUse, ...], now: float) -> None:
+    """Store the uses of a host or another zone, and update the totals of the other hosts."""
+    aggregation = sharing.aggregation
+    for reported in uses:
+        key = reported.workspace
+        store_use(aggregation, name, key, decode_use(reported, now))
+        if is_complete(aggregation, now):
+            others = compute_total_use(aggregation, key, now, without=sharing.own_host)
+            set_other_use(sharing.forwarding.usage, OTHER_HOSTS_TOTAL, key, others)
+
+
 def _apply_totals(sharing: LoadSharing, totals: LoadTotals, now: float) -> None:
     by_key = sharing.forwarding.by_key
     sharing.forwarding.loads_received_at = now
@@ -412,6 +479,10 @@
                 OTHER_HOSTS_TOTAL,
                 subtract_own_load(endpoint, decode_load(reported, now), now),
             )
+    usage = sharing.forwarding.usage
+    for use in totals.workspaces:
+        others = subtract_reported_use(usage, use.workspace, decode_use(use, now))
+        set_other_use(usage, OTHER_HOSTS_TOTAL, use.workspace, others)
 
 
 # Periodic tasks.
@@ -442,19 +513,41 @@
     if not is_complete(aggregation, now):
         return
     names, aggregation.changed = list(aggregation.changed), {}
+    uses, zone_uses = _take_use_totals(sharing, now)
     if not is_designated_reporter(sharing, now):
         aggregation.changed_in_zone = {}
         return
-    if aggregation.changed_in_zone and now - sharing.zone_totals_sent_at >= ZONE_TOTALS_SECONDS:
+    is_zone_due = now - sharing.zone_totals_sent_at >= ZONE_TOTALS_SECONDS
+    if zone_uses or (aggregation.changed_in_zone and is_zone_due):
         zone_names, aggregation.changed_in_zone = list(aggregation.changed_in_zone), {}
         sharing.zone_totals_sent_at = now
-        _queue_for_other_zones(sharing, zone_names, now)
-    if not names and now - sharing.totals_sent_at < REPORTER_HEARTBEAT_SECONDS:
+        _queue_for_other_zones(sharing, zone_names, zone_uses, now)
+    if not (names or uses) and now - sharing.totals_sent_at < REPORTER_HEARTBEAT_SECONDS:
         return
     sharing.totals_sent_at = now
-    for first in range(0, max(1, len(names)), MAX_LOADS_PER_DATAGRAM):
-        loads, failures = _build_totals(sharing, names[first : first + MAX_LOADS_PER_DATAGRAM], now)
-        _queue_for_zone(sharing, LoadTotals(sharing.own_host, loads, failures))
+    for part, part_uses in split_entries(names, uses):
+        loads, failures = _build_totals(sharing, part, now)
+        _queue_for_zone(sharing, LoadTotals(sharing.own_host, loads, failures, part_uses))
+
+
+def _take_use_totals(
+    sharing: LoadSharing, now: float
+) -> tuple[tuple[WorkspaceUse, ...], tuple[WorkspaceUse, ...]]:
+    """Return the changed uses of the fleet and of this zone, if it is time to send them."""
+    aggregation = sharing.aggregation
+    if now - sharing.use_totals_sent_at < defaults.USE_TOTALS_SECONDS:
+        return (), ()
+    drop_old_host_uses(aggregation, now)
+    keys, aggregation.changed_uses = aggregation.changed_uses, {}
+    zone_keys, aggregation.changed_uses_in_zone = aggregation.changed_uses_in_zone, {}
+    if not keys or not sharing.forwarding.planned:
+        return (), ()
+    sharing.use_totals_sent_at = now
+    totals = {key: compute_total_use(aggregation, key, now) for key in keys}
+    zone_totals = {
+        key: compute_total_use(aggregation, key, now, only_this_zone=True) for key in zone_keys
+    }
+    return encode_uses(totals), encode_uses(zone_totals)
 
 
 def is_designated_reporter(sharing: LoadSharing, now: float) -> bool:
@@ -470,13 +563,15 @@
     return True
 
 
-def _queue_for_other_zones(sharing: LoadSharing, names: list[str], now: float) -> None:
+def _queue_for_other_zones(
+    sharing: LoadSharing, names: list[str], uses: tuple[WorkspaceUse, ...], now: float
+) -> None:
     forwarding = sharing.forwarding
     own_zone = forwarding.settings.zone
-    for first in range(0, len(names), MAX_LOADS_PER_DATAGRAM):
-        part = names[first : first + MAX_LOADS_PER_DATAGRAM]
+    for part, part_uses in split_entries(names, uses):
         loads, failures = _build_totals(sharing, part, now, only_this_zone=True)
-        datagram = encode_datagram(sharing.key, ZoneTotals(own_zone, True, loads, failures))
+        totals = ZoneTotals(own_zone, True, loads, failures, part_uses)
+        datagram = encode_datagram(sharing.key, totals)
         for zone in set(forwarding.hosts.values()) - {own_zone}:
             # A random choice, so that a failed aggregating host loses half of the totals at most.
             host = forwarding.generator.choice(list_aggregators(forwarding, zone))
@@ -519,6 +614,26 @@
         if endpoint.load.requests or is_told:
             mark_load_changed(sharing, endpoint)
     queue_repeated_crashes(sharing, now)
+    repeat_uses(sharing, now)
     if uses_aggregation(sharing.forwarding) and not sharing.changed:
         queue_loads(sharing, [], now)
         sharing.wakeup.set()
+
+
+def repeat_uses(sharing: LoadSharing, now: float) -> None:
+    """Mark the uses of all workspaces to be reported, and record who is over its share."""
+    forwarding = sharing.forwarding
+    usage = forwarding.usage
+    drop_old_uses(usage, now)
+    mark_all_changed(usage)
+    if has_use_reports(forwarding):
+        sharing.wakeup.set()
+    over_share = list_over_share(usage, now) if forwarding.planned else frozenset()
+    if over_share == sharing.over_share:
+        return
+    sharing.over_share = over_share
+    names = sorted(usage.own[key].name for key in over_share & usage.own.keys())
+    logger.bind(workspaces=len(over_share), local_workspaces=",".join(names)).info(
+        "the workspaces that use more than their share changed"
+    )
+    sharing.record_metric(Measure("workspaces_over_share", len(over_share)))
--- a/marjorambridge/telemetry/fields.py
+++ b/marjorambridge/telemetry/fields.py
@@ -37,6 +37,7 @@
     "kv_tokens": "memory of an engine in tokens",
     "leader": "host that leads a log group; empty for none",
     "leaving": "whether an endpoint accepts no new requests because it is leaving",
+    "local_workspaces": "names of those of the `workspaces` that have requests on this host",
     "logger": "logger of a library, such as `uvicorn.error`",
     "outcome": "outcome of a request or a command",
     "pause_seconds": "longest pause between two events of a stream",
@@ -73,6 +74,7 @@
     "used": "bytes of memory that are reserved for bodies of requests",
     "version": "version of the manifest",
     "workspace": "workspace of the configuration",
+    "workspaces": "number of workspaces that use more than their share",
     "zone": "availability zone",
     "zones": "drained availability zones, joined by commas",
 }
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -90,6 +90,9 @@
         "Time from the arrival of a request at a gateway to the first part of its answer."
     ),
     "contact_losses_total": _counter("Times this host began to reach no endpoint."),
+    "workspaces_over_share": Series(
+        Kind.GAUGE, "Workspaces that use more than their share while another one waits.", ()
+    ),
     "memory_orders_total": _counter("Orders that reserve or release memory of engines."),
     # Shard owners.
     "permits_granted_total": _counter("Permits that this host granted.", "priority"),
