Bound the memory of a host that one workspace holds

Bodies are held until their requests end, and the memory for bodies and for answers was bounded in sum only. One workspace whose callers or engines read slowly left none for the others. Requests of planned services beyond half of the memory are now refused as not run, with a Retry-After; answers are counted but never refused for that.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -420,5 +420,8 @@
 # Interval in seconds at which aggregating hosts send the totals of workspaces. Each change would
 # cost as many bytes as all loads; a second for taking back lent capacity allows three intervals.
 USE_TOTALS_SECONDS = 0.2
+# Part of a host's memory for bodies, and of that for answers, that one workspace may hold. What is
+# held can't be taken back before the requests end, so that the rest is left for the others.
+WORKSPACE_MEMORY_RATIO = 0.5
 # Engine time in seconds that counts for a request of a plain service, whose work isn't published.
 PLAIN_REQUEST_USE_SECONDS = 0.1
--- a/marjorambridge/gateway/bodies.py
+++ b/marjorambridge/gateway/bodies.py
@@ -12,6 +12,8 @@
 import anyio
 from msgspec import Struct, field
 
+from marjorambridge.conf import defaults
+
 # Bodies up to this size may use the reserved part of the memory; the first step of a body whose
 # length is unknown.
 SMALL_BODY_BYTES = 65_536
@@ -43,6 +45,8 @@
         Reservations that wait for memory, in the order of their arrival.
     freed : anyio.Event
         Set when memory was released, and then replaced.
+    held : dict of str to int
+        Bytes of complete bodies, by workspace; those of planned services only.
     """
 
     size: int
@@ -50,6 +54,7 @@
     reading: dict[int, "BodyReservation"] = field(default_factory=dict)
     waiting: deque["BodyReservation"] = field(default_factory=deque)
     freed: anyio.Event = field(default_factory=anyio.Event)
+    held: dict[str, int] = field(default_factory=dict)
 
 
 class BodyReservation(Struct, eq=False):
@@ -66,6 +71,8 @@
         count as progress.
     scope : anyio.CancelScope or None
         Cancelled to stop reading the body; None while it isn't read.
+    workspace : str
+        Workspace for which the body counts; empty if it counts for none.
     """
 
     memory: BodyMemory
@@ -75,6 +82,7 @@
     began_at: float = 0.0
     progress_at: float = 0.0
     scope: anyio.CancelScope | None = None
+    workspace: str = ""
 
 
 async def reserve(reservation: BodyReservation, size: int) -> bool:
@@ -138,9 +146,33 @@
     reservation.memory.reading.pop(id(reservation), None)
 
 
+def assign(reservation: BodyReservation, workspace: str) -> bool:
+    """Count a body for its workspace, unless the workspace holds too much already.
+
+    The load pattern is a workspace whose callers or engines read slowly, so that its bodies stay
+    for the whole time of their requests. A body that is the only one of its workspace is accepted.
+    """
+    memory = reservation.memory
+    if not reservation.size:
+        return True
+    held = memory.held.get(workspace, 0)
+    limit = memory.size * defaults.WORKSPACE_MEMORY_RATIO
+    if held and held + reservation.size > limit:
+        return False
+    reservation.workspace = workspace
+    memory.held[workspace] = held + reservation.size
+    return True
+
+
 def release(reservation: BodyReservation) -> None:
     """Free the memory of a body."""
     finish_reading(reservation)
+    held, workspace = reservation.memory.held, reservation.workspace
+    if workspace:
+        reservation.workspace = ""
+        left = held.pop(workspace) - reservation.size
+        if left:
+            held[workspace] = left
     if reservation.size:
         reservation.memory.used -= reservation.size
         reservation.size = 0
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -184,7 +184,7 @@
         )
     # A host that is stopping ends before some answers are complete; they get a final answer then.
     deadline = min(exchange.arrived_at + seconds, gateway.ends_at) - ANSWER_MARGIN_SECONDS
-    allocation = MemoryAllocation(gateway.memory)
+    allocation = MemoryAllocation(gateway.memory, workspace=profile.workspace)
     causes = find_causes(request, profile.workspace)
     relay = exchange.relay
     return RequestContext(
@@ -205,7 +205,8 @@
     """Return the state of an attempt that has not started."""
     gateway = context.gateway
     tickets = TicketSet(gateway, context.request.request_id)
-    attempt = RunningAttempt(endpoint, tickets, MemoryAllocation(gateway.memory))
+    allocation = MemoryAllocation(gateway.memory, workspace=context.profile.workspace)
+    attempt = RunningAttempt(endpoint, tickets, allocation)
     context.attempts.append(attempt)
     return attempt
 
--- a/marjorambridge/gateway/messages.py
+++ b/marjorambridge/gateway/messages.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, field
 
+from marjorambridge.conf import defaults
 from marjorambridge.core.outcomes import Unsuccessful
 from marjorambridge.forwarding.attempts import AttemptOutcome
 from marjorambridge.gateway.work import WorkBudget
@@ -221,10 +222,28 @@
         Bytes that are not allocated.
     reserved_bytes : int
         Free bytes that only small answers, and long ones that have begun, may use.
+    held : dict of str to int
+        Allocated bytes by workspace, those without one under an empty name.
     """
 
     free_bytes: int
     reserved_bytes: int
+    held: dict[str, int] = field(default_factory=dict)
+
+
+def holds_too_much(memory: AnswerMemory, workspace: str) -> bool:
+    """Return whether a workspace holds so many bytes of answers that it may start no request.
+
+    Examples
+    --------
+    >>> memory = AnswerMemory(100, 0)
+    >>> MemoryAllocation(memory, workspace="research").allocate(51)
+    True
+    >>> holds_too_much(memory, "research"), holds_too_much(memory, "support")
+    (True, False)
+    """
+    size = memory.free_bytes + sum(memory.held.values())
+    return memory.held.get(workspace, 0) > size * defaults.WORKSPACE_MEMORY_RATIO
 
 
 class MemoryAllocation(Struct):
@@ -234,10 +253,13 @@
     ----------
     size : int
         Allocated bytes.
+    workspace : str
+        Workspace of the caller; empty if it has none.
     """
 
     memory: AnswerMemory
     size: int = 0
+    workspace: str = ""
 
     def allocate(self, size: int) -> bool:
         """Allocate more memory and return whether there was enough."""
@@ -249,13 +271,20 @@
         if size > self.memory.free_bytes - reserved:
             return False
         self.memory.free_bytes -= size
-        self.size += size
+        self._count(size)
         return True
 
     def release(self, kept_bytes: int = 0) -> None:
         """Free all allocated memory except for some bytes."""
         self.memory.free_bytes += self.size - kept_bytes
-        self.size = kept_bytes
+        self._count(kept_bytes - self.size)
+
+    def _count(self, added: int) -> None:
+        held = self.memory.held
+        self.size += added
+        held[self.workspace] = held.get(self.workspace, 0) + added
+        if not held[self.workspace]:
+            del held[self.workspace]
 
 
 class Forwarded(Enum):
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -14,11 +14,11 @@
     Unknown,
     Unsuccessful,
 )
-from marjorambridge.forwarding.admission import Refusal
+from marjorambridge.forwarding.admission import Admission, Refusal
 from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
 from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.retry_after import draw_jitter, estimate_retry_after_seconds
-from marjorambridge.gateway import callers
+from marjorambridge.gateway import bodies, callers
 from marjorambridge.gateway.answers import is_event_stream
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext
@@ -63,6 +63,29 @@
     await _answer_outcome(gateway, exchange, outcome)
 
 
+async def refuse_memory(
+    gateway: Gateway, exchange: Exchange, request: CallerRequest, admitted: Admission
+) -> None:
+    """Answer that the workspace of a request holds too much memory of this host."""
+    workspace = admitted.workspace.name if admitted.workspace is not None else ""
+    memory = exchange.reservation.memory
+    seconds = bodies.estimate_retry_after_seconds(memory, time.monotonic())
+    logger.bind(
+        request=request.request_id,
+        workspace=workspace,
+        bytes=memory.held.get(workspace, 0) + gateway.memory.held.get(workspace, 0),
+        seconds=round(seconds, 2),
+    ).info("a request was refused, because its workspace holds too much memory")
+    gateway.record_metric(
+        Measure("forwarded_requests_total", 1.0, {"outcome": "refused_workspace_memory"})
+    )
+    text = (
+        "the request has not run, because requests of the workspace hold too much memory of this "
+        f"host; read answers faster, or come back in {seconds:.2f} s"
+    )
+    await _answer_outcome(gateway, exchange, NotRun(Reason.OVERLOADED, text, seconds))
+
+
 async def answer_invalid(gateway: Gateway, exchange: Exchange, error: BadRequestError) -> None:
     """Answer that a request is invalid."""
     outcome = NotRun(error.reason, str(error))
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -13,12 +13,13 @@
 from marjorambridge.forwarding.attempts import NextStep, decide_next_step
 from marjorambridge.forwarding.budgets import record_request
 from marjorambridge.forwarding.relays import Relay
+from marjorambridge.gateway import bodies
 from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext, create_context
 from marjorambridge.gateway.crashes import is_blocked
 from marjorambridge.gateway.delivery import set_end
 from marjorambridge.gateway.exceptions import BadRequestError
-from marjorambridge.gateway.messages import CallerRequest
+from marjorambridge.gateway.messages import CallerRequest, holds_too_much
 from marjorambridge.gateway.outcomes import (
     answer_invalid,
     deliver,
@@ -26,6 +27,7 @@
     log_outcome,
     refuse,
     refuse_admission,
+    refuse_memory,
 )
 from marjorambridge.gateway.races import run_race
 from marjorambridge.gateway.relay_reports import report_start
@@ -49,6 +51,9 @@
     if isinstance(admitted, Refusal):
         await refuse_admission(gateway, exchange, request, admitted)
         return
+    if not _hold_body(gateway, exchange, admitted):
+        await refuse_memory(gateway, exchange, request, admitted)
+        return
     if exchange.relay is not None:
         _apply_relay(request, admitted, exchange.relay)
     else:
@@ -66,6 +71,18 @@
         log_outcome(context, outcome)
 
 
+def _hold_body(gateway: Gateway, exchange: Exchange, admitted: Admission) -> bool:
+    """Count the body for its workspace; return whether the workspace may hold it.
+
+    A workspace whose answers fill its part of the memory starts no further request. The answers
+    themselves are never refused for that, because their requests have run.
+    """
+    if admitted.service not in gateway.forwarding.planned or admitted.workspace is None:
+        return True
+    name = admitted.workspace.name
+    return not holds_too_much(gateway.memory, name) and bodies.assign(exchange.reservation, name)
+
+
 async def handle_relayed_request(gateway: Gateway, exchange: Exchange) -> None:
     """Handle a request that another host passed on, and answer that host."""
     if not await take_request(gateway, exchange):
--- a/marjorambridge/scheduling/usage.py
+++ b/marjorambridge/scheduling/usage.py
@@ -13,6 +13,7 @@
 as using nothing, which is right for a host that died.
 """
 
+import functools
 import math
 from collections.abc import Callable
 
@@ -94,9 +95,12 @@
     notify_waiting: Callable[[], None] = field(default=lambda: None)
 
 
+@functools.lru_cache(maxsize=1_024)
 def compute_workspace_key(workspace: str) -> int:
     """Return the key of a workspace in messages.
 
+    The result is cached, because each comparison of waiting requests needs it.
+
     Examples
     --------
     >>> 0 <= compute_workspace_key("research") <= KEY_MASK
--- a/tests/gateway/test_body_memory.py
+++ b/tests/gateway/test_body_memory.py
@@ -195,3 +195,24 @@
     assert list(memory.reading.values()) == [held[0], held[1]]
     bodies.revoke_one(memory, 10.0 + bodies.MAX_READ_SECONDS)
     assert list(memory.reading.values()) == [held[0]]
+
+
+def test_a_workspace_that_holds_too_much_memory_is_refused_as_not_run():
+    """Guard against slow requests of one workspace, with which a host has no memory for others."""
+    body = b"x" * BODY_BYTES
+
+    async def scenario():
+        async with run_gateway(IDEMPOTENT, answer_whole(b"good")) as harness:
+            state, memory = harness.gateway.forwarding, harness.server.memory
+            memory.held["team"] = memory.size // 2
+            assert get_status(await call(harness, make_request(b"POST", body))) == 200
+            state.planned = frozenset({"svc"})
+            answer = await call(harness, make_request(b"POST", body))
+            assert get_status(answer) == 503 and find_header(answer, b"retry-after")
+            assert len(harness.endpoints[0].requests) == 1
+            memory.held.clear()
+            assert get_status(await call(harness, make_request(b"POST", body))) == 200
+            await anyio.sleep(0.05)
+            assert not memory.held and not state.usage.own and not harness.gateway.memory.held
+
+    anyio.run(scenario)
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -6,7 +6,9 @@
 import pytest
 
 from marjorambridge.conf import defaults
+from marjorambridge.gateway.bodies import BodyMemory, BodyReservation, assign, extend, release
 from marjorambridge.gateway.datagrams import decode_datagram
+from marjorambridge.gateway.messages import AnswerMemory, MemoryAllocation, holds_too_much
 from marjorambridge.gateway.sharing import (
     MAX_LOADS_PER_DATAGRAM,
     REPEAT_SECONDS,
@@ -222,3 +224,35 @@
     messages = [decode_datagram(sharing.key, datagram) for datagram, _ in sharing.outbox]
     sizes = [len(message.loads) + len(message.workspaces) for message in messages]
     assert sum(sizes) == 101 and max(sizes) <= MAX_LOADS_PER_DATAGRAM
+
+
+def test_bodies_of_a_workspace_with_slow_readers_leave_memory_to_others():
+    """Guard against a workspace whose slow requests hold all memory of a host for bodies."""
+    memory = BodyMemory(1_000)
+
+    def hold(workspace, size):
+        reservation = BodyReservation(memory)
+        assert extend(reservation, size)
+        return reservation, assign(reservation, workspace)
+
+    large, is_held = hold("slow", 600)
+    assert is_held, "a body that fits the host is accepted while its workspace has no other"
+    refused, is_held = hold("slow", 10)
+    assert not is_held
+    release(refused)
+    assert hold("other", 300)[1] and hold("slow", 0)[1]
+    release(large)
+    assert hold("slow", 400)[1] and memory.held == {"other": 300, "slow": 400}
+
+
+def test_answers_count_for_their_workspace_until_they_are_delivered():
+    """Guard against a workspace whose slow callers hold all memory of a host for answers."""
+    memory = AnswerMemory(1_000, 0)
+    allocation = MemoryAllocation(memory, workspace="slow")
+    assert allocation.allocate(400) and not holds_too_much(memory, "slow")
+    assert allocation.allocate(200) and holds_too_much(memory, "slow")
+    assert not holds_too_much(memory, "other")
+    allocation.release(kept_bytes=100)
+    assert not holds_too_much(memory, "slow") and memory.held == {"slow": 100}
+    allocation.release()
+    assert not memory.held and memory.free_bytes == 1_000
