Merge shares of workspaces, and count prefills of all hosts as one queue

Cause: the outstanding prefill of each host fell by one second in a second, so that an engine with prompts of several hosts looked idle while they waited; prompts of 200,000 to 300,000 tokens on 3 to 5 engines took 4 to 9 s in place of 1 to 2.

Change: for planned services, the loads of all hosts at an engine fall together by one second in a second, at hosts and in totals. Waiting requests count in the use of their workspaces.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -481,3 +481,16 @@
 MAX_ESTIMATE_VOTES = 64
 # Interval in seconds at which slowdowns are recorded as metrics and compared with the threshold.
 SLOWDOWN_CHECK_SECONDS = 1.0
+# Reports of what workspaces use on another host count for this time in seconds. They are repeated
+# once a second, so that two losses in a row don't matter.
+USE_LIFETIME_SECONDS = 3.0
+# A workspace may exceed its share by this engine time in seconds, because reports are rounded.
+USE_TOLERANCE_SECONDS = 0.02
+# Interval in seconds at which aggregating hosts send the totals of workspaces. Each change would
+# cost as many bytes as all loads; a second for taking back lent capacity allows three intervals.
+USE_TOTALS_SECONDS = 0.2
+# Part of a host's memory for bodies, and of that for answers, that one workspace may hold. What is
+# held can't be taken back before the requests end, so that the rest is left for the others.
+WORKSPACE_MEMORY_RATIO = 0.5
+# Outstanding prefill that counts at least for each prompt that an engine helps with.
+OVERDUE_SHARD_SECONDS = 0.1
--- a/marjorambridge/forwarding/fleet.py
+++ b/marjorambridge/forwarding/fleet.py
@@ -24,6 +24,8 @@
         for name, definition in state.table.services.items()
     }
     state.planned = list_planned_services(manifest, state.settings.scheduling)
+    for endpoint in state.endpoints.values():
+        endpoint.is_planned = endpoint.service in state.planned
     return True
 
 
@@ -76,6 +78,7 @@
         )
         endpoint.order = xxhash.xxh3_64_intdigest(entry.endpoint.encode())
         endpoint.key = endpoint.order & KEY_MASK
+        endpoint.is_planned = entry.service in state.planned
         state.endpoints[entry.endpoint] = endpoint
         state.by_key[endpoint.key] = endpoint
         state.by_service.setdefault(entry.service, {})[entry.endpoint] = endpoint
--- a/marjorambridge/forwarding/loads.py
+++ b/marjorambridge/forwarding/loads.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.state import Endpoint, Load, Work
@@ -21,6 +22,45 @@
     load.as_of = now
 
 
+def sum_serial_prefills(
+    loads: Iterable[Load], now: float, counted: Iterable[Load] | None = None
+) -> float:
+    """Return the outstanding prefill of loads of one endpoint, which works on one after the other.
+
+    The load pattern is a burst of long prompts from many hosts at the same engines: if the load of
+    each host fell by one second in a second, engines would look idle while prompts still wait.
+
+    Parameters
+    ----------
+    counted : iterable of Load, optional
+        Loads that are summed up, if not all.
+
+    Examples
+    --------
+    >>> loads = [Load(reads=1, prefill_seconds=1.0), Load(reads=1, prefill_seconds=3.0)]
+    >>> sum_serial_prefills(loads, 2.0), sum_serial_prefills(loads, 2.0, loads[:1])
+    (2.0, 0.5)
+    """
+    outstanding = [load for load in loads if load.reads]
+    total = sum(load.prefill_seconds for load in outstanding)
+    if total <= 0:
+        return 0.0
+    return sum(
+        load.prefill_seconds * max(0.0, 1.0 - (now - load.as_of) / total)
+        for load in (outstanding if counted is None else counted)
+        if load.reads
+    )
+
+
+def advance_prefills(endpoint: Endpoint, now: float) -> None:
+    """Update what is left of the prefills of this host at an endpoint of a planned service."""
+    if endpoint.is_planned:
+        loads = (endpoint.load, *endpoint.other_loads.values())
+        own = (endpoint.load,)
+        endpoint.load.prefill_seconds = sum_serial_prefills(loads, now, own)
+        endpoint.load.as_of = now
+
+
 def add_request(load: Load, kv_tokens: int, pause_seconds: float) -> None:
     """Add a request that tolerates pauses of up to `pause_seconds`."""
     load.requests += 1
@@ -99,8 +139,13 @@
 
 def compute_remaining_prefill_seconds(endpoint: Endpoint, now: float) -> float:
     """Return the seconds of outstanding prefill of all hosts at an endpoint."""
+    loads = (endpoint.load, *endpoint.other_loads.values())
+    if endpoint.is_planned:
+        # A shard that takes longer than expected still occupies the endpoint.
+        overdue = defaults.OVERDUE_SHARD_SECONDS * sum(load.helps for load in loads)
+        return max(overdue, sum_serial_prefills(loads, now))
     total = 0.0
-    for load in (endpoint.load, *endpoint.other_loads.values()):
+    for load in loads:
         if load.reads:
             total += max(0.0, load.prefill_seconds - (now - load.as_of))
     return total
--- a/marjorambridge/forwarding/placement.py
+++ b/marjorambridge/forwarding/placement.py
@@ -74,6 +74,11 @@
     workspace: str = ""
     work_seconds: float = 0.0
 
+    @property
+    def use_seconds(self) -> float:
+        """Return the time for which the request is expected to occupy endpoints."""
+        return self.prefill_seconds + self.work_seconds
+
 
 def choose_endpoint(
     state: ForwardingState, profile: RequestProfile, excluded: frozenset[str], now: float
--- a/marjorambridge/forwarding/state.py
+++ b/marjorambridge/forwarding/state.py
@@ -14,6 +14,7 @@
 from marjorambridge.manifests.matching import RouteTable
 from marjorambridge.manifests.models import ServiceDefinition
 from marjorambridge.scheduling.estimates import CostModel, EndpointCosts
+from marjorambridge.scheduling.usage import Usage
 
 # Key under which an endpoint stores the total of all other hosts.
 OTHER_HOSTS_TOTAL = "total"
@@ -146,6 +147,8 @@
         Declines of requests of this host, under `OWN_HOST`, and those that other hosts reported.
     declined_until : float
         Monotonic time in seconds until which it is not asked to help, derived from `declines`.
+    is_planned : bool
+        Whether its service is planned.
     is_peer : bool
         Whether it is another host, which forwards what it receives to an endpoint.
     costs : EndpointCosts
@@ -178,6 +181,7 @@
     reports: dict[str, FailureReport] = field(default_factory=dict)
     declines: dict[str, Decline] = field(default_factory=dict)
     declined_until: float = -math.inf
+    is_planned: bool = False
     is_peer: bool = False
     costs: EndpointCosts = field(default_factory=EndpointCosts)
 
@@ -231,6 +235,8 @@
         Other hosts as receivers of requests that this host passes on, by name.
     costs : CostModel
         What this host learned about the costs of requests of planned services.
+    usage : Usage
+        What workspaces use of the planned services.
     """
 
     settings: ForwardingSettings
@@ -254,6 +260,7 @@
     contact: Contact = field(default_factory=Contact)
     peers: dict[str, Endpoint] = field(default_factory=dict)
     costs: CostModel = field(default_factory=CostModel)
+    usage: Usage = field(default_factory=Usage)
 
 
 def create_state(
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -19,6 +19,7 @@
 from marjorambridge.forwarding.loads import (
     add_prefill,
     add_request,
+    advance_prefills,
     count_kv_tokens,
     finish_prefill,
     remove_request,
@@ -67,7 +68,9 @@
 from marjorambridge.gateway.tickets import list_helpers, release, renew_tickets, start_release
 from marjorambridge.gateway.waiting import start_round
 from marjorambridge.manifests.models import Execution
+from marjorambridge.scheduling.shares import record_use
 from marjorambridge.scheduling.urgency import defer_late
+from marjorambridge.scheduling.usage import remove_use
 
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 # Outcomes that count as a failure of the endpoint, which is then avoided for a while. A silent one
@@ -105,6 +108,8 @@
         _finish_prefill(context, running, ended_at)
         remove_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
         end_observation(running)
+        if _is_counted(context, endpoint):
+            remove_use(gateway.forwarding.usage, profile.workspace, profile.use_seconds)
         gateway.share_load(endpoint)
         start_round(gateway, time.monotonic())
         if not endpoint.is_peer:
@@ -208,18 +213,30 @@
 def _add_load(context: RequestContext, running: RunningAttempt, now: float) -> None:
     endpoint, profile = running.endpoint, context.profile
     add_request(endpoint.load, profile.kv_tokens, profile.pause_seconds)
+    if _is_counted(context, endpoint):
+        record_use(context.gateway.forwarding, profile.workspace, profile.use_seconds, now)
     if profile.prefill_seconds > 0:
         running.prefilling = [endpoint, *running.helpers]
         for engine in running.prefilling:
             seconds = profile.prefill_seconds / len(running.prefilling)
+            advance_prefills(engine, now)
             add_prefill(engine.load, seconds, now, is_help=engine is not endpoint)
             context.gateway.share_load(engine)
     else:
         context.gateway.share_load(endpoint)
 
 
+def _is_counted(context: RequestContext, endpoint: Endpoint) -> bool:
+    """Return whether an attempt counts as use of its workspace on this host.
+
+    Requests that are passed on to another host count there.
+    """
+    return context.profile.is_planned and not endpoint.is_peer
+
+
 def _finish_prefill(context: RequestContext, running: RunningAttempt, now: float) -> None:
     for engine in running.prefilling:
+        advance_prefills(engine, now)
         finish_prefill(engine.load, now, is_help=engine is not running.endpoint)
         context.gateway.share_load(engine)
     running.prefilling = []
--- a/marjorambridge/gateway/datagrams.py
+++ b/marjorambridge/gateway/datagrams.py
@@ -9,13 +9,14 @@
 
 from marjorambridge.core.numbers import clamp_whole
 from marjorambridge.forwarding.health import list_reportable_endpoints
-from marjorambridge.forwarding.loads import compute_remaining_work
+from marjorambridge.forwarding.loads import advance_prefills, compute_remaining_work
 from marjorambridge.forwarding.messages import (
     CrashReport,
     EndpointFailure,
     EndpointLoad,
     LoadShare,
     LoadTotals,
+    WorkspaceUse,
     ZoneTotals,
 )
 from marjorambridge.forwarding.request_limits import (
@@ -25,8 +26,9 @@
 )
 from marjorambridge.forwarding.slowdowns import list_reportable_slowdowns
 from marjorambridge.forwarding.state import Endpoint, FailureReport, ForwardingState, Load
-from marjorambridge.scheduling.rooms import get_own_declined_until
 from marjorambridge.scheduling.estimates import encode_slowdown
+from marjorambridge.scheduling.rooms import get_own_declined_until
+from marjorambridge.scheduling.usage import WorkspaceTotal
 from marjorambridge.wire.codec import decode_message, encode_message
 from marjorambridge.wire.exceptions import WireError
 
@@ -118,6 +120,25 @@
     )
 
 
+def encode_uses(uses: dict[int, WorkspaceTotal]) -> tuple[WorkspaceUse, ...]:
+    """Return the message entries for the uses of workspaces, by key."""
+    return tuple(
+        WorkspaceUse(
+            key,
+            # Times of loads are rounded up, which would add up over the hosts of a fleet.
+            clamp_whole(round(use.seconds * MILLISECONDS_PER_SECOND), MAX_REPORTED),
+            clamp_whole(use.waiting, MAX_REPORTED),
+        )
+        for key, use in uses.items()
+    )
+
+
+def decode_use(reported: WorkspaceUse, now: float) -> WorkspaceTotal:
+    """Return the use of a workspace that a message entry reports."""
+    waiting = clamp_whole(reported.waiting, MAX_REPORTED)
+    return WorkspaceTotal(decode_seconds(reported.milliseconds), waiting, now)
+
+
 def encode_seconds(seconds: float) -> int:
     """Return the whole milliseconds of a duration; 0 if it is negative."""
     return clamp_whole(seconds * MILLISECONDS_PER_SECOND, MAX_REPORTED)
@@ -133,6 +154,8 @@
 ) -> LoadShare:
     """Return the message with the load and the failures of this host at the named endpoints."""
     endpoints = [forwarding.endpoints[name] for name in names if name in forwarding.endpoints]
+    for endpoint in endpoints:
+        advance_prefills(endpoint, now)
     loads = tuple(encode_load(endpoint, endpoint.load, now) for endpoint in endpoints)
     reportable = {endpoint.name for endpoint in list_reportable_endpoints(forwarding, now)}
     slowdowns = list_reportable_slowdowns(forwarding, endpoints, now)
--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -14,6 +14,8 @@
 from marjorambridge.gateway.contexts import RequestContext
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.scheduling.plans import compute_least_seconds, plan_prefill
+from marjorambridge.scheduling.shares import is_over_share
+from marjorambridge.scheduling.usage import add_waiting, remove_waiting
 from marjorambridge.scheduling.waiting import (
     WaitingRequest,
     compute_latest_start,
@@ -102,6 +104,8 @@
             "a request was refused, because too many wait"
         )
         return []
+    usage = gateway.forwarding.usage
+    add_waiting(usage, profile.workspace)
     _log(context, "a request waits for room", urgency=profile.urgency)
     try:
         while not ready.is_set():
@@ -115,6 +119,7 @@
                 await ready.wait()
     finally:
         leave(queue, request)
+        remove_waiting(usage, profile.workspace)
     waited = time.monotonic() - joined_at
     gateway.record_metric(Measure("request_wait_seconds", waited, {}))
     if chosen:
@@ -127,7 +132,8 @@
 def start_round(gateway: Gateway, now: float) -> None:
     """Grant room to waiting requests, if there are any."""
     if gateway.waiting.requests:
-        run_round(gateway.waiting, lambda workspace: False, now)
+        forwarding = gateway.forwarding
+        run_round(gateway.waiting, lambda workspace: is_over_share(forwarding, workspace, now), now)
 
 
 def _compute_latest_start(context: RequestContext) -> float:
--- a/marjorambridge/telemetry/series.py
+++ b/marjorambridge/telemetry/series.py
@@ -102,6 +102,9 @@
         "Measured time divided by expected time of the slowest endpoint of a planned service.",
         "service",
     ),
+    "workspaces_over_share": Series(
+        Kind.GAUGE, "Workspaces that use more than their share while another one waits.", ()
+    ),
     "memory_orders_total": _counter("Orders that reserve or release memory of engines."),
     # Shard owners.
     "permits_granted_total": _counter("Permits that this host granted.", "priority"),
