--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -37,7 +37,7 @@
 from marjorambridge.manifests.models import ServiceDefinition
 from marjorambridge.scheduling.rooms import can_help
 
-# An engine that is full can prefill a shard; a cold one takes few requests, but a long prompt is one.
+# A full engine can prefill a shard; a cold one takes few requests a second, but a prompt is one.
 PLANNED_ALLOWED = frozenset({AvoidReason.NONE, AvoidReason.FULL, AvoidReason.COLD})
 
 
