--- a/marjorambridge/forwarding/slowdowns.py
+++ b/marjorambridge/forwarding/slowdowns.py
@@ -49,7 +49,7 @@
     return slow <= max(1.0, defaults.REPORTED_ENDPOINTS_RATIO * len(known))
 
 
-def apply_slowdown_report(endpoint: Endpoint, name: str, percent: int, now: float) -> None:
+def apply_slowdown_report(endpoint: Endpoint, name: str, percent: int | None, now: float) -> None:
     """Apply the slowdown that a host, or a total of hosts or of a zone, reports."""
     is_total = name == OTHER_HOSTS_TOTAL or name.startswith(ZONE_TOTAL_PREFIX)
     votes = defaults.TOTAL_SLOWDOWN_VOTES if is_total else 1
--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -404,8 +404,7 @@
     sharing: LoadSharing, endpoint: Endpoint, name: str, reported: EndpointFailure, now: float
 ) -> None:
     """Apply failures of an endpoint that a host, or an aggregated total, reports."""
-    if reported.slowdown_percent is not None:
-        apply_slowdown_report(endpoint, name, reported.slowdown_percent, now)
+    apply_slowdown_report(endpoint, name, reported.slowdown_percent, now)
     store_failure_report(endpoint, name, decode_failure(reported, now), now)
     if endpoint.service in sharing.forwarding.planned:
         declined_seconds = decode_seconds(reported.declined_milliseconds or 0)
--- a/marjorambridge/scheduling/estimates.py
+++ b/marjorambridge/scheduling/estimates.py
@@ -16,8 +16,6 @@
 from marjorambridge.core.numbers import clamp
 
 PERCENT = 100
-# Percentage in a message with which a host states that it knows no slowdown.
-UNKNOWN_PERCENT = 100
 
 
 class Estimate(Struct):
@@ -225,10 +223,10 @@
 
 
 def apply_reported_slowdown(
-    costs: EndpointCosts, host: str, percent: float, votes: int, now: float
+    costs: EndpointCosts, host: str, percent: float | None, votes: int, now: float
 ) -> None:
-    """Store the slowdown that a host reports; `UNKNOWN_PERCENT` and invalid values say nothing."""
-    if not math.isfinite(percent) or percent <= 0 or percent == UNKNOWN_PERCENT:
+    """Store the slowdown that a host reports; a missing or invalid value says nothing."""
+    if percent is None or not math.isfinite(percent) or percent <= 0:
         return
     for name, report in list(costs.reports.items()):
         if not _is_recent(report, now):
@@ -304,18 +302,15 @@
     )
 
 
-def encode_slowdown(slowdown: float | None) -> int:
-    """Return the percentage of a slowdown in a message; `UNKNOWN_PERCENT` for None.
+def encode_slowdown(slowdown: float | None) -> int | None:
+    """Return the percentage of a slowdown in a message.
 
     Examples
     --------
     >>> encode_slowdown(None), encode_slowdown(1.0), encode_slowdown(2.5)
-    (100, 101, 250)
+    (None, 100, 250)
     """
-    if slowdown is None:
-        return UNKNOWN_PERCENT
-    percent = round(slowdown * PERCENT)
-    return percent + 1 if percent == UNKNOWN_PERCENT else percent
+    return None if slowdown is None else round(slowdown * PERCENT)
 
 
 # Work of plain requests and length of answers.
--- a/tests/scheduling/test_estimates.py
+++ b/tests/scheduling/test_estimates.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.messages import EndpointFailure
 from marjorambridge.forwarding.state import Endpoint
 from marjorambridge.scheduling.estimates import (
     CostModel,
@@ -115,7 +116,8 @@
 def test_a_host_of_the_previous_build_reports_nothing():
     """Guard against the default of the message field counting as a measurement."""
     endpoint = make_endpoint()
-    apply_reported_slowdown(endpoint.costs, "h2", 100, 1, 1.0)
+    reported = EndpointFailure(1, 0, 0, 1)
+    apply_reported_slowdown(endpoint.costs, "h2", reported.slowdown_percent, 1, 1.0)
     assert not endpoint.costs.reports
 
 
