Listen for other hosts before the imports, and import less at the start

Cause: after a loss of power, gateways get their configuration from the first replicas, and a start spends nearly all of its processor time on imports before it listens; a refused connection is only opened again after a backoff of up to 0.25 s.

Change: the socket for other hosts is opened after the settings were read. Garbage collections are off during the imports. The metrics library is imported at the first read or after 1,000 values.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -412,3 +412,8 @@
 # Objectives in seconds that separate the ranks of requests of the same priority, and the last rank.
 URGENCY_OBJECTIVE_SECONDS = (1.0, 3.0)
 MAX_URGENCY = 9
+
+# Start of a process.
+# Values that are kept until the metrics library is imported, at the first read of the metrics. They
+# take some 300 KB; a busy gateway reaches them within seconds, and an idle replica not at all.
+MAX_PENDING_MEASURES = 1_000
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -1,8 +1,13 @@
-"""Run a host that keeps a replica of the control log."""
+"""Run a host that keeps a replica of the control log.
+
+The modules that serve HTTP are imported once the replica takes part in elections: after a loss of
+power, hosts get their configuration from the first leader, and a third of a core imports slowly.
+"""
 
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.to_thread
@@ -35,11 +40,6 @@
 from marjorambridge.daemon import runtime as driver
 from marjorambridge.daemon.runtime import Runtime, post, run_timers
 from marjorambridge.discovery.models import EndpointReport
-from marjorambridge.gateway import callers
-from marjorambridge.gateway.bodies import BodyMemory
-from marjorambridge.gateway.callers import Exchange, Server
-from marjorambridge.gateway.cuts import log_cut_requests
-from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.node.replica import ReplicaNodeSettings, compose_replica
 from marjorambridge.replication.effects import (
@@ -54,9 +54,12 @@
 from marjorambridge.storage.exceptions import StorageError
 from marjorambridge.storage.stores import open_store
 from marjorambridge.telemetry import logs, metrics
-from marjorambridge.transport import network
+from marjorambridge.transport import early, network
 from marjorambridge.transport.turn_queue import acquire_turn
 
+if TYPE_CHECKING:
+    from marjorambridge.gateway.callers import Exchange, Server
+
 # Operators and endpoints try another replica after one second.
 COMMAND_TIMEOUT_SECONDS = 0.9
 # What is read so soon after a stall of the event loop may have arrived before or during the stall.
@@ -83,7 +86,7 @@
         Takes method and target of a call, and returns the size of its longest body.
     """
 
-    handle_call: Callable[["ReplicaHost", Exchange], Awaitable[None]]
+    handle_call: "Callable[[ReplicaHost, Exchange], Awaitable[None]]"
     get_body_limit: Callable[[bytes, bytes], int]
 
 
@@ -92,6 +95,8 @@
 
     Attributes
     ----------
+    create_adapter : callable
+        Returns the adapter; it may import what the adapter needs.
     host : ReplicaHost or None
         The components that run or start; None while there are none.
     stopping : bool
@@ -101,7 +106,7 @@
     """
 
     settings: NodeSettings
-    adapter: ReplicaAdapter
+    create_adapter: Callable[[], ReplicaAdapter]
     scope: anyio.CancelScope
     host: "ReplicaHost | None" = None
     stopping: bool = False
@@ -128,17 +133,19 @@
     scope: anyio.CancelScope
     waiters: dict[str, anyio.Event] = field(default_factory=dict)
     commands: int = 0
-    server: Server | None = None
+    server: "Server | None" = None
 
 
-def run(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
+def run(settings: NodeSettings, path: Path, create_adapter: Callable[[], ReplicaAdapter]) -> int:
     """Run a replica until a signal stops it and return the exit code."""
-    return anyio.run(_run_until_stopped, settings, path, adapter)
+    return anyio.run(_run_until_stopped, settings, path, create_adapter)
 
 
-async def _run_until_stopped(settings: NodeSettings, path: Path, adapter: ReplicaAdapter) -> int:
+async def _run_until_stopped(
+    settings: NodeSettings, path: Path, create_adapter: Callable[[], ReplicaAdapter]
+) -> int:
     async with anyio.create_task_group() as tasks:
-        process = ReplicaProcess(settings, adapter, tasks.cancel_scope)
+        process = ReplicaProcess(settings, create_adapter, tasks.cancel_scope)
         await tasks.start(
             signals.watch_signals,
             lambda: tasks.start_soon(_shut_down, process),
@@ -149,6 +156,7 @@
             try:
                 await run_components(process)
             except StorageError as error:
+                early.close_sockets()
                 logger.bind(error=str(error)).error("the data folder can't be used; retrying")
             await anyio.sleep(STORAGE_RETRY_DELAY_SECONDS)
     return 0
@@ -163,7 +171,7 @@
         host, recovery = _create_host(settings, store, recovered, tasks.cancel_scope)
         try:
             process.host = host
-            await _start(host, recovery, process.adapter, tasks)
+            await _start(host, recovery, process.create_adapter, tasks)
             logger.bind(
                 incarnation=host.incarnation,
                 address=nodes.get_peer_address(settings),
@@ -226,7 +234,7 @@
 async def _start(
     host: ReplicaHost,
     recovery: list[effects.Effect],
-    adapter: ReplicaAdapter,
+    create_adapter: Callable[[], ReplicaAdapter],
     tasks: TaskGroup,
 ) -> None:
     _connect_handlers(host)
@@ -236,8 +244,21 @@
     for effect in recovery:
         driver.apply_recovery(host.runtime, effect)
     post(host.runtime, events.Started(time.monotonic()))
+    await _start_servers(host, create_adapter, tasks)
+
+
+async def _start_servers(
+    host: ReplicaHost, create_adapter: Callable[[], ReplicaAdapter], tasks: TaskGroup
+) -> None:
+    """Listen for calls and for reads of the metrics."""
+    # Other hosts are answered while a thread imports; the statements below find what it imported.
+    adapter = await anyio.to_thread.run_sync(create_adapter)
+    from marjorambridge.gateway import callers
+    from marjorambridge.gateway.bodies import BodyMemory
+    from marjorambridge.gateway.metrics import start_metrics_server
+
     memory = BodyMemory(divide_memory(host.settings.memory_megabytes).bodies)
-    host.server = Server(
+    host.server = callers.Server(
         lambda exchange: adapter.handle_call(host, exchange),
         CallerLimits,
         wait_for_turn=lambda: acquire_turn(host.network.turn_queue),
@@ -408,6 +429,8 @@
     host, started_at = process.host, time.monotonic()
     process.stopping = True
     if host is not None and host.server is not None:
+        from marjorambridge.gateway import callers
+
         host.server.closing = True
         post(host.runtime, events.ShutdownRequested(started_at, False))
         await anyio.sleep(SHUTDOWN_DELAY_SECONDS)
@@ -419,6 +442,8 @@
 
 def _end(process: ReplicaProcess) -> None:
     """End the process, which cuts the calls in progress."""
+    from marjorambridge.gateway.cuts import log_cut_requests
+
     server = process.host.server if process.host is not None else None
     servers = [server] if server is not None else []
     logger.bind(cut=log_cut_requests(servers, time.monotonic())).info("the replica has stopped")
--- a/marjorambridge/gateway/callers.py
+++ b/marjorambridge/gateway/callers.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import anyio
 import h11
@@ -17,7 +18,6 @@
 
 from marjorambridge.core.numbers import parse_count
 from marjorambridge.core.outcomes import NotRun, Reason, Unsuccessful
-from marjorambridge.forwarding.relays import Relay
 from marjorambridge.gateway import bodies
 from marjorambridge.gateway.bodies import BodyMemory, BodyReservation
 from marjorambridge.gateway.delivery import (
@@ -51,6 +51,9 @@
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.transport.reading import READ_BYTES, limit_receive_buffer, receive_nowait
 
+if TYPE_CHECKING:
+    from marjorambridge.forwarding.relays import Relay
+
 # Pipelined requests are buffered up to this size; beyond it the connection is not read.
 MAX_PIPELINED_BYTES = 262_144
 # Lowest average rate at which the body of a request may arrive, after the idle timeout.
@@ -209,7 +212,7 @@
     is_complete: bool = False
     caller_gone: bool = False
     must_reset: bool = False
-    relay: Relay | None = None
+    relay: "Relay | None" = None
 
     @property
     def stream(self) -> SocketStream:
--- a/marjorambridge/platform/main.py
+++ b/marjorambridge/platform/main.py
@@ -1,14 +1,17 @@
 """Run a gateway or a replica with the settings file of the platform."""
 
 import argparse
+import gc
 import os
 from pathlib import Path
-
-from loguru import logger
+from typing import TYPE_CHECKING
 
 from marjorambridge.conf.exceptions import SettingsError
-from marjorambridge.conf.nodes import NodeSettings, load_node_settings
-from marjorambridge.telemetry import logs
+from marjorambridge.conf.nodes import NodeSettings, get_peer_address, load_node_settings
+from marjorambridge.transport import early
+
+if TYPE_CHECKING:
+    from marjorambridge.daemon.replica import ReplicaAdapter
 
 SETTINGS_VARIABLE = "MARJORAMBRIDGE_NODE_FILE"
 DEFAULT_SETTINGS = "/etc/marjorambridge/node.yaml"
@@ -31,6 +34,12 @@
     if options.check:
         print(f"{path} is valid")
         return 0
+    # The imports below take most of the start, during which other hosts connect already.
+    early.open_socket(get_peer_address(settings))
+    from loguru import logger
+
+    from marjorambridge.telemetry import logs
+
     logs.start_rate_limited(settings.log_level, settings.host)
     try:
         return _run_role(options.role, settings, path)
@@ -48,9 +57,23 @@
         adapter = gateway.GatewayAdapter(
             dialect.create_dialect(), documents.decode_stored_document, readiness.handle_readiness
         )
+        _enable_collections()
         return gateway.run(settings, path, adapter)
     from marjorambridge.daemon import replica
+
+    _enable_collections()
+    return replica.run(settings, path, _create_replica_adapter)
+
+
+def _create_replica_adapter() -> "ReplicaAdapter":
+    # Imported when the replica takes part in elections, which need no HTTP.
+    from marjorambridge.daemon.replica import ReplicaAdapter
     from marjorambridge.platform import operations
 
-    calls = replica.ReplicaAdapter(operations.handle_call, operations.get_body_limit)
-    return replica.run(settings, path, calls)
+    return ReplicaAdapter(operations.handle_call, operations.get_body_limit)
+
+
+def _enable_collections() -> None:
+    """Let the garbage collector run, but never over what the imports created."""
+    gc.freeze()
+    gc.enable()
--- a/marjorambridge/transport/network.py
+++ b/marjorambridge/transport/network.py
@@ -17,7 +17,15 @@
 from typing import Any
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
+from anyio.abc import (
+    ByteStream,
+    Listener,
+    SocketAttribute,
+    SocketListener,
+    SocketStream,
+    TaskGroup,
+    TaskStatus,
+)
 from anyio.streams.buffered import BufferedByteReceiveStream
 from loguru import logger
 from msgspec import Struct, field
@@ -26,7 +34,7 @@
 from marjorambridge.core.events import Event, MessageReceived
 from marjorambridge.core.exceptions import MarjorambridgeError
 from marjorambridge.core.numbers import clamp
-from marjorambridge.transport import frames
+from marjorambridge.transport import early, frames
 from marjorambridge.transport.acknowledgements import (
     ACKNOWLEDGEMENT_INTERVAL_SECONDS,
     STREAM_ERRORS,
@@ -176,8 +184,7 @@
 
 
 async def _run(network: Network, listen: str, *, task_status: TaskStatus) -> None:
-    ip, _, port = listen.rpartition(":")
-    listener = await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
+    listener = await _open_listener(listen)
     try:
         async with listener, anyio.create_task_group() as tasks:
             network.tasks = tasks
@@ -188,6 +195,14 @@
         network.closed.set()
 
 
+async def _open_listener(listen: str) -> Listener[SocketStream]:
+    opened = early.take_socket(listen)
+    if opened is not None:
+        return await SocketListener.from_socket(opened)
+    ip, _, port = listen.rpartition(":")
+    return await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
+
+
 def _set_options(stream: ByteStream) -> None:
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -40,7 +40,7 @@
     )
     async with anyio.create_task_group() as tasks:
         process = ReplicaProcess(
-            settings, ReplicaAdapter(handle_call, get_body_limit), tasks.cancel_scope
+            settings, lambda: ReplicaAdapter(handle_call, get_body_limit), tasks.cancel_scope
         )
         tasks.start_soon(run_components, process)
         with anyio.fail_after(START_SECONDS):
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -201,3 +201,77 @@
     assert process.returncode == 0
     messages = [json.loads(line)["message"] for line in process.stdout.splitlines()]
     assert f"the {role} has stopped" in messages and messages[-1] == "the process ends"
+
+
+# Modules that a role imports after its socket for other hosts listens, and those that it imports
+# after it serves this socket.
+AFTER_LISTENING = ("loguru", "asyncio", "anyio", "thrift", "marjorambridge.daemon")
+AFTER_SERVING = {
+    "gateway": ("aioprometheus", "marjorambridge.storage", "marjorambridge.replication"),
+    "replica": ("aioprometheus", "h11", "marjorambridge.forwarding", "marjorambridge.gateway"),
+}
+
+# Starts a role as the platform does. Prints what is imported when its socket listens, and what is
+# imported when it serves this socket, to which a client has connected meanwhile.
+LISTING = """
+import os, runpy, socket, sys
+from marjorambridge.transport import early
+
+open_socket = early.open_socket
+
+def open_and_list(address):
+    open_socket(address)
+    print(*sys.modules, flush=True)
+    ip, _, port = address.rpartition(":")
+    client = socket.create_connection((ip, int(port)))
+
+    from marjorambridge.transport import network
+
+    start = network.start
+
+    async def start_and_exit(*arguments):
+        await start(*arguments)
+        print(*sys.modules, flush=True)
+        assert client.getpeername() == (ip, int(port)) and not early.OPEN_SOCKETS
+        os._exit(0)
+
+    network.start = start_and_exit
+
+early.open_socket = open_and_list
+sys.argv = ["marjorambridge.platform", "{role}"]
+runpy.run_module("marjorambridge.platform", run_name="__main__")
+"""
+
+
+@pytest.mark.parametrize("role", ["gateway", "replica"])
+def test_a_role_listens_before_it_imports_what_serves_later(role, tmp_path):
+    """Guard against imports that delay the first leader, and so the configuration of all hosts."""
+    base = find_base_port()
+    settings = {
+        "host": "h1",
+        "ip": "127.0.0.1",
+        "zone": "z0",
+        "zones": {"z0": "r"},
+        "seeds": [f"127.0.0.1:{base}"],
+        "peer_ports": [base, base],
+        "control": f"127.0.0.1:{base + 1}",
+        "callers": f"127.0.0.1:{base + 2}",
+        "readiness": f"127.0.0.1:{base + 3}",
+        "data_folder": str(tmp_path / "data"),
+    }
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(settings))
+    result = subprocess.run(
+        [sys.executable, "-c", LISTING.format(role=role)],
+        cwd=ROOT,
+        env=os.environ | {SETTINGS_VARIABLE: str(path)},
+        capture_output=True,
+        text=True,
+        timeout=START_SECONDS,
+    )
+    assert result.returncode == 0, result.stderr
+    listening, serving = (line.split() for line in result.stdout.splitlines()[:2])
+    assert "marjorambridge.conf.nodes" in listening
+    assert not [name for name in listening if name.startswith(AFTER_LISTENING)]
+    assert "marjorambridge.transport.network" in serving
+    assert not [name for name in serving if name.startswith(AFTER_SERVING[role])]
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -98,3 +98,16 @@
         assert (
             page.read_text(encoding="utf-8") == render()
         ), "run scripts/generate_telemetry_reference.py"
+
+
+def test_values_are_kept_until_the_metrics_are_read(monkeypatch):
+    """Guard against values of the start that are lost or counted twice."""
+    monkeypatch.setattr(metrics, "MAX_PENDING_MEASURES", 3)
+    for count in range(1, 6):
+        recorded = metrics.start()
+        for _ in range(count):
+            metrics.record(recorded, Measure("event_loop_stalls_total"))
+        assert len(recorded.pending) == (count if count < 3 else 0)
+        for _ in range(2):
+            lines = metrics.render(recorded).splitlines()
+            assert f"marjorambridge_event_loop_stalls_total {count}.0" in lines
