Refuse answers with an invalid status, and reset cut answers to HTTP/1.0 callers

Cause: the parser accepts statuses up to 999, so that a gateway forwarded 600 to 999 as an answer, also through another host and for orders. marjorambridged closed the connection of a cut answer in order, which is the end of an answer for an HTTP/1.0 caller, because it gets no chunks.

Change: an answer with a status outside 100 to 599 is invalid (RFC 9110, section 15), with all that it says. marjorambridged resets the connection of an HTTP/1.0 caller whose answer is cut. New tests also guard what held before: a part of an answer without a length is not complete if the connection is reset while the request is sent (gateway, relays, orders, marjorambridged).

--- a/marjorambridge/gateway/answers.py
+++ b/marjorambridge/gateway/answers.py
@@ -50,6 +50,9 @@
 # Time between two checks whether an endpoint that has acknowledged nothing is unreachable.
 CHECK_INTERVAL_SECONDS = 0.25
 SERVER_ERROR_STATUSES = range(500, 600)
+# Other statuses are invalid (RFC 9110, section 15), and so is what such an answer says of the
+# request. The parser refuses those below 100.
+VALID_STATUSES = range(100, 600)
 # Causes for which an answer is not received further, for the log.
 ENDINGS = {
     Forwarded.CALLER_GONE: "the caller closed the connection",
@@ -224,6 +227,10 @@
 
 def _handle_head(reader: AnswerReader, event: h11.Response) -> bool:
     result = reader.result
+    if event.status_code not in VALID_STATUSES:
+        raise InvalidAnswerError(
+            f"the status {event.status_code} is invalid; mend the endpoint to send 100 to 599"
+        )
     head = reader.dialect.decode_answer(event.status_code, list(event.headers.raw_items()))
     result.head = head
     if head.request_id not in ("", reader.attempt.request_id):
--- a/marjorambridge/http/servers.py
+++ b/marjorambridge/http/servers.py
@@ -381,7 +381,14 @@
 
 
 def abort_connection(scope: dict[str, Any]) -> None:
-    """Reset the connection of a request, without flushing what the caller has not read."""
+    """Reset the connection of a request, without flushing what the caller has not read.
+
+    An HTTP/1.0 caller, which gets no chunks, would take an orderly end for that of the answer.
+    """
     transport = scope.get("state", {}).get("transport")
-    if transport is not None:
+    if transport is None:
+        return
+    if scope.get("http_version") == "1.0":
+        _reset_transport(transport)
+    else:
         transport.abort()
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -102,6 +102,20 @@
     asyncio.run(run())
 
 
+def test_a_cut_answer_to_a_caller_without_chunks_is_reset():
+    """Guard against a part without a length, which an orderly end makes a whole answer."""
+
+    async def run():
+        async with serve_callers() as caller:
+            answer_with(caller, CUT)
+            reader, writer = await asyncio.open_connection(*caller.address.split(":"))
+            with contextlib.closing(writer), pytest.raises(ConnectionResetError):
+                writer.write(b"POST /services/app/book HTTP/1.0\r\nContent-Length: 1\r\n\r\nx")
+                await reader.read()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("outcome", "status", "name"),
     [
--- a/tests/http/test_endpoints.py
+++ b/tests/http/test_endpoints.py
@@ -143,6 +143,13 @@
         (b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nno", "cut", 200),
         (b"HTTP/1.1 200 X\r\n\r\nbooked", "cut", 200),
         (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", "cut", 200),
+        (b"HTTP/1.0 200 X\r\n\r\nbooked", "cut", 200),
+        (b"HTTP/1.0 200 X\r\nContent-Length: 9\r\n\r\nno", "cut", 200),
+        (b"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", "cut", 200),
+        (b"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\n\r\nbooked", "cut", 200),
+        (b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", "cut", None),
+        (b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", "server_error", None),
+        (b"HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n", "server_error", None),
         (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", "server_error", None),
         (b"", "cut", None),
         (b"HTTP/1.1 200 X\r\nContent-Len", "cut", None),
@@ -161,6 +168,30 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("start", [b"", b"HTTP/1.1 103 X\r\n\r\n", b"HTTP/1.0"])
+def test_a_part_of_an_answer_is_cut_while_the_request_is_sent(start):
+    """Guard against a part that is taken for a whole answer when the connection is reset."""
+    head = b" 200 X\r\nConnection: close\r\n\r\n"
+    answer = start + head if start == b"HTTP/1.0" else start + b"HTTP/1.1" + head
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer + b"part")
+        await asyncio.sleep(0.05)
+        # The rest of the request is not read, so that the kernel resets the connection.
+        writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def run():
+        server = await asyncio.start_server(handle, "127.0.0.1", 0, limit=1_000)
+        async with server, run_driver() as attempts:
+            address = "{}:{}".format(*server.sockets[0].getsockname())
+            attempt = attempts.start(build_grant(address), **PLAIN | {"body": b"x" * 8_000_000})
+            assert (await attempts.wait_for_end(attempt)).end is AttemptEnd.CUT
+
+    asyncio.run(run())
+
+
 def test_a_call_cut_after_its_execution_is_executed_once():
     async def run():
         service = service_module.PlainService(service_module.ServiceSettings(), 5)
--- a/tests/http/test_orders.py
+++ b/tests/http/test_orders.py
@@ -46,6 +46,9 @@
 def test_refusals_and_other_processes_do_not_count_as_accepted():
     for reply in (answer(409, {"error": {}}), answer(200, {"incarnation": 5}), answer(200, {})):
         assert run(reply)[0].status is OrderStatus.REFUSED
+    # An invalid status counts like one of the class 5xx, and not as accepted.
+    assert run(answer(600, {"incarnation": 4}))[0].status is OrderStatus.REFUSED
+    assert run(answer(99, {"incarnation": 4}))[0] is None
 
 
 def test_nothing_is_written_after_the_lifetime():
