Check a configuration document before it is sent

Cause: the first fault of a document was told by a replica that refused it, and routes that never match, limits that contradict each other and services without routes only by failing requests.

Change: 'marjorambridge configuration check FILE' also takes a document of the platform, lists all errors and doubts, and with --in-force the differences from another document. The exit code is 0 without findings, 1 with warnings and 2 with errors; a questionnaire is checked as before.

Measured: tests/management/test_documents.py, test_commands.py, tests/manifests and the doctests of marjorambridge/management: 72 passed.

--- a/marjorambridge/management/commands/configuration.py
+++ b/marjorambridge/management/commands/configuration.py
@@ -12,6 +12,13 @@
 from marjorambridge.configuration.models import Configuration
 from marjorambridge.management.changes import ChangeOptions, run_conditional_change, warn_if_stale
 from marjorambridge.management.client import fetch_configuration
+from marjorambridge.management.documents import (
+    STANDARD_INPUT,
+    is_questionnaire,
+    print_report,
+    read_document,
+    review_document,
+)
 from marjorambridge.management.exceptions import UsageError
 from marjorambridge.management.options import (
     CommandIdOption,
@@ -47,10 +54,33 @@
 
 
 @application.command("check")
-def check_questionnaire(
-    questionnaire: Questionnaire, keys: KeysOption = None, as_json: JsonOption = False
+def check_file(
+    file: Annotated[
+        Path,
+        typer.Argument(
+            help="Configuration document of the platform, - for standard input, or a filled-in "
+            "questionnaire; both are JSON files."
+        ),
+    ],
+    keys: KeysOption = None,
+    in_force: Annotated[
+        Path | None,
+        typer.Option(help="Document in force; the differences from it are listed."),
+    ] = None,
+    as_json: JsonOption = False,
 ) -> None:
-    """Check a questionnaire without a host, and list every fault."""
+    """Check a document or a questionnaire without a host, and list every fault.
+
+    For a document, the exit code is 0 without findings, 1 with warnings only, and 2 with errors.
+    """
+    data = read_document(file)
+    if file == STANDARD_INPUT or in_force is not None or not is_questionnaire(data):
+        present = read_document(in_force) if in_force is not None else None
+        raise typer.Exit(print_report(review_document(data, present), as_json))
+    _check_questionnaire(file, keys, as_json)
+
+
+def _check_questionnaire(questionnaire: Path, keys: Path | None, as_json: bool) -> None:
     item = read_configuration(questionnaire, keys)
     if as_json:
         print_json({"valid": True, "configuration": item})
