--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -494,3 +494,8 @@
 WORKSPACE_MEMORY_RATIO = 0.5
 # Outstanding prefill that counts at least for each prompt that an engine helps with.
 OVERDUE_SHARD_SECONDS = 0.1
+
+# Start of a process.
+# Values that are kept until the metrics library is imported, at the first read of the metrics. They
+# take some 300 KB; a busy gateway reaches them within seconds, and an idle replica not at all.
+MAX_PENDING_MEASURES = 1_000
