--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -106,7 +106,12 @@
         return []
     usage = gateway.forwarding.usage
     add_waiting(usage, profile.workspace)
-    _log(context, "a request waits for room", urgency=profile.urgency)
+    logger.bind(
+        request=context.request.request_id,
+        prompt_tokens=_count_prompt_tokens(context),
+        urgency=profile.urgency,
+        waiting=len(queue.requests),
+    ).info("a request waits for room")
     try:
         while not ready.is_set():
             now = time.monotonic()
@@ -123,7 +128,12 @@
     waited = time.monotonic() - joined_at
     gateway.record_metric(Measure("request_wait_seconds", waited, {}))
     if chosen:
-        _log(context, "a request found room", seconds=round(waited, 4), engines=len(chosen))
+        logger.bind(
+            request=context.request.request_id,
+            prompt_tokens=_count_prompt_tokens(context),
+            helpers=len(chosen) - 1,
+            seconds=round(waited, 4),
+        ).info("a request found room")
     else:
         _log_refusal(context, latest_start, time.monotonic())
     return chosen
@@ -164,18 +174,14 @@
 
 
 def _log_refusal(context: RequestContext, latest_start: float, now: float) -> None:
-    _log(
-        context,
-        "a request was refused, because it can't end in time",
+    logger.bind(
+        request=context.request.request_id,
+        prompt_tokens=_count_prompt_tokens(context),
         needed_seconds=round(context.deadline - latest_start, 4),
         remaining_seconds=round(context.deadline - now, 4),
-    )
+    ).info("a request was refused, because it can't end in time")
 
 
-def _log(context: RequestContext, text: str, **values: object) -> None:
+def _count_prompt_tokens(context: RequestContext) -> int:
     prompt = context.request.prompt
-    logger.bind(
-        request=context.request.request_id,
-        prompt_tokens=prompt.prompt_tokens if prompt is not None else 0,
-        **values,
-    ).info(text)
+    return prompt.prompt_tokens if prompt is not None else 0
