Split the server of callers from the exchanges that it serves

Change: gateway/exchanges.py has the state of a request, the reading of it and the writing of its answer; gateway/callers.py accepts connections, watches and closes them. Nothing else changes; one test patches send_part in the new module.

--- a/marjorambridge/daemon/gateway.py
+++ b/marjorambridge/daemon/gateway.py
@@ -25,8 +25,8 @@
 from marjorambridge.forwarding.state import create_state
 from marjorambridge.gateway import callers
 from marjorambridge.gateway.bodies import BodyMemory
-from marjorambridge.gateway.callers import Exchange, Server
 from marjorambridge.gateway.cuts import log_cut_requests
+from marjorambridge.gateway.exchanges import Exchange, Server
 from marjorambridge.gateway.messages import AnswerMemory, Dialect
 from marjorambridge.gateway.metrics import start_metrics_server
 from marjorambridge.gateway.relays import RELAY_HEADER_BYTES, encode_refusal
--- a/marjorambridge/daemon/replica.py
+++ b/marjorambridge/daemon/replica.py
@@ -58,7 +58,7 @@
 from marjorambridge.transport.turn_queue import acquire_turn
 
 if TYPE_CHECKING:
-    from marjorambridge.gateway.callers import Exchange, Server
+    from marjorambridge.gateway.exchanges import Exchange, Server
 
 # Operators and endpoints try another replica after one second.
 COMMAND_TIMEOUT_SECONDS = 0.9
@@ -253,12 +253,12 @@
     """Listen for calls and for reads of the metrics."""
     # Other hosts are answered while a thread imports; the statements below find what it imported.
     adapter = await anyio.to_thread.run_sync(create_adapter)
-    from marjorambridge.gateway import callers
+    from marjorambridge.gateway import callers, exchanges
     from marjorambridge.gateway.bodies import BodyMemory
     from marjorambridge.gateway.metrics import start_metrics_server
 
     memory = BodyMemory(divide_memory(host.settings.memory_megabytes).bodies)
-    host.server = callers.Server(
+    host.server = exchanges.Server(
         lambda exchange: adapter.handle_call(host, exchange),
         CallerLimits,
         wait_for_turn=lambda: acquire_turn(host.network.turn_queue),
--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -24,7 +24,7 @@
     remove_request,
 )
 from marjorambridge.forwarding.state import Endpoint
-from marjorambridge.gateway import callers
+from marjorambridge.gateway import exchanges
 from marjorambridge.gateway.answers import (
     MAX_ANSWER_BYTES,
     InvalidAnswerError,
@@ -260,11 +260,11 @@
     exchange = context.exchange
     try:
         if exchange.has_head:
-            await callers.send_part(exchange, events)
+            await exchanges.send_part(exchange, events)
         else:
             context.progress.answer_started = True
-            await callers.start_answer(exchange, head.status, [*head.headers, CHUNKED], events)
-    except callers.STREAM_ERRORS:
+            await exchanges.start_answer(exchange, head.status, [*head.headers, CHUNKED], events)
+    except exchanges.STREAM_ERRORS:
         exchange.caller_gone = True
         return False
     return True
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -10,9 +10,9 @@
 from marjorambridge.forwarding.costs import compute_prefill_seconds, estimate_kv_tokens
 from marjorambridge.forwarding.placement import RequestProfile
 from marjorambridge.forwarding.state import Endpoint, find_definition
-from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.crashes import find_causes
 from marjorambridge.gateway.events import StreamCursor
+from marjorambridge.gateway.exchanges import Exchange
 from marjorambridge.gateway.messages import CallerRequest, MemoryAllocation
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet
--- a/marjorambridge/gateway/cuts.py
+++ b/marjorambridge/gateway/cuts.py
@@ -5,8 +5,8 @@
 import h11
 from loguru import logger
 
-from marjorambridge.gateway.callers import Exchange, Server
 from marjorambridge.gateway.delivery import Delivery, count_undelivered_bytes
+from marjorambridge.gateway.exchanges import Exchange, Server
 from marjorambridge.gateway.streams import count_unacknowledged_bytes, count_unsent_bytes
 
 # Requests that are logged one by one; the others are counted.
--- a/marjorambridge/gateway/metrics.py
+++ b/marjorambridge/gateway/metrics.py
@@ -2,9 +2,9 @@
 
 from anyio.abc import TaskGroup
 
-from marjorambridge.gateway import callers
+from marjorambridge.gateway import callers, exchanges
 from marjorambridge.gateway.bodies import BodyMemory
-from marjorambridge.gateway.callers import Exchange, Server
+from marjorambridge.gateway.exchanges import Exchange, Server
 from marjorambridge.manifests.models import CallerLimits
 from marjorambridge.telemetry.metrics import Metrics, render
 
@@ -24,6 +24,6 @@
 
 async def _answer(metrics: Metrics, exchange: Exchange) -> None:
     if exchange.target.partition(b"?")[0] != METRICS_PATH:
-        await callers.send_answer(exchange, NOT_FOUND, [], b"")
+        await exchanges.send_answer(exchange, NOT_FOUND, [], b"")
         return
-    await callers.send_answer(exchange, OK, [TEXT_FORMAT], render(metrics).encode())
+    await exchanges.send_answer(exchange, OK, [TEXT_FORMAT], render(metrics).encode())
--- a/marjorambridge/gateway/outcomes.py
+++ b/marjorambridge/gateway/outcomes.py
@@ -18,12 +18,12 @@
 from marjorambridge.forwarding.attempts import AttemptOutcome, is_repeatable
 from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.retry_after import draw_jitter, estimate_retry_after_seconds
-from marjorambridge.gateway import callers
+from marjorambridge.gateway import exchanges
 from marjorambridge.gateway.answers import is_event_stream
-from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext
 from marjorambridge.gateway.crashes import find_block, format_parts
 from marjorambridge.gateway.exceptions import BadRequestError
+from marjorambridge.gateway.exchanges import Exchange
 from marjorambridge.gateway.messages import AttemptResult, CallerRequest
 from marjorambridge.gateway.relays import describe_outcome, mark_answer
 from marjorambridge.gateway.state import Gateway
@@ -79,14 +79,14 @@
     headers, body = gateway.dialect.encode_error(outcome)
     if exchange.relay is not None:
         headers = [*headers, describe_outcome(outcome, endpoints_tried)]
-    await callers.send_answer(exchange, status or HTTP_STATUSES[outcome.reason], headers, body)
+    await exchanges.send_answer(exchange, status or HTTP_STATUSES[outcome.reason], headers, body)
 
 
 async def deliver(context: RequestContext, result: AttemptResult) -> str:
     """Write the answer of an endpoint, or the end of its stream."""
     exchange, head, dialect = context.exchange, result.head, context.gateway.dialect
     if exchange.has_head:
-        await callers.end_answer(exchange)
+        await exchanges.end_answer(exchange)
         return "served"
     is_complete = result.outcome is AttemptOutcome.COMPLETE
     if head is None or not (is_complete or dialect.forwards_server_errors):
@@ -102,7 +102,7 @@
         headers, body = dialect.encode_collected(context.request, b"".join(context.collected))
     if exchange.relay is not None:
         headers = mark_answer(headers, context.progress.endpoints_tried)
-    await callers.send_answer(exchange, head.status, headers, body)
+    await exchanges.send_answer(exchange, head.status, headers, body)
     return "served" if is_complete else "endpoint_failed"
 
 
@@ -144,8 +144,8 @@
         failure = _describe_failure(context, Reason.STREAM_CUT, outcome)
         end = dialect.encode_cut(context.request, failure)
         if end:
-            await callers.send_part(exchange, end)
-            await callers.end_answer(exchange)
+            await exchanges.send_part(exchange, end)
+            await exchanges.end_answer(exchange)
         else:
             exchange.must_reset = True
         return f"cut_{outcome.value}"
--- a/marjorambridge/gateway/relay_reports.py
+++ b/marjorambridge/gateway/relay_reports.py
@@ -12,8 +12,8 @@
 
 from marjorambridge.core.numbers import parse_count
 from marjorambridge.forwarding.relays import needs_confirmation
-from marjorambridge.gateway.callers import Exchange, send_interim, send_part
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt
+from marjorambridge.gateway.exchanges import Exchange, send_interim, send_part
 from marjorambridge.gateway.messages import Attempt, Headers
 from marjorambridge.gateway.streams import STREAM_ERRORS
 
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -20,8 +20,8 @@
 from marjorambridge.forwarding.contact import is_lost
 from marjorambridge.forwarding.relays import Relay, count_used
 from marjorambridge.gateway.answers import InvalidAnswerError
-from marjorambridge.gateway.callers import Exchange, send_answer
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, has_events
+from marjorambridge.gateway.exchanges import Exchange, send_answer
 from marjorambridge.gateway.messages import (
     HOP_BY_HOP_HEADERS,
     AnswerHead,
--- a/marjorambridge/gateway/requests.py
+++ b/marjorambridge/gateway/requests.py
@@ -13,11 +13,11 @@
 from marjorambridge.forwarding.attempts import NextStep, decide_next_step
 from marjorambridge.forwarding.budgets import record_request
 from marjorambridge.forwarding.relays import Relay
-from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.contexts import RequestContext, create_context
 from marjorambridge.gateway.crashes import is_blocked
 from marjorambridge.gateway.delivery import set_end
 from marjorambridge.gateway.exceptions import BadRequestError
+from marjorambridge.gateway.exchanges import Exchange
 from marjorambridge.gateway.messages import CallerRequest
 from marjorambridge.gateway.outcomes import (
     answer_invalid,
--- a/marjorambridge/platform/dialect.py
+++ b/marjorambridge/platform/dialect.py
@@ -4,7 +4,7 @@
 
 from marjorambridge.core.numbers import parse_count, parse_decimal
 from marjorambridge.core.outcomes import Unsuccessful
-from marjorambridge.gateway import callers
+from marjorambridge.gateway import exchanges
 from marjorambridge.gateway.exceptions import BadRequestError
 from marjorambridge.gateway.messages import (
     HOP_BY_HOP_HEADERS,
@@ -198,7 +198,7 @@
 
 def encode_error(outcome: Unsuccessful) -> tuple[Headers, bytes]:
     """Return headers and text of an answer of this host, with the time to come back if any."""
-    headers, body = callers.encode_text(outcome)
+    headers, body = exchanges.encode_text(outcome)
     retry_after = getattr(outcome, "retry_after", None)
     if retry_after is not None:
         headers.append((b"Retry-After", f"{retry_after:.2f}".encode()))
--- a/marjorambridge/platform/operations.py
+++ b/marjorambridge/platform/operations.py
@@ -19,8 +19,8 @@
     report_endpoint,
     submit_command,
 )
-from marjorambridge.gateway import callers
-from marjorambridge.gateway.callers import Exchange
+from marjorambridge.gateway import exchanges
+from marjorambridge.gateway.exchanges import Exchange
 from marjorambridge.manifests.exceptions import InvalidManifestError
 from marjorambridge.manifests.validation import validate_manifest
 from marjorambridge.platform.documents import (
@@ -43,10 +43,10 @@
     for method, prefix, handle in CALLS:
         if exchange.method == method and path.startswith(prefix):
             status, body = await handle(host, unquote(path[len(prefix) :]), exchange)
-            await callers.send_answer(exchange, status, [JSON_TYPE], body)
+            await exchanges.send_answer(exchange, status, [JSON_TYPE], body)
             return
     body = encode_error("unknown call; check method and path")
-    await callers.send_answer(exchange, NOT_FOUND, [JSON_TYPE], body)
+    await exchanges.send_answer(exchange, NOT_FOUND, [JSON_TYPE], body)
 
 
 def get_body_limit(method: bytes, target: bytes) -> int:
--- a/marjorambridge/platform/readiness.py
+++ b/marjorambridge/platform/readiness.py
@@ -1,8 +1,8 @@
 """Answer the platform's readiness checks of a gateway."""
 
 from marjorambridge.daemon.gateway import GatewayHost, is_ready
-from marjorambridge.gateway import callers
-from marjorambridge.gateway.callers import Exchange
+from marjorambridge.gateway import exchanges
+from marjorambridge.gateway.exchanges import Exchange
 
 READY_PATH = b"/api/readyz"
 OK, NOT_FOUND, UNAVAILABLE = 200, 404, 503
@@ -14,4 +14,4 @@
         status = NOT_FOUND
     else:
         status = OK if is_ready(host) else UNAVAILABLE
-    await callers.send_answer(exchange, status, [], b"")
+    await exchanges.send_answer(exchange, status, [], b"")
--- a/marjorambridge/simulation/hosts.py
+++ b/marjorambridge/simulation/hosts.py
@@ -22,8 +22,8 @@
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
 from marjorambridge.gateway.bodies import BodyReservation
-from marjorambridge.gateway.callers import SERVER_ERROR, Exchange, Server
 from marjorambridge.gateway.delivery import Delivery
+from marjorambridge.gateway.exchanges import SERVER_ERROR, Exchange, Server
 from marjorambridge.gateway.messages import (
     AnswerHead,
     Attempt,
--- a/tests/gateway/helpers.py
+++ b/tests/gateway/helpers.py
@@ -13,7 +13,8 @@
 from marjorambridge.forwarding.fleet import apply_entry, apply_manifest
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
-from marjorambridge.gateway.callers import Server, close_server, start_server
+from marjorambridge.gateway.callers import close_server, start_server
+from marjorambridge.gateway.exchanges import Server
 from marjorambridge.gateway.requests import handle_request
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.streams import reset
--- a/tests/gateway/test_relay_reports.py
+++ b/tests/gateway/test_relay_reports.py
@@ -9,8 +9,9 @@
 from msgspec import Struct, json
 
 from marjorambridge.forwarding.relays import Relay, get_relay_address
-from marjorambridge.gateway import callers, relay_reports
-from marjorambridge.gateway.callers import close_server, send_part
+from marjorambridge.gateway import exchanges, relay_reports
+from marjorambridge.gateway.callers import close_server
+from marjorambridge.gateway.exchanges import send_part
 from marjorambridge.gateway.messages import Attempt
 from marjorambridge.gateway.relay_reports import CONFIRMATION_SECONDS, REPORT_HEADER
 from marjorambridge.gateway.relays import _compute_mac
@@ -249,7 +250,7 @@
 
     async def scenario():
         monkeypatch.setattr(relay_reports, "send_part", send_slowly)
-        monkeypatch.setattr(callers, "send_part", send_event)
+        monkeypatch.setattr(exchanges, "send_part", send_event)
         async with run_fleet(RESUMABLE, go_on, go_on, cut=(False, False)) as (_, other):
             asker = await ask(other, Relay("a:1", 3.0, 2, reports=True))
             data = await asker.read_all()
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -15,7 +15,8 @@
 from marjorambridge.forwarding.relays import get_relay_address
 from marjorambridge.forwarding.settings import ForwardingSettings
 from marjorambridge.forwarding.state import create_state
-from marjorambridge.gateway.callers import Server, close_server, start_server
+from marjorambridge.gateway.callers import close_server, start_server
+from marjorambridge.gateway.exchanges import Server
 from marjorambridge.gateway.relays import RELAY_HEADER_BYTES, encode_refusal
 from marjorambridge.gateway.requests import handle_relayed_request, handle_request
 from marjorambridge.gateway.state import Gateway
