--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -14,9 +14,9 @@
 )
 from marjorambridge.forwarding.placement import RequestProfile
 from marjorambridge.forwarding.state import Endpoint, ForwardingState, Work, find_definition
-from marjorambridge.gateway.callers import Exchange
 from marjorambridge.gateway.crashes import find_causes
 from marjorambridge.gateway.events import StreamCursor
+from marjorambridge.gateway.exchanges import Exchange
 from marjorambridge.gateway.messages import CallerRequest, MemoryAllocation
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.tickets import TicketSet
--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -111,6 +111,7 @@
         if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
         in PLANNED_ALLOWED
         and can_help(endpoint, now)
+        and not _is_reading_own(endpoint)
         and can_start(state, definition, endpoint, now)
     ]
     # A prefill shard is no request, but work for an endpoint in need.
@@ -128,6 +129,15 @@
     return waits
 
 
+def _is_reading_own(endpoint: Endpoint) -> bool:
+    """Return whether an engine prefills the prompt of a request that it has itself.
+
+    Engines read shards for others first, so that each further one delays that request.
+    """
+    loads = (endpoint.load, *endpoint.other_loads.values())
+    return any(load.reads > load.helps for load in loads)
+
+
 def _compute_tolerated_seconds(endpoint: Endpoint, one_pass: float) -> float:
     """Return the prefill beside which the answers of an engine meet their pause objective.
 
