--- a/marjorambridge/gateway/sharing.py
+++ b/marjorambridge/gateway/sharing.py
@@ -671,7 +671,7 @@
         return
     sharing.over_share = over_share
     names = sorted(usage.own[key].name for key in over_share & usage.own.keys())
-    logger.bind(workspaces=len(over_share), local_workspaces=",".join(names)).info(
+    logger.bind(workspaces=len(over_share), local_workspaces=",".join(names)).debug(
         "the workspaces that use more than their share changed"
     )
     sharing.record_metric(Measure("workspaces_over_share", len(over_share)))
