Check waiting requests of each service and kind separately

A round looked only at the first 8 requests of the order, so that 8 requests of a service without room held up those of all other services. A request that finds no room because it was at the only free endpoint already no longer holds up the others of its service either.

--- a/marjorambridge/conf/defaults.py
+++ b/marjorambridge/conf/defaults.py
@@ -418,8 +418,8 @@
 LATEST_PREFILL_RATIO = 0.85
 # Longest prefill shard of a long prompt as a part of its objective, if there are enough engines.
 SHARD_OBJECTIVE_RATIO = 0.25
-# Requests that wait for room on one host, those that are checked in one round, and the longest time
-# between two rounds.
+# Requests that wait for room on one host, those of one service and kind that are checked in one
+# round, and the longest time between two rounds.
 MAX_WAITING_REQUESTS = 256
 MAX_CHECKED_REQUESTS = 8
 WAITING_CHECK_SECONDS = 0.05
--- a/marjorambridge/scheduling/waiting.py
+++ b/marjorambridge/scheduling/waiting.py
@@ -6,6 +6,7 @@
 has none.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from msgspec import Struct, field
@@ -109,24 +110,27 @@
 ) -> list[WaitingRequest]:
     """Grant room to the waiting requests in their order, and return those that got it.
 
-    At most one long prompt is granted in a round, because the loads of its engines count only once
-    it has started. The number of requests that are checked bounds the cost of a round.
+    Requests of each service, and its long prompts, are checked separately, so that those that find
+    no room do not hold up others. At most one long prompt of a service is granted in a round,
+    because the loads of its engines count only once it has started. The number of requests that are
+    checked of each kind bounds the cost of a round.
     """
     queue.checked_at = now
     granted: list[WaitingRequest] = []
-    full_services: set[tuple[str, bool]] = set()
-    for request in sort_requests(queue, is_over_share, now)[: defaults.MAX_CHECKED_REQUESTS]:
+    checks: Counter[tuple[str, bool]] = Counter()
+    for request in sort_requests(queue, is_over_share, now):
         kind = (request.service, request.is_long)
-        if kind in full_services:
+        if checks[kind] >= defaults.MAX_CHECKED_REQUESTS:
             continue
+        checks[kind] += 1
         room = request.find_room()
-        if room is not None:
-            granted.append(request)
-            request.grant(room)
-        if request.is_long if room is not None else not request.is_long:
-            full_services.add(kind)
-    for request in granted:
+        if room is None:
+            continue
         leave(queue, request)
+        granted.append(request)
+        request.grant(room)
+        if request.is_long:
+            checks[kind] = defaults.MAX_CHECKED_REQUESTS
     return granted
 
 
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -87,6 +87,23 @@
     assert serve(queue) == ["plain"]
 
 
+def test_many_requests_without_room_do_not_hold_up_other_services():
+    """With 8 urgent requests of a full service in front, no request of another one was checked."""
+    full, free, queue = Room(0), Room(1), WaitingQueue()
+    fill(queue, *[make_request(full, f"chat{n}", 0) for n in range(20)])
+    fill(queue, *[make_request(full, f"log{n}", 1, is_long=True) for n in range(20)])
+    fill(queue, make_request(free, "plain", 9, service="app"))
+    assert serve(queue) == ["plain"]
+    assert full.checks == 2 * defaults.MAX_CHECKED_REQUESTS
+
+
+def test_a_repeated_request_does_not_hold_up_others_of_its_service():
+    """A request waited whose only free endpoint had declined it, and all behind it waited too."""
+    none_left, free, queue = Room(0), Room(1), WaitingQueue()
+    fill(queue, make_request(none_left, "repeated", 0), make_request(free, "new", 1))
+    assert serve(queue) == ["new"]
+
+
 def test_waiting_is_bounded():
     """Requests that wait hold memory and connections, so that a host refuses further ones."""
     queue, room = WaitingQueue(), Room(0)
