Bound the plan of a long prompt by its time limit

A plan followed the objective alone. A prompt with less time left than its objective, or on a route without an objective, got so few engines that it could only exceed its time limit.

--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -66,10 +66,15 @@
         return None
     waits = _list_waits(state, definition, profile, excluded, now)
     tolerated = state.thresholds[profile.service].tolerated_prefill_seconds
-    shard_limit = max(tolerated, defaults.SHARD_OBJECTIVE_RATIO * profile.objective_seconds)
-    limits = [
+    early_limit, latest_limit = (
         ratio * profile.objective_seconds - profile.waited_seconds
         for ratio in (defaults.EARLY_PREFILL_RATIO, defaults.LATEST_PREFILL_RATIO)
+    )
+    shard_limit = max(tolerated, defaults.SHARD_OBJECTIVE_RATIO * profile.objective_seconds)
+    # A prefill that ends after the time limit serves nobody, even within a long objective.
+    limits = [
+        min(early_limit, defaults.LATE_PROMPT_REMAINING_RATIO * profile.remaining_seconds),
+        min(latest_limit, profile.remaining_seconds),
     ]
     chosen: list[Endpoint] = []
     for limit in limits:
--- a/tests/scheduling/test_plans.py
+++ b/tests/scheduling/test_plans.py
@@ -84,3 +84,11 @@
         add_prefill(engine.load, 1.0, 0.0)
     assert plan(state, 250_000)[1] is None
     assert math.isinf(make_profile(1).remaining_seconds) is False
+
+
+def test_a_plan_ends_before_the_time_limit():
+    """The plan followed the objective alone, so that a prompt with little time left timed out."""
+    _, hurried = plan(make_state(60), 250_000, objective=8.0, remaining=1.0)
+    _, unhurried = plan(make_state(60), 700_000, objective=math.inf, remaining=15.0)
+    assert hurried.seconds <= 1.0
+    assert unhurried.seconds <= 15.0
