Count all usable engines in the decision on late prompts

Only engines that could help were counted, so that late prompts took the last idle engines of a busy fleet. A prompt that the engines of a small fleet can't serve on time no longer waits while they are idle.

--- a/marjorambridge/scheduling/plans.py
+++ b/marjorambridge/scheduling/plans.py
@@ -64,7 +64,8 @@
     definition = find_definition(state, profile.service)
     if definition is None or definition.engine is None:
         return None
-    waits = _list_waits(state, definition, profile, excluded, now)
+    usable = list_usable(state, profile.service, excluded, now)
+    waits = _list_waits(state, definition, profile, usable, now)
     tolerated = state.thresholds[profile.service].tolerated_prefill_seconds
     early_limit, latest_limit = (
         ratio * profile.objective_seconds - profile.waited_seconds
@@ -86,7 +87,7 @@
         chosen = choose_tolerated(engines, profile, min(tolerated, limits[-1]), now)
     is_on_time = bool(chosen)
     if not chosen:
-        chosen = _choose_late(waits, profile, shard_limit, limits[-1])
+        chosen = _choose_late(waits, len(usable), profile, shard_limit, limits[-1])
     if not chosen:
         return None
     by_name = {wait.endpoint.name: wait.seconds for wait in waits}
@@ -104,7 +105,7 @@
     state: ForwardingState,
     definition: ServiceDefinition,
     profile: RequestProfile,
-    excluded: frozenset[str],
+    usable: list[Endpoint],
     now: float,
 ) -> list[EngineWait]:
     """Return the engines that may take a prefill shard, those that start it first at the front."""
@@ -112,7 +113,7 @@
     one_pass = compute_pass_seconds(definition.engine)
     eligible = [
         endpoint
-        for endpoint in list_usable(state, profile.service, excluded, now)
+        for endpoint in usable
         if compute_avoid_reason(definition, endpoint, profile, count_requests(endpoint), now)
         in PLANNED_ALLOWED
         and can_help(endpoint, now)
@@ -155,13 +156,23 @@
 
 
 def _choose_late(
-    waits: list[EngineWait], profile: RequestProfile, shard_limit: float, on_time_limit: float
+    waits: list[EngineWait],
+    engines: int,
+    profile: RequestProfile,
+    shard_limit: float,
+    on_time_limit: float,
 ) -> list[Endpoint]:
     """Return engines for a prompt that can't be on time any more, from the idle ones.
 
     While most engines are busy, prompts that can be on time need them.
+
+    Parameters
+    ----------
+    engines : int
+        Number of usable engines, with those that can't take a prefill shard at present.
     """
-    if on_time_limit > compute_least_seconds(profile):
+    most = min(engines, defaults.MAX_HELPERS + 1)
+    if on_time_limit > profile.prefill_seconds / max(1, most):
         # The engines are busy, but the prompt can still be on time when they become free.
         return []
     idle = [
@@ -169,7 +180,7 @@
         for wait in waits
         if wait.seconds <= MAX_IDLE_PREFILL_SECONDS and math.isinf(wait.tolerated_seconds)
     ]
-    if len(idle) < defaults.PLANNED_LATE_IDLE_RATIO * len(waits):
+    if len(idle) < defaults.PLANNED_LATE_IDLE_RATIO * engines:
         return []
     limit = defaults.LATE_PROMPT_REMAINING_RATIO * profile.remaining_seconds
     return choose_fewest(idle, profile, limit, shard_limit)
--- a/tests/scheduling/test_plans.py
+++ b/tests/scheduling/test_plans.py
@@ -86,6 +86,20 @@
     assert math.isinf(make_profile(1).remaining_seconds) is False
 
 
+def test_a_late_prompt_counts_engines_that_cannot_help_as_busy():
+    """Late prompts took the last idle engines, because only engines that can help were counted."""
+    state = make_state(20)
+    for engine in list_engines(state)[:17]:
+        engine.load.helps = engine.slots
+    assert plan(state, 250_000, waited=9.0, remaining=6.0)[1] is None
+
+
+def test_a_prompt_that_the_fleet_cannot_serve_on_time_does_not_wait_for_more_engines():
+    """With 3 engines, all idle, a prompt waited until 17 engines would not be on time either."""
+    _, planned = plan(make_state(3), 250_000, objective=1.0)
+    assert planned is not None and len(planned.engines) == 3 and not planned.is_on_time
+
+
 def test_a_plan_ends_before_the_time_limit():
     """The plan followed the objective alone, so that a prompt with little time left timed out."""
     _, hurried = plan(make_state(60), 250_000, objective=8.0, remaining=1.0)
