Let no waiting request hold up streams that have begun, or requests of another kind

While a long prompt waited, short prompts of the same or a later rank waited for the next round although engines could take them, and no attempt started beside a silent stream at all.

--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -11,7 +11,7 @@
 from marjorambridge.forwarding.placement import choose_endpoint
 from marjorambridge.forwarding.splitting import is_long_prompt
 from marjorambridge.forwarding.state import Endpoint, find_definition
-from marjorambridge.gateway.contexts import RequestContext
+from marjorambridge.gateway.contexts import RequestContext, has_events
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.scheduling.plans import compute_least_seconds, plan_prefill
 from marjorambridge.scheduling.shares import is_over_share
@@ -42,7 +42,9 @@
     is_long = gateway.dialect.helpers is not None and is_long_prompt(
         gateway.forwarding, context.profile
     )
-    if not _precedes(gateway, context):
+    # A stream that is silent or was cut goes first, because its caller waits for the next event.
+    goes_first = not may_wait or has_events(context)
+    if goes_first or not _is_preceded(gateway, context, is_long):
         chosen = _choose(context, excluded, is_long)
         if chosen or not may_wait:
             return chosen
@@ -54,10 +56,15 @@
     return await _wait(context, excluded, is_long, latest_start)
 
 
-def _precedes(gateway: Gateway, context: RequestContext) -> bool:
-    """Return whether a waiting request of the same service comes before a new one."""
+def _is_preceded(gateway: Gateway, context: RequestContext, is_long: bool) -> bool:
+    """Return whether a waiting request of the same service comes before a new one.
+
+    Long prompts wait for engines without answers, which short ones do not need.
+    """
     return any(
-        request.service == context.profile.service and request.urgency <= context.profile.urgency
+        request.service == context.profile.service
+        and request.is_long == is_long
+        and request.urgency <= context.profile.urgency
         for request in gateway.waiting.requests
     )
 
@@ -91,7 +98,7 @@
     request = WaitingRequest(
         profile.service,
         profile.workspace,
-        profile.urgency,
+        0 if has_events(context) else profile.urgency,
         objective_at - compute_least_seconds(profile),
         latest_start,
         joined_at,
