End the waiting of requests that can't end before their host stops

The latest start was computed once, so that a request that waited when its host began to stop could wait until the end of the host, and lost its connection without an answer.

--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -11,7 +11,7 @@
 from marjorambridge.forwarding.placement import choose_endpoint
 from marjorambridge.forwarding.splitting import is_long_prompt
 from marjorambridge.forwarding.state import Endpoint, find_definition
-from marjorambridge.gateway.contexts import RequestContext, has_events
+from marjorambridge.gateway.contexts import ANSWER_MARGIN_SECONDS, RequestContext, has_events
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.scheduling.plans import compute_least_seconds, plan_prefill
 from marjorambridge.scheduling.shares import is_over_share
@@ -122,6 +122,8 @@
     try:
         while not ready.is_set():
             now = time.monotonic()
+            # The host may begin to stop meanwhile.
+            latest_start = _compute_latest_start(context)
             if now >= latest_start:
                 break
             if is_due(queue, now):
@@ -169,7 +171,8 @@
         passes = tokens / max(1, definition.engine.stride_steps)
         answer_seconds = max(answer_seconds, passes * compute_pass_seconds(definition.engine))
     least_seconds = compute_least_seconds(profile)
-    latest_start = compute_latest_start(context.deadline, least_seconds, answer_seconds)
+    ends_at = min(context.deadline, context.gateway.ends_at - ANSWER_MARGIN_SECONDS)
+    latest_start = compute_latest_start(ends_at, least_seconds, answer_seconds)
     if route.gap_objective_seconds > 0 and not context.first_event_at:
         patience = max(
             defaults.CALLER_PATIENCE_SECONDS,
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -92,3 +92,19 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
+
+
+def test_the_stop_of_the_host_ends_the_waiting():
+    """A request waited past the end of its host, and its caller got no answer."""
+
+    async def scenario():
+        gateway = make_gateway()
+        occupy(gateway)
+        async with anyio.create_task_group() as tasks:
+            found = await start_waiting(tasks, make_context(gateway, LONG_PROMPT_TOKENS))
+            gateway.ends_at = time.monotonic() + 0.1
+            await anyio.sleep(2 * defaults.WAITING_CHECK_SECONDS)
+            assert found == [[]]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
