Count granted requests in the limits of cold endpoints at once

A request counts when its attempt starts, which is after the round that granted room to it. So when a cold or limited endpoint allowed one more request, all requests of the round were sent to it.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -95,7 +95,9 @@
     attempt.handle_connected = lambda: _note_connected(context, running)
     if context.admission.route.execution is Execution.STREAM:
         attempt.send_event_bytes = lambda head, data: _send_events(context, running, head, data)
-    record_send(endpoint, now)
+    if context.recorded_send != endpoint.name:
+        record_send(endpoint, now)
+    context.recorded_send = ""
     _add_load(context, running, now)
     running.kv_tokens = count_kv_tokens(endpoint)
     begin_observation(context, running, now)
--- a/marjorambridge/gateway/contexts.py
+++ b/marjorambridge/gateway/contexts.py
@@ -155,6 +155,8 @@
         Number of helper engines of the last attempt.
     retry_after_seconds : float or None
         Time to come back that the last host named that refused the request; None if none did.
+    recorded_send : str
+        Endpoint for which the send of the next attempt is recorded already; empty if for none.
     replaced : Endpoint or None
         Endpoint at whose address another one seems to have answered this request.
     reports : StartReports or None
@@ -180,6 +182,7 @@
     collected: list[bytes] = field(default_factory=list)
     helper_count: int = 0
     retry_after_seconds: float | None = None
+    recorded_send: str = ""
     replaced: Endpoint | None = None
     excluded: set[str] = field(default_factory=set)
     attempt_outcomes: list[str] = field(default_factory=list)
--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -7,6 +7,7 @@
 
 from marjorambridge.conf import defaults
 from marjorambridge.core.effects import Measure
+from marjorambridge.forwarding.budgets import record_send
 from marjorambridge.forwarding.costs import compute_pass_seconds
 from marjorambridge.forwarding.placement import choose_endpoint
 from marjorambridge.forwarding.splitting import is_long_prompt
@@ -92,6 +93,10 @@
     def grant(endpoints: object) -> None:
         assert isinstance(endpoints, list)
         chosen.extend(endpoints)
+        # The next request of the round must find this one in the limit of a cold endpoint.
+        if not is_long:
+            record_send(chosen[0], time.monotonic())
+            context.recorded_send = chosen[0].name
         ready.set()
 
     objective_at = context.exchange.arrived_at + profile.objective_seconds
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -1,11 +1,13 @@
 """Test which requests of a planned service wait on their host, and what ends the waiting."""
 
+import math
 import time
 from types import SimpleNamespace
 
 import anyio
 
 from marjorambridge.conf import defaults
+from marjorambridge.forwarding.budgets import compute_cold_request_limit
 from marjorambridge.forwarding.loads import add_prefill, add_request
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.waiting import find_room
@@ -29,6 +31,7 @@
         deadline=now + seconds,
         exchange=SimpleNamespace(arrived_at=now, has_head=is_started),
         collected=[],
+        recorded_send="",
         first_event_at=now if is_started else 0.0,
         request=SimpleNamespace(request_id="id", prompt=None),
         admission=SimpleNamespace(
@@ -108,3 +111,25 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(scenario)
+
+
+def test_waiting_requests_keep_the_limit_of_a_cold_engine():
+    """When a cold engine allowed one more request, all requests of a round were sent to it."""
+
+    async def scenario():
+        gateway, rate = make_gateway(engines=1, rate=4.0), 4.0
+        (engine,) = gateway.forwarding.by_service["model"].values()
+        limit = compute_cold_request_limit(gateway.forwarding, engine, rate)
+        assert 1 <= limit < defaults.MAX_CHECKED_REQUESTS
+        engine.cold_until = math.inf
+        engine.recent_sends.extend([time.monotonic()] * limit)
+        async with anyio.create_task_group() as tasks:
+            contexts = [make_context(gateway) for _ in range(defaults.MAX_CHECKED_REQUESTS)]
+            found = await start_waiting(tasks, *contexts)
+            assert not found and len(gateway.waiting.requests) == len(contexts)
+            engine.recent_sends.popleft()
+            await anyio.sleep(3 * defaults.WAITING_CHECK_SECONDS)
+            assert found == [[engine]]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
