Grant long prompts of a service one at a time also when attempts end together

Each attempt that ended started a round, and each round granted a long prompt on the same loads, so that several prompts chose the same engines.

--- a/marjorambridge/scheduling/waiting.py
+++ b/marjorambridge/scheduling/waiting.py
@@ -6,6 +6,7 @@
 has none.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -51,10 +52,13 @@
     ----------
     checked_at : float
         Monotonic time in seconds of the last round.
+    long_granted_at : dict of str to float
+        Monotonic time in seconds at which a service last granted room to a long prompt.
     """
 
     requests: list[WaitingRequest] = field(default_factory=list)
     checked_at: float = 0.0
+    long_granted_at: dict[str, float] = field(default_factory=dict)
 
 
 def join(queue: WaitingQueue, request: WaitingRequest) -> bool:
@@ -111,9 +115,10 @@
     """Grant room to the waiting requests in their order, and return those that got it.
 
     Requests of each service, and its long prompts, are checked separately, so that those that find
-    no room do not hold up others. At most one long prompt of a service is granted in a round,
-    because the loads of its engines count only once it has started. The number of requests that are
-    checked of each kind bounds the cost of a round.
+    no room do not hold up others. Long prompts of a service are granted one at a time, with the
+    time between two regular rounds between them: the loads of their engines count only once they
+    have started, and attempts that end together start a round each. The number of requests that
+    are checked of each kind bounds the cost of a round.
     """
     queue.checked_at = now
     granted: list[WaitingRequest] = []
@@ -122,6 +127,8 @@
         kind = (request.service, request.is_long)
         if checks[kind] >= defaults.MAX_CHECKED_REQUESTS:
             continue
+        if request.is_long and _has_granted_long(queue, request.service, now):
+            continue
         checks[kind] += 1
         room = request.find_room()
         if room is None:
@@ -130,10 +137,16 @@
         granted.append(request)
         request.grant(room)
         if request.is_long:
-            checks[kind] = defaults.MAX_CHECKED_REQUESTS
+            queue.long_granted_at[request.service] = now
     return granted
 
 
+def _has_granted_long(queue: WaitingQueue, service: str, now: float) -> bool:
+    """Return whether a long prompt was granted so recently that it may not have started."""
+    granted_at = queue.long_granted_at.get(service, -math.inf)
+    return now - granted_at < defaults.WAITING_CHECK_SECONDS
+
+
 def is_due(queue: WaitingQueue, now: float) -> bool:
     """Return whether the next round is due, if nothing else started one meanwhile."""
     return now - queue.checked_at >= defaults.WAITING_CHECK_SECONDS
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -80,6 +80,14 @@
     assert serve(queue) == ["r0"]
 
 
+def test_one_long_prompt_starts_at_a_time_when_attempts_end_together():
+    """Each attempt that ended started a round, and all of them chose the same idle engines."""
+    room, queue = Room(9), WaitingQueue()
+    fill(queue, *[make_request(room, f"r{n}", due=float(n), is_long=True) for n in range(3)])
+    assert [serve(queue, now=5.0) for _ in range(3)] == [["r0"], [], []]
+    assert serve(queue, now=5.001 + defaults.WAITING_CHECK_SECONDS) == ["r1"]
+
+
 def test_a_request_that_finds_no_room_does_not_hold_up_other_services():
     """Plain requests waited behind prompts for which no engine was free."""
     full, free, queue = Room(0), Room(1), WaitingQueue()
