--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -52,11 +52,21 @@
     latest_start, now = _compute_latest_start(context), time.monotonic()
     if now >= latest_start:
         _log_refusal(context, latest_start, now)
-    if not may_wait or now >= latest_start:
+    if not may_wait or now >= latest_start or _has_tried_all(gateway, context, excluded):
         return []
     return await _wait(context, excluded, is_long, latest_start)
 
 
+def _has_tried_all(gateway: Gateway, context: RequestContext, excluded: frozenset[str]) -> bool:
+    """Return whether no endpoint can become free for a request, because all had it already."""
+    forwarding, service = gateway.forwarding, context.profile.service
+    if find_definition(forwarding, service) is None:
+        return True
+    endpoints = forwarding.by_service.get(service, {})
+    # A host that has just started knows no endpoints yet.
+    return bool(endpoints) and all(item.name in excluded for item in endpoints.values())
+
+
 def _is_preceded(gateway: Gateway, context: RequestContext, is_long: bool) -> bool:
     """Return whether a waiting request of the same service comes before a new one.
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -113,6 +113,19 @@
     anyio.run(scenario)
 
 
+def test_a_request_that_all_endpoints_had_is_refused_at_once():
+    """A request that no endpoint was left for waited until the end of its time."""
+
+    async def scenario():
+        gateway = make_gateway(engines=2)
+        context, excluded = make_context(gateway), frozenset(gateway.forwarding.endpoints)
+        with anyio.fail_after(0.2):
+            assert await find_room(context, excluded) == []
+        assert not gateway.waiting.requests
+
+    anyio.run(scenario)
+
+
 def test_waiting_requests_keep_the_limit_of_a_cold_engine():
     """When a cold engine allowed one more request, all requests of a round were sent to it."""
 
