--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -19,7 +19,7 @@
 from marjorambridge.gateway.relay_reports import report_start
 from marjorambridge.gateway.relays import may_relay
 from marjorambridge.gateway.tickets import release, reserve
-from marjorambridge.gateway.waiting import find_room
+from marjorambridge.gateway.waiting import find_room, may_still_start
 
 
 async def select_attempt(context: RequestContext, may_wait: bool = True) -> RunningAttempt | None:
@@ -98,6 +98,8 @@
             return attempt
         # An engine had less memory than its load reports said.
         await anyio.sleep(defaults.WAITING_CHECK_SECONDS)
+        if not may_still_start(context):
+            return None
 
 
 async def _create_attempt(
--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -170,6 +170,11 @@
         run_round(gateway.waiting, lambda workspace: is_over_share(forwarding, workspace, now), now)
 
 
+def may_still_start(context: RequestContext) -> bool:
+    """Return whether a request that starts now is expected to end in time."""
+    return time.monotonic() < _compute_latest_start(context)
+
+
 def _compute_latest_start(context: RequestContext) -> float:
     """Return the monotonic time in seconds after which the request can't end in time.
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -9,8 +9,10 @@
 from marjorambridge.conf import defaults
 from marjorambridge.forwarding.budgets import compute_cold_request_limit
 from marjorambridge.forwarding.loads import add_prefill, add_request
+from marjorambridge.gateway import selection
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.gateway.waiting import find_room
+from marjorambridge.scheduling.plans import compute_least_seconds
 from tests.forwarding.helpers import make_profile, make_state
 
 LONG_PROMPT_TOKENS = 250_000
@@ -126,6 +128,26 @@
     anyio.run(scenario)
 
 
+def test_memory_is_not_ordered_again_for_a_prompt_that_cannot_end_in_time(monkeypatch):
+    """Engines that refuse memory were asked every 50 ms until the time limit of the prompt."""
+
+    async def refuse(context, engines, excluded):
+        refused_at.append(time.monotonic())
+
+    refused_at = []
+    monkeypatch.setattr(selection, "_create_attempt", refuse)
+
+    async def scenario():
+        gateway = make_gateway()
+        context = make_context(gateway, LONG_PROMPT_TOKENS, seconds=1.0)
+        least_seconds = compute_least_seconds(context.profile)
+        assert least_seconds > 2 * defaults.WAITING_CHECK_SECONDS
+        assert await selection._select_planned(context, frozenset(), True) is None
+        assert refused_at and max(refused_at) <= context.deadline - least_seconds
+
+    anyio.run(scenario)
+
+
 def test_waiting_requests_keep_the_limit_of_a_cold_engine():
     """When a cold engine allowed one more request, all requests of a round were sent to it."""
 
