--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -129,21 +129,25 @@
 
 
 def test_memory_is_not_ordered_again_for_a_prompt_that_cannot_end_in_time(monkeypatch):
-    """Engines that refuse memory were asked every 50 ms until the time limit of the prompt."""
+    """Engines that refuse memory were asked every 50 ms after the caller had given up."""
 
     async def refuse(context, engines, excluded):
         refused_at.append(time.monotonic())
 
     refused_at = []
     monkeypatch.setattr(selection, "_create_attempt", refuse)
+    monkeypatch.setattr(defaults, "CALLER_PATIENCE_SECONDS", 0.6)
 
     async def scenario():
         gateway = make_gateway()
-        context = make_context(gateway, LONG_PROMPT_TOKENS, seconds=1.0)
-        least_seconds = compute_least_seconds(context.profile)
-        assert least_seconds > 2 * defaults.WAITING_CHECK_SECONDS
-        assert await selection._select_planned(context, frozenset(), True) is None
-        assert refused_at and max(refused_at) <= context.deadline - least_seconds
+        context = make_context(gateway, LONG_PROMPT_TOKENS)
+        context.admission.route = SimpleNamespace(
+            gap_objective_seconds=0.01, objective_seconds=0.01
+        )
+        with anyio.fail_after(1.0):
+            assert await selection._select_planned(context, frozenset(), True) is None
+        latest_start = 0.6 - compute_least_seconds(context.profile)
+        assert refused_at and max(refused_at) - context.exchange.arrived_at <= latest_start
 
     anyio.run(scenario)
 
