Advance own prefills before the load of another host changes

The prefills of all hosts at an engine count as one queue. A report replaced a part of it without updating the rest, so that prefill that had ended counted again.

--- a/marjorambridge/forwarding/loads.py
+++ b/marjorambridge/forwarding/loads.py
@@ -169,6 +169,9 @@
 
 def set_other_load(endpoint: Endpoint, host: str, load: Load) -> None:
     """Replace the load of another host at an endpoint."""
+    if load.as_of > endpoint.load.as_of:
+        # Until now, the prefills of this host went on beside the previous loads.
+        advance_prefills(endpoint, load.as_of)
     previous = endpoint.other_loads.get(host)
     if load.reads or (previous is not None and previous.reads):
         endpoint.costs.prefill_seen_at = load.as_of
--- a/tests/scheduling/test_plans.py
+++ b/tests/scheduling/test_plans.py
@@ -2,8 +2,16 @@
 
 import math
 
+import pytest
+
 from marjorambridge.conf import defaults
-from marjorambridge.forwarding.loads import add_prefill, add_request
+from marjorambridge.forwarding.loads import (
+    add_prefill,
+    add_request,
+    compute_remaining_prefill_seconds,
+    set_other_load,
+)
+from marjorambridge.forwarding.state import Load
 from marjorambridge.scheduling.plans import plan_prefill
 from tests.forwarding.helpers import make_profile, make_state
 
@@ -106,3 +114,13 @@
     _, unhurried = plan(make_state(60), 700_000, objective=math.inf, remaining=15.0)
     assert hurried.seconds <= 1.0
     assert unhurried.seconds <= 15.0
+
+
+def test_a_report_of_another_host_does_not_restore_prefill_that_has_ended():
+    """A long prompt of another host slowed down the prefill that had ended before it came, too."""
+    state = make_state(1)
+    (engine,) = list_engines(state)
+    engine.is_planned = True
+    add_prefill(engine.load, 1.0, 0.0)
+    set_other_load(engine, "h2", Load(reads=1, prefill_seconds=10.0, as_of=0.9))
+    assert compute_remaining_prefill_seconds(engine, 0.9) == pytest.approx(10.1)
