Pass a waiting request on when its host loses the endpoints

A request that waited for room while its host lost contact waited on until its latest start, although another host could serve it. The wait ends now and the request is passed on.

--- a/marjorambridge/gateway/attempts.py
+++ b/marjorambridge/gateway/attempts.py
@@ -113,13 +113,13 @@
         if _is_counted(context, endpoint):
             remove_use(gateway.forwarding.usage, profile.workspace, profile.use_seconds)
         gateway.share_load(endpoint)
-        start_round(gateway, time.monotonic())
         if not endpoint.is_peer:
             start_cancellation(gateway, request, endpoint, identifier, result.outcome)
         if result.outcome is AttemptOutcome.COMPLETE or running.scope.cancel_called:
             start_release(running.tickets)
         else:
             await release(running.tickets)
+    start_round(gateway, time.monotonic())
     _check_stream(context, running.cursor, result)
     observe_answer(context, running, result, ended_at)
     if result.outcome is AttemptOutcome.MISDIRECTED:
--- a/marjorambridge/gateway/relays.py
+++ b/marjorambridge/gateway/relays.py
@@ -54,6 +54,12 @@
     return not (context.request.collects_events and has_events(context))
 
 
+def must_relay(context: RequestContext) -> bool:
+    """Return whether a request goes to another host, because this one reaches no endpoint."""
+    forwarding = context.gateway.forwarding
+    return is_lost(forwarding.contact) and may_relay(context) and len(forwarding.hosts) > 1
+
+
 def build_relay_attempt(context: RequestContext, running: RunningAttempt, now: float) -> Attempt:
     """Return the attempt that passes a request on to another host."""
     gateway, exchange = context.gateway, context.exchange
--- a/marjorambridge/gateway/selection.py
+++ b/marjorambridge/gateway/selection.py
@@ -17,7 +17,7 @@
 from marjorambridge.gateway.contexts import RequestContext, RunningAttempt, create_attempt
 from marjorambridge.gateway.crashes import is_blocked
 from marjorambridge.gateway.relay_reports import report_start
-from marjorambridge.gateway.relays import may_relay
+from marjorambridge.gateway.relays import must_relay
 from marjorambridge.gateway.tickets import release, reserve
 from marjorambridge.gateway.waiting import find_room, may_still_start
 
@@ -38,11 +38,14 @@
     excluded = list_excluded(context)
     if is_lost(forwarding.contact) and context.exchange.relay is not None:
         return None
-    if is_lost(forwarding.contact) and may_relay(context) and len(forwarding.hosts) > 1:
-        peer = select_peer(context, now)
-        return create_attempt(context, peer) if peer is not None else None
+    if must_relay(context):
+        return _select_relay(context, now)
     if profile.is_planned:
-        return await _select_planned(context, excluded, may_wait)
+        attempt = await _select_planned(context, excluded, may_wait)
+        if attempt is None and must_relay(context):
+            # The host lost its endpoints while the request waited.
+            return _select_relay(context, time.monotonic())
+        return attempt
     may_split = context.gateway.dialect.helpers is not None
     if not may_split or not is_long_prompt(forwarding, profile):
         endpoint = choose_endpoint(forwarding, profile, excluded, now)
@@ -60,6 +63,12 @@
         await anyio.sleep(defaults.LONG_PROMPT_CHECK_INTERVAL_SECONDS)
 
 
+def _select_relay(context: RequestContext, now: float) -> RunningAttempt | None:
+    """Return an attempt that passes the request on, or None if enough hosts had it."""
+    peer = select_peer(context, now)
+    return create_attempt(context, peer) if peer is not None else None
+
+
 def select_peer(context: RequestContext, now: float) -> Endpoint | None:
     """Return the host that gets the request next, or None if enough hosts had it."""
     forwarding, excluded = context.gateway.forwarding, list_excluded(context)
--- a/marjorambridge/gateway/waiting.py
+++ b/marjorambridge/gateway/waiting.py
@@ -13,6 +13,7 @@
 from marjorambridge.forwarding.splitting import is_long_prompt
 from marjorambridge.forwarding.state import Endpoint, find_definition
 from marjorambridge.gateway.contexts import ANSWER_MARGIN_SECONDS, RequestContext, has_events
+from marjorambridge.gateway.relays import must_relay
 from marjorambridge.gateway.state import Gateway
 from marjorambridge.scheduling.plans import compute_least_seconds, plan_prefill
 from marjorambridge.scheduling.shares import is_over_share
@@ -115,8 +116,6 @@
         profile.workspace,
         0 if has_events(context) else profile.urgency,
         objective_at - compute_least_seconds(profile),
-        latest_start,
-        joined_at,
         find_room=lambda: _choose(context, excluded, is_long) or None,
         grant=grant,
         is_long=is_long,
@@ -139,7 +138,7 @@
             now = time.monotonic()
             # The host may begin to stop meanwhile.
             latest_start = _compute_latest_start(context)
-            if now >= latest_start:
+            if now >= latest_start or must_relay(context):
                 break
             if is_due(queue, now):
                 start_round(gateway, now)
@@ -158,7 +157,7 @@
             helpers=len(chosen) - 1,
             seconds=round(waited, 4),
         ).info("a request found room")
-    else:
+    elif time.monotonic() >= latest_start:
         _log_refusal(context, latest_start, time.monotonic())
     return chosen
 
@@ -194,12 +193,14 @@
     ends_at = min(context.deadline, context.gateway.ends_at - ANSWER_MARGIN_SECONDS)
     latest_start = compute_latest_start(ends_at, least_seconds, answer_seconds)
     if route.gap_objective_seconds > 0 and not context.first_event_at:
-        patience = max(
+        caller_timeout = max(
             defaults.CALLER_PATIENCE_SECONDS,
             defaults.CALLER_PATIENCE_OBJECTIVES * route.objective_seconds,
             defaults.CALLER_PATIENCE_PAUSES * route.gap_objective_seconds,
         )
-        latest_start = min(latest_start, context.exchange.arrived_at + patience - least_seconds)
+        latest_start = min(
+            latest_start, context.exchange.arrived_at + caller_timeout - least_seconds
+        )
     return latest_start
 
 
--- a/marjorambridge/scheduling/waiting.py
+++ b/marjorambridge/scheduling/waiting.py
@@ -24,8 +24,6 @@
         Rank of the request; 0 is first.
     on_time_until : float
         Monotonic time in seconds of the latest start with which the request is on time.
-    latest_start : float
-        Monotonic time in seconds of the latest start with which it ends in time.
     find_room : callable
         Returns what the request needs to start, or None while there is no room for it.
     grant : callable
@@ -38,8 +36,6 @@
     workspace: str
     urgency: int
     on_time_until: float
-    latest_start: float
-    joined_at: float
     find_room: Callable[[], object | None]
     grant: Callable[[object], None]
     is_long: bool = False
@@ -87,7 +83,7 @@
     --------
     >>> def build(urgency, on_time_until, workspace=""):
     ...     return WaitingRequest(
-    ...         "model", workspace, urgency, on_time_until, 9.0, 0.0, lambda: None, print
+    ...         "model", workspace, urgency, on_time_until, lambda: None, print
     ...     )
     >>> queue = WaitingQueue([build(1, 5.0), build(0, 0.5), build(0, 4.0), build(0, 2.0, "heavy")])
     >>> ordered = sort_requests(queue, lambda workspace: workspace == "heavy", 1.0)
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -29,9 +29,7 @@
 
 
 def make_request(room, name="", urgency=5, due=10.0, is_long=False, service="model"):
-    request = WaitingRequest(
-        service, name, urgency, due, 15.0, 0.0, room.find, lambda room: None, is_long
-    )
+    request = WaitingRequest(service, name, urgency, due, room.find, lambda room: None, is_long)
     return request
 
 
