--- a/marjorambridge/forwarding/health.py
+++ b/marjorambridge/forwarding/health.py
@@ -119,11 +119,15 @@
 
 def count_reporters(endpoint: Endpoint, now: float) -> int:
     """Return how many other hosts avoid an endpoint at present."""
+    if not endpoint.reports:
+        return 0
     return sum(report.hosts for report in endpoint.reports.values() if now < report.avoid_until)
 
 
 def get_avoid_until(endpoint: Endpoint, now: float) -> float:
     """Return the time in monotonic seconds until which this host avoids an endpoint."""
+    if not endpoint.reports:
+        return endpoint.avoid_until
     reported = [
         report.avoid_until for report in endpoint.reports.values() if now < report.avoid_until
     ]
