--- a/tests/gateway/test_extreme_numbers.py
+++ b/tests/gateway/test_extreme_numbers.py
@@ -17,6 +17,7 @@
     EndpointLoad,
     LoadShare,
     LoadTotals,
+    WorkspaceUse,
     ZoneTotals,
 )
 from marjorambridge.gateway import sharing as sharing_module
@@ -239,16 +240,21 @@
 def test_numbers_of_other_hosts_are_applied_and_sent_on(data):
     """Guard against a host that ends, because it can't send on what another one reported."""
     hosts = tuple(f"10.0.0.{number}:1" for number in range(1, 70))
-    sharing = LoadSharing(make_state(engines=2, hosts=hosts), hosts[0], KEY)
+    state = make_state(engines=2, hosts=hosts)
+    state.planned = frozenset(data.draw(st.sampled_from([(), ("model",)])))
+    for item in state.endpoints.values():
+        item.is_planned = item.service in state.planned
+    sharing = LoadSharing(state, hosts[0], KEY)
     endpoints = st.sampled_from([item.key for item in sharing.forwarding.endpoints.values()])
     loads = draw_entries(EndpointLoad, endpoint=endpoints)
     failures = draw_entries(EndpointFailure, endpoint=endpoints)
+    uses = st.one_of(st.none(), draw_entries(WorkspaceUse))
     causes = draw_entries(CauseEntry, cause=st.integers(-3, 3))
     crashes = draw_entries(CrashEntry, cause=st.integers(-3, 3))
     messages = st.one_of(
-        st.builds(LoadShare, st.sampled_from(hosts[1:]), st.booleans(), loads, failures),
-        st.builds(LoadTotals, st.sampled_from(hosts[1:]), loads, failures),
-        st.builds(ZoneTotals, st.just("z1"), st.booleans(), loads, failures),
+        st.builds(LoadShare, st.sampled_from(hosts[1:]), st.booleans(), loads, failures, uses),
+        st.builds(LoadTotals, st.sampled_from(hosts[1:]), loads, failures, uses),
+        st.builds(ZoneTotals, st.just("z1"), st.booleans(), loads, failures, uses),
         st.builds(CrashReport, st.sampled_from(hosts[1:]), st.booleans(), crashes, causes, causes),
     )
     now = 100.0
